Lay out the packages, the wire messages and the checks

The skeleton: shared identifiers, the registry of result codes with its generated page, logging, metrics with counted connections, the signatures of the pure core and the messages between the processes.

--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller serves callers over HTTP and places their requests.
+package caller
--- /dev/null
+++ b/cmd/hickoryhead/main.go
@@ -0,0 +1,9 @@
+// Command hickoryhead runs the daemons of the router fleet and the tools of
+// its operators.
+package main
+
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/hickoryhead/reference.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+func newReference() *cobra.Command {
+	return &cobra.Command{
+		Use:       "reference results",
+		Short:     "Print a reference page made from the code",
+		ValidArgs: []string{"results"},
+		Args:      usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			switch args[0] {
+			case "results":
+				fmt.Fprint(cmd.OutOrStdout(), result.Reference())
+				return nil
+			}
+			return errors.Mark(errors.Newf("no reference page %q: want results", args[0]), errUsage)
+		},
+	}
+}
+
+// usageArgs marks the errors of check as errors of usage.
+func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		err := check(cmd, args)
+		if err == nil {
+			return nil
+		}
+		return errors.Mark(err, errUsage)
+	}
+}
--- /dev/null
+++ b/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo runs every role on loopback in one process.
+package demo
--- /dev/null
+++ b/metrics/conn.go
@@ -0,0 +1,65 @@
+package metrics
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// Traffic counts the control bytes exchanged with one kind of peer. The zero
+// value counts without reporting to a Set.
+type Traffic struct {
+	Set  *Set
+	Peer Peer
+
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Sent returns the bytes written so far.
+func (traffic *Traffic) Sent() ident.Bytes {
+	return ident.Bytes(traffic.sent.Load())
+}
+
+// Received returns the bytes read so far.
+func (traffic *Traffic) Received() ident.Bytes {
+	return ident.Bytes(traffic.received.Load())
+}
+
+// Conn returns conn with its bytes counted.
+func (traffic *Traffic) Conn(conn net.Conn) net.Conn {
+	return &countedConn{Conn: conn, traffic: traffic}
+}
+
+// DialContext opens a TCP connection whose bytes are counted.
+func (traffic *Traffic) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return traffic.Conn(conn), nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read reads from the connection and counts the bytes received.
+func (conn *countedConn) Read(buffer []byte) (int, error) {
+	n, err := conn.Conn.Read(buffer)
+	conn.traffic.received.Add(int64(n))
+	conn.traffic.Set.Control(conn.traffic.Peer, Received, ident.Bytes(n))
+	return n, err
+}
+
+// Write writes to the connection and counts the bytes sent.
+func (conn *countedConn) Write(buffer []byte) (int, error) {
+	n, err := conn.Conn.Write(buffer)
+	conn.traffic.sent.Add(int64(n))
+	conn.traffic.Set.Control(conn.traffic.Peer, Sent, ident.Bytes(n))
+	return n, err
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves operators over HTTP.
+package operator
--- /dev/null
+++ b/result/code.go
@@ -0,0 +1,208 @@
+package result
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// Code is a numbered result code. The zero value means success.
+type Code int
+
+// Outcome says what a caller may conclude about its request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	Done    Outcome = "Done"
+	NotRun  Outcome = "NotRun"
+	Running Outcome = "Running"
+	Unknown Outcome = "Unknown"
+	Failed  Outcome = "Failed"
+)
+
+// Codes of refused input: nothing was forwarded.
+const (
+	OK                    Code = 0
+	MalformedBody         Code = 1001
+	UnknownRoute          Code = 1002
+	UnknownWorkspace      Code = 1003
+	BodyTooLarge          Code = 1004
+	MissingIdempotencyKey Code = 1005
+	KeyReused             Code = 1006
+	InvalidAffinity       Code = 1007
+	InvalidHeader         Code = 1008
+	UnknownAnswer         Code = 1009
+	AnswerExpired         Code = 1010
+)
+
+// Codes of refused work: nothing was run, and the caller may come back.
+const (
+	OverBound            Code = 2001
+	ShareExceeded        Code = 2002
+	QueueFull            Code = 2003
+	DeadlineUnmeetable   Code = 2004
+	PriorityHeld         Code = 2005
+	NoUpstream           Code = 2006
+	RetryBudgetSpent     Code = 2007
+	Leaving              Code = 2008
+	NotReady             Code = 2009
+	UpstreamUnreachable  Code = 2010
+	ClaimUnavailable     Code = 2011
+	CrashingRequest      Code = 2012
+	CrashingRequestAlone Code = 2013
+)
+
+// Codes of requests that ran, or may have run.
+const (
+	OutcomeUnknown  Code = 3001
+	AnswerCut       Code = 3002
+	UpstreamFailed  Code = 3003
+	KeyInProgress   Code = 3004
+	DeadlineExpired Code = 3005
+)
+
+// Codes of the operators' interface.
+const (
+	InvalidSettings     Code = 4001
+	RevisionConflict    Code = 4002
+	NotOwner            Code = 4003
+	Unauthenticated     Code = 4004
+	PathNotFound        Code = 4005
+	PlatformUnavailable Code = 4006
+	SettingsLimit       Code = 4007
+	CommitUnknown       Code = 4008
+)
+
+// Codes of orders to engines.
+const (
+	StaleFence   Code = 5001
+	FenceUnknown Code = 5002
+	LeaseLapsed  Code = 5003
+)
+
+// Entry describes one code.
+type Entry struct {
+	Code    Code
+	Name    string
+	Title   string
+	Text    string
+	Status  int
+	Outcome Outcome
+	// Elsewhere says that another upstream may still accept the request.
+	Elsewhere bool
+}
+
+var entries = []Entry{
+	{MalformedBody, "MalformedBody", "The body is not valid JSON", "The body must be one JSON value of the shape that the route takes. Correct it and send it again.", http.StatusBadRequest, NotRun, false},
+	{UnknownRoute, "UnknownRoute", "No such route", "No route of this name is in force. Check the name, or wait a few seconds after creating it.", http.StatusNotFound, NotRun, false},
+	{UnknownWorkspace, "UnknownWorkspace", "No such workspace", "The workspace header names no workspace that is in force.", http.StatusForbidden, NotRun, false},
+	{BodyTooLarge, "BodyTooLarge", "The body is too large", "The body is longer than the route allows.", http.StatusRequestEntityTooLarge, NotRun, false},
+	{MissingIdempotencyKey, "MissingIdempotencyKey", "An idempotency key is required", "The route takes requests that are not idempotent. Send an Idempotency-Key header that is unique to the action.", http.StatusBadRequest, NotRun, false},
+	{KeyReused, "KeyReused", "The idempotency key belongs to another body", "The key was first used with a different body. Nothing was run for this request.", http.StatusUnprocessableEntity, NotRun, false},
+	{InvalidAffinity, "InvalidAffinity", "The affinity header is invalid", "The affinity header was altered or is of an unknown version. Send it as it was received, or leave it out.", http.StatusBadRequest, NotRun, false},
+	{InvalidHeader, "InvalidHeader", "A header is invalid", "A request header is absent, too long or of the wrong form. The detail names it.", http.StatusBadRequest, NotRun, false},
+	{UnknownAnswer, "UnknownAnswer", "No such answer", "The event ID names no answer of this workspace that can still be resumed.", http.StatusNotFound, Unknown, false},
+	{AnswerExpired, "AnswerExpired", "The answer is no longer held", "The answer, or the part of it that was asked for, has left the replay buffer.", http.StatusGone, Unknown, false},
+
+	{OverBound, "OverBound", "Every upstream tried is at its load bound", "Nothing was run. Come back after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{ShareExceeded, "ShareExceeded", "The workspace is at its share", "The upstream is contended and the workspace holds its weighted share of it. Nothing was run.", http.StatusTooManyRequests, NotRun, true},
+	{QueueFull, "QueueFull", "The queue is full", "The upstream's queue has no place for this priority. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{DeadlineUnmeetable, "DeadlineUnmeetable", "The deadline cannot be met", "The request would not start before its deadline, so it was refused at once. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{PriorityHeld, "PriorityHeld", "The priority is held back", "The remaining room is kept for higher priorities. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{NoUpstream, "NoUpstream", "No upstream serves the route", "No live upstream of the route's model or service is known. Nothing was run.", http.StatusServiceUnavailable, NotRun, false},
+	{RetryBudgetSpent, "RetryBudgetSpent", "The retry budget is spent", "Retries are limited to a share of recent traffic, and that share is used up. Nothing was run.", http.StatusServiceUnavailable, NotRun, false},
+	{Leaving, "Leaving", "The upstream is leaving", "The upstream finishes its work and takes no more. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{NotReady, "NotReady", "The daemon is not ready", "The daemon has no settings revision that it may serve yet. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{UpstreamUnreachable, "UpstreamUnreachable", "The upstream could not be reached", "No connection could be opened, so nothing was sent. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{ClaimUnavailable, "ClaimUnavailable", "The claim could not be recorded", "The platform's table did not confirm the claim before the deadline, and the request was abandoned for good. Nothing was run.", http.StatusServiceUnavailable, NotRun, false},
+	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while they ran this request, so it is refused. Nothing was run this time.", http.StatusUnprocessableEntity, NotRun, false},
+	{CrashingRequestAlone, "CrashingRequestAlone", "The request may only run alone elsewhere", "Upstreams crashed while they ran this request. It may run only alone, on the upstream designated for it. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+
+	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and nobody can tell. See docs/OPERATING.md.", http.StatusBadGateway, Unknown, false},
+	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer and it could not be continued. What was received is not whole.", http.StatusBadGateway, Failed, false},
+	{UpstreamFailed, "UpstreamFailed", "The upstream failed", "The upstream ran the request and reported a failure, or was lost while it ran an idempotent request.", http.StatusBadGateway, Failed, false},
+	{KeyInProgress, "KeyInProgress", "The request is running", "An earlier request with this idempotency key is still running. Ask again after the time in Retry-After.", http.StatusConflict, Running, false},
+	{DeadlineExpired, "DeadlineExpired", "The deadline passed", "The request was still running at its deadline.", http.StatusGatewayTimeout, Unknown, false},
+
+	{InvalidSettings, "InvalidSettings", "The settings are invalid", "The detail names the path, the value and what is allowed. Nothing was changed.", http.StatusUnprocessableEntity, NotRun, false},
+	{RevisionConflict, "RevisionConflict", "The revision has moved on", "Another operator's change was accepted first. Read the current settings and try again. Nothing was changed.", http.StatusPreconditionFailed, NotRun, false},
+	{NotOwner, "NotOwner", "The path belongs to another team", "A team may change only its own subtree. Nothing was changed.", http.StatusForbidden, NotRun, false},
+	{Unauthenticated, "Unauthenticated", "The credential is not accepted", "Send the team's credential as a bearer token.", http.StatusUnauthorized, NotRun, false},
+	{PathNotFound, "PathNotFound", "No setting at this path", "There is no setting at the path. Nothing was changed.", http.StatusNotFound, NotRun, false},
+	{PlatformUnavailable, "PlatformUnavailable", "The platform's store is unavailable", "The platform's table or object store did not answer. Nothing is known to have changed.", http.StatusServiceUnavailable, NotRun, false},
+	{SettingsLimit, "SettingsLimit", "A limit of the settings is exceeded", "The change is too large, or the subtree holds too many settings. Nothing was changed.", http.StatusRequestEntityTooLarge, NotRun, false},
+	{CommitUnknown, "CommitUnknown", "The commit's answer was lost", "The change may have been accepted. Send it again with the same change ID: it is accepted once.", http.StatusBadGateway, Unknown, false},
+
+	{StaleFence, "StaleFence", "The fencing number is old", "A newer holder of the lease has given orders. Nothing was done.", http.StatusConflict, NotRun, false},
+	{FenceUnknown, "FenceUnknown", "The current fencing number is not known yet", "The sidecar has restarted and has not read the current fencing number. Nothing was done.", http.StatusServiceUnavailable, NotRun, false},
+	{LeaseLapsed, "LeaseLapsed", "The lease has lapsed", "The holder's lease ended before it acted. Nothing was done.", http.StatusConflict, NotRun, false},
+}
+
+var byCode = indexEntries(entries)
+
+func indexEntries(entries []Entry) map[Code]Entry {
+	index := make(map[Code]Entry, len(entries))
+	for _, entry := range entries {
+		index[entry.Code] = entry
+	}
+	return index
+}
+
+// Entries returns every entry of the registry in the order of the codes.
+func Entries() []Entry {
+	return slices.Clone(entries)
+}
+
+// Lookup returns the entry of code and whether there is one.
+func Lookup(code Code) (Entry, bool) {
+	entry, found := byCode[code]
+	return entry, found
+}
+
+// String returns the number as callers see it, such as "HH2001".
+func (code Code) String() string {
+	return fmt.Sprintf("HH%04d", int(code))
+}
+
+// Name returns the name of the code as used in metrics and logs.
+func (code Code) Name() string {
+	if code == OK {
+		return "OK"
+	}
+	entry, found := byCode[code]
+	if !found {
+		return code.String()
+	}
+	return entry.Name
+}
+
+// Status returns the HTTP status of the code.
+func (code Code) Status() int {
+	if code == OK {
+		return http.StatusOK
+	}
+	entry, found := byCode[code]
+	if !found {
+		return http.StatusInternalServerError
+	}
+	return entry.Status
+}
+
+// Outcome returns what a caller may conclude from the code. A code that is not
+// registered concludes nothing.
+func (code Code) Outcome() Outcome {
+	if code == OK {
+		return Done
+	}
+	entry, found := byCode[code]
+	if !found {
+		return Unknown
+	}
+	return entry.Outcome
+}
+
+// Elsewhere reports whether another upstream may still accept the request.
+func (code Code) Elsewhere() bool {
+	return byCode[code].Elsewhere
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,70 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+// Budget limits retries to a share of the recent requests. The zero value
+// allows none until requests have been counted.
+type Budget struct {
+	// Share is the most retries for each request, such as 0.2.
+	Share float64
+
+	tokens float64
+}
+
+// Request counts one new request at the time now.
+func (budget *Budget) Request(_ time.Time) { budget.tokens = min(budget.tokens+budget.Share, 100) }
+
+// Spend takes one retry from the budget and reports whether there was one.
+func (budget *Budget) Spend(_ time.Time) bool {
+	if budget.tokens < 1 {
+		return false
+	}
+	budget.tokens--
+	return true
+}
+
+// Attempt describes how the last try of a request ended.
+type Attempt struct {
+	Code       result.Code
+	Idempotent bool
+	Deadline   time.Time
+	// Tried and Candidates count the upstreams tried and known.
+	Tried      int
+	Candidates int
+}
+
+// Action says what to do after a try.
+type Action int
+
+// The actions after a try.
+const (
+	// Stop gives the caller the last code.
+	Stop Action = iota
+	// Elsewhere sends the request to another upstream without spending the
+	// budget: it was declined before any work was done for it.
+	Elsewhere
+	// Again sends an idempotent request to another upstream if the budget
+	// allows it.
+	Again
+)
+
+// MaxTries is the most upstreams that one request is offered to.
+const MaxTries = 5
+
+// Next returns what to do after attempt at the time now.
+func Next(now time.Time, attempt Attempt) Action {
+	if !now.Before(attempt.Deadline) || attempt.Tried >= min(MaxTries, attempt.Candidates) {
+		return Stop
+	}
+	if attempt.Code.Elsewhere() {
+		return Elsewhere
+	}
+	if attempt.Idempotent && (attempt.Code == result.UpstreamFailed || attempt.Code == result.OutcomeUnknown) {
+		return Again
+	}
+	return Stop
+}
--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package router puts the parts of a router daemon together.
+package router
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"encoding/json"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// Path names one setting: /Teams/<team>/<Kind>/<name>.
+type Path string
+
+// Kind is the collection that a setting belongs to.
+type Kind string
+
+// The kinds of settings.
+const (
+	KindRoute     Kind = "Routes"
+	KindWorkspace Kind = "Workspaces"
+	KindPriority  Kind = "Priorities"
+	KindPlacement Kind = "Placements"
+)
+
+// Route says where the requests of a route go. Exactly one of Model and
+// Service is set.
+type Route struct {
+	Model   ident.ModelName   `json:",omitempty" validate:"required_without=Service,excluded_with=Service"`
+	Service ident.ServiceName `json:",omitempty"`
+	// Operation is the service's operation.
+	Operation string `json:",omitempty"`
+	// Idempotent says that a request may run more than once.
+	Idempotent bool
+	// LoadMultiple bounds an upstream's load to this multiple of the mean.
+	LoadMultiple float64 `json:",omitempty" validate:"omitempty,gte=1,lte=10"`
+	// IgnoreHint places chats without regard to where they were served last.
+	IgnoreHint bool `json:",omitempty"`
+	// Priority is used for a request that names none.
+	Priority ident.Priority `json:",omitempty"`
+	// TimeoutMs bounds a request from arrival to its last byte; zero means 60 s.
+	TimeoutMs int64 `json:",omitempty" validate:"omitempty,gte=100,lte=3600000"`
+	// MaxBodyBytes bounds a request's body; zero means 1 MiB.
+	MaxBodyBytes ident.Bytes `json:",omitempty" validate:"omitempty,gte=1,lte=33554432"`
+}
+
+// Workspace is one customer workspace of the team.
+type Workspace struct {
+	// Weight is its share of a contended upstream against the others.
+	Weight float64 `json:",omitempty" validate:"omitempty,gt=0,lte=1000"`
+}
+
+// PriorityClass is one priority of the team.
+type PriorityClass struct {
+	// Mark is the share of an upstream's bound that the class may fill.
+	Mark float64 `validate:"gt=0,lte=1"`
+}
+
+// Placement says how many upstreams shall hold a model.
+type Placement struct {
+	Model    ident.ModelName `validate:"required"`
+	Replicas int             `validate:"gte=0,lte=10000"`
+}
+
+// Subtree is all settings of one team at one revision of the team.
+type Subtree struct {
+	Team       ident.TeamID
+	Revision   ident.Revision
+	Routes     map[ident.RouteName]Route        `json:",omitempty"`
+	Workspaces map[ident.WorkspaceID]Workspace  `json:",omitempty"`
+	Priorities map[ident.Priority]PriorityClass `json:",omitempty"`
+	Placements map[string]Placement             `json:",omitempty"`
+}
+
+// Change is one change of a team's settings: a null value deletes the path.
+type Change struct {
+	// ID makes a repeated change count once.
+	ID     string
+	Team   ident.TeamID
+	Base   ident.Revision
+	Author string
+	Reason string
+	Values map[Path]json.RawMessage
+}
+
+// View is an immutable set of subtrees, one per team. The zero value is empty.
+type View struct {
+	teams map[ident.TeamID]*Subtree
+}
+
+// Adopt returns a view with subtree in force, and whether it was newer than
+// what was in force. An older or equal revision changes nothing.
+func (view *View) Adopt(subtree *Subtree) (*View, bool) {
+	present := view.Team(subtree.Team)
+	if present != nil && present.Revision >= subtree.Revision {
+		return view, false
+	}
+	adopted := &View{teams: make(map[ident.TeamID]*Subtree, len(view.teams)+1)}
+	for team, kept := range view.teams {
+		adopted.teams[team] = kept
+	}
+	adopted.teams[subtree.Team] = subtree
+	return adopted, true
+}
+
+// Team returns the subtree of a team, or nil.
+func (view *View) Team(team ident.TeamID) *Subtree {
+	if view == nil {
+		return nil
+	}
+	return view.teams[team]
+}
+
+// Teams returns the number of teams.
+func (view *View) Teams() int { return len(view.teams) }
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin holds small stand-ins for the systems around hickoryhead.
+package standin
