--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/metrics"
+)
+
+const (
+	// handshakeTimeout bounds the proof of the shared key.
+	handshakeTimeout = 5 * time.Second
+	// writeTimeout bounds one write, so that a frozen peer holds no goroutine.
+	writeTimeout = 5 * time.Second
+	// acceptPause follows a failed accept, such as one for lack of descriptors.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Events that the server counts.
+const (
+	eventAccepted = "peer.connection.accepted"
+	eventRefused  = "peer.connection.refused"
+)
+
+// Server serves net/rpc methods to peers that prove the shared key. A server
+// without Identity refuses every connection.
+type Server struct {
+	Identity *Identity
+	// Traffic counts the bytes of all connections; nil counts none.
+	Traffic *metrics.Traffic
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+
+	rpc   rpc.Server
+	conns connSet
+	tasks sync.WaitGroup
+}
+
+// Register makes the exported methods of receiver callable as name.Method.
+func (server *Server) Register(name string, receiver any) error {
+	return errors.Wrapf(server.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// Serve accepts connections until ctx ends. It then closes the listener and
+// every connection, and returns nil once all of them have ended.
+func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		listener.Close()
+		server.conns.closeAll()
+	})
+	defer stop()
+	defer server.tasks.Wait()
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			server.tasks.Add(1)
+			go server.run(ctx, conn)
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			server.conns.closeAll()
+			return errors.Wrap(err, "peer listener")
+		default:
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+// run serves one connection until it is closed.
+func (server *Server) run(ctx context.Context, conn net.Conn) {
+	defer server.tasks.Done()
+	defer conn.Close()
+	if !server.conns.add(conn) {
+		return
+	}
+	defer server.conns.remove(conn)
+	secured, err := server.secure(ctx, conn)
+	if err != nil {
+		server.Metrics.Happened(eventRefused)
+		logging.Part(server.Logger, "peer").Warn("refused a connection", "from", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	server.Metrics.Happened(eventAccepted)
+	server.rpc.ServeConn(secured)
+}
+
+func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if server.Identity == nil {
+		return nil, ErrNotProved
+	}
+	counted := count(server.Traffic, conn)
+	secured := tls.Server(&boundedConn{Conn: counted}, server.Identity.config())
+	return secured, handshake(ctx, secured)
+}
+
+func count(traffic *metrics.Traffic, conn net.Conn) net.Conn {
+	if traffic == nil {
+		return conn
+	}
+	return traffic.Conn(conn)
+}
+
+func handshake(ctx context.Context, secured *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	return errors.Wrap(secured.HandshakeContext(ctx), "peer handshake")
+}
+
+// boundedConn gives each write its own deadline.
+type boundedConn struct {
+	net.Conn
+}
+
+// Write writes buffer within writeTimeout.
+func (conn *boundedConn) Write(buffer []byte) (int, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Write(buffer)
+}
+
+// connSet is a set of open connections. The zero value is empty and open.
+type connSet struct {
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+func (set *connSet) add(conn net.Conn) bool {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	if set.closed {
+		return false
+	}
+	if set.conns == nil {
+		set.conns = make(map[net.Conn]struct{})
+	}
+	set.conns[conn] = struct{}{}
+	return true
+}
+
+func (set *connSet) remove(conn net.Conn) {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	delete(set.conns, conn)
+}
+
+func (set *connSet) closeAll() {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	set.closed = true
+	for conn := range set.conns {
+		conn.Close()
+	}
+}
