--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,10 +23,10 @@
 // Route says where the requests of a route go. Exactly one of Model and
 // Service is set.
 type Route struct {
-	Model   ident.ModelName   `json:",omitempty" validate:"required_without=Service,excluded_with=Service"`
-	Service ident.ServiceName `json:",omitempty"`
+	Model   ident.ModelName   `json:",omitempty" validate:"required_without=Service,excluded_with=Service,omitempty,ident"`
+	Service ident.ServiceName `json:",omitempty" validate:"omitempty,ident"`
 	// Operation is the service's operation.
-	Operation string `json:",omitempty"`
+	Operation string `json:",omitempty" validate:"omitempty,ident"`
 	// Idempotent says that a request may run more than once.
 	Idempotent bool
 	// LoadMultiple bounds an upstream's load to this multiple of the mean.
@@ -34,7 +34,7 @@
 	// IgnoreHint places chats without regard to where they were served last.
 	IgnoreHint bool `json:",omitempty"`
 	// Priority is used for a request that names none.
-	Priority ident.Priority `json:",omitempty"`
+	Priority ident.Priority `json:",omitempty" validate:"omitempty,ident"`
 	// TimeoutMs bounds a request from arrival to its last byte; zero means 60 s.
 	TimeoutMs int64 `json:",omitempty" validate:"omitempty,gte=100,lte=3600000"`
 	// MaxBodyBytes bounds a request's body; zero means 1 MiB.
@@ -55,7 +55,7 @@
 
 // Placement says how many upstreams shall hold a model.
 type Placement struct {
-	Model    ident.ModelName `validate:"required"`
+	Model    ident.ModelName `validate:"required,ident"`
 	Replicas int             `validate:"gte=0,lte=10000"`
 }
 
@@ -79,34 +79,3 @@
 	Reason string
 	Values map[Path]json.RawMessage
 }
-
-// View is an immutable set of subtrees, one per team. The zero value is empty.
-type View struct {
-	teams map[ident.TeamID]*Subtree
-}
-
-// Adopt returns a view with subtree in force, and whether it was newer than
-// what was in force. An older or equal revision changes nothing.
-func (view *View) Adopt(subtree *Subtree) (*View, bool) {
-	present := view.Team(subtree.Team)
-	if present != nil && present.Revision >= subtree.Revision {
-		return view, false
-	}
-	adopted := &View{teams: make(map[ident.TeamID]*Subtree, len(view.teams)+1)}
-	for team, kept := range view.teams {
-		adopted.teams[team] = kept
-	}
-	adopted.teams[subtree.Team] = subtree
-	return adopted, true
-}
-
-// Team returns the subtree of a team, or nil.
-func (view *View) Team(team ident.TeamID) *Subtree {
-	if view == nil {
-		return nil
-	}
-	return view.teams[team]
-}
-
-// Teams returns the number of teams.
-func (view *View) Teams() int { return len(view.teams) }
