Add the hop, the directory and the callers' interface

The sidecar runs each admitted request independently of its reader, so that a cut connection resumes where it broke; the router relays frames in order, asks what became of an attempt before it says "not run", and keeps a request that may have run from being reported as not run.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -36,13 +36,15 @@
 type Assembler struct {
 	// MaxHeld bounds the frames held back for a gap; zero means 1024.
 	MaxHeld int
+	// First is the sequence number of the first frame; zero means 1.
+	First Seq
 
 	next  Seq
 	whole bool
 }
 
 // Next returns the sequence number of the first frame not yet given out.
-func (assembler *Assembler) Next() Seq { return max(assembler.next, 1) }
+func (assembler *Assembler) Next() Seq { return max(assembler.next, assembler.First, 1) }
 
 // Whole reports whether the end frame and every frame before it were given out.
 func (assembler *Assembler) Whole() bool { return assembler.whole }
--- /dev/null
+++ b/caller/token.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strings"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+const (
+	tokenVersion  = "v1"
+	tokenMACBytes = 16
+	tokenMaxBytes = 512
+)
+
+// tokens makes and reads the opaque affinity header. A token names the upstream
+// that served a chat last and is bound to the workspace and the chat, so that
+// it cannot be made up or carried over to another chat.
+type tokens struct {
+	key []byte
+}
+
+func (tokens tokens) mac(workspace ident.WorkspaceID, chat ident.ChatID, upstream string) []byte {
+	hash := hmac.New(sha256.New, tokens.key)
+	hash.Write([]byte(tokenVersion + "\x00" + string(workspace) + "\x00" + string(chat) + "\x00" + upstream))
+	return hash.Sum(nil)[:tokenMACBytes]
+}
+
+// seal returns the token of a chat served by upstream.
+func (tokens tokens) seal(workspace ident.WorkspaceID, chat ident.ChatID, upstream ident.UpstreamID) string {
+	encode := base64.RawURLEncoding.EncodeToString
+	mac := tokens.mac(workspace, chat, string(upstream))
+	return tokenVersion + "." + encode([]byte(upstream)) + "." + encode(mac)
+}
+
+// open returns the upstream that token names. Its error is a *result.Error
+// with InvalidAffinity.
+func (tokens tokens) open(workspace ident.WorkspaceID, chat ident.ChatID, token string) (ident.UpstreamID, error) {
+	parts := strings.Split(token, ".")
+	if len(token) > tokenMaxBytes || len(parts) != 3 || parts[0] != tokenVersion {
+		return "", result.Errorf(result.InvalidAffinity, "unknown form")
+	}
+	upstream, err := base64.RawURLEncoding.DecodeString(parts[1])
+	if err != nil {
+		return "", result.Errorf(result.InvalidAffinity, "unknown form")
+	}
+	mac, err := base64.RawURLEncoding.DecodeString(parts[2])
+	if err != nil || !hmac.Equal(mac, tokens.mac(workspace, chat, string(upstream))) {
+		return "", result.Errorf(result.InvalidAffinity, "it was not issued for this workspace and chat")
+	}
+	return ident.UpstreamID(upstream), nil
+}
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,55 @@
+package directory_test
+
+import (
+	"testing"
+
+	"github.com/hickoryhead/hickoryhead/directory"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
+)
+
+func sidecarVM(name string, region ident.Region) platform.VM {
+	upstream := &platform.VMUpstream{ID: ident.UpstreamID(name), Model: "m@1"}
+	return platform.VM{ID: ident.VMID(name), Role: platform.RoleSidecar, Region: region, Upstream: upstream}
+}
+
+func poolSize(d *directory.Directory) int {
+	pool := d.Pool(directory.Serves{Model: "m@1"})
+	if pool == nil {
+		return 0
+	}
+	return len(pool.Entries)
+}
+
+func TestLeavingUpstreamIsInNoPool(t *testing.T) {
+	var d directory.Directory
+	d.SetVMs([]platform.VM{sidecarVM("a", ""), sidecarVM("b", "")})
+	d.Saw("a", "run1", true)
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("after the upstream said it leaves: got %d upstreams, want %d", got, want)
+	}
+	d.Saw("a", "run1", false)
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("after a late word of the same run: got %d upstreams, want %d", got, want)
+	}
+	d.SetVMs([]platform.VM{sidecarVM("a", ""), sidecarVM("b", "")})
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("after a lagging list: got %d upstreams, want %d", got, want)
+	}
+	d.Saw("a", "run2", false)
+	if got, want := poolSize(&d), 2; got != want {
+		t.Errorf("after a restart: got %d upstreams, want %d", got, want)
+	}
+}
+
+func TestPoolFallsBackToOtherRegions(t *testing.T) {
+	d := directory.Directory{Region: "est"}
+	d.SetVMs([]platform.VM{sidecarVM("a", "est"), sidecarVM("b", "ouest")})
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("got %d upstreams, want the %d of the own region", got, want)
+	}
+	d.SetVMs([]platform.VM{sidecarVM("b", "ouest")})
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("got %d upstreams, want %d of another region", got, want)
+	}
+}
--- /dev/null
+++ b/sidecar/client.go
@@ -0,0 +1,250 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/answer"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+const (
+	connectTimeout = time.Second
+	// idleTimeout is below the servers', so that the client closes first.
+	idleTimeout    = 60 * time.Second
+	idlePerSidecar = 64
+)
+
+// Client reaches sidecars from a router. Set its exported fields before the
+// first use.
+type Client struct {
+	// Token is the bearer token of the hop.
+	Token string
+	// Seen is told of the state that each answer of a sidecar carries.
+	Seen func(state State)
+	// Transport carries the requests; nil means a transport of its own.
+	Transport http.RoundTripper
+}
+
+// NewTransport returns the transport of the hop. It never follows a proxy and
+// never sends a request a second time once a byte of it was written.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerSidecar,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Frames reads the frames of one answer.
+type Frames struct {
+	body   io.ReadCloser
+	buffer *bufio.Reader
+}
+
+// Next returns the next frame, or the error of a cut connection.
+func (frames *Frames) Next() (answer.Frame, error) {
+	line, err := frames.buffer.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return frames.long(line)
+	}
+	if err != nil {
+		return answer.Frame{}, unexpected(err)
+	}
+	return decodeFrame(line)
+}
+
+// long reads a frame that is longer than the buffer.
+func (frames *Frames) long(start []byte) (answer.Frame, error) {
+	line := bytes.Clone(start)
+	rest, err := frames.buffer.ReadBytes('\n')
+	if err != nil {
+		return answer.Frame{}, unexpected(err)
+	}
+	return decodeFrame(append(line, rest...))
+}
+
+func decodeFrame(line []byte) (answer.Frame, error) {
+	var frame answer.Frame
+	err := json.Unmarshal(line, &frame)
+	return frame, err
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Buffered reports whether a whole further frame may be at hand already.
+func (frames *Frames) Buffered() bool { return frames.buffer.Buffered() > 0 }
+
+// Close ends the reading and frees the connection.
+func (frames *Frames) Close() error { return frames.body.Close() }
+
+// Run sends a request to the sidecar at address. Its error is a *result.Error:
+// with the sidecar's own code where it refused, UpstreamUnreachable where no
+// byte was sent, and OutcomeUnknown where the sidecar may have the request.
+func (client *Client) Run(ctx context.Context, address string, call Call, body []byte, resumeText string) (*Frames, error) {
+	call.BodyBytes = len(body)
+	header, err := json.Marshal(call)
+	if err != nil {
+		return nil, result.Errorf(result.InvalidHeader, "%v", err)
+	}
+	reader := io.MultiReader(bytes.NewReader(body), bytes.NewReader([]byte(resumeText)))
+	request, err := client.request(ctx, http.MethodPost, address, "/v1/run", reader)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(body) + len(resumeText))
+	request.Header.Set(HeaderCall, string(header))
+	return client.frames(request)
+}
+
+// Resume reads the answer of request again from frame number from on.
+func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq) (*Frames, error) {
+	query := url.Values{"From": {strconv.FormatUint(uint64(from), 10)}, "Workspace": {string(workspace)}}
+	path := "/v1/answers/" + string(request) + "?" + query.Encode()
+	sent, err := client.request(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return client.frames(sent)
+}
+
+// Cancel stops the answer of request.
+func (client *Client) Cancel(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID) error {
+	query := url.Values{"Workspace": {string(workspace)}}
+	path := "/v1/answers/" + string(request) + "?" + query.Encode()
+	return client.exchange(ctx, http.MethodDelete, address, path, nil)
+}
+
+// Abandon makes the sidecar say whether it forwarded the attempt, and makes
+// sure that it never will if it has not. It also returns the incarnation of the
+// process that answered.
+func (client *Client) Abandon(ctx context.Context, address string, attempt ident.AttemptID) (Abandoned, string, error) {
+	request, err := client.request(ctx, http.MethodPost, address, "/v1/attempts/"+string(attempt)+"/abandon", nil)
+	if err != nil {
+		return Abandoned{}, "", err
+	}
+	response, state, err := client.do(request)
+	if err != nil {
+		return Abandoned{}, "", err
+	}
+	defer response.Body.Close()
+	var abandoned Abandoned
+	err = json.NewDecoder(response.Body).Decode(&abandoned)
+	return abandoned, state.Incarnation, err
+}
+
+// Drain tells the sidecar at address to leave.
+func (client *Client) Drain(ctx context.Context, address string) (Status, error) {
+	var status Status
+	err := client.exchange(ctx, http.MethodPost, address, "/v1/drain", &status)
+	return status, err
+}
+
+// Status asks the sidecar at address for its status.
+func (client *Client) Status(ctx context.Context, address string) (Status, error) {
+	var status Status
+	err := client.exchange(ctx, http.MethodGet, address, "/v1/status", &status)
+	return status, err
+}
+
+func (client *Client) request(ctx context.Context, method, address, path string, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return nil, result.Errorf(result.UpstreamUnreachable, "%v", err)
+	}
+	if client.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+client.Token)
+	}
+	return request, nil
+}
+
+func (client *Client) frames(request *http.Request) (*Frames, error) {
+	response, _, err := client.do(request)
+	if err != nil {
+		return nil, err
+	}
+	buffer := bufio.NewReaderSize(response.Body, 16<<10)
+	return &Frames{body: response.Body, buffer: buffer}, nil
+}
+
+func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
+	request, err := client.request(ctx, method, address, path, nil)
+	if err != nil {
+		return err
+	}
+	response, _, err := client.do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), "sidecar answer")
+}
+
+// do sends request and returns a response with a status below 300.
+func (client *Client) do(request *http.Request) (*http.Response, State, error) {
+	response, err := client.transport().RoundTrip(request)
+	if err != nil {
+		return nil, State{}, transportError(err)
+	}
+	state := client.state(response)
+	if response.StatusCode < 300 {
+		return response, state, nil
+	}
+	defer response.Body.Close()
+	var problem result.Problem
+	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil || problem.Number == result.OK {
+		return nil, state, result.Errorf(result.OutcomeUnknown, "sidecar status %d", response.StatusCode)
+	}
+	return nil, state, problem.Err(time.Now())
+}
+
+func (client *Client) transport() http.RoundTripper {
+	if client.Transport == nil {
+		return sharedTransport
+	}
+	return client.Transport
+}
+
+var sharedTransport = NewTransport()
+
+func (client *Client) state(response *http.Response) State {
+	var state State
+	if err := json.Unmarshal([]byte(response.Header.Get(HeaderState)), &state); err != nil {
+		return State{}
+	}
+	if client.Seen != nil {
+		client.Seen(state)
+	}
+	return state
+}
+
+// transportError tells a connection that was never opened from a request that
+// may have arrived.
+func transportError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return result.Errorf(result.UpstreamUnreachable, "%v", err)
+	}
+	return result.Errorf(result.OutcomeUnknown, "%v", err)
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,241 @@
+package sidecar
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/admission"
+	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/strike"
+	"github.com/hickoryhead/hickoryhead/upstream"
+)
+
+const (
+	defaultReplayBytes = ident.Bytes(1 << 20)
+	replayLifetime     = 2 * time.Minute
+	// resumeGrace is how long an answer that nobody reads goes on.
+	resumeGrace   = 30 * time.Second
+	sweepInterval = time.Second
+	// comeBack is the time after which a refused request may be sent again
+	// where nothing better is known.
+	comeBack = 500 * time.Millisecond
+)
+
+// Sidecar admits, runs and holds the requests of one upstream. Set its exported
+// fields before the first use.
+type Sidecar struct {
+	Upstream platform.VMUpstream
+	Client   *upstream.Client
+	// View returns the settings in force, or nil before there are any.
+	View func() *settings.View
+	// Claims runs a request that is not idempotent; nil refuses them.
+	Claims func(ctx context.Context, deadline time.Time, claimed Claimed) (upstream.Reply, error)
+	// PoolIDs returns the upstreams of the pool, in any order.
+	PoolIDs func() []ident.UpstreamID
+	// Fetch brings the prefix of a chat from the upstream that served it
+	// last; nil fetches nothing.
+	Fetch func(ctx context.Context, call Call, promptBytes int)
+	// Struck is told of new strikes and of cleared ones, to pass them on.
+	Struck  func(args peer.StrikeArgs)
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+	// ReplayBytes bounds the replay buffer of one answer; zero means 1 MiB.
+	ReplayBytes ident.Bytes
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+
+	incarnationOnce sync.Once
+	incarnation     string
+
+	mu         sync.Mutex
+	gate       admission.Gate
+	ledger     strike.Ledger
+	last       admission.Decision
+	leaving    bool
+	executions map[ident.RequestID]*execution
+	attempts   map[ident.AttemptID]*execution
+	waiting    map[ident.AttemptID]chan admission.Start
+	tombstones map[ident.AttemptID]time.Time
+	live       sync.WaitGroup
+}
+
+// Claimed is a request that must not run twice, on its way to the upstream.
+type Claimed struct {
+	Key     claim.Key
+	Record  claim.Record
+	Forward func(ctx context.Context) (upstream.Reply, error)
+}
+
+func (sidecar *Sidecar) now() time.Time {
+	if sidecar.Now == nil {
+		return time.Now()
+	}
+	return sidecar.Now()
+}
+
+// Incarnation returns the name of this run of the process.
+func (sidecar *Sidecar) Incarnation() string {
+	sidecar.incarnationOnce.Do(func() { sidecar.incarnation = rand.Text() })
+	return sidecar.incarnation
+}
+
+// State returns what the sidecar says of itself.
+func (sidecar *Sidecar) State() State {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	return State{
+		Upstream:    sidecar.Upstream.ID,
+		Incarnation: sidecar.Incarnation(),
+		Load:        sidecar.gate.Load(),
+		Mean:        sidecar.last.Mean,
+		Bound:       sidecar.last.Bound,
+		Leaving:     sidecar.leaving,
+	}
+}
+
+// Status returns the state with the number of answers held.
+func (sidecar *Sidecar) Status() Status {
+	state := sidecar.State()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	return Status{State: state, Running: sidecar.gate.Load(), Held: len(sidecar.executions), Claims: sidecar.Claims != nil}
+}
+
+// Leave refuses all new work from now on. Work that was admitted goes on.
+func (sidecar *Sidecar) Leave() {
+	sidecar.mu.Lock()
+	if !sidecar.leaving {
+		sidecar.log().Info("Leaving. New work is refused.")
+	}
+	sidecar.leaving = true
+	sidecar.gate.Leave()
+	sidecar.mu.Unlock()
+}
+
+// Drained waits until no admitted work is left or ctx ends.
+func (sidecar *Sidecar) Drained(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		if sidecar.Status().Running == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Observe takes in the loads of other upstreams of the pool.
+func (sidecar *Sidecar) Observe(samples []admission.Sample) {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	sidecar.gate.Observe(sidecar.now(), samples)
+}
+
+// Run sweeps expired answers and hopeless queue entries until ctx ends.
+func (sidecar *Sidecar) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			sidecar.sweep(sidecar.now())
+		}
+	}
+}
+
+func (sidecar *Sidecar) sweep(now time.Time) {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	sidecar.deliver(sidecar.gate.Expire(now))
+	for request, held := range sidecar.executions {
+		if held.deserted(now.Add(-resumeGrace)) {
+			held.cancel()
+		}
+		if held.expired(now) {
+			delete(sidecar.executions, request)
+			delete(sidecar.attempts, held.call.Attempt)
+		}
+	}
+	for attempt, until := range sidecar.tombstones {
+		if now.After(until) {
+			delete(sidecar.tombstones, attempt)
+		}
+	}
+}
+
+// deliver tells queued requests that they left the queue. The caller holds mu.
+func (sidecar *Sidecar) deliver(starts []admission.Start) {
+	for _, start := range starts {
+		if waiter, found := sidecar.waiting[start.Attempt]; found {
+			delete(sidecar.waiting, start.Attempt)
+			waiter <- start
+		}
+	}
+}
+
+func (sidecar *Sidecar) log() *slog.Logger {
+	if sidecar.Logger == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return sidecar.Logger
+}
+
+// Abandon makes sure that an attempt that was not forwarded never will be, even
+// if it arrives later, and returns its state.
+func (sidecar *Sidecar) Abandon(attempt ident.AttemptID) peer.AttemptState {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	if held, found := sidecar.attempts[attempt]; found {
+		return held.abandon()
+	}
+	if sidecar.tombstones == nil {
+		sidecar.tombstones = make(map[ident.AttemptID]time.Time)
+	}
+	sidecar.tombstones[attempt] = sidecar.now().Add(time.Hour)
+	return peer.AttemptAbandoned
+}
+
+// Cancel stops the answer of a request that nobody wants any more.
+func (sidecar *Sidecar) Cancel(request ident.RequestID, workspace ident.WorkspaceID) error {
+	held, err := sidecar.held(request, workspace)
+	if err != nil {
+		return err
+	}
+	held.cancel()
+	return nil
+}
+
+func (sidecar *Sidecar) held(request ident.RequestID, workspace ident.WorkspaceID) (*execution, error) {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	held, found := sidecar.executions[request]
+	if !found || held.call.Workspace != workspace {
+		return nil, result.Errorf(result.UnknownAnswer, "request %q", request)
+	}
+	return held, nil
+}
+
+// fingerprintOf identifies a request by its workspace and body.
+func fingerprintOf(call *Call, body []byte) ident.Fingerprint {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(call.Workspace) + "\x00" + string(call.Route) + "\x00")
+	_, _ = digest.Write(body)
+	return ident.Fingerprint(digest.Sum64())
+}
--- /dev/null
+++ b/sidecar/start.go
@@ -0,0 +1,222 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/admission"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// defaultPolicy holds the limits that apply where the settings name none.
+var defaultPolicy = admission.Policy{LoadMultiple: 1.25, EngineLimit: 64, QueueLimit: 128}
+
+// start admits the request and begins to run it. Its error means that nothing
+// was forwarded.
+func (sidecar *Sidecar) start(ctx context.Context, call Call, body []byte, resumeText string) (*execution, error) {
+	route, workspace, err := sidecar.resolve(&call)
+	if err != nil {
+		return nil, err
+	}
+	now := sidecar.now()
+	deadline := now.Add(time.Duration(call.BudgetMs) * time.Millisecond)
+	fingerprint := fingerprintOf(&call, body)
+	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	started := newExecution(call, fingerprint, sidecar.replayBytes(), cancel)
+	if err := sidecar.admit(ctx, runCtx, started, route, workspace, deadline); err != nil {
+		cancel()
+		return nil, err
+	}
+	work := &work{sidecar: sidecar, execution: started, route: route, body: body, resumeText: resumeText, deadline: deadline}
+	sidecar.live.Add(1)
+	go work.run(runCtx)
+	return started, nil
+}
+
+func (sidecar *Sidecar) replayBytes() ident.Bytes {
+	if sidecar.ReplayBytes > 0 {
+		return sidecar.ReplayBytes
+	}
+	return defaultReplayBytes
+}
+
+// resolve finds the route and the workspace in this sidecar's own settings, so
+// that a router with older ones cannot weaken what is in force.
+func (sidecar *Sidecar) resolve(call *Call) (settings.Route, settings.Workspace, error) {
+	subtree := sidecar.View().Team(call.Team)
+	if subtree == nil {
+		return settings.Route{}, settings.Workspace{}, sidecar.notReady("team %q is not in force here yet", call.Team)
+	}
+	route, found := subtree.Routes[call.Route]
+	if !found {
+		return settings.Route{}, settings.Workspace{}, sidecar.notReady("route %q is not in force here yet", call.Route)
+	}
+	workspace, found := subtree.Workspaces[call.Workspace]
+	if !found {
+		return settings.Route{}, settings.Workspace{}, sidecar.notReady("workspace %q is not in force here yet", call.Workspace)
+	}
+	if route.Model != sidecar.Upstream.Model || route.Service != sidecar.Upstream.Service {
+		return settings.Route{}, settings.Workspace{}, sidecar.notReady("the route's upstreams do not include this one")
+	}
+	if !route.Idempotent && call.Key == "" {
+		return settings.Route{}, settings.Workspace{}, result.Errorf(result.MissingIdempotencyKey, "route %q", call.Route)
+	}
+	return route, workspace, nil
+}
+
+func (sidecar *Sidecar) notReady(format string, args ...any) error {
+	refusal := result.Errorf(result.NotReady, format, args...)
+	refusal.RetryAt = sidecar.now().Add(comeBack)
+	return refusal
+}
+
+// policy returns the limits for a request of route.
+func (sidecar *Sidecar) policy(route settings.Route, subtree *settings.Subtree) admission.Policy {
+	policy := defaultPolicy
+	if route.LoadMultiple > 0 {
+		policy.LoadMultiple = route.LoadMultiple
+	}
+	policy.Marks = make(map[ident.Priority]float64, len(subtree.Priorities))
+	for name, class := range subtree.Priorities {
+		policy.Marks[name] = class.Mark
+	}
+	return policy
+}
+
+// admit passes the request through the gate, waiting in its queue if need be.
+func (sidecar *Sidecar) admit(ctx, runCtx context.Context, started *execution, route settings.Route, workspace settings.Workspace, deadline time.Time) error {
+	call := &started.call
+	offer := admission.Offer{
+		Attempt:   call.Attempt,
+		Workspace: call.Workspace,
+		Weight:    workspace.Weight,
+		Priority:  call.Priority,
+		Deadline:  deadline,
+	}
+	waiter, err := sidecar.offer(started, offer, sidecar.policy(route, sidecar.View().Team(call.Team)))
+	if err != nil || waiter == nil {
+		return err
+	}
+	select {
+	case start := <-waiter:
+		return sidecar.queueEnded(started, start)
+	case <-ctx.Done():
+		return sidecar.leaveQueue(started, "the router went away")
+	case <-runCtx.Done():
+		return sidecar.leaveQueue(started, "the deadline passed in the queue")
+	}
+}
+
+// offer asks the gate. It returns the channel to wait on where the request was
+// queued, and nil where it was admitted.
+func (sidecar *Sidecar) offer(started *execution, offer admission.Offer, policy admission.Policy) (chan admission.Start, error) {
+	now := sidecar.now()
+	call := &started.call
+	offer.Evidence = call.samples(now)
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	if err := sidecar.checkAttempt(call); err != nil {
+		return nil, err
+	}
+	if err := sidecar.checkStrikes(now, started.fingerprint, &offer); err != nil {
+		return nil, err
+	}
+	sidecar.gate.SetPolicy(policy)
+	decision := sidecar.gate.Offer(now, offer)
+	sidecar.last = decision
+	if decision.Verdict == admission.Refused {
+		return nil, &result.Error{Code: decision.Code, RetryAt: decision.RetryAt, Detail: string(sidecar.Upstream.ID)}
+	}
+	sidecar.register(started)
+	if decision.Verdict == admission.Admitted {
+		return nil, nil
+	}
+	if sidecar.waiting == nil {
+		sidecar.waiting = make(map[ident.AttemptID]chan admission.Start)
+	}
+	waiter := make(chan admission.Start, 1)
+	sidecar.waiting[call.Attempt] = waiter
+	return waiter, nil
+}
+
+// checkAttempt refuses an attempt that was abandoned or has come before.
+func (sidecar *Sidecar) checkAttempt(call *Call) error {
+	if _, abandoned := sidecar.tombstones[call.Attempt]; abandoned {
+		return result.Errorf(result.DeadlineUnmeetable, "attempt %q was abandoned", call.Attempt)
+	}
+	if _, known := sidecar.attempts[call.Attempt]; known {
+		return result.Errorf(result.InvalidHeader, "attempt %q came twice", call.Attempt)
+	}
+	return nil
+}
+
+// checkStrikes applies what earlier crashes allow the request.
+func (sidecar *Sidecar) checkStrikes(now time.Time, fingerprint ident.Fingerprint, offer *admission.Offer) error {
+	switch sidecar.ledger.Allowed(now, fingerprint) {
+	case strike.Never:
+		return &result.Error{Code: result.CrashingRequest}
+	case strike.Alone:
+		if sidecar.ledger.Designated(fingerprint, sidecar.poolIDs()) != sidecar.Upstream.ID {
+			return &result.Error{Code: result.CrashingRequestAlone, RetryAt: now.Add(comeBack)}
+		}
+		offer.Alone = true
+	case strike.Free:
+	}
+	return nil
+}
+
+func (sidecar *Sidecar) poolIDs() []ident.UpstreamID {
+	if sidecar.PoolIDs != nil {
+		if pool := sidecar.PoolIDs(); len(pool) > 0 {
+			return pool
+		}
+	}
+	return []ident.UpstreamID{sidecar.Upstream.ID}
+}
+
+// register makes the request known. The caller holds mu.
+func (sidecar *Sidecar) register(started *execution) {
+	if sidecar.executions == nil {
+		sidecar.executions = make(map[ident.RequestID]*execution)
+		sidecar.attempts = make(map[ident.AttemptID]*execution)
+	}
+	sidecar.executions[started.call.Request] = started
+	sidecar.attempts[started.call.Attempt] = started
+}
+
+// queueEnded ends the wait of a queued request.
+func (sidecar *Sidecar) queueEnded(started *execution, start admission.Start) error {
+	if start.Code == result.OK {
+		return nil
+	}
+	started.abandon()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	sidecar.forget(started)
+	return &result.Error{Code: start.Code, RetryAt: start.RetryAt}
+}
+
+// leaveQueue takes out a queued request that nobody waits for any more.
+func (sidecar *Sidecar) leaveQueue(started *execution, reason string) error {
+	started.abandon()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	delete(sidecar.waiting, started.call.Attempt)
+	sidecar.deliver(sidecar.gate.Done(sidecar.now(), started.call.Attempt))
+	sidecar.forget(started)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: reason}
+}
+
+// forget drops the request but keeps its attempt from running later. The
+// caller holds mu.
+func (sidecar *Sidecar) forget(started *execution) {
+	delete(sidecar.executions, started.call.Request)
+	delete(sidecar.attempts, started.call.Attempt)
+	if sidecar.tombstones == nil {
+		sidecar.tombstones = make(map[ident.AttemptID]time.Time)
+	}
+	sidecar.tombstones[started.call.Attempt] = sidecar.now().Add(time.Hour)
+}
--- /dev/null
+++ b/sidecar/work.go
@@ -0,0 +1,267 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/answer"
+	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/strike"
+	"github.com/hickoryhead/hickoryhead/upstream"
+)
+
+const cancelTimeout = 2 * time.Second
+
+// work runs one admitted request at the upstream.
+type work struct {
+	sidecar    *Sidecar
+	execution  *execution
+	route      settings.Route
+	body       []byte
+	resumeText string
+	deadline   time.Time
+}
+
+// run forwards the request, fills its answer and gives its place back.
+func (work *work) run(ctx context.Context) {
+	defer work.sidecar.live.Done()
+	defer work.execution.cancel()
+	err := work.answer(ctx)
+	now := work.sidecar.now()
+	if err != nil {
+		problem := work.classify(ctx, err)
+		work.execution.fail(problem.Problem(now), now.Add(replayLifetime))
+	}
+	lost := ctx.Err() == nil && result.CodeOf(err) == result.OutcomeUnknown
+	work.settle(now, err, lost)
+}
+
+func (work *work) answer(ctx context.Context) error {
+	switch {
+	case !work.route.Idempotent:
+		return work.claimed(ctx)
+	case work.route.Service != "":
+		return work.service(ctx)
+	default:
+		return work.model(ctx)
+	}
+}
+
+// settle frees the request's place and keeps the strikes up to date. A request
+// whose connection to the upstream was lost while it ran counts as running at
+// a crash.
+func (work *work) settle(now time.Time, err error, lost bool) {
+	sidecar := work.sidecar
+	crashed := lost && work.execution.attemptState() == peer.AttemptForwarded
+	sidecar.mu.Lock()
+	args := sidecar.recordStrike(now, work.execution, crashed, err == nil)
+	sidecar.deliver(sidecar.gate.Done(now, work.execution.call.Attempt))
+	sidecar.mu.Unlock()
+	if sidecar.Struck != nil && len(args.Strikes)+len(args.Cleared) > 0 {
+		sidecar.Struck(args)
+	}
+}
+
+// recordStrike strikes or clears the request's fingerprint and returns what
+// other daemons should learn. The caller holds mu.
+func (sidecar *Sidecar) recordStrike(now time.Time, ended *execution, crashed, succeeded bool) peer.StrikeArgs {
+	var args peer.StrikeArgs
+	if crashed {
+		struck := strike.Strike{Fingerprint: ended.fingerprint, Upstream: sidecar.Upstream.ID, At: now}
+		if sidecar.ledger.Add(now, struck) {
+			args.Strikes = []peer.StrikeItem{{Fingerprint: ended.fingerprint, Upstream: sidecar.Upstream.ID}}
+			sidecar.Metrics.Happened("strike.added")
+		}
+	}
+	if succeeded && sidecar.ledger.Allowed(now, ended.fingerprint) != strike.Free {
+		sidecar.ledger.Clear(ended.fingerprint)
+		args.Cleared = []ident.Fingerprint{ended.fingerprint}
+		sidecar.Metrics.Happened("strike.cleared")
+	}
+	return args
+}
+
+// classify gives the error that the reader sees for a failed run.
+func (work *work) classify(ctx context.Context, err error) *result.Error {
+	now := work.sidecar.now()
+	failure := *result.From(err, result.UpstreamFailed)
+	state := work.execution.attemptState()
+	if state == peer.AttemptAbandoned {
+		return work.notRun(&failure, now)
+	}
+	if state == peer.AttemptForwarded && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.Errorf(result.DeadlineExpired, "the deadline passed while the upstream was running the request")
+	}
+	if failure.Code == result.OutcomeUnknown && work.route.Idempotent {
+		failure.Code = result.UpstreamFailed
+	}
+	return &failure
+}
+
+// notRun keeps the code of a request that was not run if it says so.
+func (work *work) notRun(failure *result.Error, now time.Time) *result.Error {
+	if failure.Code.Outcome() != result.NotRun {
+		failure.Code = result.DeadlineUnmeetable
+	}
+	if failure.RetryAt.IsZero() {
+		failure.RetryAt = now.Add(comeBack)
+	}
+	return failure
+}
+
+// forward runs send unless the attempt was abandoned, and takes note where
+// nothing was sent.
+func (work *work) forward(send func() error) error {
+	if !work.execution.forward() {
+		return &result.Error{Code: result.DeadlineUnmeetable, Detail: "the attempt was abandoned"}
+	}
+	err := send()
+	if result.CodeOf(err) == result.UpstreamUnreachable {
+		work.execution.withdraw()
+	}
+	return err
+}
+
+// model streams a model's answer.
+func (work *work) model(ctx context.Context) error {
+	var prompt upstream.Prompt
+	if err := json.Unmarshal(work.body, &prompt); err != nil {
+		work.execution.abandon()
+		return result.Errorf(result.MalformedBody, "%v", err)
+	}
+	call := &work.execution.call
+	if work.sidecar.Fetch != nil {
+		work.sidecar.Fetch(ctx, *call, len(prompt.Text))
+	}
+	generate := upstream.Generate{
+		Request:      call.Attempt,
+		Chat:         chatOf(call),
+		Model:        work.route.Model,
+		Priority:     call.Priority,
+		Prompt:       prompt,
+		ResumeText:   work.resumeText,
+		ResumeTokens: ident.Tokens(call.ResumeFrames),
+	}
+	var stream *upstream.Stream
+	err := work.forward(func() (err error) {
+		stream, err = work.sidecar.Client.Generate(ctx, generate)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	return work.copyTokens(ctx, stream)
+}
+
+// copyTokens appends the tokens of stream to the answer until its end.
+func (work *work) copyTokens(ctx context.Context, stream *upstream.Stream) error {
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			work.cancelUpstream(ctx)
+			return cutError(err)
+		}
+		if token.Done {
+			end := answer.End{Status: 200, ContentType: "text/plain", Cached: token.Cached, Prompt: token.Prompt}
+			work.execution.end(end, work.sidecar.now().Add(replayLifetime))
+			return nil
+		}
+		work.execution.data(token.Text)
+	}
+}
+
+// cutError describes a token stream that ended before its last token.
+func cutError(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return result.Errorf(result.OutcomeUnknown, "the upstream's stream was cut")
+	}
+	return err
+}
+
+// cancelUpstream tells the engine to drop a request whose run has ended here.
+func (work *work) cancelUpstream(ctx context.Context) {
+	if ctx.Err() == nil || work.sidecar.Client.Cancel == nil {
+		return
+	}
+	cancelCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	if err := work.sidecar.Client.Cancel(cancelCtx, work.execution.call.Attempt); err != nil {
+		work.sidecar.log().Warn("Cancel failed.", "attempt", work.execution.call.Attempt, "error", err)
+	}
+}
+
+// service runs an idempotent call of a plain service.
+func (work *work) service(ctx context.Context) error {
+	reply, err := work.call(ctx)
+	if err != nil {
+		return err
+	}
+	work.reply(reply)
+	return nil
+}
+
+// call gives the request to the plain service.
+func (work *work) call(ctx context.Context) (upstream.Reply, error) {
+	call := upstream.Call{
+		Operation: work.route.Operation,
+		Key:       work.execution.call.Key,
+		Workspace: work.execution.call.Workspace,
+		Body:      work.body,
+	}
+	var reply upstream.Reply
+	err := work.forward(func() (err error) {
+		reply, err = work.sidecar.Client.Call(ctx, call)
+		return err
+	})
+	return reply, err
+}
+
+// reply appends a plain service's whole answer.
+func (work *work) reply(reply upstream.Reply) {
+	work.execution.data(reply.Body)
+	end := answer.End{Status: reply.Status, ContentType: reply.ContentType}
+	work.execution.end(end, work.sidecar.now().Add(replayLifetime))
+}
+
+// claimed runs a request that is not idempotent, once it is claimed.
+func (work *work) claimed(ctx context.Context) error {
+	if work.sidecar.Claims == nil {
+		work.execution.abandon()
+		return &result.Error{Code: result.ClaimUnavailable, RetryAt: work.sidecar.now().Add(comeBack)}
+	}
+	call := &work.execution.call
+	claimed := Claimed{
+		Key: claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
+		Record: claim.Record{
+			State:    claim.Claimed,
+			Attempt:  call.Attempt,
+			Upstream: work.sidecar.Upstream.ID,
+			Body:     work.execution.fingerprint,
+		},
+		Forward: work.call,
+	}
+	reply, err := work.sidecar.Claims(ctx, work.deadline, claimed)
+	if err != nil {
+		return err
+	}
+	work.reply(reply)
+	return nil
+}
+
+// chatOf returns the engine's name for the chat, which no other workspace can
+// use; a request without a chat is a chat of its own.
+func chatOf(call *Call) ident.ChatID {
+	if call.Chat == "" {
+		return ident.ChatID(call.Request)
+	}
+	return ident.ChatID(string(call.Workspace) + ":" + string(call.Chat))
+}
