--- /dev/null
+++ b/answer/frame.go
@@ -0,0 +1,70 @@
+package answer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+// Seq numbers the frames of an answer from 1.
+type Seq uint64
+
+// Frame is one part of an answer: data, the end, or a problem that ends it.
+type Frame struct {
+	Seq     Seq
+	Data    string          `json:",omitempty"`
+	End     *End            `json:",omitempty"`
+	Problem *result.Problem `json:",omitempty"`
+}
+
+// End is the last frame of a whole answer.
+type End struct {
+	// Frames counts the data frames before the end.
+	Frames uint64
+	// Status is the HTTP status of a plain service's answer; 200 for a model.
+	Status int
+	// ContentType is the media type of the joined data.
+	ContentType string
+	// Cached and Prompt count the prompt's tokens found in the prefix cache,
+	// and all of them.
+	Cached ident.Tokens
+	Prompt ident.Tokens
+}
+
+// Last reports whether no frame follows: the end, or a problem.
+func (frame Frame) Last() bool { return frame.End != nil || frame.Problem != nil }
+
+// frameOverhead is counted for each frame besides its data.
+const frameOverhead ident.Bytes = 64
+
+func (frame Frame) size() ident.Bytes {
+	return frameOverhead + ident.Bytes(len(frame.Data))
+}
+
+// wellFormed reports whether frame is exactly one of data, end and problem,
+// and whether the count in an end agrees with its sequence number.
+func (frame Frame) wellFormed() bool {
+	switch {
+	case frame.Seq == 0:
+		return false
+	case frame.End != nil:
+		return frame.Problem == nil && frame.Data == "" && frame.End.Frames == uint64(frame.Seq)-1
+	case frame.Problem != nil:
+		return frame.Data == ""
+	}
+	return true
+}
+
+// digest identifies what a reader would be given: two frames with the same
+// sequence number and different digests contradict each other. The remaining
+// time in a problem changes with each repetition and does not count.
+func (frame Frame) digest() uint64 {
+	switch {
+	case frame.End != nil:
+		return xxhash.Sum64String("end " + frame.End.ContentType)
+	case frame.Problem != nil:
+		return xxhash.Sum64String("problem " + frame.Problem.Code)
+	}
+	return xxhash.Sum64String("data " + frame.Data)
+}
--- /dev/null
+++ b/answer/replay.go
@@ -0,0 +1,86 @@
+package answer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// defaultMaxBytes bounds a Replay whose MaxBytes is zero.
+const defaultMaxBytes ident.Bytes = 1 << 20
+
+// Replay holds the latest frames of one answer so that a reader may resume. It
+// is not safe for concurrent use.
+type Replay struct {
+	// MaxBytes bounds the memory held, data and 64 bytes for each frame; zero
+	// means 1 MiB.
+	MaxBytes ident.Bytes
+	// ExpiresAt is when the buffer may be dropped.
+	ExpiresAt time.Time
+
+	frames []Frame
+	size   ident.Bytes
+	last   Seq
+}
+
+// Append adds the next frame and drops the oldest ones above the bound. A frame
+// that is not above the last one is ignored; one that leaves a gap drops all
+// before it, since a reader could not resume across the gap.
+func (replay *Replay) Append(frame Frame) {
+	if frame.Seq <= replay.last {
+		return
+	}
+	if frame.Seq != replay.last+1 {
+		replay.clear()
+	}
+	replay.last = frame.Seq
+	replay.frames = append(replay.frames, frame)
+	replay.size += frame.size()
+	for replay.size > replay.maxBytes() {
+		replay.dropOldest()
+	}
+}
+
+// From returns the held frames with sequence number seq and above. It reports
+// false where a frame from seq on has been dropped.
+func (replay *Replay) From(seq Seq) ([]Frame, bool) {
+	seq = max(seq, 1)
+	if seq > replay.last {
+		return nil, true
+	}
+	if len(replay.frames) == 0 || seq < replay.frames[0].Seq {
+		return nil, false
+	}
+	return slices.Clone(replay.frames[seq-replay.frames[0].Seq:]), true
+}
+
+// Last returns the sequence number of the last frame appended.
+func (replay *Replay) Last() Seq { return replay.last }
+
+// Size returns the memory that counts against MaxBytes.
+func (replay *Replay) Size() ident.Bytes { return replay.size }
+
+// Expired reports whether the buffer may be dropped at the time now. A buffer
+// without ExpiresAt never may.
+func (replay *Replay) Expired(now time.Time) bool {
+	return !replay.ExpiresAt.IsZero() && !now.Before(replay.ExpiresAt)
+}
+
+func (replay *Replay) dropOldest() {
+	replay.size -= replay.frames[0].size()
+	replay.frames[0] = Frame{}
+	replay.frames = replay.frames[1:]
+}
+
+func (replay *Replay) clear() {
+	replay.frames = nil
+	replay.size = 0
+}
+
+func (replay *Replay) maxBytes() ident.Bytes {
+	if replay.MaxBytes == 0 {
+		return defaultMaxBytes
+	}
+	return replay.MaxBytes
+}
