strike: count crashes, designate by rendezvous, expire and clear

Ledger allowed everything. It now holds separate crashes by upstream, allows a request struck twice to run alone on a designated upstream that was not struck, refuses it after the third, drops strikes after their lifetime and remembers a success against strikes that arrive late. Two reports within a second are one crash, since ages that travel differ by the transit.

An innocent request struck twice beside the cause runs alone once, succeeds and is cleared.

Shown to fail without each mechanism: no refusal after three ('got allowance 1, want 2 after 3 upstreams', and unbounded crashes), no memory of a success ('got a new strike, want it cleared'), designation without regard to strikes ('got designated e1, want one that was not struck'), eviction of the most struck ('got allowance 0, want 1'), no bound ('got 100 further requests held, want 9').

Contract: additive, Ledger.Struck and MaxRequests. Not proved: identical requests sent to many upstreams at the same moment, before the first strike is known anywhere.

--- a/strike/strike.go
+++ b/strike/strike.go
@@ -1,11 +1,28 @@
 package strike
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
+const (
+	// defaultLifetime bounds how long a strike counts.
+	defaultLifetime = time.Hour
+	// defaultMaxRequests bounds the requests of which strikes are held.
+	defaultMaxRequests = 4096
+	// repeatGap separates two crashes of one upstream from two reports of one
+	// crash, whose ages differ by the time the reports travelled.
+	repeatGap = time.Second
+	// aloneAt and neverAt are the numbers of strikes after which a request may
+	// run only alone, and never.
+	aloneAt = 2
+	neverAt = 3
+)
+
 // Strike records that a request was running when an upstream crashed.
 type Strike struct {
 	Fingerprint ident.Fingerprint
@@ -28,20 +45,182 @@
 type Ledger struct {
 	// Lifetime bounds how long a strike counts; zero means one hour.
 	Lifetime time.Duration
+	// MaxRequests bounds the requests of which strikes are held; zero means
+	// 4096. The one with the fewest strikes, then the oldest, goes first.
+	MaxRequests int
+
+	requests map[ident.Fingerprint]record
+	// cleared holds when a success cleared a request, so that older strikes
+	// that arrive late stay cleared.
+	cleared map[ident.Fingerprint]time.Time
+	// latest is the latest time that the ledger was told.
+	latest time.Time
 }
 
-// Add takes in a strike and reports whether it was new.
-func (ledger *Ledger) Add(_ time.Time, _ Strike) bool { return false }
+// Add takes in a strike and reports whether it was new: two reports of one
+// upstream within a second tell of the same crash. Only new strikes need to be
+// passed on, so a strike stops travelling once every daemon has it.
+func (ledger *Ledger) Add(now time.Time, strike Strike) bool {
+	ledger.observe(now)
+	if strike.At.After(now) {
+		strike.At = now
+	}
+	if ledger.expired(strike.At) || ledger.isCleared(strike) {
+		return false
+	}
+	held, found := ledger.requests[strike.Fingerprint]
+	if !found {
+		ledger.makeRoom()
+		held = make(record)
+		ledger.requests[strike.Fingerprint] = held
+	}
+	return held.add(strike)
+}
 
-// Clear drops the strikes of a request that ran to its end.
-func (ledger *Ledger) Clear(_ ident.Fingerprint) {}
+// Clear drops the strikes of a request that ran to its end. Strikes from before
+// the latest time that the ledger was told stay cleared, even where they arrive
+// afterwards.
+func (ledger *Ledger) Clear(fingerprint ident.Fingerprint) {
+	if _, found := ledger.requests[fingerprint]; !found {
+		return
+	}
+	delete(ledger.requests, fingerprint)
+	if ledger.cleared == nil {
+		ledger.cleared = make(map[ident.Fingerprint]time.Time)
+	}
+	if len(ledger.cleared) >= ledger.maxRequests() {
+		clear(ledger.cleared)
+	}
+	ledger.cleared[fingerprint] = ledger.latest
+}
 
-// Allowed returns how the request may run at the time now.
-func (ledger *Ledger) Allowed(_ time.Time, _ ident.Fingerprint) Allowance { return Free }
+// Struck reports whether any strike of the request counts at the time now.
+func (ledger *Ledger) Struck(now time.Time, fingerprint ident.Fingerprint) bool {
+	ledger.observe(now)
+	return len(ledger.unexpired(fingerprint)) > 0
+}
+
+// Allowed returns how the request may run at the time now. The strikes of one
+// upstream count each, so that a pool of one or two engines is protected too: a
+// request struck a third time ran alone then, so nothing else can be the cause.
+func (ledger *Ledger) Allowed(now time.Time, fingerprint ident.Fingerprint) Allowance {
+	ledger.observe(now)
+	strikes := ledger.unexpired(fingerprint).strikes()
+	switch {
+	case strikes >= neverAt:
+		return Never
+	case strikes >= aloneAt:
+		return Alone
+	}
+	return Free
+}
 
 // Designated returns which of the pool's upstreams may run a request that may
-// only run alone: the same on every daemon with the same pool, and none on
-// which it was struck unless all were.
+// only run alone: the same on every daemon with the same pool and strikes, and
+// none on which it was struck unless all were. It is empty for an empty pool.
 func (ledger *Ledger) Designated(fingerprint ident.Fingerprint, pool []ident.UpstreamID) ident.UpstreamID {
-	return pool[uint64(fingerprint)%uint64(len(pool))]
+	held := ledger.unexpired(fingerprint)
+	var designated candidate
+	for _, upstream := range pool {
+		_, struck := held[upstream]
+		rival := candidate{upstream: upstream, struck: struck, score: score(fingerprint, upstream)}
+		if designated.upstream == "" || rival.before(designated) {
+			designated = rival
+		}
+	}
+	return designated.upstream
+}
+
+// candidate is an upstream of a pool that may be designated.
+type candidate struct {
+	upstream ident.UpstreamID
+	struck   bool
+	score    uint64
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.struck != other.struck {
+		return !c.struck
+	}
+	if c.score != other.score {
+		return c.score > other.score
+	}
+	return c.upstream < other.upstream
+}
+
+// score orders the upstreams for a request by rendezvous hashing.
+func score(fingerprint ident.Fingerprint, upstream ident.UpstreamID) uint64 {
+	key := binary.LittleEndian.AppendUint64(nil, uint64(fingerprint))
+	return xxhash.Sum64(append(key, upstream...))
+}
+
+func (ledger *Ledger) observe(now time.Time) {
+	if now.After(ledger.latest) {
+		ledger.latest = now
+	}
+}
+
+func (ledger *Ledger) expired(at time.Time) bool {
+	lifetime := ledger.Lifetime
+	if lifetime == 0 {
+		lifetime = defaultLifetime
+	}
+	return !ledger.latest.Before(at.Add(lifetime))
+}
+
+func (ledger *Ledger) isCleared(strike Strike) bool {
+	at, found := ledger.cleared[strike.Fingerprint]
+	if !found {
+		return false
+	}
+	if ledger.expired(at) {
+		delete(ledger.cleared, strike.Fingerprint)
+		return false
+	}
+	return !strike.At.After(at)
+}
+
+// unexpired drops the expired strikes of a request and returns the others.
+func (ledger *Ledger) unexpired(fingerprint ident.Fingerprint) record {
+	held := ledger.requests[fingerprint]
+	held.drop(ledger.expired)
+	if len(held) == 0 {
+		delete(ledger.requests, fingerprint)
+	}
+	return held
+}
+
+func (ledger *Ledger) maxRequests() int {
+	if ledger.MaxRequests == 0 {
+		return defaultMaxRequests
+	}
+	return ledger.MaxRequests
+}
+
+// makeRoom keeps the ledger below its bound. A request struck once is
+// most likely an innocent one that ran beside the cause.
+func (ledger *Ledger) makeRoom() {
+	if ledger.requests == nil {
+		ledger.requests = make(map[ident.Fingerprint]record)
+	}
+	if len(ledger.requests) < ledger.maxRequests() {
+		return
+	}
+	for fingerprint := range ledger.requests {
+		ledger.unexpired(fingerprint)
+	}
+	for len(ledger.requests) >= ledger.maxRequests() {
+		ledger.dropLeast()
+	}
+}
+
+func (ledger *Ledger) dropLeast() {
+	var least ident.Fingerprint
+	var chosen record
+	for fingerprint, held := range ledger.requests {
+		if chosen == nil || held.lessThan(chosen) {
+			least, chosen = fingerprint, held
+		}
+	}
+	delete(ledger.requests, least)
 }
