Rank by weighted rendezvous and bound each upstream's load

affinity.Pool hashes the chat once and mixes it with a seed kept for each upstream. admission.Gate bounds the work in flight by the mean of the pool's samples, with evidence of a ramp, marks, shares and a queue.

Marks apply to the engine's limit and not to the bound by the mean: with the mark taken of the bound, TestALowPriorityAloneFillsItsMarkOfTheEngine got load 1 on each upstream where 14 was wanted.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -17,8 +17,9 @@
 	EngineLimit int
 	// QueueLimit is the most requests that wait.
 	QueueLimit int
-	// Marks gives for each priority the share of the bound, above 0 and at
-	// most 1, above which it is held back. A priority without a mark has 1.
+	// Marks gives for each priority the share of EngineLimit and QueueLimit,
+	// above 0 and at most 1, above which it is held back. A priority without
+	// a mark has 1. A higher mark leaves the queue first.
 	Marks map[ident.Priority]float64
 }
 
@@ -27,6 +28,9 @@
 	Upstream ident.UpstreamID
 	Load     int
 	SeenAt   time.Time
+	// Leaving says that the upstream takes no more work, so that it no longer
+	// counts for the mean.
+	Leaving bool
 }
 
 // Offer is a request that asks to be admitted.
@@ -36,11 +40,15 @@
 	// Weight is the workspace's weight; zero counts as one.
 	Weight   float64
 	Priority ident.Priority
+	// Deadline is when the request is of no more use; zero means never.
 	Deadline time.Time
 	// Evidence holds the loads named by the sidecars that refused the request.
 	Evidence []Sample
 	// Alone asks for the whole upstream: nothing else runs beside it.
 	Alone bool
+	// Wait says that there is no further upstream to try, so that the request
+	// may wait here. An Alone offer always may.
+	Wait bool
 }
 
 // Verdict says what became of an offer.
@@ -54,7 +62,9 @@
 )
 
 // Decision is the answer to an offer. Load, Mean and Bound hold at the time of
-// the decision. Code and RetryAt are set for a refusal.
+// the decision: Load counts the offer if it was admitted, and Bound is the
+// bound that it was held against. A Bound of zero means that there was none.
+// Code and RetryAt are set for a refusal.
 type Decision struct {
 	Verdict Verdict
 	Code    result.Code
@@ -72,44 +82,20 @@
 	RetryAt time.Time
 }
 
-// Gate admits requests to one upstream. The zero value admits everything. It is
-// not safe for concurrent use.
-type Gate struct {
-	policy  Policy
-	running map[ident.AttemptID]ident.WorkspaceID
-	leaving bool
-}
-
-// SetPolicy puts policy in force from now on.
-func (gate *Gate) SetPolicy(policy Policy) { gate.policy = policy }
-
-// Observe takes in the samples of the pool's other upstreams.
-func (gate *Gate) Observe(_ time.Time, _ []Sample) {}
+// SampleLifetime is how long a sample counts for the mean.
+const SampleLifetime = 3 * time.Second
 
-// Leave refuses all new work from now on. Running work is not affected.
-func (gate *Gate) Leave() { gate.leaving = true }
+// EvidenceLifetime is how long the load that a refusal named supports a higher
+// mean.
+const EvidenceLifetime = time.Second
 
-// Load returns the number of admitted requests that are not done.
-func (gate *Gate) Load() int { return len(gate.running) }
+// minEvidence is the least number of refusals that may raise the mean. A single
+// one says more about its upstream than about the pool.
+const minEvidence = 2
 
-// Offer asks to admit a request at the time now.
-func (gate *Gate) Offer(now time.Time, offer Offer) Decision {
-	if gate.leaving {
-		return Decision{Code: result.Leaving, RetryAt: now.Add(time.Second), Load: len(gate.running)}
-	}
-	if gate.running == nil {
-		gate.running = make(map[ident.AttemptID]ident.WorkspaceID)
-	}
-	gate.running[offer.Attempt] = offer.Workspace
-	return Decision{Verdict: Admitted, Load: len(gate.running)}
-}
-
-// Done tells that an admitted attempt has ended, or that the caller of a
-// queued one has gone. It returns the queued attempts that leave the queue.
-func (gate *Gate) Done(_ time.Time, attempt ident.AttemptID) []Start {
-	delete(gate.running, attempt)
-	return nil
-}
+// activeFor is how long a workspace keeps a claim to room after it asked.
+const activeFor = 10 * time.Second
 
-// Expire returns the queued attempts whose deadline can no longer be met.
-func (gate *Gate) Expire(_ time.Time) []Start { return nil }
+// reservedPart is the part of the engine's limit that is kept free of
+// workspaces that hold their share, while another one is active.
+const reservedPart = 8
--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -1,6 +1,12 @@
 package affinity
 
-import "github.com/hickoryhead/hickoryhead/ident"
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
 
 // Candidate is one upstream of a pool. A weight of zero counts as one.
 type Candidate struct {
@@ -8,44 +14,142 @@
 	Weight   float64
 }
 
-// Pool is an immutable set of candidates, prepared for ranking.
+// Pool is an immutable set of candidates, prepared for ranking. It is safe for
+// concurrent use.
 type Pool struct {
 	candidates []Candidate
 	index      map[ident.UpstreamID]int
+	// seeds holds the hash of each candidate's name.
+	seeds []uint64
+	// weighted says that the weights differ, so that ranking needs them.
+	weighted bool
 }
 
-// NewPool returns the pool of candidates.
+// NewPool returns the pool of candidates. It does not keep the slice. A name
+// that is given twice counts once, with its first weight.
 func NewPool(candidates []Candidate) *Pool {
-	pool := &Pool{candidates: candidates, index: make(map[ident.UpstreamID]int, len(candidates))}
-	for i, candidate := range candidates {
-		pool.index[candidate.Upstream] = i
+	pool := &Pool{index: make(map[ident.UpstreamID]int, len(candidates))}
+	for _, candidate := range candidates {
+		pool.add(candidate)
 	}
 	return pool
 }
 
+func (pool *Pool) add(candidate Candidate) {
+	if _, found := pool.index[candidate.Upstream]; found {
+		return
+	}
+	if !(candidate.Weight > 0) || math.IsInf(candidate.Weight, 1) {
+		candidate.Weight = 1
+	}
+	pool.index[candidate.Upstream] = len(pool.candidates)
+	pool.candidates = append(pool.candidates, candidate)
+	pool.seeds = append(pool.seeds, xxhash.Sum64String(string(candidate.Upstream)))
+	pool.weighted = pool.weighted || candidate.Weight != pool.candidates[0].Weight
+}
+
 // Len returns the number of candidates.
 func (pool *Pool) Len() int { return len(pool.candidates) }
 
 // At returns the candidate at index i.
 func (pool *Pool) At(i int) Candidate { return pool.candidates[i] }
 
+// Index returns the index of upstream and whether it is in the pool.
+func (pool *Pool) Index(upstream ident.UpstreamID) (int, bool) {
+	i, found := pool.index[upstream]
+	return i, found
+}
+
 // Rank writes the indexes of the best candidates for chat into order, best
 // first, and returns the part of order that it filled: at most len(order).
 // The upstream hint, where the chat was served last, comes first if it is in
 // the pool; the weighted rendezvous order follows.
 func (pool *Pool) Rank(chat ident.ChatID, hint ident.UpstreamID, order []int) []int {
-	filled := 0
-	first, found := pool.index[hint]
-	if found && filled < len(order) {
-		order[filled] = first
-		filled++
+	if len(order) == 0 {
+		return order
 	}
-	for i := 0; i < len(pool.candidates) && filled < len(order); i++ {
-		if found && i == first {
+	hash := xxhash.Sum64String(string(chat))
+	hinted, found := pool.index[hint]
+	if !found {
+		return order[:pool.rendezvous(hash, -1, order)]
+	}
+	order[0] = hinted
+	return order[:1+pool.rendezvous(hash, hinted, order[1:])]
+}
+
+// rendezvous fills order with the best candidates for hash but for the one at
+// index except, and returns how many it filled.
+func (pool *Pool) rendezvous(hash uint64, except int, order []int) int {
+	if len(order) == 0 {
+		return 0
+	}
+	filled := 0
+	var last score
+	for i, seed := range pool.seeds {
+		if i == except {
+			continue
+		}
+		scored := pool.score(hash, seed, i)
+		if filled == len(order) && !pool.before(scored, i, last, order[filled-1]) {
 			continue
 		}
-		order[filled] = i
-		filled++
+		if filled < len(order) {
+			filled++
+		}
+		pool.insert(hash, scored, i, order[:filled])
+		last = pool.scoreAt(hash, order[filled-1])
 	}
-	return order[:filled]
+	return filled
+}
+
+// insert places candidate i into order, which is sorted but for its last
+// place, and drops what stood there.
+func (pool *Pool) insert(hash uint64, scored score, i int, order []int) {
+	place := len(order) - 1
+	for place > 0 && pool.before(scored, i, pool.scoreAt(hash, order[place-1]), order[place-1]) {
+		order[place] = order[place-1]
+		place--
+	}
+	order[place] = i
+}
+
+// score orders the candidates of one chat: a higher score is better.
+type score float64
+
+func (pool *Pool) scoreAt(hash uint64, i int) score {
+	return pool.score(hash, pool.seeds[i], i)
+}
+
+// score returns the rendezvous score of candidate i. With a uniform draw u in
+// (0, 1), weight/-ln(u) is the highest with a probability in proportion to the
+// weight; with equal weights u itself gives the same order without a logarithm.
+func (pool *Pool) score(hash, seed uint64, i int) score {
+	draw := uniform(mix(hash ^ seed))
+	if !pool.weighted {
+		return score(draw)
+	}
+	return score(pool.candidates[i].Weight / -math.Log(draw))
+}
+
+// before reports whether candidate i comes before candidate j. Equal scores
+// are ordered by name, so that the order of the candidate list has no say.
+func (pool *Pool) before(scored score, i int, other score, j int) bool {
+	if scored != other {
+		return scored > other
+	}
+	return pool.candidates[i].Upstream < pool.candidates[j].Upstream
+}
+
+// uniform maps hash to the open interval (0, 1).
+func uniform(hash uint64) float64 {
+	const mantissaBits = 53
+	return (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+}
+
+// mix is the finalizer of SplitMix64: each bit of the input changes half of the
+// bits of the output.
+func mix(hash uint64) uint64 {
+	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
+	return hash ^ hash>>31
 }
