--- a/peer/message.go
+++ b/peer/message.go
@@ -12,6 +12,7 @@
 	MethodStrike  = "Strikes.Add"
 	MethodPush    = "Settings.Push"
 	MethodPull    = "Settings.Pull"
+	MethodCompare = "Settings.Compare"
 )
 
 // SampleArgs asks a sidecar for its load.
@@ -73,17 +74,38 @@
 // Nothing is an empty reply.
 type Nothing struct{}
 
-// PushArgs carries subtrees that are newer than what the receiver may have.
+// PushArgs announces revisions to a neighbour, which pulls those that it lacks
+// from the sender. A body so reaches each daemon about once, though each hears
+// of it from every neighbour.
 type PushArgs struct {
-	Subtrees []settings.Subtree
+	// From is the peer address of the sender.
+	From      string
+	Revisions map[ident.TeamID]ident.Revision
 }
 
-// PullArgs names the revisions that the caller has.
+// PullArgs asks for the settings of the named teams where they are newer than
+// the caller's revisions.
 type PullArgs struct {
 	Revisions map[ident.TeamID]ident.Revision
 }
 
-// PullReply carries the subtrees that are newer than the caller's.
+// PullReply carries newer settings of the teams asked for: the step from the
+// caller's revision where the callee still has that one, else the whole. It is
+// cut at a size; the caller asks again for what it still lacks.
 type PullReply struct {
+	Deltas   []settings.Delta
 	Subtrees []settings.Subtree
 }
+
+// CompareArgs carries the digest of the caller's view.
+type CompareArgs struct {
+	Digest uint64
+}
+
+// CompareReply names the callee's revisions, unless the digests are the same.
+type CompareReply struct {
+	// Ready says that the callee serves these revisions itself.
+	Ready     bool
+	Same      bool
+	Revisions map[ident.TeamID]ident.Revision
+}
