--- a/router/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package router puts the parts of a router daemon together.
-package router
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -6,24 +6,25 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
 const (
 	connectTimeout = time.Second
 	// idleTimeout is below the servers', so that the client closes first.
-	idleTimeout    = 60 * time.Second
-	idlePerSidecar = 64
+	idleTimeout = 60 * time.Second
+	maxIdle     = 8192
 )
 
 // Client reaches sidecars from a router. Set its exported fields before the
@@ -33,20 +34,15 @@
 	Token string
 	// Seen is told of the state that each answer of a sidecar carries.
 	Seen func(state State)
-	// Transport carries the requests; nil means a transport of its own.
-	Transport http.RoundTripper
+
+	once sync.Once
+	http oncehttp.Client
 }
 
-// NewTransport returns the transport of the hop. It never follows a proxy and
-// never sends a request a second time once a byte of it was written.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idlePerSidecar,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+func (client *Client) prepare() {
+	client.http.DialTimeout = connectTimeout
+	client.http.IdleTimeout = idleTimeout
+	client.http.MaxIdle = maxIdle
 }
 
 // Frames reads the frames of one answer.
@@ -203,7 +199,8 @@
 
 // do sends request and returns a response with a status below 300.
 func (client *Client) do(request *http.Request) (*http.Response, State, error) {
-	response, err := client.transport().RoundTrip(request)
+	client.once.Do(client.prepare)
+	response, err := client.http.Do(request)
 	if err != nil {
 		return nil, State{}, transportError(err)
 	}
@@ -219,15 +216,6 @@
 	return nil, state, problem.Err(time.Now())
 }
 
-func (client *Client) transport() http.RoundTripper {
-	if client.Transport == nil {
-		return sharedTransport
-	}
-	return client.Transport
-}
-
-var sharedTransport = NewTransport()
-
 func (client *Client) state(response *http.Response) State {
 	var state State
 	if err := json.Unmarshal([]byte(response.Header.Get(HeaderState)), &state); err != nil {
@@ -239,11 +227,10 @@
 	return state
 }
 
-// transportError tells a connection that was never opened from a request that
-// may have arrived.
+// transportError tells a request of which nothing was sent from one that may
+// have arrived.
 func transportError(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if !oncehttp.Sent(err) {
 		return result.Errorf(result.UpstreamUnreachable, "%v", err)
 	}
 	return result.Errorf(result.OutcomeUnknown, "%v", err)
--- a/sidecar/message.go
+++ b/sidecar/message.go
@@ -41,6 +41,9 @@
 	BodyBytes int
 	// ResumeFrames counts the frames that the caller already has.
 	ResumeFrames answer.Seq `json:",omitempty"`
+	// Wait says that there is no further upstream to try, so that the request
+	// may wait in the queue.
+	Wait bool `json:",omitempty"`
 	// Evidence holds the loads named by the sidecars that refused.
 	Evidence []LoadSeen `json:",omitempty"`
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -39,6 +39,9 @@
 	Client   *upstream.Client
 	// View returns the settings in force, or nil before there are any.
 	View func() *settings.View
+	// Limit is the most requests in flight that the upstream takes; zero
+	// means 64.
+	Limit int
 	// Claims runs a request that is not idempotent; nil refuses them.
 	Claims func(ctx context.Context, deadline time.Time, claimed Claimed) (upstream.Reply, error)
 	// PoolIDs returns the upstreams of the pool, in any order.
@@ -62,6 +65,7 @@
 	gate       admission.Gate
 	ledger     strike.Ledger
 	last       admission.Decision
+	policyOf   *settings.View
 	leaving    bool
 	executions map[ident.RequestID]*execution
 	attempts   map[ident.AttemptID]*execution
@@ -119,7 +123,7 @@
 		sidecar.log().Info("Leaving. New work is refused.")
 	}
 	sidecar.leaving = true
-	sidecar.gate.Leave()
+	sidecar.deliver(sidecar.gate.Leave())
 	sidecar.mu.Unlock()
 }
 
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -26,7 +26,7 @@
 	fingerprint := fingerprintOf(&call, body)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	started := newExecution(call, fingerprint, sidecar.replayBytes(), cancel)
-	if err := sidecar.admit(ctx, runCtx, started, route, workspace, deadline); err != nil {
+	if err := sidecar.admit(ctx, runCtx, started, workspace, deadline); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -73,30 +73,65 @@
 	return refusal
 }
 
-// policy returns the limits for a request of route.
-func (sidecar *Sidecar) policy(route settings.Route, subtree *settings.Subtree) admission.Policy {
+// policy returns the limits of the upstream from the settings of all teams that
+// share it: the lowest load multiple of its routes, and every team's marks.
+func (sidecar *Sidecar) policy() admission.Policy {
 	policy := defaultPolicy
-	if route.LoadMultiple > 0 {
-		policy.LoadMultiple = route.LoadMultiple
+	if sidecar.Limit > 0 {
+		policy.EngineLimit = sidecar.Limit
 	}
-	policy.Marks = make(map[ident.Priority]float64, len(subtree.Priorities))
-	for name, class := range subtree.Priorities {
-		policy.Marks[name] = class.Mark
+	policy.LoadMultiple = 0
+	policy.Marks = make(map[ident.Priority]float64)
+	for subtree := range sidecar.View().All() {
+		sidecar.addTeam(&policy, subtree)
+	}
+	if policy.LoadMultiple == 0 {
+		policy.LoadMultiple = defaultPolicy.LoadMultiple
 	}
 	return policy
 }
 
+func (sidecar *Sidecar) addTeam(policy *admission.Policy, subtree *settings.Subtree) {
+	for name, class := range subtree.Priorities {
+		policy.Marks[qualified(subtree.Team, name)] = class.Mark
+	}
+	for _, route := range subtree.Routes {
+		if route.Model != sidecar.Upstream.Model || route.Service != sidecar.Upstream.Service || route.LoadMultiple == 0 {
+			continue
+		}
+		if policy.LoadMultiple == 0 || route.LoadMultiple < policy.LoadMultiple {
+			policy.LoadMultiple = route.LoadMultiple
+		}
+	}
+}
+
+// qualified returns the name of a priority among those of all teams.
+func qualified(team ident.TeamID, priority ident.Priority) ident.Priority {
+	return ident.Priority(string(team) + "/" + string(priority))
+}
+
+// refreshPolicy puts new settings in force at the gate. The caller holds mu.
+func (sidecar *Sidecar) refreshPolicy() {
+	view := sidecar.View()
+	if view == sidecar.policyOf {
+		return
+	}
+	sidecar.policyOf = view
+	sidecar.gate.SetPolicy(sidecar.policy())
+}
+
 // admit passes the request through the gate, waiting in its queue if need be.
-func (sidecar *Sidecar) admit(ctx, runCtx context.Context, started *execution, route settings.Route, workspace settings.Workspace, deadline time.Time) error {
+func (sidecar *Sidecar) admit(ctx, runCtx context.Context, started *execution, workspace settings.Workspace, deadline time.Time) error {
 	call := &started.call
 	offer := admission.Offer{
 		Attempt:   call.Attempt,
 		Workspace: call.Workspace,
 		Weight:    workspace.Weight,
-		Priority:  call.Priority,
+		Priority:  qualified(call.Team, call.Priority),
 		Deadline:  deadline,
+		Wait:      call.Wait,
 	}
-	waiter, err := sidecar.offer(started, offer, sidecar.policy(route, sidecar.View().Team(call.Team)))
+	waiter, err := sidecar.offer(started, offer)
 	if err != nil || waiter == nil {
 		return err
 	}
@@ -112,7 +147,7 @@
 
 // offer asks the gate. It returns the channel to wait on where the request was
 // queued, and nil where it was admitted.
-func (sidecar *Sidecar) offer(started *execution, offer admission.Offer, policy admission.Policy) (chan admission.Start, error) {
+func (sidecar *Sidecar) offer(started *execution, offer admission.Offer) (chan admission.Start, error) {
 	now := sidecar.now()
 	call := &started.call
 	offer.Evidence = call.samples(now)
@@ -124,7 +159,7 @@
 	if err := sidecar.checkStrikes(now, started.fingerprint, &offer); err != nil {
 		return nil, err
 	}
-	sidecar.gate.SetPolicy(policy)
+	sidecar.refreshPolicy()
 	decision := sidecar.gate.Offer(now, offer)
 	sidecar.last = decision
 	if decision.Verdict == admission.Refused {
