--- /dev/null
+++ b/cmd/hickoryhead-standin/server.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// stopTimeout bounds the time that requests in flight have after a stop signal.
+const stopTimeout = 30 * time.Second
+
+// server serves one stand-in on one listener.
+type server struct {
+	http     http.Server
+	listener net.Listener
+	failed   chan error
+}
+
+// serve serves handler at listen, which is IP:port, until ctx is done. It then
+// lets the requests in flight finish.
+func serve(ctx context.Context, listen string, handler http.Handler, out io.Writer) error {
+	if _, err := netip.ParseAddrPort(listen); err != nil {
+		return errors.Mark(errors.Wrap(err, "--listen: want IP:port"), errUsage)
+	}
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &server{listener: listener, failed: make(chan error, 1)}
+	server.http.Handler = handler
+	fmt.Fprintln(out, "listening on", listener.Addr())
+	go server.run()
+	select {
+	case err := <-server.failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	return server.stop()
+}
+
+func (server *server) run() {
+	server.failed <- server.http.Serve(server.listener)
+}
+
+func (server *server) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return errors.Wrap(server.http.Shutdown(ctx), "stop")
+}
