--- /dev/null
+++ b/daemon/router.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/caller"
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/sidecar"
+)
+
+// Router is a router daemon. Set its exported fields before Run.
+type Router struct {
+	Config config.Router
+	Logger *slog.Logger
+	// Started is told the addresses once the daemon listens on all of them.
+	Started func(addresses Addresses)
+
+	base      *base
+	callers   *caller.Server
+	callerAt  *httpService
+	operators *httpService
+	leaving   atomic.Bool
+}
+
+// Run runs the router until ctx ends, and then until its requests in flight are
+// answered or the stop timeout passes.
+func (router *Router) Run(ctx context.Context) error {
+	base, err := newBase(router.Config.Daemon, platform.RoleRouter, router.Logger)
+	if err != nil {
+		return err
+	}
+	router.base = base
+	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := router.start(partsCtx); err != nil {
+		return err
+	}
+	base.logger.Info("Started.", "callers", router.callerAt.address(), "operators", router.operators.address())
+	if router.Started != nil {
+		router.Started(Addresses{
+			Callers:   router.callerAt.address(),
+			Operators: router.operators.address(),
+			Peers:     base.peerAt.Addr().String(),
+		})
+	}
+	<-ctx.Done()
+	return router.stop(partsCtx)
+}
+
+func (router *Router) start(ctx context.Context) error {
+	base := router.base
+	if err := base.start(ctx); err != nil {
+		return err
+	}
+	router.callers = &caller.Server{
+		View:      base.view,
+		Directory: base.directory,
+		Sidecars:  router.sidecars(),
+		Key:       base.secretFor("affinity"),
+		Metrics:   base.metrics,
+		Logger:    logging.Part(router.Logger, "caller"),
+		Ready:     router.ready,
+	}
+	if err := router.listen(); err != nil {
+		return err
+	}
+	watch := &vmWatch{base: base, self: router.Config.VM, logger: base.logger, leave: router.leave}
+	go watch.run(ctx)
+	go router.callerAt.run()
+	go router.operators.run()
+	return nil
+}
+
+func (router *Router) sidecars() *sidecar.Client {
+	base := router.base
+	return &sidecar.Client{
+		Token: base.hopToken(),
+		Seen: func(state sidecar.State) {
+			base.directory.Saw(state.Upstream, state.Incarnation, state.Leaving)
+		},
+	}
+}
+
+func (router *Router) listen() error {
+	handler, err := router.callers.Handler()
+	if err != nil {
+		return err
+	}
+	router.callerAt, err = newHTTPService(router.Config.CallerListen, handler, router.base.logger)
+	if err != nil {
+		return errors.Wrap(err, "callers")
+	}
+	router.operators, err = newHTTPService(router.Config.OperatorListen, router.operatorHandler(), router.base.logger)
+	return errors.Wrap(err, "operators")
+}
+
+func (router *Router) ready() bool {
+	return !router.leaving.Load() && router.base.view().Teams() > 0
+}
+
+// leave makes the readiness check fail, so that the balancer sends no more.
+func (router *Router) leave() {
+	if !router.leaving.Swap(true) {
+		router.base.logger.Info("Leaving. The readiness check fails from now on.")
+	}
+}
+
+// stop lets the balancer take note, and then finishes what is in flight.
+func (router *Router) stop(ctx context.Context) error {
+	router.leave()
+	time.Sleep(time.Duration(router.Config.LeaveWaitMs) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, router.base.stopTimeout())
+	defer cancel()
+	if err := router.callerAt.server.Shutdown(ctx); err != nil {
+		return errors.Wrapf(err, "stop with %d requests in flight", router.callers.Active())
+	}
+	router.base.logger.Info("Stopped. No request was cut.")
+	return errors.Wrap(router.operators.server.Shutdown(ctx), "operators")
+}
+
+// operatorHandler serves operators and monitoring.
+func (router *Router) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", router.base.metrics.Handler())
+	mux.HandleFunc("GET /v1/status", router.status)
+	mux.HandleFunc("POST /v1/drain/{upstream}", router.drain)
+	mux.HandleFunc("GET /health", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
+	return mux
+}
--- /dev/null
+++ b/daemon/sidecar.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/directory"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/sidecar"
+	"github.com/hickoryhead/hickoryhead/upstream"
+)
+
+// Sidecar is the daemon beside one upstream. Set its exported fields before
+// Run.
+type Sidecar struct {
+	Config config.Sidecar
+	Logger *slog.Logger
+	// Started is told the addresses once the daemon listens on all of them.
+	Started func(addresses Addresses)
+
+	base *base
+	core *sidecar.Sidecar
+	hop  *httpService
+}
+
+// Run runs the sidecar until ctx ends, and then until its requests in flight
+// are answered or the stop timeout passes.
+func (daemon *Sidecar) Run(ctx context.Context) error {
+	base, err := newBase(daemon.Config.Daemon, platform.RoleSidecar, daemon.Logger)
+	if err != nil {
+		return err
+	}
+	daemon.base = base
+	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := daemon.start(partsCtx); err != nil {
+		return err
+	}
+	base.logger.Info("Started.", "hop", daemon.hop.address(), "upstream", daemon.Config.Upstream.ID)
+	if daemon.Started != nil {
+		daemon.Started(Addresses{Hop: daemon.hop.address(), Peers: base.peerAt.Addr().String()})
+	}
+	<-ctx.Done()
+	return daemon.stop(partsCtx)
+}
+
+func (daemon *Sidecar) start(ctx context.Context) error {
+	base := daemon.base
+	daemon.core = daemon.newCore()
+	server := &sidecar.Server{Sidecar: daemon.core, Token: base.hopToken()}
+	hop, err := newHTTPService(daemon.Config.HopListen, server.Handler(), base.logger)
+	if err != nil {
+		return errors.Wrap(err, "hop")
+	}
+	daemon.hop = hop
+	if err := daemon.register(); err != nil {
+		return err
+	}
+	if err := base.start(ctx); err != nil {
+		return err
+	}
+	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.core.Leave}
+	go watch.run(ctx)
+	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
+	go sampler.run(ctx)
+	sweep := &sweep{core: daemon.core}
+	go sweep.run(ctx)
+	go hop.run()
+	return nil
+}
+
+// newCore returns the sidecar proper.
+func (daemon *Sidecar) newCore() *sidecar.Sidecar {
+	base := daemon.base
+	configured := daemon.Config.Upstream
+	control := &metrics.Traffic{Set: base.metrics, Peer: metrics.PeerUpstream}
+	core := &sidecar.Sidecar{
+		Upstream: platform.VMUpstream{
+			ID:      configured.ID,
+			Model:   configured.Model,
+			Service: configured.Service,
+			Weight:  configured.Weight,
+		},
+		Client:      upstream.New(configured.Address, upstream.Options{Control: control}),
+		Limit:       configured.Limit,
+		View:        base.view,
+		ReplayBytes: daemon.Config.ReplayBytes,
+		Metrics:     base.metrics,
+		Logger:      logging.Part(daemon.Logger, "sidecar"),
+	}
+	core.PoolIDs = daemon.poolIDs
+	return core
+}
+
+// pool returns the upstreams that serve the same as this one.
+func (daemon *Sidecar) pool() []directory.Entry {
+	configured := daemon.Config.Upstream
+	pool := daemon.base.directory.Pool(directory.Serves{Model: configured.Model, Service: configured.Service})
+	if pool == nil {
+		return nil
+	}
+	return pool.Entries
+}
+
+func (daemon *Sidecar) poolIDs() []ident.UpstreamID {
+	entries := daemon.pool()
+	ids := make([]ident.UpstreamID, len(entries))
+	for i, entry := range entries {
+		ids[i] = entry.Upstream
+	}
+	return ids
+}
+
+// register makes the sidecar's net/rpc methods callable by peers.
+func (daemon *Sidecar) register() error {
+	services := &rpcServices{daemon: daemon}
+	receivers := map[string]any{
+		"Load":    (*loadService)(services),
+		"Leaving": (*leavingService)(services),
+		"Strikes": (*strikeService)(services),
+	}
+	for name, receiver := range receivers {
+		if err := daemon.base.server.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop refuses new work and finishes what is in flight.
+func (daemon *Sidecar) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, daemon.base.stopTimeout())
+	defer cancel()
+	server := &sidecar.Server{Sidecar: daemon.core}
+	if err := server.Finish(ctx, daemon.hop.server); err != nil {
+		return errors.Wrap(err, "stop with requests in flight")
+	}
+	daemon.base.logger.Info("Stopped. No request was cut.")
+	return nil
+}
+
+// rpcServices are the net/rpc methods of a sidecar.
+type rpcServices struct {
+	daemon *Sidecar
+}
+
+type loadService rpcServices
+
+// Sample exchanges the loads of two upstreams of a pool.
+func (service *loadService) Sample(args peer.SampleArgs, reply *peer.SampleReply) error {
+	core := service.daemon.core
+	core.Heard(args)
+	state := core.State()
+	*reply = peer.SampleReply{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving}
+	return nil
+}
+
+type leavingService rpcServices
+
+// Told makes the sidecar leave if the notice is meant for its VM.
+func (service *leavingService) Told(args peer.LeaveArgs, _ *peer.Nothing) error {
+	if args.VM == service.daemon.Config.VM {
+		service.daemon.core.Leave()
+	}
+	return nil
+}
+
+type strikeService rpcServices
+
+// Add takes in strikes that other sidecars recorded.
+func (service *strikeService) Add(args peer.StrikeArgs, _ *peer.Nothing) error {
+	service.daemon.core.Learn(args)
+	return nil
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/directory"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/sidecar"
+)
+
+const statusTimeout = 2 * time.Second
+
+// RouterStatus is the answer to GET /v1/status of a router.
+type RouterStatus struct {
+	VM        ident.VMID
+	Ready     bool
+	Active    int64
+	Revisions map[ident.TeamID]ident.Revision
+	Upstreams []UpstreamStatus
+	// ControlBytes counts the control traffic since the start.
+	ControlBytes ident.Bytes
+}
+
+// UpstreamStatus is what a router knows of one upstream.
+type UpstreamStatus struct {
+	Upstream ident.UpstreamID
+	Address  string
+	Zone     ident.Zone
+	Leaving  bool
+	// Reached says that its sidecar answered just now; Status is its answer.
+	Reached bool
+	Status  sidecar.Status
+}
+
+// status handles GET /v1/status.
+func (router *Router) status(writer http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithTimeout(request.Context(), statusTimeout)
+	defer cancel()
+	base := router.base
+	answer := RouterStatus{
+		VM:           router.Config.VM,
+		Ready:        router.ready(),
+		Active:       router.callers.Active(),
+		Revisions:    base.view().Revisions(),
+		ControlBytes: base.controlBytes(),
+	}
+	for _, entry := range base.directory.Entries() {
+		answer.Upstreams = append(answer.Upstreams, router.upstreamStatus(ctx, entry))
+	}
+	writeJSON(writer, http.StatusOK, answer)
+}
+
+func (base *base) controlBytes() ident.Bytes {
+	return base.stored.Sent() + base.stored.Received() + base.peered.Sent() + base.peered.Received()
+}
+
+func (router *Router) upstreamStatus(ctx context.Context, entry directory.Entry) UpstreamStatus {
+	status, err := router.callers.Sidecars.Status(ctx, entry.Address)
+	return UpstreamStatus{
+		Upstream: entry.Upstream,
+		Address:  entry.Address,
+		Zone:     entry.Zone,
+		Leaving:  router.base.directory.Leaving(entry.Upstream),
+		Reached:  err == nil,
+		Status:   status,
+	}
+}
+
+// drain handles POST /v1/drain/{upstream}: the upstream takes no new work from
+// now on.
+func (router *Router) drain(writer http.ResponseWriter, request *http.Request) {
+	upstream := ident.UpstreamID(request.PathValue("upstream"))
+	entry, found := router.base.directory.Entry(upstream)
+	if !found {
+		refuse(writer, result.Errorf(result.PathNotFound, "upstream %q", upstream))
+		return
+	}
+	status, err := router.callers.Sidecars.Drain(request.Context(), entry.Address)
+	if err != nil {
+		refuse(writer, result.From(err, result.OutcomeUnknown))
+		return
+	}
+	writeJSON(writer, http.StatusOK, status)
+}
+
+func refuse(writer http.ResponseWriter, refusal *result.Error) {
+	writeJSON(writer, refusal.Code.Status(), refusal.Problem(time.Now()))
+}
+
+func writeJSON(writer http.ResponseWriter, status int, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(value)
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -10,6 +10,7 @@
 	MethodSample  = "Load.Sample"
 	MethodAttempt = "Attempts.Status"
 	MethodStrike  = "Strikes.Add"
+	MethodLeave   = "Leaving.Told"
 	MethodPush    = "Settings.Push"
 	MethodPull    = "Settings.Pull"
 )
@@ -20,6 +21,7 @@
 	// informs both.
 	Upstream ident.UpstreamID
 	Load     int
+	Leaving  bool
 }
 
 // SampleReply is a sidecar's load now.
@@ -70,6 +72,11 @@
 	AgeMs       int64
 }
 
+// LeaveArgs tells a VM that the platform's list says it is leaving.
+type LeaveArgs struct {
+	VM ident.VMID
+}
+
 // Nothing is an empty reply.
 type Nothing struct{}
 
--- /dev/null
+++ b/sidecar/peers.go
@@ -0,0 +1,32 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/admission"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// Heard takes in the load of another upstream that asked for this one's.
+func (sidecar *Sidecar) Heard(args peer.SampleArgs) {
+	if args.Upstream == "" || args.Upstream == sidecar.Upstream.ID {
+		return
+	}
+	sample := admission.Sample{Upstream: args.Upstream, Load: args.Load, SeenAt: sidecar.now(), Leaving: args.Leaving}
+	sidecar.Observe([]admission.Sample{sample})
+}
+
+// Learn takes in strikes and clearings that other sidecars recorded.
+func (sidecar *Sidecar) Learn(args peer.StrikeArgs) {
+	now := sidecar.now()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	for _, item := range args.Strikes {
+		age := time.Duration(max(0, item.AgeMs)) * time.Millisecond
+		sidecar.ledger.Add(now, strike.Strike{Fingerprint: item.Fingerprint, Upstream: item.Upstream, At: now.Add(-age)})
+	}
+	for _, fingerprint := range args.Cleared {
+		sidecar.ledger.Clear(fingerprint)
+	}
+}
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -82,8 +82,9 @@
 	}
 	policy.LoadMultiple = 0
 	policy.Marks = make(map[ident.Priority]float64)
-	for subtree := range sidecar.View().All() {
-		sidecar.addTeam(&policy, subtree)
+	view := sidecar.View()
+	for _, team := range view.TeamIDs() {
+		sidecar.addTeam(&policy, view.Team(team))
 	}
 	if policy.LoadMultiple == 0 {
 		policy.LoadMultiple = defaultPolicy.LoadMultiple
