--- a/settings/diff.go
+++ b/settings/diff.go
@@ -50,22 +50,28 @@
 	return differences
 }
 
-// Undo returns the values of a change that undoes entry in subtree, the team's
-// settings now. It is refused with RevisionConflict where a later change has
-// touched one of its paths.
-func Undo(subtree *Subtree, entry Entry) (map[Path]json.RawMessage, error) {
+// Undo returns the values of a change that undoes entry.
+func Undo(entry Entry) map[Path]json.RawMessage {
 	values := make(map[Path]json.RawMessage, len(entry.Differences))
+	for _, difference := range entry.Differences {
+		values[difference.Path] = difference.Before
+	}
+	return values
+}
+
+// CheckUndo refuses with RevisionConflict to undo entry in subtree, the team's
+// settings now, where a later change has touched one of its paths.
+func CheckUndo(subtree *Subtree, entry Entry) error {
 	for _, difference := range entry.Differences {
 		address, err := ParsePath(difference.Path)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if present := subtree.Value(address); !bytes.Equal(present, difference.After) {
-			return nil, result.Errorf(result.RevisionConflict, "%s: a later change touched it: revision %d left %s, and %s is there now", difference.Path, entry.Revision, orNone(difference.After), orNone(present))
+			return result.Errorf(result.RevisionConflict, "%s: a later change touched it: revision %d left %s, and %s is there now", difference.Path, entry.Revision, orNone(difference.After), orNone(present))
 		}
-		values[difference.Path] = difference.Before
 	}
-	return values, nil
+	return nil
 }
 
 func orNone(raw json.RawMessage) string {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -91,11 +91,10 @@
 		t.Fatal(err)
 	}
 	entry := settings.Entry{Revision: 2, Differences: settings.Diff(first, second)}
-	values, err := settings.Undo(second, entry)
-	if err != nil {
+	if err := settings.CheckUndo(second, entry); err != nil {
 		t.Fatal(err)
 	}
-	undone, err := settings.Apply(second, settings.Change{ID: "undo", Team: "beaudoin", Base: 2, Values: values})
+	undone, err := settings.Apply(second, settings.Change{ID: "undo", Team: "beaudoin", Base: 2, Values: settings.Undo(entry)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +104,7 @@
 	if got, want := undone.Revision, ident.Revision(3); got != want {
 		t.Errorf("got revision %d, want %d", got, want)
 	}
-	_, err = settings.Undo(undone, entry)
+	err = settings.CheckUndo(undone, entry)
 	if got, want := result.CodeOf(err), result.RevisionConflict; got != want {
 		t.Errorf("got %v from a second undo, want %s", err, want.Name())
 	}
