--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,372 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/standin"
+)
+
+// fleet is a number of daemons in this process. Each has its own peer server,
+// links and replicator, and they reach each other and the stand-in of the
+// platform over loopback TCP.
+type fleet struct {
+	t        testing.TB
+	platform *standin.Platform
+	address  string
+	identity *peer.Identity
+	tune     func(*peer.Replicator)
+	daemons  []*daemon
+}
+
+// daemon is one daemon of a fleet.
+type daemon struct {
+	fleet      *fleet
+	vm         platform.VM
+	replicator *peer.Replicator
+	links      *peer.Links
+	server     *peer.Server
+	store      *platform.Settings
+	traffic    *metrics.Traffic
+	toPlatform *metrics.Traffic
+	gate       *gate
+	ctx        context.Context
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
+	listener   net.Listener
+
+	mu      sync.Mutex
+	adopted map[settingsMark]time.Time
+	newest  map[ident.TeamID]ident.Revision
+}
+
+type settingsMark struct {
+	team     ident.TeamID
+	revision ident.Revision
+}
+
+func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	made := &fleet{t: t, platform: &standin.Platform{}, identity: identity(t, 'f')}
+	server := httptest.NewServer(made.platform)
+	made.address = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(func() {
+		made.stop()
+		server.Close()
+	})
+	return made
+}
+
+// start adds daemons and waits until each of them is ready.
+func (fleet *fleet) start(size, regions int) {
+	fleet.t.Helper()
+	for range size {
+		fleet.prepare(regions)
+	}
+	fleet.relist()
+	for _, daemon := range fleet.daemons {
+		daemon.start()
+	}
+	for _, daemon := range fleet.daemons {
+		eventually(fleet.t, "a ready daemon", daemon.replicator.Ready)
+	}
+}
+
+// prepare adds a daemon that does not run yet.
+func (fleet *fleet) prepare(regions int) *daemon {
+	fleet.t.Helper()
+	number := len(fleet.daemons)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	made := &daemon{
+		fleet:      fleet,
+		vm:         fleetOf(number+1, regions, 3)[number],
+		traffic:    &metrics.Traffic{Peer: metrics.PeerDaemon},
+		toPlatform: &metrics.Traffic{Peer: metrics.PeerPlatform},
+		gate:       newGate(),
+		listener:   listener,
+		adopted:    make(map[settingsMark]time.Time),
+		newest:     make(map[ident.TeamID]ident.Revision),
+	}
+	made.vm.PeerAddress = listener.Addr().String()
+	made.build()
+	fleet.daemons = append(fleet.daemons, made)
+	return made
+}
+
+func (daemon *daemon) build() {
+	fleet := daemon.fleet
+	daemon.store = &platform.Settings{Client: platform.New(fleet.address, daemon.toPlatform)}
+	daemon.links = &peer.Links{Identity: fleet.identity, Traffic: daemon.traffic, Dial: daemon.gate.dial}
+	daemon.replicator = &peer.Replicator{
+		Self:    daemon.vm,
+		Call:    daemon.links.Call,
+		Heads:   daemon.heads,
+		Load:    daemon.store.Load,
+		Adopted: daemon.note,
+	}
+	if fleet.tune != nil {
+		fleet.tune(daemon.replicator)
+	}
+	daemon.server = &peer.Server{Identity: fleet.identity, Traffic: daemon.traffic}
+	if err := daemon.server.Register("Settings", daemon.replicator.Receiver()); err != nil {
+		fleet.t.Fatal(err)
+	}
+}
+
+func (daemon *daemon) start() {
+	daemon.ctx, daemon.cancel = context.WithCancel(context.Background())
+	daemon.tasks.Add(3)
+	go daemon.runServer()
+	go daemon.runLinks()
+	go daemon.runReplicator()
+}
+
+func (daemon *daemon) runServer() {
+	defer daemon.tasks.Done()
+	if err := daemon.server.Serve(daemon.ctx, &gatedListener{Listener: daemon.listener, gate: daemon.gate}); err != nil {
+		daemon.fleet.t.Errorf("got %v from Serve, want nil", err)
+	}
+}
+
+func (daemon *daemon) runLinks() {
+	defer daemon.tasks.Done()
+	daemon.links.Run(daemon.ctx)
+}
+
+func (daemon *daemon) runReplicator() {
+	defer daemon.tasks.Done()
+	daemon.replicator.Run(daemon.ctx)
+}
+
+// stop ends a daemon as a killed process ends: without a word.
+func (daemon *daemon) stop() {
+	if daemon.cancel == nil {
+		return
+	}
+	daemon.gate.thaw()
+	daemon.cancel()
+	daemon.tasks.Wait()
+}
+
+func (fleet *fleet) stop() {
+	for _, daemon := range fleet.daemons {
+		if daemon.cancel != nil {
+			daemon.gate.thaw()
+			daemon.cancel()
+		}
+	}
+	for _, daemon := range fleet.daemons {
+		daemon.stop()
+	}
+}
+
+// relist tells every daemon of all VMs.
+func (fleet *fleet) relist() {
+	vms := fleet.listed()
+	for _, daemon := range fleet.daemons {
+		daemon.replicator.SetVMs(vms)
+	}
+}
+
+func (fleet *fleet) listed() []platform.VM {
+	vms := make([]platform.VM, 0, len(fleet.daemons))
+	for _, daemon := range fleet.daemons {
+		vms = append(vms, daemon.vm)
+	}
+	return vms
+}
+
+func (daemon *daemon) heads(ctx context.Context) (map[ident.TeamID]ident.Revision, error) {
+	if err := daemon.gate.pass(ctx); err != nil {
+		return nil, err
+	}
+	return daemon.store.Heads(ctx)
+}
+
+// note records when a revision came into force, and that none goes back.
+func (daemon *daemon) note(subtree *settings.Subtree) {
+	daemon.mu.Lock()
+	defer daemon.mu.Unlock()
+	if daemon.replicator.View().Revision(subtree.Team) < subtree.Revision {
+		daemon.fleet.t.Errorf("got an older revision than the adopted %d in force, want it in force", subtree.Revision)
+	}
+	daemon.newest[subtree.Team] = max(daemon.newest[subtree.Team], subtree.Revision)
+	daemon.adopted[settingsMark{subtree.Team, subtree.Revision}] = time.Now()
+}
+
+// checkForward fails where a daemon has gone back.
+func (fleet *fleet) checkForward() {
+	fleet.t.Helper()
+	for _, daemon := range fleet.daemons {
+		daemon.mu.Lock()
+		for team, want := range daemon.newest {
+			if got := daemon.replicator.View().Revision(team); got < want {
+				fleet.t.Errorf("got revision %d of %s in force at %s, want at least %d", got, team, daemon.vm.ID, want)
+			}
+		}
+		daemon.mu.Unlock()
+	}
+}
+
+// accept commits a change of one workspace at a daemon and puts it in force there.
+func (daemon *daemon) accept(team ident.TeamID, weight int) *settings.Subtree {
+	daemon.fleet.t.Helper()
+	accepted := daemon.commit(team, weight)
+	daemon.replicator.Accepted(accepted)
+	return accepted
+}
+
+func (daemon *daemon) commit(team ident.TeamID, weight int) *settings.Subtree {
+	daemon.fleet.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	present, err := daemon.store.Load(ctx, team)
+	if err != nil {
+		daemon.fleet.t.Fatal(err)
+	}
+	change := settings.Change{
+		ID:     string(ident.NewRequestID()),
+		Team:   team,
+		Values: map[settings.Path]json.RawMessage{settings.Path("/Teams/" + string(team) + "/Workspaces/w0"): json.RawMessage(fmt.Sprintf(`{"Weight":%d}`, weight))},
+	}
+	if len(present) > 0 {
+		change.Base = present[0].Revision
+	}
+	accepted, err := daemon.store.Accept(ctx, change)
+	if err != nil {
+		daemon.fleet.t.Fatal(err)
+	}
+	return accepted.Subtree
+}
+
+// inForce waits until each of daemons has revision of team in force.
+func inForce(t testing.TB, daemons []*daemon, subtree *settings.Subtree) {
+	t.Helper()
+	for _, daemon := range daemons {
+		eventually(t, fmt.Sprintf("revision %d of %s at %s", subtree.Revision, subtree.Team, daemon.vm.ID), func() bool {
+			return daemon.replicator.View().Revision(subtree.Team) >= subtree.Revision
+		})
+	}
+}
+
+// errCut is the error of a connection across a partition.
+var errCut = errors.New("cut off")
+
+// gate stands between a daemon and its sockets. While it is frozen, nothing is
+// read, written, opened or accepted, and nothing fails, as in a paused process.
+type gate struct {
+	mu     sync.Mutex
+	open   chan struct{}
+	cutOff func(address string) bool
+	dialed map[net.Conn]string
+}
+
+func newGate() *gate {
+	made := &gate{open: make(chan struct{}), dialed: make(map[net.Conn]string)}
+	close(made.open)
+	return made
+}
+
+func (gate *gate) freeze() {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	gate.open = make(chan struct{})
+}
+
+func (gate *gate) thaw() {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	select {
+	case <-gate.open:
+	default:
+		close(gate.open)
+	}
+}
+
+func (gate *gate) wait() {
+	gate.mu.Lock()
+	open := gate.open
+	gate.mu.Unlock()
+	<-open
+}
+
+func (gate *gate) pass(ctx context.Context) error {
+	gate.wait()
+	return ctx.Err()
+}
+
+// cut breaks the connections to the addresses that cutOff names, and keeps them
+// from being opened; nil opens all again.
+func (gate *gate) cut(cutOff func(address string) bool) {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	gate.cutOff = cutOff
+	for conn, address := range gate.dialed {
+		if cutOff != nil && cutOff(address) {
+			conn.Close()
+			delete(gate.dialed, conn)
+		}
+	}
+}
+
+func (gate *gate) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	gate.wait()
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	if gate.cutOff != nil && gate.cutOff(address) {
+		conn.Close()
+		return nil, errCut
+	}
+	gate.dialed[conn] = address
+	return &gatedConn{Conn: conn, gate: gate}, nil
+}
+
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (listener *gatedListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: conn, gate: listener.gate}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (conn *gatedConn) Read(buffer []byte) (int, error) {
+	n, err := conn.Conn.Read(buffer)
+	conn.gate.wait()
+	return n, err
+}
+
+func (conn *gatedConn) Write(buffer []byte) (int, error) {
+	conn.gate.wait()
+	return conn.Conn.Write(buffer)
+}
