--- a/peer/neighbour.go
+++ b/peer/neighbour.go
@@ -13,7 +13,7 @@
 const (
 	// pushPause is the least time between two announcements to one neighbour:
 	// what is adopted in the meantime goes with the next one.
-	pushPause = 200 * time.Millisecond
+	pushPause = 500 * time.Millisecond
 	// pushRetry is the time after a failed announcement.
 	pushRetry = time.Second
 	// pushTimeout bounds an announcement, which ends when the neighbour has
