Run the whole path as separate processes

Router, sidecar and the stand-ins start from settings files, and an end-to-end test sends returning chats, events and bad input through two routers and three engines, drains one upstream and stops a router in the middle of an answer. Claims are not wired yet: a request that is not idempotent is refused.

--- /dev/null
+++ b/cmd/hickoryhead/daemons.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/daemon"
+	"github.com/hickoryhead/hickoryhead/logging"
+)
+
+// daemonFlags are the flags that every daemon takes.
+type daemonFlags struct {
+	settings string
+	format   string
+	level    string
+}
+
+func (flags *daemonFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&flags.settings, "settings", "", "settings file (JSON)")
+	cmd.Flags().StringVar(&flags.format, "log-format", string(logging.Text), "text or json")
+	cmd.Flags().StringVar(&flags.level, "log-level", "info", "debug, info, warn or error")
+}
+
+// logger returns the logger that the flags ask for.
+func (flags *daemonFlags) logger(out io.Writer) (*slog.Logger, error) {
+	logger, err := logging.New(out, logging.Format(flags.format), flags.level)
+	if err != nil {
+		return nil, errors.Mark(err, errUsage)
+	}
+	return logger, nil
+}
+
+// load reads the settings file of a daemon.
+func load[T config.Router | config.Sidecar](name string) (T, error) {
+	if name == "" {
+		var none T
+		return none, errors.Mark(errors.New("--settings FILE is required"), errUsage)
+	}
+	loaded, err := config.Load[T](name)
+	if err != nil {
+		return loaded, errors.Mark(err, errUsage)
+	}
+	return loaded, nil
+}
+
+// untilStopped returns a context that ends with SIGTERM or an interrupt.
+func untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
+
+// printAddresses tells whoever started the daemon where it listens.
+func printAddresses(out io.Writer) func(addresses daemon.Addresses) {
+	return func(addresses daemon.Addresses) {
+		fmt.Fprintf(out, "listening callers=%s operators=%s hop=%s peers=%s\n",
+			addresses.Callers, addresses.Operators, addresses.Hop, addresses.Peers)
+	}
+}
+
+func newRouter() *cobra.Command {
+	var flags daemonFlags
+	cmd := &cobra.Command{
+		Use:   "router --settings FILE",
+		Short: "Run a router on an entry VM",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := load[config.Router](flags.settings)
+			if err != nil {
+				return err
+			}
+			logger, err := flags.logger(cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilStopped(cmd.Context())
+			defer stop()
+			router := &daemon.Router{Config: loaded, Logger: logger, Started: printAddresses(cmd.OutOrStdout())}
+			return router.Run(ctx)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func newSidecar() *cobra.Command {
+	var flags daemonFlags
+	cmd := &cobra.Command{
+		Use:   "sidecar --settings FILE",
+		Short: "Run the small process beside one upstream",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := load[config.Sidecar](flags.settings)
+			if err != nil {
+				return err
+			}
+			logger, err := flags.logger(cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilStopped(cmd.Context())
+			defer stop()
+			sidecar := &daemon.Sidecar{Config: loaded, Logger: logger, Started: printAddresses(cmd.OutOrStdout())}
+			return sidecar.Run(ctx)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:       "check router|sidecar FILE",
+		Short:     "Check a daemon's settings file without starting anything",
+		ValidArgs: []string{"router", "sidecar"},
+		Args:      usageArgs(cobra.ExactArgs(2)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkFile(args[0], args[1]); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings of a %s\n", args[1], args[0])
+			return nil
+		},
+	}
+}
+
+func checkFile(role, name string) error {
+	var err error
+	switch role {
+	case "router":
+		_, err = load[config.Router](name)
+	case "sidecar":
+		_, err = load[config.Sidecar](name)
+	default:
+		return errors.Mark(errors.Newf("role %q: want router or sidecar", role), errUsage)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/hickoryhead/operate.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/daemon"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/sidecar"
+)
+
+const operateTimeout = 10 * time.Second
+
+// ask sends a request without a body to a router's operators' address and
+// decodes the answer.
+func ask(ctx context.Context, method, server, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, nil)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		return problemOf(response)
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), "router's answer")
+}
+
+func problemOf(response *http.Response) error {
+	var problem result.Problem
+	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil || problem.Number == result.OK {
+		return errors.Newf("router status %d", response.StatusCode)
+	}
+	return problem.Err(time.Now())
+}
+
+func newStatus() *cobra.Command {
+	var server string
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show a router and the upstreams it knows",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var status daemon.RouterStatus
+			if err := ask(cmd.Context(), http.MethodGet, server, "/v1/status", &status); err != nil {
+				return err
+			}
+			return printStatus(cmd.OutOrStdout(), &status)
+		},
+	}
+	cmd.Flags().StringVar(&server, "server", "127.0.0.1:8081", "a router's operators' address, IP:port")
+	return cmd
+}
+
+func printStatus(out io.Writer, status *daemon.RouterStatus) error {
+	fmt.Fprintf(out, "router %s: ready %t, %d requests in flight, %d control bytes\n", status.VM, status.Ready, status.Active, status.ControlBytes)
+	for team, revision := range status.Revisions {
+		fmt.Fprintf(out, "team %s: revision %d\n", team, revision)
+	}
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "UPSTREAM\tZONE\tADDRESS\tREACHED\tLEAVING\tLOAD\tMEAN\tBOUND")
+	for _, upstream := range status.Upstreams {
+		state := upstream.Status.State
+		leaving := upstream.Leaving || state.Leaving
+		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%.2f\t%d\n", upstream.Upstream, upstream.Zone, upstream.Address, upstream.Reached, leaving, state.Load, state.Mean, state.Bound)
+	}
+	return table.Flush()
+}
+
+func newDrain() *cobra.Command {
+	var server string
+	cmd := &cobra.Command{
+		Use:   "drain UPSTREAM",
+		Short: "Let an upstream finish its work and take no more",
+		Args:  usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var status sidecar.Status
+			path := "/v1/drain/" + url.PathEscape(args[0])
+			if err := ask(cmd.Context(), http.MethodPost, server, path, &status); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is leaving: %d requests in flight\n", args[0], status.Running)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&server, "server", "127.0.0.1:8081", "a router's operators' address, IP:port")
+	return cmd
+}
--- a/cmd/hickoryhead/root.go
+++ b/cmd/hickoryhead/root.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -23,7 +24,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return exitDone
 	}
@@ -51,6 +52,6 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return errors.Mark(err, errUsage)
 	})
-	root.AddCommand(newReference(), newVersion())
+	root.AddCommand(newRouter(), newSidecar(), newCheck(), newStatus(), newDrain(), newReference(), newVersion())
 	return root
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -11,11 +10,7 @@
 	"github.com/hickoryhead/hickoryhead/settings"
 )
 
-const (
-	feedPrefix   = platform.Key("settings/")
-	feedInterval = time.Second
-	feedLimit    = 1000
-)
+const feedInterval = time.Second
 
 // feed polls the settings of all teams from the platform's table.
 type feed struct {
@@ -40,16 +35,13 @@
 }
 
 func (feed *feed) read(ctx context.Context) error {
-	rows, err := feed.platform.Scan(ctx, feedPrefix, "", feedLimit)
+	store := platform.Settings{Client: feed.platform}
+	subtrees, err := store.Load(ctx)
 	if err != nil {
 		return err
 	}
-	for _, row := range rows {
-		var subtree settings.Subtree
-		if err := json.Unmarshal(row.Value, &subtree); err != nil {
-			return err
-		}
-		view, adopted := feed.view.Load().Adopt(&subtree)
+	for _, subtree := range subtrees {
+		view, adopted := feed.view.Load().Adopt(subtree)
 		if adopted {
 			feed.view.Store(view)
 		}
--- /dev/null
+++ b/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e tests the whole path through separate processes.
+package e2e
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,155 @@
+package e2e_test
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/hickoryhead/hickoryhead/fleettest"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/standin"
+	"github.com/hickoryhead/hickoryhead/upstream"
+)
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	fleettest.Clean()
+	os.Exit(status)
+}
+
+const prompt = `{"Text":"Header copy for the end gondola of aisle twelve","MaxTokens":24,"Seed":7}`
+
+func wholeText() string {
+	return standin.Answer(upstream.Prompt{Text: "Header copy for the end gondola of aisle twelve", MaxTokens: 24, Seed: 7})
+}
+
+func ask(t *testing.T, entry *fleettest.Entry, request fleettest.Request) fleettest.Reply {
+	t.Helper()
+	reply, err := fleettest.Ask(entry, request)
+	if err != nil {
+		t.Fatalf("request to %s: %v", request.Route, err)
+	}
+	return reply
+}
+
+func TestWholePath(t *testing.T) {
+	fleet := fleettest.Start(t, fleettest.Options{Routers: 2, Engines: 3, EngineArgs: []string{"--tokens-per-second", "2000"}})
+	t.Run("returning chat", func(t *testing.T) { returningChat(t, fleet) })
+	t.Run("events", func(t *testing.T) { events(t, fleet) })
+	t.Run("bad input", func(t *testing.T) { badInput(t, fleet) })
+	t.Run("drained upstream gets nothing new", func(t *testing.T) { drained(t, fleet) })
+	t.Run("planned stop of a router", func(t *testing.T) { plannedStop(t, fleet) })
+}
+
+// returningChat comes back through the other router and finds its prefix.
+func returningChat(t *testing.T, fleet *fleettest.Fleet) {
+	first := ask(t, fleet.Routers[0], fleettest.Request{Route: "draft", Chat: "chat-1", Body: prompt})
+	if got, want := first.Text.Text, wholeText(); got != want {
+		t.Fatalf("first answer: got %q, want %q (%+v)", got, want, first.Problem)
+	}
+	again := ask(t, fleet.Routers[1], fleettest.Request{Route: "draft", Chat: "chat-1", Affinity: first.Affinity, Body: prompt})
+	if got := again.Text.Cached; got == 0 {
+		t.Errorf("second answer: got %d cached tokens of %d, want some", got, again.Text.Prompt)
+	}
+}
+
+func events(t *testing.T, fleet *fleettest.Fleet) {
+	response, err := fleettest.Open(fleet.Routers[0], fleettest.Request{Route: "draft", Chat: "chat-2", Body: prompt, Events: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, last := readEvents(t, response)
+	if got, want := text, wholeText(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got, want := last.Name, "end"; got != want {
+		t.Errorf("last event: got %q, want %q", got, want)
+	}
+}
+
+// readEvents returns the text of all data events and the last event.
+func readEvents(t *testing.T, response *http.Response) (string, fleettest.Event) {
+	t.Helper()
+	events := fleettest.NewEvents(response.Body)
+	var text strings.Builder
+	for {
+		event, err := events.Next()
+		if err != nil {
+			t.Fatalf("after %q: %v", text.String(), err)
+		}
+		if event.Name != "data" {
+			return text.String(), event
+		}
+		text.WriteString(event.Text())
+	}
+}
+
+func badInput(t *testing.T, fleet *fleettest.Fleet) {
+	tests := []struct {
+		name    string
+		request fleettest.Request
+		want    result.Code
+	}{
+		{"malformed", fleettest.Request{Route: "draft", Body: `{"Text":`}, result.MalformedBody},
+		{"unknown field", fleettest.Request{Route: "draft", Body: `{"Text":"a","MaxTokens":1,"Colour":1}`}, result.MalformedBody},
+		{"unknown route", fleettest.Request{Route: "nowhere", Body: prompt}, result.UnknownRoute},
+		{"no key", fleettest.Request{Route: "confirm", Body: `{}`}, result.MissingIdempotencyKey},
+		{"bad key", fleettest.Request{Route: "confirm", Key: "a b", Body: `{}`}, result.InvalidHeader},
+		{"tampered affinity", fleettest.Request{Route: "draft", Chat: "chat-1", Affinity: "v1.ZW5naW5lLTE.AAAA", Body: prompt}, result.InvalidAffinity},
+		{"too large", fleettest.Request{Route: "draft", Body: `{"Text":"` + strings.Repeat("a", 2<<20) + `","MaxTokens":1}`}, result.BodyTooLarge},
+		{"unknown priority", fleettest.Request{Route: "draft", Priority: "royal", Body: prompt}, result.InvalidHeader},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reply := ask(t, fleet.Routers[0], test.request)
+			if got := reply.Problem.Number; got != test.want {
+				t.Errorf("got %s %s, want %s", got, reply.Problem.Detail, test.want)
+			}
+			if got, want := reply.Header.Get("Hickoryhead-Result"), test.want.String(); got != want {
+				t.Errorf("header: got %q, want %q", got, want)
+			}
+			if got, want := reply.Problem.Outcome, result.NotRun; got != want {
+				t.Errorf("outcome: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// drained sends work after an upstream was told to leave.
+func drained(t *testing.T, fleet *fleettest.Fleet) {
+	response, err := http.Post("http://"+fleet.Routers[0].Operators+"/v1/drain/engine-1", "application/json", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	for range 20 {
+		reply := ask(t, fleet.Routers[1], fleettest.Request{Route: "draft", Body: prompt})
+		if got, want := reply.Text.Text, wholeText(); got != want {
+			t.Fatalf("got %q, want %q (%+v)", got, want, reply.Problem)
+		}
+		if answer := reply.Header.Get("Hickoryhead-Answer"); strings.HasPrefix(answer, "engine-1~") {
+			t.Fatalf("got an answer of the drained upstream: %s", answer)
+		}
+	}
+}
+
+// plannedStop stops a router while it gives a long answer.
+func plannedStop(t *testing.T, fleet *fleettest.Fleet) {
+	long := `{"Text":"A season plan from the ledger","MaxTokens":2000,"Seed":3}`
+	response, err := fleettest.Open(fleet.Routers[0], fleettest.Request{Route: "draft", Body: long, Events: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	fleet.Routers[0].Process.Terminate()
+	text, last := readEvents(t, response)
+	want := standin.Answer(upstream.Prompt{Text: "A season plan from the ledger", MaxTokens: 2000, Seed: 3})
+	if text != want || last.Name != "end" {
+		t.Errorf("got %d bytes and event %q, want %d bytes and the end", len(text), last.Name, len(want))
+	}
+	if err := fleet.Routers[0].Process.Wait(); err != nil {
+		t.Errorf("got exit %v, want a clean stop", err)
+	}
+}
