--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -17,8 +17,6 @@
 	maxLineBytes      = 1 << 20
 )
 
-var errLineTooLong = errors.New("line of the stream too long")
-
 // stream reads tokens from the body of an engine's answer.
 type stream struct {
 	body   io.ReadCloser
@@ -86,7 +84,7 @@
 		line, err = stream.reader.ReadSlice('\n')
 		long = append(long, line...)
 		if len(long) > maxLineBytes {
-			return nil, errLineTooLong
+			return nil, errors.Wrapf(io.ErrUnexpectedEOF, "line longer than %d bytes", maxLineBytes)
 		}
 	}
 	if err == nil {
