--- /dev/null
+++ b/cmd/hickoryhead-standin/root_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// command is one run of the program.
+type command struct {
+	args   []string
+	out    *io.PipeWriter
+	status chan int
+}
+
+func (command *command) run(ctx context.Context) {
+	command.status <- run(ctx, command.args, command.out, io.Discard)
+}
+
+func TestCommandsListenAndStop(t *testing.T) {
+	for _, name := range []string{"engine", "service", "platform"} {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			reader, writer := io.Pipe()
+			command := &command{args: []string{name}, out: writer, status: make(chan int, 1)}
+			go command.run(ctx)
+			line, err := bufio.NewReader(reader).ReadString('\n')
+			address, found := strings.CutPrefix(strings.TrimSpace(line), "listening on ")
+			if err != nil || !found {
+				t.Fatalf("got line %q, %v, want the address", line, err)
+			}
+			conn, err := net.DialTimeout("tcp", address, time.Minute)
+			if err != nil {
+				t.Fatalf("got %v at %s, want a listener", err, address)
+			}
+			conn.Close()
+			stop()
+			if got := <-command.status; got != exitDone {
+				t.Errorf("got status %d after the stop, want %d", got, exitDone)
+			}
+		})
+	}
+}
+
+func TestExitStatuses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	tests := []struct {
+		args []string
+		want int
+	}{
+		{[]string{"--help"}, exitDone},
+		{[]string{"engine", "--limit", "many"}, exitUsage},
+		{[]string{"engine", "extra"}, exitUsage},
+		{[]string{"unknown"}, exitUsage},
+		{[]string{"service", "--listen", "localhost:0"}, exitUsage},
+		{[]string{"platform", "--listen", listener.Addr().String()}, exitFailed},
+	}
+	for _, test := range tests {
+		got := run(t.Context(), test.args, io.Discard, io.Discard)
+		if got != test.want {
+			t.Errorf("got status %d for %v, want %d", got, test.args, test.want)
+		}
+	}
+}
