--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -19,8 +19,9 @@
 type Pool struct {
 	candidates []Candidate
 	index      map[ident.UpstreamID]int
-	// seeds holds the hash of each candidate's name.
-	seeds []uint64
+	// seeds holds the hash of each candidate's name, and weights its weight.
+	seeds   []uint64
+	weights []float64
 	// weighted says that the weights differ, so that ranking needs them.
 	weighted bool
 }
@@ -45,6 +46,7 @@
 	pool.index[candidate.Upstream] = len(pool.candidates)
 	pool.candidates = append(pool.candidates, candidate)
 	pool.seeds = append(pool.seeds, xxhash.Sum64String(string(candidate.Upstream)))
+	pool.weights = append(pool.weights, candidate.Weight)
 	pool.weighted = pool.weighted || candidate.Weight != pool.candidates[0].Weight
 }
 
@@ -83,20 +85,19 @@
 	if len(order) == 0 {
 		return 0
 	}
-	filled := 0
-	var last score
+	filled, last := 0, 0.0
 	for i, seed := range pool.seeds {
-		if i == except {
-			continue
-		}
-		scored := pool.score(hash, seed, i)
-		if filled == len(order) && !pool.before(scored, i, last, order[filled-1]) {
+		draw := uniform(mix(hash ^ seed))
+		if i == except || filled == len(order) && pool.below(i, draw, last) {
 			continue
 		}
+		score := pool.score(i, draw)
 		if filled < len(order) {
 			filled++
+		} else if !pool.before(score, i, last, order[filled-1]) {
+			continue
 		}
-		pool.insert(hash, scored, i, order[:filled])
+		pool.insert(hash, score, i, order[:filled])
 		last = pool.scoreAt(hash, order[filled-1])
 	}
 	return filled
@@ -104,38 +105,48 @@
 
 // insert places candidate i into order, which is sorted but for its last
 // place, and drops what stood there.
-func (pool *Pool) insert(hash uint64, scored score, i int, order []int) {
+func (pool *Pool) insert(hash uint64, score float64, i int, order []int) {
 	place := len(order) - 1
-	for place > 0 && pool.before(scored, i, pool.scoreAt(hash, order[place-1]), order[place-1]) {
+	for place > 0 && pool.before(score, i, pool.scoreAt(hash, order[place-1]), order[place-1]) {
 		order[place] = order[place-1]
 		place--
 	}
 	order[place] = i
 }
 
-// score orders the candidates of one chat: a higher score is better.
-type score float64
+// scoreAt returns the score of candidate i for hash.
+func (pool *Pool) scoreAt(hash uint64, i int) float64 {
+	return pool.score(i, uniform(mix(hash^pool.seeds[i])))
+}
 
-func (pool *Pool) scoreAt(hash uint64, i int) score {
-	return pool.score(hash, pool.seeds[i], i)
+// score returns the rendezvous score of candidate i; a higher score is better.
+// With a uniform draw u in (0, 1), weight/-ln(u) is the highest with a
+// probability in proportion to the weight; with equal weights u itself gives
+// the same order without a logarithm.
+func (pool *Pool) score(i int, draw float64) float64 {
+	if !pool.weighted {
+		return draw
+	}
+	return pool.weights[i] / -math.Log(draw)
 }
 
-// score returns the rendezvous score of candidate i. With a uniform draw u in
-// (0, 1), weight/-ln(u) is the highest with a probability in proportion to the
-// weight; with equal weights u itself gives the same order without a logarithm.
-func (pool *Pool) score(hash, seed uint64, i int) score {
-	draw := uniform(mix(hash ^ seed))
+// slack covers the rounding of a score, as a part of it.
+const slack = 1e-9
+
+// below reports, without a logarithm, that the score of candidate i is surely
+// below last: weight/(1-u) is never under weight/-ln(u).
+func (pool *Pool) below(i int, draw, last float64) bool {
 	if !pool.weighted {
-		return score(draw)
+		return draw < last
 	}
-	return score(pool.candidates[i].Weight / -math.Log(draw))
+	return pool.weights[i]*(1+slack) < last*(1-draw)
 }
 
 // before reports whether candidate i comes before candidate j. Equal scores
 // are ordered by name, so that the order of the candidate list has no say.
-func (pool *Pool) before(scored score, i int, other score, j int) bool {
-	if scored != other {
-		return scored > other
+func (pool *Pool) before(score float64, i int, other float64, j int) bool {
+	if score != other {
+		return score > other
 	}
 	return pool.candidates[i].Upstream < pool.candidates[j].Upstream
 }
@@ -143,7 +154,7 @@
 // uniform maps hash to the open interval (0, 1).
 func uniform(hash uint64) float64 {
 	const mantissaBits = 53
-	return (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return (float64(int64(hash>>(64-mantissaBits))) + 0.5) / (1 << mantissaBits)
 }
 
 // mix is the finalizer of SplitMix64: each bit of the input changes half of the
--- /dev/null
+++ b/affinity/plan_test.go
@@ -0,0 +1,85 @@
+package affinity_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickoryhead/hickoryhead/affinity"
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func ExamplePlan() {
+	pool := affinity.NewPool(candidates(4, equal))
+	now := time.Unix(1000, 0)
+	var loads affinity.Loads
+	loads.Add(affinity.Report{Upstream: "engine-2", Load: 9, SeenAt: now})
+	loads.Add(affinity.Report{Upstream: "engine-0", Load: 4, SeenAt: now})
+	plan := pool.Plan("chat-7", "engine-1")
+	for {
+		try, more := plan.Next(now, &loads)
+		if !more {
+			break
+		}
+		fmt.Println(pool.At(try.Index).Upstream, try.Last)
+	}
+	// Output:
+	// engine-1 false
+	// engine-0 false
+	// engine-2 false
+	// engine-3 true
+}
+
+func TestPlanTriesEachOnceAndNoneThatLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		listed := drawCandidates(t)
+		pool := affinity.NewPool(listed)
+		var loads affinity.Loads
+		leaving := make(map[ident.UpstreamID]bool)
+		for _, candidate := range listed {
+			report := affinity.Report{Upstream: candidate.Upstream, Load: rapid.IntRange(0, 9).Draw(t, "load"), SeenAt: start}
+			report.Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+			leaving[candidate.Upstream] = report.Leaving
+			loads.Add(report)
+		}
+		plan := pool.Plan(ident.ChatID(rapid.String().Draw(t, "chat")), listed[0].Upstream)
+		var tried []int
+		last := false
+		for try, more := plan.Next(start, &loads); more; try, more = plan.Next(start, &loads) {
+			if slices.Contains(tried, try.Index) || leaving[pool.At(try.Index).Upstream] {
+				t.Fatalf("got %v after %v, want one not tried that does not leave", try, tried)
+			}
+			if last {
+				t.Fatalf("got a try after the last one")
+			}
+			tried, last = append(tried, try.Index), try.Last
+		}
+		if len(tried) > 0 && !last {
+			t.Fatalf("got no last try among %v", tried)
+		}
+		if len(tried) > 0 && !leaving[listed[0].Upstream] && tried[0] != 0 {
+			t.Fatalf("got %d first, want the hint", tried[0])
+		}
+	})
+}
+
+func TestALaterReportEndsLeaving(t *testing.T) {
+	pool := affinity.NewPool(candidates(1, equal))
+	var loads affinity.Loads
+	loads.Add(affinity.Report{Upstream: "engine-0", Leaving: true, SeenAt: start})
+	loads.Add(affinity.Report{Upstream: "engine-0", SeenAt: start.Add(-time.Second)})
+	plan := pool.Plan("chat", "")
+	if _, got := plan.Next(start, &loads); got {
+		t.Errorf("got a try at an upstream that leaves, want none")
+	}
+	loads.Add(affinity.Report{Upstream: "engine-0", SeenAt: start.Add(time.Second)})
+	plan = pool.Plan("chat", "")
+	if _, got := plan.Next(start.Add(time.Second), &loads); !got {
+		t.Errorf("got no try after a later report, want one")
+	}
+}
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -1,5 +1,7 @@
 // Package retry decides whether a request is tried again, and where.
 //
 // It promises that a request that is not idempotent is sent again only after a
-// confirmed "not run", and that retries stay within a share of recent traffic.
+// confirmed "not run", and that the retries of work that may have run stay
+// within a share of recent traffic. An upstream that declined a request did no
+// work for it, so going on to the next one is not a retry; MaxTries bounds it.
 package retry
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -6,27 +6,6 @@
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
-// Budget limits retries to a share of the recent requests. The zero value
-// allows none until requests have been counted.
-type Budget struct {
-	// Share is the most retries for each request, such as 0.2.
-	Share float64
-
-	tokens float64
-}
-
-// Request counts one new request at the time now.
-func (budget *Budget) Request(_ time.Time) { budget.tokens = min(budget.tokens+budget.Share, 100) }
-
-// Spend takes one retry from the budget and reports whether there was one.
-func (budget *Budget) Spend(_ time.Time) bool {
-	if budget.tokens < 1 {
-		return false
-	}
-	budget.tokens--
-	return true
-}
-
 // Attempt describes how the last try of a request ended.
 type Attempt struct {
 	Code       result.Code
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,105 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/retry"
+)
+
+var start = time.Unix(1000, 0)
+
+func ExampleBudget_Spend() {
+	budget := retry.Budget{Share: 0.2}
+	for range 10 {
+		budget.Request(start)
+	}
+	retries := 0
+	for budget.Spend(start) {
+		retries++
+	}
+	fmt.Println(retries)
+	// Output: 5
+}
+
+func TestNext(t *testing.T) {
+	later := start.Add(time.Minute)
+	for _, test := range []struct {
+		name    string
+		attempt retry.Attempt
+		want    retry.Action
+	}{
+		{"declined", retry.Attempt{Code: result.OverBound, Deadline: later, Tried: 1, Candidates: 3}, retry.Elsewhere},
+		{"leaving", retry.Attempt{Code: result.Leaving, Deadline: later, Tried: 1, Candidates: 3}, retry.Elsewhere},
+		{"unreachable", retry.Attempt{Code: result.UpstreamUnreachable, Deadline: later, Tried: 2, Candidates: 3}, retry.Elsewhere},
+		{"every candidate tried", retry.Attempt{Code: result.OverBound, Deadline: later, Tried: 3, Candidates: 3}, retry.Stop},
+		{"most tries", retry.Attempt{Code: result.OverBound, Deadline: later, Tried: retry.MaxTries, Candidates: 18}, retry.Stop},
+		{"deadline passed", retry.Attempt{Code: result.OverBound, Deadline: start, Tried: 1, Candidates: 3}, retry.Stop},
+		{"failed, idempotent", retry.Attempt{Code: result.UpstreamFailed, Idempotent: true, Deadline: later, Tried: 1, Candidates: 3}, retry.Again},
+		{"failed, not idempotent", retry.Attempt{Code: result.UpstreamFailed, Deadline: later, Tried: 1, Candidates: 3}, retry.Stop},
+		{"unknown, idempotent", retry.Attempt{Code: result.OutcomeUnknown, Idempotent: true, Deadline: later, Tried: 1, Candidates: 3}, retry.Again},
+		{"unknown, not idempotent", retry.Attempt{Code: result.OutcomeUnknown, Deadline: later, Tried: 1, Candidates: 3}, retry.Stop},
+		{"cut, idempotent", retry.Attempt{Code: result.AnswerCut, Idempotent: true, Deadline: later, Tried: 1, Candidates: 3}, retry.Stop},
+		{"crashes upstreams", retry.Attempt{Code: result.CrashingRequest, Idempotent: true, Deadline: later, Tried: 1, Candidates: 3}, retry.Stop},
+		{"bad input", retry.Attempt{Code: result.MalformedBody, Idempotent: true, Deadline: later, Tried: 1, Candidates: 3}, retry.Stop},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := retry.Next(start, test.attempt); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// For every registered code: a request that is not idempotent goes on only
+// after a code that says that nothing was run.
+func TestOnlyNotRunGoesOnWithoutIdempotence(t *testing.T) {
+	for _, entry := range result.Entries() {
+		attempt := retry.Attempt{Code: entry.Code, Deadline: start.Add(time.Minute), Tried: 1, Candidates: 3}
+		if got := retry.Next(start, attempt); got != retry.Stop && entry.Outcome != result.NotRun {
+			t.Errorf("got %v after %s, want Stop", got, entry.Name)
+		}
+	}
+}
+
+// With every upstream failing, each request is retried as often as the budget
+// lets it.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.Budget{Share: rapid.SampledFrom([]float64{0, 0.1, 0.2, 1}).Draw(t, "share")}
+		longest := rapid.SampledFrom([]int{10, 300, 3000}).Draw(t, "longest")
+		now, attempts := start, 0
+		for requests := range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, longest).Draw(t, "ms")) * time.Millisecond)
+			budget.Request(now)
+			attempts++
+			for tried := 1; tried < retry.MaxTries && budget.Spend(now); tried++ {
+				attempts++
+			}
+			windows := 1 + now.Sub(start).Seconds()/(retry.Window-time.Second).Seconds()
+			most := float64(requests+1)*(1+budget.Share) + retry.Floor*windows
+			if float64(attempts) > most {
+				t.Fatalf("got %d attempts for %d requests in %v, want at most %v", attempts, requests+1, now.Sub(start), most)
+			}
+		}
+	})
+}
+
+func TestABurstOfFailuresGetsOnlyTheFloorBesideItsShare(t *testing.T) {
+	budget := retry.Budget{Share: 0.2}
+	attempts := 0
+	for range 1000 {
+		budget.Request(start)
+		attempts++
+		for budget.Spend(start) {
+			attempts++
+		}
+	}
+	if got, want := attempts, 1000+200+retry.Floor; got != want {
+		t.Errorf("got %d attempts, want %d", got, want)
+	}
+}
