Wire settings replication, the plan of tries, evidence and strikes

Routers rank with a plan that asks the less loaded of the next two, pass on the loads that refusals named, and remember upstreams that could not be reached. Sidecars pass strikes on to their pool.

--- a/caller/place.go
+++ b/caller/place.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"slices"
+	"time"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
-	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
 
@@ -16,11 +16,11 @@
 func (relay *relay) open(ctx context.Context) error {
 	last := &result.Error{Code: result.NoUpstream, RetryAt: relay.server.now().Add(comeBack)}
 	for {
-		entry, found := relay.choose()
+		try, found := relay.choose()
 		if !found {
 			return last
 		}
-		err := relay.offer(ctx, entry)
+		err := relay.offer(ctx, try)
 		if err == nil {
 			return nil
 		}
@@ -32,20 +32,17 @@
 	}
 }
 
-// choose returns the best upstream that was not tried yet.
-func (relay *relay) choose() (directory.Entry, bool) {
-	pool := relay.pool()
-	if pool == nil || len(relay.tried) >= retry.MaxTries {
-		return directory.Entry{}, false
-	}
-	var order [2 * retry.MaxTries]int
-	for _, i := range pool.Ranking.Rank(relay.chatKey(), relay.incoming.hint, order[:]) {
-		entry := pool.Entries[i]
-		if !slices.Contains(relay.tried, entry.Upstream) {
-			return entry, true
+// choose returns the next upstream to try. The plan is made once for a request,
+// from the pool as it was then.
+func (relay *relay) choose() (affinity.Try, bool) {
+	if relay.pool == nil {
+		relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
+		if relay.pool == nil {
+			return affinity.Try{}, false
 		}
+		relay.plan = relay.pool.Ranking.Plan(relay.chatKey(), relay.incoming.hint)
 	}
-	return directory.Entry{}, false
+	return relay.plan.Next(relay.server.now(), relay.server.Loads)
 }
 
 // chatKey returns what the request is ranked by: its chat, or the request
@@ -58,22 +55,54 @@
 }
 
 // offer sends the request to one upstream.
-func (relay *relay) offer(ctx context.Context, entry directory.Entry) error {
-	relay.entry = entry
+func (relay *relay) offer(ctx context.Context, try affinity.Try) error {
+	relay.entry = relay.pool.Entries[try.Index]
 	relay.attempt = ident.NewAttemptID()
-	relay.tried = append(relay.tried, entry.Upstream)
-	relay.sentTo = relay.server.Directory.Incarnation(entry.Upstream)
-	frames, err := relay.server.Sidecars.Run(ctx, entry.Address, relay.call(), relay.incoming.body, relay.text.String())
+	relay.tried++
+	relay.sentTo = relay.server.Directory.Incarnation(relay.entry.Upstream)
+	call := relay.call()
+	call.Wait = try.Last
+	frames, state, err := relay.server.Sidecars.Run(ctx, relay.entry.Address, call, relay.incoming.body, relay.text.String())
 	if err == nil {
 		relay.frames = frames
 		return nil
 	}
+	relay.refused(result.CodeOf(err), state)
 	if result.CodeOf(err) == result.OutcomeUnknown {
 		return relay.resolveUnknown(ctx, err)
 	}
 	return err
 }
 
+// refused remembers the load that a refusing sidecar named, as evidence for the
+// next one, and that an upstream could not be reached.
+func (relay *relay) refused(code result.Code, state sidecar.State) {
+	now := relay.server.now()
+	switch {
+	case code == result.OverBound && state.Upstream != "":
+		relay.evidence = append(relay.evidence, evidence{upstream: state.Upstream, load: state.Load, seenAt: now})
+	case code == result.UpstreamUnreachable && relay.server.Loads != nil:
+		relay.server.Loads.Add(affinity.Report{Upstream: relay.entry.Upstream, Leaving: true, SeenAt: now})
+	}
+}
+
+// evidence is the load of an upstream that refused the request.
+type evidence struct {
+	upstream ident.UpstreamID
+	load     int
+	seenAt   time.Time
+}
+
+// loadsSeen returns the evidence as the hop carries it.
+func (relay *relay) loadsSeen() []sidecar.LoadSeen {
+	now := relay.server.now()
+	seen := make([]sidecar.LoadSeen, len(relay.evidence))
+	for i, evidence := range relay.evidence {
+		seen[i] = sidecar.LoadSeen{Upstream: evidence.upstream, Load: evidence.load, AgeMs: now.Sub(evidence.seenAt).Milliseconds()}
+	}
+	return seen
+}
+
 func (relay *relay) call() sidecar.Call {
 	incoming := relay.incoming
 	return sidecar.Call{
@@ -88,6 +117,6 @@
 		Prior:        incoming.hint,
 		BudgetMs:     max(1, incoming.deadline.Sub(relay.server.now()).Milliseconds()),
 		ResumeFrames: relay.assembler.Next() - 1,
-		Evidence:     relay.evidence,
+		Evidence:     relay.loadsSeen(),
 	}
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -37,9 +38,12 @@
 	assembler answer.Assembler
 	// text is what the caller has of a model's answer.
 	text strings.Builder
-	// tried holds the upstreams that this request was offered to.
-	tried    []ident.UpstreamID
-	evidence []sidecar.LoadSeen
+	// pool and plan are the upstreams that the request may be offered to, and
+	// their order; tried counts the offers.
+	pool     *directory.Pool
+	plan     affinity.Plan
+	tried    int
+	evidence []evidence
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
 	// mayHaveRun is set once an upstream may have run the request.
@@ -183,14 +187,14 @@
 
 func (relay *relay) attemptOf(code result.Code) retry.Attempt {
 	candidates := 0
-	if pool := relay.pool(); pool != nil {
-		candidates = len(pool.Entries)
+	if relay.pool != nil {
+		candidates = relay.plan.Len()
 	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      len(relay.tried),
+		Tried:      relay.tried,
 		Candidates: candidates,
 	}
 }
@@ -214,10 +218,6 @@
 	return &failure
 }
 
-func (relay *relay) pool() *directory.Pool {
-	return relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
-}
-
 // resolveUnknown finds out what became of an attempt whose answer was lost
 // before it began. It returns nil where the answer can be read after all.
 func (relay *relay) resolveUnknown(ctx context.Context, unknown error) error {
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -48,7 +48,8 @@
 	directory *directory.Directory
 	server    *peer.Server
 	links     *peer.Links
-	feed      *feed
+	store     *platform.Settings
+	settings  *peer.Replicator
 	peerAt    net.Listener
 }
 
@@ -76,26 +77,45 @@
 	base.platform = platform.New(loaded.Platform, base.stored)
 	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logging.Part(logger, "peer")}
 	base.links = &peer.Links{Identity: identity, Traffic: base.peered, Metrics: set}
-	base.feed = &feed{platform: base.platform, logger: logging.Part(logger, "settings")}
-	return base, nil
+	base.store = &platform.Settings{Client: base.platform}
+	base.settings = &peer.Replicator{
+		Call:    base.links.Call,
+		Heads:   base.store.Heads,
+		Load:    base.store.Load,
+		Metrics: set,
+		Logger:  logging.Part(logger, "settings"),
+	}
+	return base, base.server.Register("Settings", base.settings.Receiver())
 }
 
-// view returns the settings in force, or nil before there are any.
-func (base *base) view() *settings.View { return base.feed.view.Load() }
+// view returns the settings in force, which are empty before there are any.
+func (base *base) view() *settings.View { return base.settings.View() }
 
-// start begins the parts' own loops. They end with ctx.
-func (base *base) start(ctx context.Context) error {
+// listen opens the peer listener.
+func (base *base) listen() error {
 	listener, err := net.Listen("tcp", base.config.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "peer listener")
 	}
 	base.peerAt = listener
-	peers := &peerService{server: base.server, listener: listener, logger: base.logger}
+	return nil
+}
+
+// start begins the parts' own loops. They end with ctx.
+func (base *base) start(ctx context.Context, role platform.Role) {
+	base.settings.Self = platform.VM{
+		ID:          base.config.VM,
+		Role:        role,
+		PeerAddress: base.peerAt.Addr().String(),
+		Zone:        base.config.Zone,
+		Region:      base.config.Region,
+	}
+	peers := &peerService{server: base.server, listener: base.peerAt, logger: base.logger}
 	go peers.run(ctx)
 	links := &linksService{links: base.links}
 	go links.run(ctx)
-	go base.feed.run(ctx)
-	return nil
+	replication := &replication{settings: base.settings}
+	go replication.run(ctx)
 }
 
 // secretFor derives a key for one use from the fleet's shared key.
@@ -130,6 +150,13 @@
 	}
 }
 
+// replication keeps the settings in force up to date until its context ends.
+type replication struct {
+	settings *peer.Replicator
+}
+
+func (replication *replication) run(ctx context.Context) { replication.settings.Run(ctx) }
+
 // linksService keeps the links to peers until its context ends.
 type linksService struct {
 	links *peer.Links
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/logging"
@@ -27,6 +28,7 @@
 	callers   *caller.Server
 	callerAt  *httpService
 	operators *httpService
+	loads     affinity.Loads
 	leaving   atomic.Bool
 }
 
@@ -57,9 +59,10 @@
 
 func (router *Router) start(ctx context.Context) error {
 	base := router.base
-	if err := base.start(ctx); err != nil {
+	if err := base.listen(); err != nil {
 		return err
 	}
+	base.start(ctx, platform.RoleRouter)
 	router.callers = &caller.Server{
 		View:      base.view,
 		Directory: base.directory,
@@ -68,6 +71,7 @@
 		Metrics:   base.metrics,
 		Logger:    logging.Part(router.Logger, "caller"),
 		Ready:     router.ready,
+		Loads:     &router.loads,
 	}
 	if err := router.listen(); err != nil {
 		return err
@@ -85,6 +89,7 @@
 		Token: base.hopToken(),
 		Seen: func(state sidecar.State) {
 			base.directory.Saw(state.Upstream, state.Incarnation, state.Leaving)
+			router.loads.Add(affinity.Report{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving, SeenAt: time.Now()})
 		},
 	}
 }
@@ -103,7 +108,7 @@
 }
 
 func (router *Router) ready() bool {
-	return !router.leaving.Load() && router.base.view().Teams() > 0
+	return !router.leaving.Load() && router.base.settings.Ready()
 }
 
 // leave makes the readiness check fail, so that the balancer sends no more.
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -25,9 +25,10 @@
 	// Started is told the addresses once the daemon listens on all of them.
 	Started func(addresses Addresses)
 
-	base *base
-	core *sidecar.Sidecar
-	hop  *httpService
+	base    *base
+	core    *sidecar.Sidecar
+	hop     *httpService
+	strikes *strikeSpread
 }
 
 // Run runs the sidecar until ctx ends, and then until its requests in flight
@@ -63,15 +64,17 @@
 	if err := daemon.register(); err != nil {
 		return err
 	}
-	if err := base.start(ctx); err != nil {
+	if err := base.listen(); err != nil {
 		return err
 	}
+	base.start(ctx, platform.RoleSidecar)
 	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.core.Leave}
 	go watch.run(ctx)
 	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
 	go sampler.run(ctx)
 	sweep := &sweep{core: daemon.core}
 	go sweep.run(ctx)
+	go daemon.strikes.run(ctx)
 	go hop.run()
 	return nil
 }
@@ -96,6 +99,8 @@
 		Logger:      logging.Part(daemon.Logger, "sidecar"),
 	}
 	core.PoolIDs = daemon.poolIDs
+	daemon.strikes = &strikeSpread{base: base, pool: daemon.pool, pending: make(chan peer.StrikeArgs, strikeBacklog)}
+	core.Struck = daemon.strikes.add
 	return core
 }
 
--- a/daemon/vms.go
+++ b/daemon/vms.go
@@ -65,6 +65,7 @@
 	}
 	watch.etag = list.ETag
 	watch.base.directory.SetVMs(list.VMs)
+	watch.base.settings.SetVMs(list.VMs)
 	for _, vm := range list.VMs {
 		if vm.Leaving && !watch.leaving[vm.ID] {
 			watch.leaving[vm.ID] = true
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -93,18 +93,18 @@
 func (frames *Frames) Close() error { return frames.body.Close() }
 
 // Run sends a request to the sidecar at address. Its error is a *result.Error:
-// with the sidecar's own code where it refused, UpstreamUnreachable where no
+// with the sidecar's own code and state where it refused, UpstreamUnreachable where no
 // byte was sent, and OutcomeUnknown where the sidecar may have the request.
-func (client *Client) Run(ctx context.Context, address string, call Call, body []byte, resumeText string) (*Frames, error) {
+func (client *Client) Run(ctx context.Context, address string, call Call, body []byte, resumeText string) (*Frames, State, error) {
 	call.BodyBytes = len(body)
 	header, err := json.Marshal(call)
 	if err != nil {
-		return nil, result.Errorf(result.InvalidHeader, "%v", err)
+		return nil, State{}, result.Errorf(result.InvalidHeader, "%v", err)
 	}
 	reader := io.MultiReader(bytes.NewReader(body), bytes.NewReader([]byte(resumeText)))
 	request, err := client.request(ctx, http.MethodPost, address, "/v1/run", reader)
 	if err != nil {
-		return nil, err
+		return nil, State{}, err
 	}
 	request.ContentLength = int64(len(body) + len(resumeText))
 	request.Header.Set(HeaderCall, string(header))
@@ -119,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.frames(sent)
+	frames, _, err := client.frames(sent)
+	return frames, err
 }
 
 // Cancel stops the answer of request.
@@ -172,13 +173,13 @@
 	return request, nil
 }
 
-func (client *Client) frames(request *http.Request) (*Frames, error) {
-	response, _, err := client.do(request)
+func (client *Client) frames(request *http.Request) (*Frames, State, error) {
+	response, state, err := client.do(request)
 	if err != nil {
-		return nil, err
+		return nil, state, err
 	}
 	buffer := bufio.NewReaderSize(response.Body, 16<<10)
-	return &Frames{body: response.Body, buffer: buffer}, nil
+	return &Frames{body: response.Body, buffer: buffer}, state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
