--- /dev/null
+++ b/daemon/prefixes.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/directory"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/sidecar"
+	"github.com/hickoryhead/hickoryhead/upstream"
+)
+
+// offerTimeout bounds all offers of prefixes of a leaving upstream.
+const offerTimeout = 20 * time.Second
+
+// newPrefixes returns the part that moves cached prefixes.
+func (daemon *Sidecar) newPrefixes(client *upstream.Client) *sidecar.Prefixes {
+	daemon.neighbours = &sidecar.Client{Token: daemon.base.hopToken()}
+	prefixes := &sidecar.Prefixes{
+		Self:    daemon.Config.Upstream.ID,
+		Client:  client,
+		HopOf:   daemon.hopOf,
+		Open:    daemon.neighbours.Prefix,
+		Metrics: daemon.base.metrics,
+	}
+	prefixes.SetPolicy(sidecar.DefaultPrefixPolicy)
+	return prefixes
+}
+
+// hopOf returns the hop address of an upstream, also of one that is leaving.
+func (daemon *Sidecar) hopOf(upstream ident.UpstreamID) (string, bool) {
+	entry, found := daemon.base.directory.Entry(upstream)
+	return entry.Address, found
+}
+
+// leave refuses new work and passes the hottest prefixes on, once.
+func (daemon *Sidecar) leave() {
+	daemon.core.Leave()
+	if daemon.core.Prefixes == nil || daemon.offered.Swap(true) {
+		return
+	}
+	offers := &prefixOffers{daemon: daemon}
+	daemon.offering.Add(1)
+	go offers.run()
+}
+
+// cacheEvents reads the engine's cache events until its context ends.
+type cacheEvents struct {
+	prefixes *sidecar.Prefixes
+}
+
+func (events *cacheEvents) run(ctx context.Context) { events.prefixes.Run(ctx) }
+
+// prefixOffers passes the hottest prefixes of a leaving upstream on to the
+// upstreams that routers will try next for their chats.
+type prefixOffers struct {
+	daemon *Sidecar
+}
+
+func (offers *prefixOffers) run() {
+	daemon := offers.daemon
+	defer daemon.offering.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	defer cancel()
+	configured := daemon.Config.Upstream
+	pool := daemon.base.directory.Pool(directory.Serves{Model: configured.Model})
+	if pool == nil {
+		return
+	}
+	for _, held := range daemon.core.Prefixes.Hottest() {
+		next, found := offers.next(pool, held.Chat)
+		if !found || ctx.Err() != nil {
+			return
+		}
+		if err := daemon.neighbours.Offer(ctx, next.Address, held.Chat, configured.ID, held.Tokens); err != nil {
+			daemon.base.logger.Debug("A prefix was not passed on.", "to", next.Upstream, "error", err)
+		}
+	}
+}
+
+// next returns the best ranked upstream for chat besides this one.
+func (offers *prefixOffers) next(pool *directory.Pool, chat ident.ChatID) (directory.Entry, bool) {
+	var order [2]int
+	for _, i := range pool.Ranking.Rank(chat, "", order[:]) {
+		if pool.Entries[i].Upstream != offers.daemon.Config.Upstream.ID {
+			return pool.Entries[i], true
+		}
+	}
+	return directory.Entry{}, false
+}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +31,10 @@
 	core    *sidecar.Sidecar
 	hop     *httpService
 	strikes *strikeSpread
+	// neighbours reaches the sidecars of the pool over the hop.
+	neighbours *sidecar.Client
+	offered    atomic.Bool
+	offering   sync.WaitGroup
 }
 
 // Run runs the sidecar until ctx ends, and then until its requests in flight
@@ -68,13 +74,17 @@
 		return err
 	}
 	base.start(ctx, platform.RoleSidecar)
-	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.core.Leave}
+	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.leave}
 	go watch.run(ctx)
 	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
 	go sampler.run(ctx)
 	sweep := &sweep{core: daemon.core}
 	go sweep.run(ctx)
 	go daemon.strikes.run(ctx)
+	if daemon.core.Prefixes != nil {
+		events := &cacheEvents{prefixes: daemon.core.Prefixes}
+		go events.run(ctx)
+	}
 	go hop.run()
 	return nil
 }
@@ -99,6 +109,9 @@
 		Logger:      logging.Part(daemon.Logger, "sidecar"),
 	}
 	core.PoolIDs = daemon.poolIDs
+	if configured.Model != "" {
+		core.Prefixes = daemon.newPrefixes(core.Client)
+	}
 	daemon.strikes = &strikeSpread{base: base, pool: daemon.pool, pending: make(chan peer.StrikeArgs, strikeBacklog)}
 	core.Struck = daemon.strikes.add
 	return core
@@ -143,6 +156,8 @@
 func (daemon *Sidecar) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, daemon.base.stopTimeout())
 	defer cancel()
+	daemon.leave()
+	daemon.offering.Wait()
 	server := &sidecar.Server{Sidecar: daemon.core}
 	if err := server.Finish(ctx, daemon.hop.server); err != nil {
 		return errors.Wrap(err, "stop with requests in flight")
@@ -172,7 +187,7 @@
 // Told makes the sidecar leave if the notice is meant for its VM.
 func (service *leavingService) Told(args peer.LeaveArgs, _ *peer.Nothing) error {
 	if args.VM == service.daemon.Config.VM {
-		service.daemon.core.Leave()
+		service.daemon.leave()
 	}
 	return nil
 }
--- /dev/null
+++ b/sidecar/prefix_http.go
@@ -0,0 +1,64 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+// Prefix reads the cached prefix of chat from the sidecar at address.
+func (client *Client) Prefix(ctx context.Context, address string, chat ident.ChatID) (io.ReadCloser, error) {
+	request, err := client.request(ctx, http.MethodGet, address, "/v1/prefixes/"+url.PathEscape(string(chat)), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, _, err := client.do(request)
+	if result.CodeOf(err) == result.UnknownAnswer {
+		return nil, errNoPrefix
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response.Body, nil
+}
+
+// Offer tells the sidecar at address to fetch the prefix of chat from holder.
+func (client *Client) Offer(ctx context.Context, address string, chat ident.ChatID, holder ident.UpstreamID, tokens ident.Tokens) error {
+	query := url.Values{"Holder": {string(holder)}, "Tokens": {strconv.Itoa(int(tokens))}}
+	path := "/v1/prefixes/" + url.PathEscape(string(chat)) + "/fetch?" + query.Encode()
+	return client.exchange(ctx, http.MethodPost, address, path, nil)
+}
+
+// export handles GET /v1/prefixes/{chat}.
+func (server *Server) export(writer http.ResponseWriter, request *http.Request) {
+	chat := ident.ChatID(request.PathValue("chat"))
+	body, size, err := server.Sidecar.Client.Export(request.Context(), chat)
+	if err != nil {
+		server.refuse(writer, result.Errorf(result.UnknownAnswer, "prefix of chat %q: %v", chat, err))
+		return
+	}
+	defer body.Close()
+	writer.Header().Set("Content-Type", "application/octet-stream")
+	if size > 0 {
+		writer.Header().Set("Content-Length", strconv.FormatInt(int64(size), 10))
+	}
+	_, _ = io.Copy(writer, body)
+}
+
+// fetch handles POST /v1/prefixes/{chat}/fetch?Holder=H&Tokens=N.
+func (server *Server) fetch(writer http.ResponseWriter, request *http.Request) {
+	tokens, err := strconv.Atoi(request.FormValue("Tokens"))
+	if err != nil || server.Sidecar.Prefixes == nil {
+		server.refuse(writer, result.Errorf(result.InvalidHeader, "Tokens: want a number"))
+		return
+	}
+	chat := ident.ChatID(request.PathValue("chat"))
+	holder := ident.UpstreamID(request.FormValue("Holder"))
+	server.Sidecar.Prefixes.Fetch(request.Context(), chat, holder, ident.Tokens(tokens))
+	writer.WriteHeader(http.StatusNoContent)
+}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -32,6 +32,8 @@
 	mux.HandleFunc("GET /v1/answers/{request}", server.authorized(server.resume))
 	mux.HandleFunc("DELETE /v1/answers/{request}", server.authorized(server.cancel))
 	mux.HandleFunc("POST /v1/attempts/{attempt}/abandon", server.authorized(server.abandon))
+	mux.HandleFunc("GET /v1/prefixes/{chat}", server.authorized(server.export))
+	mux.HandleFunc("POST /v1/prefixes/{chat}/fetch", server.authorized(server.fetch))
 	mux.HandleFunc("POST /v1/drain", server.authorized(server.drain))
 	mux.HandleFunc("GET /v1/status", server.authorized(server.status))
 	mux.HandleFunc("GET /health", server.health)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -46,9 +46,8 @@
 	Claims func(ctx context.Context, deadline time.Time, claimed Claimed) (upstream.Reply, error)
 	// PoolIDs returns the upstreams of the pool, in any order.
 	PoolIDs func() []ident.UpstreamID
-	// Fetch brings the prefix of a chat from the upstream that served it
-	// last; nil fetches nothing.
-	Fetch func(ctx context.Context, call Call, promptBytes int)
+	// Prefixes moves cached prompt prefixes; nil moves none.
+	Prefixes *Prefixes
 	// Struck is told of new strikes and of cleared ones, to pass them on.
 	Struck  func(args peer.StrikeArgs)
 	Metrics *metrics.Set
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -138,8 +138,9 @@
 		return result.Errorf(result.MalformedBody, "%v", err)
 	}
 	call := &work.execution.call
-	if work.sidecar.Fetch != nil {
-		work.sidecar.Fetch(ctx, *call, len(prompt.Text))
+	if work.sidecar.Prefixes != nil && call.Prior != "" {
+		tokens := ident.Tokens(len(prompt.Text) / bytesPerToken)
+		work.sidecar.Prefixes.Fetch(ctx, chatOf(call), call.Prior, tokens)
 	}
 	generate := upstream.Generate{
 		Request:      call.Attempt,
@@ -173,12 +174,20 @@
 		if token.Done {
 			end := answer.End{Status: 200, ContentType: "text/plain", Cached: token.Cached, Prompt: token.Prompt}
 			work.execution.end(end, work.sidecar.now().Add(replayLifetime))
+			work.used(token.Prompt)
 			return nil
 		}
 		work.execution.data(token.Text)
 	}
 }
 
+// used remembers that the engine now holds the prefix of the chat.
+func (work *work) used(tokens ident.Tokens) {
+	if work.sidecar.Prefixes != nil && work.execution.call.Chat != "" {
+		work.sidecar.Prefixes.Used(chatOf(&work.execution.call), tokens)
+	}
+}
+
 // cutError describes a token stream that ended before its last token.
 func cutError(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
