Serve operators' settings from the router; a drain needs a team's credential

A drain changes what a team's callers get, so it takes the credential of a team that has a route to the upstream. The test asks with a wrong token first.

--- a/daemon/router.go
+++ b/daemon/router.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
@@ -103,7 +104,12 @@
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
-	router.operators, err = newHTTPService(router.Config.OperatorListen, router.operatorHandler(), router.base.logger)
+	settings, err := operator.New(router.operator())
+	if err != nil {
+		return err
+	}
+	handler = router.operatorHandler(settings)
+	router.operators, err = newHTTPService(router.Config.OperatorListen, handler, router.base.logger)
 	return errors.Wrap(err, "operators")
 }
 
@@ -131,9 +137,28 @@
 	return errors.Wrap(router.operators.server.Shutdown(ctx), "operators")
 }
 
+// operator returns the part that changes and shows settings.
+func (router *Router) operator() *operator.Operator {
+	base := router.base
+	return &operator.Operator{
+		View:     base.view,
+		Accepted: base.settings.Accepted,
+		Accept:   base.store.Accept,
+		Find:     base.store.Find,
+		Load:     base.store.Load,
+		History:  base.store.History,
+		Entry:    base.store.Entry,
+		Team:     base.store.Team,
+		Snapshot: base.store.WriteSnapshot,
+		Metrics:  base.metrics,
+		Logger:   logging.Part(router.Logger, "operator"),
+	}
+}
+
 // operatorHandler serves operators and monitoring.
-func (router *Router) operatorHandler() http.Handler {
+func (router *Router) operatorHandler(settings http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/v1/settings/", settings)
 	mux.Handle("GET /metrics", router.base.metrics.Handler())
 	mux.HandleFunc("GET /v1/status", router.status)
 	mux.HandleFunc("POST /v1/drain/{upstream}", router.drain)
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/directory"
@@ -79,6 +80,10 @@
 		refuse(writer, result.Errorf(result.PathNotFound, "upstream %q", upstream))
 		return
 	}
+	if err := router.mayDrain(request, entry); err != nil {
+		refuse(writer, result.From(err, result.PlatformUnavailable))
+		return
+	}
 	status, err := router.callers.Sidecars.Drain(request.Context(), entry.Address)
 	if err != nil {
 		refuse(writer, result.From(err, result.OutcomeUnknown))
@@ -87,6 +92,30 @@
 	writeJSON(writer, http.StatusOK, status)
 }
 
+// mayDrain checks that the request carries the credential of a team, named by
+// the query's Team, that has a route to the upstream.
+func (router *Router) mayDrain(request *http.Request, entry directory.Entry) error {
+	team := ident.TeamID(request.FormValue("Team"))
+	token, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	row, err := router.base.store.Team(request.Context(), team)
+	if err != nil {
+		return err
+	}
+	if !found || !row.Accepts(token) {
+		return result.Errorf(result.Unauthenticated, "team %q", team)
+	}
+	subtree := router.base.view().Team(team)
+	if subtree == nil {
+		return result.Errorf(result.NotOwner, "team %q has no routes", team)
+	}
+	for _, route := range subtree.Routes {
+		if directory.ServesOf(route) == entry.Serves {
+			return nil
+		}
+	}
+	return result.Errorf(result.NotOwner, "team %q has no route to upstream %q", team, entry.Upstream)
+}
+
 func refuse(writer http.ResponseWriter, refusal *result.Error) {
 	writeJSON(writer, refusal.Code.Status(), refusal.Problem(time.Now()))
 }
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,256 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/daemon"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/standin"
+)
+
+// What the demo's fleet serves.
+const (
+	team      = ident.TeamID("maison")
+	model     = ident.ModelName("planogram-7b@3")
+	service   = ident.ServiceName("orders")
+	region    = ident.Region("qc-est")
+	secret    = "demo-secret-demo-secret-demo-secret"
+	teamToken = "demo-token"
+	loopback  = "127.0.0.1:0"
+
+	engineTokensPerSecond = 400
+	prefillPerSecond      = 40_000
+	engineLimit           = 32
+)
+
+var workspaces = []ident.WorkspaceID{"grocer-1", "grocer-2", "signage"}
+
+var teamSettings = map[settings.Path]string{
+	"/Teams/maison/Workspaces/grocer-1":  `{"Weight":2}`,
+	"/Teams/maison/Workspaces/grocer-2":  `{"Weight":1}`,
+	"/Teams/maison/Workspaces/signage":   `{"Weight":1}`,
+	"/Teams/maison/Priorities/shelf":     `{"Mark":1}`,
+	"/Teams/maison/Priorities/overnight": `{"Mark":0.6}`,
+	"/Teams/maison/Routes/draft":         `{"Model":"planogram-7b@3","Idempotent":true,"LoadMultiple":1.5}`,
+	"/Teams/maison/Routes/confirm":       `{"Service":"orders","Operation":"confirm","TimeoutMs":10000}`,
+	"/Teams/maison/Routes/order-status":  `{"Service":"orders","Operation":"status","Idempotent":true}`,
+}
+
+// fleet is every role and stand-in, each on its own loopback address.
+type fleet struct {
+	logger   *slog.Logger
+	platform standin.Platform
+	service  standin.Service
+	engines  []*standin.Engine
+	// platformAt and serviceAt are addresses, IP:port.
+	platformAt string
+	serviceAt  string
+	callers    []string
+	operators  []string
+	sidecars   []*sidecarRun
+	routers    []*routerRun
+	servers    []*http.Server
+}
+
+// sidecarRun is one running sidecar.
+type sidecarRun struct {
+	daemon.Sidecar
+	stop    context.CancelFunc
+	started chan daemon.Addresses
+	err     error
+	ended   chan struct{}
+}
+
+func (sidecar *sidecarRun) run(ctx context.Context) {
+	sidecar.err = sidecar.Run(ctx)
+	close(sidecar.ended)
+}
+
+// routerRun is one running router.
+type routerRun struct {
+	daemon.Router
+	stop    context.CancelFunc
+	started chan daemon.Addresses
+	err     error
+	ended   chan struct{}
+}
+
+func (router *routerRun) run(ctx context.Context) {
+	router.err = router.Run(ctx)
+	close(router.ended)
+}
+
+// httpRun serves one stand-in.
+type httpRun struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (serving *httpRun) run() { _ = serving.server.Serve(serving.listener) }
+
+// serve serves handler on a loopback address and returns it.
+func (fleet *fleet) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "stand-in")
+	}
+	serving := &httpRun{server: &http.Server{Handler: handler}, listener: listener}
+	fleet.servers = append(fleet.servers, serving.server)
+	go serving.run()
+	return listener.Addr().String(), nil
+}
+
+// start starts the stand-ins, then the sidecars, then the routers.
+func (fleet *fleet) start(ctx context.Context, engines, routers int) error {
+	var err error
+	if fleet.platformAt, err = fleet.serve(&fleet.platform); err != nil {
+		return err
+	}
+	if err := fleet.seed(ctx); err != nil {
+		return err
+	}
+	fleet.service.Idempotent = []string{"status"}
+	if fleet.serviceAt, err = fleet.serve(&fleet.service); err != nil {
+		return err
+	}
+	if err := fleet.startSidecar("orders-1", config.Upstream{Address: fleet.serviceAt, Service: service}); err != nil {
+		return err
+	}
+	for i := range engines {
+		if err := fleet.startEngine(fmt.Sprintf("engine-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for i := range routers {
+		if err := fleet.startRouter(fmt.Sprintf("router-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// seed stores the team's settings at the platform.
+func (fleet *fleet) seed(ctx context.Context) error {
+	store := platform.Settings{Client: platform.New(fleet.platformAt, nil)}
+	row := platform.Team{CredentialSHA256: []string{platform.HashCredential(teamToken)}}
+	if err := store.PutTeam(ctx, team, row); err != nil {
+		return err
+	}
+	values := make(map[settings.Path]json.RawMessage, len(teamSettings))
+	for path, value := range teamSettings {
+		values[path] = json.RawMessage(value)
+	}
+	change := settings.Change{ID: "demo", Team: team, Author: "demo", Reason: "first settings", Values: values}
+	_, err := store.Accept(ctx, change)
+	return err
+}
+
+func (fleet *fleet) startEngine(id string) error {
+	engine := &standin.Engine{
+		Model:            model,
+		Limit:            engineLimit,
+		TokensPerSecond:  engineTokensPerSecond,
+		PrefillPerSecond: prefillPerSecond,
+	}
+	address, err := fleet.serve(engine)
+	if err != nil {
+		return err
+	}
+	fleet.engines = append(fleet.engines, engine)
+	return fleet.startSidecar(id, config.Upstream{Address: address, Model: model, Limit: engineLimit})
+}
+
+func (fleet *fleet) daemon(vm string) config.Daemon {
+	return config.Daemon{
+		VM:         ident.VMID(vm),
+		Zone:       "qc-est-a",
+		Region:     region,
+		Platform:   fleet.platformAt,
+		PeerListen: loopback,
+		Secret:     secret,
+	}
+}
+
+func (fleet *fleet) startSidecar(id string, upstream config.Upstream) error {
+	upstream.ID = ident.UpstreamID(id)
+	loaded := config.Sidecar{Daemon: fleet.daemon("vm-" + id), HopListen: loopback, Upstream: upstream}
+	ctx, stop := context.WithCancel(context.Background())
+	sidecar := &sidecarRun{stop: stop, started: make(chan daemon.Addresses, 1), ended: make(chan struct{})}
+	sidecar.Sidecar = daemon.Sidecar{Config: loaded, Logger: fleet.logger, Started: sidecar.tell}
+	fleet.sidecars = append(fleet.sidecars, sidecar)
+	go sidecar.run(ctx)
+	select {
+	case addresses := <-sidecar.started:
+		fleet.platform.PutVM(platform.VM{
+			ID:          loaded.VM,
+			Role:        platform.RoleSidecar,
+			Address:     addresses.Hop,
+			PeerAddress: addresses.Peers,
+			Zone:        loaded.Zone,
+			Region:      loaded.Region,
+			Upstream:    &platform.VMUpstream{ID: upstream.ID, Model: upstream.Model, Service: upstream.Service},
+		})
+		return nil
+	case <-sidecar.ended:
+		return errors.Wrapf(sidecar.err, "sidecar %s", id)
+	}
+}
+
+func (sidecar *sidecarRun) tell(addresses daemon.Addresses) { sidecar.started <- addresses }
+
+func (router *routerRun) tell(addresses daemon.Addresses) { router.started <- addresses }
+
+func (fleet *fleet) startRouter(id string) error {
+	loaded := config.Router{Daemon: fleet.daemon(id), CallerListen: loopback, OperatorListen: loopback}
+	ctx, stop := context.WithCancel(context.Background())
+	router := &routerRun{stop: stop, started: make(chan daemon.Addresses, 1), ended: make(chan struct{})}
+	router.Router = daemon.Router{Config: loaded, Logger: fleet.logger, Started: router.tell}
+	fleet.routers = append(fleet.routers, router)
+	go router.run(ctx)
+	select {
+	case addresses := <-router.started:
+		fleet.callers = append(fleet.callers, addresses.Callers)
+		fleet.operators = append(fleet.operators, addresses.Operators)
+		fleet.platform.PutVM(platform.VM{
+			ID:          loaded.VM,
+			Role:        platform.RoleRouter,
+			Address:     addresses.Callers,
+			PeerAddress: addresses.Peers,
+			Zone:        loaded.Zone,
+			Region:      loaded.Region,
+		})
+		return nil
+	case <-router.ended:
+		return errors.Wrapf(router.err, "router %s", id)
+	}
+}
+
+// close stops the routers and then the sidecars gracefully, and the stand-ins
+// at last. It returns the first error of a stop.
+func (fleet *fleet) close() error {
+	var first error
+	for _, router := range fleet.routers {
+		router.stop()
+		<-router.ended
+		first = errors.CombineErrors(first, router.err)
+	}
+	for _, sidecar := range fleet.sidecars {
+		sidecar.stop()
+		<-sidecar.ended
+		first = errors.CombineErrors(first, sidecar.err)
+	}
+	for _, server := range fleet.servers {
+		_ = server.Close()
+	}
+	return first
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -21,6 +21,7 @@
 	Zone        ident.Zone
 	Region      ident.Region
 	Weight      float64
+	Serves      Serves
 }
 
 // Serves says what an upstream serves: a model or a service.
@@ -132,8 +133,7 @@
 		if _, leaving := directory.leaving[entry.Upstream]; leaving || vm.Leaving {
 			continue
 		}
-		serves := Serves{Model: vm.Upstream.Model, Service: vm.Upstream.Service}
-		grouped[serves] = append(grouped[serves], entry)
+		grouped[entry.Serves] = append(grouped[entry.Serves], entry)
 	}
 	for serves, entries := range grouped {
 		built.pools[serves] = poolOf(directory.regional(entries))
@@ -167,6 +167,7 @@
 		Zone:        vm.Zone,
 		Region:      vm.Region,
 		Weight:      vm.Upstream.Weight,
+		Serves:      Serves{Model: vm.Upstream.Model, Service: vm.Upstream.Service},
 	}
 }
 
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -117,13 +117,31 @@
 	}
 }
 
-// drained sends work after an upstream was told to leave.
-func drained(t *testing.T, fleet *fleettest.Fleet) {
-	response, err := http.Post("http://"+fleet.Routers[0].Operators+"/v1/drain/engine-1", "application/json", nil)
+// drain tells an upstream to leave and returns the status of the answer.
+func drain(t *testing.T, fleet *fleettest.Fleet, upstream, token string) int {
+	t.Helper()
+	url := "http://" + fleet.Routers[0].Operators + "/v1/drain/" + upstream + "?Team=" + string(fleettest.Team)
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
 	response.Body.Close()
+	return response.StatusCode
+}
+
+// drained sends work after an upstream was told to leave.
+func drained(t *testing.T, fleet *fleettest.Fleet) {
+	if got, want := drain(t, fleet, "engine-1", "a wrong token"), http.StatusUnauthorized; got != want {
+		t.Fatalf("drain with a wrong token: got status %d, want %d", got, want)
+	}
+	if got, want := drain(t, fleet, "engine-1", fleettest.Token), http.StatusOK; got != want {
+		t.Fatalf("drain: got status %d, want %d", got, want)
+	}
 	for range 20 {
 		reply := ask(t, fleet.Routers[1], fleettest.Request{Route: "draft", Body: prompt})
 		if got, want := reply.Text.Text, wholeText(); got != want {
