--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,9 +27,14 @@
 	// Started is told the addresses once the daemon listens on all of them.
 	Started func(addresses Addresses)
 
-	base *base
-	core *sidecar.Sidecar
-	hop  *httpService
+	base    *base
+	core    *sidecar.Sidecar
+	hop     *httpService
+	strikes *strikeSpread
+	// neighbours reaches the sidecars of the pool over the hop.
+	neighbours *sidecar.Client
+	offered    atomic.Bool
+	offering   sync.WaitGroup
 }
 
 // Run runs the sidecar until ctx ends, and then until its requests in flight
@@ -63,15 +70,21 @@
 	if err := daemon.register(); err != nil {
 		return err
 	}
-	if err := base.start(ctx); err != nil {
+	if err := base.listen(); err != nil {
 		return err
 	}
-	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.core.Leave}
+	base.start(ctx, platform.RoleSidecar)
+	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.leave}
 	go watch.run(ctx)
 	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
 	go sampler.run(ctx)
 	sweep := &sweep{core: daemon.core}
 	go sweep.run(ctx)
+	go daemon.strikes.run(ctx)
+	if daemon.core.Prefixes != nil {
+		events := &cacheEvents{prefixes: daemon.core.Prefixes}
+		go events.run(ctx)
+	}
 	go hop.run()
 	return nil
 }
@@ -96,6 +109,11 @@
 		Logger:      logging.Part(daemon.Logger, "sidecar"),
 	}
 	core.PoolIDs = daemon.poolIDs
+	if configured.Model != "" {
+		core.Prefixes = daemon.newPrefixes(core.Client)
+	}
+	daemon.strikes = &strikeSpread{base: base, pool: daemon.pool, pending: make(chan peer.StrikeArgs, strikeBacklog)}
+	core.Struck = daemon.strikes.add
 	return core
 }
 
@@ -138,6 +156,8 @@
 func (daemon *Sidecar) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, daemon.base.stopTimeout())
 	defer cancel()
+	daemon.leave()
+	daemon.offering.Wait()
 	server := &sidecar.Server{Sidecar: daemon.core}
 	if err := server.Finish(ctx, daemon.hop.server); err != nil {
 		return errors.Wrap(err, "stop with requests in flight")
@@ -167,7 +187,7 @@
 // Told makes the sidecar leave if the notice is meant for its VM.
 func (service *leavingService) Told(args peer.LeaveArgs, _ *peer.Nothing) error {
 	if args.VM == service.daemon.Config.VM {
-		service.daemon.core.Leave()
+		service.daemon.leave()
 	}
 	return nil
 }
