--- /dev/null
+++ b/cmd/hickoryhead/demo.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/demo"
+	"github.com/hickoryhead/hickoryhead/logging"
+)
+
+func newDemo() *cobra.Command {
+	var options demo.Options
+	var level string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run every role on loopback in one process and show what it does",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			flags := daemonFlags{format: string(logging.Text), level: level}
+			logger, err := flags.logger(cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilStopped(cmd.Context())
+			defer stop()
+			options.Out = cmd.OutOrStdout()
+			options.Logger = logger
+			return demo.Run(ctx, options)
+		},
+	}
+	cmd.Flags().BoolVar(&options.Keep, "keep", false, "leave the fleet up and print lines to try")
+	cmd.Flags().IntVar(&options.Engines, "engines", 0, "number of engines; 0 means 4")
+	cmd.Flags().IntVar(&options.Routers, "routers", 0, "number of routers; 0 means 2")
+	cmd.Flags().IntVar(&options.Requests, "requests", 0, "number of requests; 0 means 1500")
+	cmd.Flags().StringVar(&level, "log-level", "warn", "debug, info, warn or error")
+	return cmd
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,157 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/daemon"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/load"
+)
+
+const (
+	defaultEngines  = 4
+	defaultRouters  = 2
+	defaultRequests = 1500
+	requestRate     = 180
+	chats           = 150
+	promptTokens    = 600
+	answerTokens    = 40
+
+	readyTimeout   = 30 * time.Second
+	readyInterval  = 20 * time.Millisecond
+	sampleInterval = 100 * time.Millisecond
+)
+
+// Options say how large the demo is. The zero value is ready.
+type Options struct {
+	Engines  int
+	Routers  int
+	Requests int
+	// Keep leaves the fleet up until the context ends.
+	Keep bool
+	// Out takes the progress and the table.
+	Out    io.Writer
+	Logger *slog.Logger
+}
+
+// Run runs the demo. It returns an error if anything could not be started, or
+// if an answer broke a promise.
+func Run(ctx context.Context, options Options) error {
+	options.Engines = orDefault(options.Engines, defaultEngines)
+	options.Routers = orDefault(options.Routers, defaultRouters)
+	options.Requests = orDefault(options.Requests, defaultRequests)
+	fleet := &fleet{logger: options.Logger}
+	defer fleet.close()
+	say(options.Out, "Starting %d engines and a service with their sidecars, %d routers and the platform's stand-in.", options.Engines, options.Routers)
+	if err := fleet.start(ctx, options.Engines, options.Routers); err != nil {
+		return err
+	}
+	if err := fleet.waitReady(ctx); err != nil {
+		return err
+	}
+	trial := &trial{fleet: fleet, options: options, ended: make(chan struct{})}
+	if err := trial.drive(ctx); err != nil {
+		return err
+	}
+	trial.print()
+	if options.Keep {
+		fleet.explain(options.Out)
+		<-ctx.Done()
+	}
+	if !trial.report.Sound() {
+		return errors.New("an answer broke a promise: see the table")
+	}
+	return nil
+}
+
+func orDefault(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func say(out io.Writer, format string, args ...any) {
+	fmt.Fprintf(out, format+"\n", args...)
+}
+
+// waitReady waits until every router is ready and knows every upstream.
+func (fleet *fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, address := range fleet.operators {
+		for {
+			status, err := statusOf(ctx, address)
+			if err == nil && status.Ready && len(status.Upstreams) == len(fleet.sidecars) {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Wrapf(ctx.Err(), "router at %s", address)
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	return nil
+}
+
+func statusOf(ctx context.Context, address string) (daemon.RouterStatus, error) {
+	var status daemon.RouterStatus
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// explain prints lines to try against the running fleet.
+func (fleet *fleet) explain(out io.Writer) {
+	say(out, "\nThe fleet stays up until you interrupt it. Try:")
+	say(out, `  curl -sN -H 'Hickoryhead-Workspace: grocer-1' -H 'Hickoryhead-Chat: chat-1' -H 'Accept: text/event-stream' -d '{"Text":"Header copy for aisle twelve","MaxTokens":20}' http://%s/v1/teams/%s/routes/draft/requests`, fleet.callers[0], team)
+	say(out, `  curl -si -H 'Hickoryhead-Workspace: grocer-1' -H 'Idempotency-Key: run-1' -d '{"Headers":40}' http://%s/v1/teams/%s/routes/confirm/requests`, fleet.callers[0], team)
+	say(out, `  curl -s http://%s/v1/status`, fleet.operators[0])
+	say(out, `  curl -s -H 'Authorization: Bearer %s' http://%s/v1/settings/Teams/%s`, teamToken, fleet.operators[0], team)
+	say(out, `  curl -s -X POST -H 'Authorization: Bearer %s' 'http://%s/v1/drain/engine-2?Team=%s'`, teamToken, fleet.operators[0], team)
+}
+
+// runner returns the load that the demo sends.
+func (trial *trial) runner() *load.Runner {
+	shares := make([]load.Workspace, len(workspaces))
+	for i, workspace := range workspaces {
+		shares[i] = load.Workspace{ID: workspace, Share: 1}
+	}
+	return &load.Runner{
+		Workload: load.Workload{
+			Seed:              1,
+			Requests:          trial.options.Requests,
+			RequestsPerSecond: requestRate,
+			Chats:             chats,
+			Workspaces:        shares,
+			PromptTokens:      ident.Tokens(promptTokens),
+			AnswerTokens:      ident.Tokens(answerTokens),
+			WholeShare:        0.2,
+			ConfirmShare:      0.1,
+			StatusShare:       0.05,
+			RepeatShare:       0.5,
+		},
+		Routers:      trial.fleet.callers,
+		Team:         team,
+		ModelRoute:   "draft",
+		ConfirmRoute: "confirm",
+		StatusRoute:  "order-status",
+		Services:     []string{trial.fleet.serviceAt},
+		Retries:      3,
+	}
+}
