--- /dev/null
+++ b/fleettest/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleettest
+
+var buildFlags []string
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -39,7 +39,8 @@
 		if build.err != nil {
 			return
 		}
-		command := exec.Command("go", "build", "-o", build.dir+"/", "github.com/hickoryhead/hickoryhead/cmd/...")
+		args := append([]string{"build", "-o", build.dir + "/"}, buildFlags...)
+		command := exec.Command("go", append(args, "github.com/hickoryhead/hickoryhead/cmd/...")...)
 		var output []byte
 		output, build.err = command.CombinedOutput()
 		build.err = errors.Wrapf(build.err, "%s", output)
@@ -74,6 +75,9 @@
 	go reader.run()
 	t.Cleanup(func() {
 		process.Kill()
+		if strings.Contains(process.log.String(), "DATA RACE") {
+			t.Errorf("%s reported a data race", label)
+		}
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", label, process.log.String())
 		}
