--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,8 +1,11 @@
 package claim
 
 import (
+	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 )
@@ -45,6 +48,47 @@
 	// Status, ContentType and Answer hold the recorded answer once Done.
 	Status      int    `json:",omitempty"`
 	ContentType string `json:",omitempty"`
-	Answer      string `json:",omitempty"`
+	Answer      []byte `json:",omitempty"`
 	ClaimedAt   time.Time
 }
+
+// Reply is the upstream's whole answer to a request that ran.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Reply returns the recorded answer.
+func (record Record) Reply() Reply {
+	return Reply{Status: record.Status, ContentType: record.ContentType, Body: record.Answer}
+}
+
+// done returns the record with the answer.
+func (record Record) done(reply Reply) Record {
+	record.State = Done
+	record.Status = reply.Status
+	record.ContentType = reply.ContentType
+	record.Answer = reply.Body
+	return record
+}
+
+// in returns the record in another state.
+func (record Record) in(state State) Record {
+	record.State = state
+	return record
+}
+
+// write returns the transaction that writes the record over the row's revision
+// base, which is zero for an absent row. The row is never deleted: a delayed
+// claim that checks for an absent row could take effect afterwards.
+func (record Record) write(row platform.Key, base ident.Revision) platform.Transaction {
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic(errors.Wrap(err, "a claim record always encodes"))
+	}
+	return platform.Transaction{
+		Checks: []platform.Check{{Key: row, Revision: base}},
+		Writes: []platform.Write{{Key: row, Value: value}},
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -49,11 +49,24 @@
 	AttemptForwarded AttemptState = "Forwarded"
 	// AttemptDone means that the upstream answered it.
 	AttemptDone AttemptState = "Done"
+	// AttemptUnknown means that it was forwarded and the upstream was lost, so
+	// that nobody can tell whether it ran.
+	AttemptUnknown AttemptState = "Unknown"
 )
 
 // AttemptReply answers AttemptArgs.
 type AttemptReply struct {
 	State AttemptState
+	// Answer is the upstream's answer of an attempt that is Done, while the
+	// sidecar still holds it.
+	Answer *AttemptAnswer
+}
+
+// AttemptAnswer is an upstream's whole answer.
+type AttemptAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
 }
 
 // StrikeArgs passes on strikes, and the fingerprints whose strikes a success
