Claim before forwarding: a confirmation runs once and its answer is replayed

The end-to-end test sends one confirmation twice under one key through two routers; before this it was refused with HH2011, now the second answer is the recorded one.

--- a/config/config.go
+++ b/config/config.go
@@ -64,7 +64,7 @@
 	// ReplayBytes bounds the replay buffer of one answer; zero means 1 MiB.
 	ReplayBytes ident.Bytes `json:",omitempty" validate:"gte=0,lte=1073741824"`
 	// ClaimsPerSecond bounds this sidecar's transactions on the platform's
-	// table; zero means 20.
+	// table; zero means 100.
 	ClaimsPerSecond float64 `json:",omitempty" validate:"gte=0,lte=10000"`
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -31,6 +32,7 @@
 	core    *sidecar.Sidecar
 	hop     *httpService
 	strikes *strikeSpread
+	claims  *claimtable.Claimer
 	// neighbours reaches the sidecars of the pool over the hop.
 	neighbours *sidecar.Client
 	offered    atomic.Bool
@@ -60,6 +62,9 @@
 
 func (daemon *Sidecar) start(ctx context.Context) error {
 	base := daemon.base
+	if err := base.listen(); err != nil {
+		return err
+	}
 	daemon.core = daemon.newCore()
 	server := &sidecar.Server{Sidecar: daemon.core, Token: base.hopToken()}
 	hop, err := newHTTPService(daemon.Config.HopListen, server.Handler(), base.logger)
@@ -70,9 +75,6 @@
 	if err := daemon.register(); err != nil {
 		return err
 	}
-	if err := base.listen(); err != nil {
-		return err
-	}
 	base.start(ctx, platform.RoleSidecar)
 	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.leave}
 	go watch.run(ctx)
@@ -109,6 +111,10 @@
 		Logger:      logging.Part(daemon.Logger, "sidecar"),
 	}
 	core.PoolIDs = daemon.poolIDs
+	if configured.Service != "" {
+		daemon.claims = daemon.newClaimer()
+		core.Claims = daemon.claims.Run
+	}
 	if configured.Model != "" {
 		core.Prefixes = daemon.newPrefixes(core.Client)
 	}
@@ -117,6 +123,26 @@
 	return core
 }
 
+// newClaimer returns the part that claims requests that are not idempotent.
+func (daemon *Sidecar) newClaimer() *claimtable.Claimer {
+	base := daemon.base
+	return claimtable.New(claimtable.Options{
+		Table:     base.platform,
+		Address:   base.peerAt.Addr().String(),
+		Ask:       daemon.askHolder,
+		MaxWrites: daemon.Config.ClaimsPerSecond,
+		Metrics:   base.metrics,
+		Logger:    daemon.Logger,
+	})
+}
+
+// askHolder asks the sidecar that holds a claim what became of its attempt.
+func (daemon *Sidecar) askHolder(ctx context.Context, address string, attempt ident.AttemptID) (peer.AttemptReply, error) {
+	var reply peer.AttemptReply
+	err := daemon.base.links.Call(ctx, address, peer.MethodAttempt, peer.AttemptArgs{Attempt: attempt}, &reply)
+	return reply, err
+}
+
 // pool returns the upstreams that serve the same as this one.
 func (daemon *Sidecar) pool() []directory.Entry {
 	configured := daemon.Config.Upstream
@@ -140,9 +166,10 @@
 func (daemon *Sidecar) register() error {
 	services := &rpcServices{daemon: daemon}
 	receivers := map[string]any{
-		"Load":    (*loadService)(services),
-		"Leaving": (*leavingService)(services),
-		"Strikes": (*strikeService)(services),
+		"Load":     (*loadService)(services),
+		"Leaving":  (*leavingService)(services),
+		"Strikes":  (*strikeService)(services),
+		"Attempts": (*attemptService)(services),
 	}
 	for name, receiver := range receivers {
 		if err := daemon.base.server.Register(name, receiver); err != nil {
@@ -162,6 +189,11 @@
 	if err := server.Finish(ctx, daemon.hop.server); err != nil {
 		return errors.Wrap(err, "stop with requests in flight")
 	}
+	if daemon.claims != nil {
+		if err := daemon.claims.Close(ctx); err != nil {
+			return errors.Wrap(err, "stop with claims that are not settled")
+		}
+	}
 	daemon.base.logger.Info("Stopped. No request was cut.")
 	return nil
 }
@@ -192,6 +224,17 @@
 	return nil
 }
 
+type attemptService rpcServices
+
+// Status answers a sidecar that found this one's claim on a key.
+func (service *attemptService) Status(args peer.AttemptArgs, reply *peer.AttemptReply) error {
+	*reply = peer.AttemptReply{State: peer.AttemptAbsent}
+	if service.daemon.claims != nil {
+		*reply = service.daemon.claims.Status(args.Attempt)
+	}
+	return nil
+}
+
 type strikeService rpcServices
 
 // Add takes in strikes that other sidecars recorded.
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -37,6 +37,7 @@
 	fleet := fleettest.Start(t, fleettest.Options{Routers: 2, Engines: 3, EngineArgs: []string{"--tokens-per-second", "2000"}})
 	t.Run("returning chat", func(t *testing.T) { returningChat(t, fleet) })
 	t.Run("events", func(t *testing.T) { events(t, fleet) })
+	t.Run("confirmation runs once", func(t *testing.T) { confirmation(t, fleet) })
 	t.Run("bad input", func(t *testing.T) { badInput(t, fleet) })
 	t.Run("drained upstream gets nothing new", func(t *testing.T) { drained(t, fleet) })
 	t.Run("planned stop of a router", func(t *testing.T) { plannedStop(t, fleet) })
@@ -86,6 +87,18 @@
 	}
 }
 
+func confirmation(t *testing.T, fleet *fleettest.Fleet) {
+	request := fleettest.Request{Route: "confirm", Key: "print-run-1", Body: `{"Headers":40}`}
+	first := ask(t, fleet.Routers[0], request)
+	if got, want := first.Status, http.StatusOK; got != want {
+		t.Fatalf("got status %d, want %d (%+v)", got, want, first.Problem)
+	}
+	again := ask(t, fleet.Routers[1], request)
+	if got, want := again.Body, first.Body; got != want {
+		t.Errorf("second answer: got %q, want %q", got, want)
+	}
+}
+
 func badInput(t *testing.T, fleet *fleettest.Fleet) {
 	tests := []struct {
 		name    string
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickoryhead/hickoryhead/admission"
-	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
@@ -43,7 +43,7 @@
 	// means 64.
 	Limit int
 	// Claims runs a request that is not idempotent; nil refuses them.
-	Claims func(ctx context.Context, deadline time.Time, claimed Claimed) (upstream.Reply, error)
+	Claims func(ctx context.Context, request claimtable.Request, forward claimtable.Forward) (claimtable.Answer, error)
 	// PoolIDs returns the upstreams of the pool, in any order.
 	PoolIDs func() []ident.UpstreamID
 	// Prefixes moves cached prompt prefixes; nil moves none.
@@ -73,13 +73,6 @@
 	live       sync.WaitGroup
 }
 
-// Claimed is a request that must not run twice, on its way to the upstream.
-type Claimed struct {
-	Key     claim.Key
-	Record  claim.Record
-	Forward func(ctx context.Context) (upstream.Reply, error)
-}
-
 func (sidecar *Sidecar) now() time.Time {
 	if sidecar.Now == nil {
 		return time.Now()
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -248,24 +249,31 @@
 		return &result.Error{Code: result.ClaimUnavailable, RetryAt: work.sidecar.now().Add(comeBack)}
 	}
 	call := &work.execution.call
-	claimed := Claimed{
-		Key: claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
-		Record: claim.Record{
-			State:    claim.Claimed,
-			Attempt:  call.Attempt,
-			Upstream: work.sidecar.Upstream.ID,
-			Body:     work.execution.fingerprint,
-		},
-		Forward: work.call,
+	request := claimtable.Request{
+		Key:      claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
+		Attempt:  call.Attempt,
+		Upstream: work.sidecar.Upstream.ID,
+		Body:     work.execution.fingerprint,
+		Deadline: work.deadline,
 	}
-	reply, err := work.sidecar.Claims(ctx, work.deadline, claimed)
+	answer, err := work.sidecar.Claims(ctx, request, work.forwardClaimed)
 	if err != nil {
 		return err
 	}
-	work.reply(reply)
+	work.reply(upstream.Reply{
+		Status:      answer.Reply.Status,
+		ContentType: answer.Reply.ContentType,
+		Body:        string(answer.Reply.Body),
+	})
 	return nil
 }
 
+// forwardClaimed gives a claimed request to the upstream.
+func (work *work) forwardClaimed(ctx context.Context) (claim.Reply, error) {
+	reply, err := work.call(ctx)
+	return claim.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: []byte(reply.Body)}, err
+}
+
 // chatOf returns the engine's name for the chat, which no other workspace can
 // use; a request without a chat is a chat of its own.
 func chatOf(call *Call) ident.ChatID {
