--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -38,8 +38,8 @@
 	return logger, nil
 }
 
-// load reads the settings file of a daemon.
-func load[T config.Router | config.Sidecar](name string) (T, error) {
+// loadSettings reads the settings file of a daemon.
+func loadSettings[T config.Router | config.Sidecar](name string) (T, error) {
 	if name == "" {
 		var none T
 		return none, errors.Mark(errors.New("--settings FILE is required"), errUsage)
@@ -71,7 +71,7 @@
 		Short: "Run a router on an entry VM",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := load[config.Router](flags.settings)
+			loaded, err := loadSettings[config.Router](flags.settings)
 			if err != nil {
 				return err
 			}
@@ -96,7 +96,7 @@
 		Short: "Run the small process beside one upstream",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := load[config.Sidecar](flags.settings)
+			loaded, err := loadSettings[config.Sidecar](flags.settings)
 			if err != nil {
 				return err
 			}
@@ -134,9 +134,9 @@
 	var err error
 	switch role {
 	case "router":
-		_, err = load[config.Router](name)
+		_, err = loadSettings[config.Router](name)
 	case "sidecar":
-		_, err = load[config.Sidecar](name)
+		_, err = loadSettings[config.Sidecar](name)
 	default:
 		return errors.Mark(errors.Newf("role %q: want router or sidecar", role), errUsage)
 	}
--- a/cmd/hickoryhead/operate.go
+++ b/cmd/hickoryhead/operate.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -18,17 +20,23 @@
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
 
-const operateTimeout = 10 * time.Second
+const (
+	operateTimeout = 10 * time.Second
+	defaultServer  = "127.0.0.1:8081"
+)
 
-// ask sends a request without a body to a router's operators' address and
-// decodes the answer.
-func ask(ctx context.Context, method, server, path string, into any) error {
+// ask sends a request without a body to a router's operators' address, with the
+// bearer token if there is one, and decodes the answer.
+func ask(ctx context.Context, method, server, path, token string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, nil)
 	if err != nil {
 		return errors.Mark(err, errUsage)
 	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err
@@ -56,13 +64,13 @@
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var status daemon.RouterStatus
-			if err := ask(cmd.Context(), http.MethodGet, server, "/v1/status", &status); err != nil {
+			if err := ask(cmd.Context(), http.MethodGet, server, "/v1/status", "", &status); err != nil {
 				return err
 			}
 			return printStatus(cmd.OutOrStdout(), &status)
 		},
 	}
-	cmd.Flags().StringVar(&server, "server", "127.0.0.1:8081", "a router's operators' address, IP:port")
+	cmd.Flags().StringVar(&server, "server", defaultServer, "a router's operators' address, IP:port")
 	return cmd
 }
 
@@ -82,21 +90,27 @@
 }
 
 func newDrain() *cobra.Command {
-	var server string
+	var server, team, tokenFile string
 	cmd := &cobra.Command{
-		Use:   "drain UPSTREAM",
+		Use:   "drain UPSTREAM --team TEAM --token-file FILE",
 		Short: "Let an upstream finish its work and take no more",
 		Args:  usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			token, err := os.ReadFile(tokenFile)
+			if err != nil {
+				return errors.Mark(errors.Wrap(err, "--token-file"), errUsage)
+			}
 			var status sidecar.Status
-			path := "/v1/drain/" + url.PathEscape(args[0])
-			if err := ask(cmd.Context(), http.MethodPost, server, path, &status); err != nil {
+			path := "/v1/drain/" + url.PathEscape(args[0]) + "?" + url.Values{"Team": {team}}.Encode()
+			if err := ask(cmd.Context(), http.MethodPost, server, path, strings.TrimSpace(string(token)), &status); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s is leaving: %d requests in flight\n", args[0], status.Running)
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&server, "server", "127.0.0.1:8081", "a router's operators' address, IP:port")
+	cmd.Flags().StringVar(&team, "team", "", "team with a route to the upstream")
+	cmd.Flags().StringVar(&tokenFile, "token-file", "", "file with the team's credential")
+	cmd.Flags().StringVar(&server, "server", defaultServer, "a router's operators' address, IP:port")
 	return cmd
 }
