Detect a frozen sidecar, wait in the queue behind the first byte, linger at a stop

A frozen sidecar held its requests until their deadline: nothing told a router a slow upstream from a stopped process. A sidecar now sends an empty line each second while it has no frame, and a router that hears nothing for three seconds resumes or goes elsewhere. A queued request gets its response header at once for that, and is given up with its last reader. A drained sidecar closes idle connections first and its listener a second later, so that a request that met a closing connection can be confirmed as not run. A request that may only run alone is sent to the upstream that the refusal designates.

--- a/caller/place.go
+++ b/caller/place.go
@@ -42,9 +42,24 @@
 		}
 		relay.plan = relay.pool.Ranking.Plan(relay.chatKey(), relay.incoming.hint)
 	}
+	if try, found := relay.directed(); found {
+		return try, true
+	}
 	return relay.plan.Next(relay.server.now(), relay.server.Loads)
 }
 
+// directed returns the upstream that a sidecar named as the only one that may
+// run the request.
+func (relay *relay) directed() (affinity.Try, bool) {
+	named := relay.designated
+	relay.designated = ""
+	if named == "" {
+		return affinity.Try{}, false
+	}
+	index, found := relay.pool.Ranking.Index(named)
+	return affinity.Try{Index: index, Last: true}, found
+}
+
 // chatKey returns what the request is ranked by: its chat, or the request
 // itself where it belongs to none.
 func (relay *relay) chatKey() ident.ChatID {
@@ -68,6 +83,7 @@
 		return nil
 	}
 	relay.refused(result.CodeOf(err), state)
+	relay.designated = state.Designated
 	if result.CodeOf(err) == result.OutcomeUnknown {
 		return relay.resolveUnknown(ctx, err)
 	}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -44,6 +44,8 @@
 	plan     affinity.Plan
 	tried    int
 	evidence []evidence
+	// designated is the upstream that a refusing sidecar named.
+	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
 	// mayHaveRun is set once an upstream may have run the request.
@@ -53,6 +55,17 @@
 	sentTo string
 }
 
+// abandoned stops the answer of a caller that hung up and cannot resume it. A
+// request that must not run twice is left to end.
+func (relay *relay) abandoned() {
+	if relay.incoming.events || !relay.incoming.route.Idempotent || relay.assembler.Whole() || relay.entry.Address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+	defer cancel()
+	_ = relay.cancel(ctx)
+}
+
 // close ends the reading from the upstream.
 func (relay *relay) close() {
 	if relay.frames != nil {
@@ -212,6 +225,9 @@
 	if relay.assembler.Next() > 1 && failure.Code != result.DeadlineExpired {
 		failure.Code = result.AnswerCut
 	}
+	if failure.Code == result.OutcomeUnknown && !relay.server.now().Before(relay.incoming.deadline) {
+		failure.Code = result.DeadlineExpired
+	}
 	if failure.RetryAt.IsZero() && failure.Code.Status() >= 500 {
 		failure.RetryAt = relay.server.now().Add(comeBack)
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -92,6 +92,10 @@
 	server.active.Add(1)
 	defer server.active.Add(-1)
 	writer := ctx.ResponseWriter().Naive()
+	if server.Ready != nil && !server.Ready() {
+		// The balancer's connections move on before the listener is closed.
+		writer.Header().Set("Connection", "close")
+	}
 	request := ctx.Request()
 	team := ident.TeamID(ctx.Params().Get("team"))
 	route := ident.RouteName(ctx.Params().Get("route"))
@@ -104,6 +108,9 @@
 	relay := &relay{server: server, incoming: accepted}
 	defer relay.close()
 	server.give(request.Context(), writer, relay)
+	if request.Context().Err() != nil {
+		relay.abandoned()
+	}
 }
 
 func (server *Server) count(accepted *incoming) {
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -25,6 +25,9 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
+	// silenceLimit is how long a sidecar may send nothing at all. It is a few
+	// times its heartbeat.
+	silenceLimit = 3 * time.Second
 )
 
 // Client reaches sidecars from a router. Set its exported fields before the
@@ -47,12 +50,34 @@
 
 // Frames reads the frames of one answer.
 type Frames struct {
-	body   io.ReadCloser
-	buffer *bufio.Reader
+	body    io.ReadCloser
+	buffer  *bufio.Reader
+	cancel  context.CancelFunc
+	silence *time.Timer
 }
 
-// Next returns the next frame, or the error of a cut connection.
+// Next returns the next frame, or the error of a cut connection. A sidecar that
+// sends neither a frame nor a heartbeat for a while counts as cut off.
 func (frames *Frames) Next() (answer.Frame, error) {
+	for {
+		frame, heartbeat, err := frames.read()
+		if !heartbeat {
+			return frame, err
+		}
+	}
+}
+
+// read reads one line and reports whether it is a heartbeat.
+func (frames *Frames) read() (frame answer.Frame, heartbeat bool, err error) {
+	if !frames.Buffered() {
+		frames.silence.Reset(silenceLimit)
+		defer frames.silence.Stop()
+	}
+	frame, err = frames.line()
+	return frame, err == nil && frame.Seq == 0, err
+}
+
+func (frames *Frames) line() (answer.Frame, error) {
 	line, err := frames.buffer.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return frames.long(line)
@@ -75,6 +100,9 @@
 
 func decodeFrame(line []byte) (answer.Frame, error) {
 	var frame answer.Frame
+	if len(line) <= 1 {
+		return frame, nil
+	}
 	err := json.Unmarshal(line, &frame)
 	return frame, err
 }
@@ -90,7 +118,11 @@
 func (frames *Frames) Buffered() bool { return frames.buffer.Buffered() > 0 }
 
 // Close ends the reading and frees the connection.
-func (frames *Frames) Close() error { return frames.body.Close() }
+func (frames *Frames) Close() error {
+	frames.silence.Stop()
+	frames.cancel()
+	return frames.body.Close()
+}
 
 // Run sends a request to the sidecar at address. Its error is a *result.Error:
 // with the sidecar's own code and state where it refused, UpstreamUnreachable where no
@@ -174,12 +206,16 @@
 }
 
 func (client *Client) frames(request *http.Request) (*Frames, State, error) {
-	response, state, err := client.do(request)
+	ctx, cancel := context.WithCancel(request.Context())
+	silence := time.AfterFunc(silenceLimit, cancel)
+	response, state, err := client.do(request.WithContext(ctx))
 	if err != nil {
+		silence.Stop()
+		cancel()
 		return nil, state, err
 	}
 	buffer := bufio.NewReaderSize(response.Body, 16<<10)
-	return &Frames{body: response.Body, buffer: buffer}, state, nil
+	return &Frames{body: response.Body, buffer: buffer, cancel: cancel, silence: silence}, state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
--- a/sidecar/execution.go
+++ b/sidecar/execution.go
@@ -25,6 +25,7 @@
 	last     answer.Seq
 	finished bool
 	changed  chan struct{}
+	queued   bool
 	readers  int
 	unreadAt time.Time
 }
@@ -146,12 +147,32 @@
 	execution.readers++
 }
 
-// detach counts one reader less.
+// detach counts one reader less. A request that waits in the queue is given up
+// with its last reader: its caller has nothing yet from which to resume.
 func (execution *execution) detach(now time.Time) {
 	execution.mu.Lock()
 	defer execution.mu.Unlock()
 	execution.readers--
 	execution.unreadAt = now
+	if execution.queued && execution.readers == 0 {
+		execution.state = peer.AttemptAbandoned
+		execution.cancel()
+	}
+}
+
+// queue marks the request as waiting in the queue.
+func (execution *execution) queue() {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	execution.queued = true
+}
+
+// unqueue ends the wait and reports whether the request may still run.
+func (execution *execution) unqueue() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	execution.queued = false
+	return execution.state == peer.AttemptWaiting
 }
 
 // deserted reports whether nobody has read a running answer since the time
--- a/sidecar/message.go
+++ b/sidecar/message.go
@@ -64,6 +64,9 @@
 	Mean        float64
 	Bound       int
 	Leaving     bool `json:",omitempty"`
+	// Designated is the only upstream that may run the request that was
+	// refused with CrashingRequestAlone.
+	Designated ident.UpstreamID `json:",omitempty"`
 }
 
 // Abandoned is the answer to POST /v1/attempts/{attempt}/abandon. State is
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -18,6 +20,14 @@
 // maxHopBytes bounds the HTTP body of one request on the hop.
 const maxHopBytes = 64 << 20
 
+// heartbeatInterval is the time between the empty lines by which a sidecar that
+// has no frame to send shows that it is alive.
+const heartbeatInterval = time.Second
+
+// lingerTime is how long a drained sidecar still answers before its listener is
+// closed.
+const lingerTime = time.Second
+
 // Server serves a Sidecar to routers over HTTP.
 type Server struct {
 	Sidecar *Sidecar
@@ -61,8 +71,25 @@
 	writeJSON(writer, refusal.Code.Status(), refusal.Problem(server.Sidecar.now()))
 }
 
+// refuseStart answers a request that was not admitted.
+func (server *Server) refuseStart(writer http.ResponseWriter, err error) {
+	state := server.Sidecar.State()
+	var designated *designatedError
+	if errors.As(err, &designated) {
+		state.Designated = designated.upstream
+	}
+	refusal := result.From(err, result.NotReady)
+	server.Sidecar.Metrics.Refused(refusal.Code)
+	setState(writer, state)
+	writeJSON(writer, refusal.Code.Status(), refusal.Problem(server.Sidecar.now()))
+}
+
 func (server *Server) writeState(writer http.ResponseWriter) {
-	encoded, err := json.Marshal(server.Sidecar.State())
+	setState(writer, server.Sidecar.State())
+}
+
+func setState(writer http.ResponseWriter, state State) {
+	encoded, err := json.Marshal(state)
 	if err != nil {
 		return
 	}
@@ -84,7 +111,7 @@
 	}
 	started, err := server.Sidecar.start(request.Context(), call, body, resumeText)
 	if err != nil {
-		server.refuse(writer, result.From(err, result.NotReady))
+		server.refuseStart(writer, err)
 		return
 	}
 	server.stream(writer, request, started, call.ResumeFrames+1)
@@ -134,7 +161,8 @@
 }
 
 // stream writes the frames from next on as they come. Frames that are ready
-// together are written together, and none waits for another.
+// together are written together, and none waits for another. An empty line is a
+// heartbeat.
 func (server *Server) stream(writer http.ResponseWriter, request *http.Request, held *execution, next answer.Seq) {
 	held.attach()
 	defer func() { held.detach(server.Sidecar.now()) }()
@@ -144,6 +172,8 @@
 	controller := http.NewResponseController(writer)
 	buffered := bufio.NewWriter(writer)
 	encoder := json.NewEncoder(buffered)
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
 	if controller.Flush() != nil {
 		return
 	}
@@ -166,6 +196,10 @@
 		}
 		select {
 		case <-changed:
+		case <-heartbeat.C:
+			if buffered.WriteByte('\n') != nil {
+				return
+			}
 		case <-request.Context().Done():
 			return
 		}
@@ -221,13 +255,20 @@
 }
 
 // Finish lets new work be refused and waits until the admitted work and its
-// readers are done, or until ctx ends.
+// readers are done, or until ctx ends. Idle connections are closed while the
+// listener is still open, so that a router whose request met a closing
+// connection can ask what became of it and is told that it was not run.
 func (server *Server) Finish(ctx context.Context, httpServer *http.Server) error {
 	server.Sidecar.Leave()
 	if err := server.Sidecar.Drained(ctx); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
-	defer cancel()
+	httpServer.SetKeepAlivesEnabled(false)
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
 	return httpServer.Shutdown(ctx)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,7 +25,7 @@
 	defaultReplayBytes = ident.Bytes(1 << 20)
 	replayLifetime     = 2 * time.Minute
 	// resumeGrace is how long an answer that nobody reads goes on.
-	resumeGrace   = 30 * time.Second
+	resumeGrace   = 10 * time.Second
 	sweepInterval = time.Second
 	// comeBack is the time after which a refused request may be sent again
 	// where nothing better is known.
@@ -186,6 +186,16 @@
 	}
 }
 
+// leaveQueue takes out a queued request that nobody waits for any more, or gives
+// its place back where it was admitted at the same moment.
+func (sidecar *Sidecar) leaveQueue(queued *execution) {
+	queued.abandon()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	delete(sidecar.waiting, queued.call.Attempt)
+	sidecar.deliver(sidecar.gate.Done(sidecar.now(), queued.call.Attempt))
+}
+
 func (sidecar *Sidecar) log() *slog.Logger {
 	if sidecar.Logger == nil {
 		return slog.New(slog.DiscardHandler)
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -26,11 +26,12 @@
 	fingerprint := fingerprintOf(&call, body)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	started := newExecution(call, fingerprint, sidecar.replayBytes(), cancel)
-	if err := sidecar.admit(ctx, runCtx, started, workspace, deadline); err != nil {
+	waiter, err := sidecar.admit(started, workspace, deadline)
+	if err != nil {
 		cancel()
 		return nil, err
 	}
-	work := &work{sidecar: sidecar, execution: started, route: route, body: body, resumeText: resumeText, deadline: deadline}
+	work := &work{sidecar: sidecar, execution: started, route: route, body: body, resumeText: resumeText, deadline: deadline, waiter: waiter}
 	sidecar.live.Add(1)
 	go work.run(runCtx)
 	return started, nil
@@ -121,8 +122,9 @@
 	sidecar.gate.SetPolicy(sidecar.policy())
 }
 
-// admit passes the request through the gate, waiting in its queue if need be.
-func (sidecar *Sidecar) admit(ctx, runCtx context.Context, started *execution, workspace settings.Workspace, deadline time.Time) error {
+// admit passes the request through the gate. It returns the channel to wait on
+// where the request was queued, and nil where it was admitted.
+func (sidecar *Sidecar) admit(started *execution, workspace settings.Workspace, deadline time.Time) (chan admission.Start, error) {
 	call := &started.call
 	offer := admission.Offer{
 		Attempt:   call.Attempt,
@@ -132,18 +134,7 @@
 		Deadline:  deadline,
 		Wait:      call.Wait,
 	}
-	waiter, err := sidecar.offer(started, offer)
-	if err != nil || waiter == nil {
-		return err
-	}
-	select {
-	case start := <-waiter:
-		return sidecar.queueEnded(started, start)
-	case <-ctx.Done():
-		return sidecar.leaveQueue(started, "the router went away")
-	case <-runCtx.Done():
-		return sidecar.leaveQueue(started, "the deadline passed in the queue")
-	}
+	return sidecar.offer(started, offer)
 }
 
 // offer asks the gate. It returns the channel to wait on where the request was
@@ -173,6 +164,7 @@
 	if sidecar.waiting == nil {
 		sidecar.waiting = make(map[ident.AttemptID]chan admission.Start)
 	}
+	started.queue()
 	waiter := make(chan admission.Start, 1)
 	sidecar.waiting[call.Attempt] = waiter
 	return waiter, nil
@@ -195,8 +187,12 @@
 	case strike.Never:
 		return &result.Error{Code: result.CrashingRequest}
 	case strike.Alone:
-		if sidecar.ledger.Designated(fingerprint, sidecar.poolIDs()) != sidecar.Upstream.ID {
-			return &result.Error{Code: result.CrashingRequestAlone, RetryAt: now.Add(comeBack)}
+		designated := sidecar.ledger.Designated(fingerprint, sidecar.poolIDs())
+		if designated != sidecar.Upstream.ID {
+			return &designatedError{
+				upstream: designated,
+				refusal:  &result.Error{Code: result.CrashingRequestAlone, RetryAt: now.Add(comeBack)},
+			}
 		}
 		offer.Alone = true
 	case strike.Free:
@@ -204,6 +200,18 @@
 	return nil
 }
 
+// designatedError refuses a request that only one upstream may run.
+type designatedError struct {
+	upstream ident.UpstreamID
+	refusal  *result.Error
+}
+
+// Error returns the text of the refusal.
+func (e *designatedError) Error() string { return e.refusal.Error() }
+
+// Unwrap returns the refusal.
+func (e *designatedError) Unwrap() error { return e.refusal }
+
 func (sidecar *Sidecar) poolIDs() []ident.UpstreamID {
 	if sidecar.PoolIDs != nil {
 		if pool := sidecar.PoolIDs(); len(pool) > 0 {
@@ -222,37 +230,3 @@
 	sidecar.executions[started.call.Request] = started
 	sidecar.attempts[started.call.Attempt] = started
 }
-
-// queueEnded ends the wait of a queued request.
-func (sidecar *Sidecar) queueEnded(started *execution, start admission.Start) error {
-	if start.Code == result.OK {
-		return nil
-	}
-	started.abandon()
-	sidecar.mu.Lock()
-	defer sidecar.mu.Unlock()
-	sidecar.forget(started)
-	return &result.Error{Code: start.Code, RetryAt: start.RetryAt}
-}
-
-// leaveQueue takes out a queued request that nobody waits for any more.
-func (sidecar *Sidecar) leaveQueue(started *execution, reason string) error {
-	started.abandon()
-	sidecar.mu.Lock()
-	defer sidecar.mu.Unlock()
-	delete(sidecar.waiting, started.call.Attempt)
-	sidecar.deliver(sidecar.gate.Done(sidecar.now(), started.call.Attempt))
-	sidecar.forget(started)
-	return &result.Error{Code: result.DeadlineUnmeetable, Detail: reason}
-}
-
-// forget drops the request but keeps its attempt from running later. The
-// caller holds mu.
-func (sidecar *Sidecar) forget(started *execution) {
-	delete(sidecar.executions, started.call.Request)
-	delete(sidecar.attempts, started.call.Attempt)
-	if sidecar.tombstones == nil {
-		sidecar.tombstones = make(map[ident.AttemptID]time.Time)
-	}
-	sidecar.tombstones[started.call.Attempt] = sidecar.now().Add(time.Hour)
-}
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/claim"
 	"github.com/hickoryhead/hickoryhead/claimtable"
@@ -29,12 +30,19 @@
 	body       []byte
 	resumeText string
 	deadline   time.Time
+	// waiter tells when a queued request may go on; nil where it was admitted.
+	waiter chan admission.Start
 }
 
 // run forwards the request, fills its answer and gives its place back.
 func (work *work) run(ctx context.Context) {
 	defer work.sidecar.live.Done()
 	defer work.execution.cancel()
+	if err := work.wait(ctx); err != nil {
+		now := work.sidecar.now()
+		work.execution.fail(err.Problem(now), now.Add(replayLifetime))
+		return
+	}
 	err := work.answer(ctx)
 	now := work.sidecar.now()
 	if err != nil {
@@ -45,6 +53,34 @@
 	work.settle(now, err, lost)
 }
 
+// wait lets a queued request wait for its turn. Its error means that the request
+// was not run and never will be.
+func (work *work) wait(ctx context.Context) *result.Error {
+	if work.waiter == nil {
+		return nil
+	}
+	select {
+	case start := <-work.waiter:
+		if start.Code == result.OK {
+			return work.leftQueue()
+		}
+		work.execution.abandon()
+		return &result.Error{Code: start.Code, RetryAt: start.RetryAt}
+	case <-ctx.Done():
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "it waited in the queue", RetryAt: work.sidecar.now().Add(comeBack)}
+}
+
+// leftQueue goes on with a request unless its router went away meanwhile.
+func (work *work) leftQueue() *result.Error {
+	if work.execution.unqueue() {
+		return nil
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "the router went away"}
+}
+
 func (work *work) answer(ctx context.Context) error {
 	switch {
 	case !work.route.Idempotent:
