Pass over routers that cannot be reached

A balancer takes a dead router out of its rotation; the load driver counted each request to it as unreachable. A request of which no byte was sent now goes to the next router. A cut request may be repeated whatever its kind, since a confirmation keeps its key.

--- a/load/client.go
+++ b/load/client.go
@@ -79,18 +79,30 @@
 	event func(now, before time.Time, first bool)
 }
 
-func (client *client) router() string {
-	turn := client.turn.Add(1)
+func (client *client) router(turn uint64) string {
 	return client.routers[turn%uint64(len(client.routers))]
 }
 
-// post sends call and reads its reply to the end.
+// post sends call and reads its reply to the end. A router that cannot be
+// reached is passed over, as a balancer would.
 func (client *client) post(ctx context.Context, call call) reply {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+client.router()+call.path, bytes.NewReader(call.body))
+	first := client.turn.Add(1)
+	var got reply
+	for i := range uint64(len(client.routers)) {
+		got = client.postTo(ctx, client.router(first+i), call)
+		if got.ending != endedUnsent {
+			return got
+		}
+	}
+	return got
+}
+
+func (client *client) postTo(ctx context.Context, router string, call call) reply {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return reply{ending: endedUnsent}
 	}
-	request.Header = call.header
+	request.Header = call.header.Clone()
 	response, err := client.http.Do(request)
 	if err != nil {
 		return unanswered(err)
@@ -183,7 +195,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reading.client.router()+"/v1/answers", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reading.client.router(reading.client.turn.Add(1))+"/v1/answers", nil)
 	if err != nil {
 		return nil
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -26,7 +26,7 @@
 	// not be resumed, and Resumed those that were resumed.
 	Cut     int
 	Resumed int
-	// Unreachable counts the tries that reached no router.
+	// Unreachable counts the tries for which no router could be reached.
 	Unreachable int
 	// Codes counts the answers that are not whole by the name of their code,
 	// and Outcomes by what their code says of the request.
--- a/load/runner.go
+++ b/load/runner.go
@@ -44,8 +44,8 @@
 	// Workers is the most requests in flight. While all are busy, further
 	// requests wait, and their waiting counts into their latency.
 	Workers int
-	// Retries is how often a request is repeated that was refused with a time
-	// to come back, or a confirmation whose outcome is open.
+	// Retries is how often a request is repeated that was cut, or refused with
+	// a time to come back.
 	Retries int
 	// TimeLimit ends the arrivals. Requests in flight then still finish.
 	TimeLimit time.Duration
@@ -177,7 +177,7 @@
 		if arrival.Kind == Confirm {
 			runner.ledger.add(arrival, last)
 		}
-		if tries == runner.Retries || !repeatable(arrival, last) {
+		if tries == runner.Retries || !repeatable(last) {
 			break
 		}
 		retryAt := last.retryAt
@@ -191,18 +191,17 @@
 	runner.recorder.finish(time.Now(), arrival, last, worker.right(arrival, &last))
 }
 
-// repeatable reports whether a caller would send the request again.
-func repeatable(arrival Arrival, last reply) bool {
+// repeatable reports whether a caller would send the request again. One that was
+// cut may be sent again, since a confirmation keeps its key.
+func repeatable(last reply) bool {
 	switch last.ending {
-	case endedWhole, endedWrong:
-		return false
-	case endedUnsent:
+	case endedUnsent, endedCut:
 		return true
-	case endedCut:
-		return arrival.Kind == Confirm
 	case endedProblem:
+		return !last.retryAt.IsZero()
+	case endedWhole, endedWrong:
 	}
-	return !last.retryAt.IsZero()
+	return false
 }
 
 func (worker *worker) try(ctx context.Context, arrival Arrival) reply {
--- a/load/runner_test.go
+++ b/load/runner_test.go
@@ -206,6 +206,17 @@
 	}
 }
 
+func TestUnreachableRouterIsPassedOver(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	report := drive(t, new(fakeRouter), func(runner *load.Runner) {
+		runner.Routers = append(runner.Routers, strings.TrimPrefix(gone.URL, "http://"))
+	})
+	if report.Whole != 40 || report.Unreachable != 0 {
+		t.Errorf("got %+v, want 40 whole answers from the router that is there", report)
+	}
+}
+
 func TestRefusedRequestComesBack(t *testing.T) {
 	var mu sync.Mutex
 	refused := make(map[string]bool)
