--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -37,6 +37,7 @@
 	fleet := fleettest.Start(t, fleettest.Options{Routers: 2, Engines: 3, EngineArgs: []string{"--tokens-per-second", "2000"}})
 	t.Run("returning chat", func(t *testing.T) { returningChat(t, fleet) })
 	t.Run("events", func(t *testing.T) { events(t, fleet) })
+	t.Run("confirmation runs once", func(t *testing.T) { confirmation(t, fleet) })
 	t.Run("bad input", func(t *testing.T) { badInput(t, fleet) })
 	t.Run("drained upstream gets nothing new", func(t *testing.T) { drained(t, fleet) })
 	t.Run("planned stop of a router", func(t *testing.T) { plannedStop(t, fleet) })
@@ -86,6 +87,18 @@
 	}
 }
 
+func confirmation(t *testing.T, fleet *fleettest.Fleet) {
+	request := fleettest.Request{Route: "confirm", Key: "print-run-1", Body: `{"Headers":40}`}
+	first := ask(t, fleet.Routers[0], request)
+	if got, want := first.Status, http.StatusOK; got != want {
+		t.Fatalf("got status %d, want %d (%+v)", got, want, first.Problem)
+	}
+	again := ask(t, fleet.Routers[1], request)
+	if got, want := again.Body, first.Body; got != want {
+		t.Errorf("second answer: got %q, want %q", got, want)
+	}
+}
+
 func badInput(t *testing.T, fleet *fleettest.Fleet) {
 	tests := []struct {
 		name    string
@@ -117,13 +130,31 @@
 	}
 }
 
-// drained sends work after an upstream was told to leave.
-func drained(t *testing.T, fleet *fleettest.Fleet) {
-	response, err := http.Post("http://"+fleet.Routers[0].Operators+"/v1/drain/engine-1", "application/json", nil)
+// drain tells an upstream to leave and returns the status of the answer.
+func drain(t *testing.T, fleet *fleettest.Fleet, upstream, token string) int {
+	t.Helper()
+	url := "http://" + fleet.Routers[0].Operators + "/v1/drain/" + upstream + "?Team=" + string(fleettest.Team)
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
 	response.Body.Close()
+	return response.StatusCode
+}
+
+// drained sends work after an upstream was told to leave.
+func drained(t *testing.T, fleet *fleettest.Fleet) {
+	if got, want := drain(t, fleet, "engine-1", "a wrong token"), http.StatusUnauthorized; got != want {
+		t.Fatalf("drain with a wrong token: got status %d, want %d", got, want)
+	}
+	if got, want := drain(t, fleet, "engine-1", fleettest.Token), http.StatusOK; got != want {
+		t.Fatalf("drain: got status %d, want %d", got, want)
+	}
 	for range 20 {
 		reply := ask(t, fleet.Routers[1], fleettest.Request{Route: "draft", Body: prompt})
 		if got, want := reply.Text.Text, wholeText(); got != want {
