--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -76,6 +76,16 @@
 
 	dir     string
 	options Options
+	hosts   int
+}
+
+// host returns a loopback address of its own for each process, as a VM has. A
+// process that starts again finds its ports free: connections that others open
+// leave from another address.
+func (fleet *Fleet) host() string {
+	fleet.hosts++
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+(pid>>8)%254, 1+pid%254, 1+fleet.hosts%253)
 }
 
 // Start starts a fleet and waits until its routers are ready.
@@ -136,7 +146,7 @@
 func (fleet *Fleet) startUnit(id string, engine bool) *Unit {
 	fleet.T.Helper()
 	unit := &Unit{ID: ident.UpstreamID(id)}
-	fleet.StartUpstream(unit, engine, "127.0.0.1:0")
+	fleet.StartUpstream(unit, engine, fleet.host())
 	fleet.StartSidecar(unit, engine)
 	return unit
 }
@@ -160,9 +170,10 @@
 	if engine {
 		described = config.Upstream{ID: unit.ID, Address: unit.Address, Model: Model}
 	}
+	host := fleet.host()
 	loaded := config.Sidecar{
-		Daemon:    fleet.daemon("vm-"+string(unit.ID), unit.VM.PeerAddress),
-		HopListen: either(unit.Hop, "127.0.0.1:0"),
+		Daemon:    fleet.daemon("vm-"+string(unit.ID), either(unit.VM.PeerAddress, host)),
+		HopListen: either(unit.Hop, host),
 		Upstream:  described,
 	}
 	unit.Sidecar = start(fleet.T, "sidecar of "+string(unit.ID), "hickoryhead", "sidecar", "--settings", fleet.write(loaded.VM, loaded))
@@ -182,18 +193,28 @@
 
 func (fleet *Fleet) startRouter(name string) *Entry {
 	fleet.T.Helper()
+	entry := &Entry{VM: platform.VM{ID: ident.VMID(name)}}
+	fleet.StartRouter(entry)
+	return entry
+}
+
+// StartRouter starts a router, at its former addresses if it had any, and puts
+// its VM on the platform's list.
+func (fleet *Fleet) StartRouter(entry *Entry) {
+	fleet.T.Helper()
+	host := fleet.host()
+	name := string(entry.VM.ID)
 	loaded := config.Router{
-		Daemon:         fleet.daemon(name, ""),
-		CallerListen:   "127.0.0.1:0",
-		OperatorListen: "127.0.0.1:0",
+		Daemon:         fleet.daemon(name, either(entry.VM.PeerAddress, host)),
+		CallerListen:   either(entry.Callers, host),
+		OperatorListen: either(entry.Operators, host),
 	}
-	entry := &Entry{Process: start(fleet.T, name, "hickoryhead", "router", "--settings", fleet.write(loaded.VM, loaded))}
+	entry.Process = start(fleet.T, name, "hickoryhead", "router", "--settings", fleet.write(loaded.VM, loaded))
 	addresses := parseAddresses(entry.Process.line(fleet.T, "listening "))
 	entry.Callers = addresses.Callers
 	entry.Operators = addresses.Operators
 	entry.VM = platform.VM{ID: loaded.VM, Role: platform.RoleRouter, Address: addresses.Callers, PeerAddress: addresses.Peers, Zone: loaded.Zone, Region: loaded.Region}
 	fleet.PutVM(entry.VM)
-	return entry
 }
 
 func (fleet *Fleet) daemon(vm, peers string) config.Daemon {
@@ -202,7 +223,7 @@
 		Zone:       "est-a",
 		Region:     "est",
 		Platform:   fleet.PlatformAt,
-		PeerListen: either(peers, "127.0.0.1:0"),
+		PeerListen: peers,
 		Secret:     Secret,
 	}
 }
