--- a/caller/relay.go
+++ b/caller/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -37,9 +38,14 @@
 	assembler answer.Assembler
 	// text is what the caller has of a model's answer.
 	text strings.Builder
-	// tried holds the upstreams that this request was offered to.
-	tried    []ident.UpstreamID
-	evidence []sidecar.LoadSeen
+	// pool and plan are the upstreams that the request may be offered to, and
+	// their order; tried counts the offers.
+	pool     *directory.Pool
+	plan     affinity.Plan
+	tried    int
+	evidence []evidence
+	// designated is the upstream that a refusing sidecar named.
+	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
 	// mayHaveRun is set once an upstream may have run the request.
@@ -49,6 +55,17 @@
 	sentTo string
 }
 
+// abandoned stops the answer of a caller that hung up and cannot resume it. A
+// request that must not run twice is left to end.
+func (relay *relay) abandoned() {
+	if relay.incoming.events || !relay.incoming.route.Idempotent || relay.assembler.Whole() || relay.entry.Address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+	defer cancel()
+	_ = relay.cancel(ctx)
+}
+
 // close ends the reading from the upstream.
 func (relay *relay) close() {
 	if relay.frames != nil {
@@ -183,14 +200,14 @@
 
 func (relay *relay) attemptOf(code result.Code) retry.Attempt {
 	candidates := 0
-	if pool := relay.pool(); pool != nil {
-		candidates = len(pool.Entries)
+	if relay.pool != nil {
+		candidates = relay.plan.Len()
 	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      len(relay.tried),
+		Tried:      relay.tried,
 		Candidates: candidates,
 	}
 }
@@ -208,16 +225,15 @@
 	if relay.assembler.Next() > 1 && failure.Code != result.DeadlineExpired {
 		failure.Code = result.AnswerCut
 	}
+	if failure.Code == result.OutcomeUnknown && !relay.server.now().Before(relay.incoming.deadline) {
+		failure.Code = result.DeadlineExpired
+	}
 	if failure.RetryAt.IsZero() && failure.Code.Status() >= 500 {
 		failure.RetryAt = relay.server.now().Add(comeBack)
 	}
 	return &failure
 }
 
-func (relay *relay) pool() *directory.Pool {
-	return relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
-}
-
 // resolveUnknown finds out what became of an attempt whose answer was lost
 // before it began. It returns nil where the answer can be read after all.
 func (relay *relay) resolveUnknown(ctx context.Context, unknown error) error {
--- a/caller/server.go
+++ b/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -37,6 +38,8 @@
 	View      func() *settings.View
 	Directory *directory.Directory
 	Sidecars  *sidecar.Client
+	// Loads remembers what sidecars said of their load; nil remembers nothing.
+	Loads *affinity.Loads
 	// Key signs the affinity header; all routers share it.
 	Key     []byte
 	Metrics *metrics.Set
@@ -89,6 +92,10 @@
 	server.active.Add(1)
 	defer server.active.Add(-1)
 	writer := ctx.ResponseWriter().Naive()
+	if server.Ready != nil && !server.Ready() {
+		// The balancer's connections move on before the listener is closed.
+		writer.Header().Set("Connection", "close")
+	}
 	request := ctx.Request()
 	team := ident.TeamID(ctx.Params().Get("team"))
 	route := ident.RouteName(ctx.Params().Get("route"))
@@ -101,6 +108,9 @@
 	relay := &relay{server: server, incoming: accepted}
 	defer relay.close()
 	server.give(request.Context(), writer, relay)
+	if request.Context().Err() != nil {
+		relay.abandoned()
+	}
 }
 
 func (server *Server) count(accepted *incoming) {
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
@@ -27,6 +29,7 @@
 	callers   *caller.Server
 	callerAt  *httpService
 	operators *httpService
+	loads     affinity.Loads
 	leaving   atomic.Bool
 }
 
@@ -57,9 +60,10 @@
 
 func (router *Router) start(ctx context.Context) error {
 	base := router.base
-	if err := base.start(ctx); err != nil {
+	if err := base.listen(); err != nil {
 		return err
 	}
+	base.start(ctx, platform.RoleRouter)
 	router.callers = &caller.Server{
 		View:      base.view,
 		Directory: base.directory,
@@ -68,6 +72,7 @@
 		Metrics:   base.metrics,
 		Logger:    logging.Part(router.Logger, "caller"),
 		Ready:     router.ready,
+		Loads:     &router.loads,
 	}
 	if err := router.listen(); err != nil {
 		return err
@@ -85,6 +90,7 @@
 		Token: base.hopToken(),
 		Seen: func(state sidecar.State) {
 			base.directory.Saw(state.Upstream, state.Incarnation, state.Leaving)
+			router.loads.Add(affinity.Report{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving, SeenAt: time.Now()})
 		},
 	}
 }
@@ -98,12 +104,17 @@
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
-	router.operators, err = newHTTPService(router.Config.OperatorListen, router.operatorHandler(), router.base.logger)
+	settings, err := operator.New(router.operator())
+	if err != nil {
+		return err
+	}
+	handler = router.operatorHandler(settings)
+	router.operators, err = newHTTPService(router.Config.OperatorListen, handler, router.base.logger)
 	return errors.Wrap(err, "operators")
 }
 
 func (router *Router) ready() bool {
-	return !router.leaving.Load() && router.base.view().Teams() > 0
+	return !router.leaving.Load() && router.base.settings.Ready()
 }
 
 // leave makes the readiness check fail, so that the balancer sends no more.
@@ -126,9 +137,28 @@
 	return errors.Wrap(router.operators.server.Shutdown(ctx), "operators")
 }
 
+// operator returns the part that changes and shows settings.
+func (router *Router) operator() *operator.Operator {
+	base := router.base
+	return &operator.Operator{
+		View:     base.view,
+		Accepted: base.settings.Accepted,
+		Accept:   base.store.Accept,
+		Find:     base.store.Find,
+		Load:     base.store.Load,
+		History:  base.store.History,
+		Entry:    base.store.Entry,
+		Team:     base.store.Team,
+		Snapshot: base.store.WriteSnapshot,
+		Metrics:  base.metrics,
+		Logger:   logging.Part(router.Logger, "operator"),
+	}
+}
+
 // operatorHandler serves operators and monitoring.
-func (router *Router) operatorHandler() http.Handler {
+func (router *Router) operatorHandler(settings http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/v1/settings/", settings)
 	mux.Handle("GET /metrics", router.base.metrics.Handler())
 	mux.HandleFunc("GET /v1/status", router.status)
 	mux.HandleFunc("POST /v1/drain/{upstream}", router.drain)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickoryhead/hickoryhead/admission"
-	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
@@ -25,7 +25,7 @@
 	defaultReplayBytes = ident.Bytes(1 << 20)
 	replayLifetime     = 2 * time.Minute
 	// resumeGrace is how long an answer that nobody reads goes on.
-	resumeGrace   = 30 * time.Second
+	resumeGrace   = 10 * time.Second
 	sweepInterval = time.Second
 	// comeBack is the time after which a refused request may be sent again
 	// where nothing better is known.
@@ -43,12 +43,11 @@
 	// means 64.
 	Limit int
 	// Claims runs a request that is not idempotent; nil refuses them.
-	Claims func(ctx context.Context, deadline time.Time, claimed Claimed) (upstream.Reply, error)
+	Claims func(ctx context.Context, request claimtable.Request, forward claimtable.Forward) (claimtable.Answer, error)
 	// PoolIDs returns the upstreams of the pool, in any order.
 	PoolIDs func() []ident.UpstreamID
-	// Fetch brings the prefix of a chat from the upstream that served it
-	// last; nil fetches nothing.
-	Fetch func(ctx context.Context, call Call, promptBytes int)
+	// Prefixes moves cached prompt prefixes; nil moves none.
+	Prefixes *Prefixes
 	// Struck is told of new strikes and of cleared ones, to pass them on.
 	Struck  func(args peer.StrikeArgs)
 	Metrics *metrics.Set
@@ -74,13 +73,6 @@
 	live       sync.WaitGroup
 }
 
-// Claimed is a request that must not run twice, on its way to the upstream.
-type Claimed struct {
-	Key     claim.Key
-	Record  claim.Record
-	Forward func(ctx context.Context) (upstream.Reply, error)
-}
-
 func (sidecar *Sidecar) now() time.Time {
 	if sidecar.Now == nil {
 		return time.Now()
@@ -194,6 +186,16 @@
 	}
 }
 
+// leaveQueue takes out a queued request that nobody waits for any more, or gives
+// its place back where it was admitted at the same moment.
+func (sidecar *Sidecar) leaveQueue(queued *execution) {
+	queued.abandon()
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	delete(sidecar.waiting, queued.call.Attempt)
+	sidecar.deliver(sidecar.gate.Done(sidecar.now(), queued.call.Attempt))
+}
+
 func (sidecar *Sidecar) log() *slog.Logger {
 	if sidecar.Logger == nil {
 		return slog.New(slog.DiscardHandler)
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -8,8 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -28,12 +30,19 @@
 	body       []byte
 	resumeText string
 	deadline   time.Time
+	// waiter tells when a queued request may go on; nil where it was admitted.
+	waiter chan admission.Start
 }
 
 // run forwards the request, fills its answer and gives its place back.
 func (work *work) run(ctx context.Context) {
 	defer work.sidecar.live.Done()
 	defer work.execution.cancel()
+	if err := work.wait(ctx); err != nil {
+		now := work.sidecar.now()
+		work.execution.fail(err.Problem(now), now.Add(replayLifetime))
+		return
+	}
 	err := work.answer(ctx)
 	now := work.sidecar.now()
 	if err != nil {
@@ -44,6 +53,34 @@
 	work.settle(now, err, lost)
 }
 
+// wait lets a queued request wait for its turn. Its error means that the request
+// was not run and never will be.
+func (work *work) wait(ctx context.Context) *result.Error {
+	if work.waiter == nil {
+		return nil
+	}
+	select {
+	case start := <-work.waiter:
+		if start.Code == result.OK {
+			return work.leftQueue()
+		}
+		work.execution.abandon()
+		return &result.Error{Code: start.Code, RetryAt: start.RetryAt}
+	case <-ctx.Done():
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "it waited in the queue", RetryAt: work.sidecar.now().Add(comeBack)}
+}
+
+// leftQueue goes on with a request unless its router went away meanwhile.
+func (work *work) leftQueue() *result.Error {
+	if work.execution.unqueue() {
+		return nil
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "the router went away"}
+}
+
 func (work *work) answer(ctx context.Context) error {
 	switch {
 	case !work.route.Idempotent:
@@ -138,8 +175,9 @@
 		return result.Errorf(result.MalformedBody, "%v", err)
 	}
 	call := &work.execution.call
-	if work.sidecar.Fetch != nil {
-		work.sidecar.Fetch(ctx, *call, len(prompt.Text))
+	if work.sidecar.Prefixes != nil && call.Prior != "" {
+		tokens := ident.Tokens(len(prompt.Text) / bytesPerToken)
+		work.sidecar.Prefixes.Fetch(ctx, chatOf(call), call.Prior, tokens)
 	}
 	generate := upstream.Generate{
 		Request:      call.Attempt,
@@ -173,12 +211,20 @@
 		if token.Done {
 			end := answer.End{Status: 200, ContentType: "text/plain", Cached: token.Cached, Prompt: token.Prompt}
 			work.execution.end(end, work.sidecar.now().Add(replayLifetime))
+			work.used(token.Prompt)
 			return nil
 		}
 		work.execution.data(token.Text)
 	}
 }
 
+// used remembers that the engine now holds the prefix of the chat.
+func (work *work) used(tokens ident.Tokens) {
+	if work.sidecar.Prefixes != nil && work.execution.call.Chat != "" {
+		work.sidecar.Prefixes.Used(chatOf(&work.execution.call), tokens)
+	}
+}
+
 // cutError describes a token stream that ended before its last token.
 func cutError(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
@@ -239,24 +285,31 @@
 		return &result.Error{Code: result.ClaimUnavailable, RetryAt: work.sidecar.now().Add(comeBack)}
 	}
 	call := &work.execution.call
-	claimed := Claimed{
-		Key: claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
-		Record: claim.Record{
-			State:    claim.Claimed,
-			Attempt:  call.Attempt,
-			Upstream: work.sidecar.Upstream.ID,
-			Body:     work.execution.fingerprint,
-		},
-		Forward: work.call,
+	request := claimtable.Request{
+		Key:      claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
+		Attempt:  call.Attempt,
+		Upstream: work.sidecar.Upstream.ID,
+		Body:     work.execution.fingerprint,
+		Deadline: work.deadline,
 	}
-	reply, err := work.sidecar.Claims(ctx, work.deadline, claimed)
+	answer, err := work.sidecar.Claims(ctx, request, work.forwardClaimed)
 	if err != nil {
 		return err
 	}
-	work.reply(reply)
+	work.reply(upstream.Reply{
+		Status:      answer.Reply.Status,
+		ContentType: answer.Reply.ContentType,
+		Body:        string(answer.Reply.Body),
+	})
 	return nil
 }
 
+// forwardClaimed gives a claimed request to the upstream.
+func (work *work) forwardClaimed(ctx context.Context) (claim.Reply, error) {
+	reply, err := work.call(ctx)
+	return claim.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: []byte(reply.Body)}, err
+}
+
 // chatOf returns the engine's name for the chat, which no other workspace can
 // use; a request without a chat is a chat of its own.
 func chatOf(call *Call) ident.ChatID {
