Add the settings commands and the schema reference

hickoryhead settings list, get, set, delete, apply, diff, history and undo use operator.Client, which sends a change again under its ID when the answer was lost or the platform could not take it.

--- a/cmd/hickoryhead/reference.go
+++ b/cmd/hickoryhead/reference.go
@@ -7,21 +7,25 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
 )
 
 func newReference() *cobra.Command {
 	return &cobra.Command{
-		Use:       "reference results",
+		Use:       "reference results|settings",
 		Short:     "Print a reference page made from the code",
-		ValidArgs: []string{"results"},
+		ValidArgs: []string{"results", "settings"},
 		Args:      usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			switch args[0] {
 			case "results":
 				fmt.Fprint(cmd.OutOrStdout(), result.Reference())
 				return nil
+			case "settings":
+				fmt.Fprint(cmd.OutOrStdout(), settings.Reference())
+				return nil
 			}
-			return errors.Mark(errors.Newf("no reference page %q: want results", args[0]), errUsage)
+			return errors.Mark(errors.Newf("no reference page %q: want results or settings", args[0]), errUsage)
 		},
 	}
 }
--- a/cmd/hickoryhead/root.go
+++ b/cmd/hickoryhead/root.go
@@ -52,6 +52,6 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return errors.Mark(err, errUsage)
 	})
-	root.AddCommand(newRouter(), newSidecar(), newCheck(), newStatus(), newDrain(), newDemo(), newLoad(), newReference(), newVersion())
+	root.AddCommand(newRouter(), newSidecar(), newCheck(), newStatus(), newDrain(), newDemo(), newLoad(), newSettings(), newReference(), newVersion())
 	return root
 }
--- /dev/null
+++ b/operator/client_test.go
@@ -0,0 +1,95 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/operator"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/standin"
+)
+
+var weights = map[settings.Path]json.RawMessage{"/Teams/beaudoin/Workspaces/laval": json.RawMessage(`{"Weight":2}`)}
+
+func clientOf(t *testing.T, bench *bench) *operator.Client {
+	t.Helper()
+	server := httptest.NewServer(bench.handler)
+	t.Cleanup(server.Close)
+	return &operator.Client{Server: strings.TrimPrefix(server.URL, "http://"), Team: "beaudoin", Token: "secret of beaudoin", Author: "shelf desk"}
+}
+
+func TestClientAppliesReadsAndUndoes(t *testing.T) {
+	ctx := context.Background()
+	client := clientOf(t, newBench(t))
+	accepted, err := client.Apply(ctx, 0, weights)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := accepted.Revision, ident.Revision(1); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	value, err := client.Get(ctx, settings.KindWorkspace, "laval")
+	if got, want := string(value), `{"Weight":2}`; got != want || err != nil {
+		t.Errorf("got %s and %v, want %s", got, err, want)
+	}
+	preview, err := client.PreviewUndo(ctx, 1)
+	if got, want := len(preview.Differences), 1; got != want || err != nil {
+		t.Errorf("got %d differences and %v, want %d", got, err, want)
+	}
+	if _, err := client.Undo(ctx, 1, 1); err != nil {
+		t.Fatal(err)
+	}
+	list, err := client.List(ctx, settings.KindWorkspace)
+	if got, want := len(list.Values), 0; got != want || err != nil {
+		t.Errorf("got %d values and %v after the undo, want %d", got, err, want)
+	}
+	entries, err := client.History(ctx, -1, 10)
+	if got, want := len(entries), 2; got != want || err != nil {
+		t.Errorf("got %d entries and %v, want %d", got, err, want)
+	}
+}
+
+func TestClientTellsWhoLostARaceWhatIsThere(t *testing.T) {
+	client := clientOf(t, newBench(t))
+	if _, err := client.Apply(context.Background(), 0, weights); err != nil {
+		t.Fatal(err)
+	}
+	_, err := client.Apply(context.Background(), 0, weights)
+	var raced *operator.RacedError
+	if !errors.As(err, &raced) {
+		t.Fatalf("got %v, want a RacedError", err)
+	}
+	if got, want := raced.Present.Revision, ident.Revision(1); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	if got, want := result.CodeOf(err), result.RevisionConflict; got != want {
+		t.Errorf("got %s, want %s", got.Name(), want.Name())
+	}
+}
+
+// The change is sent again under its ID until the platform is back.
+func TestClientRepeatsAChangeUnderItsID(t *testing.T) {
+	bench := newBench(t)
+	client := clientOf(t, bench)
+	bench.platform.Switch(standin.PlatformSwitches{Outage: true})
+	pauses := 0
+	client.Pause = func(context.Context) error {
+		pauses++
+		bench.platform.Switch(standin.PlatformSwitches{LoseAnswers: 1})
+		return nil
+	}
+	accepted, err := client.Apply(context.Background(), 0, weights)
+	if got, want := accepted.Revision, ident.Revision(1); got != want || err != nil {
+		t.Errorf("got revision %d and %v, want %d", got, err, want)
+	}
+	if got, want := pauses, 1; got != want {
+		t.Errorf("got %d pauses, want %d", got, want)
+	}
+}
