--- a/operator/change.go
+++ b/operator/change.go
@@ -161,13 +161,23 @@
 		return
 	}
 	operator.Accepted(accepted.Subtree)
-	if operator.Snapshot != nil && !accepted.Repeated && accepted.Revision%platform.SnapshotEvery == 0 {
+	if !accepted.Repeated {
+		operator.keepUp(accepted.Subtree)
+	}
+}
+
+// keepUp starts what is due at the revision of an accepted subtree.
+func (operator *Operator) keepUp(subtree *settings.Subtree) {
+	if operator.Snapshot != nil && subtree.Revision%platform.SnapshotEvery == 0 {
 		go operator.runSnapshot(operator.View())
 	}
+	if operator.Archive != nil && subtree.Revision%platform.ArchiveEvery == 0 {
+		go operator.runArchive(subtree.Team, subtree.Revision)
+	}
 }
 
 func (operator *Operator) runSnapshot(view *settings.View) {
-	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
 	defer cancel()
 	if err := operator.Snapshot(ctx, view); err != nil {
 		operator.logger().Warn("snapshot not stored", "error", err)
@@ -176,6 +186,16 @@
 	operator.Metrics.Happened(eventSnapshot)
 }
 
+func (operator *Operator) runArchive(team ident.TeamID, latest ident.Revision) {
+	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
+	defer cancel()
+	if err := operator.Archive(ctx, team, latest); err != nil {
+		operator.logger().Warn("history not archived", "team", team, "error", err)
+		return
+	}
+	operator.Metrics.Happened(eventArchive)
+}
+
 // raced returns the paths of a change that lost a race as they are now.
 func (operator *Operator) raced(ctx context.Context, err error, change settings.Change) *Listing {
 	if result.CodeOf(err) != result.RevisionConflict {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,6 +23,8 @@
 	acceptTimeout = 10 * time.Second
 	// storeTimeout bounds one read of the store.
 	storeTimeout = 3 * time.Second
+	// upkeepTimeout bounds a snapshot or a run of the archive.
+	upkeepTimeout = time.Minute
 	// maxBodyBytes bounds a request body.
 	maxBodyBytes = int64(settings.MaxChangeBytes) * 2
 	// maxHistory is the most entries of one answer.
@@ -34,6 +36,7 @@
 	eventAccepted = "operator.accepted"
 	eventRepeated = "operator.repeated"
 	eventSnapshot = "operator.snapshot"
+	eventArchive  = "operator.archive"
 )
 
 // Operator serves the settings of the teams to their operators. Its fields are
@@ -55,6 +58,8 @@
 	Team    func(ctx context.Context, team ident.TeamID) (platform.Team, error)
 	// Snapshot stores the settings of a view; nil stores none.
 	Snapshot func(ctx context.Context, view *settings.View) error
+	// Archive moves the old history of a team out of the table; nil moves none.
+	Archive func(ctx context.Context, team ident.TeamID, latest ident.Revision) error
 	// Now tells the time; nil means time.Now.
 	Now     func() time.Time
 	Metrics *metrics.Set
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -106,11 +106,27 @@
 	return nil
 }
 
+// readSnapshot spares a new daemon the reading of every subtree in the table.
+func (replicator *Replicator) readSnapshot(ctx context.Context) {
+	if replicator.Snapshot == nil || replicator.View().Teams() > 0 {
+		return
+	}
+	subtrees, err := replicator.Snapshot(ctx)
+	if err != nil {
+		// The table has it all.
+		return
+	}
+	for _, subtree := range subtrees {
+		replicator.adopt(subtree)
+	}
+}
+
 func (replicator *Replicator) readStore(ctx context.Context) error {
 	heads, err := replicator.Heads(ctx)
 	if err != nil {
 		return err
 	}
+	replicator.readSnapshot(ctx)
 	view := replicator.View().Revisions()
 	if ahead := newer(view, heads); len(ahead) > 0 {
 		// A commit between the read and the look at the view does this too.
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -44,6 +44,9 @@
 	Heads func(ctx context.Context) (map[ident.TeamID]ident.Revision, error)
 	// Load returns the settings of teams in the store, all where none is named.
 	Load func(ctx context.Context, teams ...ident.TeamID) ([]*settings.Subtree, error)
+	// Snapshot returns settings that may be old, from which a new daemon goes on
+	// to what is newer in the store; nil means that there are none.
+	Snapshot func(ctx context.Context) ([]*settings.Subtree, error)
 	// Adopted is told of each new revision in force; nil tells nobody.
 	Adopted func(subtree *settings.Subtree)
 	// CompareEvery and LeastPollEvery change the defaults of the constants
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -27,7 +27,7 @@
 		"Service":      "The plain service.",
 		"Operation":    "The operation of the service.",
 		"Idempotent":   "Whether a request may run more than once. A request of a route that is not idempotent needs an Idempotency-Key.",
-		"LoadMultiple": "The bound of an upstream's load, as a multiple of its pool's mean; without it the default of the daemons.",
+		"LoadMultiple": "The bound of an upstream's load, as a multiple of its pool's mean; without it 1.25. The lowest of the routes to a model counts.",
 		"IgnoreHint":   "Places chats without regard to where they were served last.",
 		"Priority":     "The priority class of a request that names none. It must be one of the team's Priorities.",
 		"TimeoutMs":    "Milliseconds from the arrival of a request to its last byte; without it 60000.",
