Go on elsewhere when an engine or a sidecar freezes in the middle of an answer

Cause: a frozen engine's sidecar was alive, so nothing ended the answer before its deadline; without the probe the test ended after 60.0 s with AnswerCut. A sidecar now probes its engine each second and gives its idempotent work up after three failures. For a frozen sidecar two more causes were found by the same test, which failed with AnswerCut: four resumes of three seconds each, and an upstream that had refused before counted as tried for good. A resume now gives up after two seconds in all, and a lost run plans anew without the upstreams on which it was lost.

--- a/caller/place.go
+++ b/caller/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/affinity"
@@ -32,8 +33,8 @@
 	}
 }
 
-// choose returns the next upstream to try. The plan is made once for a request,
-// from the pool as it was then.
+// choose returns the next upstream to try. The plan is made from the pool as it
+// is then: once for a request, and anew when an upstream that ran it was lost.
 func (relay *relay) choose() (affinity.Try, bool) {
 	if relay.pool == nil {
 		relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
@@ -45,7 +46,20 @@
 	if try, found := relay.directed(); found {
 		return try, true
 	}
-	return relay.plan.Next(relay.server.now(), relay.server.Loads)
+	for {
+		try, found := relay.plan.Next(relay.server.now(), relay.server.Loads)
+		if !found || !slices.Contains(relay.lost, relay.pool.Entries[try.Index].Upstream) {
+			return try, found
+		}
+	}
+}
+
+// replan lets the request start over at the upstreams on which it was not lost.
+func (relay *relay) replan() {
+	relay.lost = append(relay.lost, relay.entry.Upstream)
+	relay.pool = nil
+	relay.tried = 0
+	relay.evidence = nil
 }
 
 // directed returns the upstream that a sidecar named as the only one that may
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -22,6 +22,7 @@
 	// sidecar counts as lost.
 	resumeTries     = 4
 	resumeFirstWait = 20 * time.Millisecond
+	resumeTimeout   = 2 * time.Second
 	// abandonTimeout bounds the question whether an attempt was forwarded.
 	abandonTimeout = time.Second
 )
@@ -44,6 +45,8 @@
 	plan     affinity.Plan
 	tried    int
 	evidence []evidence
+	// lost holds the upstreams on which a run of the request was lost.
+	lost []ident.UpstreamID
 	// designated is the upstream that a refusing sidecar named.
 	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
@@ -155,11 +158,12 @@
 
 // resumeHere opens the answer again where the connection to its sidecar broke.
 func (relay *relay) resumeHere(ctx context.Context) error {
+	giveUpAt := relay.server.now().Add(resumeTimeout)
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = resumeFirstWait
 	open := func() (*sidecar.Frames, error) {
 		relay.server.Metrics.Retried(result.AnswerCut)
-		frames, err := relay.server.Sidecars.Resume(ctx, relay.entry.Address, relay.incoming.id, relay.incoming.workspace, relay.assembler.Next())
+		frames, err := relay.server.Sidecars.Resume(ctx, relay.entry.Address, relay.incoming.id, relay.incoming.workspace, relay.assembler.Next(), giveUpAt)
 		if code := result.CodeOf(err); code == result.UnknownAnswer || code == result.AnswerExpired {
 			return nil, backoff.Permanent(err)
 		}
@@ -185,6 +189,7 @@
 			relay.server.Metrics.Refused(result.RetryBudgetSpent)
 			return failure
 		}
+		relay.replan()
 	default:
 		return failure
 	}
@@ -201,13 +206,13 @@
 func (relay *relay) attemptOf(code result.Code) retry.Attempt {
 	candidates := 0
 	if relay.pool != nil {
-		candidates = relay.plan.Len()
+		candidates = len(relay.pool.Entries)
 	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      relay.tried,
+		Tried:      relay.tried + len(relay.lost),
 		Candidates: candidates,
 	}
 }
--- a/daemon/sampler.go
+++ b/daemon/sampler.go
@@ -70,6 +70,13 @@
 	sampler.core.Observe([]admission.Sample{{Upstream: reply.Upstream, Load: reply.Load, SeenAt: time.Now(), Leaving: reply.Leaving}})
 }
 
+// probe watches whether the engine still answers.
+type probe struct {
+	core *sidecar.Sidecar
+}
+
+func (probe *probe) run(ctx context.Context) { probe.core.Probe(ctx) }
+
 // sweep drops what the sidecar need not hold any more.
 type sweep struct {
 	core *sidecar.Sidecar
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -86,6 +86,8 @@
 	if daemon.core.Prefixes != nil {
 		events := &cacheEvents{prefixes: daemon.core.Prefixes}
 		go events.run(ctx)
+		probe := &probe{core: daemon.core}
+		go probe.run(ctx)
 	}
 	go hop.run()
 	return nil
--- a/e2e/chaos_test.go
+++ b/e2e/chaos_test.go
@@ -65,6 +65,10 @@
 			engine.Upstream.Kill()
 			return func() { fleet.StartUpstream(engine, true, engine.Address) }
 		}},
+		{"engine frozen", engine, func() func() {
+			engine.Upstream.Freeze()
+			return engine.Upstream.Resume
+		}},
 		{"engine's sidecar killed", engine, func() func() {
 			engine.Sidecar.Kill()
 			return func() { fleet.StartSidecar(engine, true) }
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -140,18 +140,19 @@
 	}
 	request.ContentLength = int64(len(body) + len(resumeText))
 	request.Header.Set(HeaderCall, string(header))
-	return client.frames(request)
+	return client.frames(request, time.Now().Add(silenceLimit))
 }
 
-// Resume reads the answer of request again from frame number from on.
-func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq) (*Frames, error) {
+// Resume reads the answer of request again from frame number from on. It gives
+// up where the sidecar has not begun to answer at the time giveUpAt.
+func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq, giveUpAt time.Time) (*Frames, error) {
 	query := url.Values{"From": {strconv.FormatUint(uint64(from), 10)}, "Workspace": {string(workspace)}}
 	path := "/v1/answers/" + string(request) + "?" + query.Encode()
 	sent, err := client.request(ctx, http.MethodGet, address, path, nil)
 	if err != nil {
 		return nil, err
 	}
-	frames, _, err := client.frames(sent)
+	frames, _, err := client.frames(sent, giveUpAt)
 	return frames, err
 }
 
@@ -205,9 +206,11 @@
 	return request, nil
 }
 
-func (client *Client) frames(request *http.Request) (*Frames, State, error) {
+// frames sends request and returns the frames of its answer, which has to begin
+// before giveUpAt.
+func (client *Client) frames(request *http.Request, giveUpAt time.Time) (*Frames, State, error) {
 	ctx, cancel := context.WithCancel(request.Context())
-	silence := time.AfterFunc(silenceLimit, cancel)
+	silence := time.AfterFunc(time.Until(giveUpAt), cancel)
 	response, state, err := client.do(request.WithContext(ctx))
 	if err != nil {
 		silence.Stop()
--- a/sidecar/execution.go
+++ b/sidecar/execution.go
@@ -17,6 +17,7 @@
 type execution struct {
 	call        Call
 	fingerprint ident.Fingerprint
+	idempotent  bool
 	cancel      context.CancelFunc
 
 	mu       sync.Mutex
@@ -26,6 +27,7 @@
 	finished bool
 	changed  chan struct{}
 	queued   bool
+	lost     bool
 	readers  int
 	unreadAt time.Time
 }
@@ -66,6 +68,21 @@
 	return execution.state
 }
 
+// lose ends the run of a request on an upstream that no longer answers.
+func (execution *execution) lose() {
+	execution.mu.Lock()
+	execution.lost = true
+	execution.mu.Unlock()
+	execution.cancel()
+}
+
+// wasLost reports whether the run was ended because the upstream was lost.
+func (execution *execution) wasLost() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.lost
+}
+
 // withdraw returns a request that was marked as forwarded, of which no byte
 // was sent, to the state in which nothing was run.
 func (execution *execution) withdraw() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -60,17 +60,21 @@
 	incarnationOnce sync.Once
 	incarnation     string
 
-	mu         sync.Mutex
-	gate       admission.Gate
-	ledger     strike.Ledger
-	last       admission.Decision
-	policyOf   *settings.View
-	leaving    bool
-	executions map[ident.RequestID]*execution
-	attempts   map[ident.AttemptID]*execution
-	waiting    map[ident.AttemptID]chan admission.Start
-	tombstones map[ident.AttemptID]time.Time
-	live       sync.WaitGroup
+	mu       sync.Mutex
+	gate     admission.Gate
+	ledger   strike.Ledger
+	last     admission.Decision
+	policyOf *settings.View
+	// failures counts the probes of the upstream that failed in a row, and
+	// reportedLimit is the limit that it named last.
+	failures      int
+	reportedLimit int
+	leaving       bool
+	executions    map[ident.RequestID]*execution
+	attempts      map[ident.AttemptID]*execution
+	waiting       map[ident.AttemptID]chan admission.Start
+	tombstones    map[ident.AttemptID]time.Time
+	live          sync.WaitGroup
 }
 
 func (sidecar *Sidecar) now() time.Time {
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -21,11 +21,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := sidecar.checkUpstream(); err != nil {
+		return nil, err
+	}
 	now := sidecar.now()
 	deadline := now.Add(time.Duration(call.BudgetMs) * time.Millisecond)
 	fingerprint := fingerprintOf(&call, body)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	started := newExecution(call, fingerprint, sidecar.replayBytes(), cancel)
+	started.idempotent = route.Idempotent
 	waiter, err := sidecar.admit(started, workspace, deadline)
 	if err != nil {
 		cancel()
@@ -81,6 +85,9 @@
 	if sidecar.Limit > 0 {
 		policy.EngineLimit = sidecar.Limit
 	}
+	if sidecar.reportedLimit > 0 {
+		policy.EngineLimit = min(policy.EngineLimit, sidecar.reportedLimit)
+	}
 	policy.LoadMultiple = 0
 	policy.Marks = make(map[ident.Priority]float64)
 	view := sidecar.View()
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -134,6 +134,9 @@
 	if state == peer.AttemptAbandoned {
 		return work.notRun(&failure, now)
 	}
+	if work.execution.wasLost() {
+		return result.Errorf(result.UpstreamFailed, "%v", errUpstreamLost)
+	}
 	if state == peer.AttemptForwarded && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.Errorf(result.DeadlineExpired, "the deadline passed while the upstream was running the request")
 	}
