--- a/sidecar/execution.go
+++ b/sidecar/execution.go
@@ -157,6 +157,20 @@
 	return execution.finished && now.After(execution.replay.ExpiresAt)
 }
 
+// done reports whether the answer has ended.
+func (execution *execution) done() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.finished
+}
+
+// size returns the bytes that the answer's replay buffer holds.
+func (execution *execution) size() ident.Bytes {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.replay.Size()
+}
+
 // attach counts one more reader.
 func (execution *execution) attach() {
 	execution.mu.Lock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,9 @@
 
 const (
 	defaultReplayBytes = ident.Bytes(1 << 20)
-	replayLifetime     = 2 * time.Minute
+	replayLifetime     = time.Minute
+	// maxHeldBytes bounds the replay buffers of all answers together.
+	maxHeldBytes = ident.Bytes(48 << 20)
 	// resumeGrace is how long an answer that nobody reads goes on.
 	resumeGrace   = 10 * time.Second
 	sweepInterval = time.Second
@@ -164,15 +167,22 @@
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
 	sidecar.deliver(sidecar.gate.Expire(now))
-	for request, held := range sidecar.executions {
+	var finished []*execution
+	total := ident.Bytes(0)
+	for _, held := range sidecar.executions {
 		if held.deserted(now.Add(-resumeGrace)) {
 			held.cancel()
 		}
 		if held.expired(now) {
-			delete(sidecar.executions, request)
-			delete(sidecar.attempts, held.call.Attempt)
+			sidecar.drop(held)
+			continue
+		}
+		total += held.size()
+		if held.done() {
+			finished = append(finished, held)
 		}
 	}
+	sidecar.dropOldest(finished, total-maxHeldBytes)
 	for attempt, until := range sidecar.tombstones {
 		if now.After(until) {
 			delete(sidecar.tombstones, attempt)
@@ -180,6 +190,29 @@
 	}
 }
 
+// drop forgets an answer. The caller holds mu.
+func (sidecar *Sidecar) drop(held *execution) {
+	delete(sidecar.executions, held.call.Request)
+	delete(sidecar.attempts, held.call.Attempt)
+}
+
+// dropOldest forgets finished answers, the first finished first, until excess
+// bytes are freed. The caller holds mu.
+func (sidecar *Sidecar) dropOldest(finished []*execution, excess ident.Bytes) {
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(finished, func(a, b *execution) int { return a.replay.ExpiresAt.Compare(b.replay.ExpiresAt) })
+	for _, held := range finished {
+		if excess <= 0 {
+			return
+		}
+		excess -= held.size()
+		sidecar.drop(held)
+		sidecar.Metrics.Happened("answer.dropped")
+	}
+}
+
 // deliver tells queued requests that they left the queue. The caller holds mu.
 func (sidecar *Sidecar) deliver(starts []admission.Start) {
 	for _, start := range starts {
