--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -42,6 +42,9 @@
 	EngineArgs   []string
 	ServiceArgs  []string
 	PlatformArgs []string
+	// Limit is the most requests in flight that each sidecar lets through;
+	// zero means its default.
+	Limit int
 	// Values are further settings of the team.
 	Values map[settings.Path]string
 }
@@ -66,7 +69,7 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	T        *testing.T
+	T        testing.TB
 	Platform *platform.Client
 	// PlatformAt is the stand-in's address.
 	PlatformAt string
@@ -79,7 +82,7 @@
 }
 
 // Start starts a fleet and waits until its routers are ready.
-func Start(t *testing.T, options Options) *Fleet {
+func Start(t testing.TB, options Options) *Fleet {
 	t.Helper()
 	fleet := &Fleet{T: t, dir: t.TempDir(), options: options}
 	stand := start(t, "platform", "hickoryhead-standin", append([]string{"platform"}, options.PlatformArgs...)...)
@@ -156,9 +159,9 @@
 // any, and puts its VM on the platform's list.
 func (fleet *Fleet) StartSidecar(unit *Unit, engine bool) {
 	fleet.T.Helper()
-	described := config.Upstream{ID: unit.ID, Address: unit.Address, Service: Service}
+	described := config.Upstream{ID: unit.ID, Address: unit.Address, Service: Service, Limit: fleet.options.Limit}
 	if engine {
-		described = config.Upstream{ID: unit.ID, Address: unit.Address, Model: Model}
+		described = config.Upstream{ID: unit.ID, Address: unit.Address, Model: Model, Limit: fleet.options.Limit}
 	}
 	loaded := config.Sidecar{
 		Daemon:    fleet.daemon("vm-"+string(unit.ID), unit.VM.PeerAddress),
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -32,7 +32,7 @@
 
 // program returns the path of a program of this module, built once for each
 // test binary.
-func program(t *testing.T, name string) string {
+func program(t testing.TB, name string) string {
 	t.Helper()
 	build.once.Do(func() {
 		build.dir, build.err = os.MkdirTemp("", "fleettest")
@@ -59,7 +59,7 @@
 }
 
 // start runs a program and ends it with the test.
-func start(t *testing.T, label, name string, args ...string) *Process {
+func start(t testing.TB, label, name string, args ...string) *Process {
 	t.Helper()
 	process := &Process{name: label, lines: make(chan string, 16), ended: make(chan struct{})}
 	process.command = exec.Command(program(t, name), args...)
@@ -104,7 +104,7 @@
 }
 
 // line waits for the first line that begins with prefix and returns the rest.
-func (process *Process) line(t *testing.T, prefix string) string {
+func (process *Process) line(t testing.TB, prefix string) string {
 	t.Helper()
 	for {
 		select {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,5 +1,6 @@
 // Package metrics holds the OpenTelemetry instruments of a daemon and serves
-// them in the Prometheus text format.
+// them in the Prometheus text format, with the processor time, the memory and
+// the allocations of its process.
 //
 // It promises that a nil *Set records nothing and never fails, so that the
 // parts can be used without metrics.
@@ -11,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
@@ -54,6 +56,7 @@
 // New returns the instruments of a daemon in role, such as "router".
 func New(role string) (*Set, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics exporter")
