--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -190,3 +190,25 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// BenchmarkLink reports the bytes at the socket of a new link with its first
+// call, and of each further call.
+func BenchmarkLink(b *testing.B) {
+	key := identity(b, 'a')
+	address, stop := serveEcho(b, key, "127.0.0.1:0", &Echo{})
+	defer stop()
+	traffic := &metrics.Traffic{Peer: metrics.PeerDaemon}
+	links := &peer.Links{Identity: key, Traffic: traffic}
+	call := func() {
+		if _, err := callEcho(links, address); err != nil {
+			b.Fatal(err)
+		}
+	}
+	call()
+	opened := traffic.Sent() + traffic.Received()
+	for b.Loop() {
+		call()
+	}
+	b.ReportMetric(float64(opened), "B/open")
+	b.ReportMetric(float64(traffic.Sent()+traffic.Received()-opened)/float64(b.N), "B/call")
+}
