operator: keep an unknown outcome unknown when a later try is refused

A change that was sent again after CommitUnknown and then met an outage was reported as not made. The client now says CommitUnknown; the new test fails on the old client (got PlatformUnavailable).

--- a/operator/client.go
+++ b/operator/client.go
@@ -119,26 +119,32 @@
 	header.Set(HeaderChangeID, uuid.NewString())
 	header.Set(HeaderAuthor, client.Author)
 	header.Set(HeaderReason, client.Reason)
+	unknown := false
 	for try := 1; ; try++ {
 		var accepted Accepted
 		err := client.send(ctx, http.MethodPost, path, body, header, &accepted)
-		if err == nil || !mayRepeat(err) || try == clientTries {
+		code := result.From(err, result.CommitUnknown)
+		switch {
+		case err == nil:
+			return accepted, nil
+		case code.Code == result.CommitUnknown:
+			unknown = true
+		case code.Code != result.PlatformUnavailable:
 			return accepted, err
 		}
-		if client.pause(ctx) != nil {
-			return accepted, err
+		if try == clientTries || client.pause(ctx) != nil {
+			return accepted, outcomeOf(err, unknown)
 		}
 	}
 }
 
-// mayRepeat reports whether the same change may be accepted later, or may have
-// been accepted already.
-func mayRepeat(err error) bool {
-	var refused *result.Error
-	if !errors.As(err, &refused) {
-		return true
+// outcomeOf returns err, or CommitUnknown where an earlier try may have had the
+// change accepted.
+func outcomeOf(err error, unknown bool) error {
+	if unknown {
+		return result.Errorf(result.CommitUnknown, "%v", err)
 	}
-	return refused.Code == result.CommitUnknown || refused.Code == result.PlatformUnavailable
+	return err
 }
 
 func (client *Client) pause(ctx context.Context) error {
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -74,6 +76,37 @@
 	}
 }
 
+// A try whose outcome is unknown stays unknown when a later one is refused.
+func TestClientKeepsAnUnknownOutcome(t *testing.T) {
+	tests := []struct {
+		name  string
+		codes []result.Code
+		want  result.Code
+	}{
+		{"unknown, then unavailable", []result.Code{result.CommitUnknown, result.PlatformUnavailable}, result.CommitUnknown},
+		{"unavailable throughout", []result.Code{result.PlatformUnavailable}, result.PlatformUnavailable},
+		{"unknown, then refused for good", []result.Code{result.CommitUnknown, result.RevisionConflict}, result.RevisionConflict},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tries := 0
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				code := test.codes[min(tries, len(test.codes)-1)]
+				tries++
+				writer.WriteHeader(code.Status())
+				_ = json.NewEncoder(writer).Encode(operator.Refusal{Problem: result.Errorf(code, "").Problem(time.Now())})
+			}))
+			defer server.Close()
+			noPause := func(context.Context) error { return nil }
+			client := &operator.Client{Server: strings.TrimPrefix(server.URL, "http://"), Team: "beaudoin", Pause: noPause}
+			_, err := client.Apply(context.Background(), 0, weights)
+			if got := result.CodeOf(err); got != test.want {
+				t.Errorf("got %v, want %s", err, test.want.Name())
+			}
+		})
+	}
+}
+
 // The change is sent again under its ID until the platform is back.
 func TestClientRepeatsAChangeUnderItsID(t *testing.T) {
 	bench := newBench(t)
--- a/peer/neighbours.go
+++ b/peer/neighbours.go
@@ -21,7 +21,7 @@
 // neighbours are the next and the previous VM on each. So VMs with the same
 // list choose each other, each zone and each region hangs together when cut off
 // from the others, and a VM that joins or leaves changes only its neighbours.
-// Leaving VMs are left out.
+// Leaving VMs and those without a peer address are left out.
 func Neighbours(self platform.VM, vms []platform.VM) []platform.VM {
 	var chosen []platform.VM
 	zone := func(vm platform.VM) bool { return vm.Zone == self.Zone && vm.Region == self.Region }
@@ -41,7 +41,7 @@
 	var next, previous platform.VM
 	ahead, behind := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for _, vm := range vms {
-		if vm.ID == self.ID || vm.Leaving || !on(vm) {
+		if vm.ID == self.ID || vm.Leaving || vm.PeerAddress == "" || !on(vm) {
 			continue
 		}
 		distance := place(ring, vm.ID) - own
