--- a/operator/operator.go
+++ b/operator/operator.go
@@ -63,7 +63,9 @@
 	// Now tells the time; nil means time.Now.
 	Now     func() time.Time
 	Metrics *metrics.Set
-	Logger  *slog.Logger
+	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
+	// nothing.
+	Logger *slog.Logger
 
 	mu sync.Mutex
 	// teams holds the credentials read last, for reads during an outage.
@@ -96,5 +98,8 @@
 }
 
 func (operator *Operator) logger() *slog.Logger {
-	return logging.Part(operator.Logger, "operator")
+	if operator.Logger == nil {
+		return logging.Part(nil, "operator")
+	}
+	return operator.Logger
 }
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -54,7 +54,9 @@
 	CompareEvery   time.Duration
 	LeastPollEvery time.Duration
 	Metrics        *metrics.Set
-	Logger         *slog.Logger
+	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
+	// nothing.
+	Logger *slog.Logger
 
 	view  atomic.Pointer[settings.View]
 	ready atomic.Bool
@@ -256,5 +258,8 @@
 }
 
 func (replicator *Replicator) logger() *slog.Logger {
-	return logging.Part(replicator.Logger, "settings")
+	if replicator.Logger == nil {
+		return logging.Part(nil, "settings")
+	}
+	return replicator.Logger
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,7 +37,9 @@
 	// Traffic counts the bytes of all connections; nil counts none.
 	Traffic *metrics.Traffic
 	Metrics *metrics.Set
-	Logger  *slog.Logger
+	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
+	// nothing.
+	Logger *slog.Logger
 
 	rpc   rpc.Server
 	conns connSet
@@ -86,13 +88,20 @@
 	secured, err := server.secure(ctx, conn)
 	if err != nil {
 		server.Metrics.Happened(eventRefused)
-		logging.Part(server.Logger, "peer").Warn("refused a connection", "from", conn.RemoteAddr().String(), "error", err)
+		server.logger().Warn("refused a connection", "from", conn.RemoteAddr().String(), "error", err)
 		return
 	}
 	server.Metrics.Happened(eventAccepted)
 	server.rpc.ServeConn(secured)
 }
 
+func (server *Server) logger() *slog.Logger {
+	if server.Logger == nil {
+		return logging.Part(nil, "peer")
+	}
+	return server.Logger
+}
+
 func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if server.Identity == nil {
 		return nil, ErrNotProved
