--- a/caller/relay.go
+++ b/caller/relay.go
@@ -208,11 +208,16 @@
 	if relay.pool != nil {
 		candidates = len(relay.pool.Entries)
 	}
+	tried := relay.tried + len(relay.lost)
+	if code.Outcome() != result.NotRun {
+		// The upstreams that declined it may take it when it starts over.
+		tried = len(relay.lost) + 1
+	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      relay.tried + len(relay.lost),
+		Tried:      tried,
 		Candidates: candidates,
 	}
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
@@ -43,7 +42,6 @@
 	// Key signs the affinity header; all routers share it.
 	Key     []byte
 	Metrics *metrics.Set
-	Logger  *slog.Logger
 	// Ready says whether new requests may be sent here; nil means always.
 	Ready func() bool
 	// Now is the clock; nil means time.Now.
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -75,7 +75,7 @@
 		directory: &directory.Directory{Region: loaded.Region},
 	}
 	base.platform = platform.New(loaded.Platform, base.stored)
-	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logging.Part(logger, "peer")}
+	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logger}
 	base.links = &peer.Links{Identity: identity, Traffic: base.peered, Metrics: set}
 	base.store = &platform.Settings{Client: base.platform}
 	base.settings = &peer.Replicator{
@@ -83,7 +83,7 @@
 		Heads:   base.store.Heads,
 		Load:    base.store.Load,
 		Metrics: set,
-		Logger:  logging.Part(logger, "settings"),
+		Logger:  logger,
 	}
 	return base, base.server.Register("Settings", base.settings.Receiver())
 }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -12,7 +12,6 @@
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
@@ -70,7 +69,6 @@
 		Sidecars:  router.sidecars(),
 		Key:       base.secretFor("affinity"),
 		Metrics:   base.metrics,
-		Logger:    logging.Part(router.Logger, "caller"),
 		Ready:     router.ready,
 		Loads:     &router.loads,
 	}
@@ -151,7 +149,7 @@
 		Team:     base.store.Team,
 		Snapshot: base.store.WriteSnapshot,
 		Metrics:  base.metrics,
-		Logger:   logging.Part(router.Logger, "operator"),
+		Logger:   router.Logger,
 	}
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -12,7 +12,6 @@
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -110,7 +109,7 @@
 		View:        base.view,
 		ReplayBytes: daemon.Config.ReplayBytes,
 		Metrics:     base.metrics,
-		Logger:      logging.Part(daemon.Logger, "sidecar"),
+		Logger:      daemon.Logger,
 	}
 	core.PoolIDs = daemon.poolIDs
 	if configured.Service != "" {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -27,7 +27,7 @@
 	if err := threshold.UnmarshalText([]byte(level)); err != nil {
 		return nil, errors.Wrapf(err, "log level %q: want debug, info, warn or error", level)
 	}
-	options := &slog.HandlerOptions{Level: threshold}
+	options := &slog.HandlerOptions{Level: threshold, ReplaceAttr: shorten}
 	switch format {
 	case Text:
 		return slog.New(slog.NewTextHandler(out, options)), nil
@@ -37,6 +37,14 @@
 	return nil, errors.Newf("log format %q: want text or json", format)
 }
 
+// shorten logs the text of an error without its stack trace.
+func shorten(_ []string, attr slog.Attr) slog.Attr {
+	if err, ok := attr.Value.Any().(error); ok {
+		return slog.String(attr.Key, err.Error())
+	}
+	return attr
+}
+
 // Part returns logger with the prefix of part before each message. A nil
 // logger gives one that discards everything.
 func Part(logger *slog.Logger, part string) *slog.Logger {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -234,10 +235,7 @@
 }
 
 func (sidecar *Sidecar) log() *slog.Logger {
-	if sidecar.Logger == nil {
-		return slog.New(slog.DiscardHandler)
-	}
-	return sidecar.Logger
+	return logging.Part(sidecar.Logger, "sidecar")
 }
 
 // Abandon makes sure that an attempt that was not forwarded never will be, even
