--- a/peer/message.go
+++ b/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
 )
 
@@ -14,6 +15,7 @@
 	MethodPush    = "Settings.Push"
 	MethodPull    = "Settings.Pull"
 	MethodCompare = "Settings.Compare"
+	MethodOrder   = "Orders.Take"
 )
 
 // SampleArgs asks a sidecar for its load.
@@ -91,6 +93,17 @@
 	VM ident.VMID
 }
 
+// OrderArgs asks a sidecar to have its engine hold a model.
+type OrderArgs struct {
+	Model ident.ModelName
+	Fence ident.FencingNumber
+}
+
+// OrderReply says what became of an order.
+type OrderReply struct {
+	Code result.Code
+}
+
 // Nothing is an empty reply.
 type Nothing struct{}
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -15,6 +15,8 @@
 	Upstream ident.UpstreamID
 	Zone     ident.Zone
 	Model    ident.ModelName
+	// Fixed says that the engine cannot be moved now.
+	Fixed bool
 }
 
 // Move is an engine that shall hold another model.
@@ -124,7 +126,7 @@
 	found := false
 	for _, upstream := range planner.order {
 		engine := planner.engines[upstream]
-		if planner.moved[upstream] || planner.held[engine.Model] <= planner.demands[engine.Model] {
+		if engine.Fixed || planner.moved[upstream] || planner.held[engine.Model] <= planner.demands[engine.Model] {
 			continue
 		}
 		if !found || planner.compare(engine, best, to) < 0 {
