placement: record orders in the table for the next holder of the lease

With a list of VMs that lags 30 s, TestAnotherRouterTakesOver saw 7 orders where 5 are needed: the new holder did not know what the one before had ordered and moved other engines as well. Each order is now recorded before it is given, and read back at the start of a tenure; the test sees 5. Weighed: to wait out the lag after each change of holder, which stalls every takeover and misses loads that take longer; and to ask every sidecar, 2,300 calls at a takeover.

--- a/placement/conductor.go
+++ b/placement/conductor.go
@@ -30,9 +30,10 @@
 
 // Events that the conductor counts.
 const (
-	eventOrdered     = "placement.ordered"
-	eventCarriedOut  = "placement.done"
-	eventOrderFailed = "placement.failed"
+	eventOrdered      = "placement.ordered"
+	eventCarriedOut   = "placement.done"
+	eventOrderFailed  = "placement.failed"
+	eventRecordFailed = "placement.record.failed"
 )
 
 // Conductor gives the orders that lead to the placements in force, while its
@@ -46,6 +47,10 @@
 	Engines func() []Engine
 	// Order gives an order to the sidecar of an upstream.
 	Order func(ctx context.Context, upstream ident.UpstreamID, args peer.OrderArgs) (peer.OrderReply, error)
+	// ReadRecord and WriteRecord keep the orders given lately in the table, as
+	// RecordTable does.
+	ReadRecord  func(ctx context.Context) (Record, error)
+	WriteRecord func(ctx context.Context, record Record) error
 	// LoadEvery is the least time between two loads from the weight store; zero
 	// means 10 s.
 	LoadEvery time.Duration
@@ -90,21 +95,60 @@
 	if !held {
 		return
 	}
+	if err := conductor.begin(ctx, fence, now); err != nil {
+		conductor.recordFailed(err)
+		return
+	}
 	next := conductor.choose(fence, now)
 	if next == nil {
 		return
 	}
+	if err := conductor.record(ctx); err != nil {
+		conductor.recordFailed(err)
+		conductor.withdraw(next)
+		return
+	}
 	conductor.Metrics.Happened(eventOrdered)
 	conductor.logger().Info("Ordered a move.", "upstream", next.move.Upstream, "from", next.move.From, "to", next.move.To, "fence", fence)
 	conductor.tasks.Add(1)
 	go next.run(ctx)
 }
 
+func (conductor *Conductor) recordFailed(err error) {
+	conductor.Metrics.Happened(eventRecordFailed)
+	conductor.logger().Warn("Orders not recorded.", "error", err)
+}
+
+// begin takes over the orders of the holder before at the start of a tenure.
+func (conductor *Conductor) begin(ctx context.Context, fence ident.FencingNumber, now time.Time) error {
+	conductor.mu.Lock()
+	begun := conductor.tenure == fence && conductor.orders != nil
+	conductor.mu.Unlock()
+	if begun {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	record, err := conductor.ReadRecord(ctx)
+	if err != nil {
+		return err
+	}
+	conductor.mu.Lock()
+	defer conductor.mu.Unlock()
+	conductor.tenure = fence
+	// The holder before may have begun a load just now.
+	conductor.loadAt = now.Add(conductor.loadEvery())
+	conductor.orders = make(map[ident.UpstreamID]*order)
+	for upstream, model := range record.Models {
+		conductor.orders[upstream] = &order{conductor: conductor, move: Move{Upstream: upstream, To: model}, fence: fence, forgetAt: now.Add(shownWithin)}
+	}
+	return nil
+}
+
 // choose returns the next order, or nil where none is due.
 func (conductor *Conductor) choose(fence ident.FencingNumber, now time.Time) *order {
 	conductor.mu.Lock()
 	defer conductor.mu.Unlock()
-	conductor.begin(fence)
 	engines := conductor.engines(now)
 	if now.Before(conductor.loadAt) || conductor.running() >= conductor.loads() {
 		return nil
@@ -121,14 +165,27 @@
 	return nil
 }
 
-// begin forgets the orders of an earlier tenure: another daemon may have moved
-// the engines since.
-func (conductor *Conductor) begin(fence ident.FencingNumber) {
-	if conductor.tenure == fence && conductor.orders != nil {
-		return
+// record writes the orders of this tenure to the table, before the latest of
+// them is given.
+func (conductor *Conductor) record(ctx context.Context) error {
+	conductor.mu.Lock()
+	record := Record{Fence: conductor.tenure, Models: make(map[ident.UpstreamID]ident.ModelName)}
+	for upstream, present := range conductor.orders {
+		if !present.failed {
+			record.Models[upstream] = present.move.To
+		}
 	}
-	conductor.tenure = fence
-	conductor.orders = make(map[ident.UpstreamID]*order)
+	conductor.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return conductor.WriteRecord(ctx, record)
+}
+
+// withdraw forgets an order that was not given.
+func (conductor *Conductor) withdraw(order *order) {
+	conductor.mu.Lock()
+	defer conductor.mu.Unlock()
+	delete(conductor.orders, order.move.Upstream)
 }
 
 // engines returns the engines with the orders of this tenure taken into account.
--- a/placement/conductor_test.go
+++ b/placement/conductor_test.go
@@ -24,6 +24,8 @@
 	rota      ident.ModelName = "rota-4b@1"
 	planogram ident.ModelName = "planogram-7b@3"
 	loadTime                  = 5 * time.Second
+	// listLag is how late the list of VMs shows what an engine holds.
+	listLag = 30 * time.Second
 )
 
 // yard is a few engines with their sidecars' guards, and the routers that want
@@ -41,6 +43,8 @@
 
 	mu     sync.Mutex
 	model  ident.ModelName
+	former ident.ModelName
+	since  time.Time
 	orders []upstream.Order
 	at     []time.Time
 }
@@ -53,10 +57,20 @@
 	time.Sleep(loadTime)
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	engine.model = order.Model
+	engine.former, engine.model, engine.since = engine.model, order.Model, time.Now()
 	return nil
 }
 
+// shown returns the model that the list of VMs shows.
+func (engine *engine) shown() ident.ModelName {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if time.Since(engine.since) < listLag {
+		return engine.former
+	}
+	return engine.model
+}
+
 func newYard(t *testing.T, engines int, demands map[ident.ModelName]int) *yard {
 	t.Helper()
 	made := &yard{t: t, table: &standin.Platform{}}
@@ -97,9 +111,7 @@
 func (yard *yard) list() []placement.Engine {
 	var list []placement.Engine
 	for i, engine := range yard.engines {
-		engine.mu.Lock()
-		list = append(list, placement.Engine{Upstream: ident.UpstreamID(fmt.Sprint(i)), Zone: ident.Zone(fmt.Sprint(i % 3)), Model: engine.model})
-		engine.mu.Unlock()
+		list = append(list, placement.Engine{Upstream: ident.UpstreamID(fmt.Sprint(i)), Zone: ident.Zone(fmt.Sprint(i % 3)), Model: engine.shown()})
 	}
 	return list
 }
@@ -122,11 +134,14 @@
 
 func (yard *yard) router(name ident.VMID) *router {
 	tenure := &placement.Tenure{VM: name, Client: yard.client()}
+	record := &placement.RecordTable{Client: yard.client()}
 	return &router{tenure: tenure, conductor: &placement.Conductor{
-		Held:    tenure.Held,
-		View:    func() *settings.View { return yard.view },
-		Engines: yard.list,
-		Order:   yard.give,
+		ReadRecord:  record.Read,
+		WriteRecord: record.Write,
+		Held:        tenure.Held,
+		View:        func() *settings.View { return yard.view },
+		Engines:     yard.list,
+		Order:       yard.give,
 	}}
 }
 
@@ -176,14 +191,12 @@
 				t.Errorf("got two loads %v apart, want at least %v", got, want)
 			}
 		}
-		if got, want := countModels(yard.list())[planogram], 5; got != want {
+		if got, want := held(yard.list())[planogram], 5; got != want {
 			t.Errorf("got %d engines with the model, want %d", got, want)
 		}
 	})
 }
 
-func countModels(engines []placement.Engine) map[ident.ModelName]int { return held(engines) }
-
 // The holder dies in the middle: another takes over after the lease has lapsed
 // and gives only the orders that are left.
 func TestAnotherRouterTakesOver(t *testing.T) {
