--- a/claim/decide.go
+++ b/claim/decide.go
@@ -80,7 +80,7 @@
 func (machine *Machine) decideForeign(now time.Time, seen seenRow) Step {
 	machine.foreign = true
 	if machine.gone && seen.row.Revision == machine.asked.Revision {
-		return machine.refuse(now, result.OutcomeUnknown, "the sidecar that held the claim is gone")
+		return machine.refuse(now, result.OutcomeUnknown, "the sidecar that holds the claim cannot be asked")
 	}
 	if machine.late(now) {
 		return machine.abandon(now)
