--- a/operator/answer.go
+++ b/operator/answer.go
@@ -28,7 +28,7 @@
 	request.Header("ETag", etag(revision))
 	request.StatusCode(status)
 	if err := request.JSON(body); err != nil {
-		operator.logger().Debug("answer not written", "error", err)
+		operator.logger().Debug("Answer not written.", "error", err)
 	}
 }
 
@@ -44,11 +44,11 @@
 		request.Header("Retry-After", strconv.Itoa(1+int(refusal.RetryAt.Sub(now)/time.Second)))
 	}
 	operator.Metrics.Refused(refusal.Code)
-	operator.logger().Info("refused", "method", request.Method(), "path", request.Path(), "code", refusal.Code.String(), "detail", refusal.Detail)
+	operator.logger().Info("Refused.", "method", request.Method(), "path", request.Path(), "code", refusal.Code.String(), "detail", refusal.Detail)
 	request.Header(HeaderResult, refusal.Code.String())
 	request.StatusCode(refusal.Code.Status())
 	if err := request.JSON(Refusal{Problem: refusal.Problem(now), Present: present}); err != nil {
-		operator.logger().Debug("refusal not written", "error", err)
+		operator.logger().Debug("Refusal not written.", "error", err)
 	}
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -141,7 +141,7 @@
 		return
 	}
 	operator.inForce(accepted)
-	operator.logger().Info("accepted a change", "team", change.Team, "revision", accepted.Revision, "change", change.ID, "author", change.Author)
+	operator.logger().Info("Accepted a change.", "team", change.Team, "revision", accepted.Revision, "change", change.ID, "author", change.Author)
 	operator.answer(request, http.StatusOK, accepted.Revision, Accepted{
 		Team:     change.Team,
 		Revision: accepted.Revision,
@@ -180,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
 	defer cancel()
 	if err := operator.Snapshot(ctx, view); err != nil {
-		operator.logger().Warn("snapshot not stored", "error", err)
+		operator.logger().Warn("Snapshot not stored.", "error", err)
 		return
 	}
 	operator.Metrics.Happened(eventSnapshot)
@@ -190,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
 	defer cancel()
 	if err := operator.Archive(ctx, team, latest); err != nil {
-		operator.logger().Warn("history not archived", "team", team, "error", err)
+		operator.logger().Warn("History not archived.", "team", team, "error", err)
 		return
 	}
 	operator.Metrics.Happened(eventArchive)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -63,9 +63,7 @@
 	// Now tells the time; nil means time.Now.
 	Now     func() time.Time
 	Metrics *metrics.Set
-	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
-	// nothing.
-	Logger *slog.Logger
+	Logger  *slog.Logger
 
 	mu sync.Mutex
 	// teams holds the credentials read last, for reads during an outage.
@@ -98,8 +96,5 @@
 }
 
 func (operator *Operator) logger() *slog.Logger {
-	if operator.Logger == nil {
-		return logging.Part(nil, "operator")
-	}
-	return operator.Logger
+	return logging.Part(operator.Logger, "operator")
 }
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -215,5 +215,5 @@
 		return
 	}
 	replicator.Metrics.Happened(event)
-	replicator.logger().Info("ready", "by", event, "teams", replicator.View().Teams())
+	replicator.logger().Info("Ready.", "by", event, "teams", replicator.View().Teams())
 }
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -54,9 +54,7 @@
 	CompareEvery   time.Duration
 	LeastPollEvery time.Duration
 	Metrics        *metrics.Set
-	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
-	// nothing.
-	Logger *slog.Logger
+	Logger         *slog.Logger
 
 	view  atomic.Pointer[settings.View]
 	ready atomic.Bool
@@ -124,7 +122,7 @@
 		return false
 	}
 	replicator.Metrics.Happened(eventAdopted)
-	replicator.logger().Debug("adopted settings", "team", subtree.Team, "revision", subtree.Revision)
+	replicator.logger().Debug("Adopted settings.", "team", subtree.Team, "revision", subtree.Revision)
 	if replicator.Adopted != nil {
 		replicator.Adopted(subtree)
 	}
@@ -258,8 +256,5 @@
 }
 
 func (replicator *Replicator) logger() *slog.Logger {
-	if replicator.Logger == nil {
-		return logging.Part(nil, "settings")
-	}
-	return replicator.Logger
+	return logging.Part(replicator.Logger, "settings")
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,9 +37,7 @@
 	// Traffic counts the bytes of all connections; nil counts none.
 	Traffic *metrics.Traffic
 	Metrics *metrics.Set
-	// Logger carries the prefix of its part, as logging.Part gives it; nil logs
-	// nothing.
-	Logger *slog.Logger
+	Logger  *slog.Logger
 
 	rpc   rpc.Server
 	conns connSet
@@ -88,7 +86,7 @@
 	secured, err := server.secure(ctx, conn)
 	if err != nil {
 		server.Metrics.Happened(eventRefused)
-		server.logger().Warn("refused a connection", "from", conn.RemoteAddr().String(), "error", err)
+		server.logger().Warn("Refused a connection.", "from", conn.RemoteAddr().String(), "error", err)
 		return
 	}
 	server.Metrics.Happened(eventAccepted)
@@ -96,10 +94,7 @@
 }
 
 func (server *Server) logger() *slog.Logger {
-	if server.Logger == nil {
-		return logging.Part(nil, "peer")
-	}
-	return server.Logger
+	return logging.Part(server.Logger, "peer")
 }
 
 func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
--- a/placement/conductor.go
+++ b/placement/conductor.go
@@ -57,8 +57,7 @@
 	// Loads is the most loads at one time; zero means 2.
 	Loads   int
 	Metrics *metrics.Set
-	// Logger carries the prefix of its part; nil logs nothing.
-	Logger *slog.Logger
+	Logger  *slog.Logger
 
 	mu sync.Mutex
 	// tenure is the fencing number under which orders was collected.
@@ -274,8 +273,5 @@
 }
 
 func (conductor *Conductor) logger() *slog.Logger {
-	if conductor.Logger == nil {
-		return logging.Part(nil, "placement")
-	}
-	return conductor.Logger
+	return logging.Part(conductor.Logger, "placement")
 }
