--- a/cmd/hickoryhead/settings.go
+++ b/cmd/hickoryhead/settings.go
@@ -234,7 +234,7 @@
 		preview, err := client.PreviewUndo(cmd.Context(), revision)
 		return showPreview(cmd.OutOrStdout(), preview, err)
 	}
-	list, err := client.List(cmd.Context(), "")
+	list, err := client.ListAccepted(cmd.Context())
 	if err != nil {
 		return err
 	}
@@ -242,13 +242,13 @@
 	return showAccepted(cmd, accepted, err)
 }
 
-// change commits values on the revision in force, or shows what they would do.
+// change commits values on the accepted revision, or shows what they would do.
 func (flags *settingsFlags) change(cmd *cobra.Command, values map[settings.Path]json.RawMessage, replace bool) error {
 	client, err := flags.client()
 	if err != nil {
 		return err
 	}
-	list, err := client.List(cmd.Context(), "")
+	list, err := client.ListAccepted(cmd.Context())
 	if err != nil {
 		return err
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -54,7 +54,7 @@
 // Unwrap returns the refusal.
 func (e *RacedError) Unwrap() error { return e.Problem }
 
-// List returns the settings of the team; an empty kind means all kinds.
+// List returns the settings of the team in force at the router; an empty kind means all kinds.
 func (client *Client) List(ctx context.Context, kind settings.Kind) (Listing, error) {
 	path := client.teamPath()
 	if kind != "" {
@@ -64,6 +64,13 @@
 	return list, client.send(ctx, http.MethodGet, path, nil, nil, &list)
 }
 
+// ListAccepted returns the settings of the team in the table, on which the next
+// change has to build.
+func (client *Client) ListAccepted(ctx context.Context) (Listing, error) {
+	var list Listing
+	return list, client.send(ctx, http.MethodGet, client.teamPath()+"?Accepted=true", nil, nil, &list)
+}
+
 // Get returns one setting.
 func (client *Client) Get(ctx context.Context, kind settings.Kind, name string) (json.RawMessage, error) {
 	path := client.teamPath() + "/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -27,6 +27,7 @@
 type bench struct {
 	t        *testing.T
 	platform *standin.Platform
+	client   *platform.Client
 	handler  http.Handler
 }
 
@@ -35,7 +36,8 @@
 	made := &bench{t: t, platform: &standin.Platform{}}
 	server := httptest.NewServer(made.platform)
 	t.Cleanup(server.Close)
-	store := &platform.Settings{Client: platform.New(strings.TrimPrefix(server.URL, "http://"), nil)}
+	made.client = platform.New(strings.TrimPrefix(server.URL, "http://"), nil)
+	store := &platform.Settings{Client: made.client}
 	for _, team := range []ident.TeamID{"beaudoin", "ndiaye"} {
 		row := platform.Team{CredentialSHA256: []string{platform.HashCredential("secret of " + string(team))}}
 		if err := store.PutTeam(context.Background(), team, row); err != nil {
@@ -206,6 +208,18 @@
 	bench.want(bench.ask("POST", "/v1/settings/undo", "beaudoin", undo, "If-Match", "3"), result.RevisionConflict, "a later change touched it")
 }
 
+// A router that has not heard of a change yet still shows what was accepted.
+func TestAcceptedSettingsAreThoseOfTheTable(t *testing.T) {
+	bench := newBench(t)
+	store := &platform.Settings{Client: bench.client}
+	change := settings.Change{ID: "elsewhere", Team: "beaudoin", Values: weights}
+	if _, err := store.Accept(context.Background(), change); err != nil {
+		t.Fatal(err)
+	}
+	bench.want(bench.ask("GET", "/v1/settings/Teams/beaudoin", "beaudoin", ""), result.OK, `"Revision":0`)
+	bench.want(bench.ask("GET", "/v1/settings/Teams/beaudoin?Accepted=true", "beaudoin", ""), result.OK, `"Revision":1`)
+}
+
 func TestDryRunChangesNothing(t *testing.T) {
 	bench := newBench(t)
 	body := `{"Team":"beaudoin","Values":{"/Teams/beaudoin/Priorities/shelf":{"Mark":1}}}`
--- a/operator/read.go
+++ b/operator/read.go
@@ -25,13 +25,23 @@
 	return settings.ParsePath(address.Path())
 }
 
-// getTeam answers with all settings of a team that are in force here.
+// getTeam answers with all settings of a team: those in force here, or with
+// ?Accepted=true those in the table, which may come into force only now.
 func (operator *Operator) getTeam(request iris.Context) {
 	team := teamOf(request)
 	if !operator.authorize(request, team, false) {
 		return
 	}
-	list := listing(operator.View().Team(team), team, "")
+	subtree := operator.View().Team(team)
+	if request.URLParam("Accepted") == "true" {
+		var err error
+		subtree, err = operator.present(request.Request().Context(), team)
+		if err != nil {
+			operator.refuse(request, err)
+			return
+		}
+	}
+	list := listing(subtree, team, "")
 	operator.answer(request, http.StatusOK, list.Revision, list)
 }
 
