Wire placement orders, and leave the sidecar's last word time to arrive

A claim that the slow table did not confirm ended at the same moment as the router's own deadline, so that the caller was told DeadlineExpired (unknown) in place of ClaimUnavailable (not run): TestAtMostOnce, the table slower than the commit's timeout. The router now keeps a tenth of the remaining time, at most 200 ms, back from the sidecar's budget. Routers stand for the placement lease; sidecars guard orders and go by the model that the engine reports.

--- a/caller/place.go
+++ b/caller/place.go
@@ -12,6 +12,13 @@
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
 
+const (
+	// maxBudgetMargin and the budgetMarginPart-th part of what remains bound
+	// the time that the router keeps back of a request's deadline.
+	maxBudgetMargin  = 200 * time.Millisecond
+	budgetMarginPart = 10
+)
+
 // open offers the request to upstreams in their order until one takes it. Its
 // error is a *result.Error and final.
 func (relay *relay) open(ctx context.Context) error {
@@ -133,6 +140,13 @@
 	return seen
 }
 
+// budget returns the time that a sidecar gets of what remains, so that its last
+// word, such as "not run", still reaches the caller before the deadline.
+func budget(remains time.Duration) time.Duration {
+	margin := min(maxBudgetMargin, remains/budgetMarginPart)
+	return max(time.Millisecond, remains-margin)
+}
+
 func (relay *relay) call() sidecar.Call {
 	incoming := relay.incoming
 	return sidecar.Call{
@@ -145,7 +159,7 @@
 		Priority:     incoming.priority,
 		Key:          incoming.key,
 		Prior:        incoming.hint,
-		BudgetMs:     max(1, incoming.deadline.Sub(relay.server.now()).Milliseconds()),
+		BudgetMs:     budget(incoming.deadline.Sub(relay.server.now())).Milliseconds(),
 		ResumeFrames: relay.assembler.Next() - 1,
 		Evidence:     relay.loadsSeen(),
 	}
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -75,15 +75,16 @@
 		directory: &directory.Directory{Region: loaded.Region},
 	}
 	base.platform = platform.New(loaded.Platform, base.stored)
-	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logger}
+	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logging.Part(logger, "peer")}
 	base.links = &peer.Links{Identity: identity, Traffic: base.peered, Metrics: set}
 	base.store = &platform.Settings{Client: base.platform}
 	base.settings = &peer.Replicator{
-		Call:    base.links.Call,
-		Heads:   base.store.Heads,
-		Load:    base.store.Load,
-		Metrics: set,
-		Logger:  logger,
+		Call:     base.links.Call,
+		Heads:    base.store.Heads,
+		Load:     base.store.Load,
+		Snapshot: base.store.ReadSnapshot,
+		Metrics:  set,
+		Logger:   logging.Part(logger, "settings"),
 	}
 	return base, base.server.Register("Settings", base.settings.Receiver())
 }
--- /dev/null
+++ b/daemon/placement.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/placement"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+// startPlacement lets the router stand for the placement lease and, while it
+// holds it, give the orders that the placements in force ask for.
+func (router *Router) startPlacement(ctx context.Context) {
+	base := router.base
+	tenure := &placement.Tenure{VM: router.Config.VM, Client: base.platform}
+	conductor := &placement.Conductor{
+		Held:    tenure.Held,
+		View:    base.view,
+		Engines: router.engines,
+		Order:   router.order,
+		Metrics: base.metrics,
+		Logger:  logging.Part(router.Logger, "placement"),
+	}
+	holding := &leaseHolding{tenure: tenure}
+	go holding.run(ctx)
+	conducting := &orderGiving{conductor: conductor}
+	go conducting.run(ctx)
+}
+
+// engines returns the model engines that the list of VMs shows.
+func (router *Router) engines() []placement.Engine {
+	var engines []placement.Engine
+	for _, entry := range router.base.directory.Entries() {
+		if entry.Serves.Model == "" {
+			continue
+		}
+		engines = append(engines, placement.Engine{
+			Upstream: entry.Upstream,
+			Zone:     entry.Zone,
+			Model:    entry.Serves.Model,
+			Fixed:    router.base.directory.Leaving(entry.Upstream),
+		})
+	}
+	return engines
+}
+
+// order gives an order to the sidecar of an upstream.
+func (router *Router) order(ctx context.Context, upstream ident.UpstreamID, args peer.OrderArgs) (peer.OrderReply, error) {
+	entry, found := router.base.directory.Entry(upstream)
+	if !found {
+		return peer.OrderReply{}, result.Errorf(result.NoUpstream, "upstream %q", upstream)
+	}
+	var reply peer.OrderReply
+	err := router.base.links.Call(ctx, entry.PeerAddress, peer.MethodOrder, args, &reply)
+	return reply, err
+}
+
+// leaseHolding stands for the placement lease until its context ends.
+type leaseHolding struct {
+	tenure *placement.Tenure
+}
+
+func (holding *leaseHolding) run(ctx context.Context) { holding.tenure.Run(ctx) }
+
+// orderGiving gives orders under the lease until its context ends.
+type orderGiving struct {
+	conductor *placement.Conductor
+}
+
+func (giving *orderGiving) run(ctx context.Context) { giving.conductor.Run(ctx) }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
@@ -77,6 +78,7 @@
 	}
 	watch := &vmWatch{base: base, self: router.Config.VM, logger: base.logger, leave: router.leave}
 	go watch.run(ctx)
+	router.startPlacement(ctx)
 	go router.callerAt.run()
 	go router.operators.run()
 	return nil
@@ -148,8 +150,9 @@
 		Entry:    base.store.Entry,
 		Team:     base.store.Team,
 		Snapshot: base.store.WriteSnapshot,
+		Archive:  base.store.Archive,
 		Metrics:  base.metrics,
-		Logger:   router.Logger,
+		Logger:   logging.Part(router.Logger, "operator"),
 	}
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -12,8 +12,10 @@
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/placement"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 	"github.com/hickoryhead/hickoryhead/upstream"
@@ -109,7 +111,7 @@
 		View:        base.view,
 		ReplayBytes: daemon.Config.ReplayBytes,
 		Metrics:     base.metrics,
-		Logger:      daemon.Logger,
+		Logger:      logging.Part(daemon.Logger, "sidecar"),
 	}
 	core.PoolIDs = daemon.poolIDs
 	if configured.Service != "" {
@@ -124,6 +126,15 @@
 	return core
 }
 
+// newGuard returns the part that refuses orders of earlier lease holders.
+func (daemon *Sidecar) newGuard() *placement.Guard {
+	return &placement.Guard{
+		Current: placement.CurrentFence(daemon.base.platform),
+		Order:   daemon.core.Client.Order,
+		Metrics: daemon.base.metrics,
+	}
+}
+
 // newClaimer returns the part that claims requests that are not idempotent.
 func (daemon *Sidecar) newClaimer() *claimtable.Claimer {
 	base := daemon.base
@@ -133,7 +144,7 @@
 		Ask:       daemon.askHolder,
 		MaxWrites: daemon.Config.ClaimsPerSecond,
 		Metrics:   base.metrics,
-		Logger:    daemon.Logger,
+		Logger:    logging.Part(daemon.Logger, "claimtable"),
 	})
 }
 
@@ -170,6 +181,7 @@
 		"Load":     (*loadService)(services),
 		"Leaving":  (*leavingService)(services),
 		"Strikes":  (*strikeService)(services),
+		"Orders":   daemon.newGuard(),
 		"Attempts": (*attemptService)(services),
 	}
 	for name, receiver := range receivers {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -48,10 +48,15 @@
 // Part returns logger with the prefix of part before each message. A nil
 // logger gives one that discards everything.
 func Part(logger *slog.Logger, part string) *slog.Logger {
+	return slog.New(&prefixHandler{Handler: OrDiscard(logger).Handler(), prefix: part + ": "})
+}
+
+// OrDiscard returns logger, or one that discards everything for nil.
+func OrDiscard(logger *slog.Logger) *slog.Logger {
 	if logger == nil {
 		return slog.New(slog.DiscardHandler)
 	}
-	return slog.New(&prefixHandler{Handler: logger.Handler(), prefix: part + ": "})
+	return logger
 }
 
 type prefixHandler struct {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -98,8 +98,5 @@
 }
 
 func (operator *Operator) logger() *slog.Logger {
-	if operator.Logger == nil {
-		return logging.Part(nil, "operator")
-	}
-	return operator.Logger
+	return logging.OrDiscard(operator.Logger)
 }
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -258,8 +258,5 @@
 }
 
 func (replicator *Replicator) logger() *slog.Logger {
-	if replicator.Logger == nil {
-		return logging.Part(nil, "settings")
-	}
-	return replicator.Logger
+	return logging.OrDiscard(replicator.Logger)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -96,10 +96,7 @@
 }
 
 func (server *Server) logger() *slog.Logger {
-	if server.Logger == nil {
-		return logging.Part(nil, "peer")
-	}
-	return server.Logger
+	return logging.OrDiscard(server.Logger)
 }
 
 func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
--- a/placement/conductor.go
+++ b/placement/conductor.go
@@ -217,8 +217,5 @@
 }
 
 func (conductor *Conductor) logger() *slog.Logger {
-	if conductor.Logger == nil {
-		return logging.Part(nil, "placement")
-	}
-	return conductor.Logger
+	return logging.OrDiscard(conductor.Logger)
 }
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
 const (
@@ -44,7 +45,7 @@
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
 	if err == nil {
-		sidecar.answered(report.Limit)
+		sidecar.answered(report)
 		return
 	}
 	sidecar.failures++
@@ -54,13 +55,14 @@
 }
 
 // answered takes note of a load report. The caller holds mu.
-func (sidecar *Sidecar) answered(limit int) {
+func (sidecar *Sidecar) answered(report upstream.Load) {
 	if sidecar.failures >= probeFailures {
 		sidecar.log().Info("The upstream answers again.")
 	}
 	sidecar.failures = 0
-	if limit != sidecar.reportedLimit {
-		sidecar.reportedLimit = limit
+	if report.Limit != sidecar.reportedLimit || report.Model != sidecar.reportedModel {
+		sidecar.reportedLimit = report.Limit
+		sidecar.reportedModel = report.Model
 		sidecar.policyOf = nil
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,10 +69,11 @@
 	ledger   strike.Ledger
 	last     admission.Decision
 	policyOf *settings.View
-	// failures counts the probes of the upstream that failed in a row, and
-	// reportedLimit is the limit that it named last.
+	// failures counts the probes of the upstream that failed in a row;
+	// reportedLimit and reportedModel are what it named last.
 	failures      int
 	reportedLimit int
+	reportedModel ident.ModelName
 	leaving       bool
 	executions    map[ident.RequestID]*execution
 	attempts      map[ident.AttemptID]*execution
@@ -235,7 +236,7 @@
 }
 
 func (sidecar *Sidecar) log() *slog.Logger {
-	return logging.Part(sidecar.Logger, "sidecar")
+	return logging.OrDiscard(sidecar.Logger)
 }
 
 // Abandon makes sure that an attempt that was not forwarded never will be, even
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -63,7 +63,7 @@
 	if !found {
 		return settings.Route{}, settings.Workspace{}, sidecar.notReady("workspace %q is not in force here yet", call.Workspace)
 	}
-	if route.Model != sidecar.Upstream.Model || route.Service != sidecar.Upstream.Service {
+	if !sidecar.serves(route) {
 		return settings.Route{}, settings.Workspace{}, sidecar.notReady("the route's upstreams do not include this one")
 	}
 	if !route.Idempotent && call.Key == "" {
@@ -72,6 +72,22 @@
 	return route, workspace, nil
 }
 
+// serves reports whether the upstream serves the route's model or service.
+func (sidecar *Sidecar) serves(route settings.Route) bool {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	return route.Model == sidecar.model() && route.Service == sidecar.Upstream.Service
+}
+
+// model returns the model that the engine holds: the one that it reported, or
+// the one it was started with. The caller holds mu.
+func (sidecar *Sidecar) model() ident.ModelName {
+	if sidecar.reportedModel != "" {
+		return sidecar.reportedModel
+	}
+	return sidecar.Upstream.Model
+}
+
 func (sidecar *Sidecar) notReady(format string, args ...any) error {
 	refusal := result.Errorf(result.NotReady, format, args...)
 	refusal.RetryAt = sidecar.now().Add(comeBack)
@@ -105,7 +121,7 @@
 		policy.Marks[qualified(subtree.Team, name)] = class.Mark
 	}
 	for _, route := range subtree.Routes {
-		if route.Model != sidecar.Upstream.Model || route.Service != sidecar.Upstream.Service || route.LoadMultiple == 0 {
+		if route.LoadMultiple == 0 || route.Model != sidecar.model() || route.Service != sidecar.Upstream.Service {
 			continue
 		}
 		if policy.LoadMultiple == 0 || route.LoadMultiple < policy.LoadMultiple {
