--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/placement"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -21,7 +20,7 @@
 		Engines: router.engines,
 		Order:   router.order,
 		Metrics: base.metrics,
-		Logger:  logging.Part(router.Logger, "placement"),
+		Logger:  router.Logger,
 	}
 	holding := &leaseHolding{tenure: tenure}
 	go holding.run(ctx)
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -12,7 +12,6 @@
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/caller"
 	"github.com/hickoryhead/hickoryhead/config"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
@@ -152,7 +151,7 @@
 		Snapshot: base.store.WriteSnapshot,
 		Archive:  base.store.Archive,
 		Metrics:  base.metrics,
-		Logger:   logging.Part(router.Logger, "operator"),
+		Logger:   router.Logger,
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -236,7 +236,7 @@
 }
 
 func (sidecar *Sidecar) log() *slog.Logger {
-	return logging.OrDiscard(sidecar.Logger)
+	return logging.Part(sidecar.Logger, "sidecar")
 }
 
 // Abandon makes sure that an attempt that was not forwarded never will be, even
