--- a/caller/place.go
+++ b/caller/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/affinity"
@@ -32,8 +33,8 @@
 	}
 }
 
-// choose returns the next upstream to try. The plan is made once for a request,
-// from the pool as it was then.
+// choose returns the next upstream to try. The plan is made from the pool as it
+// is then: once for a request, and anew when an upstream that ran it was lost.
 func (relay *relay) choose() (affinity.Try, bool) {
 	if relay.pool == nil {
 		relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
@@ -42,7 +43,35 @@
 		}
 		relay.plan = relay.pool.Ranking.Plan(relay.chatKey(), relay.incoming.hint)
 	}
-	return relay.plan.Next(relay.server.now(), relay.server.Loads)
+	if try, found := relay.directed(); found {
+		return try, true
+	}
+	for {
+		try, found := relay.plan.Next(relay.server.now(), relay.server.Loads)
+		if !found || !slices.Contains(relay.lost, relay.pool.Entries[try.Index].Upstream) {
+			return try, found
+		}
+	}
+}
+
+// replan lets the request start over at the upstreams on which it was not lost.
+func (relay *relay) replan() {
+	relay.lost = append(relay.lost, relay.entry.Upstream)
+	relay.pool = nil
+	relay.tried = 0
+	relay.evidence = nil
+}
+
+// directed returns the upstream that a sidecar named as the only one that may
+// run the request.
+func (relay *relay) directed() (affinity.Try, bool) {
+	named := relay.designated
+	relay.designated = ""
+	if named == "" {
+		return affinity.Try{}, false
+	}
+	index, found := relay.pool.Ranking.Index(named)
+	return affinity.Try{Index: index, Last: true}, found
 }
 
 // chatKey returns what the request is ranked by: its chat, or the request
@@ -68,6 +97,7 @@
 		return nil
 	}
 	relay.refused(result.CodeOf(err), state)
+	relay.designated = state.Designated
 	if result.CodeOf(err) == result.OutcomeUnknown {
 		return relay.resolveUnknown(ctx, err)
 	}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -24,7 +24,8 @@
 	resumeFirstWait = 20 * time.Millisecond
 	// maxText bounds the text that is kept in order to continue an answer
 	// elsewhere, in bytes.
-	maxText = 1 << 20
+	maxText       = 1 << 20
+	resumeTimeout = 2 * time.Second
 	// abandonTimeout bounds the question whether an attempt was forwarded.
 	abandonTimeout = time.Second
 )
@@ -51,6 +52,10 @@
 	plan     affinity.Plan
 	tried    int
 	evidence []evidence
+	// lost holds the upstreams on which a run of the request was lost.
+	lost []ident.UpstreamID
+	// designated is the upstream that a refusing sidecar named.
+	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
 	// mayHaveRun is set once an upstream may have run the request.
@@ -60,6 +65,17 @@
 	sentTo string
 }
 
+// abandoned stops the answer of a caller that hung up and cannot resume it. A
+// request that must not run twice is left to end.
+func (relay *relay) abandoned() {
+	if relay.incoming.events || !relay.incoming.route.Idempotent || relay.assembler.Whole() || relay.entry.Address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+	defer cancel()
+	_ = relay.cancel(ctx)
+}
+
 // close ends the reading from the upstream.
 func (relay *relay) close() {
 	if relay.frames != nil {
@@ -154,11 +170,12 @@
 
 // resumeHere opens the answer again where the connection to its sidecar broke.
 func (relay *relay) resumeHere(ctx context.Context) error {
+	giveUpAt := relay.server.now().Add(resumeTimeout)
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = resumeFirstWait
 	open := func() (*sidecar.Frames, error) {
 		relay.server.Metrics.Retried(result.AnswerCut)
-		frames, err := relay.server.Sidecars.Resume(ctx, relay.entry.Address, relay.incoming.id, relay.incoming.workspace, relay.assembler.Next())
+		frames, err := relay.server.Sidecars.Resume(ctx, relay.entry.Address, relay.incoming.id, relay.incoming.workspace, relay.assembler.Next(), giveUpAt)
 		if code := result.CodeOf(err); code == result.UnknownAnswer || code == result.AnswerExpired {
 			return nil, backoff.Permanent(err)
 		}
@@ -186,6 +203,7 @@
 			relay.server.Metrics.Refused(result.RetryBudgetSpent)
 			return failure
 		}
+		relay.replan()
 	default:
 		return failure
 	}
@@ -202,13 +220,13 @@
 func (relay *relay) attemptOf(code result.Code) retry.Attempt {
 	candidates := 0
 	if relay.pool != nil {
-		candidates = relay.plan.Len()
+		candidates = len(relay.pool.Entries)
 	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      relay.tried,
+		Tried:      relay.tried + len(relay.lost),
 		Candidates: candidates,
 	}
 }
@@ -226,6 +244,9 @@
 	if relay.assembler.Next() > 1 && failure.Code != result.DeadlineExpired {
 		failure.Code = result.AnswerCut
 	}
+	if failure.Code == result.OutcomeUnknown && !relay.server.now().Before(relay.incoming.deadline) {
+		failure.Code = result.DeadlineExpired
+	}
 	if failure.RetryAt.IsZero() && failure.Code.Status() >= 500 {
 		failure.RetryAt = relay.server.now().Add(comeBack)
 	}
--- a/caller/write_test.go
+++ b/caller/write_test.go
@@ -66,7 +66,10 @@
 		relay := newRelay()
 		relay.incoming.route.Idempotent = true
 		relay.incoming.deadline = relay.server.now().Add(defaultTimeout)
-		relay.pool = &directory.Pool{Ranking: affinity.NewPool([]affinity.Candidate{{Upstream: "engine-1"}, {Upstream: "engine-2"}})}
+		relay.pool = &directory.Pool{
+			Entries: []directory.Entry{{Upstream: "engine-1"}, {Upstream: "engine-2"}},
+			Ranking: affinity.NewPool([]affinity.Candidate{{Upstream: "engine-1"}, {Upstream: "engine-2"}}),
+		}
 		relay.plan = relay.pool.Ranking.Plan("chat-1", "")
 		relay.tried = 1
 		relay.keep([]answer.Frame{{Seq: 1, Data: strings.Repeat("a", test.bytes)}})
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -25,6 +25,12 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
+	// frameBufferBytes is read at once from a stream; a longer frame takes
+	// more space for a while.
+	frameBufferBytes = 4 << 10
+	// silenceLimit is how long a sidecar may send nothing at all. It is a few
+	// times its heartbeat.
+	silenceLimit = 3 * time.Second
 )
 
 // Client reaches sidecars from a router. Set its exported fields before the
@@ -47,12 +53,34 @@
 
 // Frames reads the frames of one answer.
 type Frames struct {
-	body   io.ReadCloser
-	buffer *bufio.Reader
+	body    io.ReadCloser
+	buffer  *bufio.Reader
+	cancel  context.CancelFunc
+	silence *time.Timer
 }
 
-// Next returns the next frame, or the error of a cut connection.
+// Next returns the next frame, or the error of a cut connection. A sidecar that
+// sends neither a frame nor a heartbeat for a while counts as cut off.
 func (frames *Frames) Next() (answer.Frame, error) {
+	for {
+		frame, heartbeat, err := frames.read()
+		if !heartbeat {
+			return frame, err
+		}
+	}
+}
+
+// read reads one line and reports whether it is a heartbeat.
+func (frames *Frames) read() (frame answer.Frame, heartbeat bool, err error) {
+	if !frames.Buffered() {
+		frames.silence.Reset(silenceLimit)
+		defer frames.silence.Stop()
+	}
+	frame, err = frames.line()
+	return frame, err == nil && frame.Seq == 0, err
+}
+
+func (frames *Frames) line() (answer.Frame, error) {
 	line, err := frames.buffer.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return frames.long(line)
@@ -60,7 +88,7 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return answer.DecodeFrame(line)
+	return decodeFrame(line)
 }
 
 // long reads a frame that is longer than the buffer.
@@ -70,7 +98,15 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return answer.DecodeFrame(append(line, rest...))
+	return decodeFrame(append(line, rest...))
+}
+
+// decodeFrame reads one line. A heartbeat is a frame without a number.
+func decodeFrame(line []byte) (answer.Frame, error) {
+	if len(line) <= 1 {
+		return answer.Frame{}, nil
+	}
+	return answer.DecodeFrame(line)
 }
 
 func unexpected(err error) error {
@@ -81,14 +117,18 @@
 }
 
 // Buffered reports whether a whole further frame is at hand already, so that
-// Next does not wait.
+// Next does not wait. Heartbeats are none.
 func (frames *Frames) Buffered() bool {
 	held, _ := frames.buffer.Peek(frames.buffer.Buffered())
-	return bytes.IndexByte(held, '\n') >= 0
+	return bytes.IndexByte(bytes.TrimLeft(held, "\n"), '\n') >= 0
 }
 
 // Close ends the reading and frees the connection.
-func (frames *Frames) Close() error { return frames.body.Close() }
+func (frames *Frames) Close() error {
+	frames.silence.Stop()
+	frames.cancel()
+	return frames.body.Close()
+}
 
 // Run sends a request to the sidecar at address. Its error is a *result.Error:
 // with the sidecar's own code and state where it refused, UpstreamUnreachable where no
@@ -106,18 +146,19 @@
 	}
 	request.ContentLength = int64(len(body) + len(resumeText))
 	request.Header.Set(HeaderCall, string(header))
-	return client.frames(request)
+	return client.frames(request, time.Now().Add(silenceLimit))
 }
 
-// Resume reads the answer of request again from frame number from on.
-func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq) (*Frames, error) {
+// Resume reads the answer of request again from frame number from on. It gives
+// up where the sidecar has not begun to answer at the time giveUpAt.
+func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq, giveUpAt time.Time) (*Frames, error) {
 	query := url.Values{"From": {strconv.FormatUint(uint64(from), 10)}, "Workspace": {string(workspace)}}
 	path := "/v1/answers/" + string(request) + "?" + query.Encode()
 	sent, err := client.request(ctx, http.MethodGet, address, path, nil)
 	if err != nil {
 		return nil, err
 	}
-	frames, _, err := client.frames(sent)
+	frames, _, err := client.frames(sent, giveUpAt)
 	return frames, err
 }
 
@@ -171,13 +212,19 @@
 	return request, nil
 }
 
-func (client *Client) frames(request *http.Request) (*Frames, State, error) {
-	response, state, err := client.do(request)
+// frames sends request and returns the frames of its answer, which has to begin
+// before giveUpAt.
+func (client *Client) frames(request *http.Request, giveUpAt time.Time) (*Frames, State, error) {
+	ctx, cancel := context.WithCancel(request.Context())
+	silence := time.AfterFunc(time.Until(giveUpAt), cancel)
+	response, state, err := client.do(request.WithContext(ctx))
 	if err != nil {
+		silence.Stop()
+		cancel()
 		return nil, state, err
 	}
-	buffer := bufio.NewReaderSize(response.Body, 16<<10)
-	return &Frames{body: response.Body, buffer: buffer}, state, nil
+	buffer := bufio.NewReaderSize(response.Body, frameBufferBytes)
+	return &Frames{body: response.Body, buffer: buffer, cancel: cancel, silence: silence}, state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
--- a/sidecar/client_test.go
+++ b/sidecar/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/answer"
 )
@@ -20,11 +21,12 @@
 	return copy(buffer, part), nil
 }
 
-// A frame of which only a part has come must not hold up those before it.
+// A frame of which only a part has come, or a heartbeat, must not hold up the
+// frames before it.
 func TestFramesAreBufferedOnlyWhole(t *testing.T) {
-	stream := &parts{"{\"Seq\":1,\"Data\":\"a\"}\n{\"Seq\":2,\"Data\":\"b\"}\n{\"Seq\":3,\"Da", "ta\":\"c\"}\n"}
-	frames := &Frames{body: io.NopCloser(stream), buffer: bufio.NewReader(stream)}
-	wantBuffered := []bool{true, false, false}
+	stream := &parts{"{\"Seq\":1,\"Data\":\"a\"}\n{\"Seq\":2,\"Data\":\"b\"}\n{\"Seq\":3,\"Da", "ta\":\"c\"}\n\n\n", "{\"Seq\":4}\n"}
+	frames := &Frames{body: io.NopCloser(stream), buffer: bufio.NewReader(stream), silence: time.AfterFunc(time.Hour, func() {})}
+	wantBuffered := []bool{true, false, false, false}
 	for i, want := range wantBuffered {
 		frame, err := frames.Next()
 		if err != nil || frame.Seq != answer.Seq(i+1) {
--- a/sidecar/execution.go
+++ b/sidecar/execution.go
@@ -17,6 +17,7 @@
 type execution struct {
 	call        Call
 	fingerprint ident.Fingerprint
+	idempotent  bool
 	cancel      context.CancelFunc
 
 	mu       sync.Mutex
@@ -25,6 +26,8 @@
 	last     answer.Seq
 	finished bool
 	readers  map[*reader]struct{}
+	queued   bool
+	lost     bool
 	unreadAt time.Time
 }
 
@@ -71,6 +74,21 @@
 	return execution.state
 }
 
+// lose ends the run of a request on an upstream that no longer answers.
+func (execution *execution) lose() {
+	execution.mu.Lock()
+	execution.lost = true
+	execution.mu.Unlock()
+	execution.cancel()
+}
+
+// wasLost reports whether the run was ended because the upstream was lost.
+func (execution *execution) wasLost() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.lost
+}
+
 // withdraw returns a request that was marked as forwarded, of which no byte
 // was sent, to the state in which nothing was run.
 func (execution *execution) withdraw() {
@@ -163,6 +181,20 @@
 	return execution.finished && now.After(execution.replay.ExpiresAt)
 }
 
+// done reports whether the answer has ended.
+func (execution *execution) done() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.finished
+}
+
+// size returns the bytes that the answer's replay buffer holds.
+func (execution *execution) size() ident.Bytes {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	return execution.replay.Size()
+}
+
 // attach adds one more reader.
 func (execution *execution) attach() *reader {
 	attached := &reader{news: make(chan struct{}, 1)}
@@ -175,12 +207,32 @@
 	return attached
 }
 
-// detach takes a reader away.
+// detach takes a reader away. A request that waits in the queue is given up
+// with its last reader: its caller has nothing yet from which to resume.
 func (execution *execution) detach(reader *reader, now time.Time) {
 	execution.mu.Lock()
 	defer execution.mu.Unlock()
 	delete(execution.readers, reader)
 	execution.unreadAt = now
+	if execution.queued && len(execution.readers) == 0 {
+		execution.state = peer.AttemptAbandoned
+		execution.cancel()
+	}
+}
+
+// queue marks the request as waiting in the queue.
+func (execution *execution) queue() {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	execution.queued = true
+}
+
+// unqueue ends the wait and reports whether the request may still run.
+func (execution *execution) unqueue() bool {
+	execution.mu.Lock()
+	defer execution.mu.Unlock()
+	execution.queued = false
+	return execution.state == peer.AttemptWaiting
 }
 
 // deserted reports whether nobody has read a running answer since the time
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -8,8 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/claim"
+	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -28,12 +30,19 @@
 	body       []byte
 	resumeText string
 	deadline   time.Time
+	// waiter tells when a queued request may go on; nil where it was admitted.
+	waiter chan admission.Start
 }
 
 // run forwards the request, fills its answer and gives its place back.
 func (work *work) run(ctx context.Context) {
 	defer work.sidecar.live.Done()
 	defer work.execution.cancel()
+	if err := work.wait(ctx); err != nil {
+		now := work.sidecar.now()
+		work.execution.fail(err.Problem(now), now.Add(replayLifetime))
+		return
+	}
 	err := work.answer(ctx)
 	now := work.sidecar.now()
 	if err != nil {
@@ -44,6 +53,34 @@
 	work.settle(now, err, lost)
 }
 
+// wait lets a queued request wait for its turn. Its error means that the request
+// was not run and never will be.
+func (work *work) wait(ctx context.Context) *result.Error {
+	if work.waiter == nil {
+		return nil
+	}
+	select {
+	case start := <-work.waiter:
+		if start.Code == result.OK {
+			return work.leftQueue()
+		}
+		work.execution.abandon()
+		return &result.Error{Code: start.Code, RetryAt: start.RetryAt}
+	case <-ctx.Done():
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "it waited in the queue", RetryAt: work.sidecar.now().Add(comeBack)}
+}
+
+// leftQueue goes on with a request unless its router went away meanwhile.
+func (work *work) leftQueue() *result.Error {
+	if work.execution.unqueue() {
+		return nil
+	}
+	work.sidecar.leaveQueue(work.execution)
+	return &result.Error{Code: result.DeadlineUnmeetable, Detail: "the router went away"}
+}
+
 func (work *work) answer(ctx context.Context) error {
 	switch {
 	case !work.route.Idempotent:
@@ -97,6 +134,9 @@
 	if state == peer.AttemptAbandoned {
 		return work.notRun(&failure, now)
 	}
+	if work.execution.wasLost() {
+		return result.Errorf(result.UpstreamFailed, "%v", errUpstreamLost)
+	}
 	if state == peer.AttemptForwarded && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.Errorf(result.DeadlineExpired, "the deadline passed while the upstream was running the request")
 	}
@@ -248,24 +288,31 @@
 		return &result.Error{Code: result.ClaimUnavailable, RetryAt: work.sidecar.now().Add(comeBack)}
 	}
 	call := &work.execution.call
-	claimed := Claimed{
-		Key: claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
-		Record: claim.Record{
-			State:    claim.Claimed,
-			Attempt:  call.Attempt,
-			Upstream: work.sidecar.Upstream.ID,
-			Body:     work.execution.fingerprint,
-		},
-		Forward: work.call,
-	}
-	reply, err := work.sidecar.Claims(ctx, work.deadline, claimed)
+	request := claimtable.Request{
+		Key:      claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
+		Attempt:  call.Attempt,
+		Upstream: work.sidecar.Upstream.ID,
+		Body:     work.execution.fingerprint,
+		Deadline: work.deadline,
+	}
+	answer, err := work.sidecar.Claims(ctx, request, work.forwardClaimed)
 	if err != nil {
 		return err
 	}
-	work.reply(reply)
+	work.reply(upstream.Reply{
+		Status:      answer.Reply.Status,
+		ContentType: answer.Reply.ContentType,
+		Body:        string(answer.Reply.Body),
+	})
 	return nil
 }
 
+// forwardClaimed gives a claimed request to the upstream.
+func (work *work) forwardClaimed(ctx context.Context) (claim.Reply, error) {
+	reply, err := work.call(ctx)
+	return claim.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: []byte(reply.Body)}, err
+}
+
 // chatOf returns the engine's name for the chat, which no other workspace can
 // use; a request without a chat is a chat of its own.
 func chatOf(call *Call) ident.ChatID {
