--- a/daemon/base.go
+++ b/daemon/base.go
@@ -79,11 +79,12 @@
 	base.links = &peer.Links{Identity: identity, Traffic: base.peered, Metrics: set}
 	base.store = &platform.Settings{Client: base.platform}
 	base.settings = &peer.Replicator{
-		Call:    base.links.Call,
-		Heads:   base.store.Heads,
-		Load:    base.store.Load,
-		Metrics: set,
-		Logger:  logger,
+		Call:     base.links.Call,
+		Heads:    base.store.Heads,
+		Load:     base.store.Load,
+		Snapshot: base.store.ReadSnapshot,
+		Metrics:  set,
+		Logger:   logger,
 	}
 	return base, base.server.Register("Settings", base.settings.Receiver())
 }
