--- a/caller/place.go
+++ b/caller/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/affinity"
@@ -11,6 +12,13 @@
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
 
+const (
+	// maxBudgetMargin and the budgetMarginPart-th part of what remains bound
+	// the time that the router keeps back of a request's deadline.
+	maxBudgetMargin  = 200 * time.Millisecond
+	budgetMarginPart = 10
+)
+
 // open offers the request to upstreams in their order until one takes it. Its
 // error is a *result.Error and final.
 func (relay *relay) open(ctx context.Context) error {
@@ -32,8 +40,8 @@
 	}
 }
 
-// choose returns the next upstream to try. The plan is made once for a request,
-// from the pool as it was then.
+// choose returns the next upstream to try. The plan is made from the pool as it
+// is then: once for a request, and anew when an upstream that ran it was lost.
 func (relay *relay) choose() (affinity.Try, bool) {
 	if relay.pool == nil {
 		relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
@@ -45,7 +53,20 @@
 	if try, found := relay.directed(); found {
 		return try, true
 	}
-	return relay.plan.Next(relay.server.now(), relay.server.Loads)
+	for {
+		try, found := relay.plan.Next(relay.server.now(), relay.server.Loads)
+		if !found || !slices.Contains(relay.lost, relay.pool.Entries[try.Index].Upstream) {
+			return try, found
+		}
+	}
+}
+
+// replan lets the request start over at the upstreams on which it was not lost.
+func (relay *relay) replan() {
+	relay.lost = append(relay.lost, relay.entry.Upstream)
+	relay.pool = nil
+	relay.tried = 0
+	relay.evidence = nil
 }
 
 // directed returns the upstream that a sidecar named as the only one that may
@@ -119,6 +140,13 @@
 	return seen
 }
 
+// budget returns the time that a sidecar gets of what remains, so that its last
+// word, such as "not run", still reaches the caller before the deadline.
+func budget(remains time.Duration) time.Duration {
+	margin := min(maxBudgetMargin, remains/budgetMarginPart)
+	return max(time.Millisecond, remains-margin)
+}
+
 func (relay *relay) call() sidecar.Call {
 	incoming := relay.incoming
 	return sidecar.Call{
@@ -131,7 +159,7 @@
 		Priority:     incoming.priority,
 		Key:          incoming.key,
 		Prior:        incoming.hint,
-		BudgetMs:     max(1, incoming.deadline.Sub(relay.server.now()).Milliseconds()),
+		BudgetMs:     budget(incoming.deadline.Sub(relay.server.now())).Milliseconds(),
 		ResumeFrames: relay.assembler.Next() - 1,
 		Evidence:     relay.loadsSeen(),
 	}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -12,9 +12,9 @@
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/placement"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 	"github.com/hickoryhead/hickoryhead/upstream"
@@ -86,6 +86,8 @@
 	if daemon.core.Prefixes != nil {
 		events := &cacheEvents{prefixes: daemon.core.Prefixes}
 		go events.run(ctx)
+		probe := &probe{core: daemon.core}
+		go probe.run(ctx)
 	}
 	go hop.run()
 	return nil
@@ -108,7 +110,7 @@
 		View:        base.view,
 		ReplayBytes: daemon.Config.ReplayBytes,
 		Metrics:     base.metrics,
-		Logger:      logging.Part(daemon.Logger, "sidecar"),
+		Logger:      daemon.Logger,
 	}
 	core.PoolIDs = daemon.poolIDs
 	if configured.Service != "" {
@@ -123,6 +125,15 @@
 	return core
 }
 
+// newGuard returns the part that refuses orders of earlier lease holders.
+func (daemon *Sidecar) newGuard() *placement.Guard {
+	return &placement.Guard{
+		Current: placement.CurrentFence(daemon.base.platform),
+		Order:   daemon.core.Client.Order,
+		Metrics: daemon.base.metrics,
+	}
+}
+
 // newClaimer returns the part that claims requests that are not idempotent.
 func (daemon *Sidecar) newClaimer() *claimtable.Claimer {
 	base := daemon.base
@@ -169,6 +180,7 @@
 		"Load":     (*loadService)(services),
 		"Leaving":  (*leavingService)(services),
 		"Strikes":  (*strikeService)(services),
+		"Orders":   daemon.newGuard(),
 		"Attempts": (*attemptService)(services),
 	}
 	for name, receiver := range receivers {
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -44,6 +44,9 @@
 	Heads func(ctx context.Context) (map[ident.TeamID]ident.Revision, error)
 	// Load returns the settings of teams in the store, all where none is named.
 	Load func(ctx context.Context, teams ...ident.TeamID) ([]*settings.Subtree, error)
+	// Snapshot returns settings that may be old, from which a new daemon goes on
+	// to what is newer in the store; nil means that there are none.
+	Snapshot func(ctx context.Context) ([]*settings.Subtree, error)
 	// Adopted is told of each new revision in force; nil tells nobody.
 	Adopted func(subtree *settings.Subtree)
 	// CompareEvery and LeastPollEvery change the defaults of the constants
@@ -119,7 +122,7 @@
 		return false
 	}
 	replicator.Metrics.Happened(eventAdopted)
-	replicator.logger().Debug("adopted settings", "team", subtree.Team, "revision", subtree.Revision)
+	replicator.logger().Debug("Adopted settings.", "team", subtree.Team, "revision", subtree.Revision)
 	if replicator.Adopted != nil {
 		replicator.Adopted(subtree)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -86,13 +86,17 @@
 	secured, err := server.secure(ctx, conn)
 	if err != nil {
 		server.Metrics.Happened(eventRefused)
-		logging.Part(server.Logger, "peer").Warn("refused a connection", "from", conn.RemoteAddr().String(), "error", err)
+		server.logger().Warn("Refused a connection.", "from", conn.RemoteAddr().String(), "error", err)
 		return
 	}
 	server.Metrics.Happened(eventAccepted)
 	server.rpc.ServeConn(secured)
 }
 
+func (server *Server) logger() *slog.Logger {
+	return logging.Part(server.Logger, "peer")
+}
+
 func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if server.Identity == nil {
 		return nil, ErrNotProved
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -25,6 +25,8 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
+	// frameBuffer is the size of the buffer of one answer, in bytes.
+	frameBuffer = 16 << 10
 	// silenceLimit is how long a sidecar may send nothing at all. It is a few
 	// times its heartbeat.
 	silenceLimit = 3 * time.Second
@@ -56,6 +58,10 @@
 	silence *time.Timer
 }
 
+func newFrames(body io.ReadCloser, cancel context.CancelFunc, silence *time.Timer) *Frames {
+	return &Frames{body: body, buffer: bufio.NewReaderSize(body, frameBuffer), cancel: cancel, silence: silence}
+}
+
 // Next returns the next frame, or the error of a cut connection. A sidecar that
 // sends neither a frame nor a heartbeat for a while counts as cut off.
 func (frames *Frames) Next() (answer.Frame, error) {
@@ -85,7 +91,10 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(line)
+	if len(line) == 1 {
+		return answer.Frame{}, nil
+	}
+	return answer.DecodeFrame(line)
 }
 
 // long reads a frame that is longer than the buffer.
@@ -95,16 +104,7 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(append(line, rest...))
-}
-
-func decodeFrame(line []byte) (answer.Frame, error) {
-	var frame answer.Frame
-	if len(line) <= 1 {
-		return frame, nil
-	}
-	err := json.Unmarshal(line, &frame)
-	return frame, err
+	return answer.DecodeFrame(append(line, rest...))
 }
 
 func unexpected(err error) error {
@@ -114,8 +114,12 @@
 	return err
 }
 
-// Buffered reports whether a whole further frame may be at hand already.
-func (frames *Frames) Buffered() bool { return frames.buffer.Buffered() > 0 }
+// Buffered reports whether a whole further frame is at hand already, so that
+// Next does not wait. A heartbeat is no frame.
+func (frames *Frames) Buffered() bool {
+	held, _ := frames.buffer.Peek(frames.buffer.Buffered())
+	return bytes.IndexByte(bytes.TrimLeft(held, "\n"), '\n') >= 0
+}
 
 // Close ends the reading and frees the connection.
 func (frames *Frames) Close() error {
@@ -140,18 +144,19 @@
 	}
 	request.ContentLength = int64(len(body) + len(resumeText))
 	request.Header.Set(HeaderCall, string(header))
-	return client.frames(request)
+	return client.frames(request, time.Now().Add(silenceLimit))
 }
 
-// Resume reads the answer of request again from frame number from on.
-func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq) (*Frames, error) {
+// Resume reads the answer of request again from frame number from on. It gives
+// up where the sidecar has not begun to answer at the time giveUpAt.
+func (client *Client) Resume(ctx context.Context, address string, request ident.RequestID, workspace ident.WorkspaceID, from answer.Seq, giveUpAt time.Time) (*Frames, error) {
 	query := url.Values{"From": {strconv.FormatUint(uint64(from), 10)}, "Workspace": {string(workspace)}}
 	path := "/v1/answers/" + string(request) + "?" + query.Encode()
 	sent, err := client.request(ctx, http.MethodGet, address, path, nil)
 	if err != nil {
 		return nil, err
 	}
-	frames, _, err := client.frames(sent)
+	frames, _, err := client.frames(sent, giveUpAt)
 	return frames, err
 }
 
@@ -205,17 +210,18 @@
 	return request, nil
 }
 
-func (client *Client) frames(request *http.Request) (*Frames, State, error) {
+// frames sends request and returns the frames of its answer, which has to begin
+// before giveUpAt.
+func (client *Client) frames(request *http.Request, giveUpAt time.Time) (*Frames, State, error) {
 	ctx, cancel := context.WithCancel(request.Context())
-	silence := time.AfterFunc(silenceLimit, cancel)
+	silence := time.AfterFunc(time.Until(giveUpAt), cancel)
 	response, state, err := client.do(request.WithContext(ctx))
 	if err != nil {
 		silence.Stop()
 		cancel()
 		return nil, state, err
 	}
-	buffer := bufio.NewReaderSize(response.Body, 16<<10)
-	return &Frames{body: response.Body, buffer: buffer, cancel: cancel, silence: silence}, state, nil
+	return newFrames(response.Body, cancel, silence), state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
--- /dev/null
+++ b/sidecar/client_test.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/answer"
+)
+
+// parts gives one part of a stream at each Read.
+type parts []string
+
+func (parts *parts) Read(buffer []byte) (int, error) {
+	if len(*parts) == 0 {
+		return 0, io.EOF
+	}
+	part := (*parts)[0]
+	*parts = (*parts)[1:]
+	return copy(buffer, part), nil
+}
+
+func framesOf(stream io.Reader) *Frames {
+	return newFrames(io.NopCloser(stream), func() {}, time.AfterFunc(time.Hour, func() {}))
+}
+
+// A heartbeat is passed over, and does not hold up the frame before it.
+func TestHeartbeatIsNoFrame(t *testing.T) {
+	frames := framesOf(&parts{"{\"Seq\":1,\"Data\":\"a\"}\n\n", "\n{\"Seq\":2,\"Data\":\"b\"}\n"})
+	for _, want := range []answer.Seq{1, 2} {
+		frame, err := frames.Next()
+		if err != nil || frame.Seq != want {
+			t.Fatalf("got frame %d and %v, want frame %d", frame.Seq, err, want)
+		}
+		if frames.Buffered() {
+			t.Errorf("after frame %d: got buffered true, want false", frame.Seq)
+		}
+	}
+}
+
+// A frame of which only a part has come must not hold up those before it.
+func TestFramesAreBufferedOnlyWhole(t *testing.T) {
+	stream := &parts{"{\"Seq\":1,\"Data\":\"a\"}\n{\"Seq\":2,\"Data\":\"b\"}\n{\"Seq\":3,\"Da", "ta\":\"c\"}\n"}
+	frames := framesOf(stream)
+	wantBuffered := []bool{true, false, false}
+	for i, want := range wantBuffered {
+		frame, err := frames.Next()
+		if err != nil || frame.Seq != answer.Seq(i+1) {
+			t.Fatalf("got frame %d and %v, want frame %d", frame.Seq, err, i+1)
+		}
+		if got := frames.Buffered(); got != want {
+			t.Errorf("after frame %d: got buffered %t, want %t", frame.Seq, got, want)
+		}
+	}
+	if _, err := frames.Next(); err != io.ErrUnexpectedEOF {
+		t.Errorf("got %v at the end, want io.ErrUnexpectedEOF", err)
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -23,7 +25,9 @@
 
 const (
 	defaultReplayBytes = ident.Bytes(1 << 20)
-	replayLifetime     = 2 * time.Minute
+	replayLifetime     = time.Minute
+	// maxHeldBytes bounds the replay buffers of all answers together.
+	maxHeldBytes = ident.Bytes(48 << 20)
 	// resumeGrace is how long an answer that nobody reads goes on.
 	resumeGrace   = 10 * time.Second
 	sweepInterval = time.Second
@@ -60,17 +64,22 @@
 	incarnationOnce sync.Once
 	incarnation     string
 
-	mu         sync.Mutex
-	gate       admission.Gate
-	ledger     strike.Ledger
-	last       admission.Decision
-	policyOf   *settings.View
-	leaving    bool
-	executions map[ident.RequestID]*execution
-	attempts   map[ident.AttemptID]*execution
-	waiting    map[ident.AttemptID]chan admission.Start
-	tombstones map[ident.AttemptID]time.Time
-	live       sync.WaitGroup
+	mu       sync.Mutex
+	gate     admission.Gate
+	ledger   strike.Ledger
+	last     admission.Decision
+	policyOf *settings.View
+	// failures counts the probes of the upstream that failed in a row;
+	// reportedLimit and reportedModel are what it named last.
+	failures      int
+	reportedLimit int
+	reportedModel ident.ModelName
+	leaving       bool
+	executions    map[ident.RequestID]*execution
+	attempts      map[ident.AttemptID]*execution
+	waiting       map[ident.AttemptID]chan admission.Start
+	tombstones    map[ident.AttemptID]time.Time
+	live          sync.WaitGroup
 }
 
 func (sidecar *Sidecar) now() time.Time {
@@ -160,15 +169,22 @@
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
 	sidecar.deliver(sidecar.gate.Expire(now))
-	for request, held := range sidecar.executions {
+	var finished []*execution
+	total := ident.Bytes(0)
+	for _, held := range sidecar.executions {
 		if held.deserted(now.Add(-resumeGrace)) {
 			held.cancel()
 		}
 		if held.expired(now) {
-			delete(sidecar.executions, request)
-			delete(sidecar.attempts, held.call.Attempt)
+			sidecar.drop(held)
+			continue
+		}
+		total += held.size()
+		if held.done() {
+			finished = append(finished, held)
 		}
 	}
+	sidecar.dropOldest(finished, total-maxHeldBytes)
 	for attempt, until := range sidecar.tombstones {
 		if now.After(until) {
 			delete(sidecar.tombstones, attempt)
@@ -176,6 +192,29 @@
 	}
 }
 
+// drop forgets an answer. The caller holds mu.
+func (sidecar *Sidecar) drop(held *execution) {
+	delete(sidecar.executions, held.call.Request)
+	delete(sidecar.attempts, held.call.Attempt)
+}
+
+// dropOldest forgets finished answers, the first finished first, until excess
+// bytes are freed. The caller holds mu.
+func (sidecar *Sidecar) dropOldest(finished []*execution, excess ident.Bytes) {
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(finished, func(a, b *execution) int { return a.replay.ExpiresAt.Compare(b.replay.ExpiresAt) })
+	for _, held := range finished {
+		if excess <= 0 {
+			return
+		}
+		excess -= held.size()
+		sidecar.drop(held)
+		sidecar.Metrics.Happened("answer.dropped")
+	}
+}
+
 // deliver tells queued requests that they left the queue. The caller holds mu.
 func (sidecar *Sidecar) deliver(starts []admission.Start) {
 	for _, start := range starts {
@@ -197,10 +236,7 @@
 }
 
 func (sidecar *Sidecar) log() *slog.Logger {
-	if sidecar.Logger == nil {
-		return slog.New(slog.DiscardHandler)
-	}
-	return sidecar.Logger
+	return logging.Part(sidecar.Logger, "sidecar")
 }
 
 // Abandon makes sure that an attempt that was not forwarded never will be, even
