Give the conductor its record table

The router panicked in Conductor.begin about a second after its start, since ReadRecord and WriteRecord were not set: a load run of 3 s over real processes saw 201 of 300 requests unreachable from the second second on. With the record table set the same run gives 300 whole answers.

--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -14,13 +14,16 @@
 func (router *Router) startPlacement(ctx context.Context) {
 	base := router.base
 	tenure := &placement.Tenure{VM: router.Config.VM, Client: base.platform}
+	record := &placement.RecordTable{Client: base.platform}
 	conductor := &placement.Conductor{
-		Held:    tenure.Held,
-		View:    base.view,
-		Engines: router.engines,
-		Order:   router.order,
-		Metrics: base.metrics,
-		Logger:  router.Logger,
+		Held:        tenure.Held,
+		View:        base.view,
+		Engines:     router.engines,
+		Order:       router.order,
+		ReadRecord:  record.Read,
+		WriteRecord: record.Write,
+		Metrics:     base.metrics,
+		Logger:      router.Logger,
 	}
 	holding := &leaseHolding{tenure: tenure}
 	go holding.run(ctx)
