Leave lost upstreams out of the pool's mean

A sidecar whose engine is dead has a load of zero, and that zero pulled down the mean and with it the bound of the engines that still answer. With a share of engines alive below 1/LoadMultiple the bound falls below the mean that it is taken from, and the pool locks itself up. A sidecar now says on its samples that its upstream is lost, and the mean leaves it out as it does a leaving one.

--- a/daemon/sampler.go
+++ b/daemon/sampler.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
 	state := sampler.core.State()
-	args := peer.SampleArgs{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving}
+	args := peer.SampleArgs{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving || state.Lost}
 	var reply peer.SampleReply
 	if err := sampler.base.links.Call(ctx, entry.PeerAddress, peer.MethodSample, args, &reply); err != nil {
 		return
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -222,7 +222,7 @@
 	core := service.daemon.core
 	core.Heard(args)
 	state := core.State()
-	*reply = peer.SampleReply{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving}
+	*reply = peer.SampleReply{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving || state.Lost}
 	return nil
 }
 
--- a/sidecar/message.go
+++ b/sidecar/message.go
@@ -64,6 +64,9 @@
 	Mean        float64
 	Bound       int
 	Leaving     bool `json:",omitempty"`
+	// Lost says that the upstream does not answer, so that its load does not
+	// count into the mean of the pool.
+	Lost bool `json:",omitempty"`
 	// Designated is the only upstream that may run the request that was
 	// refused with CrashingRequestAlone.
 	Designated ident.UpstreamID `json:",omitempty"`
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -106,6 +106,7 @@
 		Mean:        sidecar.last.Mean,
 		Bound:       sidecar.last.Bound,
 		Leaving:     sidecar.leaving,
+		Lost:        sidecar.failures >= probeFailures,
 	}
 }
 
