--- a/daemon/router.go
+++ b/daemon/router.go
@@ -77,6 +77,7 @@
 	}
 	watch := &vmWatch{base: base, self: router.Config.VM, logger: base.logger, leave: router.leave}
 	go watch.run(ctx)
+	router.startPlacement(ctx)
 	go router.callerAt.run()
 	go router.operators.run()
 	return nil
@@ -148,6 +149,7 @@
 		Entry:    base.store.Entry,
 		Team:     base.store.Team,
 		Snapshot: base.store.WriteSnapshot,
+		Archive:  base.store.Archive,
 		Metrics:  base.metrics,
 		Logger:   router.Logger,
 	}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/placement"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 	"github.com/hickoryhead/hickoryhead/upstream"
@@ -124,6 +125,15 @@
 	return core
 }
 
+// newGuard returns the part that refuses orders of earlier lease holders.
+func (daemon *Sidecar) newGuard() *placement.Guard {
+	return &placement.Guard{
+		Current: placement.CurrentFence(daemon.base.platform),
+		Order:   daemon.core.Client.Order,
+		Metrics: daemon.base.metrics,
+	}
+}
+
 // newClaimer returns the part that claims requests that are not idempotent.
 func (daemon *Sidecar) newClaimer() *claimtable.Claimer {
 	base := daemon.base
@@ -170,6 +180,7 @@
 		"Load":     (*loadService)(services),
 		"Leaving":  (*leavingService)(services),
 		"Strikes":  (*strikeService)(services),
+		"Orders":   daemon.newGuard(),
 		"Attempts": (*attemptService)(services),
 	}
 	for name, receiver := range receivers {
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -25,6 +25,8 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
+	// frameBuffer is the size of the buffer of one answer, in bytes.
+	frameBuffer = 16 << 10
 	// silenceLimit is how long a sidecar may send nothing at all. It is a few
 	// times its heartbeat.
 	silenceLimit = 3 * time.Second
@@ -56,6 +58,10 @@
 	silence *time.Timer
 }
 
+func newFrames(body io.ReadCloser, cancel context.CancelFunc, silence *time.Timer) *Frames {
+	return &Frames{body: body, buffer: bufio.NewReaderSize(body, frameBuffer), cancel: cancel, silence: silence}
+}
+
 // Next returns the next frame, or the error of a cut connection. A sidecar that
 // sends neither a frame nor a heartbeat for a while counts as cut off.
 func (frames *Frames) Next() (answer.Frame, error) {
@@ -85,7 +91,10 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(line)
+	if len(line) == 1 {
+		return answer.Frame{}, nil
+	}
+	return answer.DecodeFrame(line)
 }
 
 // long reads a frame that is longer than the buffer.
@@ -95,16 +104,7 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(append(line, rest...))
-}
-
-func decodeFrame(line []byte) (answer.Frame, error) {
-	var frame answer.Frame
-	if len(line) <= 1 {
-		return frame, nil
-	}
-	err := json.Unmarshal(line, &frame)
-	return frame, err
+	return answer.DecodeFrame(append(line, rest...))
 }
 
 func unexpected(err error) error {
@@ -114,8 +114,12 @@
 	return err
 }
 
-// Buffered reports whether a whole further frame may be at hand already.
-func (frames *Frames) Buffered() bool { return frames.buffer.Buffered() > 0 }
+// Buffered reports whether a whole further frame is at hand already, so that
+// Next does not wait. A heartbeat is no frame.
+func (frames *Frames) Buffered() bool {
+	held, _ := frames.buffer.Peek(frames.buffer.Buffered())
+	return bytes.IndexByte(bytes.TrimLeft(held, "\n"), '\n') >= 0
+}
 
 // Close ends the reading and frees the connection.
 func (frames *Frames) Close() error {
@@ -217,8 +221,7 @@
 		cancel()
 		return nil, state, err
 	}
-	buffer := bufio.NewReaderSize(response.Body, 16<<10)
-	return &Frames{body: response.Body, buffer: buffer, cancel: cancel, silence: silence}, state, nil
+	return newFrames(response.Body, cancel, silence), state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,10 +69,11 @@
 	ledger   strike.Ledger
 	last     admission.Decision
 	policyOf *settings.View
-	// failures counts the probes of the upstream that failed in a row, and
-	// reportedLimit is the limit that it named last.
+	// failures counts the probes of the upstream that failed in a row;
+	// reportedLimit and reportedModel are what it named last.
 	failures      int
 	reportedLimit int
+	reportedModel ident.ModelName
 	leaving       bool
 	executions    map[ident.RequestID]*execution
 	attempts      map[ident.AttemptID]*execution
