--- a/faulttest/relay_test.go
+++ b/faulttest/relay_test.go
@@ -17,6 +17,9 @@
 	// negative means no cut.
 	left int
 	cuts int
+	// each is the number of bytes after which every connection is cut; zero
+	// means none.
+	each int
 }
 
 func startRelay(t *testing.T, target string) *relay {
@@ -63,11 +66,15 @@
 	}
 }
 
-// allow returns how many of count bytes may pass, and whether the connection is
-// cut after them.
-func (relay *relay) allow(count int) (int, bool) {
+// allow returns how many of count bytes may pass after those that have passed on
+// the connection, and whether it is cut then.
+func (relay *relay) allow(passed, count int) (int, bool) {
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
+	if relay.each > 0 && passed+count > relay.each {
+		relay.cuts++
+		return relay.each - passed, true
+	}
 	if relay.left < 0 {
 		return count, false
 	}
@@ -96,12 +103,14 @@
 		return
 	}
 	buffer := make([]byte, 4096)
+	passed := 0
 	for {
 		count, err := copier.from.Read(buffer)
 		if err != nil {
 			return
 		}
-		allowed, cut := copier.relay.allow(count)
+		allowed, cut := copier.relay.allow(passed, count)
+		passed += allowed
 		if _, err := copier.to.Write(buffer[:allowed]); err != nil || cut {
 			return
 		}
