--- a/admission/admission.go
+++ b/admission/admission.go
@@ -42,10 +42,15 @@
 	Priority ident.Priority
 	// Deadline is when the request is of no more use; zero means never.
 	Deadline time.Time
-	// Evidence holds the loads named by the sidecars that refused the request.
+	// Evidence holds the loads that the router of a refused request was told
+	// of lately, by the sidecars that refused it and by others.
 	Evidence []Sample
 	// Alone asks for the whole upstream: nothing else runs beside it.
 	Alone bool
+	// Cold says that the engine holds no prefix of the request's chat. Cold
+	// work that may still go elsewhere is held to a lower bound, so that the
+	// room between the two is left to chats whose prefix is here.
+	Cold bool
 	// Wait says that there is no further upstream to try, so that the request
 	// may wait here. An Alone offer always may.
 	Wait bool
@@ -72,6 +77,9 @@
 	Load    int
 	Mean    float64
 	Bound   int
+	// Lighter names, with a refusal, an upstream of the pool that was last seen
+	// below the mean; it is empty if none is known.
+	Lighter ident.UpstreamID
 }
 
 // Start tells that a queued attempt left the queue: it runs if Code is OK and
@@ -82,20 +90,36 @@
 	RetryAt time.Time
 }
 
+// SamplePeriod is how often a sidecar exchanges loads with its Partners.
+const SamplePeriod = 500 * time.Millisecond
+
 // SampleLifetime is how long a sample counts for the mean.
 const SampleLifetime = 3 * time.Second
 
-// EvidenceLifetime is how long the load that a refusal named supports a higher
-// mean.
+// EvidenceLifetime is how long a load that a router names supports a higher
+// mean than that of the samples.
 const EvidenceLifetime = time.Second
 
-// minEvidence is the least number of refusals that may raise the mean. A single
-// one says more about its upstream than about the pool.
-const minEvidence = 2
+// minEvidence is the least number of upstreams named that may raise the mean. A
+// few say more about themselves than about the pool.
+const minEvidence = 3
+
+// coldPart is the part of the way from the mean to the bound up to which cold
+// work is admitted. A lower one keeps more room for chats whose prefix is here
+// and refuses more first tries.
+const coldPart = 0.6
 
 // activeFor is how long a workspace keeps a claim to room after it asked.
 const activeFor = 10 * time.Second
 
-// reservedPart is the part of the engine's limit that is kept free of
-// workspaces that hold their share, while another one is active.
-const reservedPart = 8
+// reservedPart is the part of the engine's limit, as one in so many, that is
+// kept free of workspaces that hold their share while another one is active.
+const reservedPart = 6
+
+// leastShare is what every workspace may run, and leastQueueShare how many of
+// its requests may wait, whatever its weight: a share of less than a few requests
+// would refuse a small workspace for a coincidence of two of its own.
+const (
+	leastShare      = 2
+	leastQueueShare = 8
+)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -70,7 +70,8 @@
 func (gate *Gate) Bound(now time.Time) int { return gate.limits(now, nil).bound }
 
 // Offer asks to admit a request at the time now. An attempt that is already
-// running or queued here is refused as in progress.
+// running or queued here is refused as in progress. The evidence counts as
+// samples from then on.
 func (gate *Gate) Offer(now time.Time, offer Offer) Decision {
 	gate.latest = now
 	if gate.holds(offer.Attempt) {
@@ -79,7 +80,8 @@
 	gate.tenant(offer.Workspace).ask(now, &offer)
 	limits := gate.limits(now, offer.Evidence)
 	code := gate.judge(now, &offer, limits)
-	if code == result.OK && gate.overtakes(now, &offer, limits) {
+	gate.pool.observe(now, offer.Evidence)
+	if code == result.OK && gate.overtakes(now, &offer) {
 		code = result.OverBound
 	}
 	if code == result.OK {
@@ -97,11 +99,11 @@
 		return result.Leaving
 	case gate.alone != "", offer.Alone && next > 1:
 		return result.OverBound
-	case limits.bound > 0 && next > limits.bound:
+	case limits.bound > 0 && next > limits.of(offer):
 		return result.OverBound
 	case !gate.fits(offer.Priority):
 		return result.PriorityHeld
-	case gate.shareExceeded(now, offer):
+	case gate.shareExceeded(now, offer, limits.mean):
 		return result.ShareExceeded
 	}
 	return result.OK
@@ -162,7 +164,11 @@
 }
 
 func (gate *Gate) refuse(now time.Time, code result.Code, limits limits) Decision {
-	return Decision{Verdict: Refused, Code: code, RetryAt: gate.retryAt(now, code), Load: gate.Load(), Mean: limits.mean, Bound: limits.bound}
+	return Decision{
+		Verdict: Refused, Code: code, RetryAt: gate.retryAt(now, code),
+		Load: gate.Load(), Mean: limits.mean, Bound: limits.bound,
+		Lighter: gate.pool.lighter(now, limits.mean, gate.random),
+	}
 }
 
 // The least and the longest mean time after which a refused request comes back.
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -82,10 +82,10 @@
 		bound    int
 	}{
 		{"none", nil, 13},
-		{"one refusal", named(20), 13},
+		{"two upstreams", named(20, 20), 13},
 		{"the loads that were sampled", named(10, 10, 10), 13},
 		{"a pool that grew by four", named(14, 14, 14), 17},
-		{"the same upstream twice", append(named(20), named(20)...), 13},
+		{"the same upstream twice", append(named(20, 20), named(20, 20)...), 13},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var gate admission.Gate
@@ -211,3 +211,59 @@
 		t.Errorf("got %v and %v, want both after %v and apart", early, late, start)
 	}
 }
+
+func TestColdWorkLeavesTheRoomNearTheBoundToChatsCachedHere(t *testing.T) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{LoadMultiple: 1.5, EngineLimit: 64})
+	gate.Observe(start, samples(10, 10, 10, 10))
+	fill(&gate, start, "a", "", 15)
+	offer := admission.Offer{Attempt: "cold", Cold: true}
+	if got, want := gate.Offer(start, offer).Code, result.OverBound; got != want {
+		t.Errorf("got %s for cold work, want %s", got, want)
+	}
+	offer.Wait = true
+	if got, want := gate.Offer(start, offer).Verdict, admission.Admitted; got != want {
+		t.Errorf("got %v for cold work that may go nowhere else, want %v", got, want)
+	}
+	if got, want := gate.Offer(start, admission.Offer{Attempt: "warm"}).Verdict, admission.Admitted; got != want {
+		t.Errorf("got %v for a chat cached here, want %v", got, want)
+	}
+}
+
+func TestARefusalNamesAnUpstreamBelowTheMean(t *testing.T) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{LoadMultiple: 1.25, EngineLimit: 64})
+	gate.Observe(start, samples(12, 12, 3, 12))
+	fill(&gate, start, "a", "", 40)
+	named := make(map[ident.UpstreamID]bool)
+	for i := range 50 {
+		named[gate.Offer(start, admission.Offer{Attempt: ident.AttemptID(fmt.Sprint(i))}).Lighter] = true
+	}
+	delete(named, "") // None of the samples drawn was below the mean.
+	if len(named) != 1 || !named["engine-2"] {
+		t.Errorf("got %v named, want engine-2 alone", named)
+	}
+}
+
+func TestTheQueueStartsTheWorkspaceThatRunsLeast(t *testing.T) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{EngineLimit: 4, QueueLimit: 20})
+	fill(&gate, start, "large", "", 4)
+	gate.Offer(start, admission.Offer{Attempt: "first", Workspace: "large", Wait: true})
+	gate.Offer(start, admission.Offer{Attempt: "second", Workspace: "small", Wait: true})
+	starts := gate.Done(start, "large--1000000000000-0")
+	if len(starts) != 1 || starts[0].Attempt != "second" {
+		t.Errorf("got %+v, want the request of the small workspace", starts)
+	}
+}
+
+func TestAWorkspaceAloneMayFillTheUpstream(t *testing.T) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{EngineLimit: 16, QueueLimit: 4})
+	fill(&gate, start, "small", "", 1)
+	gate.Done(start, "small--1000000000000-0")
+	later := start.Add(time.Minute)
+	if got, want := fill(&gate, later, "large", "", 20), 16; got != want {
+		t.Errorf("got %d admitted a minute after another workspace asked, want %d", got, want)
+	}
+}
--- a/admission/mean.go
+++ b/admission/mean.go
@@ -2,33 +2,43 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
-// pool holds the newest sample of each other upstream that was heard of.
+// pool holds the newest sample of each other upstream that was heard of, in the
+// order of their names.
 type pool struct {
-	samples map[ident.UpstreamID]Sample
+	samples []Sample
 }
 
 // observe takes in the samples that are newer than what is held, and drops
 // those that no longer count.
 func (pool *pool) observe(now time.Time, samples []Sample) {
-	if pool.samples == nil {
-		pool.samples = make(map[ident.UpstreamID]Sample)
-	}
 	for _, sample := range samples {
-		held, found := pool.samples[sample.Upstream]
-		if !found || sample.SeenAt.After(held.SeenAt) {
-			pool.samples[sample.Upstream] = sample
-		}
+		pool.add(sample)
 	}
-	for upstream, sample := range pool.samples {
-		if !fresh(now, sample, SampleLifetime) {
-			delete(pool.samples, upstream)
-		}
+	pool.samples = slices.DeleteFunc(pool.samples, func(sample Sample) bool { return !fresh(now, sample, SampleLifetime) })
+}
+
+func (pool *pool) add(sample Sample) {
+	place, found := pool.find(sample.Upstream)
+	if !found {
+		pool.samples = slices.Insert(pool.samples, place, sample)
+		return
 	}
+	if sample.SeenAt.After(pool.samples[place].SeenAt) {
+		pool.samples[place] = sample
+	}
+}
+
+func (pool *pool) find(upstream ident.UpstreamID) (int, bool) {
+	return slices.BinarySearchFunc(pool.samples, upstream, func(sample Sample, upstream ident.UpstreamID) int {
+		return strings.Compare(string(sample.Upstream), string(upstream))
+	})
 }
 
 func fresh(now time.Time, sample Sample, lifetime time.Duration) bool {
@@ -38,8 +48,9 @@
 // mean returns the mean of load and the fresh samples, and their number.
 func (pool *pool) mean(now time.Time, load int) (float64, int) {
 	sum, count := load, 1
-	for _, sample := range pool.samples {
-		if sample.Leaving || !fresh(now, sample, SampleLifetime) {
+	for i := range pool.samples {
+		sample := &pool.samples[i]
+		if sample.Leaving || !fresh(now, *sample, SampleLifetime) {
 			continue
 		}
 		sum += sample.Load
@@ -48,27 +59,44 @@
 	return float64(sum) / float64(count), count
 }
 
+// lighter returns the upstream with the least load among a few fresh samples
+// drawn at random, if that is below the mean. To draw keeps the sidecars that
+// refuse at the same moment from all naming the same upstream.
+func (pool *pool) lighter(now time.Time, mean float64, random func() float64) ident.UpstreamID {
+	const draws = 4
+	var best Sample
+	for range min(draws, len(pool.samples)) {
+		drawn := pool.samples[int(random()*float64(len(pool.samples)))]
+		if drawn.Leaving || !fresh(now, drawn, SampleLifetime) || float64(drawn.Load) >= mean {
+			continue
+		}
+		if best.Upstream == "" || drawn.Load < best.Load {
+			best = drawn
+		}
+	}
+	return best.Upstream
+}
+
 // raised returns mean raised by the evidence. In a fast ramp every sample is
-// behind by about the same: the mean growth of the refusing upstreams since
-// they were sampled estimates that of the pool, and is not misled by their
-// being among the fuller ones, which they were when sampled too. An upstream
-// that was not sampled is compared with the mean. The result is at most the
-// mean of the loads named, this upstream's own included.
+// behind by about the same: the mean growth of the upstreams named since they
+// were sampled estimates that of the pool, and is not misled by their being
+// among the fuller ones, which they were when sampled too. An upstream that was
+// not sampled is compared with the mean. The result is at most the mean of the
+// loads named, this upstream's own included.
 func (pool *pool) raised(now time.Time, mean float64, load int, evidence []Sample) float64 {
-	sum, growth, count := float64(load), 0.0, 1
-	for i, named := range evidence {
-		if !fresh(now, named, EvidenceLifetime) || named.Leaving || namedBefore(evidence[:i], named.Upstream) {
+	sum, growth, named := load, 0.0, 0
+	for i, sample := range evidence {
+		if !fresh(now, sample, EvidenceLifetime) || sample.Leaving || namedBefore(evidence[:i], sample.Upstream) {
 			continue
 		}
-		sum += float64(named.Load)
-		growth += float64(named.Load) - pool.sampled(now, named.Upstream, mean)
-		count++
+		sum += sample.Load
+		growth += float64(sample.Load) - pool.sampled(now, sample.Upstream, mean)
+		named++
 	}
-	refusals := float64(count - 1)
-	if count-1 < minEvidence {
+	if named < minEvidence {
 		return mean
 	}
-	return max(mean, min(mean+growth/refusals, sum/float64(count)))
+	return max(mean, min(mean+growth/float64(named), float64(sum)/float64(named+1)))
 }
 
 func namedBefore(evidence []Sample, upstream ident.UpstreamID) bool {
@@ -82,11 +110,11 @@
 
 // sampled returns the load of upstream when it was sampled, or else the mean.
 func (pool *pool) sampled(now time.Time, upstream ident.UpstreamID, mean float64) float64 {
-	sample, found := pool.samples[upstream]
-	if !found || !fresh(now, sample, SampleLifetime) {
+	place, found := pool.find(upstream)
+	if !found || !fresh(now, pool.samples[place], SampleLifetime) {
 		return mean
 	}
-	return float64(sample.Load)
+	return float64(pool.samples[place].Load)
 }
 
 // limits is what an offer is held against.
@@ -95,6 +123,16 @@
 	// bound is the lower of the bound by the mean and the engine's limit; zero
 	// means that there is neither.
 	bound int
+	// cold is the lower bound for work that finds no prefix here.
+	cold int
+}
+
+// of returns the bound that applies to offer.
+func (limits *limits) of(offer *Offer) int {
+	if offer.Cold && !offer.Wait {
+		return limits.cold
+	}
+	return limits.bound
 }
 
 // limits returns the limits at the time now, with the mean raised by evidence.
@@ -103,14 +141,15 @@
 func (gate *Gate) limits(now time.Time, evidence []Sample) limits {
 	mean, covered := gate.pool.mean(now, gate.Load())
 	if covered == 1 || gate.policy.LoadMultiple <= 0 {
-		return limits{mean: mean, bound: gate.policy.EngineLimit}
+		return limits{mean: mean, bound: gate.policy.EngineLimit, cold: gate.policy.EngineLimit}
 	}
 	mean = gate.pool.raised(now, mean, gate.Load(), evidence)
 	bound := Bound(gate.policy.LoadMultiple, mean)
 	if gate.policy.EngineLimit > 0 {
 		bound = min(bound, gate.policy.EngineLimit)
 	}
-	return limits{mean: mean, bound: bound}
+	cold := Bound(1+coldPart*(gate.policy.LoadMultiple-1), mean)
+	return limits{mean: mean, bound: bound, cold: min(bound, cold)}
 }
 
 // Bound returns the bound on an upstream's load for the mean of its pool:
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -70,7 +70,7 @@
 }
 
 // supported returns the mean of the loads named, each upstream counted once,
-// with load; it is zero if fewer than two upstreams were named lately.
+// with load; it is zero if fewer than three upstreams were named lately.
 func supported(now time.Time, load int, evidence []admission.Sample) float64 {
 	sum, named := load, make(map[ident.UpstreamID]bool)
 	for _, sample := range evidence {
@@ -80,7 +80,7 @@
 		named[sample.Upstream] = true
 		sum += sample.Load
 	}
-	if len(named) < 2 {
+	if len(named) < 3 {
 		return 0
 	}
 	return float64(sum) / float64(len(named)+1)
@@ -91,15 +91,17 @@
 	offer := admission.Offer{
 		Attempt:   ident.AttemptID(fmt.Sprintf("attempt-%d", model.next)),
 		Workspace: ident.WorkspaceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace")),
-		Weight:    rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "weight"),
+		Weight:    rapid.SampledFrom([]float64{0, 1, 3, 0.3414, 1.7069}).Draw(t, "weight"),
 		Priority:  ident.Priority(rapid.SampledFrom([]string{"shelf", "batch"}).Draw(t, "priority")),
 		Evidence:  model.drawSamples(t, "evidence"),
 		Alone:     rapid.IntRange(0, 15).Draw(t, "alone") == 0,
+		Cold:      rapid.Bool().Draw(t, "cold"),
 		Wait:      rapid.Bool().Draw(t, "wait"),
 		Deadline:  model.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "left")) * time.Millisecond),
 	}
 	ceiling := model.ceiling(len(model.running), offer.Evidence)
 	decision := model.gate.Offer(model.now, offer)
+	model.note(offer.Evidence)
 	switch decision.Verdict {
 	case admission.Admitted:
 		model.admitted(t, offer.Attempt, ceiling)
@@ -160,13 +162,18 @@
 
 func (model *model) observe(t *rapid.T) {
 	samples := model.drawSamples(t, "samples")
+	model.note(samples)
+	model.gate.Observe(model.now, samples)
+}
+
+// note takes in samples as the gate should.
+func (model *model) note(samples []admission.Sample) {
 	for _, sample := range samples {
 		held, found := model.samples[sample.Upstream]
 		if !found || sample.SeenAt.After(held.SeenAt) {
 			model.samples[sample.Upstream] = sample
 		}
 	}
-	model.gate.Observe(model.now, samples)
 }
 
 func TestGateKeepsItsPromises(t *testing.T) {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -9,8 +9,7 @@
 )
 
 // waiting is one queued offer. The queue is in the order of the marks, and of
-// arrival within a mark, so that a later arrival of the same priority cannot
-// push back one that was let in.
+// arrival within a mark.
 type waiting struct {
 	offer Offer
 	mark  float64
@@ -24,6 +23,9 @@
 	if len(gate.queue) >= gate.marked(offer.Priority, gate.policy.QueueLimit) {
 		return gate.refuse(now, result.QueueFull, limits)
 	}
+	if gate.tenant(offer.Workspace).waiting >= gate.queueShare(now, &offer) {
+		return gate.refuse(now, result.ShareExceeded, limits)
+	}
 	place := gate.place(offer.Priority)
 	if !gate.meets(now, offer.Deadline, place) {
 		return gate.refuse(now, result.DeadlineUnmeetable, limits)
@@ -93,7 +95,7 @@
 	return Start{Attempt: offer.Attempt, Code: code, RetryAt: gate.retryAt(now, code)}
 }
 
-// promote admits the queued attempts for which there is room, in their order.
+// promote admits the queued attempts for which there is room.
 func (gate *Gate) promote(now time.Time, starts []Start) []Start {
 	for {
 		place := gate.runnable(now, gate.limits(now, nil))
@@ -110,26 +112,41 @@
 	}
 }
 
-// runnable returns the first place of the queue that may run now, or -1. None
-// passes an attempt that waits for the whole upstream.
+// runnable returns the place of the queued attempt that shall run next, or -1 if
+// none may run now: of those with the highest mark the one whose workspace runs
+// the least for its weight, and of these the first. None passes an attempt that
+// waits for the whole upstream.
 func (gate *Gate) runnable(now time.Time, limits limits) int {
+	best := -1
 	for place := range gate.queue {
-		offer := &gate.queue[place].offer
-		if gate.judge(now, offer, limits) == result.OK {
-			return place
+		entry := &gate.queue[place]
+		if best >= 0 && entry.mark < gate.queue[best].mark {
+			return best
 		}
-		if offer.Alone {
-			return -1
+		if gate.judge(now, &entry.offer, limits) == result.OK && (best < 0 || gate.runsLess(place, best)) {
+			best = place
+		}
+		if entry.offer.Alone {
+			return best
 		}
 	}
-	return -1
+	return best
+}
+
+// runsLess reports whether the workspace of the attempt at place runs less for
+// its weight than that of the one at other.
+func (gate *Gate) runsLess(place, other int) bool {
+	return gate.tenant(gate.queue[place].offer.Workspace).ratio() < gate.tenant(gate.queue[other].offer.Workspace).ratio()
 }
 
 // overtakes reports whether admitting offer would pass a queued attempt of the
 // same or a higher mark that could run, or any that waits for the whole
 // upstream.
-func (gate *Gate) overtakes(now time.Time, offer *Offer, limits limits) bool {
-	mark := gate.mark(offer.Priority)
+func (gate *Gate) overtakes(now time.Time, offer *Offer) bool {
+	if len(gate.queue) == 0 {
+		return false
+	}
+	limits, mark := gate.limits(now, nil), gate.mark(offer.Priority)
 	for place := range gate.queue {
 		entry := &gate.queue[place]
 		if entry.offer.Alone {
--- a/admission/share.go
+++ b/admission/share.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// ratio returns what the workspace runs for each unit of its weight.
+func (tenant *tenant) ratio() float64 { return float64(tenant.running) / tenant.weight }
+
 // active reports whether the workspace has a claim to room.
 func (tenant *tenant) active(now time.Time) bool {
 	return tenant.running > 0 || tenant.waiting > 0 || !now.After(tenant.askedAt.Add(activeFor))
@@ -54,24 +57,20 @@
 
 // shareExceeded reports whether the offer's workspace holds its weighted share
 // while the upstream is contended: another workspace below its own share waits
-// for the room, or asked lately and would find no room left. A workspace that
-// is the only active one may fill the upstream.
-func (gate *Gate) shareExceeded(now time.Time, offer *Offer) bool {
-	limit := gate.policy.EngineLimit
-	reserved := limit > 0 && gate.Load()+1 > limit-reserve(limit)
+// for the room, or asked lately and would find no room left in the whole pool.
+// A workspace that is the only active one may fill the upstream.
+func (gate *Gate) shareExceeded(now time.Time, offer *Offer, mean float64) bool {
+	reserved := gate.reserved(mean)
 	if !reserved && len(gate.queue) == 0 {
 		return false
 	}
-	if limit == 0 {
-		limit = gate.Load() + 1
-	}
-	weights := gate.activeWeights(now)
+	level := gate.level()
 	own := gate.tenant(offer.Workspace)
-	if own.running < share(limit, own.weight, weights) {
+	if !own.above(level) {
 		return false
 	}
 	for workspace, other := range gate.tenants {
-		if other == own || other.running >= share(limit, other.weight, weights) {
+		if other == own || other.above(level) {
 			continue
 		}
 		if reserved && other.active(now) && gate.fits(other.priority) || gate.waits(workspace) {
@@ -81,6 +80,50 @@
 	return false
 }
 
+// level returns the fair level of the work in flight for each unit of weight:
+// that at which the workspaces, each with what it runs but at most its weight
+// times the level, would together leave the reserve free. What the small ones
+// leave of their share goes to the large ones.
+func (gate *Gate) level() float64 {
+	limit := gate.policy.EngineLimit
+	if limit == 0 {
+		limit = gate.Load()
+	}
+	room := float64(limit - limit/reservedPart)
+	level := 0.0
+	for {
+		used, weights, next := 0.0, 0.0, math.Inf(1)
+		for _, tenant := range gate.tenants {
+			own := tenant.ratio()
+			used += min(own, level) * tenant.weight
+			if own > level {
+				weights += tenant.weight
+				next = min(next, own)
+			}
+		}
+		if weights == 0 || level+(room-used)/weights <= next {
+			return level + max(0, room-used)/max(weights, math.SmallestNonzeroFloat64)
+		}
+		level = next
+	}
+}
+
+// above reports whether one more request would take the workspace above level.
+func (tenant *tenant) above(level float64) bool {
+	return float64(tenant.running+1) > max(leastShare, level*tenant.weight)
+}
+
+// reserved reports whether the upstream has only the reserve left, and the pool
+// as a whole is so loaded that its bound is the engine's limit. Before that, a
+// request that finds no room here finds it elsewhere.
+func (gate *Gate) reserved(mean float64) bool {
+	limit := gate.policy.EngineLimit
+	if limit == 0 || gate.Load()+1 <= limit-limit/reservedPart {
+		return false
+	}
+	return gate.policy.LoadMultiple <= 0 || Bound(gate.policy.LoadMultiple, mean) >= limit
+}
+
 // fits reports whether one more request of priority keeps to its mark.
 func (gate *Gate) fits(priority ident.Priority) bool {
 	return gate.Load()+1 <= gate.marked(priority, gate.policy.EngineLimit)
@@ -97,23 +140,15 @@
 	return false
 }
 
-func (gate *Gate) activeWeights(now time.Time) float64 {
-	sum := 0.0
+// queueShare returns how many of the queue's places the workspace may take: all
+// if it is the only one active, and else its weighted share.
+func (gate *Gate) queueShare(now time.Time, offer *Offer) int {
+	weights := 0.0
 	for _, tenant := range gate.tenants {
 		if tenant.active(now) {
-			sum += tenant.weight
+			weights += tenant.weight
 		}
 	}
-	return sum
+	own := gate.tenant(offer.Workspace).weight
+	return max(leastQueueShare, int(float64(gate.policy.QueueLimit)*own/weights))
 }
-
-// share returns how much of limit a workspace is entitled to, at least one.
-func share(limit int, weight, weights float64) int {
-	if weights <= 0 {
-		return limit
-	}
-	return max(1, int(math.Round(float64(limit)*weight/weights)))
-}
-
-// reserve returns the room that is kept free of workspaces at their share.
-func reserve(limit int) int { return limit / reservedPart }
--- a/affinity/loads.go
+++ b/affinity/loads.go
@@ -29,6 +29,40 @@
 type Loads struct {
 	mutex   sync.RWMutex
 	reports map[ident.UpstreamID]Report
+	// recent holds the latest reports, and next is the place of the next one.
+	recent [recentReports]Report
+	next   int
+}
+
+// recentReports is the most reports that Recent returns.
+const recentReports = 8
+
+// Recent appends to reports the latest reports of different upstreams that are
+// not older than lifetime and do not leave. Presented to the next sidecar that
+// a request is offered to, they show it a ramp that its own samples miss.
+func (loads *Loads) Recent(now time.Time, lifetime time.Duration, reports []Report) []Report {
+	loads.mutex.RLock()
+	defer loads.mutex.RUnlock()
+	for _, report := range loads.recent {
+		if report.Upstream == "" || report.Leaving || now.After(report.SeenAt.Add(lifetime)) {
+			continue
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// remember puts report among the recent ones, in the place of an older one of
+// the same upstream if there is one.
+func (loads *Loads) remember(report Report) {
+	for i := range loads.recent {
+		if loads.recent[i].Upstream == report.Upstream {
+			loads.recent[i] = report
+			return
+		}
+	}
+	loads.recent[loads.next] = report
+	loads.next = (loads.next + 1) % recentReports
 }
 
 // Add takes in a report unless a newer one is held.
@@ -42,6 +76,7 @@
 		return
 	}
 	loads.reports[report.Upstream] = report
+	loads.remember(report)
 }
 
 // Forget drops the reports that are no longer of use at the time now.
--- a/affinity/plan.go
+++ b/affinity/plan.go
@@ -1,9 +1,11 @@
 package affinity
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
 )
 
 // MaxTries is the most upstreams that one plan holds.
@@ -19,13 +21,16 @@
 }
 
 // Plan is the order in which one request tries the upstreams of a pool: the
-// best ranked first, then the less loaded of the next two, then the other one,
-// and so on by twos. It is made by Pool.Plan.
+// best ranked first; after a refusal the upstream that the refusing sidecar
+// named as less loaded, or else the less loaded of the next two by rank. It is
+// made by Pool.Plan.
 type Plan struct {
 	pool   *Pool
 	order  [MaxTries]int
 	length int
 	tried  int
+	// preferred says that the next try was named by a sidecar.
+	preferred bool
 }
 
 // Plan returns the order of tries for chat, which was last served by hint.
@@ -43,14 +48,43 @@
 	if plan.tried == plan.length {
 		return Try{}, false
 	}
-	if plan.tried > 0 && plan.tried+1 < plan.length {
+	if plan.tried > 0 && plan.tried+1 < plan.length && !plan.preferred {
 		plan.preferLess(now, loads)
 	}
 	try := Try{Index: plan.order[plan.tried], Last: plan.tried+1 == plan.length}
 	plan.tried++
+	plan.preferred = false
 	return try, true
 }
 
+// Refused tells that the last try was refused with code, and which upstream the
+// refusing sidecar named as less loaded, if any. That one is tried next, if it
+// is in the pool and was not tried. A code that speaks for the whole pool makes
+// the next try the last one, where the request may wait.
+func (plan *Plan) Refused(code result.Code, lighter ident.UpstreamID) {
+	plan.prefer(lighter)
+	if code == result.PriorityHeld {
+		plan.length = min(plan.length, plan.tried+1)
+	}
+}
+
+func (plan *Plan) prefer(upstream ident.UpstreamID) {
+	i, found := plan.pool.index[upstream]
+	if !found || plan.tried == plan.length {
+		return
+	}
+	place := slices.Index(plan.order[:plan.length], i)
+	if place >= 0 && place < plan.tried {
+		return
+	}
+	if place < 0 {
+		place = plan.length - 1
+	}
+	copy(plan.order[plan.tried+1:place+1], plan.order[plan.tried:place])
+	plan.order[plan.tried] = i
+	plan.preferred = true
+}
+
 // Len returns the number of upstreams that the plan still holds, tried or not.
 func (plan *Plan) Len() int { return plan.length }
 
--- a/affinity/plan_test.go
+++ b/affinity/plan_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/result"
 )
 
 var start = time.Unix(1000, 0)
@@ -68,6 +69,55 @@
 	})
 }
 
+func TestARefusalChangesWhatFollows(t *testing.T) {
+	pool := affinity.NewPool(candidates(9, equal))
+	ranked := rank(pool, "chat", "", 9)
+	for _, test := range []struct {
+		name    string
+		code    result.Code
+		lighter ident.UpstreamID
+		want    []ident.UpstreamID
+	}{
+		{"by rank", result.OverBound, "", ranked[:5]},
+		{"one named that is planned", result.OverBound, ranked[3], []ident.UpstreamID{ranked[0], ranked[3], ranked[1], ranked[2], ranked[4]}},
+		{"one named that is not planned", result.OverBound, ranked[8], []ident.UpstreamID{ranked[0], ranked[8], ranked[1], ranked[2], ranked[3]}},
+		{"one named that was tried", result.OverBound, ranked[0], ranked[:5]},
+		{"one named that is not in the pool", result.OverBound, "stranger", ranked[:5]},
+		{"held back everywhere", result.PriorityHeld, "", ranked[:2]},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			plan := pool.Plan("chat", "")
+			var got []ident.UpstreamID
+			for try, more := plan.Next(start, nil); more; try, more = plan.Next(start, nil) {
+				got = append(got, pool.At(try.Index).Upstream)
+				if len(got) == 1 {
+					plan.Refused(test.code, test.lighter)
+				}
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRecentReportsAreOfDifferentUpstreams(t *testing.T) {
+	var loads affinity.Loads
+	for i := range 30 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		loads.Add(affinity.Report{Upstream: ident.UpstreamID(fmt.Sprint(i % 5)), Load: i, SeenAt: at})
+	}
+	got := loads.Recent(start.Add(2900*time.Millisecond), 350*time.Millisecond, nil)
+	if len(got) != 4 {
+		t.Fatalf("got %d reports, want those of the last 350 ms: 4", len(got))
+	}
+	for _, report := range got {
+		if report.Load < 26 {
+			t.Errorf("got load %d of %s, want the latest", report.Load, report.Upstream)
+		}
+	}
+}
+
 func TestALaterReportEndsLeaving(t *testing.T) {
 	pool := affinity.NewPool(candidates(1, equal))
 	var loads affinity.Loads
--- a/prefix/index.go
+++ b/prefix/index.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Moved tells that another upstream has fetched the prefix of chat: the chat is
+// served there from now on, so that the copy here is not worth passing on.
+func (index *Index) Moved(chat ident.ChatID) { index.Evicted(chat) }
+
+// Wants reports whether a prefix that another upstream passes on is of use
+// here: it is longer than what the engine is believed to hold.
+func (index *Index) Wants(held Held) bool { return held.Tokens > index.Holds(held.Chat) }
+
 // Forget drops everything, as after a restart of the engine.
 func (index *Index) Forget() { index.chats = nil }
 
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -135,3 +135,19 @@
 		t.Errorf("got %d tokens after Forget, want 0", got)
 	}
 }
+
+func TestACopyThatMovedOnIsNotPassedOn(t *testing.T) {
+	var index prefix.Index
+	index.Used(start, "stays", 500)
+	index.Used(start, "fetched", 500)
+	index.Moved("fetched")
+	if got, want := fmt.Sprint(index.Hottest(start, 1, 1e6)), "[{stays 500}]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if index.Wants(prefix.Held{Chat: "stays", Tokens: 400}) {
+		t.Errorf("got a shorter prefix wanted, want only a longer one")
+	}
+	if !index.Wants(prefix.Held{Chat: "stays", Tokens: 600}) {
+		t.Errorf("got a longer prefix not wanted")
+	}
+}
