Name a workspace's use by the glossary and spare needless passes over the samples

Without evidence and with an empty queue, Offer and Done went over all samples more often than the bound needs.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -18,7 +18,7 @@
 	policy  Policy
 	pool    pool
 	running map[ident.AttemptID]run
-	tenants map[ident.WorkspaceID]*tenant
+	usages  map[ident.WorkspaceID]*usage
 	queue   []waiting
 	pace    pace
 	// alone is the attempt that has the upstream to itself.
@@ -42,7 +42,7 @@
 func (gate *Gate) Observe(now time.Time, samples []Sample) {
 	gate.latest = now
 	gate.pool.observe(now, samples)
-	gate.forgetTenants(now)
+	gate.forgetIdle(now)
 }
 
 // Leave refuses all new work from now on and returns the queued attempts, all
@@ -77,10 +77,12 @@
 	if gate.holds(offer.Attempt) {
 		return gate.refuse(now, result.KeyInProgress, gate.limits(now, nil))
 	}
-	gate.tenant(offer.Workspace).ask(now, &offer)
+	gate.usage(offer.Workspace).ask(now, &offer)
 	limits := gate.limits(now, offer.Evidence)
 	code := gate.judge(now, &offer, limits)
-	gate.pool.observe(now, offer.Evidence)
+	if len(offer.Evidence) > 0 {
+		gate.pool.observe(now, offer.Evidence)
+	}
 	if code == result.OK && gate.overtakes(now, &offer) {
 		code = result.OverBound
 	}
@@ -121,7 +123,7 @@
 		gate.running = make(map[ident.AttemptID]run)
 	}
 	gate.running[offer.Attempt] = run{workspace: offer.Workspace, startedAt: now}
-	gate.tenant(offer.Workspace).running++
+	gate.usage(offer.Workspace).running++
 	if offer.Alone {
 		gate.alone = offer.Attempt
 	}
@@ -140,7 +142,7 @@
 		return nil
 	}
 	delete(gate.running, attempt)
-	gate.tenant(ended.workspace).running--
+	gate.usage(ended.workspace).running--
 	gate.pace.add(now.Sub(ended.startedAt))
 	if gate.alone == attempt {
 		gate.alone = ""
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -267,3 +267,20 @@
 		t.Errorf("got %d admitted a minute after another workspace asked, want %d", got, want)
 	}
 }
+
+// One admission at a sidecar that holds as many samples as it can.
+func BenchmarkOffer(b *testing.B) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{LoadMultiple: 1.25, EngineLimit: 64})
+	loads := make([]int, 2*admission.MaxPartners*int(admission.SampleLifetime/admission.SamplePeriod))
+	for i := range loads {
+		loads[i] = 10
+	}
+	gate.Observe(start, samples(loads...))
+	fill(&gate, start, "a", "", 8)
+	b.ReportAllocs()
+	for b.Loop() {
+		gate.Offer(start, admission.Offer{Attempt: "x", Workspace: "a"})
+		gate.Done(start, "x")
+	}
+}
--- a/admission/mean.go
+++ b/admission/mean.go
@@ -48,9 +48,10 @@
 // mean returns the mean of load and the fresh samples, and their number.
 func (pool *pool) mean(now time.Time, load int) (float64, int) {
 	sum, count := load, 1
+	oldest := now.Add(-SampleLifetime)
 	for i := range pool.samples {
 		sample := &pool.samples[i]
-		if sample.Leaving || !fresh(now, *sample, SampleLifetime) {
+		if sample.Leaving || sample.SeenAt.Before(oldest) {
 			continue
 		}
 		sum += sample.Load
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -23,7 +23,7 @@
 	if len(gate.queue) >= gate.marked(offer.Priority, gate.policy.QueueLimit) {
 		return gate.refuse(now, result.QueueFull, limits)
 	}
-	if gate.tenant(offer.Workspace).waiting >= gate.queueShare(now, &offer) {
+	if gate.usage(offer.Workspace).waiting >= gate.queueShare(now, &offer) {
 		return gate.refuse(now, result.ShareExceeded, limits)
 	}
 	place := gate.place(offer.Priority)
@@ -32,7 +32,7 @@
 	}
 	offer.Evidence = nil
 	gate.queue = slices.Insert(gate.queue, place, waiting{offer: offer, mark: gate.mark(offer.Priority)})
-	gate.tenant(offer.Workspace).waiting++
+	gate.usage(offer.Workspace).waiting++
 	return Decision{Verdict: Queued, Load: gate.Load(), Mean: limits.mean, Bound: limits.bound}
 }
 
@@ -86,7 +86,7 @@
 func (gate *Gate) removeQueued(place int) Offer {
 	offer := gate.queue[place].offer
 	gate.queue = slices.Delete(gate.queue, place, place+1)
-	gate.tenant(offer.Workspace).waiting--
+	gate.usage(offer.Workspace).waiting--
 	return offer
 }
 
@@ -97,7 +97,7 @@
 
 // promote admits the queued attempts for which there is room.
 func (gate *Gate) promote(now time.Time, starts []Start) []Start {
-	for {
+	for len(gate.queue) > 0 {
 		place := gate.runnable(now, gate.limits(now, nil))
 		if place < 0 {
 			return starts
@@ -110,6 +110,7 @@
 		gate.admit(now, &offer)
 		starts = append(starts, Start{Attempt: offer.Attempt})
 	}
+	return starts
 }
 
 // runnable returns the place of the queued attempt that shall run next, or -1 if
@@ -136,7 +137,7 @@
 // runsLess reports whether the workspace of the attempt at place runs less for
 // its weight than that of the one at other.
 func (gate *Gate) runsLess(place, other int) bool {
-	return gate.tenant(gate.queue[place].offer.Workspace).ratio() < gate.tenant(gate.queue[other].offer.Workspace).ratio()
+	return gate.usage(gate.queue[place].offer.Workspace).ratio() < gate.usage(gate.queue[other].offer.Workspace).ratio()
 }
 
 // overtakes reports whether admitting offer would pass a queued attempt of the
--- a/admission/share.go
+++ b/admission/share.go
@@ -7,8 +7,8 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
-// tenant is one workspace's use of the upstream.
-type tenant struct {
+// usage is one workspace's use of the upstream.
+type usage struct {
 	weight  float64
 	running int
 	waiting int
@@ -17,40 +17,40 @@
 	priority ident.Priority
 }
 
-func (tenant *tenant) ask(now time.Time, offer *Offer) {
-	tenant.askedAt = now
-	tenant.priority = offer.Priority
-	tenant.weight = offer.Weight
+func (usage *usage) ask(now time.Time, offer *Offer) {
+	usage.askedAt = now
+	usage.priority = offer.Priority
+	usage.weight = offer.Weight
 	if offer.Weight <= 0 {
-		tenant.weight = 1
+		usage.weight = 1
 	}
 }
 
 // ratio returns what the workspace runs for each unit of its weight.
-func (tenant *tenant) ratio() float64 { return float64(tenant.running) / tenant.weight }
+func (usage *usage) ratio() float64 { return float64(usage.running) / usage.weight }
 
 // active reports whether the workspace has a claim to room.
-func (tenant *tenant) active(now time.Time) bool {
-	return tenant.running > 0 || tenant.waiting > 0 || !now.After(tenant.askedAt.Add(activeFor))
+func (usage *usage) active(now time.Time) bool {
+	return usage.running > 0 || usage.waiting > 0 || !now.After(usage.askedAt.Add(activeFor))
 }
 
-func (gate *Gate) tenant(workspace ident.WorkspaceID) *tenant {
-	found := gate.tenants[workspace]
+func (gate *Gate) usage(workspace ident.WorkspaceID) *usage {
+	found := gate.usages[workspace]
 	if found != nil {
 		return found
 	}
-	if gate.tenants == nil {
-		gate.tenants = make(map[ident.WorkspaceID]*tenant)
+	if gate.usages == nil {
+		gate.usages = make(map[ident.WorkspaceID]*usage)
 	}
-	made := &tenant{weight: 1}
-	gate.tenants[workspace] = made
+	made := &usage{weight: 1}
+	gate.usages[workspace] = made
 	return made
 }
 
-func (gate *Gate) forgetTenants(now time.Time) {
-	for workspace, tenant := range gate.tenants {
-		if !tenant.active(now) {
-			delete(gate.tenants, workspace)
+func (gate *Gate) forgetIdle(now time.Time) {
+	for workspace, usage := range gate.usages {
+		if !usage.active(now) {
+			delete(gate.usages, workspace)
 		}
 	}
 }
@@ -65,11 +65,11 @@
 		return false
 	}
 	level := gate.level()
-	own := gate.tenant(offer.Workspace)
+	own := gate.usage(offer.Workspace)
 	if !own.above(level) {
 		return false
 	}
-	for workspace, other := range gate.tenants {
+	for workspace, other := range gate.usages {
 		if other == own || other.above(level) {
 			continue
 		}
@@ -93,11 +93,11 @@
 	level := 0.0
 	for {
 		used, weights, next := 0.0, 0.0, math.Inf(1)
-		for _, tenant := range gate.tenants {
-			own := tenant.ratio()
-			used += min(own, level) * tenant.weight
+		for _, usage := range gate.usages {
+			own := usage.ratio()
+			used += min(own, level) * usage.weight
 			if own > level {
-				weights += tenant.weight
+				weights += usage.weight
 				next = min(next, own)
 			}
 		}
@@ -109,8 +109,8 @@
 }
 
 // above reports whether one more request would take the workspace above level.
-func (tenant *tenant) above(level float64) bool {
-	return float64(tenant.running+1) > max(leastShare, level*tenant.weight)
+func (usage *usage) above(level float64) bool {
+	return float64(usage.running+1) > max(leastShare, level*usage.weight)
 }
 
 // reserved reports whether the upstream has only the reserve left, and the pool
@@ -144,11 +144,11 @@
 // if it is the only one active, and else its weighted share.
 func (gate *Gate) queueShare(now time.Time, offer *Offer) int {
 	weights := 0.0
-	for _, tenant := range gate.tenants {
-		if tenant.active(now) {
-			weights += tenant.weight
+	for _, usage := range gate.usages {
+		if usage.active(now) {
+			weights += usage.weight
 		}
 	}
-	own := gate.tenant(offer.Workspace).weight
+	own := gate.usage(offer.Workspace).weight
 	return max(leastQueueShare, int(float64(gate.policy.QueueLimit)*own/weights))
 }
--- a/affinity/plan_test.go
+++ b/affinity/plan_test.go
@@ -133,3 +133,38 @@
 		t.Errorf("got no try after a later report, want one")
 	}
 }
+
+// One routing decision: the plan, the first try, a refusal and the second try.
+func BenchmarkPlan(b *testing.B) {
+	for _, count := range []int{18, 210, 2300} {
+		pool := affinity.NewPool(candidates(count, equal))
+		var loads affinity.Loads
+		for i := range count {
+			loads.Add(affinity.Report{Upstream: pool.At(i).Upstream, Load: i % 9, SeenAt: start})
+		}
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				plan := pool.Plan("chat-0123456789", "engine-3")
+				plan.Next(start, &loads)
+				plan.Refused(result.OverBound, "engine-5")
+				plan.Next(start, &loads)
+			}
+		})
+	}
+}
+
+func TestARoutingDecisionAllocatesNothing(t *testing.T) {
+	pool := affinity.NewPool(candidates(210, equal))
+	var loads affinity.Loads
+	loads.Add(affinity.Report{Upstream: "engine-5", Load: 3, SeenAt: start})
+	got := testing.AllocsPerRun(100, func() {
+		plan := pool.Plan("chat-0123456789", "engine-3")
+		plan.Next(start, &loads)
+		plan.Refused(result.OverBound, "engine-5")
+		plan.Next(start, &loads)
+	})
+	if want := 0.0; got != want {
+		t.Errorf("got %v allocations, want %v", got, want)
+	}
+}
