--- a/policybench/scenario_test.go
+++ b/policybench/scenario_test.go
@@ -160,7 +160,7 @@
 	bench.join()
 	bench.announce()
 	if bench.policy.push {
-		leaver.pass()
+		bench.clock.after(passAfter, leaver.pass)
 	}
 	leaver.stopIfDrained()
 }
@@ -168,15 +168,21 @@
 // passRate is the tokens that a leaving engine passes on in a second.
 const passRate = transferRate / tokenBytes
 
-// passFor is the time in seconds that it has for it.
-const passFor = 10.0
+// A leaving engine stays for passFor seconds after its last request, so that
+// others can fetch from it. It passes a tenth of its cache on, passAfter seconds
+// after it began to leave: more evicts more elsewhere than it saves.
+const (
+	passFor    = 10.0
+	passAfter  = 8.0
+	passTokens = cacheTokens / 10
+)
 
 // pass sends the hottest prefixes to the next upstream in each chat's order.
 func (engine *engine) pass() {
 	bench := engine.bench
 	pool := bench.view()
 	seconds := 0.0
-	for _, held := range engine.index.Hottest(bench.clock.now, 512, passRate*passFor) {
+	for _, held := range engine.index.Hottest(bench.clock.now, 512, passTokens) {
 		seconds += float64(held.Tokens) / passRate
 		var order [1]int
 		pool.Rank(held.Chat, "", order[:])
--- a/policybench/table_test.go
+++ b/policybench/table_test.go
@@ -14,6 +14,7 @@
 	sizes  = flag.String("sizes", "12,18,70", "the numbers of upstreams to measure")
 	chosen = flag.String("scenarios", "", "the scenarios to measure; empty means all")
 	only   = flag.String("policies", "", "the policies to measure; empty means all")
+	drawn  = flag.Uint64("seed", seed, "the seed of the table")
 	table  = flag.Bool("table", false, "print the table of the design note")
 )
 
@@ -50,7 +51,7 @@
 		if *only != "" && !regexp.MustCompile(*only).MatchString(policy.name) {
 			continue
 		}
-		counts := measure(policy, scenario, size, seed)
+		counts := measure(policy, scenario, size, *drawn)
 		except := ident.WorkspaceID(surgingName)
 		if scenario.name == "overnight" {
 			except = night
