--- a/admission/gate.go
+++ b/admission/gate.go
@@ -18,7 +18,7 @@
 	policy  Policy
 	pool    pool
 	running map[ident.AttemptID]run
-	tenants map[ident.WorkspaceID]*tenant
+	usages  []*usage
 	queue   []waiting
 	pace    pace
 	// alone is the attempt that has the upstream to itself.
@@ -42,7 +42,7 @@
 func (gate *Gate) Observe(now time.Time, samples []Sample) {
 	gate.latest = now
 	gate.pool.observe(now, samples)
-	gate.forgetTenants(now)
+	gate.forgetIdle(now)
 }
 
 // Leave refuses all new work from now on and returns the queued attempts, all
@@ -70,16 +70,20 @@
 func (gate *Gate) Bound(now time.Time) int { return gate.limits(now, nil).bound }
 
 // Offer asks to admit a request at the time now. An attempt that is already
-// running or queued here is refused as in progress.
+// running or queued here is refused as in progress. The evidence counts as
+// samples from then on.
 func (gate *Gate) Offer(now time.Time, offer Offer) Decision {
 	gate.latest = now
 	if gate.holds(offer.Attempt) {
 		return gate.refuse(now, result.KeyInProgress, gate.limits(now, nil))
 	}
-	gate.tenant(offer.Workspace).ask(now, &offer)
+	gate.usage(offer.Workspace).ask(now, &offer)
 	limits := gate.limits(now, offer.Evidence)
 	code := gate.judge(now, &offer, limits)
-	if code == result.OK && gate.overtakes(now, &offer, limits) {
+	if len(offer.Evidence) > 0 {
+		gate.pool.observe(now, offer.Evidence)
+	}
+	if code == result.OK && gate.overtakes(now, &offer) {
 		code = result.OverBound
 	}
 	if code == result.OK {
@@ -97,11 +101,11 @@
 		return result.Leaving
 	case gate.alone != "", offer.Alone && next > 1:
 		return result.OverBound
-	case limits.bound > 0 && next > limits.bound:
+	case limits.bound > 0 && next > limits.of(offer):
 		return result.OverBound
 	case !gate.fits(offer.Priority):
 		return result.PriorityHeld
-	case gate.shareExceeded(now, offer):
+	case gate.shareExceeded(now, offer, limits.mean):
 		return result.ShareExceeded
 	}
 	return result.OK
@@ -119,7 +123,7 @@
 		gate.running = make(map[ident.AttemptID]run)
 	}
 	gate.running[offer.Attempt] = run{workspace: offer.Workspace, startedAt: now}
-	gate.tenant(offer.Workspace).running++
+	gate.usage(offer.Workspace).running++
 	if offer.Alone {
 		gate.alone = offer.Attempt
 	}
@@ -138,7 +142,7 @@
 		return nil
 	}
 	delete(gate.running, attempt)
-	gate.tenant(ended.workspace).running--
+	gate.usage(ended.workspace).running--
 	gate.pace.add(now.Sub(ended.startedAt))
 	if gate.alone == attempt {
 		gate.alone = ""
@@ -162,7 +166,11 @@
 }
 
 func (gate *Gate) refuse(now time.Time, code result.Code, limits limits) Decision {
-	return Decision{Verdict: Refused, Code: code, RetryAt: gate.retryAt(now, code), Load: gate.Load(), Mean: limits.mean, Bound: limits.bound}
+	return Decision{
+		Verdict: Refused, Code: code, RetryAt: gate.retryAt(now, code),
+		Load: gate.Load(), Mean: limits.mean, Bound: limits.bound,
+		Lighter: gate.pool.lighter(now, limits.mean, gate.random),
+	}
 }
 
 // The least and the longest mean time after which a refused request comes back.
