Pass changes of the VM list on between daemons

That is 15 KB/s, three times the whole budget, worked out from ListRead. Besides, every daemon opened a link to each VM marked as leaving.

Weighed: reading less often (one whole read in 100 s is all of the budget, and the list would be minutes old); a compressed list (the platform would have to offer it); daemons passing changes on, taken. Package vmlist keeps the list with the steps that led to it. Whoever learns of a change tells its neighbours on the rings of the settings, and they fetch the step. The fleet shares 6 reads a second instead of 300; a neighbour is asked every 5 s in case a notice was lost; a daemon whose state nobody can lead on from reads the list itself. Only the daemon that read a mark of leaving from the platform calls the VM.

--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/fleettest"
+	"github.com/hickoryhead/hickoryhead/platform"
 )
 
 const (
@@ -18,7 +19,8 @@
 )
 
 // BenchmarkControl measures the control bytes and the processor time of routers
-// and sidecars in fleets of three sizes, at rest and under a load.
+// and sidecars in fleets of three sizes: at rest, while one VM on the platform's
+// list changes each second, and under a load.
 func BenchmarkControl(b *testing.B) {
 	for _, size := range []struct{ routers, engines int }{{2, 6}, {4, 16}, {8, 40}} {
 		daemons := size.routers + size.engines + 1
@@ -34,6 +36,11 @@
 					watchControl(b, fleet, func() { time.Sleep(controlTime) })
 				}
 			})
+			b.Run("churn", func(b *testing.B) {
+				for b.Loop() {
+					watchControl(b, fleet, func() { churn(fleet, controlTime) })
+				}
+			})
 			b.Run("load", func(b *testing.B) {
 				for b.Loop() {
 					watchControl(b, fleet, func() { loadFor(b, fleet, controlTime) })
@@ -43,6 +50,14 @@
 	}
 }
 
+// churn changes one VM on the platform's list each second.
+func churn(fleet *fleettest.Fleet, duration time.Duration) {
+	for i := range int(duration / time.Second) {
+		fleet.PutVM(platform.VM{ID: "vm-churn", Role: platform.RoleRouter, Address: fmt.Sprintf("10.0.0.1:%d", 1000+i), Leaving: true})
+		time.Sleep(time.Second)
+	}
+}
+
 // loadFor sends one answer after another through the first router.
 func loadFor(b *testing.B, fleet *fleettest.Fleet, duration time.Duration) {
 	from := source{address: fleet.Routers[0].Callers, tokens: 50}
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -101,15 +101,20 @@
 	return nil
 }
 
-// start begins the parts' own loops. They end with ctx.
-func (base *base) start(ctx context.Context, role platform.Role) {
-	base.settings.Self = platform.VM{
+// vm returns the daemon's own VM, once it listens for peers.
+func (base *base) vm(role platform.Role) platform.VM {
+	return platform.VM{
 		ID:          base.config.VM,
 		Role:        role,
 		PeerAddress: base.peerAt.Addr().String(),
 		Zone:        base.config.Zone,
 		Region:      base.config.Region,
 	}
+}
+
+// start begins the parts' own loops. They end with ctx.
+func (base *base) start(ctx context.Context, role platform.Role) {
+	base.settings.Self = base.vm(role)
 	peers := &peerService{server: base.server, listener: base.peerAt, logger: base.logger}
 	go peers.run(ctx)
 	links := &linksService{links: base.links}
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -63,6 +63,10 @@
 	if err := base.listen(); err != nil {
 		return err
 	}
+	watch, err := newVMWatch(base, platform.RoleRouter, router.leave)
+	if err != nil {
+		return err
+	}
 	base.start(ctx, platform.RoleRouter)
 	router.callers = &caller.Server{
 		View:      base.view,
@@ -77,8 +81,8 @@
 	if err := router.listen(); err != nil {
 		return err
 	}
-	watch := &vmWatch{base: base, self: router.Config.VM, logger: base.logger, leave: router.leave}
 	go watch.run(ctx)
+	go watch.loopAsk(ctx)
 	go router.callerAt.run()
 	go router.operators.run()
 	return nil
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -75,9 +75,13 @@
 	if err := daemon.register(); err != nil {
 		return err
 	}
+	watch, err := newVMWatch(base, platform.RoleSidecar, daemon.leave)
+	if err != nil {
+		return err
+	}
 	base.start(ctx, platform.RoleSidecar)
-	watch := &vmWatch{base: base, self: daemon.Config.VM, logger: base.logger, leave: daemon.leave}
 	go watch.run(ctx)
+	go watch.loopAsk(ctx)
 	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
 	go sampler.run(ctx)
 	sweep := &sweep{core: daemon.core}
--- /dev/null
+++ b/vmlist/vmlist_test.go
@@ -0,0 +1,165 @@
+package vmlist_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/vmlist"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// states are what the platform's list was, one after the other, and their names.
+func drawStates(t *rapid.T) [][]platform.VM {
+	vm := rapid.Custom(func(t *rapid.T) platform.VM {
+		drawn := platform.VM{
+			ID:      ident.VMID(fmt.Sprint("vm-", rapid.IntRange(0, 9).Draw(t, "id"))),
+			Address: fmt.Sprint("10.0.0.1:", rapid.IntRange(1, 2).Draw(t, "port")),
+			Leaving: rapid.Bool().Draw(t, "leaving"),
+		}
+		if rapid.Bool().Draw(t, "has upstream") {
+			drawn.Upstream = &platform.VMUpstream{ID: "engine-1", Weight: float64(rapid.IntRange(0, 1).Draw(t, "weight"))}
+		}
+		return drawn
+	})
+	distinct := rapid.SliceOfNDistinct(vm, 0, 10, func(vm platform.VM) ident.VMID { return vm.ID })
+	return rapid.SliceOfN(distinct, 2, 8).Draw(t, "states")
+}
+
+func etag(state int) string { return fmt.Sprint("state-", state) }
+
+// A daemon that asks another ends with that one's list, or with its own if the
+// other cannot tell the step or has not the later state.
+func TestLearnGivesTheOthersList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := drawStates(t)
+		var reader, asker vmlist.List
+		for i, vms := range states {
+			reader.Read(start.Add(time.Duration(i)*time.Second), etag(i), vms)
+		}
+		held := rapid.IntRange(0, len(states)-1).Draw(t, "held")
+		asker.Read(start.Add(time.Duration(held)*time.Second), etag(held), states[held])
+		before := asker.VMs()
+		asked := start.Add(time.Minute)
+		news := reader.Since(asked, asker.ETag())
+		changed := asker.Learn(asked, asker.ETag(), news)
+		want := before
+		if changed {
+			want = reader.VMs()
+		}
+		if got := asker.VMs(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if last := len(states) - 1; changed != (held != last && news.Known) {
+			t.Fatalf("got changed %t with state %d of %d and news %+v", changed, held, last, news)
+		}
+		if changed && asker.ETag() != reader.ETag() {
+			t.Fatalf("got state %s, want %s", asker.ETag(), reader.ETag())
+		}
+	})
+}
+
+// Whoever asks whom in whatever order, no daemon goes back to a state that the
+// platform confirmed earlier, and each list is that of its state.
+func TestListsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := drawStates(t)
+		daemons := make([]vmlist.List, 4)
+		now, state := start, 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			one := &daemons[rapid.IntRange(0, 3).Draw(t, "one")]
+			before := one.ConfirmedAt()
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				state = min(state+1, len(states)-1)
+			case 1:
+				one.Read(now, etag(state), states[state])
+			default:
+				other := &daemons[rapid.IntRange(0, 3).Draw(t, "other")]
+				one.Learn(now, one.ETag(), other.Since(now, one.ETag()))
+			}
+			if one.ConfirmedAt().Before(before) {
+				t.Fatalf("got a state of %s after one of %s", one.ConfirmedAt(), before)
+			}
+			checkState(t, one, states)
+		}
+	})
+}
+
+func checkState(t *rapid.T, list *vmlist.List, states [][]platform.VM) {
+	for i, vms := range states {
+		if list.ETag() != etag(i) {
+			continue
+		}
+		var want vmlist.List
+		want.Read(start, etag(i), vms)
+		if got, want := list.VMs(), want.VMs(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("state %s: got %v, want %v", etag(i), got, want)
+		}
+	}
+}
+
+func TestNewsThatMustNotBeTaken(t *testing.T) {
+	one := []platform.VM{{ID: "vm-1"}}
+	two := []platform.VM{{ID: "vm-1"}, {ID: "vm-2"}}
+	later := start.Add(time.Second)
+	step := vmlist.Change{Put: two[1:]}
+	tests := map[string]struct {
+		etag string
+		news vmlist.News
+		want bool
+	}{
+		"newer":           {"a", vmlist.News{ETag: "b", Known: true, Change: step}, true},
+		"older":           {"a", vmlist.News{ETag: "b", AgeMs: 5000, Known: true, Change: step}, false},
+		"unknown step":    {"a", vmlist.News{ETag: "b"}, false},
+		"of another":      {"z", vmlist.News{ETag: "b", Known: true, Change: step}, false},
+		"without a name":  {"a", vmlist.News{Known: true, Change: step}, false},
+		"the same, later": {"a", vmlist.News{ETag: "a", Known: true}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var list vmlist.List
+			list.Read(start, "a", one)
+			if got := list.Learn(later, test.etag, test.news); got != test.want {
+				t.Errorf("got changed %t, want %t", got, test.want)
+			}
+			if got, want := len(list.VMs()) == 2, test.want; got != want {
+				t.Errorf("got %v", list.VMs())
+			}
+		})
+	}
+}
+
+// A platform that names no states is read again and again, and nothing is
+// passed on.
+func TestNamelessStates(t *testing.T) {
+	var list vmlist.List
+	list.Read(start, "", []platform.VM{{ID: "vm-1"}})
+	list.Read(start.Add(time.Second), "", []platform.VM{{ID: "vm-2"}})
+	if news := list.Since(start, ""); news.Known {
+		t.Errorf("got %+v, want nothing known", news)
+	}
+	if got := list.VMs(); len(got) != 1 || got[0].ID != "vm-2" {
+		t.Errorf("got %v, want vm-2 alone", got)
+	}
+}
