--- a/caller/relay.go
+++ b/caller/relay.go
@@ -22,10 +22,10 @@
 	// sidecar counts as lost.
 	resumeTries     = 4
 	resumeFirstWait = 20 * time.Millisecond
+	resumeTimeout   = 2 * time.Second
 	// maxText bounds the text that is kept in order to continue an answer
 	// elsewhere, in bytes.
-	maxText       = 1 << 20
-	resumeTimeout = 2 * time.Second
+	maxText = 1 << 20
 	// abandonTimeout bounds the question whether an attempt was forwarded.
 	abandonTimeout = time.Second
 )
@@ -222,11 +222,16 @@
 	if relay.pool != nil {
 		candidates = len(relay.pool.Entries)
 	}
+	tried := relay.tried + len(relay.lost)
+	if code.Outcome() != result.NotRun {
+		// The upstreams that declined it may take it when it starts over.
+		tried = len(relay.lost) + 1
+	}
 	return retry.Attempt{
 		Code:       code,
 		Idempotent: relay.incoming.route.Idempotent,
 		Deadline:   relay.incoming.deadline,
-		Tried:      relay.tried + len(relay.lost),
+		Tried:      tried,
 		Candidates: candidates,
 	}
 }
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -12,9 +12,9 @@
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
+	"github.com/hickoryhead/hickoryhead/placement"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 	"github.com/hickoryhead/hickoryhead/upstream"
@@ -114,7 +114,7 @@
 		View:        base.view,
 		ReplayBytes: daemon.Config.ReplayBytes,
 		Metrics:     base.metrics,
-		Logger:      logging.Part(daemon.Logger, "sidecar"),
+		Logger:      daemon.Logger,
 	}
 	core.PoolIDs = daemon.poolIDs
 	if configured.Service != "" {
@@ -129,6 +129,15 @@
 	return core
 }
 
+// newGuard returns the part that refuses orders of earlier lease holders.
+func (daemon *Sidecar) newGuard() *placement.Guard {
+	return &placement.Guard{
+		Current: placement.CurrentFence(daemon.base.platform),
+		Order:   daemon.core.Client.Order,
+		Metrics: daemon.base.metrics,
+	}
+}
+
 // newClaimer returns the part that claims requests that are not idempotent.
 func (daemon *Sidecar) newClaimer() *claimtable.Claimer {
 	base := daemon.base
@@ -175,6 +184,7 @@
 		"Load":     (*loadService)(services),
 		"Leaving":  (*leavingService)(services),
 		"Strikes":  (*strikeService)(services),
+		"Orders":   daemon.newGuard(),
 		"Attempts": (*attemptService)(services),
 	}
 	for name, receiver := range receivers {
--- a/operator/client.go
+++ b/operator/client.go
@@ -54,7 +54,7 @@
 // Unwrap returns the refusal.
 func (e *RacedError) Unwrap() error { return e.Problem }
 
-// List returns the settings of the team; an empty kind means all kinds.
+// List returns the settings of the team in force at the router; an empty kind means all kinds.
 func (client *Client) List(ctx context.Context, kind settings.Kind) (Listing, error) {
 	path := client.teamPath()
 	if kind != "" {
@@ -64,6 +64,13 @@
 	return list, client.send(ctx, http.MethodGet, path, nil, nil, &list)
 }
 
+// ListAccepted returns the settings of the team in the table, on which the next
+// change has to build.
+func (client *Client) ListAccepted(ctx context.Context) (Listing, error) {
+	var list Listing
+	return list, client.send(ctx, http.MethodGet, client.teamPath()+"?Accepted=true", nil, nil, &list)
+}
+
 // Get returns one setting.
 func (client *Client) Get(ctx context.Context, kind settings.Kind, name string) (json.RawMessage, error) {
 	path := client.teamPath() + "/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
@@ -119,26 +126,32 @@
 	header.Set(HeaderChangeID, uuid.NewString())
 	header.Set(HeaderAuthor, client.Author)
 	header.Set(HeaderReason, client.Reason)
+	unknown := false
 	for try := 1; ; try++ {
 		var accepted Accepted
 		err := client.send(ctx, http.MethodPost, path, body, header, &accepted)
-		if err == nil || !mayRepeat(err) || try == clientTries {
+		code := result.From(err, result.CommitUnknown)
+		switch {
+		case err == nil:
+			return accepted, nil
+		case code.Code == result.CommitUnknown:
+			unknown = true
+		case code.Code != result.PlatformUnavailable:
 			return accepted, err
 		}
-		if client.pause(ctx) != nil {
-			return accepted, err
+		if try == clientTries || client.pause(ctx) != nil {
+			return accepted, outcomeOf(err, unknown)
 		}
 	}
 }
 
-// mayRepeat reports whether the same change may be accepted later, or may have
-// been accepted already.
-func mayRepeat(err error) bool {
-	var refused *result.Error
-	if !errors.As(err, &refused) {
-		return true
+// outcomeOf returns err, or CommitUnknown where an earlier try may have had the
+// change accepted.
+func outcomeOf(err error, unknown bool) error {
+	if unknown {
+		return result.Errorf(result.CommitUnknown, "%v", err)
 	}
-	return refused.Code == result.CommitUnknown || refused.Code == result.PlatformUnavailable
+	return err
 }
 
 func (client *Client) pause(ctx context.Context) error {
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -25,9 +25,8 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
-	// frameBufferBytes is read at once from a stream; a longer frame takes
-	// more space for a while.
-	frameBufferBytes = 4 << 10
+	// frameBuffer is the size of the buffer of one answer, in bytes.
+	frameBuffer = 16 << 10
 	// silenceLimit is how long a sidecar may send nothing at all. It is a few
 	// times its heartbeat.
 	silenceLimit = 3 * time.Second
@@ -59,6 +58,10 @@
 	silence *time.Timer
 }
 
+func newFrames(body io.ReadCloser, cancel context.CancelFunc, silence *time.Timer) *Frames {
+	return &Frames{body: body, buffer: bufio.NewReaderSize(body, frameBuffer), cancel: cancel, silence: silence}
+}
+
 // Next returns the next frame, or the error of a cut connection. A sidecar that
 // sends neither a frame nor a heartbeat for a while counts as cut off.
 func (frames *Frames) Next() (answer.Frame, error) {
@@ -88,7 +91,10 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(line)
+	if len(line) == 1 {
+		return answer.Frame{}, nil
+	}
+	return answer.DecodeFrame(line)
 }
 
 // long reads a frame that is longer than the buffer.
@@ -98,15 +104,7 @@
 	if err != nil {
 		return answer.Frame{}, unexpected(err)
 	}
-	return decodeFrame(append(line, rest...))
-}
-
-// decodeFrame reads one line. A heartbeat is a frame without a number.
-func decodeFrame(line []byte) (answer.Frame, error) {
-	if len(line) <= 1 {
-		return answer.Frame{}, nil
-	}
-	return answer.DecodeFrame(line)
+	return answer.DecodeFrame(append(line, rest...))
 }
 
 func unexpected(err error) error {
@@ -117,7 +115,7 @@
 }
 
 // Buffered reports whether a whole further frame is at hand already, so that
-// Next does not wait. Heartbeats are none.
+// Next does not wait. A heartbeat is no frame.
 func (frames *Frames) Buffered() bool {
 	held, _ := frames.buffer.Peek(frames.buffer.Buffered())
 	return bytes.IndexByte(bytes.TrimLeft(held, "\n"), '\n') >= 0
@@ -223,8 +221,7 @@
 		cancel()
 		return nil, state, err
 	}
-	buffer := bufio.NewReaderSize(response.Body, frameBufferBytes)
-	return &Frames{body: response.Body, buffer: buffer, cancel: cancel, silence: silence}, state, nil
+	return newFrames(response.Body, cancel, silence), state, nil
 }
 
 func (client *Client) exchange(ctx context.Context, method, address, path string, into any) error {
--- a/sidecar/client_test.go
+++ b/sidecar/client_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"io"
 	"testing"
 	"time"
@@ -21,12 +20,29 @@
 	return copy(buffer, part), nil
 }
 
-// A frame of which only a part has come, or a heartbeat, must not hold up the
-// frames before it.
+func framesOf(stream io.Reader) *Frames {
+	return newFrames(io.NopCloser(stream), func() {}, time.AfterFunc(time.Hour, func() {}))
+}
+
+// A heartbeat is passed over, and does not hold up the frame before it.
+func TestHeartbeatIsNoFrame(t *testing.T) {
+	frames := framesOf(&parts{"{\"Seq\":1,\"Data\":\"a\"}\n\n", "\n{\"Seq\":2,\"Data\":\"b\"}\n"})
+	for _, want := range []answer.Seq{1, 2} {
+		frame, err := frames.Next()
+		if err != nil || frame.Seq != want {
+			t.Fatalf("got frame %d and %v, want frame %d", frame.Seq, err, want)
+		}
+		if frames.Buffered() {
+			t.Errorf("after frame %d: got buffered true, want false", frame.Seq)
+		}
+	}
+}
+
+// A frame of which only a part has come must not hold up those before it.
 func TestFramesAreBufferedOnlyWhole(t *testing.T) {
-	stream := &parts{"{\"Seq\":1,\"Data\":\"a\"}\n{\"Seq\":2,\"Data\":\"b\"}\n{\"Seq\":3,\"Da", "ta\":\"c\"}\n\n\n", "{\"Seq\":4}\n"}
-	frames := &Frames{body: io.NopCloser(stream), buffer: bufio.NewReader(stream), silence: time.AfterFunc(time.Hour, func() {})}
-	wantBuffered := []bool{true, false, false, false}
+	stream := &parts{"{\"Seq\":1,\"Data\":\"a\"}\n{\"Seq\":2,\"Data\":\"b\"}\n{\"Seq\":3,\"Da", "ta\":\"c\"}\n"}
+	frames := framesOf(stream)
+	wantBuffered := []bool{true, false, false}
 	for i, want := range wantBuffered {
 		frame, err := frames.Next()
 		if err != nil || frame.Seq != answer.Seq(i+1) {
--- a/sidecar/execution.go
+++ b/sidecar/execution.go
@@ -25,9 +25,9 @@
 	replay   answer.Replay
 	last     answer.Seq
 	finished bool
-	readers  map[*reader]struct{}
 	queued   bool
 	lost     bool
+	readers  map[*reader]struct{}
 	unreadAt time.Time
 }
 
@@ -207,8 +207,8 @@
 	return attached
 }
 
-// detach takes a reader away. A request that waits in the queue is given up
-// with its last reader: its caller has nothing yet from which to resume.
+// detach takes a reader away. A request that waits in the queue is given up with
+// its last reader: its caller has nothing yet from which to resume.
 func (execution *execution) detach(reader *reader, now time.Time) {
 	execution.mu.Lock()
 	defer execution.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/claimtable"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -68,10 +69,11 @@
 	ledger   strike.Ledger
 	last     admission.Decision
 	policyOf *settings.View
-	// failures counts the probes of the upstream that failed in a row, and
-	// reportedLimit is the limit that it named last.
+	// failures counts the probes of the upstream that failed in a row;
+	// reportedLimit and reportedModel are what it named last.
 	failures      int
 	reportedLimit int
+	reportedModel ident.ModelName
 	leaving       bool
 	executions    map[ident.RequestID]*execution
 	attempts      map[ident.AttemptID]*execution
@@ -234,10 +236,7 @@
 }
 
 func (sidecar *Sidecar) log() *slog.Logger {
-	if sidecar.Logger == nil {
-		return slog.New(slog.DiscardHandler)
-	}
-	return sidecar.Logger
+	return logging.Part(sidecar.Logger, "sidecar")
 }
 
 // Abandon makes sure that an attempt that was not forwarded never will be, even
