Carry crashes on the hop, clear single strikes, offer again after a cut, wire the policy

TestCrashingRequest: four engines crashed, since the router's next try overtook the strikes on their way to the next sidecar. The hop now names the upstreams that were lost while they ran the request, under a code of its own (UpstreamCrashed), and a sidecar records its own strike before it answers. TestSuccessClearsASingleStrike: a success cleared only what was no longer free; it now clears any strike.

--- a/caller/place.go
+++ b/caller/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/admission"
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -66,7 +67,7 @@
 	relay.lost = append(relay.lost, relay.entry.Upstream)
 	relay.pool = nil
 	relay.tried = 0
-	relay.evidence = nil
+	relay.overBound = false
 }
 
 // directed returns the upstream that a sidecar named as the only one that may
@@ -105,37 +106,37 @@
 	}
 	relay.refused(result.CodeOf(err), state)
 	relay.designated = state.Designated
+	relay.plan.Refused(result.CodeOf(err), state.Lighter)
 	if result.CodeOf(err) == result.OutcomeUnknown {
 		return relay.resolveUnknown(ctx, err)
 	}
 	return err
 }
 
-// refused remembers the load that a refusing sidecar named, as evidence for the
-// next one, and that an upstream could not be reached.
+// refused remembers that a request was refused for its upstream's load, and that
+// an upstream could not be reached.
 func (relay *relay) refused(code result.Code, state sidecar.State) {
-	now := relay.server.now()
 	switch {
 	case code == result.OverBound && state.Upstream != "":
-		relay.evidence = append(relay.evidence, evidence{upstream: state.Upstream, load: state.Load, seenAt: now})
+		relay.overBound = true
 	case code == result.UpstreamUnreachable && relay.server.Loads != nil:
-		relay.server.Loads.Add(affinity.Report{Upstream: relay.entry.Upstream, Leaving: true, SeenAt: now})
+		relay.server.Loads.Add(affinity.Report{Upstream: relay.entry.Upstream, Leaving: true, SeenAt: relay.server.now()})
 	}
 }
 
-// evidence is the load of an upstream that refused the request.
-type evidence struct {
-	upstream ident.UpstreamID
-	load     int
-	seenAt   time.Time
-}
-
-// loadsSeen returns the evidence as the hop carries it.
+// loadsSeen returns, for a request that was refused for the load, what the router
+// was told lately of the loads in the pool.
 func (relay *relay) loadsSeen() []sidecar.LoadSeen {
+	if !relay.overBound || relay.server.Loads == nil {
+		return nil
+	}
 	now := relay.server.now()
-	seen := make([]sidecar.LoadSeen, len(relay.evidence))
-	for i, evidence := range relay.evidence {
-		seen[i] = sidecar.LoadSeen{Upstream: evidence.upstream, Load: evidence.load, AgeMs: now.Sub(evidence.seenAt).Milliseconds()}
+	var seen []sidecar.LoadSeen
+	for _, report := range relay.server.Loads.Recent(now, admission.EvidenceLifetime, nil) {
+		if _, found := relay.pool.Ranking.Index(report.Upstream); !found {
+			continue
+		}
+		seen = append(seen, sidecar.LoadSeen{Upstream: report.Upstream, Load: report.Load, AgeMs: now.Sub(report.SeenAt).Milliseconds()})
 	}
 	return seen
 }
@@ -162,5 +163,6 @@
 		BudgetMs:     budget(incoming.deadline.Sub(relay.server.now())).Milliseconds(),
 		ResumeFrames: relay.assembler.Next() - 1,
 		Evidence:     relay.loadsSeen(),
+		CrashedOn:    relay.crashedOn,
 	}
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -26,6 +26,9 @@
 	// maxText bounds the text that is kept in order to continue an answer
 	// elsewhere, in bytes.
 	maxText = 1 << 20
+	// maxRepeats is how often a request is offered again to an upstream whose
+	// connection was cut before the request was forwarded.
+	maxRepeats = 2
 	// abandonTimeout bounds the question whether an attempt was forwarded.
 	abandonTimeout = time.Second
 )
@@ -48,13 +51,19 @@
 	ready []answer.Frame
 	// pool and plan are the upstreams that the request may be offered to, and
 	// their order; tried counts the offers.
-	pool     *directory.Pool
-	plan     affinity.Plan
-	tried    int
-	evidence []evidence
+	pool  *directory.Pool
+	plan  affinity.Plan
+	tried int
+	// overBound is set once an upstream refused the request for its load.
+	overBound bool
+	// crashedOn holds the upstreams that were lost while they ran the request.
+	crashedOn []ident.UpstreamID
 	// lost holds the upstreams on which a run of the request was lost.
 	lost []ident.UpstreamID
-	// designated is the upstream that a refusing sidecar named.
+	// repeats counts the offers that were made again after a cut connection.
+	repeats int
+	// designated is the upstream to try next, such as the only one that a
+	// refusing sidecar named.
 	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
@@ -193,6 +202,9 @@
 	if failure.Code.Outcome() != result.NotRun {
 		relay.mayHaveRun = true
 	}
+	if failure.Code == result.UpstreamCrashed {
+		relay.crashedOn = append(relay.crashedOn, relay.entry.Upstream)
+	}
 	action := retry.Next(relay.server.now(), relay.attemptOf(failure.Code))
 	switch {
 	case relay.tooLong:
@@ -258,6 +270,17 @@
 	return &failure
 }
 
+// offerAgain makes the upstream that was just tried the next one to try, where
+// only the connection to it was cut and it confirmed that nothing was run.
+func (relay *relay) offerAgain() {
+	if relay.repeats == maxRepeats {
+		return
+	}
+	relay.repeats++
+	relay.tried--
+	relay.designated = relay.entry.Upstream
+}
+
 // resolveUnknown finds out what became of an attempt whose answer was lost
 // before it began. It returns nil where the answer can be read after all.
 func (relay *relay) resolveUnknown(ctx context.Context, unknown error) error {
@@ -274,6 +297,7 @@
 			relay.mayHaveRun = true
 			return unknown
 		}
+		relay.offerAgain()
 		return result.Errorf(result.UpstreamUnreachable, "the connection was cut before the request was forwarded")
 	case peer.AttemptWaiting, peer.AttemptForwarded, peer.AttemptDone:
 	}
--- a/daemon/prefixes.go
+++ b/daemon/prefixes.go
@@ -33,34 +33,14 @@
 	return entry.Address, found
 }
 
-// leave refuses new work and passes the hottest prefixes on, once.
-func (daemon *Sidecar) leave() {
-	daemon.core.Leave()
-	if daemon.core.Prefixes == nil || daemon.offered.Swap(true) {
+// passOn passes the hottest prefixes on to the upstreams that routers will try
+// next for their chats. It is the last act of a drained upstream: what the chats
+// need earlier is fetched while it drains.
+func (daemon *Sidecar) passOn(ctx context.Context) {
+	if daemon.core.Prefixes == nil {
 		return
 	}
-	offers := &prefixOffers{daemon: daemon}
-	daemon.offering.Add(1)
-	go offers.run()
-}
-
-// cacheEvents reads the engine's cache events until its context ends.
-type cacheEvents struct {
-	prefixes *sidecar.Prefixes
-}
-
-func (events *cacheEvents) run(ctx context.Context) { events.prefixes.Run(ctx) }
-
-// prefixOffers passes the hottest prefixes of a leaving upstream on to the
-// upstreams that routers will try next for their chats.
-type prefixOffers struct {
-	daemon *Sidecar
-}
-
-func (offers *prefixOffers) run() {
-	daemon := offers.daemon
-	defer daemon.offering.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	configured := daemon.Config.Upstream
 	pool := daemon.base.directory.Pool(directory.Serves{Model: configured.Model})
@@ -68,7 +48,7 @@
 		return
 	}
 	for _, held := range daemon.core.Prefixes.Hottest() {
-		next, found := offers.next(pool, held.Chat)
+		next, found := daemon.nextFor(pool, held.Chat)
 		if !found || ctx.Err() != nil {
 			return
 		}
@@ -78,13 +58,20 @@
 	}
 }
 
-// next returns the best ranked upstream for chat besides this one.
-func (offers *prefixOffers) next(pool *directory.Pool, chat ident.ChatID) (directory.Entry, bool) {
+// nextFor returns the best ranked upstream for chat besides this one.
+func (daemon *Sidecar) nextFor(pool *directory.Pool, chat ident.ChatID) (directory.Entry, bool) {
 	var order [2]int
 	for _, i := range pool.Ranking.Rank(chat, "", order[:]) {
-		if pool.Entries[i].Upstream != offers.daemon.Config.Upstream.ID {
+		if pool.Entries[i].Upstream != daemon.Config.Upstream.ID {
 			return pool.Entries[i], true
 		}
 	}
 	return directory.Entry{}, false
 }
+
+// cacheEvents reads the engine's cache events until its context ends.
+type cacheEvents struct {
+	prefixes *sidecar.Prefixes
+}
+
+func (events *cacheEvents) run(ctx context.Context) { events.prefixes.Run(ctx) }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -117,7 +117,7 @@
 }
 
 func (router *Router) ready() bool {
-	return !router.leaving.Load() && router.base.settings.Ready()
+	return !router.leaving.Load() && router.base.settings.Ready() && router.base.directory.Listed()
 }
 
 // leave makes the readiness check fail, so that the balancer sends no more.
--- a/daemon/sampler.go
+++ b/daemon/sampler.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/admission"
@@ -11,23 +11,19 @@
 	"github.com/hickoryhead/hickoryhead/sidecar"
 )
 
-const (
-	sampleInterval = time.Second
-	sampleTimeout  = 500 * time.Millisecond
-	// samplePeers is how many upstreams of the pool are asked in one round.
-	// Each exchange informs both ends.
-	samplePeers = 8
-)
+const sampleTimeout = 500 * time.Millisecond
 
 // sampler keeps the sidecar informed of the loads in its pool.
 type sampler struct {
 	base *base
 	core *sidecar.Sidecar
 	pool func() []directory.Entry
+	// rounds counts the rounds, from which the partners of each follow.
+	rounds uint64
 }
 
 func (sampler *sampler) run(ctx context.Context) {
-	ticker := time.NewTicker(sampleInterval)
+	ticker := time.NewTicker(admission.SamplePeriod)
 	defer ticker.Stop()
 	for {
 		sampler.round(ctx)
@@ -39,35 +35,37 @@
 	}
 }
 
-// round asks a few random upstreams of the pool, one after the other.
+// round exchanges loads with the partners of this round.
 func (sampler *sampler) round(ctx context.Context) {
-	if sampler.pool == nil {
-		return
-	}
 	entries := sampler.pool()
-	asked := 0
-	for _, i := range rand.Perm(len(entries)) {
-		if asked == samplePeers || ctx.Err() != nil {
-			return
-		}
-		if entries[i].Upstream == sampler.core.Upstream.ID {
+	self := slices.IndexFunc(entries, func(entry directory.Entry) bool { return entry.Upstream == sampler.core.Upstream.ID })
+	sampler.rounds++
+	for _, place := range admission.Partners(len(entries), self, sampler.rounds) {
+		if place == self {
 			continue
 		}
-		asked++
-		sampler.ask(ctx, entries[i])
+		exchange := &sampleExchange{sampler: sampler, entry: entries[place]}
+		go exchange.run(ctx)
 	}
 }
 
-func (sampler *sampler) ask(ctx context.Context, entry directory.Entry) {
+// sampleExchange exchanges loads with one upstream of the pool.
+type sampleExchange struct {
+	sampler *sampler
+	entry   directory.Entry
+}
+
+func (exchange *sampleExchange) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	state := sampler.core.State()
+	core := exchange.sampler.core
+	state := core.State()
 	args := peer.SampleArgs{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving || state.Lost}
 	var reply peer.SampleReply
-	if err := sampler.base.links.Call(ctx, entry.PeerAddress, peer.MethodSample, args, &reply); err != nil {
+	if err := exchange.sampler.base.links.Call(ctx, exchange.entry.PeerAddress, peer.MethodSample, args, &reply); err != nil {
 		return
 	}
-	sampler.core.Observe([]admission.Sample{{Upstream: reply.Upstream, Load: reply.Load, SeenAt: time.Now(), Leaving: reply.Leaving}})
+	core.Observe([]admission.Sample{{Upstream: reply.Upstream, Load: reply.Load, SeenAt: time.Now(), Leaving: reply.Leaving}})
 }
 
 // probe watches whether the engine still answers.
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,8 +33,6 @@
 	claims  *claimtable.Claimer
 	// neighbours reaches the sidecars of the pool over the hop.
 	neighbours *sidecar.Client
-	offered    atomic.Bool
-	offering   sync.WaitGroup
 }
 
 // Run runs the sidecar until ctx ends, and then until its requests in flight
@@ -75,7 +71,7 @@
 	if err := daemon.register(); err != nil {
 		return err
 	}
-	watch, err := newVMWatch(base, platform.RoleSidecar, daemon.leave)
+	watch, err := newVMWatch(base, platform.RoleSidecar, daemon.core.Leave)
 	if err != nil {
 		return err
 	}
@@ -199,9 +195,8 @@
 func (daemon *Sidecar) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, daemon.base.stopTimeout())
 	defer cancel()
-	daemon.leave()
-	daemon.offering.Wait()
-	server := &sidecar.Server{Sidecar: daemon.core}
+	daemon.core.Leave()
+	server := &sidecar.Server{Sidecar: daemon.core, Drained: daemon.passOn}
 	if err := server.Finish(ctx, daemon.hop.server); err != nil {
 		return errors.Wrap(err, "stop with requests in flight")
 	}
@@ -235,7 +230,7 @@
 // Told makes the sidecar leave if the notice is meant for its VM.
 func (service *leavingService) Told(args peer.LeaveArgs, _ *peer.Nothing) error {
 	if args.VM == service.daemon.Config.VM {
-		service.daemon.leave()
+		service.daemon.core.Leave()
 	}
 	return nil
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -189,6 +189,9 @@
 	return built.pools[serves]
 }
 
+// Listed reports whether a list of VMs was taken in yet.
+func (directory *Directory) Listed() bool { return directory.pools.Load() != nil }
+
 // Entry returns the entry of an upstream, whether it is leaving or not.
 func (directory *Directory) Entry(upstream ident.UpstreamID) (Entry, bool) {
 	built := directory.pools.Load()
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -8,16 +8,16 @@
 	"github.com/hickoryhead/hickoryhead/load"
 )
 
-// fault injects its fault once the load has run for a while.
-type fault struct {
+// lateFault injects its fault once the load has run for a while.
+type lateFault struct {
 	inject func()
 	done   chan struct{}
 }
 
-func (fault *fault) run() {
-	defer close(fault.done)
+func (lateFault *lateFault) run() {
+	defer close(lateFault.done)
 	time.Sleep(time.Second)
-	fault.inject()
+	lateFault.inject()
 }
 
 // drive runs a load against fleet, with a fault in the middle of it. Callers ask
@@ -42,10 +42,10 @@
 	for _, service := range fleet.Services {
 		runner.Services = append(runner.Services, service.Address)
 	}
-	fault := &fault{inject: inject, done: make(chan struct{})}
-	go fault.run()
+	late := &lateFault{inject: inject, done: make(chan struct{})}
+	go late.run()
 	report, err := runner.Run(t.Context())
-	<-fault.done
+	<-late.done
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/result/code.go
+++ b/result/code.go
@@ -60,6 +60,7 @@
 	UpstreamFailed  Code = 3003
 	KeyInProgress   Code = 3004
 	DeadlineExpired Code = 3005
+	UpstreamCrashed Code = 3006
 )
 
 // Codes of the operators' interface.
@@ -121,10 +122,12 @@
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and nobody can tell. See docs/OPERATING.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer and it could not be continued. What was received is not whole.", http.StatusBadGateway, Failed, false},
-	{UpstreamFailed, "UpstreamFailed", "The upstream failed", "The upstream ran the request and reported a failure, or was lost while it ran an idempotent request.", http.StatusBadGateway, Failed, false},
+	{UpstreamFailed, "UpstreamFailed", "The upstream failed", "The upstream ran the request and reported a failure, or stopped answering while it ran an idempotent request.", http.StatusBadGateway, Failed, false},
 	{KeyInProgress, "KeyInProgress", "The request is running", "An earlier request with this idempotency key is still running. Ask again after the time in Retry-After.", http.StatusConflict, Running, false},
 	{DeadlineExpired, "DeadlineExpired", "The deadline passed", "The request was still running at its deadline.", http.StatusGatewayTimeout, Unknown, false},
 
+	{UpstreamCrashed, "UpstreamCrashed", "The upstream was lost while it ran the request", "The connection to the upstream broke while it ran an idempotent request. The request is counted among those that may crash upstreams until it succeeds.", http.StatusBadGateway, Failed, false},
+
 	{InvalidSettings, "InvalidSettings", "The settings are invalid", "The detail names the path, the value and what is allowed. Nothing was changed.", http.StatusUnprocessableEntity, NotRun, false},
 	{RevisionConflict, "RevisionConflict", "The revision has moved on", "Another operator's change was accepted first. Read the current settings and try again. Nothing was changed.", http.StatusPreconditionFailed, NotRun, false},
 	{NotOwner, "NotOwner", "The path belongs to another team", "A team may change only its own subtree. Nothing was changed.", http.StatusForbidden, NotRun, false},
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -42,7 +42,11 @@
 	if attempt.Code.Elsewhere() {
 		return Elsewhere
 	}
-	if attempt.Idempotent && (attempt.Code == result.UpstreamFailed || attempt.Code == result.OutcomeUnknown) {
+	if !attempt.Idempotent {
+		return Stop
+	}
+	switch attempt.Code {
+	case result.UpstreamFailed, result.UpstreamCrashed, result.OutcomeUnknown:
 		return Again
 	}
 	return Stop
--- a/sidecar/message.go
+++ b/sidecar/message.go
@@ -44,8 +44,11 @@
 	// Wait says that there is no further upstream to try, so that the request
 	// may wait in the queue.
 	Wait bool `json:",omitempty"`
-	// Evidence holds the loads named by the sidecars that refused.
+	// Evidence holds the loads that the router of a refused request was told
+	// of lately.
 	Evidence []LoadSeen `json:",omitempty"`
+	// CrashedOn holds the upstreams that were lost while they ran the request.
+	CrashedOn []ident.UpstreamID `json:",omitempty"`
 }
 
 // LoadSeen is the load of an upstream as seen AgeMs ago.
@@ -67,6 +70,8 @@
 	// Lost says that the upstream does not answer, so that its load does not
 	// count into the mean of the pool.
 	Lost bool `json:",omitempty"`
+	// Lighter is, with a refusal, an upstream that was last seen below the mean.
+	Lighter ident.UpstreamID `json:",omitempty"`
 	// Designated is the only upstream that may run the request that was
 	// refused with CrashingRequestAlone.
 	Designated ident.UpstreamID `json:",omitempty"`
--- a/sidecar/prefix_http.go
+++ b/sidecar/prefix_http.go
@@ -47,7 +47,9 @@
 	if size > 0 {
 		writer.Header().Set("Content-Length", strconv.FormatInt(int64(size), 10))
 	}
-	_, _ = io.Copy(writer, body)
+	if _, err := io.Copy(writer, body); err == nil && server.Sidecar.Prefixes != nil {
+		server.Sidecar.Prefixes.Moved(chat)
+	}
 }
 
 // fetch handles POST /v1/prefixes/{chat}/fetch?Holder=H&Tokens=N.
@@ -59,6 +61,8 @@
 	}
 	chat := ident.ChatID(request.PathValue("chat"))
 	holder := ident.UpstreamID(request.FormValue("Holder"))
-	server.Sidecar.Prefixes.Fetch(request.Context(), chat, holder, ident.Tokens(tokens))
+	if server.Sidecar.Prefixes.Wants(chat, ident.Tokens(tokens)) {
+		server.Sidecar.Prefixes.Fetch(request.Context(), chat, holder, ident.Tokens(tokens))
+	}
 	writer.WriteHeader(http.StatusNoContent)
 }
--- a/sidecar/prefixes.go
+++ b/sidecar/prefixes.go
@@ -22,7 +22,7 @@
 	// bytesPerToken estimates the length of a prompt in tokens.
 	bytesPerToken = 5
 	// pushTokens bounds the prefixes that a leaving upstream passes on.
-	pushTokens = ident.Tokens(200_000)
+	pushTokens = ident.Tokens(25_000)
 )
 
 // DefaultPrefixPolicy says when fetching a prefix is worth it where the
@@ -133,6 +133,27 @@
 	return n, err
 }
 
+// Holds reports whether the engine is believed to hold a prefix of chat.
+func (prefixes *Prefixes) Holds(chat ident.ChatID) bool {
+	prefixes.mu.Lock()
+	defer prefixes.mu.Unlock()
+	return prefixes.index.Holds(chat) > 0
+}
+
+// Moved tells that another upstream has fetched the prefix of chat.
+func (prefixes *Prefixes) Moved(chat ident.ChatID) {
+	prefixes.mu.Lock()
+	defer prefixes.mu.Unlock()
+	prefixes.index.Moved(chat)
+}
+
+// Wants reports whether a prefix that another upstream passes on is of use.
+func (prefixes *Prefixes) Wants(chat ident.ChatID, tokens ident.Tokens) bool {
+	prefixes.mu.Lock()
+	defer prefixes.mu.Unlock()
+	return prefixes.index.Wants(prefix.Held{Chat: chat, Tokens: tokens})
+}
+
 // Used tells that the engine ran a request of chat with a prompt of tokens.
 func (prefixes *Prefixes) Used(chat ident.ChatID, tokens ident.Tokens) {
 	prefixes.mu.Lock()
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -33,6 +33,9 @@
 	Sidecar *Sidecar
 	// Token is the bearer token that routers send; empty admits everyone.
 	Token string
+	// Drained is called by Finish once no admitted work is left; nil does
+	// nothing.
+	Drained func(ctx context.Context)
 }
 
 // Handler returns the HTTP interface of the hop.
@@ -74,9 +77,10 @@
 // refuseStart answers a request that was not admitted.
 func (server *Server) refuseStart(writer http.ResponseWriter, err error) {
 	state := server.Sidecar.State()
-	var designated *designatedError
-	if errors.As(err, &designated) {
-		state.Designated = designated.upstream
+	var directed *directedError
+	if errors.As(err, &directed) {
+		state.Designated = directed.designated
+		state.Lighter = directed.lighter
 	}
 	refusal := result.From(err, result.NotReady)
 	server.Sidecar.Metrics.Refused(refusal.Code)
@@ -268,6 +272,9 @@
 	if err := server.Sidecar.Drained(ctx); err != nil {
 		return err
 	}
+	if server.Drained != nil {
+		server.Drained(ctx)
+	}
 	httpServer.SetKeepAlivesEnabled(false)
 	linger := time.NewTimer(lingerTime)
 	defer linger.Stop()
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -156,10 +156,16 @@
 		Priority:  qualified(call.Team, call.Priority),
 		Deadline:  deadline,
 		Wait:      call.Wait,
+		Cold:      sidecar.cold(call),
 	}
 	return sidecar.offer(started, offer)
 }
 
+// cold reports whether the engine holds no prefix of the request's chat.
+func (sidecar *Sidecar) cold(call *Call) bool {
+	return sidecar.Prefixes != nil && !sidecar.Prefixes.Holds(chatOf(call))
+}
+
 // offer asks the gate. It returns the channel to wait on where the request was
 // queued, and nil where it was admitted.
 func (sidecar *Sidecar) offer(started *execution, offer admission.Offer) (chan admission.Start, error) {
@@ -171,6 +177,9 @@
 	if err := sidecar.checkAttempt(call); err != nil {
 		return nil, err
 	}
+	for _, crashed := range call.CrashedOn {
+		sidecar.ledger.Add(now, strike.Strike{Fingerprint: started.fingerprint, Upstream: crashed, At: now})
+	}
 	if err := sidecar.checkStrikes(now, started.fingerprint, &offer); err != nil {
 		return nil, err
 	}
@@ -178,7 +187,8 @@
 	decision := sidecar.gate.Offer(now, offer)
 	sidecar.last = decision
 	if decision.Verdict == admission.Refused {
-		return nil, &result.Error{Code: decision.Code, RetryAt: decision.RetryAt, Detail: string(sidecar.Upstream.ID)}
+		refusal := &result.Error{Code: decision.Code, RetryAt: decision.RetryAt, Detail: string(sidecar.Upstream.ID)}
+		return nil, &directedError{lighter: decision.Lighter, refusal: refusal}
 	}
 	sidecar.register(started)
 	if decision.Verdict == admission.Admitted {
@@ -212,9 +222,9 @@
 	case strike.Alone:
 		designated := sidecar.ledger.Designated(fingerprint, sidecar.poolIDs())
 		if designated != sidecar.Upstream.ID {
-			return &designatedError{
-				upstream: designated,
-				refusal:  &result.Error{Code: result.CrashingRequestAlone, RetryAt: now.Add(comeBack)},
+			return &directedError{
+				designated: designated,
+				refusal:    &result.Error{Code: result.CrashingRequestAlone, RetryAt: now.Add(comeBack)},
 			}
 		}
 		offer.Alone = true
@@ -223,17 +233,19 @@
 	return nil
 }
 
-// designatedError refuses a request that only one upstream may run.
-type designatedError struct {
-	upstream ident.UpstreamID
-	refusal  *result.Error
+// directedError refuses a request and names where to go: the only upstream that
+// may run it, or one that is less loaded.
+type directedError struct {
+	designated ident.UpstreamID
+	lighter    ident.UpstreamID
+	refusal    *result.Error
 }
 
 // Error returns the text of the refusal.
-func (e *designatedError) Error() string { return e.refusal.Error() }
+func (e *directedError) Error() string { return e.refusal.Error() }
 
 // Unwrap returns the refusal.
-func (e *designatedError) Unwrap() error { return e.refusal }
+func (e *directedError) Unwrap() error { return e.refusal }
 
 func (sidecar *Sidecar) poolIDs() []ident.UpstreamID {
 	if sidecar.PoolIDs != nil {
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -45,12 +45,12 @@
 	}
 	err := work.answer(ctx)
 	now := work.sidecar.now()
+	lost := ctx.Err() == nil && result.CodeOf(err) == result.OutcomeUnknown
+	work.settle(now, err, lost)
 	if err != nil {
 		problem := work.classify(ctx, err)
 		work.execution.fail(problem.Problem(now), now.Add(replayLifetime))
 	}
-	lost := ctx.Err() == nil && result.CodeOf(err) == result.OutcomeUnknown
-	work.settle(now, err, lost)
 }
 
 // wait lets a queued request wait for its turn. Its error means that the request
@@ -118,7 +118,7 @@
 			sidecar.Metrics.Happened("strike.added")
 		}
 	}
-	if succeeded && sidecar.ledger.Allowed(now, ended.fingerprint) != strike.Free {
+	if succeeded && sidecar.ledger.Struck(now, ended.fingerprint) {
 		sidecar.ledger.Clear(ended.fingerprint)
 		args.Cleared = []ident.Fingerprint{ended.fingerprint}
 		sidecar.Metrics.Happened("strike.cleared")
@@ -141,7 +141,7 @@
 		return result.Errorf(result.DeadlineExpired, "the deadline passed while the upstream was running the request")
 	}
 	if failure.Code == result.OutcomeUnknown && work.route.Idempotent {
-		failure.Code = result.UpstreamFailed
+		failure.Code = result.UpstreamCrashed
 	}
 	return &failure
 }
