--- a/load/client.go
+++ b/load/client.go
@@ -51,6 +51,7 @@
 type reply struct {
 	ending   ending
 	code     result.Code
+	detail   string
 	retryAt  time.Time
 	status   int
 	text     string
@@ -147,7 +148,7 @@
 		return reply{ending: endedProblem, code: result.OutcomeUnknown}
 	}
 	failure := problem.Err(client.now())
-	return reply{ending: endedProblem, code: failure.Code, retryAt: failure.RetryAt}
+	return reply{ending: endedProblem, code: failure.Code, detail: failure.Detail, retryAt: failure.RetryAt}
 }
 
 // reading is the state of one answer that comes as events, across the
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -23,6 +23,7 @@
 	return &recorder{
 		report: Report{
 			Codes:      make(map[string]int),
+			Details:    make(map[string]string),
 			Outcomes:   make(map[result.Outcome]int),
 			Workspaces: make(map[ident.WorkspaceID]Tally),
 		},
@@ -57,7 +58,11 @@
 	}
 	switch reply.ending {
 	case endedProblem:
-		report.Codes[reply.code.Name()]++
+		name := reply.code.Name()
+		if report.Codes[name] == 0 {
+			report.Details[name] = reply.detail
+		}
+		report.Codes[name]++
 		report.Outcomes[reply.code.Outcome()]++
 	case endedCut:
 		report.Cut++
--- a/load/report.go
+++ b/load/report.go
@@ -32,6 +32,8 @@
 	// and Outcomes by what their code says of the request.
 	Codes    map[string]int
 	Outcomes map[result.Outcome]int
+	// Details holds the detail of the first answer of each code.
+	Details map[string]string
 	// Workspaces holds the counts of each workspace.
 	Workspaces map[ident.WorkspaceID]Tally
 
