--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -268,6 +268,28 @@
 	}
 }
 
+// In a ramp the first requests queue, and later ones bring the evidence that
+// there is room. It is theirs alone: a queued request that could run only by it
+// must not keep them out.
+func TestAQueuedRequestThatMayNotRunIsNoReasonToRefuse(t *testing.T) {
+	var gate admission.Gate
+	gate.SetPolicy(admission.Policy{LoadMultiple: 1.25, EngineLimit: 64, QueueLimit: 8})
+	gate.Observe(start, samples(0, 0, 0, 0, 0, 0))
+	fill(&gate, start, "a", "", 1)
+	if got, want := gate.Offer(start, admission.Offer{Attempt: "waits", Workspace: "a", Wait: true}).Verdict, admission.Queued; got != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+	later := start.Add(100 * time.Millisecond)
+	evidence := samples(1, 1, 1)
+	for i := range evidence {
+		evidence[i].SeenAt = later
+	}
+	offer := admission.Offer{Attempt: "brings evidence", Workspace: "a", Evidence: evidence}
+	if got, want := gate.Offer(later, offer).Verdict, admission.Admitted; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // One admission at a sidecar that holds as many samples as it can.
 func BenchmarkOffer(b *testing.B) {
 	var gate admission.Gate
