Do not tell a repeat "not run" for an action whose earlier sending may have run

"Not run" was true of the sending, but a caller that repeats a key and is refused by an outage may take it for the action and send it under a new key. A router now remembers the keys that it gave to sidecars, and a caller may say with a header that it repeats one; both are told OutcomeUnknown. TestRepeatIsNotToldNotRun. TestAtMostOnce, two routers at once: Unknown is accepted beside Done and Running for that reason; one run and identical answers are still asserted.

--- a/caller/place.go
+++ b/caller/place.go
@@ -97,6 +97,7 @@
 	relay.attempt = ident.NewAttemptID()
 	relay.tried++
 	relay.sentTo = relay.server.Directory.Incarnation(relay.entry.Upstream)
+	relay.remember()
 	call := relay.call()
 	call.Wait = try.Last
 	frames, state, err := relay.server.Sidecars.Run(ctx, relay.entry.Address, call, relay.incoming.body, relay.text.String())
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -67,8 +67,12 @@
 	designated ident.UpstreamID
 	// problem ended the answer after frames that are still to be given out.
 	problem *result.Problem
-	// mayHaveRun is set once an upstream may have run the request.
+	// mayHaveRun is set once an upstream may have run the request, in this
+	// sending or an earlier one.
 	mayHaveRun bool
+	// firstSent says that this sending was the first with its key to reach a
+	// sidecar through this router.
+	firstSent bool
 	// sentTo is the run of the sidecar's process that the present attempt was
 	// sent to, as far as it was known before.
 	sentTo string
@@ -264,6 +268,7 @@
 	if failure.Code == result.OutcomeUnknown && !relay.server.now().Before(relay.incoming.deadline) {
 		failure.Code = result.DeadlineExpired
 	}
+	relay.forget(failure.Code)
 	if failure.RetryAt.IsZero() && failure.Code.Status() >= 500 {
 		failure.RetryAt = relay.server.now().Add(comeBack)
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -25,6 +25,7 @@
 	HeaderAffinity     = "Hickoryhead-Affinity"
 	HeaderPriority     = "Hickoryhead-Priority"
 	HeaderTimeoutMs    = "Hickoryhead-Timeout-Ms"
+	HeaderRepeat       = "Hickoryhead-Repeat"
 	HeaderResult       = "Hickoryhead-Result"
 	HeaderAnswer       = "Hickoryhead-Answer"
 	HeaderRetryAfterMs = "Hickoryhead-Retry-After-Ms"
@@ -50,9 +51,11 @@
 	hint      ident.UpstreamID
 	priority  ident.Priority
 	key       ident.IdempotencyKey
-	body      []byte
-	deadline  time.Time
-	events    bool
+	// repeat says that an earlier sending with the key may have run.
+	repeat   bool
+	body     []byte
+	deadline time.Time
+	events   bool
 }
 
 // read checks a request of a caller. Its error is a *result.Error; nothing was
@@ -115,6 +118,7 @@
 	if accepted.key == "" && !accepted.route.Idempotent {
 		return result.Errorf(result.MissingIdempotencyKey, "route %q", accepted.routeName)
 	}
+	accepted.repeat = header.Get(HeaderRepeat) == "true"
 	accepted.events = strings.Contains(header.Get("Accept"), "text/event-stream")
 	return accepted.readPriority(header, subtree)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -47,6 +47,7 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
+	sent     sentKeys
 	budgetMu sync.Mutex
 	budget   retry.Budget
 	active   atomic.Int64
@@ -104,6 +105,7 @@
 	}
 	server.count(accepted)
 	relay := &relay{server: server, incoming: accepted}
+	relay.recall()
 	defer relay.close()
 	server.give(request.Context(), writer, relay)
 	if request.Context().Err() != nil {
