Let a request wait at an upstream that is full when the others are dead

TestCrashingRequest left 1 innocent of 468 unanswered (UpstreamUnreachable) and TestAnswersOutliveTheirEngine 9 of 400 (NoUpstream, OverBound): dead upstreams took the last place of the plan, where a request may queue, and what is remembered of upstreams, which is only a hint, left none to try. Offers that were declined no longer count against the tries of a lost run; the plan is followed by a wait at the first upstream that was full; with every upstream marked the marks are passed over. A refused dial to the engine counts as lost at once.

A refusal whose time to come back had just passed was told as one without any: TestRefusedRequestComesBack lost 1 of 40 that way under load. Loads are kept by pool, shares by team and workspace, and the transfer budget is a setting.

--- a/caller/place.go
+++ b/caller/place.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// maxOffers is the most offers of one request.
+	maxOffers = 12
 	// maxBudgetMargin and the budgetMarginPart-th part of what remains bound
 	// the time that the router keeps back of a request's deadline.
 	maxBudgetMargin  = 200 * time.Millisecond
@@ -41,33 +43,67 @@
 	}
 }
 
-// choose returns the next upstream to try. The plan is made from the pool as it
-// is then: once for a request, and anew when an upstream that ran it was lost.
+// choose returns the next upstream to try: the one that was named, the next one
+// of the plan, and at last one that refused for its load, to wait there.
 func (relay *relay) choose() (affinity.Try, bool) {
-	if relay.pool == nil {
-		relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
-		if relay.pool == nil {
-			return affinity.Try{}, false
-		}
-		relay.plan = relay.pool.Ranking.Plan(relay.chatKey(), relay.incoming.hint)
+	if relay.pool == nil && !relay.makePlan() {
+		return affinity.Try{}, false
+	}
+	if relay.offers == maxOffers {
+		return affinity.Try{}, false
 	}
 	if try, found := relay.directed(); found {
 		return try, true
 	}
+	if try, found := relay.planned(relay.pool.Loads); found {
+		return try, true
+	}
+	if relay.tried == 0 {
+		// What is remembered of the upstreams left none; it is only a hint.
+		relay.makePlan()
+		return relay.planned(nil)
+	}
+	return relay.waiting()
+}
+
+// makePlan ranks the upstreams of the pool as it is now.
+func (relay *relay) makePlan() bool {
+	relay.pool = relay.server.Directory.Pool(directory.ServesOf(relay.incoming.route))
+	if relay.pool == nil {
+		return false
+	}
+	relay.plan = relay.pool.Ranking.Plan(relay.chatKey(), relay.incoming.hint)
+	return true
+}
+
+// planned returns the next upstream of the plan on which the request was not
+// lost.
+func (relay *relay) planned(loads *affinity.Loads) (affinity.Try, bool) {
 	for {
-		try, found := relay.plan.Next(relay.server.now(), relay.server.Loads)
+		try, found := relay.plan.Next(relay.server.now(), loads)
 		if !found || !slices.Contains(relay.lost, relay.pool.Entries[try.Index].Upstream) {
 			return try, found
 		}
 	}
 }
 
+// waiting returns the first upstream that refused the request for its load,
+// where it may wait in the queue.
+func (relay *relay) waiting() (affinity.Try, bool) {
+	if relay.full == "" {
+		return affinity.Try{}, false
+	}
+	index, found := relay.pool.Ranking.Index(relay.full)
+	relay.full = ""
+	return affinity.Try{Index: index, Last: true}, found
+}
+
 // replan lets the request start over at the upstreams on which it was not lost.
 func (relay *relay) replan() {
 	relay.lost = append(relay.lost, relay.entry.Upstream)
 	relay.pool = nil
 	relay.tried = 0
-	relay.overBound = false
+	relay.full = ""
 }
 
 // directed returns the upstream that a sidecar named as the only one that may
@@ -96,10 +132,12 @@
 	relay.entry = relay.pool.Entries[try.Index]
 	relay.attempt = ident.NewAttemptID()
 	relay.tried++
+	relay.offers++
 	relay.sentTo = relay.server.Directory.Incarnation(relay.entry.Upstream)
 	relay.remember()
 	call := relay.call()
 	call.Wait = try.Last
+	relay.waited = relay.waited || try.Last
 	frames, state, err := relay.server.Sidecars.Run(ctx, relay.entry.Address, call, relay.incoming.body, relay.text.String())
 	if err == nil {
 		relay.frames = frames
@@ -118,25 +156,22 @@
 // an upstream could not be reached.
 func (relay *relay) refused(code result.Code, state sidecar.State) {
 	switch {
-	case code == result.OverBound && state.Upstream != "":
-		relay.overBound = true
-	case code == result.UpstreamUnreachable && relay.server.Loads != nil:
-		relay.server.Loads.Add(affinity.Report{Upstream: relay.entry.Upstream, Leaving: true, SeenAt: relay.server.now()})
+	case code == result.OverBound && relay.full == "" && !relay.waited:
+		relay.full = relay.entry.Upstream
+	case code == result.UpstreamUnreachable:
+		relay.server.Directory.Report(affinity.Report{Upstream: relay.entry.Upstream, Leaving: true, SeenAt: relay.server.now()})
 	}
 }
 
-// loadsSeen returns, for a request that was refused for the load, what the router
-// was told lately of the loads in the pool.
+// loadsSeen returns, for a request that was refused before, what the router was
+// told lately of the loads in the pool.
 func (relay *relay) loadsSeen() []sidecar.LoadSeen {
-	if !relay.overBound || relay.server.Loads == nil {
+	if relay.tried < 2 || relay.pool.Loads == nil {
 		return nil
 	}
 	now := relay.server.now()
 	var seen []sidecar.LoadSeen
-	for _, report := range relay.server.Loads.Recent(now, admission.EvidenceLifetime, nil) {
-		if _, found := relay.pool.Ranking.Index(report.Upstream); !found {
-			continue
-		}
+	for _, report := range relay.pool.Loads.Recent(now, admission.EvidenceLifetime, nil) {
 		seen = append(seen, sidecar.LoadSeen{Upstream: report.Upstream, Load: report.Load, AgeMs: now.Sub(report.SeenAt).Milliseconds()})
 	}
 	return seen
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -54,8 +54,12 @@
 	pool  *directory.Pool
 	plan  affinity.Plan
 	tried int
-	// overBound is set once an upstream refused the request for its load.
-	overBound bool
+	// offers counts all offers of the request.
+	offers int
+	// full is the first upstream that refused the request for its load, and
+	// waited says that it was offered to one in whose queue it might wait.
+	full   ident.UpstreamID
+	waited bool
 	// crashedOn holds the upstreams that were lost while they ran the request.
 	crashedOn []ident.UpstreamID
 	// lost holds the upstreams on which a run of the request was lost.
@@ -81,7 +85,7 @@
 // abandoned stops the answer of a caller that hung up and cannot resume it. A
 // request that must not run twice is left to end.
 func (relay *relay) abandoned() {
-	if relay.incoming.events || !relay.incoming.route.Idempotent || relay.assembler.Whole() || relay.entry.Address == "" {
+	if relay.incoming.events || !relay.incoming.route.Repeatable() || relay.assembler.Whole() || relay.entry.Address == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
@@ -238,14 +242,14 @@
 	if relay.pool != nil {
 		candidates = len(relay.pool.Entries)
 	}
-	tried := relay.tried + len(relay.lost)
+	// Offers that were declined end with the plan.
+	tried := 0
 	if code.Outcome() != result.NotRun {
-		// The upstreams that declined it may take it when it starts over.
 		tried = len(relay.lost) + 1
 	}
 	return retry.Attempt{
 		Code:       code,
-		Idempotent: relay.incoming.route.Idempotent,
+		Idempotent: relay.incoming.route.Repeatable(),
 		Deadline:   relay.incoming.deadline,
 		Tried:      tried,
 		Candidates: candidates,
@@ -258,7 +262,7 @@
 	failure := *result.From(err, result.OutcomeUnknown)
 	if relay.mayHaveRun && failure.Code.Outcome() == result.NotRun {
 		failure.Code = result.UpstreamFailed
-		if !relay.incoming.route.Idempotent {
+		if !relay.incoming.route.Repeatable() {
 			failure.Code = result.OutcomeUnknown
 		}
 	}
--- a/caller/repeats_test.go
+++ b/caller/repeats_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/settings"
 )
 
 // A repeat of a request that may have run is not told "not run", even where the
@@ -13,6 +14,7 @@
 	relayOf := func(repeat bool) *relay {
 		relay := newRelay()
 		relay.server = server
+		relay.incoming.route = settings.Route{Service: "orders"}
 		relay.incoming.key = "print-run-1"
 		relay.incoming.repeat = repeat
 		relay.incoming.deadline = server.now().Add(defaultTimeout)
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
-	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -37,8 +36,6 @@
 	View      func() *settings.View
 	Directory *directory.Directory
 	Sidecars  *sidecar.Client
-	// Loads remembers what sidecars said of their load; nil remembers nothing.
-	Loads *affinity.Loads
 	// Key signs the affinity header; all routers share it.
 	Key     []byte
 	Metrics *metrics.Set
--- a/config/config.go
+++ b/config/config.go
@@ -63,6 +63,11 @@
 	Upstream  Upstream
 	// ReplayBytes bounds the replay buffer of one answer; zero means 1 MiB.
 	ReplayBytes ident.Bytes `json:",omitempty" validate:"gte=0,lte=1073741824"`
+	// PrefixTokenBytes is the size of one token of a cached prefix, and
+	// PrefixBytesPerSecond what the upstream may fetch of prefixes a second;
+	// zero means 512 and 64 MiB.
+	PrefixTokenBytes     ident.Bytes `json:",omitempty" validate:"gte=0,lte=16777216"`
+	PrefixBytesPerSecond ident.Bytes `json:",omitempty" validate:"gte=0,lte=1099511627776"`
 	// ClaimsPerSecond bounds this sidecar's transactions on the platform's
 	// table; zero means 100.
 	ClaimsPerSecond float64 `json:",omitempty" validate:"gte=0,lte=10000"`
--- a/daemon/prefixes.go
+++ b/daemon/prefixes.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickoryhead/hickoryhead/directory"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/prefix"
 	"github.com/hickoryhead/hickoryhead/sidecar"
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
@@ -13,6 +14,9 @@
 // offerTimeout bounds all offers of prefixes of a leaving upstream.
 const offerTimeout = 20 * time.Second
 
+// burstSeconds is the time over which the budget of transfers may be saved up.
+const burstSeconds = 4
+
 // newPrefixes returns the part that moves cached prefixes.
 func (daemon *Sidecar) newPrefixes(client *upstream.Client) *sidecar.Prefixes {
 	daemon.neighbours = &sidecar.Client{Token: daemon.base.hopToken()}
@@ -23,10 +27,24 @@
 		Open:    daemon.neighbours.Prefix,
 		Metrics: daemon.base.metrics,
 	}
-	prefixes.SetPolicy(sidecar.DefaultPrefixPolicy)
+	prefixes.SetPolicy(daemon.prefixPolicy())
 	return prefixes
 }
 
+// prefixPolicy returns the policy that the settings file asks for. The burst
+// holds the transfers of several seconds, so that the longest prefix fits.
+func (daemon *Sidecar) prefixPolicy() prefix.Policy {
+	policy := sidecar.DefaultPrefixPolicy
+	if size := daemon.Config.PrefixTokenBytes; size > 0 {
+		policy.TokenBytes = size
+	}
+	if budget := daemon.Config.PrefixBytesPerSecond; budget > 0 {
+		policy.Budget = budget
+		policy.Burst = burstSeconds * budget
+	}
+	return policy
+}
+
 // hopOf returns the hop address of an upstream, also of one that is leaving.
 func (daemon *Sidecar) hopOf(upstream ident.UpstreamID) (string, bool) {
 	entry, found := daemon.base.directory.Entry(upstream)
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -28,7 +28,6 @@
 	callers   *caller.Server
 	callerAt  *httpService
 	operators *httpService
-	loads     affinity.Loads
 	leaving   atomic.Bool
 }
 
@@ -74,7 +73,6 @@
 		Key:       base.secretFor("affinity"),
 		Metrics:   base.metrics,
 		Ready:     router.ready,
-		Loads:     &router.loads,
 	}
 	if err := router.listen(); err != nil {
 		return err
@@ -93,7 +91,7 @@
 		Token: base.hopToken(),
 		Seen: func(state sidecar.State) {
 			base.directory.Saw(state.Upstream, state.Incarnation, state.Leaving)
-			router.loads.Add(affinity.Report{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving, SeenAt: time.Now()})
+			base.directory.Report(affinity.Report{Upstream: state.Upstream, Load: state.Load, Leaving: state.Leaving, SeenAt: time.Now()})
 		},
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,9 @@
 type Pool struct {
 	Entries []Entry
 	Ranking *affinity.Pool
+	// Loads remembers what the sidecars of the pool said of their load. It
+	// outlives changes of the pool.
+	Loads *affinity.Loads
 }
 
 // Directory holds the pools. The zero value has none.
@@ -54,6 +57,7 @@
 	vms     []platform.VM
 	leaving map[ident.UpstreamID]string
 	seen    map[ident.UpstreamID]string
+	loads   map[Serves]*affinity.Loads
 }
 
 type index struct {
@@ -136,7 +140,7 @@
 		grouped[entry.Serves] = append(grouped[entry.Serves], entry)
 	}
 	for serves, entries := range grouped {
-		built.pools[serves] = poolOf(directory.regional(entries))
+		built.pools[serves] = poolOf(directory.regional(entries), directory.loadsOf(serves))
 	}
 	directory.pools.Store(built)
 }
@@ -171,13 +175,36 @@
 	}
 }
 
-func poolOf(entries []Entry) *Pool {
+// loadsOf returns the memory of loads of the pool that serves what is asked. The
+// caller holds mu.
+func (directory *Directory) loadsOf(serves Serves) *affinity.Loads {
+	if directory.loads == nil {
+		directory.loads = make(map[Serves]*affinity.Loads)
+	}
+	if directory.loads[serves] == nil {
+		directory.loads[serves] = new(affinity.Loads)
+	}
+	return directory.loads[serves]
+}
+
+// Report takes in what a sidecar said of its load, or that it was not reached.
+func (directory *Directory) Report(report affinity.Report) {
+	entry, found := directory.Entry(report.Upstream)
+	if !found {
+		return
+	}
+	if pool := directory.Pool(entry.Serves); pool != nil {
+		pool.Loads.Add(report)
+	}
+}
+
+func poolOf(entries []Entry, loads *affinity.Loads) *Pool {
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	candidates := make([]affinity.Candidate, len(entries))
 	for i, entry := range entries {
 		candidates[i] = affinity.Candidate{Upstream: entry.Upstream, Weight: entry.Weight}
 	}
-	return &Pool{Entries: entries, Ranking: affinity.NewPool(candidates)}
+	return &Pool{Entries: entries, Ranking: affinity.NewPool(candidates), Loads: loads}
 }
 
 // Pool returns the upstreams that serve what is asked, or nil for none.
--- a/result/error.go
+++ b/result/error.go
@@ -73,7 +73,7 @@
 		Outcome: e.Code.Outcome(),
 		Number:  e.Code,
 	}
-	if e.RetryAt.After(now) {
+	if !e.RetryAt.IsZero() {
 		problem.RetryAfterMs = max(1, e.RetryAt.Sub(now).Milliseconds())
 	}
 	return problem
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,7 +27,8 @@
 	Service ident.ServiceName `json:",omitempty" validate:"omitempty,ident"`
 	// Operation is the service's operation.
 	Operation string `json:",omitempty" validate:"omitempty,ident"`
-	// Idempotent says that a request may run more than once.
+	// Idempotent says that a call of the service may run more than once. A
+	// model's answer always may.
 	Idempotent bool
 	// LoadMultiple bounds an upstream's load to this multiple of the mean.
 	LoadMultiple float64 `json:",omitempty" validate:"omitempty,gte=1,lte=10"`
@@ -41,6 +42,9 @@
 	MaxBodyBytes ident.Bytes `json:",omitempty" validate:"omitempty,gte=1,lte=33554432"`
 }
 
+// Repeatable reports whether a request of the route may run more than once.
+func (route Route) Repeatable() bool { return route.Model != "" || route.Idempotent }
+
 // Workspace is one customer workspace of the team.
 type Workspace struct {
 	// Weight is its share of a contended upstream against the others.
@@ -49,7 +53,7 @@
 
 // PriorityClass is one priority of the team.
 type PriorityClass struct {
-	// Mark is the share of an upstream's bound that the class may fill.
+	// Mark is the share of an upstream's own limit that the class may fill.
 	Mark float64 `validate:"gt=0,lte=1"`
 }
 
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// unreachable takes note that no connection to the engine could be opened. The
+// next probe that is answered ends this.
+func (sidecar *Sidecar) unreachable() {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	if sidecar.Upstream.Model != "" {
+		sidecar.failures = max(sidecar.failures, probeFailures)
+	}
+}
+
 // lose ends the idempotent requests that run on a lost upstream. The caller
 // holds mu.
 func (sidecar *Sidecar) lose() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -149,7 +149,9 @@
 func (sidecar *Sidecar) Observe(samples []admission.Sample) {
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
-	sidecar.gate.Observe(sidecar.now(), samples)
+	now := sidecar.now()
+	sidecar.gate.Observe(now, samples)
+	sidecar.deliver(sidecar.gate.Expire(now))
 }
 
 // Run sweeps expired answers and hopeless queue entries until ctx ends.
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -29,7 +29,7 @@
 	fingerprint := fingerprintOf(&call, body)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	started := newExecution(call, fingerprint, sidecar.replayBytes(), cancel)
-	started.idempotent = route.Idempotent
+	started.idempotent = route.Repeatable()
 	waiter, err := sidecar.admit(started, workspace, deadline)
 	if err != nil {
 		cancel()
@@ -66,7 +66,7 @@
 	if !sidecar.serves(route) {
 		return settings.Route{}, settings.Workspace{}, sidecar.notReady("the route's upstreams do not include this one")
 	}
-	if !route.Idempotent && call.Key == "" {
+	if !route.Repeatable() && call.Key == "" {
 		return settings.Route{}, settings.Workspace{}, result.Errorf(result.MissingIdempotencyKey, "route %q", call.Route)
 	}
 	return route, workspace, nil
@@ -151,7 +151,7 @@
 	call := &started.call
 	offer := admission.Offer{
 		Attempt:   call.Attempt,
-		Workspace: call.Workspace,
+		Workspace: ident.WorkspaceID(string(call.Team) + "/" + string(call.Workspace)),
 		Weight:    workspace.Weight,
 		Priority:  qualified(call.Team, call.Priority),
 		Deadline:  deadline,
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -83,7 +83,7 @@
 
 func (work *work) answer(ctx context.Context) error {
 	switch {
-	case !work.route.Idempotent:
+	case !work.route.Repeatable():
 		return work.claimed(ctx)
 	case work.route.Service != "":
 		return work.service(ctx)
@@ -140,7 +140,7 @@
 	if state == peer.AttemptForwarded && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.Errorf(result.DeadlineExpired, "the deadline passed while the upstream was running the request")
 	}
-	if failure.Code == result.OutcomeUnknown && work.route.Idempotent {
+	if failure.Code == result.OutcomeUnknown && work.route.Repeatable() {
 		failure.Code = result.UpstreamCrashed
 	}
 	return &failure
@@ -166,6 +166,7 @@
 	err := send()
 	if result.CodeOf(err) == result.UpstreamUnreachable {
 		work.execution.withdraw()
+		work.sidecar.unreachable()
 	}
 	return err
 }
