--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/load"
-	"github.com/hickoryhead/hickoryhead/result"
 )
 
 // midwayAfter is the time before a fault. A router may try again for a fifth of
@@ -82,20 +81,18 @@
 }
 
 // TestAnswersOutliveTheirEngine kills an engine and the sidecar of another with
-// answers in flight. No caller notices more than a refusal as not run, while the
-// routers learn of it.
+// answers in flight. No caller notices.
 func TestAnswersOutliveTheirEngine(t *testing.T) {
 	fleet := fleettest.Start(t, fleettest.Options{
 		Engines:    4,
 		EngineArgs: []string{"--tokens-per-second", "100", "--limit", "64"},
 	})
-	report := drive(t, fleet, load.Workload{WholeShare: 0.2}, 12, func() {
+	report := drive(t, fleet, load.Workload{WholeShare: 0.2}, 0, func() {
 		fleet.Engines[0].Upstream.Kill()
 		fleet.Engines[1].Sidecar.Kill()
 	})
-	broken := report.Cut + report.Outcomes[result.Failed] + report.Outcomes[result.Unknown]
-	if report.Whole != report.Requests || broken != 0 {
-		t.Errorf("got %+v, want every answer whole and none of them cut", report)
+	if report.Whole != report.Requests {
+		t.Errorf("got %+v, want every answer whole at the first try", report)
 	}
 }
 
