--- a/faulttest/leave_test.go
+++ b/faulttest/leave_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/fleettest"
+	"github.com/hickoryhead/hickoryhead/load"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -64,6 +65,52 @@
 	innocents.end(t)
 }
 
+// TestPlannedStopOfAService stops the sidecar of a service with confirmations in
+// flight. Every one of them is answered at the first try and ran once.
+func TestPlannedStopOfAService(t *testing.T) {
+	fleet := fleettest.Start(t, fleettest.Options{Services: 2, ServiceArgs: []string{"--delay", "20ms"}})
+	runner := &load.Runner{
+		Workload: load.Workload{
+			Seed:              3,
+			Requests:          200,
+			RequestsPerSecond: 100,
+			Workspaces:        []load.Workspace{{ID: fleettest.Workspace, Share: 1}},
+			ConfirmShare:      0.8,
+			StatusShare:       0.2,
+		},
+		Routers:      []string{fleet.Routers[0].Callers},
+		Services:     []string{fleet.Services[0].Address, fleet.Services[1].Address},
+		Team:         fleettest.Team,
+		ModelRoute:   "draft",
+		ConfirmRoute: "confirm",
+		StatusRoute:  "order-status",
+	}
+	stop := &lateStop{process: fleet.Services[0].Sidecar, ended: make(chan error, 1)}
+	go stop.run()
+	report, err := runner.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-stop.ended; err != nil {
+		t.Errorf("got exit %v of the sidecar, want a clean stop", err)
+	}
+	if !report.Sound() || report.Whole != report.Requests {
+		t.Errorf("got %+v, want every answer whole at the first try", report)
+	}
+}
+
+// lateStop stops a process gracefully once the load has run for a while.
+type lateStop struct {
+	process *fleettest.Process
+	ended   chan error
+}
+
+func (stop *lateStop) run() {
+	time.Sleep(time.Second)
+	stop.process.Terminate()
+	stop.ended <- stop.process.Wait()
+}
+
 func drain(t *testing.T, fleet *fleettest.Fleet, unit *fleettest.Unit) {
 	t.Helper()
 	url := "http://" + fleet.Routers[0].Operators + "/v1/drain/" + string(unit.ID) + "?Team=" + string(fleettest.Team)
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	// idleTimeout is below the servers', so that the client closes first.
 	idleTimeout = 60 * time.Second
 	maxIdle     = 8192
+	// endTimeout bounds the reading of a response's end after its last frame.
+	endTimeout = 100 * time.Millisecond
 	// frameBuffer is the size of the buffer of one answer, in bytes.
 	frameBuffer = 16 << 10
 	// silenceLimit is how long a sidecar may send nothing at all. It is a few
@@ -56,6 +59,8 @@
 	buffer  *bufio.Reader
 	cancel  context.CancelFunc
 	silence *time.Timer
+	// ended is set once the last frame was read.
+	ended bool
 }
 
 func newFrames(body io.ReadCloser, cancel context.CancelFunc, silence *time.Timer) *Frames {
@@ -80,6 +85,7 @@
 		defer frames.silence.Stop()
 	}
 	frame, err = frames.line()
+	frames.ended = err == nil && frame.Last()
 	return frame, err == nil && frame.Seq == 0, err
 }
 
@@ -123,6 +129,12 @@
 
 // Close ends the reading and frees the connection.
 func (frames *Frames) Close() error {
+	if frames.ended {
+		// What is left is the end of the response. With it read, the
+		// connection carries the next request.
+		frames.silence.Reset(endTimeout)
+		_, _ = io.Copy(io.Discard, frames.buffer)
+	}
 	frames.silence.Stop()
 	frames.cancel()
 	return frames.body.Close()
@@ -137,11 +149,17 @@
 	if err != nil {
 		return nil, State{}, result.Errorf(result.InvalidHeader, "%v", err)
 	}
-	reader := io.MultiReader(bytes.NewReader(body), bytes.NewReader([]byte(resumeText)))
+	content := func() (io.ReadCloser, error) {
+		return io.NopCloser(io.MultiReader(bytes.NewReader(body), strings.NewReader(resumeText))), nil
+	}
+	reader, _ := content()
 	request, err := client.request(ctx, http.MethodPost, address, "/v1/run", reader)
 	if err != nil {
 		return nil, State{}, err
 	}
+	// A connection that was closed while idle is replaced before anything of
+	// the request was sent.
+	request.GetBody = content
 	request.ContentLength = int64(len(body) + len(resumeText))
 	request.Header.Set(HeaderCall, string(header))
 	return client.frames(request, time.Now().Add(silenceLimit))
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -213,6 +213,9 @@
 			return cutError(err)
 		}
 		if token.Done {
+			if token.Text != "" {
+				work.execution.data(token.Text)
+			}
 			end := answer.End{Status: 200, ContentType: "text/plain", Cached: token.Cached, Prompt: token.Prompt}
 			work.execution.end(end, work.sidecar.now().Add(replayLifetime))
 			work.used(token.Prompt)
