--- a/faulttest/lease_test.go
+++ b/faulttest/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/lease"
@@ -12,6 +13,9 @@
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
+// resumedTime is several rounds of orders of a holder that goes on.
+const resumedTime = 4 * time.Second
+
 // TestPausedLeaseHolder freezes the router that holds the placement lease until
 // another one has it, asks for a move, and lets the first one go on. Only the
 // later holder's orders reach an engine, though the engines ignore the numbers.
@@ -25,7 +29,7 @@
 	askForMove(t, fleet)
 	waitFor(t, "an order", func() bool { return len(ordersOf(t, fleet)) > 0 })
 	holder.Process.Resume()
-	pause()
+	time.Sleep(resumedTime)
 	for _, order := range ordersOf(t, fleet) {
 		if got, least := order.Fence, first.Fence+1; got < least {
 			t.Errorf("got an order under fencing number %d, want at least %d", got, least)
