demo: count control bytes over the time of the load

The table divided all bytes since the daemons' start by the time of the load, some 9 s, so that the opening of links and the first lists counted as running costs: 5,964 bytes a second for each router.

--- a/demo/trial.go
+++ b/demo/trial.go
@@ -27,6 +27,9 @@
 	samples int
 	skew    float64
 	worst   float64
+	// before and control are the control bytes of each router at the first and
+	// at the latest sample.
+	before  map[ident.VMID]ident.Bytes
 	control map[ident.VMID]ident.Bytes
 	elapsed time.Duration
 }
@@ -125,8 +128,12 @@
 	trial.mu.Lock()
 	defer trial.mu.Unlock()
 	if trial.control == nil {
+		trial.before = make(map[ident.VMID]ident.Bytes)
 		trial.control = make(map[ident.VMID]ident.Bytes)
 	}
+	if _, found := trial.before[status.VM]; !found {
+		trial.before[status.VM] = status.ControlBytes
+	}
 	trial.control[status.VM] = status.ControlBytes
 	total, busiest, engines := 0, 0, 0
 	for _, upstream := range status.Upstreams {
@@ -175,8 +182,8 @@
 // controlRate returns the mean control bytes a second of the routers.
 func (trial *trial) controlRate() float64 {
 	var total ident.Bytes
-	for _, count := range trial.control {
-		total += count
+	for vm, count := range trial.control {
+		total += count - trial.before[vm]
 	}
 	return float64(total) / float64(max(1, len(trial.control))) / trial.elapsed.Seconds()
 }
