Share the command line, the daemon commands and the seeded tests

The two programs had the same exit statuses, root command and marking of usage errors, router and sidecar the same command, the demo two kinds of runs that did the same, and eight packages the same TestMain. Behaviour stays as it was.

--- a/claim/main_test.go
+++ b/claim/main_test.go
@@ -1,26 +1,12 @@
 package claim_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/hickoryhead/hickoryhead/seeded"
 )
 
-// TestMain fixes the seed of the property tests, so that each run gives the
-// same verdict. The command line may set another.
+// TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "5"); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.checks", "2000"); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.steps", "60"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	seeded.Main(m, "5", seeded.Setting{Name: "rapid.checks", Value: "2000"}, seeded.Setting{Name: "rapid.steps", Value: "60"})
 }
--- a/cmd/hickoryhead-standin/commands.go
+++ b/cmd/hickoryhead-standin/commands.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
@@ -17,7 +18,7 @@
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run a stand-in for the platform: table, object store and list of VMs",
-		Args:  noArgs,
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			platform := new(standin.Platform)
 			platform.Switch(switches)
@@ -45,7 +46,7 @@
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Run a stand-in for a model engine",
-		Args:  noArgs,
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			engine.Model = ident.ModelName(model)
 			engine.CacheTokens = ident.Tokens(cacheTokens)
@@ -81,7 +82,7 @@
 	cmd := &cobra.Command{
 		Use:   "service",
 		Short: "Run a stand-in for a plain service",
-		Args:  noArgs,
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			service.Switch(switches)
 			return serve(cmd.Context(), listen, service, cmd.OutOrStdout())
--- a/cmd/hickoryhead-standin/root_test.go
+++ b/cmd/hickoryhead-standin/root_test.go
@@ -8,17 +8,19 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/command"
 )
 
-// command is one run of the program.
-type command struct {
+// commandLine is one run of the program.
+type commandLine struct {
 	args   []string
 	out    *io.PipeWriter
 	status chan int
 }
 
-func (command *command) run(ctx context.Context) {
-	command.status <- run(ctx, command.args, command.out, io.Discard)
+func (commandLine *commandLine) run(ctx context.Context) {
+	commandLine.status <- run(ctx, commandLine.args, commandLine.out, io.Discard)
 }
 
 func TestCommandsListenAndStop(t *testing.T) {
@@ -27,8 +29,8 @@
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
 			reader, writer := io.Pipe()
-			command := &command{args: []string{name}, out: writer, status: make(chan int, 1)}
-			go command.run(ctx)
+			commandLine := &commandLine{args: []string{name}, out: writer, status: make(chan int, 1)}
+			go commandLine.run(ctx)
 			line, err := bufio.NewReader(reader).ReadString('\n')
 			address, found := strings.CutPrefix(strings.TrimSpace(line), "listening on ")
 			if err != nil || !found {
@@ -40,8 +42,8 @@
 			}
 			conn.Close()
 			stop()
-			if got := <-command.status; got != exitDone {
-				t.Errorf("got status %d after the stop, want %d", got, exitDone)
+			if got := <-commandLine.status; got != command.ExitDone {
+				t.Errorf("got status %d after the stop, want %d", got, command.ExitDone)
 			}
 		})
 	}
@@ -57,12 +59,12 @@
 		args []string
 		want int
 	}{
-		{[]string{"--help"}, exitDone},
-		{[]string{"engine", "--limit", "many"}, exitUsage},
-		{[]string{"engine", "extra"}, exitUsage},
-		{[]string{"unknown"}, exitUsage},
-		{[]string{"service", "--listen", "localhost:0"}, exitUsage},
-		{[]string{"platform", "--listen", listener.Addr().String()}, exitFailed},
+		{[]string{"--help"}, command.ExitDone},
+		{[]string{"engine", "--limit", "many"}, command.ExitUsage},
+		{[]string{"engine", "extra"}, command.ExitUsage},
+		{[]string{"unknown"}, command.ExitUsage},
+		{[]string{"service", "--listen", "localhost:0"}, command.ExitUsage},
+		{[]string{"platform", "--listen", listener.Addr().String()}, command.ExitFailed},
 	}
 	for _, test := range tests {
 		got := run(t.Context(), test.args, io.Discard, io.Discard)
--- a/cmd/hickoryhead-standin/server.go
+++ b/cmd/hickoryhead-standin/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/command"
 )
 
 // stopTimeout bounds the time that requests in flight have after a stop signal.
@@ -26,7 +28,7 @@
 // lets the requests in flight finish.
 func serve(ctx context.Context, listen string, handler http.Handler, out io.Writer) error {
 	if _, err := netip.ParseAddrPort(listen); err != nil {
-		return errors.Mark(errors.Wrap(err, "--listen: want IP:port"), errUsage)
+		return command.Usage(errors.Wrap(err, "--listen: want IP:port"))
 	}
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/daemon"
 	"github.com/hickoryhead/hickoryhead/logging"
@@ -33,7 +34,7 @@
 func (flags *daemonFlags) logger(out io.Writer) (*slog.Logger, error) {
 	logger, err := logging.New(out, logging.Format(flags.format), flags.level)
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, command.Usage(err)
 	}
 	return logger, nil
 }
@@ -42,11 +43,11 @@
 func loadSettings[T config.Router | config.Sidecar](name string) (T, error) {
 	if name == "" {
 		var none T
-		return none, errors.Mark(errors.New("--settings FILE is required"), errUsage)
+		return none, command.Usage(errors.New("--settings FILE is required"))
 	}
 	loaded, err := config.Load[T](name)
 	if err != nil {
-		return loaded, errors.Mark(err, errUsage)
+		return loaded, command.Usage(err)
 	}
 	return loaded, nil
 }
@@ -65,38 +66,30 @@
 }
 
 func newRouter() *cobra.Command {
-	var flags daemonFlags
-	cmd := &cobra.Command{
-		Use:   "router --settings FILE",
-		Short: "Run a router on an entry VM",
-		Args:  usageArgs(cobra.NoArgs),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := loadSettings[config.Router](flags.settings)
-			if err != nil {
-				return err
-			}
-			logger, err := flags.logger(cmd.ErrOrStderr())
-			if err != nil {
-				return err
-			}
-			ctx, stop := untilStopped(cmd.Context())
-			defer stop()
-			router := &daemon.Router{Config: loaded, Logger: logger, Started: printAddresses(cmd.OutOrStdout())}
+	return newDaemon("router", "Run a router on an entry VM",
+		func(ctx context.Context, loaded config.Router, logger *slog.Logger, started func(daemon.Addresses)) error {
+			router := &daemon.Router{Config: loaded, Logger: logger, Started: started}
 			return router.Run(ctx)
-		},
-	}
-	flags.add(cmd)
-	return cmd
+		})
 }
 
 func newSidecar() *cobra.Command {
+	return newDaemon("sidecar", "Run the small process beside one upstream",
+		func(ctx context.Context, loaded config.Sidecar, logger *slog.Logger, started func(daemon.Addresses)) error {
+			sidecar := &daemon.Sidecar{Config: loaded, Logger: logger, Started: started}
+			return sidecar.Run(ctx)
+		})
+}
+
+// newDaemon returns the command that runs a daemon until it is told to stop.
+func newDaemon[T config.Router | config.Sidecar](role, short string, run func(ctx context.Context, loaded T, logger *slog.Logger, started func(daemon.Addresses)) error) *cobra.Command {
 	var flags daemonFlags
 	cmd := &cobra.Command{
-		Use:   "sidecar --settings FILE",
-		Short: "Run the small process beside one upstream",
-		Args:  usageArgs(cobra.NoArgs),
+		Use:   role + " --settings FILE",
+		Short: short,
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := loadSettings[config.Sidecar](flags.settings)
+			loaded, err := loadSettings[T](flags.settings)
 			if err != nil {
 				return err
 			}
@@ -106,8 +99,7 @@
 			}
 			ctx, stop := untilStopped(cmd.Context())
 			defer stop()
-			sidecar := &daemon.Sidecar{Config: loaded, Logger: logger, Started: printAddresses(cmd.OutOrStdout())}
-			return sidecar.Run(ctx)
+			return run(ctx, loaded, logger, printAddresses(cmd.OutOrStdout()))
 		},
 	}
 	flags.add(cmd)
@@ -119,7 +111,7 @@
 		Use:       "check router|sidecar FILE",
 		Short:     "Check a daemon's settings file without starting anything",
 		ValidArgs: []string{"router", "sidecar"},
-		Args:      usageArgs(cobra.ExactArgs(2)),
+		Args:      command.Args(cobra.ExactArgs(2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := checkFile(args[0], args[1]); err != nil {
 				return err
@@ -138,7 +130,7 @@
 	case "sidecar":
 		_, err = loadSettings[config.Sidecar](name)
 	default:
-		return errors.Mark(errors.Newf("role %q: want router or sidecar", role), errUsage)
+		return command.Usage(errors.Newf("role %q: want router or sidecar", role))
 	}
 	return err
 }
--- a/cmd/hickoryhead/demo.go
+++ b/cmd/hickoryhead/demo.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/demo"
 	"github.com/hickoryhead/hickoryhead/logging"
 )
@@ -13,7 +14,7 @@
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run every role on loopback in one process and show what it does",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			flags := daemonFlags{format: string(logging.Text), level: level}
 			logger, err := flags.logger(cmd.ErrOrStderr())
--- a/cmd/hickoryhead/load.go
+++ b/cmd/hickoryhead/load.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/load"
 )
@@ -20,10 +21,10 @@
 	cmd := &cobra.Command{
 		Use:   "load --routers IP:PORT,... --team TEAM --workspaces W,...",
 		Short: "Drive callers against routers in front of stand-ins, and report what they got",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if len(runner.Routers) == 0 || len(workspaces) == 0 || team == "" {
-				return errors.Mark(errors.New("--routers, --team and --workspaces are required"), errUsage)
+				return command.Usage(errors.New("--routers, --team and --workspaces are required"))
 			}
 			for _, workspace := range workspaces {
 				runner.Workload.Workspaces = append(runner.Workload.Workspaces, load.Workspace{ID: ident.WorkspaceID(workspace), Share: 1})
--- a/cmd/hickoryhead/operate.go
+++ b/cmd/hickoryhead/operate.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/daemon"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/sidecar"
@@ -32,7 +33,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, nil)
 	if err != nil {
-		return errors.Mark(err, errUsage)
+		return command.Usage(err)
 	}
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
@@ -61,7 +62,7 @@
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show a router and the upstreams it knows",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var status daemon.RouterStatus
 			if err := ask(cmd.Context(), http.MethodGet, server, "/v1/status", "", &status); err != nil {
@@ -94,11 +95,11 @@
 	cmd := &cobra.Command{
 		Use:   "drain UPSTREAM --team TEAM --token-file FILE",
 		Short: "Let an upstream finish its work and take no more",
-		Args:  usageArgs(cobra.ExactArgs(1)),
+		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			token, err := os.ReadFile(tokenFile)
 			if err != nil {
-				return errors.Mark(errors.Wrap(err, "--token-file"), errUsage)
+				return command.Usage(errors.Wrap(err, "--token-file"))
 			}
 			var status sidecar.Status
 			path := "/v1/drain/" + url.PathEscape(args[0]) + "?" + url.Values{"Team": {team}}.Encode()
--- a/cmd/hickoryhead/reference.go
+++ b/cmd/hickoryhead/reference.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
 )
@@ -15,7 +16,7 @@
 		Use:       "reference results|settings",
 		Short:     "Print a reference page made from the code",
 		ValidArgs: []string{"results", "settings"},
-		Args:      usageArgs(cobra.ExactArgs(1)),
+		Args:      command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			switch args[0] {
 			case "results":
@@ -25,18 +26,7 @@
 				fmt.Fprint(cmd.OutOrStdout(), settings.Reference())
 				return nil
 			}
-			return errors.Mark(errors.Newf("no reference page %q: want results or settings", args[0]), errUsage)
+			return command.Usage(errors.Newf("no reference page %q: want results or settings", args[0]))
 		},
 	}
 }
-
-// usageArgs marks the errors of check as errors of usage.
-func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
-	return func(cmd *cobra.Command, args []string) error {
-		err := check(cmd, args)
-		if err == nil {
-			return nil
-		}
-		return errors.Mark(err, errUsage)
-	}
-}
--- a/cmd/hickoryhead/settings.go
+++ b/cmd/hickoryhead/settings.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/settings"
@@ -34,7 +35,7 @@
 	cmd := &cobra.Command{
 		Use:   "settings",
 		Short: "Show and change a team's settings",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  command.Args(cobra.NoArgs),
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	all := cmd.PersistentFlags()
@@ -61,11 +62,11 @@
 
 func (flags *settingsFlags) client() (*operator.Client, error) {
 	if !ident.Valid(flags.team) {
-		return nil, errors.Mark(errors.Newf("--team is %q: want the name of a team", flags.team), errUsage)
+		return nil, command.Usage(errors.Newf("--team is %q: want the name of a team", flags.team))
 	}
 	token, err := os.ReadFile(flags.tokenFile)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "--token-file"), errUsage)
+		return nil, command.Usage(errors.Wrap(err, "--token-file"))
 	}
 	return &operator.Client{
 		Server: flags.server,
@@ -80,7 +81,7 @@
 	return &cobra.Command{
 		Use:   "list [KIND]",
 		Short: "Print the settings in force",
-		Args:  usageArgs(cobra.MaximumNArgs(1)),
+		Args:  command.Args(cobra.MaximumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client, err := flags.client()
 			if err != nil {
@@ -101,7 +102,7 @@
 	return &cobra.Command{
 		Use:   "get KIND NAME",
 		Short: "Print one setting",
-		Args:  usageArgs(cobra.ExactArgs(2)),
+		Args:  command.Args(cobra.ExactArgs(2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client, err := flags.client()
 			if err != nil {
@@ -120,7 +121,7 @@
 	return &cobra.Command{
 		Use:   "set KIND NAME VALUE",
 		Short: "Set one setting to a JSON value, or to a file's with @FILE",
-		Args:  usageArgs(cobra.ExactArgs(3)),
+		Args:  command.Args(cobra.ExactArgs(3)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			value, err := readValue(args[2])
 			if err != nil {
@@ -135,7 +136,7 @@
 	return &cobra.Command{
 		Use:   "delete KIND NAME",
 		Short: "Delete one setting",
-		Args:  usageArgs(cobra.ExactArgs(2)),
+		Args:  command.Args(cobra.ExactArgs(2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return flags.changeOne(cmd, args[0], args[1], nil)
 		},
@@ -152,7 +153,7 @@
 	cmd := &cobra.Command{
 		Use:   "apply FILE|FOLDER",
 		Short: "Make the settings of a file or folder one change",
-		Args:  usageArgs(cobra.ExactArgs(1)),
+		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			values, err := readSettings(ident.TeamID(flags.team), args[0])
 			if err != nil {
@@ -170,7 +171,7 @@
 	cmd := &cobra.Command{
 		Use:   "diff FILE|FOLDER",
 		Short: "Show what apply would change",
-		Args:  usageArgs(cobra.ExactArgs(1)),
+		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			values, err := readSettings(ident.TeamID(flags.team), args[0])
 			if err != nil {
@@ -189,7 +190,7 @@
 	cmd := &cobra.Command{
 		Use:   "history",
 		Short: "Show accepted changes, oldest first",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			client, err := flags.client()
 			if err != nil {
@@ -214,11 +215,11 @@
 	return &cobra.Command{
 		Use:   "undo REVISION",
 		Short: "Undo an accepted change by a new one",
-		Args:  usageArgs(cobra.ExactArgs(1)),
+		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			number, err := strconv.ParseUint(args[0], 10, 64)
 			if err != nil {
-				return errors.Mark(errors.Newf("revision %q: want a whole number", args[0]), errUsage)
+				return command.Usage(errors.Newf("revision %q: want a whole number", args[0]))
 			}
 			return flags.undo(cmd, ident.Revision(number))
 		},
--- a/cmd/hickoryhead/settings_file.go
+++ b/cmd/hickoryhead/settings_file.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/settings"
 )
@@ -27,14 +28,14 @@
 	}
 	content, err := os.ReadFile(name)
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, command.Usage(err)
 	}
 	return checkJSON(content, name)
 }
 
 func checkJSON(value json.RawMessage, from string) (json.RawMessage, error) {
 	if !json.Valid(value) {
-		return nil, errors.Mark(errors.Newf("%s is not one JSON value", from), errUsage)
+		return nil, command.Usage(errors.Newf("%s is not one JSON value", from))
 	}
 	return value, nil
 }
@@ -45,7 +46,7 @@
 func readSettings(team ident.TeamID, name string) (map[settings.Path]json.RawMessage, error) {
 	info, err := os.Stat(name)
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, command.Usage(err)
 	}
 	if info.IsDir() {
 		return readFolder(team, name)
@@ -56,15 +57,15 @@
 func readFile(team ident.TeamID, name string) (map[settings.Path]json.RawMessage, error) {
 	content, err := os.ReadFile(name)
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, command.Usage(err)
 	}
 	var kinds map[settings.Kind]map[string]json.RawMessage
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	if err := decoder.Decode(&kinds); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "%s: want an object of kinds, each an object of names", name), errUsage)
+		return nil, command.Usage(errors.Wrapf(err, "%s: want an object of kinds, each an object of names", name))
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.Mark(errors.Newf("%s: want one JSON object and nothing after it", name), errUsage)
+		return nil, command.Usage(errors.Newf("%s: want one JSON object and nothing after it", name))
 	}
 	values := make(map[settings.Path]json.RawMessage)
 	for kind, names := range kinds {
@@ -98,7 +99,7 @@
 		return add(values, address, content, name)
 	})
 	if err != nil {
-		return nil, errors.Mark(err, errUsage)
+		return nil, command.Usage(err)
 	}
 	return values, nil
 }
@@ -106,10 +107,10 @@
 func add(values map[settings.Path]json.RawMessage, address settings.Address, value json.RawMessage, from string) error {
 	path := address.Path()
 	if _, err := settings.ParsePath(path); err != nil {
-		return errors.Mark(errors.Wrap(err, from), errUsage)
+		return command.Usage(errors.Wrap(err, from))
 	}
 	if _, twice := values[path]; twice {
-		return errors.Mark(errors.Newf("%s: %s is given twice", from, path), errUsage)
+		return command.Usage(errors.Newf("%s: %s is given twice", from, path))
 	}
 	values[path] = value
 	return nil
--- a/cmd/hickoryhead/settings_test.go
+++ b/cmd/hickoryhead/settings_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/operator"
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -43,87 +44,87 @@
 	}
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	command := &settingsCommand{t: t, folder: t.TempDir(), server: strings.TrimPrefix(server.URL, "http://")}
-	command.write("token", "secret\n")
-	return command
+	commandLine := &settingsCommand{t: t, folder: t.TempDir(), server: strings.TrimPrefix(server.URL, "http://")}
+	commandLine.write("token", "secret\n")
+	return commandLine
 }
 
-func (command *settingsCommand) write(name, content string) string {
-	command.t.Helper()
-	path := filepath.Join(command.folder, name)
+func (commandLine *settingsCommand) write(name, content string) string {
+	commandLine.t.Helper()
+	path := filepath.Join(commandLine.folder, name)
 	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-		command.t.Fatal(err)
+		commandLine.t.Fatal(err)
 	}
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
-		command.t.Fatal(err)
+		commandLine.t.Fatal(err)
 	}
 	return path
 }
 
-func (command *settingsCommand) run(args ...string) (int, string) {
+func (commandLine *settingsCommand) run(args ...string) (int, string) {
 	var out bytes.Buffer
 	full := append([]string{"settings"}, args...)
-	full = append(full, "--server", command.server, "--team", "beaudoin", "--author", "shelf desk", "--token-file", filepath.Join(command.folder, "token"))
+	full = append(full, "--server", commandLine.server, "--team", "beaudoin", "--author", "shelf desk", "--token-file", filepath.Join(commandLine.folder, "token"))
 	status := run(full, &out, &out)
 	return status, out.String()
 }
 
-func (command *settingsCommand) want(status int, contains string, args ...string) {
-	command.t.Helper()
-	got, out := command.run(args...)
+func (commandLine *settingsCommand) want(status int, contains string, args ...string) {
+	commandLine.t.Helper()
+	got, out := commandLine.run(args...)
 	if got != status {
-		command.t.Errorf("got status %d from %v with %s, want %d", got, args, out, status)
+		commandLine.t.Errorf("got status %d from %v with %s, want %d", got, args, out, status)
 	}
 	if !strings.Contains(out, contains) {
-		command.t.Errorf("got %q from %v, want it to contain %q", out, args, contains)
+		commandLine.t.Errorf("got %q from %v, want it to contain %q", out, args, contains)
 	}
 }
 
 func TestSettingsCommands(t *testing.T) {
-	command := newSettingsCommand(t)
-	file := command.write("all.json", `{"Priorities":{"shelf":{"Mark":1}},"Routes":{"draft":{"Model":"m","Idempotent":true,"Priority":"shelf"}}}`)
-	command.want(exitDone, "+ /Teams/beaudoin/Priorities/shelf", "diff", file)
-	command.want(exitDone, "on revision 0", "apply", file, "--dry-run")
-	command.want(exitDone, "accepted as revision 1", "apply", file, "--reason", "opening")
-	command.want(exitDone, "nothing to change at revision 1", "apply", file)
-	command.want(exitDone, `"Priority": "shelf"`, "get", "Routes", "draft")
-	command.want(exitDone, "accepted as revision 2", "set", "Workspaces", "laval", `{"Weight":2}`)
-	command.want(exitDone, `"/Teams/beaudoin/Workspaces/laval"`, "list", "Workspaces")
-	command.want(exitDone, "- /Teams/beaudoin/Workspaces/laval", "undo", "2", "--dry-run")
-	command.want(exitDone, "accepted as revision 3", "undo", "2")
-	command.want(exitDone, `by "shelf desk": opening`, "history")
-	command.want(exitFailed, "HH4001", "delete", "Priorities", "shelf")
-	command.want(exitFailed, "HH4005", "get", "Routes", "absent")
-	command.want(exitFailed, `unknown field "model"`, "set", "Routes", "draft", `{"model":"m"}`)
+	commandLine := newSettingsCommand(t)
+	file := commandLine.write("all.json", `{"Priorities":{"shelf":{"Mark":1}},"Routes":{"draft":{"Model":"m","Idempotent":true,"Priority":"shelf"}}}`)
+	commandLine.want(command.ExitDone, "+ /Teams/beaudoin/Priorities/shelf", "diff", file)
+	commandLine.want(command.ExitDone, "on revision 0", "apply", file, "--dry-run")
+	commandLine.want(command.ExitDone, "accepted as revision 1", "apply", file, "--reason", "opening")
+	commandLine.want(command.ExitDone, "nothing to change at revision 1", "apply", file)
+	commandLine.want(command.ExitDone, `"Priority": "shelf"`, "get", "Routes", "draft")
+	commandLine.want(command.ExitDone, "accepted as revision 2", "set", "Workspaces", "laval", `{"Weight":2}`)
+	commandLine.want(command.ExitDone, `"/Teams/beaudoin/Workspaces/laval"`, "list", "Workspaces")
+	commandLine.want(command.ExitDone, "- /Teams/beaudoin/Workspaces/laval", "undo", "2", "--dry-run")
+	commandLine.want(command.ExitDone, "accepted as revision 3", "undo", "2")
+	commandLine.want(command.ExitDone, `by "shelf desk": opening`, "history")
+	commandLine.want(command.ExitFailed, "HH4001", "delete", "Priorities", "shelf")
+	commandLine.want(command.ExitFailed, "HH4005", "get", "Routes", "absent")
+	commandLine.want(command.ExitFailed, `unknown field "model"`, "set", "Routes", "draft", `{"model":"m"}`)
 }
 
 func TestSettingsOfAFolder(t *testing.T) {
-	command := newSettingsCommand(t)
-	command.write("team/Priorities/shelf.json", `{"Mark":1}`)
-	command.write("team/Workspaces/laval.json", `{"Weight":1}`)
-	folder := filepath.Join(command.folder, "team")
-	command.want(exitDone, "accepted as revision 1", "apply", folder)
+	commandLine := newSettingsCommand(t)
+	commandLine.write("team/Priorities/shelf.json", `{"Mark":1}`)
+	commandLine.write("team/Workspaces/laval.json", `{"Weight":1}`)
+	folder := filepath.Join(commandLine.folder, "team")
+	commandLine.want(command.ExitDone, "accepted as revision 1", "apply", folder)
 	if err := os.Remove(filepath.Join(folder, "Workspaces", "laval.json")); err != nil {
 		t.Fatal(err)
 	}
-	command.want(exitDone, "nothing to change", "apply", folder)
-	command.want(exitDone, "- /Teams/beaudoin/Workspaces/laval", "diff", folder, "--replace")
-	command.want(exitDone, "accepted as revision 2", "apply", folder, "--replace")
+	commandLine.want(command.ExitDone, "nothing to change", "apply", folder)
+	commandLine.want(command.ExitDone, "- /Teams/beaudoin/Workspaces/laval", "diff", folder, "--replace")
+	commandLine.want(command.ExitDone, "accepted as revision 2", "apply", folder, "--replace")
 }
 
 func TestSettingsUsage(t *testing.T) {
-	command := newSettingsCommand(t)
+	commandLine := newSettingsCommand(t)
 	tests := []struct {
 		contains string
 		args     []string
 	}{
 		{"not one JSON value", []string{"set", "Routes", "draft", "{"}},
-		{"no such file", []string{"apply", filepath.Join(command.folder, "absent")}},
-		{"want one of Routes", []string{"apply", command.write("odd.json", `{"Widgets":{"a":{}}}`)}},
+		{"no such file", []string{"apply", filepath.Join(commandLine.folder, "absent")}},
+		{"want one of Routes", []string{"apply", commandLine.write("odd.json", `{"Widgets":{"a":{}}}`)}},
 		{"want a whole number", []string{"undo", "last"}},
 		{"accepts 2 arg(s)", []string{"get", "Routes"}},
 	}
 	for _, test := range tests {
-		command.want(exitUsage, test.contains, test.args...)
+		commandLine.want(command.ExitUsage, test.contains, test.args...)
 	}
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -57,37 +57,41 @@
 	serviceAt  string
 	callers    []string
 	operators  []string
-	sidecars   []*sidecarRun
-	routers    []*routerRun
+	sidecars   []*daemonRun
+	routers    []*daemonRun
 	servers    []*http.Server
 }
 
-// sidecarRun is one running sidecar.
-type sidecarRun struct {
-	daemon.Sidecar
+// daemonRun is one running daemon.
+type daemonRun struct {
+	serve   func(ctx context.Context) error
 	stop    context.CancelFunc
 	started chan daemon.Addresses
 	err     error
 	ended   chan struct{}
 }
 
-func (sidecar *sidecarRun) run(ctx context.Context) {
-	sidecar.err = sidecar.Run(ctx)
-	close(sidecar.ended)
+// newDaemonRun returns a daemon that is started with go run(ctx).
+func newDaemonRun() (*daemonRun, context.Context) {
+	ctx, stop := context.WithCancel(context.Background())
+	return &daemonRun{stop: stop, started: make(chan daemon.Addresses, 1), ended: make(chan struct{})}, ctx
 }
 
-// routerRun is one running router.
-type routerRun struct {
-	daemon.Router
-	stop    context.CancelFunc
-	started chan daemon.Addresses
-	err     error
-	ended   chan struct{}
+func (running *daemonRun) run(ctx context.Context) {
+	running.err = running.serve(ctx)
+	close(running.ended)
 }
 
-func (router *routerRun) run(ctx context.Context) {
-	router.err = router.Run(ctx)
-	close(router.ended)
+func (running *daemonRun) tell(addresses daemon.Addresses) { running.started <- addresses }
+
+// wait waits until the daemon listens.
+func (running *daemonRun) wait() (daemon.Addresses, error) {
+	select {
+	case addresses := <-running.started:
+		return addresses, nil
+	case <-running.ended:
+		return daemon.Addresses{}, running.err
+	}
 }
 
 // httpRun serves one stand-in.
@@ -184,70 +188,51 @@
 func (fleet *fleet) startSidecar(id string, upstream config.Upstream) error {
 	upstream.ID = ident.UpstreamID(id)
 	loaded := config.Sidecar{Daemon: fleet.daemon("vm-" + id), HopListen: loopback, Upstream: upstream}
-	ctx, stop := context.WithCancel(context.Background())
-	sidecar := &sidecarRun{stop: stop, started: make(chan daemon.Addresses, 1), ended: make(chan struct{})}
-	sidecar.Sidecar = daemon.Sidecar{Config: loaded, Logger: fleet.logger, Started: sidecar.tell}
-	fleet.sidecars = append(fleet.sidecars, sidecar)
-	go sidecar.run(ctx)
-	select {
-	case addresses := <-sidecar.started:
-		fleet.platform.PutVM(platform.VM{
-			ID:          loaded.VM,
-			Role:        platform.RoleSidecar,
-			Address:     addresses.Hop,
-			PeerAddress: addresses.Peers,
-			Zone:        loaded.Zone,
-			Region:      loaded.Region,
-			Upstream:    &platform.VMUpstream{ID: upstream.ID, Model: upstream.Model, Service: upstream.Service},
-		})
-		return nil
-	case <-sidecar.ended:
-		return errors.Wrapf(sidecar.err, "sidecar %s", id)
+	running, ctx := newDaemonRun()
+	sidecar := &daemon.Sidecar{Config: loaded, Logger: fleet.logger, Started: running.tell}
+	running.serve = sidecar.Run
+	fleet.sidecars = append(fleet.sidecars, running)
+	go running.run(ctx)
+	addresses, err := running.wait()
+	if err != nil {
+		return errors.Wrapf(err, "sidecar %s", id)
 	}
+	vm := vmOf(loaded.Daemon, platform.RoleSidecar, addresses.Hop, addresses.Peers)
+	vm.Upstream = &platform.VMUpstream{ID: upstream.ID, Model: upstream.Model, Service: upstream.Service}
+	fleet.platform.PutVM(vm)
+	return nil
 }
 
-func (sidecar *sidecarRun) tell(addresses daemon.Addresses) { sidecar.started <- addresses }
-
-func (router *routerRun) tell(addresses daemon.Addresses) { router.started <- addresses }
-
 func (fleet *fleet) startRouter(id string) error {
 	loaded := config.Router{Daemon: fleet.daemon(id), CallerListen: loopback, OperatorListen: loopback}
-	ctx, stop := context.WithCancel(context.Background())
-	router := &routerRun{stop: stop, started: make(chan daemon.Addresses, 1), ended: make(chan struct{})}
-	router.Router = daemon.Router{Config: loaded, Logger: fleet.logger, Started: router.tell}
-	fleet.routers = append(fleet.routers, router)
-	go router.run(ctx)
-	select {
-	case addresses := <-router.started:
-		fleet.callers = append(fleet.callers, addresses.Callers)
-		fleet.operators = append(fleet.operators, addresses.Operators)
-		fleet.platform.PutVM(platform.VM{
-			ID:          loaded.VM,
-			Role:        platform.RoleRouter,
-			Address:     addresses.Callers,
-			PeerAddress: addresses.Peers,
-			Zone:        loaded.Zone,
-			Region:      loaded.Region,
-		})
-		return nil
-	case <-router.ended:
-		return errors.Wrapf(router.err, "router %s", id)
+	running, ctx := newDaemonRun()
+	router := &daemon.Router{Config: loaded, Logger: fleet.logger, Started: running.tell}
+	running.serve = router.Run
+	fleet.routers = append(fleet.routers, running)
+	go running.run(ctx)
+	addresses, err := running.wait()
+	if err != nil {
+		return errors.Wrapf(err, "router %s", id)
 	}
+	fleet.callers = append(fleet.callers, addresses.Callers)
+	fleet.operators = append(fleet.operators, addresses.Operators)
+	fleet.platform.PutVM(vmOf(loaded.Daemon, platform.RoleRouter, addresses.Callers, addresses.Peers))
+	return nil
+}
+
+// vmOf returns the entry of a daemon's VM in the platform's list.
+func vmOf(loaded config.Daemon, role platform.Role, address, peers string) platform.VM {
+	return platform.VM{ID: loaded.VM, Role: role, Address: address, PeerAddress: peers, Zone: loaded.Zone, Region: loaded.Region}
 }
 
 // close stops the routers and then the sidecars gracefully, and the stand-ins
 // at last. It returns the first error of a stop.
 func (fleet *fleet) close() error {
 	var first error
-	for _, router := range fleet.routers {
-		router.stop()
-		<-router.ended
-		first = errors.CombineErrors(first, router.err)
-	}
-	for _, sidecar := range fleet.sidecars {
-		sidecar.stop()
-		<-sidecar.ended
-		first = errors.CombineErrors(first, sidecar.err)
+	for _, running := range append(fleet.routers, fleet.sidecars...) {
+		running.stop()
+		<-running.ended
+		first = errors.CombineErrors(first, running.err)
 	}
 	for _, server := range fleet.servers {
 		_ = server.Close()
--- a/demo/trial.go
+++ b/demo/trial.go
@@ -69,10 +69,10 @@
 		return
 	}
 	leaving := trial.fleet.sidecars[1]
-	say(trial.options.Out, "%s leaves: it finishes its work and takes no more.", leaving.Config.Upstream.ID)
+	say(trial.options.Out, "engine-1 leaves: it finishes its work and takes no more.")
 	leaving.stop()
 	<-leaving.ended
-	say(trial.options.Out, "%s has left.", leaving.Config.Upstream.ID)
+	say(trial.options.Out, "engine-1 has left.")
 }
 
 // watch samples the loads and the control bytes, and prints progress.
