--- a/answer/encode_test.go
+++ b/answer/encode_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/jsonline"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
@@ -59,7 +60,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := answer.AppendString(nil, text); string(got) != string(want) {
+		if got := jsonline.AppendString(nil, text); string(got) != string(want) {
 			t.Fatalf("got %s, want %s", got, want)
 		}
 	})
--- a/caller/write.go
+++ b/caller/write.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/jsonline"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
@@ -162,7 +163,7 @@
 	line = strconv.AppendUint(line, uint64(frame.Seq), 10)
 	if frame.End == nil {
 		line = append(line, "\nevent: "+EventData+"\ndata: "...)
-		line = answer.AppendString(line, frame.Data)
+		line = jsonline.AppendString(line, frame.Data)
 		_, err := events.buffer.Write(append(line, "\n\n"...))
 		return err
 	}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -54,8 +53,8 @@
 	if err != nil {
 		return Token{}, err
 	}
-	var token Token
-	if err := json.Unmarshal(line, &token); err != nil {
+	token, err := decodeToken(line)
+	if err != nil {
 		return Token{}, errors.Wrapf(io.ErrUnexpectedEOF, "line of the stream: %v", err)
 	}
 	if !stream.follows(token) {
