--- a/config/config.go
+++ b/config/config.go
@@ -69,7 +69,7 @@
 	PrefixTokenBytes     ident.Bytes `json:",omitempty" validate:"gte=0,lte=16777216"`
 	PrefixBytesPerSecond ident.Bytes `json:",omitempty" validate:"gte=0,lte=1099511627776"`
 	// ClaimsPerSecond bounds this sidecar's transactions on the platform's
-	// table; zero means 100.
+	// table; zero means 20.
 	ClaimsPerSecond float64 `json:",omitempty" validate:"gte=0,lte=10000"`
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -18,6 +18,10 @@
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
+// defaultClaimsPerSecond leaves room for fifteen sidecars of plain services in a
+// table that takes three hundred writes a second.
+const defaultClaimsPerSecond = 20
+
 // Sidecar is the daemon beside one upstream. Set its exported fields before
 // Run.
 type Sidecar struct {
@@ -141,12 +145,20 @@
 		Table:     base.platform,
 		Address:   base.peerAt.Addr().String(),
 		Ask:       daemon.askHolder,
-		MaxWrites: daemon.Config.ClaimsPerSecond,
+		MaxWrites: daemon.claimsPerSecond(),
 		Metrics:   base.metrics,
 		Logger:    daemon.Logger,
 	})
 }
 
+// claimsPerSecond returns the bound of the transactions on the platform's table.
+func (daemon *Sidecar) claimsPerSecond() float64 {
+	if daemon.Config.ClaimsPerSecond > 0 {
+		return daemon.Config.ClaimsPerSecond
+	}
+	return defaultClaimsPerSecond
+}
+
 // askHolder asks the sidecar that holds a claim what became of its attempt.
 func (daemon *Sidecar) askHolder(ctx context.Context, address string, attempt ident.AttemptID) (peer.AttemptReply, error) {
 	var reply peer.AttemptReply
