Keep a service's bytes on the hop, and serve no settings before the daemon is ready

A plain service's answer that is no valid UTF-8 was changed by the JSON of the frames: TestReplyKeepsItsBytes got "\ufffd\ufffd not UTF-8" in place of its bytes by construction, and passes now.

--- a/answer/frame.go
+++ b/answer/frame.go
@@ -26,6 +26,9 @@
 	Status int
 	// ContentType is the media type of the joined data.
 	ContentType string
+	// Base64 says that the joined data is the answer's bytes in base64, since
+	// they are no valid UTF-8.
+	Base64 bool `json:",omitempty"`
 	// Cached and Prompt count the prompt's tokens found in the prefix cache,
 	// and all of them.
 	Cached ident.Tokens
--- a/caller/write.go
+++ b/caller/write.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -33,6 +34,9 @@
 	Prompt ident.Tokens
 	// Affinity is the header to send with the chat's next request.
 	Affinity string `json:",omitempty"`
+	// Base64 says that the joined data is in base64, since a plain service's
+	// answer was no valid UTF-8.
+	Base64 bool `json:",omitempty"`
 }
 
 // Text is the JSON form of a model's whole answer.
@@ -96,9 +100,18 @@
 		writeJSON(writer, http.StatusOK, Text{Text: text, Cached: end.Cached, Prompt: end.Prompt})
 		return
 	}
+	body := []byte(text)
+	if end.Base64 {
+		decoded, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			server.refuse(writer, result.Errorf(result.AnswerCut, "%v", err))
+			return
+		}
+		body = decoded
+	}
 	writer.Header().Set("Content-Type", end.ContentType)
 	writer.WriteHeader(end.Status)
-	_, _ = writer.Write([]byte(text))
+	_, _ = writer.Write(body)
 }
 
 // giveEvents writes the answer as server-sent events, as its frames come.
@@ -176,6 +189,7 @@
 		Cached:   frame.End.Cached,
 		Prompt:   frame.End.Prompt,
 		Affinity: relay.affinity(),
+		Base64:   frame.End.Base64,
 	}
 	return events.write(EventEnd, end)
 }
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -89,8 +89,14 @@
 	return base, base.server.Register("Settings", base.settings.Receiver())
 }
 
-// view returns the settings in force, which are empty before there are any.
-func (base *base) view() *settings.View { return base.settings.View() }
+// view returns the settings in force. It is empty until the daemon knows that
+// what it has is not older than what was in force before, as after a start.
+func (base *base) view() *settings.View {
+	if !base.settings.Ready() {
+		return new(settings.View)
+	}
+	return base.settings.View()
+}
 
 // listen opens the peer listener.
 func (base *base) listen() error {
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"io"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -280,8 +282,13 @@
 
 // reply appends a plain service's whole answer.
 func (work *work) reply(reply upstream.Reply) {
-	work.execution.data(reply.Body)
 	end := answer.End{Status: reply.Status, ContentType: reply.ContentType}
+	body := reply.Body
+	if !utf8.ValidString(body) {
+		body = base64.StdEncoding.EncodeToString([]byte(body))
+		end.Base64 = true
+	}
+	work.execution.data(body)
 	work.execution.end(end, work.sidecar.now().Add(replayLifetime))
 }
 
