--- a/sidecar/reply_test.go
+++ b/sidecar/reply_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"testing"
 
+	"github.com/hickoryhead/hickoryhead/answer"
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
@@ -14,7 +15,15 @@
 		work.reply(upstream.Reply{Status: 200, Body: body})
 		frames, _ := work.execution.replay.From(1)
 		end := frames[len(frames)-1].End
-		got := frames[0].Data
+		line, err := frames[0].AppendJSON(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, err := answer.DecodeFrame(line)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := received.Data
 		if end.Base64 {
 			decoded, err := base64.StdEncoding.DecodeString(got)
 			if err != nil {
