Name each goroutine's owner, share the ticking loops, tidy the module

Three loops of the replicator, one of the list watch and two of the operator were methods with other names than run or loop; each has an owner of its own now. The same ticker loop stood three times in package sidecar. A wait group that nobody waited for is gone.

--- a/daemon/router.go
+++ b/daemon/router.go
@@ -78,7 +78,8 @@
 		return err
 	}
 	go watch.run(ctx)
-	go watch.loopAsk(ctx)
+	asker := &listAsker{watch: watch}
+	go asker.loop(ctx)
 	router.startPlacement(ctx)
 	go router.callerAt.run()
 	go router.operators.run()
--- a/daemon/sampler.go
+++ b/daemon/sampler.go
@@ -80,4 +80,4 @@
 	core *sidecar.Sidecar
 }
 
-func (sweep *sweep) run(ctx context.Context) { _ = sweep.core.Run(ctx) }
+func (sweep *sweep) run(ctx context.Context) { sweep.core.Run(ctx) }
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -81,7 +81,8 @@
 	}
 	base.start(ctx, platform.RoleSidecar)
 	go watch.run(ctx)
-	go watch.loopAsk(ctx)
+	asker := &listAsker{watch: watch}
+	go asker.loop(ctx)
 	sampler := &sampler{base: base, core: daemon.core, pool: daemon.pool}
 	go sampler.run(ctx)
 	sweep := &sweep{core: daemon.core}
--- a/daemon/vms.go
+++ b/daemon/vms.go
@@ -119,8 +119,14 @@
 	}
 }
 
-// loopAsk asks the neighbours in turn until ctx ends.
-func (watch *vmWatch) loopAsk(ctx context.Context) {
+// listAsker asks neighbours for changes of the list.
+type listAsker struct {
+	watch *vmWatch
+}
+
+// loop asks the neighbours in turn until ctx ends.
+func (asker *listAsker) loop(ctx context.Context) {
+	watch := asker.watch
 	var turn []string
 	for {
 		select {
--- a/daemon/vms_test.go
+++ b/daemon/vms_test.go
@@ -146,7 +146,7 @@
 		}
 		watches.cut["peer-3"] = false
 		ctx, cancel := context.WithCancel(t.Context())
-		go watches.all["peer-3"].loopAsk(ctx)
+		go (&listAsker{watch: watches.all["peer-3"]}).loop(ctx)
 		time.Sleep(2 * askInterval)
 		cancel()
 		synctest.Wait()
--- a/operator/change.go
+++ b/operator/change.go
@@ -169,31 +169,36 @@
 // keepUp starts what is due at the revision of an accepted subtree.
 func (operator *Operator) keepUp(subtree *settings.Subtree) {
 	if operator.Snapshot != nil && subtree.Revision%platform.SnapshotEvery == 0 {
-		go operator.runSnapshot(operator.View())
+		view := operator.View()
+		snapshot := &upkeep{operator: operator, name: "snapshot", event: eventSnapshot, act: func(ctx context.Context) error {
+			return operator.Snapshot(ctx, view)
+		}}
+		go snapshot.run()
 	}
 	if operator.Archive != nil && subtree.Revision%platform.ArchiveEvery == 0 {
-		go operator.runArchive(subtree.Team, subtree.Revision)
+		archive := &upkeep{operator: operator, name: "archive", event: eventArchive, act: func(ctx context.Context) error {
+			return operator.Archive(ctx, subtree.Team, subtree.Revision)
+		}}
+		go archive.run()
 	}
 }
 
-func (operator *Operator) runSnapshot(view *settings.View) {
-	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
-	defer cancel()
-	if err := operator.Snapshot(ctx, view); err != nil {
-		operator.logger().Warn("Snapshot not stored.", "error", err)
-		return
-	}
-	operator.Metrics.Happened(eventSnapshot)
+// upkeep is work on the store that an accepted change made due.
+type upkeep struct {
+	operator *Operator
+	name     string
+	event    string
+	act      func(ctx context.Context) error
 }
 
-func (operator *Operator) runArchive(team ident.TeamID, latest ident.Revision) {
+func (upkeep *upkeep) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), upkeepTimeout)
 	defer cancel()
-	if err := operator.Archive(ctx, team, latest); err != nil {
-		operator.logger().Warn("History not archived.", "team", team, "error", err)
+	if err := upkeep.act(ctx); err != nil {
+		upkeep.operator.logger().Warn("Upkeep of the store failed.", "of", upkeep.name, "error", err)
 		return
 	}
-	operator.Metrics.Happened(eventArchive)
+	upkeep.operator.Metrics.Happened(upkeep.event)
 }
 
 // raced returns the paths of a change that lost a race as they are now.
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -30,8 +30,14 @@
 	lastStart  = 5 * time.Second
 )
 
-// loopStart tries to become ready until it succeeds.
-func (replicator *Replicator) loopStart(ctx context.Context) {
+// starter makes a replicator ready.
+type starter struct {
+	replicator *Replicator
+}
+
+// loop tries to become ready until it succeeds.
+func (starter *starter) loop(ctx context.Context) {
+	replicator := starter.replicator
 	defer replicator.tasks.Done()
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = firstStart
@@ -46,8 +52,14 @@
 	}
 }
 
-// loopPoll reads the store at a rate that falls with the size of the fleet.
-func (replicator *Replicator) loopPoll(ctx context.Context) {
+// poller keeps a replicator up to date with the store.
+type poller struct {
+	replicator *Replicator
+}
+
+// loop reads the store at a rate that falls with the size of the fleet.
+func (poller *poller) loop(ctx context.Context) {
+	replicator := poller.replicator
 	defer replicator.tasks.Done()
 	for wait(ctx, spread(replicator.pollEvery())) {
 		if replicator.Ready() {
@@ -58,8 +70,14 @@
 	}
 }
 
-// loopCompare compares the view with one neighbour after another.
-func (replicator *Replicator) loopCompare(ctx context.Context) {
+// comparer keeps a replicator up to date with its neighbours.
+type comparer struct {
+	replicator *Replicator
+}
+
+// loop compares the view with one neighbour after another.
+func (comparer *comparer) loop(ctx context.Context) {
+	replicator := comparer.replicator
 	defer replicator.tasks.Done()
 	every := replicator.CompareEvery
 	if every == 0 {
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -101,9 +101,12 @@
 func (replicator *Replicator) Run(ctx context.Context) {
 	defer replicator.tasks.Wait()
 	replicator.tasks.Add(3)
-	go replicator.loopStart(ctx)
-	go replicator.loopPoll(ctx)
-	go replicator.loopCompare(ctx)
+	starter := &starter{replicator: replicator}
+	go starter.loop(ctx)
+	poller := &poller{replicator: replicator}
+	go poller.loop(ctx)
+	comparer := &comparer{replicator: replicator}
+	go comparer.loop(ctx)
 	relisted := replicator.relistedSignal()
 	for {
 		select {
--- a/result/code.go
+++ b/result/code.go
@@ -120,7 +120,7 @@
 	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while they ran this request, so it is refused. Nothing was run this time.", http.StatusUnprocessableEntity, NotRun, false},
 	{CrashingRequestAlone, "CrashingRequestAlone", "The request may only run alone elsewhere", "Upstreams crashed while they ran this request. It may run only alone, on the upstream designated for it. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
 
-	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and nobody can tell. See docs/OPERATING.md.", http.StatusBadGateway, Unknown, false},
+	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and nobody can tell. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer and it could not be continued. What was received is not whole.", http.StatusBadGateway, Failed, false},
 	{UpstreamFailed, "UpstreamFailed", "The upstream failed", "The upstream ran the request and reported a failure, or stopped answering while it ran an idempotent request.", http.StatusBadGateway, Failed, false},
 	{KeyInProgress, "KeyInProgress", "The request is running", "An earlier request with this idempotency key is still running. Ask again after the time in Retry-After.", http.StatusConflict, Running, false},
--- a/sidecar/prefixes.go
+++ b/sidecar/prefixes.go
@@ -170,16 +170,7 @@
 
 // Run reads the engine's cache events until ctx ends.
 func (prefixes *Prefixes) Run(ctx context.Context) {
-	ticker := time.NewTicker(eventInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			prefixes.readEvents(ctx)
-		}
-	}
+	every(ctx, eventInterval, prefixes.readEvents)
 }
 
 // readEvents takes in which prefixes the engine dropped. They come late and
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -26,16 +26,7 @@
 // not answer several times in a row counts as lost: its idempotent requests end,
 // so that they can go on elsewhere, and new ones are refused until it answers.
 func (sidecar *Sidecar) Probe(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			sidecar.probe(ctx)
-		}
-	}
+	every(ctx, probeInterval, sidecar.probe)
 }
 
 func (sidecar *Sidecar) probe(ctx context.Context) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -155,15 +155,20 @@
 }
 
 // Run sweeps expired answers and hopeless queue entries until ctx ends.
-func (sidecar *Sidecar) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
+func (sidecar *Sidecar) Run(ctx context.Context) {
+	every(ctx, sweepInterval, func(context.Context) { sidecar.sweep(sidecar.now()) })
+}
+
+// every calls act at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, act func(ctx context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
-			sidecar.sweep(sidecar.now())
+			act(ctx)
 		}
 	}
 }
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -36,7 +36,6 @@
 		return nil, err
 	}
 	work := &work{sidecar: sidecar, execution: started, route: route, body: body, resumeText: resumeText, deadline: deadline, waiter: waiter}
-	sidecar.live.Add(1)
 	go work.run(runCtx)
 	return started, nil
 }
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -38,7 +38,6 @@
 
 // run forwards the request, fills its answer and gives its place back.
 func (work *work) run(ctx context.Context) {
-	defer work.sidecar.live.Done()
 	defer work.execution.cancel()
 	if err := work.wait(ctx); err != nil {
 		now := work.sidecar.now()
