--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,7 +79,6 @@
 	attempts      map[ident.AttemptID]*execution
 	waiting       map[ident.AttemptID]chan admission.Start
 	tombstones    map[ident.AttemptID]time.Time
-	live          sync.WaitGroup
 }
 
 func (sidecar *Sidecar) now() time.Time {
