--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -1,6 +1,8 @@
 package e2e_test
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -112,8 +114,10 @@
 		{"bad key", fleettest.Request{Route: "confirm", Key: "a b", Body: `{}`}, result.InvalidHeader},
 		{"tampered affinity", fleettest.Request{Route: "draft", Chat: "chat-1", Affinity: "v1.ZW5naW5lLTE.AAAA", Body: prompt}, result.InvalidAffinity},
 		{"too large", fleettest.Request{Route: "draft", Body: `{"Text":"` + strings.Repeat("a", 2<<20) + `","MaxTokens":1}`}, result.BodyTooLarge},
+		{"unknown workspace", fleettest.Request{Route: "draft", Workspace: "store-99", Body: prompt}, result.UnknownWorkspace},
 		{"unknown priority", fleettest.Request{Route: "draft", Priority: "royal", Body: prompt}, result.InvalidHeader},
 	}
+	before := requestsAt(t, fleet)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			reply := ask(t, fleet.Routers[0], test.request)
@@ -126,8 +130,52 @@
 			if got, want := reply.Problem.Outcome, result.NotRun; got != want {
 				t.Errorf("outcome: got %q, want %q", got, want)
 			}
+			if counter := `hickoryhead_refusals_total{code="` + test.want.String() + `"`; !strings.Contains(get(t, "http://"+fleet.Routers[0].Operators+"/metrics"), counter) {
+				t.Errorf("got no counter %s", counter)
+			}
 		})
 	}
+	if got, want := requestsAt(t, fleet), before; got != want {
+		t.Errorf("got %d requests at the upstreams, want %d: nothing is forwarded", got, want)
+	}
+}
+
+// requestsAt returns the requests that all upstreams have taken on.
+func requestsAt(t *testing.T, fleet *fleettest.Fleet) int64 {
+	t.Helper()
+	var total int64
+	for _, unit := range fleet.Engines {
+		var counters standin.EngineCounters
+		if err := json.Unmarshal([]byte(get(t, "http://"+unit.Address+"/v1/counters")), &counters); err != nil {
+			t.Fatal(err)
+		}
+		total += counters.Requests
+	}
+	for _, unit := range fleet.Services {
+		var runs standin.Runs
+		if err := json.Unmarshal([]byte(get(t, "http://"+unit.Address+"/v1/runs")), &runs); err != nil {
+			t.Fatal(err)
+		}
+		for _, count := range runs.Runs {
+			total += int64(count)
+		}
+	}
+	return total
+}
+
+// get returns the body of url.
+func get(t *testing.T, url string) string {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
 }
 
 // drain tells an upstream to leave and returns the status of the answer.
--- a/fleettest/caller.go
+++ b/fleettest/caller.go
@@ -19,6 +19,8 @@
 	Affinity string
 	Body     string
 	Priority string
+	// Workspace is the caller's; empty means Workspace.
+	Workspace string
 	// Events asks for server-sent events.
 	Events bool
 }
@@ -62,7 +64,7 @@
 	}
 	sent.GetBody = nil
 	headers := map[string]string{
-		caller.HeaderWorkspace: string(Workspace),
+		caller.HeaderWorkspace: either(request.Workspace, string(Workspace)),
 		caller.HeaderChat:      request.Chat,
 		caller.HeaderKey:       request.Key,
 		caller.HeaderAffinity:  request.Affinity,
