--- a/sidecar/probe_test.go
+++ b/sidecar/probe_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/settings"
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
@@ -29,3 +31,19 @@
 	failure = nil
 	probe(false)
 }
+
+// After an order the engine holds another model than the settings file names: the
+// sidecar goes by the engine's own report.
+func TestSidecarServesTheModelThatTheEngineReports(t *testing.T) {
+	load := func(context.Context) (upstream.Load, error) { return upstream.Load{Model: "tagging-1b@1"}, nil }
+	sidecar := &Sidecar{Client: &upstream.Client{Load: load}, Upstream: platform.VMUpstream{Model: "planogram-7b@3"}}
+	former := settings.Route{Model: "planogram-7b@3"}
+	ordered := settings.Route{Model: "tagging-1b@1"}
+	if got := sidecar.serves(former) && !sidecar.serves(ordered); !got {
+		t.Error("before the order: got another model, want that of the settings file")
+	}
+	sidecar.probe(t.Context())
+	if got := sidecar.serves(ordered) && !sidecar.serves(former); !got {
+		t.Error("after the order: got another model, want the one that the engine reports")
+	}
+}
