--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -67,7 +67,6 @@
 	mu       sync.Mutex
 	gate     admission.Gate
 	ledger   strike.Ledger
-	last     admission.Decision
 	policyOf *settings.View
 	// failures counts the probes of the upstream that failed in a row;
 	// reportedLimit and reportedModel are what it named last.
@@ -96,14 +95,16 @@
 
 // State returns what the sidecar says of itself.
 func (sidecar *Sidecar) State() State {
+	now := sidecar.now()
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
+	mean, _ := sidecar.gate.Mean(now)
 	return State{
 		Upstream:    sidecar.Upstream.ID,
 		Incarnation: sidecar.Incarnation(),
 		Load:        sidecar.gate.Load(),
-		Mean:        sidecar.last.Mean,
-		Bound:       sidecar.last.Bound,
+		Mean:        mean,
+		Bound:       sidecar.gate.Bound(now),
 		Leaving:     sidecar.leaving,
 		Lost:        sidecar.failures >= probeFailures,
 	}
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -184,7 +184,6 @@
 	}
 	sidecar.refreshPolicy()
 	decision := sidecar.gate.Offer(now, offer)
-	sidecar.last = decision
 	if decision.Verdict == admission.Refused {
 		refusal := &result.Error{Code: decision.Code, RetryAt: decision.RetryAt, Detail: string(sidecar.Upstream.ID)}
 		return nil, &directedError{lighter: decision.Lighter, refusal: refusal}
