--- a/retry/retry.go
+++ b/retry/retry.go
@@ -31,7 +31,7 @@
 	Again
 )
 
-// MaxTries is the most upstreams that one request is offered to.
+// MaxTries is the most upstreams on which one request may be lost.
 const MaxTries = 5
 
 // Next returns what to do after attempt at the time now.
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -75,6 +75,11 @@
 func (sidecar *Sidecar) serves(route settings.Route) bool {
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
+	return sidecar.matches(route)
+}
+
+// matches is serves for a caller that holds mu.
+func (sidecar *Sidecar) matches(route settings.Route) bool {
 	return route.Model == sidecar.model() && route.Service == sidecar.Upstream.Service
 }
 
@@ -120,7 +125,7 @@
 		policy.Marks[qualified(subtree.Team, name)] = class.Mark
 	}
 	for _, route := range subtree.Routes {
-		if route.LoadMultiple == 0 || route.Model != sidecar.model() || route.Service != sidecar.Upstream.Service {
+		if route.LoadMultiple == 0 || !sidecar.matches(route) {
 			continue
 		}
 		if policy.LoadMultiple == 0 || route.LoadMultiple < policy.LoadMultiple {
