Keep the claims, chats and fingerprints of teams apart

Found on reading the change again: claims, chats and fingerprints went by the workspace without its team, so that two teams with a workspace of one name and a shared service had one set of idempotency keys, and one could be given the other's recorded answer. Parts are joined by a character that no identifier contains. The fault tests read the claim's row under its new key.

--- a/caller/place.go
+++ b/caller/place.go
@@ -124,7 +124,7 @@
 	if relay.incoming.chat == "" {
 		return ident.ChatID(relay.incoming.id)
 	}
-	return ident.ChatID(string(relay.incoming.workspace) + ":" + string(relay.incoming.chat))
+	return ident.QualifiedChat(relay.incoming.team, relay.incoming.workspace, relay.incoming.chat)
 }
 
 // offer sends the request to one upstream.
--- a/faulttest/fault_test.go
+++ b/faulttest/fault_test.go
@@ -123,7 +123,7 @@
 // nothing where the table has none.
 func (confirmation *confirmation) holder() string {
 	confirmation.t.Helper()
-	key := claim.Key{Service: fleettest.Service, Workspace: fleettest.Workspace, Key: ident.IdempotencyKey(confirmation.key)}
+	key := claim.Key{Service: fleettest.Service, Workspace: ident.Qualified(fleettest.Team, fleettest.Workspace), Key: ident.IdempotencyKey(confirmation.key)}
 	rows, err := confirmation.fleet.Platform.Read(confirmation.t.Context(), key.Row())
 	if err != nil || len(rows) == 0 {
 		return ""
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -86,6 +86,21 @@
 	return strings.IndexFunc(string(name), isForbidden) < 0
 }
 
+// separator joins identifiers. No identifier contains it, so that different
+// parts never give the same whole.
+const separator = "~"
+
+// Qualified returns workspace with the team that it belongs to, since teams may
+// name their workspaces alike.
+func Qualified(team TeamID, workspace WorkspaceID) WorkspaceID {
+	return WorkspaceID(string(team) + separator + string(workspace))
+}
+
+// QualifiedChat returns chat with its workspace and team, unique in the fleet.
+func QualifiedChat(team TeamID, workspace WorkspaceID, chat ChatID) ChatID {
+	return ChatID(string(Qualified(team, workspace)) + separator + string(chat))
+}
+
 func isForbidden(r rune) bool {
 	switch {
 	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -285,7 +285,7 @@
 // fingerprintOf identifies a request by its workspace and body.
 func fingerprintOf(call *Call, body []byte) ident.Fingerprint {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(string(call.Workspace) + "\x00" + string(call.Route) + "\x00")
+	_, _ = digest.WriteString(string(ident.Qualified(call.Team, call.Workspace)) + "\x00" + string(call.Route) + "\x00")
 	_, _ = digest.Write(body)
 	return ident.Fingerprint(digest.Sum64())
 }
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -155,7 +155,7 @@
 	call := &started.call
 	offer := admission.Offer{
 		Attempt:   call.Attempt,
-		Workspace: ident.WorkspaceID(string(call.Team) + "/" + string(call.Workspace)),
+		Workspace: ident.Qualified(call.Team, call.Workspace),
 		Weight:    workspace.Weight,
 		Priority:  qualified(call.Team, call.Priority),
 		Deadline:  deadline,
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -299,7 +299,7 @@
 	}
 	call := &work.execution.call
 	request := claimtable.Request{
-		Key:      claim.Key{Service: work.route.Service, Workspace: call.Workspace, Key: call.Key},
+		Key:      claim.Key{Service: work.route.Service, Workspace: ident.Qualified(call.Team, call.Workspace), Key: call.Key},
 		Attempt:  call.Attempt,
 		Upstream: work.sidecar.Upstream.ID,
 		Body:     work.execution.fingerprint,
@@ -329,5 +329,5 @@
 	if call.Chat == "" {
 		return ident.ChatID(call.Request)
 	}
-	return ident.ChatID(string(call.Workspace) + ":" + string(call.Chat))
+	return ident.QualifiedChat(call.Team, call.Workspace, call.Chat)
 }
