Serve the users' platform with a transparent front: adapter, routing, registry, balance, health, forward, entry

The whole path in thin form: one process on each entry VM, no sidecar, no disk. Configuration and upstreams are followed in the platform's store; a request goes to the home of its shared prompt, bounded by 2 x mean + 1.5 over the upstream's own report and the router's changes since.

--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -40,7 +40,7 @@
 }
 
 // loadSettings reads the settings file of a daemon.
-func loadSettings[T config.Router | config.Sidecar](name string) (T, error) {
+func loadSettings[T config.Router | config.Sidecar | config.Entry](name string) (T, error) {
 	if name == "" {
 		var none T
 		return none, command.Usage(errors.New("--settings FILE is required"))
@@ -82,7 +82,7 @@
 }
 
 // newDaemon returns the command that runs a daemon until it is told to stop.
-func newDaemon[T config.Router | config.Sidecar](role, short string, run func(ctx context.Context, loaded T, logger *slog.Logger, started func(daemon.Addresses)) error) *cobra.Command {
+func newDaemon[T config.Router | config.Sidecar | config.Entry](role, short string, run func(ctx context.Context, loaded T, logger *slog.Logger, started func(daemon.Addresses)) error) *cobra.Command {
 	var flags daemonFlags
 	cmd := &cobra.Command{
 		Use:   role + " --settings FILE",
--- a/config/config.go
+++ b/config/config.go
@@ -73,8 +73,8 @@
 	ClaimsPerSecond float64 `json:",omitempty" validate:"gte=0,lte=10000"`
 }
 
-// Load reads the file name into a Router or a Sidecar and checks it.
-func Load[T Router | Sidecar](name string) (T, error) {
+// Load reads the file name into settings of a daemon and checks it.
+func Load[T Router | Sidecar | Entry](name string) (T, error) {
 	var loaded T
 	content, err := os.ReadFile(name)
 	if err != nil {
@@ -86,8 +86,8 @@
 	return loaded, nil
 }
 
-// Parse reads content into a Router or a Sidecar and checks it.
-func Parse[T Router | Sidecar](content []byte, into *T) error {
+// Parse reads content into settings of a daemon and checks it.
+func Parse[T Router | Sidecar | Entry](content []byte, into *T) error {
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -137,6 +137,7 @@
 func describe(failure validator.FieldError) string {
 	path := strings.TrimPrefix(failure.Namespace(), "Router.")
 	path = strings.TrimPrefix(path, "Sidecar.")
+	path = strings.TrimPrefix(path, "Entry.")
 	path = strings.TrimPrefix(path, "Daemon.")
 	value := fmt.Sprintf("%v", failure.Value())
 	if strings.HasPrefix(path, "Secret") || strings.HasPrefix(path, "FormerSecrets") {
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,263 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/follow"
+	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's head; the configuration
+	// allows less, and callers stay within it.
+	headerTimeout = 10 * time.Second
+	// configWait is how long the store may hold a call for a new configuration.
+	configWait = 8000
+	// upstreamPause is the time between two calls for changed upstreams.
+	upstreamPause = 600 * time.Millisecond
+	// upkeepEvery is the time between two rounds of upkeep.
+	upkeepEvery = 500 * time.Millisecond
+	// defaultIdle is how long a caller's connection may be idle before the
+	// configuration is known.
+	defaultIdle = 60 * time.Second
+	// boundSlack is how far above its multiple of the mean an upstream may be
+	// loaded: a small mean leaves no room otherwise.
+	boundSlack = 1.5
+	// memoryShare is the part of the allowed memory at which the garbage
+	// collector works harder.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+// Daemon is a router on an entry VM. Config and Logger are set before Run.
+type Daemon struct {
+	Config config.Entry
+	Logger *slog.Logger
+
+	metrics  *metrics.Set
+	routes   routing.Holder
+	registry registry.Registry
+	loads    balance.Loads
+	health   health.Tracker
+	handler  *forward.Handler
+	beliefs  *follow.Beliefs
+	idle     forward.IdleConns
+	stop     stopState
+}
+
+// Run serves until ctx ends and then stops as planned.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	if err := daemon.prepare(); err != nil {
+		return err
+	}
+	servers, err := daemon.listen()
+	if err != nil {
+		return err
+	}
+	// The loops outlive the signal to stop, since requests go on being served.
+	working, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	daemon.follow(working)
+	for _, server := range servers {
+		go server.run()
+	}
+	daemon.Logger.Info("Started.", "VM", daemon.Config.VM, "Zone", daemon.Config.Zone, "Callers", daemon.Config.CallerListen)
+	<-ctx.Done()
+	daemon.leave(servers[0])
+	return nil
+}
+
+func (daemon *Daemon) prepare() error {
+	if limit := daemon.Config.MemoryMB; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit) * megabyte))
+	}
+	set, err := metrics.New("entry")
+	if err != nil {
+		return err
+	}
+	daemon.metrics = set
+	dialer := forward.Dialer()
+	daemon.handler = &forward.Handler{
+		Routes:   &daemon.routes,
+		Registry: &daemon.registry,
+		Loads:    &daemon.loads,
+		Health:   &daemon.health,
+		Chooser: &balance.Chooser{
+			Loads:    &daemon.loads,
+			Ejected:  daemon.health.Ejected,
+			Multiple: daemon.Config.LoadMultiple,
+			Slack:    boundSlack,
+		},
+		Connections: &forward.Connections{Dial: dialer.DialContext},
+		Zone:        daemon.Config.Zone,
+		RetryShare:  daemon.Config.RetryShare,
+		RetrySlack:  daemon.Config.RetrySlack,
+		Routers:     func() int { return daemon.loads.Routers() + 1 },
+		Metrics:     set,
+		Logger:      logging.Part(daemon.Logger, "forward"),
+	}
+	daemon.beliefs = &follow.Beliefs{
+		Routes:   &daemon.routes,
+		Registry: &daemon.registry,
+		Renewed:  func(upstream registry.Upstream) { daemon.health.Forget(upstream.ID) },
+		Metrics:  set,
+		Logger:   logging.Part(daemon.Logger, "follow"),
+	}
+	return nil
+}
+
+// follow starts the loops that keep what the router believes up to date.
+func (daemon *Daemon) follow(ctx context.Context) {
+	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
+	store := platform.NewStore(daemon.Config.Platform, traffic)
+	logger := logging.Part(daemon.Logger, "follow")
+	configs := &follow.Table{
+		Name:      platform.OperatorTable,
+		Wait:      configWait,
+		ReadAll:   store.ReadAll,
+		Changes:   store.Changes,
+		Replaced:  daemon.beliefs.Config,
+		Changed:   daemon.beliefs.Config,
+		Reachable: func(bool) {},
+		Metrics:   daemon.metrics,
+		Logger:    logger,
+	}
+	upstreams := &follow.Table{
+		Name:      platform.ServerTable,
+		Pause:     upstreamPause,
+		ReadAll:   store.ReadAll,
+		Changes:   store.Changes,
+		Replaced:  daemon.beliefs.AllUpstreams,
+		Changed:   daemon.beliefs.Upstreams,
+		Reachable: func(reachable bool) { daemon.registry.Outage(time.Now(), !reachable) },
+		Metrics:   daemon.metrics,
+		Logger:    logger,
+	}
+	for _, table := range []*follow.Table{configs, upstreams} {
+		follower := &follower{table: table}
+		go follower.run(ctx)
+	}
+	upkeep := &upkeep{daemon: daemon}
+	go upkeep.run(ctx)
+}
+
+// follower follows one table of the store until its context ends.
+type follower struct {
+	table *follow.Table
+}
+
+func (follower *follower) run(ctx context.Context) { follower.table.Run(ctx) }
+
+// upkeep drops what is no longer of use, until its context ends.
+type upkeep struct {
+	daemon *Daemon
+}
+
+func (upkeep *upkeep) run(ctx context.Context) {
+	ticker := time.NewTicker(upkeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			upkeep.daemon.keepUp(time.Now())
+		}
+	}
+}
+
+func (daemon *Daemon) keepUp(now time.Time) {
+	daemon.beliefs.Expire()
+	daemon.handler.Connections.Retain(daemon.registry.Upstreams())
+	daemon.loads.Expire(now)
+	if !daemon.stop.stopping() {
+		daemon.idle.CloseOlder(now.Add(-daemon.idleLimit()))
+	}
+}
+
+// idleLimit returns how long a caller's connection may be idle.
+func (daemon *Daemon) idleLimit() time.Duration {
+	table := daemon.routes.Table()
+	if table == nil || table.Limits.IdleTimeout <= 0 {
+		return defaultIdle
+	}
+	return table.Limits.IdleTimeout.Duration()
+}
+
+// ready reports whether the balancer may send callers.
+func (daemon *Daemon) ready() bool {
+	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Listed()
+}
+
+func (daemon *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if !daemon.ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// httpService serves HTTP on one listener.
+type httpService struct {
+	server   *http.Server
+	listener net.Listener
+	logger   *slog.Logger
+}
+
+func (service *httpService) run() {
+	err := service.server.Serve(service.listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		service.logger.Error("HTTP server ended.", "Error", err)
+	}
+}
+
+// listen opens the listeners, the callers' one first.
+func (daemon *Daemon) listen() ([]*httpService, error) {
+	parts := []struct {
+		address string
+		handler http.Handler
+	}{
+		{daemon.Config.CallerListen, daemon.handler},
+		{daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
+		{daemon.Config.MetricsListen, daemon.metrics.Handler()},
+	}
+	var services []*httpService
+	for _, part := range parts {
+		if part.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", part.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listener")
+		}
+		services = append(services, &httpService{
+			listener: listener,
+			logger:   daemon.Logger,
+			server: &http.Server{
+				Handler:           part.handler,
+				ReadHeaderTimeout: headerTimeout,
+				ErrorLog:          slog.NewLogLogger(daemon.Logger.Handler(), slog.LevelDebug),
+			},
+		})
+	}
+	callers := services[0]
+	callers.listener = forward.Listener{Listener: callers.listener}
+	callers.server.ConnContext = forward.ConnContext
+	callers.server.ConnState = daemon.idle.Track
+	return services, nil
+}
--- /dev/null
+++ b/follow/table.go
@@ -0,0 +1,134 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/platform"
+)
+
+const (
+	// callTimeout bounds a call to the store beyond the time that it may wait.
+	callTimeout = 1500 * time.Millisecond
+	// firstPause and maxPause bound the pause after a failed call, which doubles
+	// with each failure in a row.
+	firstPause = 150 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// Table follows one table of the store.
+type Table struct {
+	Name platform.TableName
+	// Wait is how long the store may hold a call without changes.
+	Wait ident.Milliseconds
+	// Pause is the time between two calls.
+	Pause time.Duration
+	// ReadAll reads the whole table, and Changes what changed since a version.
+	ReadAll func(ctx context.Context, table platform.TableName, part platform.Part) (platform.Records, error)
+	Changes func(ctx context.Context, table platform.TableName, after ident.Revision, wait ident.Milliseconds) (platform.Records, error)
+	// Replaced takes in the whole table, and Changed the rows that changed.
+	Replaced func(records []platform.Record)
+	Changed  func(records []platform.Record)
+	// Reachable takes in whether the store answered the last call.
+	Reachable func(reachable bool)
+	Metrics   *metrics.Set
+	Logger    *slog.Logger
+
+	version  ident.Revision
+	known    bool
+	failures int
+}
+
+// Run follows the table until ctx ends.
+func (table *Table) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := table.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, table.pause(err))
+	}
+}
+
+// step makes one call and takes in what it says.
+func (table *Table) step(ctx context.Context) error {
+	if !table.known {
+		return table.readAll(ctx)
+	}
+	timeout := callTimeout + table.Wait.Duration()
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	records, err := table.Changes(bounded, table.Name, table.version, table.Wait)
+	if errors.Is(err, platform.ErrHistoryLost) {
+		table.known = false
+		table.Metrics.Happened("store.history.lost")
+		table.Logger.Warn("History lost, reading the table whole.", "Table", table.Name, "Version", table.version)
+		return table.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	table.Changed(records.Records)
+	table.version = max(table.version, records.Version)
+	return nil
+}
+
+func (table *Table) readAll(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, err := table.ReadAll(bounded, table.Name, "")
+	if err != nil {
+		return err
+	}
+	if records.Version < table.version {
+		return errors.Newf("table read at version %d, older than %d", records.Version, table.version)
+	}
+	table.reached(true, nil)
+	table.Replaced(records.Records)
+	table.version = records.Version
+	table.known = true
+	return nil
+}
+
+// pause returns the time to the next call after one that ended with err.
+func (table *Table) pause(err error) time.Duration {
+	if err == nil {
+		table.failures = 0
+		table.reached(true, nil)
+		return table.Pause
+	}
+	table.reached(false, err)
+	table.failures++
+	pause := min(firstPause<<min(table.failures-1, 8), maxPause)
+	return time.Duration((0.5 + rand.Float64()) * float64(pause))
+}
+
+// reached tells of a change between a store that answers and one that does not.
+func (table *Table) reached(reachable bool, err error) {
+	table.Reachable(reachable)
+	switch {
+	case reachable && table.failures > 0:
+		table.Logger.Info("Store reached again.", "Table", table.Name, "Version", table.version)
+	case !reachable && table.failures == 0:
+		table.Metrics.Happened("store.lost")
+		table.Logger.Warn("Store not reached.", "Table", table.Name, "Version", table.version, "Error", err)
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,136 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/retry"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+// Handler forwards requests. Its fields are set before use.
+type Handler struct {
+	Routes      *routing.Holder
+	Registry    *registry.Registry
+	Loads       *balance.Loads
+	Health      *health.Tracker
+	Chooser     *balance.Chooser
+	Connections *Connections
+	Zone        ident.Zone
+	// RetryShare and RetrySlack bound the repeated requests of the whole fleet
+	// to a service: a share of its requests, and a number in a window.
+	RetryShare float64
+	RetrySlack float64
+	// Routers returns how many routers share the slack.
+	Routers func() int
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+
+	// leaving says that the process stops, so that callers are asked to
+	// reconnect elsewhere.
+	leaving atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[ident.ServiceName]*retry.Budget
+}
+
+// Leave makes every answer from now on close its connection.
+func (handler *Handler) Leave() { handler.leaving.Store(true) }
+
+// ServeHTTP forwards one request.
+func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	exchange := &exchange{
+		handler: handler,
+		writer:  writer,
+		request: request,
+		arrived: time.Now(),
+	}
+	defer exchange.finish()
+	exchange.serve()
+}
+
+// countRequest counts a request for the retry budget of service.
+func (handler *Handler) countRequest(now time.Time, service ident.ServiceName) {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.budget(service).Request(now)
+}
+
+// spendRetry takes a repeated request from the budget of service.
+func (handler *Handler) spendRetry(now time.Time, service ident.ServiceName) bool {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	budget := handler.budget(service)
+	budget.Slack = max(handler.RetrySlack/float64(max(handler.Routers(), 1)), 1)
+	return budget.Spend(now)
+}
+
+// budget returns the budget of service. The caller holds mu.
+func (handler *Handler) budget(service ident.ServiceName) *retry.Budget {
+	if handler.budgets == nil {
+		handler.budgets = make(map[ident.ServiceName]*retry.Budget)
+	}
+	budget := handler.budgets[service]
+	if budget == nil {
+		budget = &retry.Budget{Share: handler.RetryShare}
+		handler.budgets[service] = budget
+	}
+	return budget
+}
+
+// judge takes in how a request to an upstream ended.
+func (handler *Handler) judge(upstream registry.Upstream, outcome health.Outcome) {
+	if !handler.Health.Add(time.Now(), upstream.Service, upstream.ID, outcome) {
+		return
+	}
+	handler.Metrics.Happened("upstream.ejected")
+	handler.Logger.Warn("Upstream set aside.", "Upstream", upstream.ID, "Service", upstream.Service, "Outcome", outcome.String())
+}
+
+// answerCode writes an answer of the router's own.
+func (handler *Handler) answerCode(writer http.ResponseWriter, code result.Code, retryAfter time.Duration) {
+	header := writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	entry, _ := result.Lookup(code)
+	body := fmt.Sprintf("%s %s\n", code, entry.Title)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(code.Status())
+	// The caller may have left; then nobody is owed the rest.
+	_, _ = writer.Write([]byte(body))
+}
+
+const (
+	// returnAfter is the mean time after which a refused caller is asked to
+	// come back: a batch of short requests has ended by then.
+	returnAfter = 500 * time.Millisecond
+	// returnShare bounds that time to a part of what the caller still waits.
+	returnShare = 0.3
+)
+
+// comeBack returns when a refused caller that waits for left should come back.
+// It is spread, so that callers refused together don't return together.
+func comeBack(left time.Duration) time.Duration {
+	spread := time.Duration((0.5 + rand.Float64()) * float64(returnAfter))
+	return max(min(spread, time.Duration(returnShare*float64(left))), 10*time.Millisecond)
+}
+
+// watch closes the connection of an attempt when ctx ends.
+func watch(ctx context.Context, abandon func()) (stop func() bool) {
+	return context.AfterFunc(ctx, abandon)
+}
--- /dev/null
+++ b/framing/scanner_test.go
@@ -0,0 +1,64 @@
+package framing_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/hickoryhead/hickoryhead/framing"
+)
+
+func TestScan(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: a\r\n"
+	tests := []struct {
+		name string
+		data string
+		want bool
+	}{
+		{"no body", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", true},
+		{"length", head + "Content-Length: 3\r\n\r\nabc", true},
+		{"two messages", head + "Content-Length: 3\r\n\r\nabc" + head + "Content-Length: 1\r\n\r\na", true},
+		{"chunked", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + head + "\r\n", true},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n" + head + "\r\n", true},
+		{"a body that looks like a head", head + "Content-Length: 39\r\n\r\n" + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", true},
+		{"length and encoding", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"encoding and length", head + "transfer-encoding: chunked\r\ncontent-length : 3\r\n\r\n", false},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n", false},
+		{"list of lengths", head + "Content-Length: 3, 3\r\n\r\n", false},
+		{"signed length", head + "Content-Length: +3\r\n\r\n", false},
+		{"other encoding", head + "Transfer-Encoding: xchunked\r\n\r\n", false},
+		{"encoding twice", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"second message", head + "Content-Length: 3\r\n\r\nabc" + head + "Content-Length: x\r\n\r\n", false},
+		{"chunk longer than said", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", false},
+		{"chunk size of no number", head + "Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var whole, bytewise framing.Scanner
+			if got := whole.Scan([]byte(test.data)); got != test.want {
+				t.Errorf("got %v at once, want %v", got, test.want)
+			}
+			got := true
+			for _, part := range strings.Split(test.data, "") {
+				got = bytewise.Scan([]byte(part))
+			}
+			if got != test.want {
+				t.Errorf("got %v byte by byte, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// FuzzScan checks that a message gives the same verdict however it is cut.
+func FuzzScan(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 7)
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET"), 40)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		var whole, parts framing.Scanner
+		want := whole.Scan(data)
+		cut = min(max(cut, 0), len(data))
+		parts.Scan(data[:cut])
+		if got := parts.Scan(data[cut:]); got != want {
+			t.Errorf("got %v in two parts, want %v", got, want)
+		}
+	})
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 )
@@ -108,3 +109,11 @@
 	}
 	return !strings.ContainsRune("._-:@", r)
 }
+
+// Milliseconds counts milliseconds, as settings and messages give them.
+type Milliseconds int64
+
+// Duration returns the count as a time.Duration.
+func (milliseconds Milliseconds) Duration() time.Duration {
+	return time.Duration(milliseconds) * time.Millisecond
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,210 @@
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/affinity"
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// RejoinWait is how long after the store's return the row of an upstream that
+// lives may still be missing: its own two seconds, and the delay of reading.
+const RejoinWait = 2500 * time.Millisecond
+
+// OutageMemory is how long after an outage of the store a removed row is taken
+// for one that lapsed in it.
+const OutageMemory = 1500 * time.Millisecond
+
+// Incarnation tells the runs of one upstream apart: the Unix millisecond of
+// its start.
+type Incarnation int64
+
+// Upstream is one upstream as its row describes it.
+type Upstream struct {
+	ID          ident.UpstreamID
+	Incarnation Incarnation
+	Service     ident.ServiceName
+	Address     string
+	Zone        ident.Zone
+	// Slots is how many requests it runs at once.
+	Slots   int
+	Leaving bool
+}
+
+// Pool is an immutable set of upstreams that serve one service. Upstreams and
+// Ranking have the same indexes.
+type Pool struct {
+	Upstreams []Upstream
+	Ranking   *affinity.Pool
+}
+
+// Change is a new state of one row; Gone says that the row is removed or names
+// no upstream that may be used.
+type Change struct {
+	Upstream Upstream
+	Gone     bool
+}
+
+// Registry holds the upstreams. The zero value has none. It is safe for
+// concurrent use.
+type Registry struct {
+	pools atomic.Pointer[map[ident.ServiceName]*Pool]
+
+	mu sync.Mutex
+	// listed holds the rows, and missing when those that lapsed are given up.
+	listed  map[ident.UpstreamID]Upstream
+	missing map[ident.UpstreamID]time.Time
+	// outageEnd is when the last outage of the store ended.
+	outageEnd time.Time
+	down      bool
+}
+
+// Pool returns the upstreams of a service that take new work, or nil for none.
+func (registry *Registry) Pool(service ident.ServiceName) *Pool {
+	pools := registry.pools.Load()
+	if pools == nil {
+		return nil
+	}
+	return (*pools)[service]
+}
+
+// Listed reports whether the rows were read yet.
+func (registry *Registry) Listed() bool { return registry.pools.Load() != nil }
+
+// Outage takes in whether the store answers.
+func (registry *Registry) Outage(now time.Time, down bool) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if registry.down && !down {
+		registry.outageEnd = now
+	}
+	registry.down = down
+}
+
+// Apply takes in changes of rows and returns the upstreams that changed.
+func (registry *Registry) Apply(now time.Time, changes []Change) []Change {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	registry.prepare()
+	var applied []Change
+	for _, change := range changes {
+		if registry.apply(now, change) {
+			applied = append(applied, change)
+		}
+	}
+	if len(applied) > 0 || !registry.Listed() {
+		registry.rebuild()
+	}
+	return applied
+}
+
+// Replace takes in all rows. Upstreams that are not among them are removed, as
+// by a change.
+func (registry *Registry) Replace(now time.Time, upstreams []Upstream) []Change {
+	changes := make([]Change, 0, len(upstreams))
+	present := make(map[ident.UpstreamID]struct{}, len(upstreams))
+	for _, upstream := range upstreams {
+		present[upstream.ID] = struct{}{}
+		changes = append(changes, Change{Upstream: upstream})
+	}
+	for _, upstream := range registry.Upstreams() {
+		if _, found := present[upstream.ID]; !found {
+			changes = append(changes, Change{Upstream: upstream, Gone: true})
+		}
+	}
+	return registry.Apply(now, changes)
+}
+
+func (registry *Registry) prepare() {
+	if registry.listed == nil {
+		registry.listed = make(map[ident.UpstreamID]Upstream)
+		registry.missing = make(map[ident.UpstreamID]time.Time)
+	}
+}
+
+func (registry *Registry) apply(now time.Time, change Change) bool {
+	id := change.Upstream.ID
+	present, known := registry.listed[id]
+	if !change.Gone {
+		delete(registry.missing, id)
+		registry.listed[id] = change.Upstream
+		return !known || present != change.Upstream
+	}
+	if !known {
+		return false
+	}
+	if registry.lapsed(now) && !present.Leaving {
+		if _, waits := registry.missing[id]; !waits {
+			registry.missing[id] = registry.outageEnd.Add(RejoinWait)
+		}
+		return false
+	}
+	delete(registry.listed, id)
+	delete(registry.missing, id)
+	return true
+}
+
+// lapsed reports whether a row that goes now may have lapsed in an outage.
+func (registry *Registry) lapsed(now time.Time) bool {
+	return registry.down || !registry.outageEnd.IsZero() && now.Before(registry.outageEnd.Add(OutageMemory))
+}
+
+// Expire gives up the upstreams that are still missing and returns them.
+func (registry *Registry) Expire(now time.Time) []Upstream {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if registry.down {
+		return nil
+	}
+	var expired []Upstream
+	for id, until := range registry.missing {
+		if now.Before(until) {
+			continue
+		}
+		expired = append(expired, registry.listed[id])
+		delete(registry.listed, id)
+		delete(registry.missing, id)
+	}
+	if len(expired) > 0 {
+		registry.rebuild()
+	}
+	return expired
+}
+
+// Upstreams returns every listed upstream, in the order of their IDs.
+func (registry *Registry) Upstreams() []Upstream {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return slices.SortedFunc(maps.Values(registry.listed), byID)
+}
+
+func byID(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
+
+// rebuild makes the pools anew. The caller holds mu.
+func (registry *Registry) rebuild() {
+	members := make(map[ident.ServiceName][]Upstream)
+	for _, upstream := range registry.listed {
+		if !upstream.Leaving {
+			members[upstream.Service] = append(members[upstream.Service], upstream)
+		}
+	}
+	pools := make(map[ident.ServiceName]*Pool, len(members))
+	for service, upstreams := range members {
+		pools[service] = poolOf(upstreams)
+	}
+	registry.pools.Store(&pools)
+}
+
+func poolOf(upstreams []Upstream) *Pool {
+	slices.SortFunc(upstreams, byID)
+	candidates := make([]affinity.Candidate, len(upstreams))
+	for i, upstream := range upstreams {
+		candidates[i] = affinity.Candidate{Upstream: upstream.ID}
+	}
+	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates)}
+}
--- a/result/code.go
+++ b/result/code.go
@@ -34,6 +34,9 @@
 	InvalidHeader         Code = 1008
 	UnknownAnswer         Code = 1009
 	AnswerExpired         Code = 1010
+	UnknownKey            Code = 1011
+	HeadTooLarge          Code = 1012
+	AmbiguousFraming      Code = 1013
 )
 
 // Codes of refused work: nothing was run, and the caller may come back.
@@ -105,6 +108,9 @@
 	{InvalidHeader, "InvalidHeader", "A header is invalid", "A request header is absent, too long or of the wrong form. The detail names it.", http.StatusBadRequest, NotRun, false},
 	{UnknownAnswer, "UnknownAnswer", "No such answer", "The event ID names no answer of this workspace that can still be resumed.", http.StatusNotFound, Unknown, false},
 	{AnswerExpired, "AnswerExpired", "The answer is no longer held", "The answer, or the part of it that was asked for, has left the replay buffer.", http.StatusGone, Unknown, false},
+	{UnknownKey, "UnknownKey", "No such API key", "The request carries no API key, or one that no workspace holds, and its route is not public.", http.StatusUnauthorized, NotRun, false},
+	{HeadTooLarge, "HeadTooLarge", "The head is too large", "The request line and the headers are longer than the configuration allows.", http.StatusRequestHeaderFieldsTooLarge, NotRun, false},
+	{AmbiguousFraming, "AmbiguousFraming", "The end of the body is ambiguous", "The request states its length in more than one way. Send either a length or chunks.", http.StatusBadRequest, NotRun, false},
 
 	{OverBound, "OverBound", "Every upstream tried is at its load bound", "Nothing was run. Come back after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 	{ShareExceeded, "ShareExceeded", "The workspace is at its share", "The upstream is contended and the workspace holds its weighted share of it. Nothing was run.", http.StatusTooManyRequests, NotRun, true},
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -21,6 +21,9 @@
 type Budget struct {
 	// Share is the most retries for each request, such as 0.2.
 	Share float64
+	// Slack is the most retries in a window without any requests; zero means
+	// Floor.
+	Slack float64
 
 	counts [slots]count
 	// current is the slot that counts until endsAt.
@@ -48,7 +51,11 @@
 		sum.requests += slot.requests
 		sum.retries += slot.retries
 	}
-	if float64(sum.retries+1) > budget.Share*float64(sum.requests)+Floor {
+	slack := budget.Slack
+	if slack == 0 {
+		slack = Floor
+	}
+	if float64(sum.retries+1) > budget.Share*float64(sum.requests)+slack {
 		return false
 	}
 	budget.counts[budget.current].retries++
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -14,6 +14,10 @@
 	// Tried and Candidates count the upstreams tried and known.
 	Tried      int
 	Candidates int
+	// Runs counts the upstreams that may have run the request, and MaxRuns
+	// bounds them; a MaxRuns of zero is no bound.
+	Runs    int
+	MaxRuns int
 }
 
 // Action says what to do after a try.
@@ -42,7 +46,7 @@
 	if attempt.Code.Elsewhere() {
 		return Elsewhere
 	}
-	if !attempt.Idempotent {
+	if !attempt.Idempotent || attempt.MaxRuns > 0 && attempt.Runs >= attempt.MaxRuns {
 		return Stop
 	}
 	switch attempt.Code {
