--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -26,8 +27,9 @@
 	// headerTimeout bounds the reading of a request's head; the configuration
 	// allows less, and callers stay within it.
 	headerTimeout = 10 * time.Second
-	// configWait is how long the store may hold a call for a new configuration.
-	configWait = 8000
+	// configWait is how long the store may hold a call for a new configuration. A
+	// call that a silent store swallowed delays the next one by as much.
+	configWait ident.Milliseconds = 2500
 	// upstreamPause is the time between two calls for changed upstreams.
 	upstreamPause = 600 * time.Millisecond
 	// upkeepEvery is the time between two rounds of upkeep.
--- a/follow/table.go
+++ b/follow/table.go
@@ -15,11 +15,11 @@
 
 const (
 	// callTimeout bounds a call to the store beyond the time that it may wait.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 1200 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call, which doubles
 	// with each failure in a row.
 	firstPause = 150 * time.Millisecond
-	maxPause   = time.Second
+	maxPause   = 400 * time.Millisecond
 )
 
 // Table follows one table of the store.
@@ -61,10 +61,14 @@
 	if !table.known {
 		return table.readAll(ctx)
 	}
-	timeout := callTimeout + table.Wait.Duration()
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	wait := table.Wait
+	if table.failures > 0 {
+		// A store that has just come back shows at once what was missed.
+		wait = 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTimeout+wait.Duration())
 	defer cancel()
-	records, err := table.Changes(bounded, table.Name, table.version, table.Wait)
+	records, err := table.Changes(bounded, table.Name, table.version, wait)
 	if errors.Is(err, platform.ErrHistoryLost) {
 		table.known = false
 		table.Metrics.Happened("store.history.lost")
