Tell the other routers what is in flight and which upstreams have which prompts cached

A router knew an upstream's load only from its last report there, and a prompt that moved (a released, an added or a full upstream) was read anew.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -18,10 +18,12 @@
 
 // The reasons of a choice.
 const (
-	// Home is the first upstream of the rendezvous order.
+	// Holder has the shared prompt cached.
+	Holder Reason = "holder"
+	// Home comes early in the rendezvous order of a prompt that no usable
+	// upstream has cached.
 	Home Reason = "home"
-	// Spill is a later one, because those before it were at the bound or not
-	// healthy.
+	// Spill takes a prompt whose holders are at the bound or not healthy.
 	Spill Reason = "spill"
 	// Least is the least loaded one.
 	Least Reason = "least-loaded"
@@ -44,11 +46,15 @@
 	Reason   Reason
 	Load     int
 	Mean     float64
+	// Source has the shared prompt cached where the chosen one has not; empty
+	// where there is none.
+	Source ident.UpstreamID
 }
 
 // Chooser chooses upstreams. Its fields are set before use.
 type Chooser struct {
-	Loads *Loads
+	Loads   *Loads
+	Holders *Holders
 	// Ejected reports whether an upstream is set aside.
 	Ejected func(now time.Time, upstream ident.UpstreamID) bool
 	// Multiple and Slack bound the load of an upstream that takes another
@@ -57,12 +63,31 @@
 	Slack    float64
 }
 
+// spillSlack is how far above the mean of its pool an upstream may be loaded
+// that takes a prompt which it has not cached.
+const spillSlack = 1
+
 // candidate is an upstream with its load.
 type candidate struct {
 	index   int
 	load    int
 	ejected bool
 	tried   bool
+	holds   bool
+}
+
+// usable reports whether the upstream may take a request below bound.
+func (c candidate) usable(bound float64) bool {
+	return !c.tried && !c.ejected && float64(c.load) < bound
+}
+
+// choice is one choice in the making.
+type choice struct {
+	chooser    *Chooser
+	pool       *registry.Pool
+	request    Request
+	candidates []candidate
+	mean       float64
 }
 
 // Choose returns an upstream of pool for request, and false if none is left.
@@ -70,86 +95,114 @@
 	if pool == nil {
 		return Choice{}, false
 	}
-	candidates := make([]candidate, len(pool.Upstreams))
+	var holders []ident.UpstreamID
+	if request.Key != "" {
+		holders = chooser.Holders.Of(now, request.Key)
+	}
+	making := &choice{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
 	total := 0
 	for i, upstream := range pool.Upstreams {
-		candidates[i] = candidate{
+		making.candidates[i] = candidate{
 			index:   i,
 			load:    chooser.Loads.Estimate(now, upstream.ID),
 			ejected: chooser.Ejected(now, upstream.ID),
 			tried:   slices.Contains(request.Tried, upstream.ID),
+			holds:   slices.Contains(holders, upstream.ID),
 		}
-		total += candidates[i].load
+		total += making.candidates[i].load
 	}
-	mean := float64(total) / float64(max(len(candidates), 1))
-	chosen, reason, found := chooser.pick(pool, request, candidates, mean)
+	making.mean = float64(total) / float64(max(len(pool.Upstreams), 1))
+	chosen, reason, found := making.pick(len(holders) > 0)
 	if !found {
 		return Choice{}, false
 	}
-	return Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: mean}, true
+	made := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: making.mean}
+	if !chosen.holds && len(holders) > 0 {
+		// The one that used it last is the least likely to have dropped it.
+		made.Source = holders[len(holders)-1]
+	}
+	return made, true
 }
 
-func (chooser *Chooser) pick(pool *registry.Pool, request Request, candidates []candidate, mean float64) (candidate, Reason, bool) {
-	if request.Key != "" {
-		if chosen, reason, found := chooser.byRank(pool, request, candidates, mean); found {
-			return chosen, reason, true
+func (making *choice) pick(held bool) (candidate, Reason, bool) {
+	if making.request.Key != "" {
+		if chosen, found := making.leastHolder(); found {
+			return chosen, Holder, true
+		}
+		if chosen, found := making.byRank(); found {
+			if held {
+				return chosen, Spill, true
+			}
+			return chosen, Home, true
 		}
 	}
-	if chosen, found := leastLoaded(pool, request.Zone, candidates, false); found {
+	if chosen, found := making.leastLoaded(false); found {
 		return chosen, Least, true
 	}
-	chosen, found := leastLoaded(pool, request.Zone, candidates, true)
+	chosen, found := making.leastLoaded(true)
 	return chosen, Distrusted, found
 }
 
-// byRank returns the first upstream of the rendezvous order that is healthy and
-// below the bound.
-func (chooser *Chooser) byRank(pool *registry.Pool, request Request, candidates []candidate, mean float64) (candidate, Reason, bool) {
-	bound := chooser.Multiple*mean + chooser.Slack
-	var order [rankedUpstreams]int
-	for place, index := range pool.Ranking.Rank(request.Key, "", order[:]) {
-		ranked := candidates[index]
-		if ranked.tried || ranked.ejected || float64(ranked.load) >= bound {
+// leastHolder returns the least loaded upstream below the bound that has the
+// prompt cached.
+func (making *choice) leastHolder() (candidate, bool) {
+	bound := making.chooser.Multiple*making.mean + making.chooser.Slack
+	var best candidate
+	found := false
+	for _, rival := range making.candidates {
+		if !rival.holds || !rival.usable(bound) {
 			continue
 		}
-		if place == 0 {
-			return ranked, Home, true
+		if !found || rival.load < best.load {
+			best = rival
+			found = true
 		}
-		return ranked, Spill, true
 	}
-	return candidate{}, "", false
+	return best, found
+}
+
+// byRank returns the first upstream of the rendezvous order that is about as
+// loaded as the others or less. All routers with the same view agree on it.
+func (making *choice) byRank() (candidate, bool) {
+	var order [rankedUpstreams]int
+	for _, index := range making.pool.Ranking.Rank(making.request.Key, "", order[:]) {
+		ranked := making.candidates[index]
+		if ranked.usable(making.mean + spillSlack) {
+			return ranked, true
+		}
+	}
+	return candidate{}, false
 }
 
 // leastLoaded returns the least loaded upstream that was not tried, one of the
 // caller's zone first among equals.
-func leastLoaded(pool *registry.Pool, zone ident.Zone, candidates []candidate, ejected bool) (candidate, bool) {
+func (making *choice) leastLoaded(ejected bool) (candidate, bool) {
 	var best candidate
 	equals := 0
-	for _, rival := range candidates {
+	for _, rival := range making.candidates {
 		if rival.tried || rival.ejected != ejected {
 			continue
 		}
-		if equals > 0 && !before(pool, zone, rival, best) {
-			if before(pool, zone, best, rival) {
-				continue
-			}
+		switch {
+		case equals == 0 || making.before(rival, best):
+			best = rival
+			equals = 1
+		case making.before(best, rival):
+		default:
 			equals++
-			if rand.IntN(equals) > 0 {
-				continue
+			if rand.IntN(equals) == 0 {
+				best = rival
 			}
-			best = rival
-			continue
 		}
-		best = rival
-		equals = 1
 	}
 	return best, equals > 0
 }
 
-func before(pool *registry.Pool, zone ident.Zone, a, b candidate) bool {
+func (making *choice) before(a, b candidate) bool {
 	if a.load != b.load {
 		return a.load < b.load
 	}
-	aNear, bNear := pool.Upstreams[a.index].Zone == zone, pool.Upstreams[b.index].Zone == zone
+	aNear := making.pool.Upstreams[a.index].Zone == making.request.Zone
+	bNear := making.pool.Upstreams[b.index].Zone == making.request.Zone
 	return aNear && !bNear
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
@@ -55,6 +57,7 @@
 	routes   routing.Holder
 	registry registry.Registry
 	loads    balance.Loads
+	holders  balance.Holders
 	health   health.Tracker
 	handler  *forward.Handler
 	beliefs  *follow.Beliefs
@@ -74,7 +77,9 @@
 	// The loops outlive the signal to stop, since requests go on being served.
 	working, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
-	daemon.follow(working)
+	if err := daemon.follow(working); err != nil {
+		return err
+	}
 	for _, server := range servers {
 		go server.run()
 	}
@@ -98,9 +103,11 @@
 		Routes:   &daemon.routes,
 		Registry: &daemon.registry,
 		Loads:    &daemon.loads,
+		Holders:  &daemon.holders,
 		Health:   &daemon.health,
 		Chooser: &balance.Chooser{
 			Loads:    &daemon.loads,
+			Holders:  &daemon.holders,
 			Ejected:  daemon.health.Ejected,
 			Multiple: daemon.Config.LoadMultiple,
 			Slack:    boundSlack,
@@ -116,15 +123,28 @@
 	daemon.beliefs = &follow.Beliefs{
 		Routes:   &daemon.routes,
 		Registry: &daemon.registry,
-		Renewed:  func(upstream registry.Upstream) { daemon.health.Forget(upstream.ID) },
+		Renewed:  daemon.renewed,
 		Metrics:  set,
 		Logger:   logging.Part(daemon.Logger, "follow"),
 	}
 	return nil
 }
 
+// renewed drops what was learned of an upstream's former run.
+func (daemon *Daemon) renewed(upstream registry.Upstream) {
+	if upstream.Leaving {
+		return
+	}
+	daemon.health.Forget(upstream.ID)
+	daemon.holders.Forget(upstream.ID)
+}
+
 // follow starts the loops that keep what the router believes up to date.
-func (daemon *Daemon) follow(ctx context.Context) {
+func (daemon *Daemon) follow(ctx context.Context) error {
+	socket, err := net.ListenPacket("udp", daemon.Config.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "peer socket")
+	}
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
 	logger := logging.Part(daemon.Logger, "follow")
@@ -154,8 +174,22 @@
 		follower := &follower{table: table}
 		go follower.run(ctx)
 	}
+	exchange := &gossip.Gossip{
+		Router:  balance.RouterID(uuid.NewString()),
+		Address: daemon.Config.PeerListen,
+		Conn:    socket,
+		Loads:   &daemon.loads,
+		Holders: &daemon.holders,
+		Metrics: daemon.metrics,
+		Logger:  logging.Part(daemon.Logger, "gossip"),
+	}
+	membership := &membership{store: store, gossip: exchange, daemon: daemon}
+	go membership.run(ctx)
+	gossiper := &gossiper{gossip: exchange}
+	go gossiper.run(ctx)
 	upkeep := &upkeep{daemon: daemon}
 	go upkeep.run(ctx)
+	return nil
 }
 
 // follower follows one table of the store until its context ends.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/http1"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -83,6 +84,9 @@
 	a := &answer{upstream: upstream, conn: conn, done: x.handler.Loads.End}
 	a.unwatch = watch(x.request.Context(), func() { _ = conn.Close() })
 	x.handler.Loads.Start(upstream.ID)
+	if key := x.choiceRequest().Key; key != "" {
+		x.handler.Holders.Served(time.Now(), balance.Served{Key: key, Upstream: upstream.ID})
+	}
 	code := x.converse(a, left, lastEvent)
 	if code != result.OK {
 		x.judgeFailure(upstream, code)
@@ -145,6 +149,9 @@
 		Prioritized: x.route.Sticky,
 		LastEvent:   lastEvent,
 	}
+	if source, listed := x.handler.Registry.Upstream(x.choice.Source); listed {
+		forwarding.FetchFrom = source.Address
+	}
 	if x.workspace != nil {
 		forwarding.Workspace = x.workspace.ID
 		if x.workspace.Priority != nil {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -26,6 +26,7 @@
 	Routes      *routing.Holder
 	Registry    *registry.Registry
 	Loads       *balance.Loads
+	Holders     *balance.Holders
 	Health      *health.Tracker
 	Chooser     *balance.Chooser
 	Connections *Connections
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,53 @@
+package gossip
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+)
+
+// maxDatagram bounds a datagram, in bytes.
+const maxDatagram = 60 << 10
+
+// Message is what a router tells the others.
+type Message struct {
+	// Router names the run of the router, and Sequence counts its messages.
+	Router   balance.RouterID
+	Sequence uint64
+	// Address is where the router listens, as IP:port.
+	Address string
+	// InFlight is what the router has in flight at each upstream.
+	InFlight balance.Counts `msgpack:",omitempty"`
+	// Served is what the router sent since its message before.
+	Served []balance.Served `msgpack:",omitempty"`
+	// Leaving says that the router stops and this is its last message.
+	Leaving bool `msgpack:",omitempty"`
+}
+
+func encode(message Message) ([]byte, error) {
+	datagram, err := msgpack.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	if len(datagram) > maxDatagram {
+		return nil, errors.Newf("message of %d bytes, want at most %d", len(datagram), maxDatagram)
+	}
+	return datagram, nil
+}
+
+func decode(datagram []byte) (Message, error) {
+	var message Message
+	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+		return Message{}, err
+	}
+	if message.Router == "" {
+		return Message{}, errors.New("message without a router")
+	}
+	for upstream, count := range message.InFlight {
+		if count < 0 || upstream == "" {
+			return Message{}, errors.Newf("%d requests at upstream %q", count, upstream)
+		}
+	}
+	return message, nil
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,7 +53,7 @@
 // Registry holds the upstreams. The zero value has none. It is safe for
 // concurrent use.
 type Registry struct {
-	pools atomic.Pointer[map[ident.ServiceName]*Pool]
+	built atomic.Pointer[index]
 
 	mu sync.Mutex
 	// listed holds the rows, and missing when those that lapsed are given up.
@@ -64,17 +64,33 @@
 	down      bool
 }
 
+// index is what readers see of the registry.
+type index struct {
+	pools     map[ident.ServiceName]*Pool
+	upstreams map[ident.UpstreamID]Upstream
+}
+
 // Pool returns the upstreams of a service that take new work, or nil for none.
 func (registry *Registry) Pool(service ident.ServiceName) *Pool {
-	pools := registry.pools.Load()
-	if pools == nil {
+	built := registry.built.Load()
+	if built == nil {
 		return nil
 	}
-	return (*pools)[service]
+	return built.pools[service]
+}
+
+// Upstream returns a listed upstream, whether it is leaving or not.
+func (registry *Registry) Upstream(id ident.UpstreamID) (Upstream, bool) {
+	built := registry.built.Load()
+	if built == nil {
+		return Upstream{}, false
+	}
+	upstream, found := built.upstreams[id]
+	return upstream, found
 }
 
 // Listed reports whether the rows were read yet.
-func (registry *Registry) Listed() bool { return registry.pools.Load() != nil }
+func (registry *Registry) Listed() bool { return registry.built.Load() != nil }
 
 // Outage takes in whether the store answers.
 func (registry *Registry) Outage(now time.Time, down bool) {
@@ -197,7 +213,7 @@
 	for service, upstreams := range members {
 		pools[service] = poolOf(upstreams)
 	}
-	registry.pools.Store(&pools)
+	registry.built.Store(&index{pools: pools, upstreams: maps.Clone(registry.listed)})
 }
 
 func poolOf(upstreams []Upstream) *Pool {
