Give up rows at once that went while this router alone was cut off

Router b-2 was cut off until 24.96 s; upstream i-66bdcfcc2d left at 25.5 s, and its row, removed within 1.5 s of what the router took for an outage of the store, was kept until 27.9 s as one that may have lapsed. The log shows the other routers dropping it at 25.6 s. TestMissingRows fails without it in the two cases of a router that was cut off.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,6 +64,8 @@
 	beliefs  *follow.Beliefs
 	idle     forward.IdleConns
 	stop     stopState
+	// storeServes says since when the store answers without a break.
+	storeServes timestamp
 }
 
 // Run serves until ctx ends and then stops as planned.
@@ -130,6 +133,38 @@
 	return nil
 }
 
+// reached takes in whether the store answered the last call for upstreams.
+func (daemon *Daemon) reached(reachable bool) {
+	now := time.Now()
+	daemon.registry.Outage(now, !reachable)
+	daemon.storeServes.keep(now, reachable)
+}
+
+// timestamp is when a state began that holds now. It is safe for concurrent
+// use.
+type timestamp struct {
+	mu    sync.Mutex
+	began time.Time
+}
+
+// keep sets the beginning to now unless the state holds already, or to none.
+func (timestamp *timestamp) keep(now time.Time, holds bool) {
+	timestamp.mu.Lock()
+	defer timestamp.mu.Unlock()
+	switch {
+	case !holds:
+		timestamp.began = time.Time{}
+	case timestamp.began.IsZero():
+		timestamp.began = now
+	}
+}
+
+func (timestamp *timestamp) since() time.Time {
+	timestamp.mu.Lock()
+	defer timestamp.mu.Unlock()
+	return timestamp.began
+}
+
 // renewed drops what was learned of an upstream's former run.
 func (daemon *Daemon) renewed(upstream registry.Upstream) {
 	if upstream.Leaving {
@@ -166,7 +201,7 @@
 		Changes:   store.Changes,
 		Replaced:  daemon.beliefs.AllUpstreams,
 		Changed:   daemon.beliefs.Upstreams,
-		Reachable: func(reachable bool) { daemon.registry.Outage(time.Now(), !reachable) },
+		Reachable: daemon.reached,
 		Metrics:   daemon.metrics,
 		Logger:    logger,
 	}
@@ -175,13 +210,15 @@
 		go follower.run(ctx)
 	}
 	exchange := &gossip.Gossip{
-		Router:  balance.RouterID(uuid.NewString()),
-		Address: daemon.Config.PeerListen,
-		Conn:    socket,
-		Loads:   &daemon.loads,
-		Holders: &daemon.holders,
-		Metrics: daemon.metrics,
-		Logger:  logging.Part(daemon.Logger, "gossip"),
+		Router:      balance.RouterID(uuid.NewString()),
+		Address:     daemon.Config.PeerListen,
+		Conn:        socket,
+		Loads:       &daemon.loads,
+		Holders:     &daemon.holders,
+		StoreServes: daemon.storeServes.since,
+		Elsewhere:   daemon.registry.Elsewhere,
+		Metrics:     daemon.metrics,
+		Logger:      logging.Part(daemon.Logger, "gossip"),
 	}
 	membership := &membership{store: store, gossip: exchange, daemon: daemon}
 	go membership.run(ctx)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 )
 
@@ -40,8 +41,13 @@
 	Conn    net.PacketConn
 	Loads   *balance.Loads
 	Holders *balance.Holders
-	Metrics *metrics.Set
-	Logger  *slog.Logger
+	// StoreServes returns since when the store answers this router without a
+	// break, and Elsewhere takes in the same of another one. A zero time means
+	// that it does not answer.
+	StoreServes func() time.Time
+	Elsewhere   func(now, since time.Time)
+	Metrics     *metrics.Set
+	Logger      *slog.Logger
 
 	mu       sync.Mutex
 	peers    map[string]*peer
@@ -110,9 +116,14 @@
 		return
 	}
 	gossip.sequence++
+	var serves time.Duration
+	if since := gossip.StoreServes(); !since.IsZero() {
+		serves = now.Sub(since)
+	}
 	datagram, err := encode(Message{
 		Router: gossip.Router, Sequence: gossip.sequence, Address: gossip.Address,
 		InFlight: inFlight, Served: served, Leaving: leaving,
+		StoreServes: ident.Milliseconds(serves.Milliseconds()),
 	})
 	if err != nil {
 		gossip.Logger.Warn("Message not sent.", "Error", err)
@@ -178,4 +189,7 @@
 	gossip.mu.Unlock()
 	gossip.Loads.Heard(now, message.Router, message.Sequence, message.InFlight)
 	gossip.Holders.Heard(now, message.Served)
+	if message.StoreServes > 0 {
+		gossip.Elsewhere(now, now.Add(-message.StoreServes.Duration()))
+	}
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -5,6 +5,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/ident"
 )
 
 // maxDatagram bounds a datagram, in bytes.
@@ -21,6 +22,9 @@
 	InFlight balance.Counts `msgpack:",omitempty"`
 	// Served is what the router sent since its message before.
 	Served []balance.Served `msgpack:",omitempty"`
+	// StoreServes is how long the store has answered the router without a break;
+	// zero while it does not.
+	StoreServes ident.Milliseconds `msgpack:",omitempty"`
 	// Leaving says that the router stops and this is its last message.
 	Leaving bool `msgpack:",omitempty"`
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -20,6 +20,9 @@
 // for one that lapsed in it.
 const OutageMemory = 1500 * time.Millisecond
 
+// elsewhereLifetime is how long the word of another router on the store counts.
+const elsewhereLifetime = 3 * time.Second
+
 // Incarnation tells the runs of one upstream apart: the Unix millisecond of
 // its start.
 type Incarnation int64
@@ -59,9 +62,15 @@
 	// listed holds the rows, and missing when those that lapsed are given up.
 	listed  map[ident.UpstreamID]Upstream
 	missing map[ident.UpstreamID]time.Time
-	// outageEnd is when the last outage of the store ended.
-	outageEnd time.Time
-	down      bool
+	// outageBegin and outageEnd bound the last outage of the store as this
+	// router saw it.
+	outageBegin time.Time
+	outageEnd   time.Time
+	down        bool
+	// servedSince is since when the store served some other router without a
+	// break, as of servedAt.
+	servedSince time.Time
+	servedAt    time.Time
 }
 
 // index is what readers see of the registry.
@@ -96,12 +105,32 @@
 func (registry *Registry) Outage(now time.Time, down bool) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
-	if registry.down && !down {
+	switch {
+	case registry.down && !down:
 		registry.outageEnd = now
+	case !registry.down && down:
+		registry.outageBegin = now
 	}
 	registry.down = down
 }
 
+// Elsewhere takes in that the store has served another router without a break
+// since the time since.
+func (registry *Registry) Elsewhere(now, since time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if since.Before(registry.servedSince) || now.Sub(registry.servedAt) > elsewhereLifetime {
+		registry.servedSince = since
+		registry.servedAt = now
+	}
+}
+
+// cutOff reports whether the last outage was this router's own: the store went
+// on serving another one, so that rows which went did not lapse.
+func (registry *Registry) cutOff(now time.Time) bool {
+	return now.Sub(registry.servedAt) <= elsewhereLifetime && registry.servedSince.Before(registry.outageBegin)
+}
+
 // Apply takes in changes of rows and returns the upstreams that changed.
 func (registry *Registry) Apply(now time.Time, changes []Change) []Change {
 	registry.mu.Lock()
@@ -167,10 +196,14 @@
 
 // lapsed reports whether a row that goes now may have lapsed in an outage.
 func (registry *Registry) lapsed(now time.Time) bool {
+	if registry.cutOff(now) {
+		return false
+	}
 	return registry.down || !registry.outageEnd.IsZero() && now.Before(registry.outageEnd.Add(OutageMemory))
 }
 
-// Expire gives up the upstreams that are still missing and returns them.
+// Expire gives up the upstreams that are still missing and returns them. Those
+// that went while the router alone was cut off are given up at once.
 func (registry *Registry) Expire(now time.Time) []Upstream {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
@@ -178,8 +211,9 @@
 		return nil
 	}
 	var expired []Upstream
+	cutOff := registry.cutOff(now)
 	for id, until := range registry.missing {
-		if now.Before(until) {
+		if now.Before(until) && !cutOff {
 			continue
 		}
 		expired = append(expired, registry.listed[id])
