Let a router that starts learn which engines have which prompts cached

A new router is told by those that run for longer; where all start together, each asks its part of the engines.

--- a/balance/holders.go
+++ b/balance/holders.go
@@ -30,6 +30,8 @@
 type holder struct {
 	upstream ident.UpstreamID
 	usedAt   time.Time
+	// own says that this router sent it there, or was told by the upstream.
+	own bool
 }
 
 // Holders remembers which upstreams have which shared prompts cached, from what
@@ -41,18 +43,16 @@
 	news    []Served
 }
 
-// maxNews bounds what waits to be told to other routers.
-const maxNews = 256
+// maxNews bounds what is told to other routers at once.
+const maxNews = 512
 
 // Served takes in that this router sent a request with a shared prompt to an
 // upstream, and keeps it to be told to others.
 func (holders *Holders) Served(now time.Time, served Served) {
 	holders.mu.Lock()
 	defer holders.mu.Unlock()
-	holders.remember(now, served)
-	if len(holders.news) < maxNews {
-		holders.news = append(holders.news, served)
-	}
+	holders.remember(now, served, true)
+	holders.news = append(holders.news, served)
 }
 
 // Heard takes in what another router sent.
@@ -60,20 +60,41 @@
 	holders.mu.Lock()
 	defer holders.mu.Unlock()
 	for _, one := range served {
-		holders.remember(now, one)
+		holders.remember(now, one, false)
 	}
 }
 
-// News returns what this router sent since the last call.
+// News returns what this router sent since the last call, or a part of it.
 func (holders *Holders) News() []Served {
 	holders.mu.Lock()
 	defer holders.mu.Unlock()
-	news := holders.news
-	holders.news = nil
+	count := min(len(holders.news), maxNews)
+	news := holders.news[:count:count]
+	holders.news = holders.news[count:]
 	return news
 }
 
-func (holders *Holders) remember(now time.Time, served Served) {
+// Own returns what this router knows at first hand, for one that has just
+// started.
+func (holders *Holders) Own(now time.Time) []Served {
+	holders.mu.Lock()
+	defer holders.mu.Unlock()
+	if holders.prompts == nil {
+		return nil
+	}
+	var served []Served
+	for _, key := range holders.prompts.Keys() {
+		known, _ := holders.prompts.Peek(key)
+		for _, one := range known {
+			if one.own && !now.After(one.usedAt.Add(holderLifetime)) {
+				served = append(served, Served{Key: key, Upstream: one.upstream})
+			}
+		}
+	}
+	return served
+}
+
+func (holders *Holders) remember(now time.Time, served Served, own bool) {
 	if holders.prompts == nil {
 		// The size is positive, which is all that NewLRU asks for.
 		holders.prompts, _ = simplelru.NewLRU[ident.ChatID, []holder](maxPrompts, nil)
@@ -82,6 +103,7 @@
 	for i := range known {
 		if known[i].upstream == served.Upstream {
 			known[i].usedAt = now
+			known[i].own = known[i].own || own
 			return
 		}
 	}
@@ -89,7 +111,7 @@
 	if len(known) == maxHolders {
 		known = slices.Delete(known, 0, 1)
 	}
-	holders.prompts.Add(served.Key, append(known, holder{upstream: served.Upstream, usedAt: now}))
+	holders.prompts.Add(served.Key, append(known, holder{upstream: served.Upstream, usedAt: now, own: own}))
 }
 
 // Of returns the upstreams that have the shared prompt key cached.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
@@ -64,6 +65,7 @@
 	beliefs  *follow.Beliefs
 	idle     forward.IdleConns
 	stop     stopState
+	warmup   *warmup
 	// storeServes says since when the store answers without a break.
 	storeServes timestamp
 }
@@ -224,6 +226,8 @@
 	go membership.run(ctx)
 	gossiper := &gossiper{gossip: exchange}
 	go gossiper.run(ctx)
+	daemon.warmup = &warmup{daemon: daemon, gossip: exchange, engines: &platform.Engines{Client: new(oncehttp.Client)}, began: time.Now()}
+	go daemon.warmup.run(ctx)
 	upkeep := &upkeep{daemon: daemon}
 	go upkeep.run(ctx)
 	return nil
@@ -274,7 +278,7 @@
 
 // ready reports whether the balancer may send callers.
 func (daemon *Daemon) ready() bool {
-	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Listed()
+	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Listed() && daemon.warmup.done.Load()
 }
 
 func (daemon *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,6 +24,8 @@
 	// forgottenAfter the one after which it is told nothing.
 	quietAfter     = 5 * time.Second
 	forgottenAfter = 2 * time.Minute
+	// greetingSize bounds the prompts of one message to a new router.
+	greetingSize = 512
 )
 
 // peer is another router.
@@ -31,6 +33,13 @@
 	address *net.UDPAddr
 	heardAt time.Time
 	toldAt  time.Time
+	// run is the run of the router that was heard last.
+	run balance.RouterID
+	// fresh says that the router has just started and was not told yet what
+	// this one knows.
+	fresh bool
+	// startedAt is when the router started.
+	startedAt time.Time
 }
 
 // Gossip exchanges messages with the other routers. Its fields are set before
@@ -49,11 +58,12 @@
 	Metrics     *metrics.Set
 	Logger      *slog.Logger
 
-	mu       sync.Mutex
-	peers    map[string]*peer
-	sequence uint64
-	told     balance.Counts
-	toldAt   time.Time
+	mu        sync.Mutex
+	startedAt time.Time
+	peers     map[string]*peer
+	sequence  uint64
+	told      balance.Counts
+	toldAt    time.Time
 }
 
 // Add makes another router known by its address, which is IP:port.
@@ -88,6 +98,9 @@
 
 // Run exchanges messages until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) {
+	gossip.mu.Lock()
+	gossip.startedAt = time.Now()
+	gossip.mu.Unlock()
 	receiver := &receiver{gossip: gossip}
 	go receiver.run()
 	ticker := time.NewTicker(tellEvery)
@@ -109,33 +122,52 @@
 func (gossip *Gossip) tell(now time.Time, leaving bool) {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
-	served := gossip.Holders.News()
-	inFlight := gossip.Loads.Own()
-	changed := leaving || len(served) > 0 || !maps.Equal(inFlight, gossip.told)
+	message := gossip.message(now)
+	message.Leaving = leaving
+	gossip.greet(now, message)
+	message.Served = gossip.Holders.News()
+	changed := leaving || len(message.Served) > 0 || !maps.Equal(message.InFlight, gossip.told)
 	if !changed && now.Before(gossip.toldAt.Add(repeatEvery)) {
 		return
 	}
+	gossip.told = message.InFlight
+	gossip.toldAt = now
+	gossip.broadcast(now, message)
+}
+
+// message returns a message without what was served. The caller holds mu.
+func (gossip *Gossip) message(now time.Time) Message {
 	gossip.sequence++
-	var serves time.Duration
+	message := Message{
+		Router:   gossip.Router,
+		Sequence: gossip.sequence,
+		Address:  gossip.Address,
+		Uptime:   ident.Milliseconds(now.Sub(gossip.startedAt).Milliseconds()),
+		InFlight: gossip.Loads.Own(),
+	}
 	if since := gossip.StoreServes(); !since.IsZero() {
-		serves = now.Sub(since)
+		message.StoreServes = ident.Milliseconds(now.Sub(since).Milliseconds())
 	}
-	datagram, err := encode(Message{
-		Router: gossip.Router, Sequence: gossip.sequence, Address: gossip.Address,
-		InFlight: inFlight, Served: served, Leaving: leaving,
-		StoreServes: ident.Milliseconds(serves.Milliseconds()),
-	})
-	if err != nil {
-		gossip.Logger.Warn("Message not sent.", "Error", err)
-		return
+	return message
+}
+
+// greet tells the routers that have just started what this one knows. The
+// caller holds mu.
+func (gossip *Gossip) greet(now time.Time, message Message) {
+	for _, peer := range gossip.peers {
+		if !peer.fresh {
+			continue
+		}
+		peer.fresh = false
+		for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
+			message.Served = served
+			gossip.send(message, peer)
+		}
 	}
-	gossip.told = inFlight
-	gossip.toldAt = now
-	gossip.send(now, datagram)
 }
 
-// send sends datagram to the routers that are due. The caller holds mu.
-func (gossip *Gossip) send(now time.Time, datagram []byte) {
+// broadcast sends message to the routers that are due. The caller holds mu.
+func (gossip *Gossip) broadcast(now time.Time, message Message) {
 	for address, peer := range gossip.peers {
 		silence := now.Sub(peer.heardAt)
 		if silence > forgottenAfter {
@@ -146,10 +178,41 @@
 			continue
 		}
 		peer.toldAt = now
-		if _, err := gossip.Conn.WriteTo(datagram, peer.address); err != nil {
-			gossip.Metrics.Happened("gossip.send.failed")
+		gossip.send(message, peer)
+	}
+}
+
+// send sends message to one router. The caller holds mu.
+func (gossip *Gossip) send(message Message, peer *peer) {
+	datagram, err := encode(message)
+	if err == nil {
+		_, err = gossip.Conn.WriteTo(datagram, peer.address)
+	}
+	if err != nil {
+		gossip.Metrics.Happened("gossip.send.failed")
+		gossip.Logger.Debug("Message not sent.", "Address", peer.address.String(), "Error", err)
+	}
+}
+
+// OldestPeer returns when the router started that has run for longest of those
+// that were heard, and false where none was.
+func (gossip *Gossip) OldestPeer() (time.Time, bool) {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	var oldest time.Time
+	for _, peer := range gossip.peers {
+		if peer.run != "" && (oldest.IsZero() || peer.startedAt.Before(oldest)) {
+			oldest = peer.startedAt
 		}
 	}
+	return oldest, !oldest.IsZero()
+}
+
+// Addresses returns the addresses of the known routers, its own one among them.
+func (gossip *Gossip) Addresses() []string {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	return append(slices.Collect(maps.Keys(gossip.peers)), gossip.Address)
 }
 
 // receiver reads messages until the socket is closed.
@@ -182,6 +245,9 @@
 	gossip.mu.Lock()
 	if known := gossip.add(now, message.Address); known != nil {
 		known.heardAt = now
+		known.fresh = known.fresh || known.run != message.Router
+		known.run = message.Router
+		known.startedAt = now.Add(-message.Uptime.Duration())
 		if message.Leaving {
 			delete(gossip.peers, message.Address)
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -18,6 +18,8 @@
 	Sequence uint64
 	// Address is where the router listens, as IP:port.
 	Address string
+	// Uptime is how long the router runs.
+	Uptime ident.Milliseconds
 	// InFlight is what the router has in flight at each upstream.
 	InFlight balance.Counts `msgpack:",omitempty"`
 	// Served is what the router sent since its message before.
