Share the readings of the store among routers, reload settings, bound silence instead of whole answers

Two routers read closely and tell the others what changed, with a hash of what they list; each one reads for itself when it hears of no fresh reading or of another hash. An answer of the store is given up only when no byte of it comes for 1.2 s.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -33,8 +33,9 @@
 
 // Request is what the choice depends on.
 type Request struct {
-	// Key is the shared prompt; empty for a request without one.
-	Key ident.ChatID
+	// Keys are the shared parts of the prompt, the deepest first; empty for a
+	// request without any. A part is of use only behind those that follow here.
+	Keys []ident.ChatID
 	// Tried are the upstreams that the request was offered to before.
 	Tried []ident.UpstreamID
 	Zone  ident.Zone
@@ -46,8 +47,8 @@
 	Reason   Reason
 	Load     int
 	Mean     float64
-	// Source has the shared prompt cached where the chosen one has not; empty
-	// where there is none.
+	// Source has more of the shared prompt cached than the chosen one; empty
+	// where none has.
 	Source ident.UpstreamID
 }
 
@@ -96,8 +97,8 @@
 		return Choice{}, false
 	}
 	var holders []ident.UpstreamID
-	if request.Key != "" {
-		holders = chooser.Holders.Of(now, request.Key)
+	if len(request.Keys) > 0 {
+		holders = chooser.Holders.Of(now, request.Keys[0])
 	}
 	making := &choice{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
 	total := 0
@@ -117,15 +118,28 @@
 		return Choice{}, false
 	}
 	made := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: making.mean}
-	if !chosen.holds && len(holders) > 0 {
-		// The one that used it last is the least likely to have dropped it.
-		made.Source = holders[len(holders)-1]
+	if !chosen.holds {
+		made.Source = chooser.source(now, request.Keys, made.Upstream.ID)
 	}
 	return made, true
 }
 
+// source returns an upstream that has more of the prompt cached than chosen.
+func (chooser *Chooser) source(now time.Time, keys []ident.ChatID, chosen ident.UpstreamID) ident.UpstreamID {
+	for _, key := range keys {
+		holders := chooser.Holders.Of(now, key)
+		if slices.Contains(holders, chosen) {
+			return ""
+		}
+		if len(holders) > 0 {
+			return holders[len(holders)-1]
+		}
+	}
+	return ""
+}
+
 func (making *choice) pick(held bool) (candidate, Reason, bool) {
-	if making.request.Key != "" {
+	if len(making.request.Keys) > 0 {
 		if chosen, found := making.leastHolder(); found {
 			return chosen, Holder, true
 		}
@@ -165,7 +179,7 @@
 // loaded as the others or less. All routers with the same view agree on it.
 func (making *choice) byRank() (candidate, bool) {
 	var order [rankedUpstreams]int
-	for _, index := range making.pool.Ranking.Rank(making.request.Key, "", order[:]) {
+	for _, index := range making.pool.Ranking.Rank(making.request.Keys[0], "", order[:]) {
 		ranked := making.candidates[index]
 		if ranked.usable(making.mean + spillSlack) {
 			return ranked, true
--- a/cmd/hickoryhead/entry.go
+++ b/cmd/hickoryhead/entry.go
@@ -32,7 +32,11 @@
 			}
 			ctx, stop := untilStopped(cmd.Context())
 			defer stop()
-			daemon := &entry.Daemon{Config: loaded, Logger: logger}
+			daemon := &entry.Daemon{
+				Config: loaded,
+				Reload: func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
+				Logger: logger,
+			}
 			return daemon.Run(ctx)
 		},
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,8 +5,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,7 +39,7 @@
 	// call that a silent store swallowed delays the next one by as much.
 	configWait ident.Milliseconds = 2500
 	// upstreamPause is the time between two calls for changed upstreams.
-	upstreamPause = 600 * time.Millisecond
+	upstreamPause = 500 * time.Millisecond
 	// upkeepEvery is the time between two rounds of upkeep.
 	upkeepEvery = 500 * time.Millisecond
 	// defaultIdle is how long a caller's connection may be idle before the
@@ -50,11 +54,15 @@
 	megabyte    = 1 << 20
 )
 
-// Daemon is a router on an entry VM. Config and Logger are set before Run.
+// Daemon is a router on an entry VM. Its fields are set before Run.
 type Daemon struct {
 	Config config.Entry
+	// Reload reads the settings file again; nil reads none.
+	Reload func() (config.Entry, error)
 	Logger *slog.Logger
 
+	// inForce holds the settings, Config at first.
+	inForce  atomic.Pointer[config.Entry]
 	metrics  *metrics.Set
 	routes   routing.Holder
 	registry registry.Registry
@@ -68,10 +76,18 @@
 	warmup   *warmup
 	// storeServes says since when the store answers without a break.
 	storeServes timestamp
+	// readAt is when the upstreams were read last.
+	readAt  atomic.Pointer[time.Time]
+	sharing follow.Sharing
+	gossip  *gossip.Gossip
 }
 
 // Run serves until ctx ends and then stops as planned.
 func (daemon *Daemon) Run(ctx context.Context) error {
+	reloader := &reloader{daemon: daemon, signals: make(chan os.Signal, 1)}
+	signal.Notify(reloader.signals, syscall.SIGHUP)
+	defer signal.Stop(reloader.signals)
+	daemon.inForce.Store(&daemon.Config)
 	if err := daemon.prepare(); err != nil {
 		return err
 	}
@@ -89,6 +105,7 @@
 		go server.run()
 	}
 	daemon.Logger.Info("Started.", "VM", daemon.Config.VM, "Zone", daemon.Config.Zone, "Callers", daemon.Config.CallerListen)
+	go reloader.run(working)
 	<-ctx.Done()
 	daemon.leave(servers[0])
 	return nil
@@ -105,26 +122,18 @@
 	daemon.metrics = set
 	dialer := forward.Dialer()
 	daemon.handler = &forward.Handler{
-		Routes:   &daemon.routes,
-		Registry: &daemon.registry,
-		Loads:    &daemon.loads,
-		Holders:  &daemon.holders,
-		Health:   &daemon.health,
-		Chooser: &balance.Chooser{
-			Loads:    &daemon.loads,
-			Holders:  &daemon.holders,
-			Ejected:  daemon.health.Ejected,
-			Multiple: daemon.Config.LoadMultiple,
-			Slack:    boundSlack,
-		},
+		Routes:      &daemon.routes,
+		Registry:    &daemon.registry,
+		Loads:       &daemon.loads,
+		Holders:     &daemon.holders,
+		Health:      &daemon.health,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
 		Zone:        daemon.Config.Zone,
-		RetryShare:  daemon.Config.RetryShare,
-		RetrySlack:  daemon.Config.RetrySlack,
 		Routers:     func() int { return daemon.loads.Routers() + 1 },
 		Metrics:     set,
 		Logger:      logging.Part(daemon.Logger, "forward"),
 	}
+	daemon.tune()
 	daemon.beliefs = &follow.Beliefs{
 		Routes:   &daemon.routes,
 		Registry: &daemon.registry,
@@ -140,6 +149,9 @@
 	now := time.Now()
 	daemon.registry.Outage(now, !reachable)
 	daemon.storeServes.keep(now, reachable)
+	if reachable {
+		daemon.readAt.Store(&now)
+	}
 }
 
 // timestamp is when a state began that holds now. It is safe for concurrent
@@ -185,9 +197,24 @@
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
 	logger := logging.Part(daemon.Logger, "follow")
+	exchange := &gossip.Gossip{
+		Router:  balance.RouterID(uuid.NewString()),
+		Address: daemon.Config.PeerListen,
+		Conn:    socket,
+		Loads:   &daemon.loads,
+		Holders: &daemon.holders,
+		Fill:    daemon.fill,
+		Heard:   daemon.heard,
+		Metrics: daemon.metrics,
+		Logger:  logging.Part(daemon.Logger, "gossip"),
+	}
+	daemon.gossip = exchange
+	daemon.sharing.Self = daemon.Config.PeerListen
+	daemon.beliefs.Relay = exchange.Relay
 	configs := &follow.Table{
 		Name:      platform.OperatorTable,
-		Wait:      configWait,
+		Wait:      daemon.configWait,
+		Due:       daemon.configDue,
 		ReadAll:   store.ReadAll,
 		Changes:   store.Changes,
 		Replaced:  daemon.beliefs.Config,
@@ -199,6 +226,7 @@
 	upstreams := &follow.Table{
 		Name:      platform.ServerTable,
 		Pause:     upstreamPause,
+		Due:       daemon.upstreamsDue,
 		ReadAll:   store.ReadAll,
 		Changes:   store.Changes,
 		Replaced:  daemon.beliefs.AllUpstreams,
@@ -211,17 +239,6 @@
 		follower := &follower{table: table}
 		go follower.run(ctx)
 	}
-	exchange := &gossip.Gossip{
-		Router:      balance.RouterID(uuid.NewString()),
-		Address:     daemon.Config.PeerListen,
-		Conn:        socket,
-		Loads:       &daemon.loads,
-		Holders:     &daemon.holders,
-		StoreServes: daemon.storeServes.since,
-		Elsewhere:   daemon.registry.Elsewhere,
-		Metrics:     daemon.metrics,
-		Logger:      logging.Part(daemon.Logger, "gossip"),
-	}
 	membership := &membership{store: store, gossip: exchange, daemon: daemon}
 	go membership.run(ctx)
 	gossiper := &gossiper{gossip: exchange}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -26,7 +26,7 @@
 // until the balancer has turned away, and then finishes what is in flight.
 func (daemon *Daemon) leave(callers *httpService) {
 	began := time.Now()
-	end := began.Add(daemon.Config.StopTimeoutMs.Duration() - stopMargin)
+	end := began.Add(daemon.inForce.Load().StopTimeoutMs.Duration() - stopMargin)
 	daemon.stop.began.Store(true)
 	daemon.handler.Leave()
 	daemon.Logger.Info("Stopping.", "Until", end)
--- /dev/null
+++ b/entry/sharing.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/follow"
+	"github.com/hickoryhead/hickoryhead/gossip"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+// fill completes a message with what the router knows of the store.
+func (daemon *Daemon) fill(now time.Time, message *gossip.Message) {
+	if since := daemon.storeServes.since(); !since.IsZero() {
+		message.StoreServes = max(milliseconds(now.Sub(since)), 1)
+	}
+	if readAt := daemon.readAt.Load(); readAt != nil {
+		message.ReadAge = max(milliseconds(now.Sub(*readAt)), 1)
+	}
+	message.Digest = daemon.registry.Digest()
+	message.Config = daemon.configVersion()
+}
+
+func milliseconds(duration time.Duration) ident.Milliseconds {
+	return ident.Milliseconds(duration.Milliseconds())
+}
+
+// heard takes in what another router knows of the store.
+func (daemon *Daemon) heard(now time.Time, message gossip.Message) {
+	if message.StoreServes > 0 {
+		daemon.registry.Elsewhere(now, now.Add(-message.StoreServes.Duration()))
+	}
+	if len(message.Changes) > 0 {
+		daemon.beliefs.Heard(message.Changes)
+	}
+	daemon.sharing.Heard(now, message.Address, follow.View{
+		Serves: message.StoreServes > 0 && message.ReadAge > 0 && !message.Leaving,
+		ReadAt: now.Add(-message.ReadAge.Duration()),
+		Digest: message.Digest,
+		Config: message.Config,
+	})
+}
+
+func (daemon *Daemon) configVersion() routing.Version {
+	table := daemon.routes.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
+
+func (daemon *Daemon) configDue(now, readAt time.Time) bool {
+	return daemon.sharing.ConfigDue(now, readAt, daemon.configVersion())
+}
+
+func (daemon *Daemon) upstreamsDue(now, readAt time.Time) bool {
+	return daemon.sharing.UpstreamsDue(now, readAt, daemon.registry.Digest())
+}
+
+// configWait returns how long the store may hold a call for a new
+// configuration: only readers wait for one.
+func (daemon *Daemon) configWait() ident.Milliseconds {
+	if daemon.sharing.Reader(time.Now()) {
+		return configWait
+	}
+	return 0
+}
--- a/follow/beliefs.go
+++ b/follow/beliefs.go
@@ -16,6 +16,8 @@
 type Beliefs struct {
 	Routes   *routing.Holder
 	Registry *registry.Registry
+	// Relay is told of the changes that the store said, for the other routers.
+	Relay func(changes []registry.Change)
 	// Renewed is told of an upstream that started anew or is gone.
 	Renewed func(upstream registry.Upstream)
 	Metrics *metrics.Set
@@ -23,7 +25,7 @@
 }
 
 // Config takes in rows of the operators' table.
-func (beliefs *Beliefs) Config(records []platform.Record) {
+func (beliefs *Beliefs) Config(records []platform.Record, _ ident.Revision) {
 	for _, record := range records {
 		if record.Key != platform.ConfigKey || record.Deleted {
 			continue
@@ -47,47 +49,61 @@
 }
 
 // Upstreams takes in changed rows of upstreams.
-func (beliefs *Beliefs) Upstreams(records []platform.Record) {
+func (beliefs *Beliefs) Upstreams(records []platform.Record, _ ident.Revision) {
 	changes := make([]registry.Change, 0, len(records))
 	for _, record := range records {
 		upstream, usable := beliefs.decode(record)
 		changes = append(changes, registry.Change{Upstream: upstream, Gone: !usable})
 	}
-	beliefs.tell(beliefs.Registry.Apply(time.Now(), changes))
+	applied := beliefs.Registry.Apply(time.Now(), changes)
+	beliefs.tell(applied, "store")
+	beliefs.Relay(applied)
 }
 
-// AllUpstreams takes in the rows of all upstreams.
-func (beliefs *Beliefs) AllUpstreams(records []platform.Record) {
+// Heard takes in changes of upstreams that another router read.
+func (beliefs *Beliefs) Heard(changes []registry.Change) {
+	if !beliefs.Registry.Listed() {
+		// A part of the rows is not to be taken for all of them.
+		return
+	}
+	beliefs.tell(beliefs.Registry.Apply(time.Now(), changes), "router")
+}
+
+// AllUpstreams takes in the rows of all upstreams as of version.
+func (beliefs *Beliefs) AllUpstreams(records []platform.Record, version ident.Revision) {
 	upstreams := make([]registry.Upstream, 0, len(records))
 	for _, record := range records {
 		if upstream, usable := beliefs.decode(record); usable {
 			upstreams = append(upstreams, upstream)
 		}
 	}
-	beliefs.tell(beliefs.Registry.Replace(time.Now(), upstreams))
+	applied := beliefs.Registry.Replace(time.Now(), version, upstreams)
+	beliefs.tell(applied, "store")
+	beliefs.Relay(applied)
 }
 
 // decode returns the upstream of a row and whether it may be used.
 func (beliefs *Beliefs) decode(record platform.Record) (registry.Upstream, bool) {
 	id := ident.UpstreamID(record.Key)
 	if record.Deleted {
-		return registry.Upstream{ID: id}, false
+		return registry.Upstream{ID: id, Version: record.Version}, false
 	}
 	upstream, err := platform.DecodeServer(id, record.Value)
 	if err != nil {
 		beliefs.Metrics.Happened("upstream.row.unreadable")
 		beliefs.Logger.Debug("Row of an upstream not understood.", "Upstream", id, "RowVersion", record.Version, "Error", err)
-		return registry.Upstream{ID: id}, false
+		return registry.Upstream{ID: id, Version: record.Version}, false
 	}
+	upstream.Version = record.Version
 	return upstream, true
 }
 
-func (beliefs *Beliefs) tell(changes []registry.Change) {
+func (beliefs *Beliefs) tell(changes []registry.Change, source string) {
 	for _, change := range changes {
 		beliefs.Metrics.Happened("upstream.changed")
 		beliefs.Logger.Info("Upstream changed.",
 			"Upstream", change.Upstream.ID, "Service", change.Upstream.Service, "Address", change.Upstream.Address,
-			"Leaving", change.Upstream.Leaving, "Gone", change.Gone)
+			"Leaving", change.Upstream.Leaving, "Gone", change.Gone, "RowVersion", change.Upstream.Version, "Source", source)
 		beliefs.Renewed(change.Upstream)
 	}
 }
--- a/follow/table.go
+++ b/follow/table.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// callTimeout bounds a call to the store beyond the time that it may wait.
-	callTimeout = 1200 * time.Millisecond
+	// callTimeout bounds a call to the store beyond the time that it may wait. A
+	// store that sends nothing is given up far earlier, by platform.Store.
+	callTimeout = 15 * time.Second
+	// dueStep is the time between two looks at whether a call is due.
+	dueStep = 50 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call, which doubles
 	// with each failure in a row.
 	firstPause = 150 * time.Millisecond
@@ -25,16 +28,21 @@
 // Table follows one table of the store.
 type Table struct {
 	Name platform.TableName
-	// Wait is how long the store may hold a call without changes.
-	Wait ident.Milliseconds
+	// Wait returns how long the store may hold a call without changes; nil means
+	// not at all.
+	Wait func() ident.Milliseconds
+	// Due reports whether a call is due, the last one having been answered at
+	// readAt; nil means always.
+	Due func(now, readAt time.Time) bool
 	// Pause is the time between two calls.
 	Pause time.Duration
 	// ReadAll reads the whole table, and Changes what changed since a version.
 	ReadAll func(ctx context.Context, table platform.TableName, part platform.Part) (platform.Records, error)
 	Changes func(ctx context.Context, table platform.TableName, after ident.Revision, wait ident.Milliseconds) (platform.Records, error)
-	// Replaced takes in the whole table, and Changed the rows that changed.
-	Replaced func(records []platform.Record)
-	Changed  func(records []platform.Record)
+	// Replaced takes in the whole table, and Changed the rows that changed, both
+	// as of a version.
+	Replaced func(records []platform.Record, version ident.Revision)
+	Changed  func(records []platform.Record, version ident.Revision)
 	// Reachable takes in whether the store answered the last call.
 	Reachable func(reachable bool)
 	Metrics   *metrics.Set
@@ -42,12 +50,17 @@
 
 	version  ident.Revision
 	known    bool
+	readAt   time.Time
 	failures int
 }
 
 // Run follows the table until ctx ends.
 func (table *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if table.known && table.Due != nil && !table.Due(time.Now(), table.readAt) {
+			sleep(ctx, dueStep)
+			continue
+		}
 		err := table.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -61,10 +74,10 @@
 	if !table.known {
 		return table.readAll(ctx)
 	}
-	wait := table.Wait
-	if table.failures > 0 {
+	wait := ident.Milliseconds(0)
+	if table.failures == 0 && table.Wait != nil {
 		// A store that has just come back shows at once what was missed.
-		wait = 0
+		wait = table.Wait()
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout+wait.Duration())
 	defer cancel()
@@ -78,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	table.Changed(records.Records)
+	table.Changed(records.Records, records.Version)
 	table.version = max(table.version, records.Version)
 	return nil
 }
@@ -94,7 +107,7 @@
 		return errors.Newf("table read at version %d, older than %d", records.Version, table.version)
 	}
 	table.reached(true, nil)
-	table.Replaced(records.Records)
+	table.Replaced(records.Records, records.Version)
 	table.version = records.Version
 	table.known = true
 	return nil
@@ -103,8 +116,9 @@
 // pause returns the time to the next call after one that ended with err.
 func (table *Table) pause(err error) time.Duration {
 	if err == nil {
-		table.failures = 0
 		table.reached(true, nil)
+		table.failures = 0
+		table.readAt = time.Now()
 		return table.Pause
 	}
 	table.reached(false, err)
--- a/follow/table_test.go
+++ b/follow/table_test.go
@@ -14,7 +14,8 @@
 )
 
 // fakeStore is a table with one row whose version is its value. While it is
-// silent, calls are swallowed: they end only with their context.
+// silent, calls are swallowed: they end with their context, or as given up by
+// platform.Store.
 type fakeStore struct {
 	mu        sync.Mutex
 	version   ident.Revision
@@ -41,19 +42,26 @@
 func (store *fakeStore) readAll(ctx context.Context, _ platform.TableName, _ platform.Part) (platform.Records, error) {
 	records, silent, err := store.read()
 	if silent {
-		<-ctx.Done()
-		return platform.Records{}, platform.ErrLost
+		return platform.Records{}, swallow(ctx, 0)
 	}
 	return records, err
 }
 
+// swallow ends like a call to a silent store.
+func swallow(ctx context.Context, wait ident.Milliseconds) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait.Duration() + platform.AnswerSilence):
+	}
+	return platform.ErrLost
+}
+
 // changes holds a call until there is a change, and looks for one every 10 ms.
 func (store *fakeStore) changes(ctx context.Context, _ platform.TableName, after ident.Revision, wait ident.Milliseconds) (platform.Records, error) {
 	end := time.Now().Add(wait.Duration())
 	records, silent, err := store.read()
 	if silent {
-		<-ctx.Done()
-		return platform.Records{}, platform.ErrLost
+		return platform.Records{}, swallow(ctx, wait)
 	}
 	for err == nil && records.Version <= after && time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
@@ -82,7 +90,7 @@
 	done      chan struct{}
 }
 
-func (watched *watched) take(records []platform.Record) {
+func (watched *watched) take(records []platform.Record, _ ident.Revision) {
 	watched.mu.Lock()
 	defer watched.mu.Unlock()
 	for _, record := range records {
@@ -105,11 +113,11 @@
 	made := &watched{done: make(chan struct{})}
 	made.table = &follow.Table{
 		Name:    "op",
-		Wait:    wait,
+		Wait:    func() ident.Milliseconds { return wait },
 		ReadAll: store.readAll,
 		Changes: store.changes,
-		Replaced: func(records []platform.Record) {
-			made.take(records)
+		Replaced: func(records []platform.Record, version ident.Revision) {
+			made.take(records, version)
 			made.mu.Lock()
 			made.wholes++
 			made.mu.Unlock()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -84,7 +84,7 @@
 	a := &answer{upstream: upstream, conn: conn, done: x.handler.Loads.End}
 	a.unwatch = watch(x.request.Context(), func() { _ = conn.Close() })
 	x.handler.Loads.Start(upstream.ID)
-	if key := x.choiceRequest().Key; key != "" {
+	for _, key := range x.choiceRequest().Keys {
 		x.handler.Holders.Served(time.Now(), balance.Served{Key: key, Upstream: upstream.ID})
 	}
 	code := x.converse(a, left, lastEvent)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -187,7 +188,7 @@
 func (x *exchange) offer() {
 	for {
 		pool := x.handler.Registry.Pool(x.service)
-		choice, found := x.handler.Chooser.Choose(time.Now(), pool, x.choiceRequest())
+		choice, found := x.handler.choose(pool, x.choiceRequest())
 		if !found {
 			x.giveUp(result.NoUpstream)
 			return
@@ -214,21 +215,23 @@
 func (x *exchange) choiceRequest() balance.Request {
 	request := balance.Request{Tried: x.tried, Zone: x.handler.Zone}
 	if x.route.Sticky {
-		request.Key = sharedPrompt(x.head.Prompt)
+		request.Keys = sharedParts(x.head.Prompt)
 	}
 	return request
 }
 
-// sharedPrompt returns the deepest part of a prompt that other requests share:
-// the last but one, since the last one is the request's own.
-func sharedPrompt(parts []platform.PromptPart) ident.ChatID {
-	switch len(parts) {
-	case 0:
-		return ""
-	case 1:
-		return ident.ChatID(parts[0].ID)
-	}
-	return ident.ChatID(parts[len(parts)-2].ID)
+// sharedParts returns the parts of a prompt that other requests share, the
+// deepest first: all but the last one, which is the request's own.
+func sharedParts(parts []platform.PromptPart) []ident.ChatID {
+	shared := parts
+	if len(parts) > 1 {
+		shared = parts[:len(parts)-1]
+	}
+	keys := make([]ident.ChatID, 0, len(shared))
+	for _, part := range slices.Backward(shared) {
+		keys = append(keys, ident.ChatID(part.ID))
+	}
+	return keys
 }
 
 // again decides whether the request is sent once more after code.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -28,18 +28,15 @@
 	Loads       *balance.Loads
 	Holders     *balance.Holders
 	Health      *health.Tracker
-	Chooser     *balance.Chooser
 	Connections *Connections
 	Zone        ident.Zone
-	// RetryShare and RetrySlack bound the repeated requests of the whole fleet
-	// to a service: a share of its requests, and a number in a window.
-	RetryShare float64
-	RetrySlack float64
 	// Routers returns how many routers share the slack.
 	Routers func() int
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
+	tuning atomic.Pointer[Tuning]
+
 	// leaving says that the process stops, so that callers are asked to
 	// reconnect elsewhere.
 	leaving atomic.Bool
@@ -48,6 +45,24 @@
 	budgets map[ident.ServiceName]*retry.Budget
 }
 
+// Tuning is what operators may change while the router runs.
+type Tuning struct {
+	Chooser *balance.Chooser
+	// RetryShare and RetrySlack bound the repeated requests of the whole fleet
+	// to a service: a share of its requests, and a number in a window.
+	RetryShare float64
+	RetrySlack float64
+}
+
+// Tune puts tuning in force for requests from now on. It is called once before
+// the first request.
+func (handler *Handler) Tune(tuning Tuning) { handler.tuning.Store(&tuning) }
+
+// choose returns an upstream of pool for request, and false if none is left.
+func (handler *Handler) choose(pool *registry.Pool, request balance.Request) (balance.Choice, bool) {
+	return handler.tuning.Load().Chooser.Choose(time.Now(), pool, request)
+}
+
 // Leave makes every answer from now on close its connection.
 func (handler *Handler) Leave() { handler.leaving.Store(true) }
 
@@ -75,7 +90,9 @@
 	handler.mu.Lock()
 	defer handler.mu.Unlock()
 	budget := handler.budget(service)
-	budget.Slack = max(handler.RetrySlack/float64(max(handler.Routers(), 1)), 1)
+	tuning := handler.tuning.Load()
+	budget.Share = tuning.RetryShare
+	budget.Slack = max(tuning.RetrySlack/float64(max(handler.Routers(), 1)), 1)
 	return budget.Spend(now)
 }
 
@@ -86,7 +103,7 @@
 	}
 	budget := handler.budgets[service]
 	if budget == nil {
-		budget = &retry.Budget{Share: handler.RetryShare}
+		budget = new(retry.Budget)
 		handler.budgets[service] = budget
 	}
 	return budget
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -60,7 +60,7 @@
 // back on the failure where that gives no answer.
 func (x *exchange) offerInstead(failed *answer, body []byte) result.Code {
 	pool := x.handler.Registry.Pool(x.service)
-	choice, found := x.handler.Chooser.Choose(time.Now(), pool, x.choiceRequest())
+	choice, found := x.handler.choose(pool, x.choiceRequest())
 	if !found {
 		return x.writePlain(failed, body)
 	}
@@ -251,7 +251,7 @@
 			return nil
 		}
 		x.handler.Metrics.Retried(result.AnswerCut)
-		choice, found := x.handler.Chooser.Choose(time.Now(), pool, x.choiceRequest())
+		choice, found := x.handler.choose(pool, x.choiceRequest())
 		if !found {
 			return nil
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,13 +13,17 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 const (
 	// tellEvery is the shortest time between two messages to the same router.
 	tellEvery = 100 * time.Millisecond
 	// repeatEvery is the time between two messages that say nothing new.
-	repeatEvery = time.Second
+	repeatEvery = 400 * time.Millisecond
+	// sendsPerSecond bounds the datagrams that a router sends in a large fleet,
+	// by longer times between them.
+	sendsPerSecond = 300
 	// quietAfter is the silence after which a router is told seldom, and
 	// forgottenAfter the one after which it is told nothing.
 	quietAfter     = 5 * time.Second
@@ -50,13 +54,12 @@
 	Conn    net.PacketConn
 	Loads   *balance.Loads
 	Holders *balance.Holders
-	// StoreServes returns since when the store answers this router without a
-	// break, and Elsewhere takes in the same of another one. A zero time means
-	// that it does not answer.
-	StoreServes func() time.Time
-	Elsewhere   func(now, since time.Time)
-	Metrics     *metrics.Set
-	Logger      *slog.Logger
+	// Fill completes a message with what the router knows of the store, and Heard
+	// takes in the message of another one.
+	Fill    func(now time.Time, message *Message)
+	Heard   func(now time.Time, message Message)
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 
 	mu        sync.Mutex
 	startedAt time.Time
@@ -64,6 +67,7 @@
 	sequence  uint64
 	told      balance.Counts
 	toldAt    time.Time
+	changes   []registry.Change
 }
 
 // Add makes another router known by its address, which is IP:port.
@@ -96,6 +100,13 @@
 	return made
 }
 
+// Relay keeps changes of upstreams for the next message.
+func (gossip *Gossip) Relay(changes []registry.Change) {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	gossip.changes = append(gossip.changes, changes...)
+}
+
 // Run exchanges messages until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) {
 	gossip.mu.Lock()
@@ -122,14 +133,20 @@
 func (gossip *Gossip) tell(now time.Time, leaving bool) {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
+	pause := time.Duration(len(gossip.peers)) * time.Second / sendsPerSecond
+	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.toldAt.Add(pause)) {
+		return
+	}
 	message := gossip.message(now)
 	message.Leaving = leaving
 	gossip.greet(now, message)
 	message.Served = gossip.Holders.News()
-	changed := leaving || len(message.Served) > 0 || !maps.Equal(message.InFlight, gossip.told)
+	message.Changes = gossip.changes
+	changed := leaving || len(message.Served) > 0 || len(message.Changes) > 0 || !maps.Equal(message.InFlight, gossip.told)
 	if !changed && now.Before(gossip.toldAt.Add(repeatEvery)) {
 		return
 	}
+	gossip.changes = nil
 	gossip.told = message.InFlight
 	gossip.toldAt = now
 	gossip.broadcast(now, message)
@@ -145,9 +162,7 @@
 		Uptime:   ident.Milliseconds(now.Sub(gossip.startedAt).Milliseconds()),
 		InFlight: gossip.Loads.Own(),
 	}
-	if since := gossip.StoreServes(); !since.IsZero() {
-		message.StoreServes = ident.Milliseconds(now.Sub(since).Milliseconds())
-	}
+	gossip.Fill(now, &message)
 	return message
 }
 
@@ -255,7 +270,5 @@
 	gossip.mu.Unlock()
 	gossip.Loads.Heard(now, message.Router, message.Sequence, message.InFlight)
 	gossip.Holders.Heard(now, message.Served)
-	if message.StoreServes > 0 {
-		gossip.Elsewhere(now, now.Add(-message.StoreServes.Duration()))
-	}
+	gossip.Heard(now, message)
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/routing"
 )
 
 // maxDatagram bounds a datagram, in bytes.
@@ -27,6 +29,14 @@
 	// StoreServes is how long the store has answered the router without a break;
 	// zero while it does not.
 	StoreServes ident.Milliseconds `msgpack:",omitempty"`
+	// ReadAge is how long ago the router read the upstreams, zero if it never
+	// did, and Digest hashes what it lists.
+	ReadAge ident.Milliseconds
+	Digest  uint64
+	// Config is the version of the configuration that the router has in force.
+	Config routing.Version
+	// Changes are changes of upstreams that the router has just read.
+	Changes []registry.Change `msgpack:",omitempty"`
 	// Leaving says that the router stops and this is its last message.
 	Leaving bool `msgpack:",omitempty"`
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,12 +2,15 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickoryhead/hickoryhead/affinity"
 	"github.com/hickoryhead/hickoryhead/ident"
 )
@@ -23,6 +26,10 @@
 // elsewhereLifetime is how long the word of another router on the store counts.
 const elsewhereLifetime = 3 * time.Second
 
+// maxRemoved bounds the removals that are remembered, so that an older word of
+// another router doesn't bring an upstream back.
+const maxRemoved = 4096
+
 // Incarnation tells the runs of one upstream apart: the Unix millisecond of
 // its start.
 type Incarnation int64
@@ -37,6 +44,14 @@
 	// Slots is how many requests it runs at once.
 	Slots   int
 	Leaving bool
+	// Version is the one of the row that says this.
+	Version ident.Revision
+}
+
+// same reports whether a and b say the same, whatever their versions.
+func same(a, b Upstream) bool {
+	a.Version = b.Version
+	return a == b
 }
 
 // Pool is an immutable set of upstreams that serve one service. Upstreams and
@@ -62,6 +77,8 @@
 	// listed holds the rows, and missing when those that lapsed are given up.
 	listed  map[ident.UpstreamID]Upstream
 	missing map[ident.UpstreamID]time.Time
+	// removed holds the versions of the latest removals.
+	removed map[ident.UpstreamID]ident.Revision
 	// outageBegin and outageEnd bound the last outage of the store as this
 	// router saw it.
 	outageBegin time.Time
@@ -77,6 +94,7 @@
 type index struct {
 	pools     map[ident.ServiceName]*Pool
 	upstreams map[ident.UpstreamID]Upstream
+	digest    uint64
 }
 
 // Pool returns the upstreams of a service that take new work, or nil for none.
@@ -98,6 +116,16 @@
 	return upstream, found
 }
 
+// Digest returns a hash of what is listed, which is the same for routers that
+// list the same.
+func (registry *Registry) Digest() uint64 {
+	built := registry.built.Load()
+	if built == nil {
+		return 0
+	}
+	return built.digest
+}
+
 // Listed reports whether the rows were read yet.
 func (registry *Registry) Listed() bool { return registry.built.Load() != nil }
 
@@ -148,9 +176,9 @@
 	return applied
 }
 
-// Replace takes in all rows. Upstreams that are not among them are removed, as
-// by a change.
-func (registry *Registry) Replace(now time.Time, upstreams []Upstream) []Change {
+// Replace takes in all rows as of version. Upstreams that are not among them are
+// removed, as by a change.
+func (registry *Registry) Replace(now time.Time, version ident.Revision, upstreams []Upstream) []Change {
 	changes := make([]Change, 0, len(upstreams))
 	present := make(map[ident.UpstreamID]struct{}, len(upstreams))
 	for _, upstream := range upstreams {
@@ -159,6 +187,7 @@
 	}
 	for _, upstream := range registry.Upstreams() {
 		if _, found := present[upstream.ID]; !found {
+			upstream.Version = version
 			changes = append(changes, Change{Upstream: upstream, Gone: true})
 		}
 	}
@@ -169,16 +198,20 @@
 	if registry.listed == nil {
 		registry.listed = make(map[ident.UpstreamID]Upstream)
 		registry.missing = make(map[ident.UpstreamID]time.Time)
+		registry.removed = make(map[ident.UpstreamID]ident.Revision)
 	}
 }
 
 func (registry *Registry) apply(now time.Time, change Change) bool {
 	id := change.Upstream.ID
 	present, known := registry.listed[id]
+	if change.Upstream.Version < max(present.Version, registry.removed[id]) {
+		return false
+	}
 	if !change.Gone {
 		delete(registry.missing, id)
 		registry.listed[id] = change.Upstream
-		return !known || present != change.Upstream
+		return !known || !same(present, change.Upstream)
 	}
 	if !known {
 		return false
@@ -191,6 +224,10 @@
 	}
 	delete(registry.listed, id)
 	delete(registry.missing, id)
+	if len(registry.removed) >= maxRemoved {
+		clear(registry.removed)
+	}
+	registry.removed[id] = change.Upstream.Version
 	return true
 }
 
@@ -247,7 +284,17 @@
 	for service, upstreams := range members {
 		pools[service] = poolOf(upstreams)
 	}
-	registry.built.Store(&index{pools: pools, upstreams: maps.Clone(registry.listed)})
+	registry.built.Store(&index{pools: pools, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
+}
+
+// digest hashes what is listed. The caller holds mu.
+func (registry *Registry) digest() uint64 {
+	var digest uint64
+	for _, upstream := range registry.listed {
+		upstream.Version = 0
+		digest ^= xxhash.Sum64String(fmt.Sprint(upstream))
+	}
+	return digest
 }
 
 func poolOf(upstreams []Upstream) *Pool {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -31,7 +31,7 @@
 
 func TestLeavingUpstreamIsInNoPool(t *testing.T) {
 	var listed registry.Registry
-	listed.Replace(at(0), []registry.Upstream{upstream("a"), upstream("b")})
+	listed.Replace(at(0), 1, []registry.Upstream{upstream("a"), upstream("b")})
 	leaving := upstream("a")
 	leaving.Leaving = true
 	listed.Apply(at(time.Second), []registry.Change{{Upstream: leaving}})
@@ -71,7 +71,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var listed registry.Registry
-			listed.Replace(at(0), []registry.Upstream{upstream("a"), upstream("b")})
+			listed.Replace(at(0), 1, []registry.Upstream{upstream("a"), upstream("b")})
 			listed.Outage(at(begin), true)
 			listed.Outage(at(end), false)
 			if test.told {
@@ -88,10 +88,10 @@
 
 func TestRowThatComesBackStays(t *testing.T) {
 	var listed registry.Registry
-	listed.Replace(at(0), []registry.Upstream{upstream("a")})
+	listed.Replace(at(0), 1, []registry.Upstream{upstream("a")})
 	listed.Outage(at(time.Second), true)
 	listed.Outage(at(5*time.Second), false)
-	listed.Replace(at(5*time.Second), nil)
+	listed.Replace(at(5*time.Second), 1, nil)
 	listed.Apply(at(6*time.Second), []registry.Change{{Upstream: upstream("a")}})
 	if got := listed.Expire(at(20 * time.Second)); len(got) != 0 {
 		t.Errorf("got %v given up, want none", got)
