--- a/claim/batcher.go
+++ b/claim/batcher.go
@@ -107,7 +107,16 @@
 	if batch[0].alone || item.alone {
 		return false
 	}
-	return len(batch) < batcher.maxItems() && size <= batcher.maxBytes()
+	entries := item.entries()
+	for _, joined := range batch {
+		entries += joined.entries()
+	}
+	return len(batch) < batcher.maxItems() && entries <= platform.MaxEntries && size <= batcher.maxBytes()
+}
+
+// entries returns how many entries of a transaction the item takes.
+func (item Item) entries() int {
+	return len(item.Transaction.Checks) + len(item.Transaction.Writes)
 }
 
 // Merge returns one transaction of all items of a batch.
--- a/cmd/hickoryhead/entry.go
+++ b/cmd/hickoryhead/entry.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"context"
+	"time"
+
 	"github.com/spf13/cobra"
 
 	"github.com/hickoryhead/hickoryhead/command"
@@ -10,6 +13,35 @@
 	"github.com/hickoryhead/hickoryhead/platform"
 )
 
+// logFlush bounds the time at the end in which the last log lines are written.
+const logFlush = 200 * time.Millisecond
+
+// logLines writes a daemon's log.
+type logLines struct {
+	async *logging.Async
+	done  chan struct{}
+}
+
+func (lines *logLines) start() context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	go lines.run(ctx)
+	return cancel
+}
+
+func (lines *logLines) run(ctx context.Context) {
+	defer close(lines.done)
+	lines.async.Run(ctx)
+}
+
+// finish waits a short while for the lines that are not written yet.
+func (lines *logLines) finish(cancel context.CancelFunc) {
+	cancel()
+	select {
+	case <-lines.done:
+	case <-time.After(logFlush):
+	}
+}
+
 // newEntry returns the command that runs a router of an entry VM, which logs to
 // its standard output.
 func newEntry() *cobra.Command {
@@ -26,10 +58,12 @@
 			if err != nil {
 				return err
 			}
-			logger, err := flags.logger(cmd.OutOrStdout())
+			lines := &logLines{async: logging.NewAsync(cmd.OutOrStdout()), done: make(chan struct{})}
+			logger, err := flags.logger(lines.async)
 			if err != nil {
 				return err
 			}
+			defer lines.finish(lines.start())
 			ctx, stop := untilStopped(cmd.Context())
 			defer stop()
 			daemon := &entry.Daemon{
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 )
 
 const (
@@ -48,7 +49,7 @@
 	directory *directory.Directory
 	server    *peer.Server
 	links     *peer.Links
-	store     *platform.Settings
+	store     *settingstable.Store
 	settings  *peer.Replicator
 	peerAt    net.Listener
 }
@@ -77,7 +78,7 @@
 	base.platform = platform.New(loaded.Platform, base.stored)
 	base.server = &peer.Server{Identity: identity, Traffic: base.peered, Metrics: set, Logger: logger}
 	base.links = &peer.Links{Identity: identity, Traffic: base.peered, Metrics: set}
-	base.store = &platform.Settings{Client: base.platform}
+	base.store = &settingstable.Store{Client: base.platform}
 	base.settings = &peer.Replicator{
 		Call:     base.links.Call,
 		Heads:    base.store.Heads,
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -145,8 +146,8 @@
 
 // seed stores the team's settings at the platform.
 func (fleet *fleet) seed(ctx context.Context) error {
-	store := platform.Settings{Client: platform.New(fleet.platformAt, nil)}
-	row := platform.Team{CredentialSHA256: []string{platform.HashCredential(teamToken)}}
+	store := settingstable.Store{Client: platform.New(fleet.platformAt, nil)}
+	row := settingstable.Team{CredentialSHA256: []string{settingstable.HashCredential(teamToken)}}
 	if err := store.PutTeam(ctx, team, row); err != nil {
 		return err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
@@ -52,6 +53,8 @@
 	// collector works harder.
 	memoryShare = 0.7
 	megabyte    = 1 << 20
+	// linesPerSecond bounds the log lines of requests served at first offer.
+	linesPerSecond = 50
 )
 
 // Daemon is a router on an entry VM. Its fields are set before Run.
@@ -108,6 +111,11 @@
 	go reloader.run(working)
 	<-ctx.Done()
 	daemon.leave(servers[0])
+	for _, server := range servers[1:] {
+		if err := server.server.Close(); err != nil {
+			daemon.Logger.Warn("Listener not closed.", "Error", err)
+		}
+	}
 	return nil
 }
 
@@ -132,6 +140,7 @@
 		Routers:     func() int { return daemon.loads.Routers() + 1 },
 		Metrics:     set,
 		Logger:      logging.Part(daemon.Logger, "forward"),
+		Lines:       rate.NewLimiter(linesPerSecond, linesPerSecond),
 	}
 	daemon.tune()
 	daemon.beliefs = &follow.Beliefs{
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 )
 
 // What every fleet serves.
@@ -134,8 +135,8 @@
 	fleet.T.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
-	store := platform.Settings{Client: fleet.Platform}
-	row := platform.Team{CredentialSHA256: []string{platform.HashCredential(Token)}}
+	store := settingstable.Store{Client: fleet.Platform}
+	row := settingstable.Team{CredentialSHA256: []string{settingstable.HashCredential(Token)}}
 	if err := store.PutTeam(ctx, Team, row); err != nil {
 		fleet.T.Fatalf("team: %v", err)
 	}
--- a/follow/table.go
+++ b/follow/table.go
@@ -61,7 +61,9 @@
 			sleep(ctx, dueStep)
 			continue
 		}
+		began := time.Now()
 		err := table.step(ctx)
+		table.Metrics.StoreCalled(string(table.Name), time.Since(began))
 		if ctx.Err() != nil {
 			return
 		}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -87,7 +87,9 @@
 	for _, key := range x.choiceRequest().Keys {
 		x.handler.Holders.Served(time.Now(), balance.Served{Key: key, Upstream: upstream.ID})
 	}
+	sentAt := time.Now()
 	code := x.converse(a, left, lastEvent)
+	x.handler.Metrics.Attempted(time.Since(sentAt))
 	if code != result.OK {
 		x.judgeFailure(upstream, code)
 		a.drop()
@@ -203,7 +205,7 @@
 			return x.readUntilDeadline(a)
 		}
 		x.handler.judge(a.upstream, health.Silent)
-		if x.mayMoveOn() {
+		if x.moveOn() {
 			x.cause = "no answer within " + silence.String()
 			return result.OutcomeUnknown
 		}
@@ -219,9 +221,19 @@
 	return x.readUntilDeadline(a)
 }
 
-// mayMoveOn reports whether a silent request may be sent to another upstream.
-func (x *exchange) mayMoveOn() bool {
-	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts
+// moveOn reports whether a request with a silent upstream goes to another one
+// instead, and takes the repetition from the budget. Without another upstream
+// the answer that may still come is all there is.
+func (x *exchange) moveOn() bool {
+	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
+		return false
+	}
+	other, found := x.handler.choose(x.handler.Registry.Pool(x.service), x.choiceRequest())
+	if !found || other.Reason == balance.Distrusted || !x.handler.spendRetry(time.Now(), x.service) {
+		return false
+	}
+	x.paid = true
+	return true
 }
 
 func (x *exchange) readUntilDeadline(a *answer) result.Code {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -49,8 +49,10 @@
 
 	// tried are the upstreams that the request was offered to, and runs counts
 	// those that may have run it.
-	tried  []ident.UpstreamID
-	runs   int
+	tried []ident.UpstreamID
+	runs  int
+	// paid says that the next repetition is taken from the budget already.
+	paid   bool
 	choice balance.Choice
 	// started says that the head of an answer was given to the caller.
 	started bool
@@ -82,12 +84,12 @@
 		x.writer.Header().Set("Connection", "close")
 		return result.AmbiguousFraming
 	}
+	head, err := platform.DecodeRequest(x.request.Header)
+	x.head = head
 	x.table = x.handler.Routes.Table()
 	if x.table == nil {
 		return result.NotReady
 	}
-	head, err := platform.DecodeRequest(x.request.Header)
-	x.head = head
 	if err != nil {
 		x.cause = err.Error()
 		return result.InvalidHeader
@@ -256,6 +258,10 @@
 		// Nothing arrived anywhere, so nothing is repeated.
 		return true
 	}
+	if x.paid {
+		x.paid = false
+		return true
+	}
 	if !x.handler.spendRetry(now, x.service) {
 		x.handler.Metrics.Happened("retry.budget.spent")
 		return false
@@ -291,14 +297,18 @@
 // finish logs the request and breaks off its connection if its answer is not
 // whole.
 func (x *exchange) finish() {
-	level := slog.LevelInfo
-	if x.code != result.OK {
-		level = slog.LevelWarn
+	x.handler.Metrics.Answered(x.code.Outcome())
+	if x.route != nil {
+		x.handler.Metrics.Finished(x.route.Kind.String(), time.Since(x.arrived))
 	}
-	if x.handler.Logger.Enabled(context.Background(), level) {
-		x.log(level)
+	switch {
+	case x.code != result.OK || len(x.tried) > 1:
+		x.log(slog.LevelWarn)
+	case x.handler.Lines.Allow():
+		x.log(slog.LevelInfo)
+	default:
+		x.handler.Metrics.Happened("log.request.omitted")
 	}
-	x.handler.Metrics.Answered(x.code.Outcome())
 	if x.aborted {
 		panic(http.ErrAbortHandler)
 	}
@@ -317,13 +327,17 @@
 	if x.route != nil {
 		attributes = append(attributes, slog.String("Route", string(x.route.Name)))
 	}
+	if x.workspace != nil {
+		attributes = append(attributes, slog.String("Workspace", string(x.workspace.ID)))
+	}
 	if len(x.tried) > 0 {
 		attributes = append(attributes,
 			slog.String("Upstream", string(x.choice.Upstream.ID)),
 			slog.String("Reason", string(x.choice.Reason)),
 			slog.Int("Load", x.choice.Load),
 			slog.Float64("MeanLoad", x.choice.Mean),
-			slog.Int("Tried", len(x.tried)))
+			slog.Int("Tried", len(x.tried)),
+			slog.Bool("Started", x.started))
 	}
 	if x.cause != "" {
 		attributes = append(attributes, slog.String("Cause", x.cause))
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,509 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+// front is a router's front on loopback.
+type front struct {
+	address string
+	handler *forward.Handler
+	client  *http.Client
+}
+
+// routes of the tests: their prefixes say what they are.
+func testConfig() routing.Config {
+	shares := []routing.Share{{Service: "pool", Weight: 1}}
+	return routing.Config{
+		Version: 7,
+		Routes: []routing.Route{
+			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2000, MaxAttempts: 1, Shares: shares},
+			{Name: "again", Host: "a.example", Prefix: "/again/", Kind: routing.Idempotent, Timeout: 2000, MaxAttempts: 2, Shares: shares},
+			{Name: "stream", Host: "a.example", Prefix: "/stream/", Kind: routing.Stream, Timeout: 2000, MaxAttempts: 1, Sticky: true, Shares: shares},
+			{Name: "resume", Host: "a.example", Prefix: "/resume/", Kind: routing.Stream, Resumable: true, Timeout: 2000, MaxAttempts: 2, Sticky: true, Shares: shares},
+			{Name: "public", Host: "a.example", Prefix: "/public/", Kind: routing.Idempotent, Timeout: 2000, MaxAttempts: 1, Public: true, Shares: shares},
+		},
+		Services:   []routing.Service{{Name: "pool", MaxConnections: 100}},
+		Workspaces: []routing.Workspace{{ID: "grocer", Keys: []string{"key-1"}}},
+		Limits:     routing.Limits{HeaderBytes: 2000, BodyBytes: 1000},
+	}
+}
+
+func startFront(t *testing.T, upstreams ...*fakeUpstream) *front {
+	t.Helper()
+	var listed []registry.Upstream
+	for i, upstream := range upstreams {
+		listed = append(listed, registry.Upstream{ID: ident.UpstreamID(fmt.Sprintf("i-%d", i)), Service: "pool", Address: upstream.address()})
+	}
+	known := new(registry.Registry)
+	known.Replace(time.Now(), 1, listed)
+	holders, loads, tracker := new(balance.Holders), new(balance.Loads), new(health.Tracker)
+	handler := &forward.Handler{
+		Routes:      new(routing.Holder),
+		Registry:    known,
+		Loads:       loads,
+		Holders:     holders,
+		Health:      tracker,
+		Connections: &forward.Connections{Dial: forward.Dialer().DialContext},
+		Routers:     func() int { return 1 },
+		Logger:      logging.Part(nil, "forward"),
+		Lines:       rate.NewLimiter(rate.Inf, 0),
+	}
+	handler.Tune(forward.Tuning{
+		Chooser:    &balance.Chooser{Loads: loads, Holders: holders, Ejected: tracker.Ejected, Multiple: 2, Slack: 1},
+		RetryShare: 0.2,
+		RetrySlack: 50,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ErrorLog: nil}
+	serving := &servedFront{server: server, listener: forward.Listener{Listener: listener}}
+	go serving.run()
+	t.Cleanup(func() { _ = server.Close() })
+	return &front{address: listener.Addr().String(), handler: handler, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+}
+
+type servedFront struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (front *servedFront) run() { _ = front.server.Serve(front.listener) }
+
+// startRouter starts a front whose configuration is in force.
+func startRouter(t *testing.T, upstreams ...*fakeUpstream) *front {
+	t.Helper()
+	front := startFront(t, upstreams...)
+	front.handler.Routes.Adopt(routing.New(testConfig()))
+	return front
+}
+
+// outcome is what a caller got.
+type outcome struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (front *front) send(t *testing.T, attempt, method, path, body string, header ...string) outcome {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+front.address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "a.example"
+	request.Header.Set("Hickoryhead-Attempt-Id", attempt)
+	request.Header.Set("Hickoryhead-Deadline-Ms", "1500")
+	request.Header.Set("Authorization", "Token key-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := front.client.Do(request)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return outcome{status: response.StatusCode, header: response.Header, body: string(read), err: err}
+}
+
+func (got outcome) check(t *testing.T, status int, body string) {
+	t.Helper()
+	if got.err != nil || got.status != status || body != "" && got.body != body {
+		t.Errorf("got status %d, body %q and error %v, want status %d and body %q", got.status, got.body, got.err, status, body)
+	}
+}
+
+// echo answers each request whole.
+func echo(_ context.Context, conn net.Conn, _ int, request received) bool {
+	write(conn, whole(request.header.Get("Hickoryhead-Attempt-Id"), "answer to "+request.header.Get("Hickoryhead-Attempt-Id")))
+	return true
+}
+
+func TestRequestIsForwardedUnchanged(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	front := startRouter(t, upstream)
+	front.send(t, "a1", "PUT", "/once/x%2Fy/../z?q=1&q=%20", "body", "X-Other", "kept").check(t, 200, "answer to a1")
+	got := upstream.seen()[0]
+	if got.method != "PUT" || got.target != "/once/x%2Fy/../z?q=1&q=%20" || got.body != "body" || got.header.Get("X-Other") != "kept" {
+		t.Errorf("got %+v, want the request as it was sent", got)
+	}
+}
+
+// TestForgedHeaders sends what only routers may set.
+func TestForgedHeaders(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	front := startRouter(t, upstream)
+	forged := []string{"Hickoryhead-Hold", "Hickoryhead-Pin-Ms", "Hickoryhead-Kv-Backup", "Kv-From", "Kv-Fetch", "Hickoryhead-Request-Priority", "Hickoryhead-Expect-Version"}
+	header := []string{"Hickoryhead-Tenant", "somebody", "Hickoryhead-Expect-Instance", "i-9", "Connection", "X-Hop, Hickoryhead-Attempt-Id", "X-Hop", "1"}
+	for _, name := range forged {
+		header = append(header, name, "forged")
+	}
+	front.send(t, "a1", "POST", "/once/", "", header...).check(t, 200, "answer to a1")
+	got := upstream.seen()[0].header
+	for _, name := range append(forged, "Authorization", "X-Hop") {
+		if value := got.Get(name); value != "" {
+			t.Errorf("got header %s %q at the upstream, want none", name, value)
+		}
+	}
+	if tenant, expected := got.Get("Hickoryhead-Tenant"), got.Get("Hickoryhead-Expect-Instance"); tenant != "grocer" || expected != "i-0" {
+		t.Errorf("got tenant %q and instance %q, want grocer and i-0", tenant, expected)
+	}
+}
+
+func TestRefusedInput(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	front := startRouter(t, upstream)
+	tests := []struct {
+		name   string
+		path   string
+		body   string
+		header []string
+		want   int
+	}{
+		{"unknown route", "/other/", "", nil, 404},
+		{"prefix without its slash", "/once", "", nil, 404},
+		{"unknown key", "/once/", "", []string{"Authorization", "Token nobody"}, 401},
+		{"no key", "/once/", "", []string{"Authorization", ""}, 401},
+		{"long head", "/once/", "", []string{"X-Long", strings.Repeat("x", 2000)}, 431},
+		{"long body", "/once/", strings.Repeat("x", 1001), nil, 413},
+		{"bad deadline", "/once/", "", []string{"Hickoryhead-Deadline-Ms", "soon"}, 400},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			front.send(t, "a1", "POST", test.path, test.body, test.header...).check(t, test.want, "")
+		})
+	}
+	if got := len(upstream.seen()); got != 0 {
+		t.Errorf("got %d requests at the upstream, want none", got)
+	}
+	front.send(t, "a2", "GET", "/public/", "", "Authorization", "").check(t, 200, "answer to a2")
+}
+
+func TestNothingIsForwardedWithoutAConfiguration(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	got := startFront(t, upstream).send(t, "a1", "GET", "/again/", "")
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("got status %d and Retry-After %q, want 503 and a time", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// TestSmuggledRequest sends requests with two ends and one hidden behind the
+// first end.
+func TestSmuggledRequest(t *testing.T) {
+	const hidden = "POST /once/hidden HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\nContent-Length: 0\r\n\r\n"
+	heads := []string{
+		fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", len(hidden)+5),
+		"Content-Length: 0\r\nContent-Length: 5\r\n\r\n",
+		"Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n",
+	}
+	for _, head := range heads {
+		upstream := startUpstream(t, echo)
+		front := startRouter(t, upstream)
+		conn, err := net.Dial("tcp", front.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(conn, "POST /once/ HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a1\r\nAuthorization: Token key-1\r\n"+head+hidden)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode < 400 {
+			t.Errorf("got %v and %v for %q, want a refusal", response, err, head)
+		}
+		_ = conn.Close()
+		if got := upstream.seen(); len(got) != 0 {
+			t.Errorf("got %+v at the upstream for %q, want nothing", got, head)
+		}
+	}
+}
+
+// TestStrayAnswers has a kept connection deliver what belongs to an earlier
+// request, before the next one is sent and after.
+func TestStrayAnswers(t *testing.T) {
+	extraFirst := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		id := request.header.Get("Hickoryhead-Attempt-Id")
+		write(conn, whole("earlier", "not yours")+whole(id, "yours"))
+		return true
+	})
+	front := startRouter(t, extraFirst)
+	front.send(t, "a1", "POST", "/once/", "").check(t, 200, "yours")
+
+	extraBehind := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		id := request.header.Get("Hickoryhead-Attempt-Id")
+		write(conn, whole(id, "answer to "+id)+whole(id, "once more"))
+		return true
+	})
+	front = startRouter(t, extraBehind)
+	for _, id := range []string{"b1", "b2", "b3"} {
+		front.send(t, id, "POST", "/once/", "").check(t, 200, "answer to "+id)
+	}
+}
+
+// TestLateStrayRefusal has a refusal of an earlier request, which names none,
+// arrive where the answer of the next one is due: it proves nothing.
+func TestLateStrayRefusal(t *testing.T) {
+	upstream := startUpstream(t, func(_ context.Context, conn net.Conn, n int, request received) bool {
+		if n == 0 {
+			write(conn, whole(request.header.Get("Hickoryhead-Attempt-Id"), "first"))
+			return true
+		}
+		write(conn, "HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	front := startRouter(t, upstream)
+	front.send(t, "a1", "POST", "/once/", "").check(t, 200, "first")
+	front.send(t, "a2", "POST", "/once/", "").check(t, 502, "")
+}
+
+// TestOutcomes has one upstream fail in a given way and another one answer.
+func TestOutcomes(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const unproved = "HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
+	const failed = "HTTP/1.1 500 Internal Server Error\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nContent-Length: 4\r\n\r\nfail"
+	const other = "HTTP/1.1 421 Misdirected Request\r\nHickoryhead-Runner-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+	const unsigned = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nlies"
+	const half = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nContent-Length: 20\r\n\r\nhalf"
+	const unframed = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\n\r\nhalf"
+	tests := []struct {
+		name string
+		raw  string
+		// broken ends the connection by a reset.
+		broken              bool
+		wantOnce, wantAgain int
+	}{
+		{"not run", notRun, false, 200, 200},
+		{"another instance", other, false, 200, 200},
+		{"not run without proof", unproved, false, 502, 200},
+		{"failed", failed, false, 500, 200},
+		{"success without a signature", unsigned, false, 502, 200},
+		{"cut in the middle", half, false, 502, 200},
+		{"framed by close and reset", unframed, true, 502, 200},
+		{"no answer", "", true, 502, 200},
+		{"no HTTP", "garbage\r\n\r\n", false, 502, 200},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bad := func(_ context.Context, conn net.Conn, _ int, request received) bool {
+				raw := test.raw
+				if strings.Contains(raw, "%s") {
+					raw = fmt.Sprintf(raw, request.header.Get("Hickoryhead-Attempt-Id"))
+				}
+				write(conn, raw)
+				if test.broken {
+					time.Sleep(20 * time.Millisecond)
+					reset(conn)
+				}
+				return false
+			}
+			for path, want := range map[string]int{"/once/": test.wantOnce, "/again/": test.wantAgain} {
+				// Both upstreams fail at first, so that the order does not matter.
+				first := true
+				flaky := func(ctx context.Context, conn net.Conn, n int, request received) bool {
+					if first {
+						first = false
+						return bad(ctx, conn, n, request)
+					}
+					return echo(ctx, conn, n, request)
+				}
+				one, two := startUpstream(t, flaky), startUpstream(t, flaky)
+				front := startRouter(t, one, two)
+				got := front.send(t, "a1", "POST", path, "body")
+				got.check(t, want, "")
+				if runs := len(one.seen()) + len(two.seen()); want != 200 && runs != 1 {
+					t.Errorf("got %d sends of %s, want 1", runs, path)
+				}
+			}
+		})
+	}
+}
+
+// TestAnswerFramedByClose takes a clean end for a whole answer.
+func TestAnswerFramedByClose(t *testing.T) {
+	upstream := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: "+request.header.Get("Hickoryhead-Attempt-Id")+"\r\nHickoryhead-Response-Signature: s\r\n\r\nwhole")
+		return false
+	})
+	startRouter(t, upstream).send(t, "a1", "POST", "/once/", "").check(t, 200, "whole")
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+// TestCutStreams cuts a stream inside its third event.
+func TestCutStreams(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	upstream := func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		head := fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))
+		if request.header.Get("Last-Event-Id") == "2" {
+			write(conn, head+chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")
+			return true
+		}
+		write(conn, head+chunk(first+second)+chunk("id: 3\nda"))
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	front := startRouter(t, startUpstream(t, upstream), startUpstream(t, upstream))
+
+	got := front.send(t, "a1", "POST", "/stream/", "")
+	if got.err == nil || got.body != first+second {
+		t.Errorf("got body %q and error %v, want two events and an early end", got.body, got.err)
+	}
+	front.send(t, "a2", "POST", "/resume/", "").check(t, 200, first+second+"id: 3\ndata: c\n\n")
+}
+
+// TestEventsArePassedOnAtOnce has the upstream wait for its caller to have an
+// event before it sends the next one.
+func TestEventsArePassedOnAtOnce(t *testing.T) {
+	proceed := make(chan struct{})
+	upstream := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+		<-proceed
+		write(conn, chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n")
+		return true
+	})
+	front := startRouter(t, upstream)
+	request, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+front.address+"/stream/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "a.example"
+	request.Header.Set("Hickoryhead-Attempt-Id", "a1")
+	request.Header.Set("Authorization", "Token key-1")
+	response, err := front.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	event := make([]byte, len("id: 1\ndata: a\n\n"))
+	if _, err := io.ReadFull(response.Body, event); err != nil {
+		t.Fatalf("got %v, want the first event", err)
+	}
+	close(proceed)
+	rest, err := io.ReadAll(response.Body)
+	if err != nil || string(rest) != "id: 2\ndata: b\n\n" {
+		t.Errorf("got %q and %v, want the second event", rest, err)
+	}
+}
+
+// TestCallerThatLeaves ends the work at the upstream.
+func TestCallerThatLeaves(t *testing.T) {
+	for _, path := range []string{"/once/", "/stream/"} {
+		began, ended := make(chan struct{}), make(chan struct{})
+		upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, _ int, request received) bool {
+			if path == "/stream/" {
+				write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+			}
+			close(began)
+			<-ctx.Done()
+			close(ended)
+			return false
+		})
+		front := startRouter(t, upstream)
+		conn, err := net.Dial("tcp", front.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(conn, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a1\r\nAuthorization: Token key-1\r\nContent-Length: 4\r\n\r\nbody")
+		<-began
+		_ = conn.Close()
+		select {
+		case <-ended:
+		case <-time.After(500 * time.Millisecond):
+			t.Errorf("got no end of the work on %s within 500 ms of the caller's leave", path)
+		}
+	}
+}
+
+// TestDeadlineIsPassedOnShrunk checks what the second upstream is handed.
+func TestDeadlineIsPassedOnShrunk(t *testing.T) {
+	first := true
+	answer := func(ctx context.Context, conn net.Conn, n int, request received) bool {
+		if first {
+			first = false
+			time.Sleep(300 * time.Millisecond)
+			write(conn, "HTTP/1.1 503 Busy\r\nHickoryhead-Attempt-Id: a1\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return echo(ctx, conn, n, request)
+	}
+	one, two := startUpstream(t, answer), startUpstream(t, answer)
+	startRouter(t, one, two).send(t, "a1", "POST", "/once/", "").check(t, 200, "")
+	var waits []string
+	for _, request := range append(one.seen(), two.seen()...) {
+		waits = append(waits, request.header.Get("Hickoryhead-Deadline-Ms"))
+	}
+	for _, wait := range waits {
+		var milliseconds int
+		if _, err := fmt.Sscan(wait, &milliseconds); err != nil || milliseconds > 1500 || milliseconds < 900 {
+			t.Errorf("got deadline %q, want at most 1500 and what is left", wait)
+		}
+	}
+	if len(waits) != 2 || waits[0] == waits[1] {
+		t.Errorf("got deadlines %v, want two that differ", waits)
+	}
+}
+
+// TestSilentUpstream has the only upstream, or one of two, answer after far more
+// than the target of the route: the request waits for it where no other one
+// could take it, and goes to the other one else.
+func TestSilentUpstream(t *testing.T) {
+	slow := func(ctx context.Context, conn net.Conn, n int, request received) bool {
+		if n == 0 {
+			select {
+			case <-ctx.Done():
+				return false
+			case <-time.After(800 * time.Millisecond):
+			}
+		}
+		return echo(ctx, conn, n, request)
+	}
+	only := startUpstream(t, slow)
+	startRouter(t, only).send(t, "a1", "GET", "/again/", "").check(t, 200, "answer to a1")
+	if got := len(only.seen()); got != 1 {
+		t.Errorf("got %d sends to the only upstream, want 1", got)
+	}
+	one, two := startUpstream(t, slow), startUpstream(t, echo)
+	front := startRouter(t, one, two)
+	for range 4 {
+		began := time.Now()
+		front.send(t, "a2", "GET", "/again/", "").check(t, 200, "answer to a2")
+		if took := time.Since(began); took > 700*time.Millisecond {
+			t.Errorf("got an answer after %v beside another upstream, want it from that one", took)
+		}
+	}
+}
+
+// TestSilentUpstreamAtTheTimeout answers at the route's timeout.
+func TestSilentUpstreamAtTheTimeout(t *testing.T) {
+	upstream := startUpstream(t, func(ctx context.Context, _ net.Conn, _ int, _ received) bool {
+		<-ctx.Done()
+		return false
+	})
+	front := startRouter(t, upstream)
+	began := time.Now()
+	front.send(t, "a1", "POST", "/once/", "", "Hickoryhead-Deadline-Ms", "60000").check(t, 504, "")
+	if took := time.Since(began); took < 1900*time.Millisecond || took > 2400*time.Millisecond {
+		t.Errorf("got an answer after %v, want it at the route's timeout of 2 s", took)
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -34,6 +36,9 @@
 	Routers func() int
 	Metrics *metrics.Set
 	Logger  *slog.Logger
+	// Lines bounds the log lines of requests that were served at their first
+	// offer. All others are logged.
+	Lines *rate.Limiter
 
 	tuning atomic.Pointer[Tuning]
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -112,6 +112,7 @@
 func (x *exchange) start(status int) {
 	x.started = true
 	x.status = status
+	x.handler.Metrics.FirstByte(x.route.Kind.String(), time.Since(x.arrived))
 	x.writer.WriteHeader(status)
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -243,7 +243,7 @@
 			receiver.gossip.Logger.Info("No more messages are read.", "Error", err)
 			return
 		}
-		message, err := decode(slices.Clone(buffer[:count]))
+		message, err := Decode(slices.Clone(buffer[:count]))
 		if err != nil {
 			receiver.gossip.Metrics.Happened("gossip.malformed")
 			continue
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -52,7 +52,8 @@
 	return datagram, nil
 }
 
-func decode(datagram []byte) (Message, error) {
+// Decode returns the message in a datagram, or why it is none.
+func Decode(datagram []byte) (Message, error) {
 	var message Message
 	if err := msgpack.Unmarshal(datagram, &message); err != nil {
 		return Message{}, err
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,6 +52,11 @@
 	control  metric.Int64Counter
 	answers  metric.Int64Counter
 	events   metric.Int64Counter
+
+	firstByte metric.Float64Histogram
+	whole     metric.Float64Histogram
+	upstream  metric.Float64Histogram
+	store     metric.Float64Histogram
 }
 
 // New returns the instruments of a daemon in role, such as "router".
@@ -85,9 +91,62 @@
 		}
 		*declared.counter = counter
 	}
+	return set.declareHistograms()
+}
+
+// latencyBounds are the upper bounds of the latency histograms, in seconds.
+var latencyBounds = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16}
+
+func (set *Set) declareHistograms() error {
+	histograms := []struct {
+		histogram   *metric.Float64Histogram
+		name        string
+		description string
+	}{
+		{&set.firstByte, "hickoryhead.first.byte.seconds", "Time from a request's arrival to the first byte of its answer, by kind of route."},
+		{&set.whole, "hickoryhead.request.seconds", "Time from a request's arrival to the end of its answer, by kind of route."},
+		{&set.upstream, "hickoryhead.attempt.seconds", "Time from the sending of a request to an upstream to the head of its answer."},
+		{&set.store, "hickoryhead.store.seconds", "Time of a call to the platform's store, by table."},
+	}
+	for _, declared := range histograms {
+		histogram, err := set.meter.Float64Histogram(declared.name,
+			metric.WithDescription(declared.description), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			return errors.Wrapf(err, "metric %s", declared.name)
+		}
+		*declared.histogram = histogram
+	}
 	return nil
 }
 
+// FirstByte takes in the time to the first byte of an answer on a route of kind.
+func (set *Set) FirstByte(kind string, taken time.Duration) {
+	if set != nil {
+		set.firstByte.Record(context.Background(), taken.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+	}
+}
+
+// Finished takes in the time to the end of an answer on a route of kind.
+func (set *Set) Finished(kind string, taken time.Duration) {
+	if set != nil {
+		set.whole.Record(context.Background(), taken.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+	}
+}
+
+// Attempted takes in the time to the head of an upstream's answer.
+func (set *Set) Attempted(taken time.Duration) {
+	if set != nil {
+		set.upstream.Record(context.Background(), taken.Seconds())
+	}
+}
+
+// StoreCalled takes in the time of a call to the store about table.
+func (set *Set) StoreCalled(table string, taken time.Duration) {
+	if set != nil {
+		set.store.Record(context.Background(), taken.Seconds(), metric.WithAttributes(attribute.String("table", table)))
+	}
+}
+
 // Handler serves the instruments in the Prometheus text format.
 func (set *Set) Handler() http.Handler {
 	if set == nil {
--- a/operator/answer.go
+++ b/operator/answer.go
@@ -15,9 +15,9 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 )
 
 // retryAfter is the mean time after which an operator may come back when the
@@ -73,7 +73,7 @@
 	return true
 }
 
-func (operator *Operator) credentials(ctx context.Context, team ident.TeamID, write bool) (platform.Team, error) {
+func (operator *Operator) credentials(ctx context.Context, team ident.TeamID, write bool) (settingstable.Team, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	found, err := operator.Team(ctx, team)
@@ -82,7 +82,7 @@
 	if err != nil {
 		known, remembered := operator.teams[team]
 		if write || !remembered {
-			return platform.Team{}, err
+			return settingstable.Team{}, err
 		}
 		return known, nil
 	}
@@ -91,7 +91,7 @@
 		return found, nil
 	}
 	if operator.teams == nil {
-		operator.teams = make(map[ident.TeamID]platform.Team)
+		operator.teams = make(map[ident.TeamID]settingstable.Team)
 	}
 	operator.teams[team] = found
 	return found, nil
--- a/operator/change.go
+++ b/operator/change.go
@@ -9,9 +9,9 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 )
 
 // put sets one setting.
@@ -151,7 +151,7 @@
 }
 
 // inForce announces what was accepted, and now and then stores a snapshot.
-func (operator *Operator) inForce(accepted platform.Accepted) {
+func (operator *Operator) inForce(accepted settingstable.Accepted) {
 	if accepted.Repeated {
 		operator.Metrics.Happened(eventRepeated)
 	} else {
@@ -168,14 +168,14 @@
 
 // keepUp starts what is due at the revision of an accepted subtree.
 func (operator *Operator) keepUp(subtree *settings.Subtree) {
-	if operator.Snapshot != nil && subtree.Revision%platform.SnapshotEvery == 0 {
+	if operator.Snapshot != nil && subtree.Revision%settingstable.SnapshotEvery == 0 {
 		view := operator.View()
 		snapshot := &upkeep{operator: operator, name: "snapshot", event: eventSnapshot, act: func(ctx context.Context) error {
 			return operator.Snapshot(ctx, view)
 		}}
 		go snapshot.run()
 	}
-	if operator.Archive != nil && subtree.Revision%platform.ArchiveEvery == 0 {
+	if operator.Archive != nil && subtree.Revision%settingstable.ArchiveEvery == 0 {
 		archive := &upkeep{operator: operator, name: "archive", event: eventArchive, act: func(ctx context.Context) error {
 			return operator.Archive(ctx, subtree.Team, subtree.Revision)
 		}}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -13,8 +13,8 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
-	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/settingstable"
 )
 
 const (
@@ -46,16 +46,16 @@
 	View func() *settings.View
 	// Accepted puts an accepted subtree in force and announces it.
 	Accepted func(subtree *settings.Subtree)
-	// Accept commits a change, as platform.Settings.Accept does.
-	Accept func(ctx context.Context, change settings.Change) (platform.Accepted, error)
+	// Accept commits a change, as settingstable.Store.Accept does.
+	Accept func(ctx context.Context, change settings.Change) (settingstable.Accepted, error)
 	// Find looks for a change that may have been accepted, as
-	// platform.Settings.Find does.
-	Find func(ctx context.Context, change settings.Change) (platform.Accepted, bool, error)
-	// Load, History, Entry and Team read the store, as platform.Settings does.
+	// settingstable.Store.Find does.
+	Find func(ctx context.Context, change settings.Change) (settingstable.Accepted, bool, error)
+	// Load, History, Entry and Team read the store, as settingstable.Store does.
 	Load    func(ctx context.Context, teams ...ident.TeamID) ([]*settings.Subtree, error)
 	History func(ctx context.Context, team ident.TeamID, after ident.Revision, limit int) ([]settings.Entry, error)
 	Entry   func(ctx context.Context, team ident.TeamID, revision ident.Revision) (settings.Entry, error)
-	Team    func(ctx context.Context, team ident.TeamID) (platform.Team, error)
+	Team    func(ctx context.Context, team ident.TeamID) (settingstable.Team, error)
 	// Snapshot stores the settings of a view; nil stores none.
 	Snapshot func(ctx context.Context, view *settings.View) error
 	// Archive moves the old history of a team out of the table; nil moves none.
@@ -67,7 +67,7 @@
 
 	mu sync.Mutex
 	// teams holds the credentials read last, for reads during an outage.
-	teams map[ident.TeamID]platform.Team
+	teams map[ident.TeamID]settingstable.Team
 }
 
 // New returns the HTTP handler of operator. It serves paths under /v1/settings.
--- a/platform/archive.go
+++ b/settingstable/archive.go
@@ -1,4 +1,4 @@
-package platform
+package settingstable
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
 )
@@ -31,9 +32,9 @@
 // historyKept revisions from the table to the object store, block by block, with
 // the change IDs of it. A change ID is resolved only as long as its revision
 // stands in the table. It may run at several daemons at once.
-func (store *Settings) Archive(ctx context.Context, team ident.TeamID, latest ident.Revision) error {
+func (store *Store) Archive(ctx context.Context, team ident.TeamID, latest ident.Revision) error {
 	for {
-		rows, err := store.Client.Scan(ctx, historyPrefix+Key(team)+"/", "", ArchiveEvery)
+		rows, err := store.Client.Scan(ctx, historyPrefix+platform.Key(team)+"/", "", ArchiveEvery)
 		if err != nil {
 			return storeError(err)
 		}
@@ -56,12 +57,12 @@
 
 // archiveBlock stores the block that ends at end before it deletes its rows.
 // What another daemon had stored of it is kept.
-func (store *Settings) archiveBlock(ctx context.Context, team ident.TeamID, end ident.Revision, rows []Row) error {
+func (store *Store) archiveBlock(ctx context.Context, team ident.TeamID, end ident.Revision, rows []platform.Row) error {
 	block, err := store.readBlock(ctx, team, end)
 	if err != nil {
 		return err
 	}
-	var deletes []Write
+	var deletes []platform.Write
 	for _, row := range rows {
 		entry, err := decodeRow[settings.Entry](row)
 		if err != nil {
@@ -71,8 +72,8 @@
 			break
 		}
 		block.add(entry)
-		change := changePrefix + Key(team) + "/" + Key(entry.ChangeID)
-		deletes = append(deletes, Write{Key: row.Key, Delete: true}, Write{Key: change, Delete: true})
+		change := changePrefix + platform.Key(team) + "/" + platform.Key(entry.ChangeID)
+		deletes = append(deletes, platform.Write{Key: row.Key, Delete: true}, platform.Write{Key: change, Delete: true})
 	}
 	body, err := json.Marshal(block)
 	if err != nil {
@@ -95,11 +96,11 @@
 	block.Entries = append(block.Entries, entry)
 }
 
-func (store *Settings) deleteRows(ctx context.Context, deletes []Write) error {
+func (store *Store) deleteRows(ctx context.Context, deletes []platform.Write) error {
 	for len(deletes) > 0 {
 		count := min(deletesPerCommit, len(deletes))
 		// A lost answer needs no resolving: the next run deletes what is left.
-		if _, err := store.Client.Commit(ctx, Transaction{Writes: deletes[:count]}); err != nil {
+		if _, err := store.Client.Commit(ctx, platform.Transaction{Writes: deletes[:count]}); err != nil {
 			return storeError(err)
 		}
 		deletes = deletes[count:]
@@ -109,7 +110,7 @@
 
 // archived returns at most limit archived entries with revisions after after
 // and up to last, oldest first.
-func (store *Settings) archived(ctx context.Context, team ident.TeamID, after, last ident.Revision, limit int) ([]settings.Entry, error) {
+func (store *Store) archived(ctx context.Context, team ident.TeamID, after, last ident.Revision, limit int) ([]settings.Entry, error) {
 	var entries []settings.Entry
 	for end := blockEnd(after + 1); end < last+ArchiveEvery && len(entries) < limit; end += ArchiveEvery {
 		block, err := store.readBlock(ctx, team, end)
@@ -127,9 +128,9 @@
 
 // readBlock returns the archived block that ends at end, empty where there is
 // none.
-func (store *Settings) readBlock(ctx context.Context, team ident.TeamID, end ident.Revision) (archivedBlock, error) {
+func (store *Store) readBlock(ctx context.Context, team ident.TeamID, end ident.Revision) (archivedBlock, error) {
 	body, err := store.Client.GetObject(ctx, blockName(team, end))
-	if errors.Is(err, ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) {
 		return archivedBlock{}, nil
 	}
 	if err != nil {
--- a/platform/main_test.go
+++ b/settingstable/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package settingstable_test
 
 import (
 	"testing"
--- a/platform/settings.go
+++ b/settingstable/settings.go
@@ -1,4 +1,4 @@
-package platform
+package settingstable
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
 )
@@ -18,11 +19,11 @@
 // The rows of the settings. A subtree is one row; its head is a small row with
 // its revision alone, so that a poll reads little.
 const (
-	subtreePrefix Key = "settings/subtrees/"
-	headPrefix    Key = "settings/heads/"
-	historyPrefix Key = "settings/history/"
-	changePrefix  Key = "settings/changes/"
-	teamPrefix    Key = "teams/"
+	subtreePrefix platform.Key = "settings/subtrees/"
+	headPrefix    platform.Key = "settings/heads/"
+	historyPrefix platform.Key = "settings/history/"
+	changePrefix  platform.Key = "settings/changes/"
+	teamPrefix    platform.Key = "teams/"
 )
 
 const (
@@ -33,10 +34,10 @@
 	lastCommitRetry  = time.Second
 )
 
-// Settings keeps the settings of all teams in the platform's table. Its errors
+// Store keeps the settings of all teams in the platform's table. Its errors
 // are result.Errors with code PlatformUnavailable where the platform failed.
-type Settings struct {
-	Client *Client
+type Store struct {
+	Client *platform.Client
 	// Now tells the time for the history; nil means time.Now.
 	Now func() time.Time
 }
@@ -69,7 +70,7 @@
 // result.Error with code CommitUnknown if an answer was lost and
 // PlatformUnavailable if nothing can have been accepted. Other codes are those
 // of settings.Apply, and KeyReused for an ID that belongs to another change.
-func (store *Settings) Accept(ctx context.Context, change settings.Change) (Accepted, error) {
+func (store *Store) Accept(ctx context.Context, change settings.Change) (Accepted, error) {
 	commit := &settingsCommit{store: store, change: change}
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = firstCommitRetry
@@ -89,7 +90,7 @@
 
 // settingsCommit is one change on its way into the table.
 type settingsCommit struct {
-	store  *Settings
+	store  *Store
 	change settings.Change
 	// lost says that an answer to a commit was lost.
 	lost bool
@@ -133,15 +134,15 @@
 	return commit.send(ctx, transaction, next)
 }
 
-func (commit *settingsCommit) send(ctx context.Context, transaction Transaction, next *settings.Subtree) (Accepted, error) {
+func (commit *settingsCommit) send(ctx context.Context, transaction platform.Transaction, next *settings.Subtree) (Accepted, error) {
 	_, err := commit.store.Client.Commit(ctx, transaction)
-	var conflict *ConflictError
+	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
 		return Accepted{Subtree: next, Revision: next.Revision}, nil
 	case errors.As(err, &conflict):
 		return Accepted{}, errMoved
-	case !errors.Is(err, ErrUnavailable):
+	case !errors.Is(err, platform.ErrUnavailable):
 		commit.lost = true
 	}
 	return Accepted{}, err
@@ -161,7 +162,7 @@
 	return Accepted{}, refusal
 }
 
-func (commit *settingsCommit) repeated(row Row, present *settings.Subtree) (Accepted, error) {
+func (commit *settingsCommit) repeated(row platform.Row, present *settings.Subtree) (Accepted, error) {
 	var record changeRecord
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		return Accepted{}, result.Errorf(result.PlatformUnavailable, "row %s: %v", row.Key, err)
@@ -176,7 +177,7 @@
 	return accepted, nil
 }
 
-func (commit *settingsCommit) transaction(present, next *settings.Subtree, revision ident.Revision) (Transaction, error) {
+func (commit *settingsCommit) transaction(present, next *settings.Subtree, revision ident.Revision) (platform.Transaction, error) {
 	entry := settings.Entry{
 		Team:        next.Team,
 		Revision:    next.Revision,
@@ -188,20 +189,20 @@
 	}
 	var writes writeList
 	writes.add(subtreeKey(next.Team), next)
-	writes.add(headPrefix+Key(next.Team), head{Revision: next.Revision})
+	writes.add(headPrefix+platform.Key(next.Team), head{Revision: next.Revision})
 	writes.add(historyKey(next.Team, next.Revision), entry)
 	writes.add(commit.changeKey(), changeRecord{Revision: next.Revision, Digest: commit.change.Digest()})
-	checks := []Check{{Key: subtreeKey(next.Team), Revision: revision}, {Key: commit.changeKey()}}
-	return Transaction{Checks: checks, Writes: writes.writes}, writes.err
+	checks := []platform.Check{{Key: subtreeKey(next.Team), Revision: revision}, {Key: commit.changeKey()}}
+	return platform.Transaction{Checks: checks, Writes: writes.writes}, writes.err
 }
 
-func (commit *settingsCommit) changeKey() Key {
-	return changePrefix + Key(commit.change.Team) + "/" + Key(commit.change.ID)
+func (commit *settingsCommit) changeKey() platform.Key {
+	return changePrefix + platform.Key(commit.change.Team) + "/" + platform.Key(commit.change.ID)
 }
 
 // Find returns the fate of a change that may have been accepted, and whether it
 // was. Its error is that of Accept.
-func (store *Settings) Find(ctx context.Context, change settings.Change) (Accepted, bool, error) {
+func (store *Store) Find(ctx context.Context, change settings.Change) (Accepted, bool, error) {
 	commit := &settingsCommit{store: store, change: change}
 	rows, err := store.Client.Read(ctx, subtreeKey(change.Team), commit.changeKey())
 	if err != nil {
@@ -220,7 +221,7 @@
 }
 
 // Heads returns the revision of each team.
-func (store *Settings) Heads(ctx context.Context) (map[ident.TeamID]ident.Revision, error) {
+func (store *Store) Heads(ctx context.Context) (map[ident.TeamID]ident.Revision, error) {
 	rows, err := store.scanAll(ctx, headPrefix)
 	if err != nil {
 		return nil, err
@@ -237,7 +238,7 @@
 }
 
 // Load returns the settings of teams, or of every team where none is named.
-func (store *Settings) Load(ctx context.Context, teams ...ident.TeamID) ([]*settings.Subtree, error) {
+func (store *Store) Load(ctx context.Context, teams ...ident.TeamID) ([]*settings.Subtree, error) {
 	rows, err := store.subtreeRows(ctx, teams)
 	if err != nil {
 		return nil, err
@@ -253,11 +254,11 @@
 	return subtrees, nil
 }
 
-func (store *Settings) subtreeRows(ctx context.Context, teams []ident.TeamID) ([]Row, error) {
+func (store *Store) subtreeRows(ctx context.Context, teams []ident.TeamID) ([]platform.Row, error) {
 	if len(teams) == 0 {
 		return store.scanAll(ctx, subtreePrefix)
 	}
-	keys := make([]Key, 0, len(teams))
+	keys := make([]platform.Key, 0, len(teams))
 	for _, team := range teams {
 		keys = append(keys, subtreeKey(team))
 	}
@@ -265,16 +266,16 @@
 	return rows, storeError(err)
 }
 
-func (store *Settings) now() time.Time {
+func (store *Store) now() time.Time {
 	if store.Now == nil {
 		return time.Now()
 	}
 	return store.Now()
 }
 
-func (store *Settings) scanAll(ctx context.Context, prefix Key) ([]Row, error) {
-	var all []Row
-	after := Key("")
+func (store *Store) scanAll(ctx context.Context, prefix platform.Key) ([]platform.Row, error) {
+	var all []platform.Row
+	after := platform.Key("")
 	for {
 		rows, err := store.Client.Scan(ctx, prefix, after, scanLimit)
 		if err != nil {
@@ -290,35 +291,35 @@
 
 // writeList collects writes, and the first error of their encoding.
 type writeList struct {
-	writes []Write
+	writes []platform.Write
 	err    error
 }
 
-func (list *writeList) add(key Key, value any) {
+func (list *writeList) add(key platform.Key, value any) {
 	raw, err := json.Marshal(value)
 	if err != nil && list.err == nil {
 		list.err = result.Errorf(result.InvalidSettings, "%s: %v", key, err)
 	}
-	list.writes = append(list.writes, Write{Key: key, Value: raw})
+	list.writes = append(list.writes, platform.Write{Key: key, Value: raw})
 }
 
-func subtreeKey(team ident.TeamID) Key { return subtreePrefix + Key(team) }
+func subtreeKey(team ident.TeamID) platform.Key { return subtreePrefix + platform.Key(team) }
 
 // historyKey orders by revision.
-func historyKey(team ident.TeamID, revision ident.Revision) Key {
-	return historyPrefix + Key(team) + Key(fmt.Sprintf("/%020d", revision))
+func historyKey(team ident.TeamID, revision ident.Revision) platform.Key {
+	return historyPrefix + platform.Key(team) + platform.Key(fmt.Sprintf("/%020d", revision))
 }
 
-func findRow(rows []Row, key Key) (Row, bool) {
+func findRow(rows []platform.Row, key platform.Key) (platform.Row, bool) {
 	for _, row := range rows {
 		if row.Key == key {
 			return row, true
 		}
 	}
-	return Row{}, false
+	return platform.Row{}, false
 }
 
-func findSubtree(rows []Row, team ident.TeamID) (*settings.Subtree, ident.Revision, error) {
+func findSubtree(rows []platform.Row, team ident.TeamID) (*settings.Subtree, ident.Revision, error) {
 	row, found := findRow(rows, subtreeKey(team))
 	if !found {
 		return nil, 0, nil
@@ -327,7 +328,7 @@
 	return &subtree, row.Revision, err
 }
 
-func decodeRow[V any](row Row) (V, error) {
+func decodeRow[V any](row platform.Row) (V, error) {
 	var value V
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return value, result.Errorf(result.PlatformUnavailable, "row %s: %v", row.Key, err)
--- a/platform/snapshot.go
+++ b/settingstable/snapshot.go
@@ -1,4 +1,4 @@
-package platform
+package settingstable
 
 import (
 	"context"
@@ -21,7 +21,7 @@
 }
 
 // WriteSnapshot stores the settings of view in the object store.
-func (store *Settings) WriteSnapshot(ctx context.Context, view *settings.View) error {
+func (store *Store) WriteSnapshot(ctx context.Context, view *settings.View) error {
 	var snapshot Snapshot
 	for _, team := range view.TeamIDs() {
 		snapshot.Subtrees = append(snapshot.Subtrees, view.Team(team))
@@ -34,7 +34,7 @@
 }
 
 // ReadSnapshot returns the stored settings; their revisions may be old.
-func (store *Settings) ReadSnapshot(ctx context.Context) ([]*settings.Subtree, error) {
+func (store *Store) ReadSnapshot(ctx context.Context) ([]*settings.Subtree, error) {
 	body, err := store.Client.GetObject(ctx, snapshotName)
 	if err != nil {
 		return nil, storeError(err)
--- a/platform/team.go
+++ b/settingstable/team.go
@@ -1,4 +1,4 @@
-package platform
+package settingstable
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"encoding/json"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
@@ -37,8 +38,8 @@
 }
 
 // Team returns the row of a team. An unknown team has no credentials.
-func (store *Settings) Team(ctx context.Context, team ident.TeamID) (Team, error) {
-	rows, err := store.Client.Read(ctx, teamPrefix+Key(team))
+func (store *Store) Team(ctx context.Context, team ident.TeamID) (Team, error) {
+	rows, err := store.Client.Read(ctx, teamPrefix+platform.Key(team))
 	if err != nil || len(rows) == 0 {
 		return Team{}, storeError(err)
 	}
@@ -46,7 +47,7 @@
 }
 
 // PutTeam creates or replaces the row of a team.
-func (store *Settings) PutTeam(ctx context.Context, team ident.TeamID, row Team) error {
+func (store *Store) PutTeam(ctx context.Context, team ident.TeamID, row Team) error {
 	if !ident.Valid(team) {
 		return result.Errorf(result.InvalidSettings, "team %q is not a valid name", team)
 	}
@@ -54,6 +55,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = store.Client.Commit(ctx, Transaction{Writes: []Write{{Key: teamPrefix + Key(team), Value: raw}}})
+	_, err = store.Client.Commit(ctx, platform.Transaction{Writes: []platform.Write{{Key: teamPrefix + platform.Key(team), Value: raw}}})
 	return storeError(err)
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/platform"
+	platformapi "github.com/hickoryhead/hickoryhead/platform"
 )
 
 // Platform stands in for the platform: a table with conditional transactions,
@@ -30,42 +32,76 @@
 
 // Commit applies transaction, whatever faults are switched on. Where a check
 // fails it returns false and the present rows of the failed checks.
-func (platform *Platform) Commit(transaction platform.Transaction) (ident.Revision, platform.Conflict, bool) {
+func (platform *Platform) Commit(transaction platformapi.Transaction) (ident.Revision, platformapi.Conflict, bool) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	committed, conflict, applied := platform.commit(transaction)
-	return committed.Revision, conflict, applied
+	return platform.apply(transaction.Batch())
 }
 
-func (platform *Platform) commit(transaction platform.Transaction) (platform.Committed, platform.Conflict, bool) {
-	committed, conflict, applied := platform.table.commit(transaction)
+// Write writes one row of any table, whatever faults are switched on.
+func (platform *Platform) Write(record platformapi.Record) ident.Revision {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	version, _, _ := platform.apply(platformapi.Batch{Writes: []platformapi.Record{record}})
+	return version
+}
+
+// Remove removes one row of any table, whatever faults are switched on.
+func (platform *Platform) Remove(name platformapi.RowName) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.apply(platformapi.Batch{Removes: []platformapi.RowName{name}})
+}
+
+// Forget drops the history of changes up to now.
+func (platform *Platform) Forget() {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.table.forgotten = platform.table.version
+}
+
+// apply applies batch and counts it. The caller holds mu.
+func (platform *Platform) apply(batch platformapi.Batch) (ident.Revision, platformapi.Conflict, bool) {
+	version, conflict, applied := platform.table.apply(batch)
 	if !applied {
 		platform.counters.Conflicts++
-		return committed, conflict, false
+		return version, conflict, false
 	}
 	platform.counters.Commits++
-	platform.counters.RowsWritten += int64(len(transaction.Writes))
-	return committed, conflict, true
+	platform.counters.RowsWritten += int64(len(batch.Writes) + len(batch.Removes))
+	return version, conflict, true
 }
 
 // Rows returns the rows of keys that are present, in the order of the keys,
 // whatever faults are switched on.
-func (platform *Platform) Rows(keys ...platform.Key) []platform.Row {
+func (platform *Platform) Rows(keys ...platformapi.Key) []platformapi.Row {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	return platform.table.read(keys).Rows
+	var rows []platformapi.Row
+	for _, key := range slices.Compact(slices.Sorted(slices.Values(keys))) {
+		if record, present := platform.table.rows[platformapi.RowName{Table: platformapi.DataTable, Key: key}]; present {
+			rows = append(rows, rowOf(record))
+		}
+	}
+	return rows
 }
 
 // Scan returns every row whose key begins with prefix, in the order of the keys,
 // whatever faults are switched on.
-func (platform *Platform) Scan(prefix platform.Key) []platform.Row {
+func (platform *Platform) Scan(prefix platformapi.Key) []platformapi.Row {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	return platform.table.scan(string(prefix), "", len(platform.table.rows)).Rows
+	var rows []platformapi.Row
+	for _, record := range platform.table.sorted(platformapi.Range{Table: platformapi.DataTable, From: prefix}) {
+		if strings.HasPrefix(string(record.Key), string(prefix)) {
+			rows = append(rows, rowOf(record))
+		}
+	}
+	return rows
 }
 
 // PutVM adds a VM to the list, or changes it.
-func (platform *Platform) PutVM(vm platform.VM) {
+func (platform *Platform) PutVM(vm platformapi.VM) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.list.put(platform.now(), vm)
