--- a/balance/choose.go
+++ b/balance/choose.go
@@ -39,13 +39,15 @@
 	// Tried are the upstreams that the request was offered to before.
 	Tried []ident.UpstreamID
 	Zone  ident.Zone
+	// Target is the time to the first byte that the request is worth most in.
+	Target ident.Milliseconds
 }
 
 // Choice is a chosen upstream, with the figures that decided.
 type Choice struct {
 	Upstream registry.Upstream
 	Reason   Reason
-	Load     int
+	Load     Load
 	Mean     float64
 	// Source has more of the shared prompt cached than the chosen one; empty
 	// where none has.
@@ -68,10 +70,26 @@
 // that takes a prompt which it has not cached.
 const spillSlack = 1
 
+const (
+	// readPerMs is how many prompt tokens an upstream is taken to read in a
+	// millisecond.
+	readPerMs = 45
+	// waitShare is the part of its target that a request may wait behind the
+	// unread prompts of a holder before another upstream is looked for, and
+	// gainShare the part that it has to gain there.
+	waitShare = 0.3
+	gainShare = 0.2
+)
+
+// wait returns how long the prompts that are unread at an upstream take.
+func (load Load) wait() ident.Milliseconds {
+	return ident.Milliseconds(load.Unread / readPerMs)
+}
+
 // candidate is an upstream with its load.
 type candidate struct {
 	index   int
-	load    int
+	load    Load
 	ejected bool
 	tried   bool
 	holds   bool
@@ -79,7 +97,7 @@
 
 // usable reports whether the upstream may take a request below bound.
 func (c candidate) usable(bound float64) bool {
-	return !c.tried && !c.ejected && float64(c.load) < bound
+	return !c.tried && !c.ejected && float64(c.load.Requests) < bound
 }
 
 // choice is one choice in the making.
@@ -110,7 +128,7 @@
 			tried:   slices.Contains(request.Tried, upstream.ID),
 			holds:   slices.Contains(holders, upstream.ID),
 		}
-		total += making.candidates[i].load
+		total += making.candidates[i].load.Requests
 	}
 	making.mean = float64(total) / float64(max(len(pool.Upstreams), 1))
 	chosen, reason, found := making.pick(len(holders) > 0)
@@ -140,14 +158,16 @@
 
 func (making *choice) pick(held bool) (candidate, Reason, bool) {
 	if len(making.request.Keys) > 0 {
-		if chosen, found := making.leastHolder(); found {
-			return chosen, Holder, true
+		holder, holds := making.leastHolder()
+		other, found := making.byRank()
+		if holds && !(found && making.worthMoving(holder, other)) {
+			return holder, Holder, true
 		}
-		if chosen, found := making.byRank(); found {
-			if held {
-				return chosen, Spill, true
-			}
-			return chosen, Home, true
+		if found && held {
+			return other, Spill, true
+		}
+		if found {
+			return other, Home, true
 		}
 	}
 	if chosen, found := making.leastLoaded(false); found {
@@ -167,7 +187,7 @@
 		if !rival.holds || !rival.usable(bound) {
 			continue
 		}
-		if !found || rival.load < best.load {
+		if !found || quicker(rival.load, best.load) {
 			best = rival
 			found = true
 		}
@@ -175,17 +195,41 @@
 	return best, found
 }
 
-// byRank returns the first upstream of the rendezvous order that is about as
-// loaded as the others or less. All routers with the same view agree on it.
+// quicker reports whether an upstream with load a answers sooner than one with
+// load b.
+func quicker(a, b Load) bool {
+	if a.wait() != b.wait() {
+		return a.wait() < b.wait()
+	}
+	return a.Requests < b.Requests
+}
+
+// worthMoving reports whether a request had better wait for its prompt to be
+// fetched by other than behind the unread prompts of holder.
+func (making *choice) worthMoving(holder, other candidate) bool {
+	target := float64(making.request.Target)
+	wait := float64(holder.load.wait())
+	return target > 0 && wait > waitShare*target && wait-float64(other.load.wait()) > gainShare*target
+}
+
+// byRank returns the upstream with the fewest unread prompts among the first of
+// the rendezvous order that are about as loaded as the others or less. All
+// routers with the same view agree on it.
 func (making *choice) byRank() (candidate, bool) {
 	var order [rankedUpstreams]int
+	var best candidate
+	found := false
 	for _, index := range making.pool.Ranking.Rank(making.request.Keys[0], "", order[:]) {
 		ranked := making.candidates[index]
-		if ranked.usable(making.mean + spillSlack) {
-			return ranked, true
+		if !ranked.usable(making.mean + spillSlack) {
+			continue
+		}
+		if !found || ranked.load.wait() < best.load.wait() {
+			best = ranked
+			found = true
 		}
 	}
-	return candidate{}, false
+	return best, found
 }
 
 // leastLoaded returns the least loaded upstream that was not tried, one of the
@@ -213,8 +257,8 @@
 }
 
 func (making *choice) before(a, b candidate) bool {
-	if a.load != b.load {
-		return a.load < b.load
+	if a.load.Requests != b.load.Requests {
+		return a.load.Requests < b.load.Requests
 	}
 	aNear := making.pool.Upstreams[a.index].Zone == making.request.Zone
 	bNear := making.pool.Upstreams[b.index].Zone == making.request.Zone
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -32,7 +32,7 @@
 func chooserWith(loads []int, ejected map[ident.UpstreamID]bool) *balance.Chooser {
 	counts := make(balance.Counts)
 	for i, load := range loads {
-		counts[id(i)] = load
+		counts[id(i)] = balance.Load{Requests: load}
 	}
 	known := new(balance.Loads)
 	known.Heard(start, "other", 1, counts)
@@ -65,8 +65,8 @@
 		if !found {
 			t.Fatal("got no upstream, want one")
 		}
-		if bound := 2*chosen.Mean + 1.5; float64(chosen.Load) >= bound {
-			t.Fatalf("got %s with load %d, want one below %.1f", chosen.Upstream.ID, chosen.Load, bound)
+		if bound := 2*chosen.Mean + 1.5; float64(chosen.Load.Requests) >= bound {
+			t.Fatalf("got %s with load %+v, want one below %.1f", chosen.Upstream.ID, chosen.Load, bound)
 		}
 	})
 }
@@ -126,8 +126,8 @@
 	holds := make(map[ident.UpstreamID]bool)
 	for range requests {
 		chosen, _ := chooser.Choose(start, pool, balance.Request{Keys: []ident.ChatID{"hot"}})
-		if float64(chosen.Load) >= 2*chosen.Mean+1.5 {
-			t.Errorf("got a request at load %d, want it below 2 times the mean of %.1f and 1.5", chosen.Load, chosen.Mean)
+		if float64(chosen.Load.Requests) >= 2*chosen.Mean+1.5 {
+			t.Errorf("got a request at load %+v, want it below 2 times the mean of %.1f and 1.5", chosen.Load, chosen.Mean)
 		}
 		if !holds[chosen.Upstream.ID] {
 			holds[chosen.Upstream.ID] = true
@@ -137,7 +137,7 @@
 				fetches++
 			}
 		}
-		chooser.Loads.Start(chosen.Upstream.ID)
+		chooser.Loads.Start(chosen.Upstream.ID, 0)
 		chooser.Holders.Served(start, balance.Served{Key: "hot", Upstream: chosen.Upstream.ID})
 	}
 	if reads != 1 || fetches > upstreams-1 {
@@ -169,9 +169,9 @@
 
 func TestLoads(t *testing.T) {
 	var loads balance.Loads
-	loads.Start("a")
+	loads.Start("a", 0)
 	loads.Reported(start, "a", 5)
-	loads.Start("a")
+	loads.Start("a", 0)
 	steps := []struct {
 		name string
 		do   func()
@@ -180,14 +180,14 @@
 	}{
 		{"report and own change", func() {}, time.Second, 6},
 		{"report too old", func() {}, 2 * time.Second, 2},
-		{"told by a router", func() { loads.Heard(start, "r", 2, balance.Counts{"a": 3}) }, time.Second, 5},
-		{"older message", func() { loads.Heard(start, "r", 1, balance.Counts{"a": 9}) }, time.Second, 5},
-		{"newer message", func() { loads.Heard(start, "r", 3, balance.Counts{"b": 9}) }, time.Second, 2},
+		{"told by a router", func() { loads.Heard(start, "r", 2, balance.Counts{"a": {Requests: 3}}) }, time.Second, 5},
+		{"older message", func() { loads.Heard(start, "r", 1, balance.Counts{"a": {Requests: 9}}) }, time.Second, 5},
+		{"newer message", func() { loads.Heard(start, "r", 3, balance.Counts{"b": {Requests: 9}}) }, time.Second, 2},
 		{"silent router", func() { loads.Expire(start.Add(4 * time.Second)) }, time.Second, 6},
 	}
 	for _, step := range steps {
 		step.do()
-		if got := loads.Estimate(start.Add(step.at), "a"); got != step.want {
+		if got := loads.Estimate(start.Add(step.at), "a").Requests; got != step.want {
 			t.Errorf("%s: got load %d, want %d", step.name, got, step.want)
 		}
 	}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -19,8 +19,26 @@
 // RouterID names one run of a router.
 type RouterID string
 
-// Counts holds requests in flight for each upstream.
-type Counts map[ident.UpstreamID]int
+// Load is what is in flight at an upstream.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Requests int
+	// Unread counts the prompt tokens that are still to be read for requests
+	// without a first byte of their answer.
+	Unread ident.Tokens
+}
+
+func (load Load) plus(other Load) Load {
+	return Load{Requests: load.Requests + other.Requests, Unread: load.Unread + other.Unread}
+}
+
+func (load Load) minus(other Load) Load {
+	return Load{Requests: max(load.Requests-other.Requests, 0), Unread: max(load.Unread-other.Unread, 0)}
+}
+
+// Counts holds what is in flight for each upstream.
+type Counts map[ident.UpstreamID]Load
 
 // report is what an upstream said of its load, beside what this router had in
 // flight there at that moment.
@@ -56,22 +74,38 @@
 	}
 }
 
-// Start counts a request that is sent to upstream.
-func (loads *Loads) Start(upstream ident.UpstreamID) {
+// Start counts a request that is sent to upstream, which has to read unread
+// tokens of its prompt.
+func (loads *Loads) Start(upstream ident.UpstreamID, unread ident.Tokens) {
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
 	loads.prepare()
-	loads.own[upstream]++
+	loads.own[upstream] = loads.own[upstream].plus(Load{Requests: 1, Unread: unread})
+}
+
+// Read takes the tokens off again that an upstream has read.
+func (loads *Loads) Read(upstream ident.UpstreamID, tokens ident.Tokens) {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	loads.take(upstream, Load{Unread: tokens})
 }
 
-// End takes a request off again.
-func (loads *Loads) End(upstream ident.UpstreamID) {
+// End takes a request off again that has left unread tokens unread.
+func (loads *Loads) End(upstream ident.UpstreamID, unread ident.Tokens) {
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
-	loads.own[upstream]--
-	if loads.own[upstream] <= 0 {
+	loads.take(upstream, Load{Requests: 1, Unread: unread})
+}
+
+// take takes load off. The caller holds mu.
+func (loads *Loads) take(upstream ident.UpstreamID, load Load) {
+	loads.prepare()
+	left := loads.own[upstream].minus(load)
+	if left.Requests == 0 {
 		delete(loads.own, upstream)
+		return
 	}
+	loads.own[upstream] = left
 }
 
 // Reported takes in what an upstream said of its load.
@@ -79,7 +113,7 @@
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
 	loads.prepare()
-	loads.reports[upstream] = report{load: load, own: loads.own[upstream], at: now}
+	loads.reports[upstream] = report{load: load, own: loads.own[upstream].Requests, at: now}
 }
 
 // Own returns what this router has in flight.
@@ -99,17 +133,25 @@
 	if known && sequence <= present.sequence {
 		return
 	}
-	loads.add(present.counts, -1)
-	loads.add(counts, 1)
+	loads.subtract(present.counts)
+	loads.add(counts)
 	loads.peers[router] = peerCounts{counts: counts, sequence: sequence, expiresAt: now.Add(peerLifetime)}
 }
 
-func (loads *Loads) add(counts Counts, sign int) {
-	for upstream, count := range counts {
-		loads.others[upstream] += sign * count
-		if loads.others[upstream] <= 0 {
+func (loads *Loads) add(counts Counts) {
+	for upstream, load := range counts {
+		loads.others[upstream] = loads.others[upstream].plus(load)
+	}
+}
+
+func (loads *Loads) subtract(counts Counts) {
+	for upstream, load := range counts {
+		left := loads.others[upstream].minus(load)
+		if left == (Load{}) {
 			delete(loads.others, upstream)
+			continue
 		}
+		loads.others[upstream] = left
 	}
 }
 
@@ -122,7 +164,7 @@
 		if now.Before(peer.expiresAt) {
 			continue
 		}
-		loads.add(peer.counts, -1)
+		loads.subtract(peer.counts)
 		delete(loads.peers, router)
 		expired = append(expired, router)
 	}
@@ -136,17 +178,18 @@
 	return len(loads.peers)
 }
 
-// Estimate returns the requests in flight at upstream.
-func (loads *Loads) Estimate(now time.Time, upstream ident.UpstreamID) int {
+// Estimate returns what is in flight at upstream.
+func (loads *Loads) Estimate(now time.Time, upstream ident.UpstreamID) Load {
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
 	own := loads.own[upstream]
 	if len(loads.peers) > 0 {
-		return own + loads.others[upstream]
+		return own.plus(loads.others[upstream])
 	}
 	last, found := loads.reports[upstream]
 	if !found || now.After(last.at.Add(reportLifetime)) {
 		return own
 	}
-	return max(own, last.load+own-last.own)
+	own.Requests = max(own.Requests, last.load+own.Requests-last.own)
+	return own
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -44,12 +44,21 @@
 	// unwatch ends the watch over the caller; it reports false where the caller
 	// has left.
 	unwatch func() bool
-	done    func(ident.UpstreamID)
+	loads   *balance.Loads
+	// unread counts the tokens of the prompt that the upstream has to read
+	// before its first byte.
+	unread ident.Tokens
+}
+
+// began takes in that the upstream has read the prompt.
+func (a *answer) began() {
+	a.loads.Read(a.upstream.ID, a.unread)
+	a.unread = 0
 }
 
 // keep gives the connection back once the body was read to its end.
 func (a *answer) keep() {
-	a.done(a.upstream.ID)
+	a.loads.End(a.upstream.ID, a.unread)
 	if !a.unwatch() {
 		a.conn.Discard()
 		return
@@ -59,7 +68,7 @@
 
 // drop closes the connection, which stops the work at the upstream.
 func (a *answer) drop() {
-	a.done(a.upstream.ID)
+	a.loads.End(a.upstream.ID, a.unread)
 	a.unwatch()
 	a.conn.Discard()
 }
@@ -81,9 +90,9 @@
 		conn.Discard()
 		return nil, result.DeadlineUnmeetable
 	}
-	a := &answer{upstream: upstream, conn: conn, done: x.handler.Loads.End}
+	a := &answer{upstream: upstream, conn: conn, loads: x.handler.Loads, unread: x.unread()}
 	a.unwatch = watch(x.request.Context(), func() { _ = conn.Close() })
-	x.handler.Loads.Start(upstream.ID)
+	x.handler.Loads.Start(upstream.ID, a.unread)
 	for _, key := range x.choiceRequest().Keys {
 		x.handler.Holders.Served(time.Now(), balance.Served{Key: key, Upstream: upstream.ID})
 	}
@@ -98,6 +107,23 @@
 	return a, result.OK
 }
 
+// unread returns how many tokens of the prompt the chosen upstream has to read:
+// the request's own part where the shared ones are cached or fetched.
+func (x *exchange) unread() ident.Tokens {
+	if len(x.head.Prompt) == 0 {
+		return 0
+	}
+	own := x.head.Prompt[len(x.head.Prompt)-1].Tokens
+	if x.choice.Reason == balance.Holder || x.choice.Source != "" {
+		return own
+	}
+	var all ident.Tokens
+	for _, part := range x.head.Prompt {
+		all += part.Tokens
+	}
+	return all
+}
+
 func (x *exchange) connect(upstream registry.Upstream) (*http1.Conn, error) {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
@@ -185,6 +211,7 @@
 			continue
 		}
 		a.response, a.head = response, head
+		a.began()
 		return x.classify(a)
 	}
 	x.cause = "too many stray answers"
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -215,7 +215,7 @@
 }
 
 func (x *exchange) choiceRequest() balance.Request {
-	request := balance.Request{Tried: x.tried, Zone: x.handler.Zone}
+	request := balance.Request{Tried: x.tried, Zone: x.handler.Zone, Target: x.route.Target}
 	if x.route.Sticky {
 		request.Keys = sharedParts(x.head.Prompt)
 	}
@@ -334,7 +334,8 @@
 		attributes = append(attributes,
 			slog.String("Upstream", string(x.choice.Upstream.ID)),
 			slog.String("Reason", string(x.choice.Reason)),
-			slog.Int("Load", x.choice.Load),
+			slog.Int("Load", x.choice.Load.Requests),
+			slog.Int("Unread", int(x.choice.Load.Unread)),
 			slog.Float64("MeanLoad", x.choice.Mean),
 			slog.Int("Tried", len(x.tried)),
 			slog.Bool("Started", x.started))
@@ -354,7 +355,7 @@
 		"Attempt", x.head.Attempt,
 		"Upstream", x.choice.Upstream.ID,
 		"Reason", x.choice.Reason,
-		"Load", x.choice.Load,
+		"Load", x.choice.Load.Requests,
 		"Code", code.Name(),
 		"Cause", x.cause)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -76,19 +76,19 @@
 // its first message.
 func TestRoutersTellEachOther(t *testing.T) {
 	one, two := startMember(t, "one"), startMember(t, "two")
-	one.loads.Start("a")
+	one.loads.Start("a", 0)
 	two.holders.Served(time.Now(), balance.Served{Key: "p", Upstream: "a"})
 	one.gossip.Add(two.gossip.Address)
 	one.gossip.Relay([]registry.Change{{Upstream: registry.Upstream{ID: "b", Version: 3}, Gone: true}})
-	eventually(t, "load at the other router", func() bool { return two.loads.Estimate(time.Now(), "a") == 1 })
+	eventually(t, "load at the other router", func() bool { return two.loads.Estimate(time.Now(), "a").Requests == 1 })
 	eventually(t, "prompt at the router that started later", func() bool { return len(one.holders.Of(time.Now(), "p")) == 1 })
 	eventually(t, "relayed change", func() bool {
 		two.mu.Lock()
 		defer two.mu.Unlock()
 		return len(two.changes) == 1 && two.changes[0].Gone && two.changes[0].Upstream.Version == 3
 	})
-	one.loads.End("a")
-	eventually(t, "end of the load", func() bool { return two.loads.Estimate(time.Now(), "a") == 0 })
+	one.loads.End("a", 0)
+	eventually(t, "end of the load", func() bool { return two.loads.Estimate(time.Now(), "a").Requests == 0 })
 }
 
 // TestMalformedDatagrams sends what no router sends.
@@ -104,9 +104,9 @@
 			t.Fatal(err)
 		}
 	}
-	two.loads.Start("a")
+	two.loads.Start("a", 0)
 	two.gossip.Add(one.gossip.Address)
-	eventually(t, "load after malformed datagrams", func() bool { return one.loads.Estimate(time.Now(), "a") == 1 })
+	eventually(t, "load after malformed datagrams", func() bool { return one.loads.Estimate(time.Now(), "a").Requests == 1 })
 }
 
 // FuzzHear checks that no datagram ends the receiver.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -61,9 +61,9 @@
 	if message.Router == "" {
 		return Message{}, errors.New("message without a router")
 	}
-	for upstream, count := range message.InFlight {
-		if count < 0 || upstream == "" {
-			return Message{}, errors.Newf("%d requests at upstream %q", count, upstream)
+	for upstream, load := range message.InFlight {
+		if load.Requests < 0 || load.Unread < 0 || upstream == "" {
+			return Message{}, errors.Newf("load %+v at upstream %q", load, upstream)
 		}
 	}
 	return message, nil
