--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -108,9 +108,9 @@
 
 func newCheck() *cobra.Command {
 	return &cobra.Command{
-		Use:       "check router|sidecar FILE",
+		Use:       "check router|sidecar|entry FILE",
 		Short:     "Check a daemon's settings file without starting anything",
-		ValidArgs: []string{"router", "sidecar"},
+		ValidArgs: []string{"router", "sidecar", "entry"},
 		Args:      command.Args(cobra.ExactArgs(2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := checkFile(args[0], args[1]); err != nil {
@@ -129,8 +129,10 @@
 		_, err = loadSettings[config.Router](name)
 	case "sidecar":
 		_, err = loadSettings[config.Sidecar](name)
+	case "entry":
+		_, err = loadSettings[config.Entry](name)
 	default:
-		return command.Usage(errors.Newf("role %q: want router or sidecar", role))
+		return command.Usage(errors.Newf("role %q: want router, sidecar or entry", role))
 	}
 	return err
 }
--- a/cmd/hickoryhead/entry.go
+++ b/cmd/hickoryhead/entry.go
@@ -69,7 +69,7 @@
 			daemon := &entry.Daemon{
 				Config: loaded,
 				Reload: func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
-				Logger: logger,
+				Logger: logger.With("VM", loaded.VM),
 			}
 			return daemon.Run(ctx)
 		},
--- /dev/null
+++ b/cmd/hickoryhead/explain.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/command"
+	"github.com/hickoryhead/hickoryhead/explain"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// newExplain returns the command that reads logs.
+func newExplain() *cobra.Command {
+	var failures bool
+	var from, until string
+	cmd := &cobra.Command{
+		Use:   "explain ID FILE... | explain --failures FILE...",
+		Short: "Tell how one request went, or why requests failed, from the routers' logs",
+		Long:  "Reads the logs of any number of routers, - for standard input, and prints the way of the request with the attempt ID ID, or groups all requests that were not served by their cause.",
+		Args:  command.Args(cobra.MinimumNArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			files := args
+			if !failures {
+				files = args[1:]
+			}
+			if len(files) == 0 {
+				return command.Usage(errors.New("want at least one file, or - for standard input"))
+			}
+			log, err := readLogs(files, cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			if failures {
+				return printFailures(cmd.OutOrStdout(), log, from, until)
+			}
+			if !log.Request(cmd.OutOrStdout(), args[0]) {
+				return errors.Newf("no line about request %s in %d lines; a request that was served at its first offer may be left out under load", args[0], log.Len())
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&failures, "failures", false, "group all requests that were not served by their cause")
+	cmd.Flags().StringVar(&from, "from", "", "with --failures: leave out earlier requests (RFC 3339)")
+	cmd.Flags().StringVar(&until, "until", "", "with --failures: leave out later requests (RFC 3339)")
+	return cmd
+}
+
+func readLogs(names []string, in io.Reader) (*explain.Log, error) {
+	log := new(explain.Log)
+	for _, name := range names {
+		if err := readLog(log, name, in); err != nil {
+			return nil, errors.Wrapf(err, "log %s", name)
+		}
+	}
+	return log, nil
+}
+
+func readLog(log *explain.Log, name string, in io.Reader) error {
+	reader := in
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		reader = file
+	}
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		log.Add(scanner.Bytes())
+	}
+	return scanner.Err()
+}
+
+func printFailures(out io.Writer, log *explain.Log, from, until string) error {
+	var bounds [2]time.Time
+	for i, text := range []string{from, until} {
+		if text == "" {
+			continue
+		}
+		bound, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			return command.Usage(err)
+		}
+		bounds[i] = bound
+	}
+	for _, group := range log.Failures(bounds[0], bounds[1]) {
+		if _, err := fmt.Fprintf(out, "%6d  %s  (%s)\n", group.Count, group.Cause, strings.Join(group.Examples, ", ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -107,7 +107,7 @@
 	for _, server := range servers {
 		go server.run()
 	}
-	daemon.Logger.Info("Started.", "VM", daemon.Config.VM, "Zone", daemon.Config.Zone, "Callers", daemon.Config.CallerListen)
+	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", daemon.Config.CallerListen)
 	go reloader.run(working)
 	<-ctx.Done()
 	daemon.leave(servers[0])
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,66 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/explain"
+)
+
+const logs = `plain text that is no log
+  24.93 edge-1 {"time":"2026-10-21T04:12:56.900Z","level":"WARN","msg":"forward: Upstream set aside.","Upstream":"i-1","Service":"pool","Outcome":"unreachable"}
+{"time":"2026-10-21T04:12:56.910Z","level":"WARN","msg":"forward: Attempt failed.","VM":"edge-1","Attempt":"a1","Upstream":"i-1","Reason":"spill","Load":3,"Code":"UpstreamUnreachable","Cause":"i/o timeout"}
+{"time":"2026-10-21T04:12:57.500Z","level":"WARN","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":502,"Code":"OutcomeUnknown","Ms":700,"ConfigVersion":9,"Route":"r-1","Upstream":"i-1","Reason":"holder","Load":2,"MeanLoad":1.5,"Tried":2,"Cause":"unexpected EOF"}
+{"time":"2026-10-21T04:12:58.500Z","level":"WARN","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a2","Status":502,"Code":"OutcomeUnknown","Ms":7,"Cause":"unexpected EOF"}
+{"time":"2026-10-21T04:12:59.500Z","level":"WARN","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a3","Status":401,"Code":"UnknownKey","Ms":0}
+{"time":"2026-10-21T04:13:59.500Z","level":"INFO","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a4","Status":200,"Code":"OK","Ms":5}
+{broken`
+
+func read() *explain.Log {
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(logs, "\n") {
+		log.Add([]byte(text))
+	}
+	return log
+}
+
+func TestRequest(t *testing.T) {
+	var out strings.Builder
+	if !read().Request(&out, "a1") {
+		t.Fatal("got no line about a1, want its way")
+	}
+	wanted := []string{"offered to i-1", "upstream i-1 set aside: unreachable", "finished with status 502", "cause: the connection to the upstream ended without a whole answer: unexpected EOF"}
+	rest := out.String()
+	for _, want := range wanted {
+		_, after, found := strings.Cut(rest, want)
+		if !found {
+			t.Errorf("got %q, want %q in this order", out.String(), want)
+			continue
+		}
+		rest = after
+	}
+	if read().Request(&out, "a9") {
+		t.Error("got a way of a request that no line is about, want none")
+	}
+}
+
+func TestFailures(t *testing.T) {
+	groups := read().Failures(time.Time{}, time.Time{})
+	if len(groups) != 2 || groups[0].Count != 2 || groups[0].Examples[0] != "a1" || groups[1].Examples[0] != "a3" {
+		t.Errorf("got %+v, want the two lost answers and then the unknown key", groups)
+	}
+	late := time.Date(2026, 10, 21, 4, 12, 59, 0, time.UTC)
+	if groups := read().Failures(late, time.Time{}); len(groups) != 1 {
+		t.Errorf("got %+v from %v on, want the unknown key alone", groups, late)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if line, ok := explain.Parse(text); ok && line.Message == "" {
+			t.Errorf("got a line without a message from %q", text)
+		}
+	})
+}
--- /dev/null
+++ b/explain/line.go
@@ -0,0 +1,72 @@
+package explain
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"time"
+)
+
+// Line is one line of a router's log, with the fields that explain requests.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	VM      string
+
+	// Of requests and their attempts.
+	Attempt       string
+	Status        int
+	Code          string
+	Cause         string
+	Ms            int64
+	ConfigVersion uint64
+	Route         string
+	Workspace     string
+	Upstream      string
+	Reason        string
+	Load          int
+	Unread        int
+	MeanLoad      float64
+	Tried         int
+	Started       bool
+	CallerLeft    bool
+
+	// Of what the router believes.
+	Outcome string
+	Leaving bool
+	Gone    bool
+	Source  string
+	Table   string
+	Error   string
+}
+
+// The messages that explain requests.
+const (
+	requestFinished = "forward: Request finished."
+	attemptFailed   = "forward: Attempt failed."
+	upstreamAside   = "forward: Upstream set aside."
+	upstreamChanged = "follow: Upstream changed."
+	storeLost       = "follow: Store not reached."
+	configInForce   = "follow: Configuration in force."
+)
+
+// Parse returns the line in text, and false if text is no line of a log. What
+// stands before the first brace is passed over.
+func Parse(text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var line Line
+	if err := json.Unmarshal(text[start:], &line); err != nil || line.Message == "" {
+		return Line{}, false
+	}
+	if line.VM == "" {
+		// A bench or a collector may put the name of the machine before.
+		fields := strings.Fields(string(text[:start]))
+		if len(fields) > 0 {
+			line.VM = fields[len(fields)-1]
+		}
+	}
+	return line, true
+}
