--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+const (
+	// callerPause bounds the pause of a caller between two requests.
+	callerPause = 60 * time.Millisecond
+	// patience is how long a caller waits for an answer.
+	patience = 3 * time.Second
+	// sharedPrompts is the number of shared prompts of the streams.
+	sharedPrompts = 20
+)
+
+// kind is a kind of request.
+type kind struct {
+	name   string
+	method string
+	path   string
+	// once says that a request may run at most once.
+	once   bool
+	stream bool
+}
+
+var kinds = []kind{
+	{name: "once", method: http.MethodPost, path: "/once/", once: true},
+	{name: "again", method: http.MethodGet, path: "/again/"},
+	{name: "stream", method: http.MethodPost, path: "/stream/", once: true, stream: true},
+	{name: "resume", method: http.MethodPost, path: "/resume/stream/", stream: true},
+}
+
+// call is one request of a caller with what came of it.
+type call struct {
+	kind        kind
+	attempt     string
+	router      *router
+	incarnation int
+	sentAt      time.Time
+	endedAt     time.Time
+	// status is zero where no head of an answer came.
+	status int
+	body   []byte
+	echoed string
+	err    error
+}
+
+// caller sends requests and keeps its connection until it ends.
+type caller struct {
+	soak   *Soak
+	number int
+	random *rand.Rand
+	done   chan struct{}
+
+	client *http.Client
+	router *router
+	sent   int
+}
+
+func (caller *caller) run(ctx context.Context) {
+	defer close(caller.done)
+	defer caller.leave()
+	for ctx.Err() == nil {
+		if caller.router == nil && !caller.connect() {
+			time.Sleep(callerPause)
+			continue
+		}
+		caller.soak.check(caller.send(ctx))
+		time.Sleep(time.Duration(caller.random.Int64N(int64(callerPause))))
+	}
+}
+
+// connect chooses a router that is in rotation.
+func (caller *caller) connect() bool {
+	var open []*router
+	for _, router := range caller.soak.routers {
+		if router.inRotation() {
+			open = append(open, router)
+		}
+	}
+	if len(open) == 0 {
+		return false
+	}
+	caller.router = open[caller.random.IntN(len(open))]
+	caller.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	return true
+}
+
+// leave gives up the connection.
+func (caller *caller) leave() {
+	if caller.client != nil {
+		caller.client.CloseIdleConnections()
+	}
+	caller.router = nil
+}
+
+// send sends one request of a drawn kind and reads the answer.
+func (caller *caller) send(ctx context.Context) *call {
+	caller.sent++
+	drawn := kinds[caller.random.IntN(len(kinds))]
+	made := &call{
+		kind:        drawn,
+		attempt:     fmt.Sprintf("%d-%d-%d", caller.soak.options.Seed, caller.number, caller.sent),
+		router:      caller.router,
+		incarnation: caller.router.incarnation(),
+		sentAt:      time.Now(),
+	}
+	made.perform(context.WithoutCancel(ctx), caller.client, caller.random.IntN(sharedPrompts))
+	if made.err != nil {
+		caller.leave()
+	}
+	return made
+}
+
+// perform sends the request of the call and reads its answer.
+func (made *call) perform(ctx context.Context, client *http.Client, prompt int) {
+	defer func() { made.endedAt = time.Now() }()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	url := "http://" + made.router.settings.CallerListen + made.kind.path
+	request, err := http.NewRequestWithContext(ctx, made.kind.method, url, bytes.NewReader([]byte("body of "+made.attempt)))
+	if err != nil {
+		made.err = err
+		return
+	}
+	// Without a way to make the body anew, net/http sends a request only once.
+	request.GetBody = nil
+	request.Host = "a.example"
+	request.Header.Set("Hickoryhead-Attempt-Id", made.attempt)
+	request.Header.Set("Hickoryhead-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	request.Header.Set("Authorization", "Token key-1")
+	if made.kind.stream {
+		request.Header.Set("Hickoryhead-Prompt-Prefix", fmt.Sprintf("aa:100,b%d:4000,%s:50", prompt, made.attempt))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		made.err = err
+		return
+	}
+	defer response.Body.Close()
+	made.status = response.StatusCode
+	made.echoed = response.Header.Get("Hickoryhead-Attempt-Id")
+	made.body, made.err = io.ReadAll(response.Body)
+}
