Greet a new router at once, and let the first prompts wait for what it learns; operators' page from an ID to the cause

They now hear of each other at once, ask after 50 ms, and hold prompts for 150 ms at most. CallerLeft is a code of its own, which the lines called OutcomeUnknown.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -26,7 +26,6 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
-	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
@@ -82,7 +81,6 @@
 	// readAt is when the upstreams were read last.
 	readAt  atomic.Pointer[time.Time]
 	sharing follow.Sharing
-	gossip  *gossip.Gossip
 }
 
 // Run serves until ctx ends and then stops as planned.
@@ -208,6 +206,7 @@
 	logger := logging.Part(daemon.Logger, "follow")
 	exchange := &gossip.Gossip{
 		Router:  balance.RouterID(uuid.NewString()),
+		Started: time.Now(),
 		Address: daemon.Config.PeerListen,
 		Conn:    socket,
 		Loads:   &daemon.loads,
@@ -217,7 +216,8 @@
 		Metrics: daemon.metrics,
 		Logger:  logging.Part(daemon.Logger, "gossip"),
 	}
-	daemon.gossip = exchange
+	daemon.warmup = newWarmup(daemon, exchange)
+	daemon.handler.Warm = daemon.warmup.done
 	daemon.sharing.Self = daemon.Config.PeerListen
 	daemon.beliefs.Relay = exchange.Relay
 	configs := &follow.Table{
@@ -252,7 +252,6 @@
 	go membership.run(ctx)
 	gossiper := &gossiper{gossip: exchange}
 	go gossiper.run(ctx)
-	daemon.warmup = &warmup{daemon: daemon, gossip: exchange, engines: &platform.Engines{Client: new(oncehttp.Client)}, began: time.Now()}
 	go daemon.warmup.run(ctx)
 	upkeep := &upkeep{daemon: daemon}
 	go upkeep.run(ctx)
@@ -304,7 +303,7 @@
 
 // ready reports whether the balancer may send callers.
 func (daemon *Daemon) ready() bool {
-	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Listed() && daemon.warmup.done.Load()
+	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Listed() && daemon.warmup.isDone()
 }
 
 func (daemon *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -33,6 +33,7 @@
 			for _, address := range addresses {
 				membership.gossip.Add(address)
 			}
+			close(membership.daemon.warmup.registered)
 			membership.daemon.Logger.Info("Registered.", "Routers", len(addresses))
 			return
 		}
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +10,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 )
@@ -20,7 +20,7 @@
 	// too.
 	warmupTimeout = 1500 * time.Millisecond
 	// peersWait is the time in which a router that ran before answers a new one.
-	peersWait = 250 * time.Millisecond
+	peersWait = 50 * time.Millisecond
 	// olderBy is how much longer another router must have run to be asked
 	// instead of the engines.
 	olderBy = 2 * time.Second
@@ -40,11 +40,34 @@
 	gossip  *gossip.Gossip
 	engines *platform.Engines
 	began   time.Time
-	done    atomic.Bool
+	// registered is closed once the router knows the others of the store's rows.
+	registered chan struct{}
+	// done is closed once the router has learned what it can.
+	done chan struct{}
+}
+
+func newWarmup(daemon *Daemon, exchange *gossip.Gossip) *warmup {
+	return &warmup{
+		daemon:     daemon,
+		gossip:     exchange,
+		engines:    &platform.Engines{Client: new(oncehttp.Client)},
+		began:      exchange.Started,
+		registered: make(chan struct{}),
+		done:       make(chan struct{}),
+	}
+}
+
+func (warmup *warmup) isDone() bool {
+	select {
+	case <-warmup.done:
+		return true
+	default:
+		return false
+	}
 }
 
 func (warmup *warmup) run(ctx context.Context) {
-	defer warmup.done.Store(true)
+	defer close(warmup.done)
 	bounded, cancel := context.WithTimeout(ctx, warmupTimeout)
 	defer cancel()
 	for !warmup.daemon.registry.Listed() || warmup.daemon.routes.Table() == nil {
@@ -53,6 +76,11 @@
 			return
 		}
 	}
+	select {
+	case <-warmup.registered:
+	case <-bounded.Done():
+		return
+	}
 	if !pause(bounded, peersWait) {
 		return
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -113,13 +113,14 @@
 	"OutcomeUnknown":      "the connection to the upstream ended without a whole answer",
 	"AnswerCut":           "the upstream's stream broke off and could not be continued",
 	"UpstreamFailed":      "the upstream answered that it failed",
+	"CallerLeft":          "the caller left before the answer was whole",
 	"DeadlineExpired":     "the upstream was still silent or working at the deadline",
 }
 
 // Cause returns the likely cause of how a finished request ended.
 func Cause(line Line) string {
-	if line.CallerLeft && line.Code != "UpstreamFailed" {
-		return "the caller left before the answer was whole"
+	if line.Code == "CallerLeft" {
+		return causes[line.Code]
 	}
 	cause, known := causes[line.Code]
 	if !known {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -74,6 +74,9 @@
 		return
 	}
 	x.handler.countRequest(x.arrived, x.service)
+	if x.route.Sticky {
+		x.handler.awaitWarm(x.request.Context())
+	}
 	x.offer()
 }
 
@@ -87,6 +90,10 @@
 	head, err := platform.DecodeRequest(x.request.Header)
 	x.head = head
 	x.table = x.handler.Routes.Table()
+	if x.table == nil {
+		x.handler.awaitWarm(x.request.Context())
+		x.table = x.handler.Routes.Table()
+	}
 	if x.table == nil {
 		return result.NotReady
 	}
@@ -203,6 +210,7 @@
 		}
 		if x.started || code == result.OK || x.request.Context().Err() != nil {
 			x.code = code
+			x.callerLeft()
 			return
 		}
 		x.logAttempt(code)
@@ -336,6 +344,7 @@
 			slog.String("Reason", string(x.choice.Reason)),
 			slog.Int("Load", x.choice.Load.Requests),
 			slog.Int("Unread", int(x.choice.Load.Unread)),
+			slog.String("Source", string(x.choice.Source)),
 			slog.Float64("MeanLoad", x.choice.Mean),
 			slog.Int("Tried", len(x.tried)),
 			slog.Bool("Started", x.started))
@@ -349,6 +358,13 @@
 	x.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
 }
 
+// callerLeft takes in that an answer is not whole because its caller has left.
+func (x *exchange) callerLeft() {
+	if x.request.Context().Err() != nil && x.code != result.OK && x.code != result.UpstreamFailed {
+		x.code = result.CallerLeft
+	}
+}
+
 // logAttempt logs an attempt that did not answer the request.
 func (x *exchange) logAttempt(code result.Code) {
 	x.handler.Logger.Warn("Attempt failed.",
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -42,6 +42,10 @@
 
 	tuning atomic.Pointer[Tuning]
 
+	// Warm is closed once the router has learned which upstreams have which
+	// prompts cached; nil counts as closed.
+	Warm <-chan struct{}
+
 	// leaving says that the process stops, so that callers are asked to
 	// reconnect elsewhere.
 	leaving atomic.Bool
@@ -138,6 +142,30 @@
 	_, _ = writer.Write([]byte(body))
 }
 
+// warmWait bounds the wait of a request for a router that has just started: a
+// prompt that goes astray takes longer to be read again.
+const warmWait = 150 * time.Millisecond
+
+// awaitWarm waits until the router knows where prompts are cached, for a short
+// while after its start.
+func (handler *Handler) awaitWarm(ctx context.Context) {
+	if handler.Warm == nil {
+		return
+	}
+	select {
+	case <-handler.Warm:
+		return
+	default:
+	}
+	timer := time.NewTimer(warmWait)
+	defer timer.Stop()
+	select {
+	case <-handler.Warm:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 const (
 	// returnAfter is the mean time after which a refused caller is asked to
 	// come back: a batch of short requests has ended by then.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -39,9 +39,6 @@
 	toldAt  time.Time
 	// run is the run of the router that was heard last.
 	run balance.RouterID
-	// fresh says that the router has just started and was not told yet what
-	// this one knows.
-	fresh bool
 	// startedAt is when the router started.
 	startedAt time.Time
 }
@@ -49,7 +46,9 @@
 // Gossip exchanges messages with the other routers. Its fields are set before
 // Run.
 type Gossip struct {
-	Router  balance.RouterID
+	Router balance.RouterID
+	// Started is when the router started.
+	Started time.Time
 	Address string
 	Conn    net.PacketConn
 	Loads   *balance.Loads
@@ -61,20 +60,23 @@
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
-	mu        sync.Mutex
-	startedAt time.Time
-	peers     map[string]*peer
-	sequence  uint64
-	told      balance.Counts
-	toldAt    time.Time
-	changes   []registry.Change
+	mu       sync.Mutex
+	peers    map[string]*peer
+	sequence uint64
+	told     balance.Counts
+	toldAt   time.Time
+	changes  []registry.Change
 }
 
-// Add makes another router known by its address, which is IP:port.
+// Add makes another router known by its address, which is IP:port, and greets
+// it at once.
 func (gossip *Gossip) Add(address string) {
+	now := time.Now()
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
-	gossip.add(time.Now(), address)
+	if added := gossip.add(now, address); added != nil {
+		gossip.send(gossip.message(now), added)
+	}
 }
 
 // add returns the peer at address, or nil for the router itself and for an
@@ -109,9 +111,6 @@
 
 // Run exchanges messages until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) {
-	gossip.mu.Lock()
-	gossip.startedAt = time.Now()
-	gossip.mu.Unlock()
 	receiver := &receiver{gossip: gossip}
 	go receiver.run()
 	ticker := time.NewTicker(tellEvery)
@@ -139,7 +138,6 @@
 	}
 	message := gossip.message(now)
 	message.Leaving = leaving
-	gossip.greet(now, message)
 	message.Served = gossip.Holders.News()
 	message.Changes = gossip.changes
 	changed := leaving || len(message.Served) > 0 || len(message.Changes) > 0 || !maps.Equal(message.InFlight, gossip.told)
@@ -159,25 +157,21 @@
 		Router:   gossip.Router,
 		Sequence: gossip.sequence,
 		Address:  gossip.Address,
-		Uptime:   ident.Milliseconds(now.Sub(gossip.startedAt).Milliseconds()),
+		Uptime:   ident.Milliseconds(now.Sub(gossip.Started).Milliseconds()),
 		InFlight: gossip.Loads.Own(),
 	}
 	gossip.Fill(now, &message)
 	return message
 }
 
-// greet tells the routers that have just started what this one knows. The
-// caller holds mu.
-func (gossip *Gossip) greet(now time.Time, message Message) {
-	for _, peer := range gossip.peers {
-		if !peer.fresh {
-			continue
-		}
-		peer.fresh = false
-		for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
-			message.Served = served
-			gossip.send(message, peer)
-		}
+// greet tells a router that has just started what this one knows. The caller
+// holds mu.
+func (gossip *Gossip) greet(now time.Time, fresh *peer) {
+	message := gossip.message(now)
+	gossip.send(message, fresh)
+	for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
+		message.Served = served
+		gossip.send(message, fresh)
 	}
 }
 
@@ -260,9 +254,12 @@
 	gossip.mu.Lock()
 	if known := gossip.add(now, message.Address); known != nil {
 		known.heardAt = now
-		known.fresh = known.fresh || known.run != message.Router
+		fresh := known.run != message.Router
 		known.run = message.Router
 		known.startedAt = now.Add(-message.Uptime.Duration())
+		if fresh && !message.Leaving {
+			gossip.greet(now, known)
+		}
 		if message.Leaving {
 			delete(gossip.peers, message.Address)
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -34,6 +34,7 @@
 	made := &member{done: make(chan struct{})}
 	made.gossip = &gossip.Gossip{
 		Router:  name,
+		Started: time.Now(),
 		Address: conn.LocalAddr().String(),
 		Conn:    conn,
 		Loads:   &made.loads,
--- a/result/code.go
+++ b/result/code.go
@@ -64,6 +64,7 @@
 	KeyInProgress   Code = 3004
 	DeadlineExpired Code = 3005
 	UpstreamCrashed Code = 3006
+	CallerLeft      Code = 3007
 )
 
 // Codes of the operators' interface.
@@ -134,6 +135,8 @@
 
 	{UpstreamCrashed, "UpstreamCrashed", "The upstream was lost while it ran the request", "The connection to the upstream broke while it ran an idempotent request. The request is counted among those that may crash upstreams until it succeeds.", http.StatusBadGateway, Failed, false},
 
+	{CallerLeft, "CallerLeft", "The caller left", "The caller closed its connection before the answer was whole, and the work for it was ended.", http.StatusBadGateway, Unknown, false},
+
 	{InvalidSettings, "InvalidSettings", "The settings are invalid", "The detail names the path, the value and what is allowed. Nothing was changed.", http.StatusUnprocessableEntity, NotRun, false},
 	{RevisionConflict, "RevisionConflict", "The revision has moved on", "Another operator's change was accepted first. Read the current settings and try again. Nothing was changed.", http.StatusPreconditionFailed, NotRun, false},
 	{NotOwner, "NotOwner", "The path belongs to another team", "A team may change only its own subtree. Nothing was changed.", http.StatusForbidden, NotRun, false},
--- a/soak/router.go
+++ b/soak/router.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -73,14 +75,35 @@
 	return router, router.writeSettings()
 }
 
-// freeAddress returns an address that nothing listens on.
+const (
+	// firstPort and lastPort bound the ports of the routers, below those that
+	// the kernel gives to connections.
+	firstPort = 10000
+	lastPort  = 30000
+	// portTries bounds the ports that are tried for one address.
+	portTries = 100
+)
+
+// freeAddress returns an address that nothing uses, for TCP and UDP.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var failure error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			failure = err
+			continue
+		}
+		socket, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			failure = err
+			continue
+		}
+		_ = socket.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.Wrap(failure, "no free port")
 }
 
 func (router *router) writeSettings() error {
