--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -39,7 +39,7 @@
 	// call that a silent store swallowed delays the next one by as much.
 	configWait ident.Milliseconds = 2500
 	// upstreamPause is the time between two calls for changed upstreams.
-	upstreamPause = 500 * time.Millisecond
+	upstreamPause ident.Milliseconds = 500
 	// upkeepEvery is the time between two rounds of upkeep.
 	upkeepEvery = 500 * time.Millisecond
 	// defaultIdle is how long a caller's connection may be idle before the
--- a/follow/table.go
+++ b/follow/table.go
@@ -35,7 +35,7 @@
 	// readAt; nil means always.
 	Due func(now, readAt time.Time) bool
 	// Pause is the time between two calls.
-	Pause time.Duration
+	Pause ident.Milliseconds
 	// ReadAll reads the whole table, and Changes what changed since a version.
 	ReadAll func(ctx context.Context, table platform.TableName, part platform.Part) (platform.Records, error)
 	Changes func(ctx context.Context, table platform.TableName, after ident.Revision, wait ident.Milliseconds) (platform.Records, error)
@@ -121,7 +121,7 @@
 		table.reached(true, nil)
 		table.failures = 0
 		table.readAt = time.Now()
-		return table.Pause
+		return table.Pause.Duration()
 	}
 	table.reached(false, err)
 	table.failures++
--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,71 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const streamHead = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+// TestCutStreams cuts a stream inside its third event.
+func TestCutStreams(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	upstream := func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		head := fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))
+		if request.header.Get("Last-Event-Id") == "2" {
+			write(conn, head+chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")
+			return true
+		}
+		write(conn, head+chunk(first+second)+chunk("id: 3\nda"))
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	front := startRouter(t, startUpstream(t, upstream), startUpstream(t, upstream))
+
+	got := front.send(t, "a1", "POST", "/stream/", "")
+	if got.err == nil || got.body != first+second {
+		t.Errorf("got body %q and error %v, want two events and an early end", got.body, got.err)
+	}
+	front.send(t, "a2", "POST", "/resume/", "").check(t, 200, first+second+"id: 3\ndata: c\n\n")
+}
+
+// TestEventsArePassedOnAtOnce has the upstream wait for its caller to have an
+// event before it sends the next one.
+func TestEventsArePassedOnAtOnce(t *testing.T) {
+	proceed := make(chan struct{})
+	upstream := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request received) bool {
+		write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+		<-proceed
+		write(conn, chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n")
+		return true
+	})
+	front := startRouter(t, upstream)
+	request, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+front.address+"/stream/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "a.example"
+	request.Header.Set("Hickoryhead-Attempt-Id", "a1")
+	request.Header.Set("Authorization", "Token key-1")
+	response, err := front.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	event := make([]byte, len("id: 1\ndata: a\n\n"))
+	if _, err := io.ReadFull(response.Body, event); err != nil {
+		t.Fatalf("got %v, want the first event", err)
+	}
+	close(proceed)
+	rest, err := io.ReadAll(response.Body)
+	if err != nil || string(rest) != "id: 2\ndata: b\n\n" {
+		t.Errorf("got %q and %v, want the second event", rest, err)
+	}
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,6 +8,9 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
 )
 
 const (
@@ -15,6 +18,8 @@
 	callerPause = 60 * time.Millisecond
 	// patience is how long a caller waits for an answer.
 	patience = 3 * time.Second
+	// apiKey is the key of all callers.
+	apiKey = "key-1"
 	// sharedPrompts is the number of shared prompts of the streams.
 	sharedPrompts = 20
 )
@@ -132,12 +137,15 @@
 	// Without a way to make the body anew, net/http sends a request only once.
 	request.GetBody = nil
 	request.Host = "a.example"
-	request.Header.Set("Hickoryhead-Attempt-Id", made.attempt)
-	request.Header.Set("Hickoryhead-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	request.Header.Set("Authorization", "Token key-1")
+	head := platform.RequestHead{
+		Attempt: ident.AttemptID(made.attempt),
+		Wait:    ident.Milliseconds(patience.Milliseconds()),
+		APIKey:  apiKey,
+	}
 	if made.kind.stream {
-		request.Header.Set("Hickoryhead-Prompt-Prefix", fmt.Sprintf("aa:100,b%d:4000,%s:50", prompt, made.attempt))
+		head.Prompt = []platform.PromptPart{{ID: "aa", Tokens: 100}, {ID: fmt.Sprint("b", prompt), Tokens: 4000}, {ID: made.attempt, Tokens: 50}}
 	}
+	platform.EncodeCaller(request.Header, head)
 	response, err := client.Do(request)
 	if err != nil {
 		made.err = err
@@ -145,6 +153,6 @@
 	}
 	defer response.Body.Close()
 	made.status = response.StatusCode
-	made.echoed = response.Header.Get("Hickoryhead-Attempt-Id")
+	made.echoed = string(platform.AnsweredAttempt(response.Header))
 	made.body, made.err = io.ReadAll(response.Body)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
 )
 
 const (
@@ -147,7 +150,8 @@
 		return 0
 	}
 	request.Host = "a.example"
-	request.Header.Set("Hickoryhead-Attempt-Id", fmt.Sprintf("probe-%d-%d", version, time.Now().UnixNano()))
+	attempt := fmt.Sprintf("probe-%d-%d", version, time.Now().UnixNano())
+	platform.EncodeCaller(request.Header, platform.RequestHead{Attempt: ident.AttemptID(attempt)})
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,7 +12,9 @@
 	"sync"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -167,22 +169,43 @@
 	soak.mu.Lock()
 	version := soak.configured + 1
 	soak.mu.Unlock()
-	const route = `{"name":"%s","host":"a.example","prefix":"%s","route-type":"%s","timeout-ms":2500,"target-latency-ms":300,"priority":1,"service":"pool","max-attempts":%d,"public":%v,"sticky-sessions":%v,"resume-streams":%v,"target-gap-ms":800}`
-	routes := []string{
-		fmt.Sprintf(route, "once", "/once/", "non_idempotent", 1, false, false, false),
-		fmt.Sprintf(route, "again", "/again/", "idempotent", 2, false, false, false),
-		fmt.Sprintf(route, "stream", "/stream/", "streaming", 1, false, true, false),
-		fmt.Sprintf(route, "resume", "/resume/", "streaming", 2, false, true, true),
-		fmt.Sprintf(route, "probe", fmt.Sprintf("/v%d/", version), "idempotent", 2, true, false, false),
+	value, err := platform.EncodeConfig(configOf(version))
+	if err != nil {
+		panic("soak: configuration: " + err.Error())
 	}
-	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"pool","health-path":"/healthz","max-connections":400,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t","api-keys":["key-1"]}]}`,
-		version*3, strings.Join(routes, ","))
-	soak.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: []byte(value)})
+	soak.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value})
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	soak.configured, soak.acceptedAt = version, time.Now()
 }
 
+// versionStep is the distance between the versions of two configurations.
+const versionStep = 3
+
+// configOf returns the configuration with the number version.
+func configOf(version int) routing.Config {
+	route := func(name ident.RouteName, prefix string, kind routing.Kind, attempts int) routing.Route {
+		return routing.Route{
+			Name: name, Host: "a.example", Prefix: prefix, Kind: kind, Timeout: 2500, Target: 300, Priority: 1, MaxAttempts: attempts,
+			Sticky: kind == routing.Stream, MaxGap: 800, Shares: []routing.Share{{Service: poolService, Weight: 1}},
+		}
+	}
+	resume := route("resume", "/resume/", routing.Stream, 2)
+	resume.Resumable = true
+	probe := route("probe", fmt.Sprintf("/v%d/", version), routing.Idempotent, 2)
+	probe.Public = true
+	return routing.Config{
+		Version: routing.Version(version * versionStep),
+		Routes: []routing.Route{
+			route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, 2),
+			route("stream", "/stream/", routing.Stream, 1), resume, probe,
+		},
+		Services:   []routing.Service{{Name: poolService, MaxConnections: 400}},
+		Workspaces: []routing.Workspace{{ID: "t", Keys: []string{apiKey}}},
+		Limits:     routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 15000},
+	}
+}
+
 // version returns the newest configuration and when it was accepted.
 func (soak *Soak) version() (int, time.Time) {
 	soak.mu.Lock()
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -20,6 +21,8 @@
 	heartbeatEvery = 300 * time.Millisecond
 	// lapseAfter is the silence after which the platform removes a row.
 	lapseAfter = 3 * heartbeatEvery
+	// poolService is the service of all upstreams.
+	poolService = "pool"
 	// streamEvents is the number of events of a stream.
 	streamEvents = 8
 	// eventEvery is the time between two events.
@@ -131,13 +134,18 @@
 		return
 	}
 	upstream.seq++
-	state := "ready"
-	if upstream.leaving {
-		state = "draining"
+	value, err := platform.EncodeServer(registry.Upstream{
+		Incarnation: registry.Incarnation(upstream.born.UnixMilli()),
+		Service:     poolService,
+		Address:     upstream.proxy.address(),
+		Zone:        "a",
+		Slots:       64,
+		Leaving:     upstream.leaving,
+	}, upstream.seq)
+	if err != nil {
+		panic("soak: row of an upstream: " + err.Error())
 	}
-	value := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
-		upstream.proxy.address(), state, upstream.seq, upstream.born.UnixMilli())
-	upstream.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(upstream.id), Value: []byte(value)})
+	upstream.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(upstream.id), Value: value})
 }
 
 // leave says that the upstream is leaving and returns when the store took that.
@@ -214,14 +222,15 @@
 	if upstream.down() {
 		panic(http.ErrAbortHandler)
 	}
-	attempt := request.Header.Get("Hickoryhead-Attempt-Id")
-	writer.Header().Set("Hickoryhead-Attempt-Id", attempt)
-	if request.Header.Get("Hickoryhead-Expect-Instance") != upstream.id {
+	forwarded := platform.DecodeForwarded(request.Header)
+	attempt := string(forwarded.Attempt)
+	if string(forwarded.Upstream) != upstream.id {
+		platform.EncodeAnswer(writer.Header(), forwarded.Attempt, "")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	upstream.book.add(attempt, run{upstream: upstream.id, at: time.Now()})
-	writer.Header().Set("Hickoryhead-Response-Signature", "s")
+	platform.EncodeAnswer(writer.Header(), forwarded.Attempt, "s")
 	time.Sleep(plainTime + upstream.extra())
 	if !strings.Contains(request.URL.Path, "/stream/") {
 		body := answerTo(attempt)
@@ -232,7 +241,7 @@
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(writer)
-	for n := lastEvent(request) + 1; n <= streamEvents; n++ {
+	for n := numberOf(forwarded.LastEvent) + 1; n <= streamEvents; n++ {
 		_, writeErr := io.WriteString(writer, eventOf(attempt, n))
 		if writeErr != nil || control.Flush() != nil || upstream.down() {
 			panic(http.ErrAbortHandler)
@@ -241,10 +250,9 @@
 	}
 }
 
-// lastEvent returns the number of the last event that the sender of a request
-// has, zero for none.
-func lastEvent(request *http.Request) int {
-	number, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+// numberOf returns the number of the event with the ID id, zero for none.
+func numberOf(id string) int {
+	number, err := strconv.Atoi(id)
 	if err != nil {
 		return 0
 	}
