--- a/balance/loads.go
+++ b/balance/loads.go
@@ -21,6 +21,7 @@
 
 // Load is what is in flight at an upstream.
 type Load struct {
+	//lint:ignore U1000 msgpack reads its tag: a load is written as an array
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Requests int
