--- a/follow/sharing.go
+++ b/follow/sharing.go
@@ -21,9 +21,9 @@
 	freshFor = 1100 * time.Millisecond
 	// settleFor is the time in which two routers come to list the same.
 	settleFor = 250 * time.Millisecond
-	// rereadAfter is the longest time between two own readings, well within the
+	// RereadAfter is the longest time between two own readings, within the
 	// history that the store keeps.
-	rereadAfter = 5 * time.Second
+	RereadAfter = 10 * time.Second
 )
 
 // View is what another router says of its readings of the store.
@@ -96,7 +96,7 @@
 func (sharing *Sharing) UpstreamsDue(now, readAt time.Time, digest uint64) bool {
 	sharing.mu.Lock()
 	defer sharing.mu.Unlock()
-	if sharing.reader(now) || now.Sub(readAt) >= rereadAfter {
+	if sharing.reader(now) || now.Sub(readAt) >= RereadAfter {
 		return true
 	}
 	fresh, equal := false, false
@@ -121,7 +121,7 @@
 func (sharing *Sharing) ConfigDue(now, readAt time.Time, version routing.Version) bool {
 	sharing.mu.Lock()
 	defer sharing.mu.Unlock()
-	if sharing.reader(now) || now.Sub(readAt) >= rereadAfter {
+	if sharing.reader(now) || now.Sub(readAt) >= RereadAfter {
 		return true
 	}
 	views := make([]heardView, 0, len(sharing.peers))
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,7 +23,7 @@
 	repeatEvery = 400 * time.Millisecond
 	// sendsPerSecond bounds the datagrams that a router sends in a large fleet,
 	// by longer times between them.
-	sendsPerSecond = 300
+	sendsPerSecond = 120
 	// quietAfter is the silence after which a router is told seldom, and
 	// forgottenAfter the one after which it is told nothing.
 	quietAfter     = 5 * time.Second
