Pass long answers on as they come, keep a HEAD's length, bound writes to callers that do not read

Found on reading: an answer over 1 MiB was taken for a cut one and answered 502 (TestLongAnswer failed). One copy of the error of a send, in oncehttp; the set-up of an entry router in steps. TestKeptConnectionOutlivesADeadline passed before, too: net/http clears the deadline.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -197,14 +197,37 @@
 
 // follow starts the loops that keep what the router believes up to date.
 func (daemon *Daemon) follow(ctx context.Context) error {
-	socket, err := net.ListenPacket("udp", daemon.Config.PeerListen)
+	exchange, err := daemon.newGossip()
 	if err != nil {
-		return errors.Wrap(err, "peer socket")
+		return err
 	}
+	daemon.warmup = newWarmup(daemon, exchange)
+	daemon.handler.Warm = daemon.warmup.done
+	daemon.sharing.Self = daemon.Config.PeerListen
+	daemon.beliefs.Relay = exchange.Relay
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
-	logger := logging.Part(daemon.Logger, "follow")
-	exchange := &gossip.Gossip{
+	for _, table := range []*follow.Table{daemon.configTable(store), daemon.upstreamTable(store)} {
+		follower := &follower{table: table}
+		go follower.run(ctx)
+	}
+	membership := &membership{store: store, gossip: exchange, daemon: daemon}
+	go membership.run(ctx)
+	gossiper := &gossiper{gossip: exchange}
+	go gossiper.run(ctx)
+	go daemon.warmup.run(ctx)
+	upkeep := &upkeep{daemon: daemon}
+	go upkeep.run(ctx)
+	return nil
+}
+
+// newGossip opens the socket for the messages of other routers.
+func (daemon *Daemon) newGossip() (*gossip.Gossip, error) {
+	socket, err := net.ListenPacket("udp", daemon.Config.PeerListen)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer socket")
+	}
+	return &gossip.Gossip{
 		Router:  balance.RouterID(uuid.NewString()),
 		Started: time.Now(),
 		Address: daemon.Config.PeerListen,
@@ -215,12 +238,12 @@
 		Heard:   daemon.heard,
 		Metrics: daemon.metrics,
 		Logger:  logging.Part(daemon.Logger, "gossip"),
-	}
-	daemon.warmup = newWarmup(daemon, exchange)
-	daemon.handler.Warm = daemon.warmup.done
-	daemon.sharing.Self = daemon.Config.PeerListen
-	daemon.beliefs.Relay = exchange.Relay
-	configs := &follow.Table{
+	}, nil
+}
+
+// configTable returns what follows the configuration.
+func (daemon *Daemon) configTable(store *platform.Store) *follow.Table {
+	return &follow.Table{
 		Name:      platform.OperatorTable,
 		Wait:      daemon.configWait,
 		Due:       daemon.configDue,
@@ -230,9 +253,13 @@
 		Changed:   daemon.beliefs.Config,
 		Reachable: func(bool) {},
 		Metrics:   daemon.metrics,
-		Logger:    logger,
+		Logger:    logging.Part(daemon.Logger, "follow"),
 	}
-	upstreams := &follow.Table{
+}
+
+// upstreamTable returns what follows the rows of the upstreams.
+func (daemon *Daemon) upstreamTable(store *platform.Store) *follow.Table {
+	return &follow.Table{
 		Name:      platform.ServerTable,
 		Pause:     upstreamPause,
 		Due:       daemon.upstreamsDue,
@@ -242,20 +269,8 @@
 		Changed:   daemon.beliefs.Upstreams,
 		Reachable: daemon.reached,
 		Metrics:   daemon.metrics,
-		Logger:    logger,
+		Logger:    logging.Part(daemon.Logger, "follow"),
 	}
-	for _, table := range []*follow.Table{configs, upstreams} {
-		follower := &follower{table: table}
-		go follower.run(ctx)
-	}
-	membership := &membership{store: store, gossip: exchange, daemon: daemon}
-	go membership.run(ctx)
-	gossiper := &gossiper{gossip: exchange}
-	go gossiper.run(ctx)
-	go daemon.warmup.run(ctx)
-	upkeep := &upkeep{daemon: daemon}
-	go upkeep.run(ctx)
-	return nil
 }
 
 // follower follows one table of the store until its context ends.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/http1"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -151,8 +152,7 @@
 // converse sends the request on the connection of a and reads the head of its
 // answer into a.
 func (x *exchange) converse(a *answer, left time.Duration, lastEvent string) result.Code {
-	deadline := x.deadline
-	if err := a.conn.SetWriteDeadline(deadline); err != nil {
+	if err := a.conn.SetWriteDeadline(x.deadline); err != nil {
 		x.causeOf(err)
 		return result.UpstreamUnreachable
 	}
@@ -309,8 +309,7 @@
 // failed returns the code of an attempt that ended with err.
 func (x *exchange) failed(err error) result.Code {
 	x.causeOf(err)
-	var sendError *http1.SendError
-	if errors.As(err, &sendError) && !sendError.Sent {
+	if !oncehttp.Sent(err) {
 		return result.UpstreamUnreachable
 	}
 	return result.OutcomeUnknown
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -19,6 +19,8 @@
 	// wholeBytes is the longest plain answer that is read whole before any of
 	// it is passed on, so that a cut one can be asked for again.
 	wholeBytes = 1 << 20
+	// writeGrace is how long after its deadline an answer may still be written.
+	writeGrace = time.Second
 	// relayBytes is the size of the buffer of a stream.
 	relayBytes = 4 << 10
 )
@@ -35,7 +37,10 @@
 // relayPlain reads the whole answer before it passes it on.
 func (x *exchange) relayPlain(a *answer) result.Code {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, wholeBytes+1))
-	if err != nil || len(body) > wholeBytes {
+	if err == nil && len(body) > wholeBytes {
+		return x.relayLong(a, body)
+	}
+	if err != nil {
 		x.causeOf(err)
 		code := x.cutCode()
 		x.judgeFailure(a.upstream, code)
@@ -56,6 +61,27 @@
 	return x.writePlain(a, body)
 }
 
+// relayLong passes on an answer that is too long to be read whole first, of which
+// beginning was read.
+func (x *exchange) relayLong(a *answer, beginning []byte) result.Code {
+	x.writeHead(a)
+	if a.response.ContentLength > 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
+	}
+	x.start(a.response.StatusCode)
+	_, err := io.Copy(x.writer, io.MultiReader(bytes.NewReader(beginning), a.response.Body))
+	if err != nil {
+		x.causeOf(err)
+		x.judgeFailure(a.upstream, x.cutCode())
+		a.drop()
+		x.aborted = true
+		return result.AnswerCut
+	}
+	x.handler.judge(a.upstream, health.Succeeded)
+	a.keep()
+	return result.OK
+}
+
 // offerInstead sends a request whose upstream failed to another one, and falls
 // back on the failure where that gives no answer.
 func (x *exchange) offerInstead(failed *answer, body []byte) result.Code {
@@ -80,7 +106,10 @@
 func (x *exchange) writePlain(a *answer, body []byte) result.Code {
 	header := x.writer.Header()
 	x.writeHead(a)
-	if x.request.Method != http.MethodHead {
+	switch {
+	case x.request.Method == http.MethodHead && a.response.ContentLength >= 0:
+		header.Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
+	case hasBody(x.request.Method, a.response.StatusCode):
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.start(a.response.StatusCode)
@@ -93,6 +122,12 @@
 	return x.code
 }
 
+// hasBody reports whether an answer with status to a request of method has a
+// body, be it empty.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // writeHead copies the upstream's head. Headers that the library would add are
 // suppressed.
 func (x *exchange) writeHead(a *answer) {
@@ -113,9 +148,18 @@
 	x.started = true
 	x.status = status
 	x.handler.Metrics.FirstByte(x.route.Kind.String(), time.Since(x.arrived))
+	x.boundWrites(x.deadline.Add(writeGrace))
 	x.writer.WriteHeader(status)
 }
 
+// boundWrites sets the time at which writing to a caller that does not read is
+// given up. It is cleared by net/http before the next request.
+func (x *exchange) boundWrites(until time.Time) {
+	if err := http.NewResponseController(x.writer).SetWriteDeadline(until); err != nil {
+		x.handler.Logger.Debug("Write deadline not set.", "Error", err)
+	}
+}
+
 // cutCode returns what is known of a request whose answer ended early.
 func (x *exchange) cutCode() result.Code {
 	if !time.Now().Before(x.deadline) {
@@ -138,9 +182,6 @@
 	var events stream
 	first := a
 	control := http.NewResponseController(x.writer)
-	if err := control.SetWriteDeadline(x.deadline); err != nil {
-		x.handler.Logger.Debug("Write deadline not set.", "Error", err)
-	}
 	for {
 		err := x.copyEvents(first, a, &events, control)
 		if err == nil {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -36,6 +37,42 @@
 	front.send(t, "a2", "POST", "/resume/", "").check(t, 200, first+second+"id: 3\ndata: c\n\n")
 }
 
+// TestKeptConnectionOutlivesADeadline sends a plain request on a connection that
+// carried a stream whose deadline has passed since.
+func TestKeptConnectionOutlivesADeadline(t *testing.T) {
+	upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request received) bool {
+		if n > 0 {
+			return echo(ctx, conn, n, request)
+		}
+		write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n")+"0\r\n\r\n")
+		return true
+	})
+	front := startRouter(t, upstream)
+	front.client.Transport = &http.Transport{DisableCompression: true, MaxConnsPerHost: 1}
+	front.send(t, "a1", "POST", "/stream/", "", "Hickoryhead-Deadline-Ms", "100").check(t, 200, "id: 1\ndata: a\n\n")
+	time.Sleep(1300 * time.Millisecond)
+	front.send(t, "a2", "POST", "/once/", "").check(t, 200, "answer to a2")
+}
+
+// TestLongAnswer has an upstream answer with more than is read at once, whole
+// and cut.
+func TestLongAnswer(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 200_000)
+	upstream := startUpstream(t, func(_ context.Context, conn net.Conn, n int, request received) bool {
+		answer := whole(request.header.Get("Hickoryhead-Attempt-Id"), long)
+		if n > 0 {
+			answer = answer[:len(answer)-1000]
+		}
+		write(conn, answer)
+		return n == 0
+	})
+	front := startRouter(t, upstream)
+	front.send(t, "a1", "POST", "/once/", "").check(t, 200, long)
+	if got := front.send(t, "a2", "POST", "/once/", ""); got.err == nil {
+		t.Errorf("got status %d and %d bytes without an error for a cut answer, want an early end", got.status, len(got.body))
+	}
+}
+
 // TestEventsArePassedOnAtOnce has the upstream wait for its caller to have an
 // event before it sends the next one.
 func TestEventsArePassedOnAtOnce(t *testing.T) {
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 )
 
 const (
@@ -35,24 +37,6 @@
 	Body   []byte
 }
 
-// SendError is the error of a request that got no response.
-type SendError struct {
-	// Sent says that bytes of the request may have left this process.
-	Sent bool
-	Err  error
-}
-
-// Error returns the text of the cause.
-func (e *SendError) Error() string {
-	if e.Sent {
-		return "sent without response: " + e.Err.Error()
-	}
-	return "not sent: " + e.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (e *SendError) Unwrap() error { return e.Err }
-
 // Conn is a connection to an upstream. It carries one request at a time and is
 // not safe for concurrent use, but for Close.
 type Conn struct {
@@ -84,7 +68,7 @@
 }
 
 // Send writes request. A long one is still being written when Send returns.
-// Its error is a *SendError.
+// Its error is a *oncehttp.SendError.
 func (conn *Conn) Send(request *Request) error {
 	conn.Requests++
 	raw := request.encode()
@@ -95,7 +79,7 @@
 	count, err := conn.Write(first)
 	if err != nil {
 		conn.poisoned = true
-		return &SendError{Sent: count > 0, Err: err}
+		return &oncehttp.SendError{Sent: count > 0, Err: err}
 	}
 	if len(raw) > len(first) {
 		conn.writer = &bodyWriter{conn: conn.Conn, rest: raw[len(first):], done: make(chan struct{})}
@@ -106,10 +90,10 @@
 
 // Await waits until the response begins or until passes, and reports whether it
 // began. The connection stays usable where it did not. Its error is a
-// *SendError.
+// *oncehttp.SendError.
 func (conn *Conn) Await(until time.Time) (bool, error) {
 	if err := conn.SetReadDeadline(until); err != nil {
-		return false, &SendError{Sent: true, Err: err}
+		return false, &oncehttp.SendError{Sent: true, Err: err}
 	}
 	_, err := conn.reader.Peek(1)
 	switch {
@@ -119,17 +103,17 @@
 		return false, nil
 	}
 	conn.poisoned = true
-	return false, &SendError{Sent: true, Err: err}
+	return false, &oncehttp.SendError{Sent: true, Err: err}
 }
 
 // Receive reads the head of the next response. Its body has to be read to the
-// end before the connection can be kept. Its error is a *SendError.
+// end before the connection can be kept. Its error is a *oncehttp.SendError.
 func (conn *Conn) Receive(method string) (*http.Response, error) {
 	for range maxInformational {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
 			conn.poisoned = true
-			return nil, &SendError{Sent: true, Err: err}
+			return nil, &oncehttp.SendError{Sent: true, Err: err}
 		}
 		if response.StatusCode >= http.StatusOK {
 			conn.poisoned = conn.poisoned || response.Close
@@ -140,7 +124,7 @@
 		}
 	}
 	conn.poisoned = true
-	return nil, &SendError{Sent: true, Err: errors.New("no final response")}
+	return nil, &oncehttp.SendError{Sent: true, Err: errors.New("no final response")}
 }
 
 // reusable reports whether the connection may carry another request, once the
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/http1"
+	"github.com/hickoryhead/hickoryhead/oncehttp"
 )
 
 // peer is a listener whose connections a test drives itself.
@@ -140,8 +141,7 @@
 	_ = far.Close()
 	time.Sleep(20 * time.Millisecond)
 	err := conn.Send(&http1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}})
-	var sendError *http1.SendError
-	if !errors.As(err, &sendError) || sendError.Sent {
+	if err == nil || oncehttp.Sent(err) {
 		t.Errorf("got %v, want an error that says that nothing was sent", err)
 	}
 }
