--- a/soak/router.go
+++ b/soak/router.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -52,7 +49,7 @@
 	startAt  time.Time
 }
 
-func newRouter(name, program, dir, storeAt string) (*router, error) {
+func newRouter(name, program, dir, storeAt string, ports *portBlock) (*router, error) {
 	store, err := startProxy(storeAt)
 	if err != nil {
 		return nil, err
@@ -68,44 +65,13 @@
 	}
 	addresses := []*string{&router.settings.CallerListen, &router.settings.ReadyListen, &router.settings.PeerListen, &router.settings.MetricsListen}
 	for _, address := range addresses {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = ports.next(); err != nil {
 			return nil, err
 		}
 	}
 	return router, router.writeSettings()
 }
 
-const (
-	// firstPort and lastPort bound the ports of the routers, below those that
-	// the kernel gives to connections.
-	firstPort = 10000
-	lastPort  = 30000
-	// portTries bounds the ports that are tried for one address.
-	portTries = 100
-)
-
-// freeAddress returns an address that nothing uses, for TCP and UDP.
-func freeAddress() (string, error) {
-	var failure error
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			failure = err
-			continue
-		}
-		socket, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err != nil {
-			failure = err
-			continue
-		}
-		_ = socket.Close()
-		return address, nil
-	}
-	return "", errors.Wrap(failure, "no free port")
-}
-
 func (router *router) writeSettings() error {
 	content, err := json.Marshal(router.settings)
 	if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,7 @@
 	book      runBook
 	routers   []*router
 	upstreams []*upstream
+	ports     *portBlock
 	began     time.Time
 
 	mu         sync.Mutex
@@ -137,8 +138,13 @@
 	if err := os.MkdirAll(soak.options.Dir, 0o700); err != nil {
 		return err
 	}
+	ports, err := claimPorts()
+	if err != nil {
+		return err
+	}
+	soak.ports = ports
 	for i := range soak.options.Routers {
-		router, err := newRouter(fmt.Sprintf("router-%d", i), soak.options.Program, soak.options.Dir, storeAt)
+		router, err := newRouter(fmt.Sprintf("router-%d", i), soak.options.Program, soak.options.Dir, storeAt, ports)
 		if err != nil {
 			return err
 		}
@@ -157,6 +163,9 @@
 	for _, upstream := range soak.upstreams {
 		upstream.close()
 	}
+	if soak.ports != nil {
+		soak.ports.release()
+	}
 	if soak.server != nil {
 		soak.server.CloseClientConnections()
 		soak.server.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,8 +14,9 @@
 	seed  uint64
 	cause string
 }{
-	{31, "the soak gave a router a UDP port that another process took while the router was down"},
+	{31, "the soak gave a router a port that it had tried for TCP only and that was in use for UDP"},
 	{46, "as seed 31"},
+	{140, "the soak gave one port to two routers"},
 }
 
 // short is the soak that CI plays.
