--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,7 +14,7 @@
 	seed  uint64
 	cause string
 }{
-	{31, "the soak gave a router a port that it had tried for TCP only and that was in use for UDP"},
+	{31, "the soak gave a router a port that a soak beside it had given away, too"},
 	{46, "as seed 31"},
 	{140, "the soak gave one port to two routers"},
 }
