Encode a message once for all routers, choose the next upstream in one place, drop what nobody calls

A datagram was encoded anew for each other router, the shared parts of a prompt were listed anew for each use, and three places chose, noted and counted an upstream alike.

--- a/entry/membership.go
+++ b/entry/membership.go
@@ -39,11 +39,7 @@
 		}
 		membership.daemon.metrics.Happened("register.failed")
 		membership.daemon.Logger.Warn("Not registered.", "Error", err)
-		pause := time.Duration((0.5 + rand.Float64()) * float64(registerPause))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		pause(ctx, time.Duration((0.5+rand.Float64())*float64(registerPause)))
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -92,9 +92,9 @@
 		return nil, result.DeadlineUnmeetable
 	}
 	a := &answer{upstream: upstream, conn: conn, loads: x.handler.Loads, unread: x.unread()}
-	a.unwatch = watch(x.request.Context(), func() { _ = conn.Close() })
+	a.unwatch = context.AfterFunc(x.request.Context(), func() { _ = conn.Close() })
 	x.handler.Loads.Start(upstream.ID, a.unread)
-	for _, key := range x.choiceRequest().Keys {
+	for _, key := range x.shared {
 		x.handler.Holders.Served(time.Now(), balance.Served{Key: key, Upstream: upstream.ID})
 	}
 	sentAt := time.Now()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -42,6 +42,9 @@
 	head      platform.RequestHead
 	workspace *routing.Workspace
 	body      []byte
+	// shared are the parts of the prompt that other requests share, on a sticky
+	// route.
+	shared []ident.ChatID
 	// deadline is when the caller's wait or the route's timeout ends, and
 	// callerUntil when the caller's wait alone does.
 	deadline    time.Time
@@ -112,6 +115,9 @@
 	if code := x.authenticate(); code != result.OK {
 		return code
 	}
+	if x.route.Sticky {
+		x.shared = sharedParts(x.head.Prompt)
+	}
 	x.setDeadline()
 	x.service = x.route.Service(xxhash.Sum64String(string(x.head.Attempt)))
 	return x.readBody()
@@ -197,14 +203,11 @@
 func (x *exchange) offer() {
 	for {
 		pool := x.handler.Registry.Pool(x.service)
-		choice, found := x.handler.choose(pool, x.choiceRequest())
-		if !found {
+		if !x.chooseNext(pool) {
 			x.giveUp(result.NoUpstream)
 			return
 		}
-		x.choice = choice
-		x.tried = append(x.tried, choice.Upstream.ID)
-		answer, code := x.attempt(choice.Upstream, "")
+		answer, code := x.attempt(x.choice.Upstream, "")
 		if code == result.OK {
 			code = x.relay(answer)
 		}
@@ -222,12 +225,20 @@
 	}
 }
 
-func (x *exchange) choiceRequest() balance.Request {
-	request := balance.Request{Tried: x.tried, Zone: x.handler.Zone, Target: x.route.Target}
-	if x.route.Sticky {
-		request.Keys = sharedParts(x.head.Prompt)
+// chooseNext chooses the upstream that the request is offered to next, and
+// reports whether there is one.
+func (x *exchange) chooseNext(pool *registry.Pool) bool {
+	choice, found := x.handler.choose(pool, x.choiceRequest())
+	if !found {
+		return false
 	}
-	return request
+	x.choice = choice
+	x.tried = append(x.tried, choice.Upstream.ID)
+	return true
+}
+
+func (x *exchange) choiceRequest() balance.Request {
+	return balance.Request{Keys: x.shared, Tried: x.tried, Zone: x.handler.Zone, Target: x.route.Target}
 }
 
 // sharedParts returns the parts of a prompt that other requests share, the
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -180,8 +180,3 @@
 	spread := time.Duration((0.5 + rand.Float64()) * float64(returnAfter))
 	return max(min(spread, time.Duration(returnShare*float64(left))), 10*time.Millisecond)
 }
-
-// watch closes the connection of an attempt when ctx ends.
-func watch(ctx context.Context, abandon func()) (stop func() bool) {
-	return context.AfterFunc(ctx, abandon)
-}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -101,10 +101,3 @@
 		_ = conn.Close()
 	}
 }
-
-// Len returns the number of idle connections.
-func (idle *IdleConns) Len() int {
-	idle.mu.Lock()
-	defer idle.mu.Unlock()
-	return len(idle.since)
-}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -86,13 +86,10 @@
 // back on the failure where that gives no answer.
 func (x *exchange) offerInstead(failed *answer, body []byte) result.Code {
 	pool := x.handler.Registry.Pool(x.service)
-	choice, found := x.handler.choose(pool, x.choiceRequest())
-	if !found {
+	if !x.chooseNext(pool) {
 		return x.writePlain(failed, body)
 	}
-	x.choice = choice
-	x.tried = append(x.tried, choice.Upstream.ID)
-	a, code := x.attempt(choice.Upstream, "")
+	a, code := x.attempt(x.choice.Upstream, "")
 	if code == result.OK {
 		code = x.relay(a)
 	}
@@ -293,14 +290,11 @@
 			return nil
 		}
 		x.handler.Metrics.Retried(result.AnswerCut)
-		choice, found := x.handler.choose(pool, x.choiceRequest())
-		if !found {
+		if !x.chooseNext(pool) {
 			return nil
 		}
-		x.choice = choice
-		x.tried = append(x.tried, choice.Upstream.ID)
 		var a *answer
-		a, code = x.attempt(choice.Upstream, lastEvent)
+		a, code = x.attempt(x.choice.Upstream, lastEvent)
 		if code == result.OK && a.response.StatusCode == http.StatusOK {
 			return a
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -75,7 +75,7 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	if added := gossip.add(now, address); added != nil {
-		gossip.send(gossip.message(now), added)
+		gossip.send(gossip.encode(gossip.message(now)), added)
 	}
 }
 
@@ -168,15 +168,16 @@
 // holds mu.
 func (gossip *Gossip) greet(now time.Time, fresh *peer) {
 	message := gossip.message(now)
-	gossip.send(message, fresh)
+	gossip.send(gossip.encode(message), fresh)
 	for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
 		message.Served = served
-		gossip.send(message, fresh)
+		gossip.send(gossip.encode(message), fresh)
 	}
 }
 
 // broadcast sends message to the routers that are due. The caller holds mu.
 func (gossip *Gossip) broadcast(now time.Time, message Message) {
+	datagram := gossip.encode(message)
 	for address, peer := range gossip.peers {
 		silence := now.Sub(peer.heardAt)
 		if silence > forgottenAfter {
@@ -187,17 +188,27 @@
 			continue
 		}
 		peer.toldAt = now
-		gossip.send(message, peer)
+		gossip.send(datagram, peer)
 	}
 }
 
-// send sends message to one router. The caller holds mu.
-func (gossip *Gossip) send(message Message, peer *peer) {
+// encode returns the datagram of message, or nil where it has none.
+func (gossip *Gossip) encode(message Message) []byte {
 	datagram, err := encode(message)
-	if err == nil {
-		_, err = gossip.Conn.WriteTo(datagram, peer.address)
-	}
 	if err != nil {
+		gossip.Metrics.Happened("gossip.encode.failed")
+		gossip.Logger.Warn("Message not encoded.", "Error", err)
+		return nil
+	}
+	return datagram
+}
+
+// send sends datagram, if there is one, to one router. The caller holds mu.
+func (gossip *Gossip) send(datagram []byte, peer *peer) {
+	if datagram == nil {
+		return
+	}
+	if _, err := gossip.Conn.WriteTo(datagram, peer.address); err != nil {
 		gossip.Metrics.Happened("gossip.send.failed")
 		gossip.Logger.Debug("Message not sent.", "Address", peer.address.String(), "Error", err)
 	}
