--- /dev/null
+++ b/cmd/hickoryhead-standin/configure.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/hickoryhead/hickoryhead/command"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+func newConfigure() *cobra.Command {
+	var storeAt string
+	cmd := &cobra.Command{
+		Use:   "configure FILE",
+		Short: "Check a configuration of routes and write it to the platform's stand-in, as operators do",
+		Args:  command.Args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			config, err := readConfig(args[0])
+			if err != nil {
+				return command.Usage(errors.Wrap(err, args[0]))
+			}
+			if err := configure(cmd.Context(), platform.NewStore(storeAt, nil), config); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "version %d is accepted\n", config.Version)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&storeAt, "platform", defaultPlatform, "address of the platform's stand-in, IP:port")
+	return cmd
+}
+
+// readConfig reads a JSON file with the fields of routing.Config and checks it.
+func readConfig(name string) (routing.Config, error) {
+	var config routing.Config
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return config, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&config); err != nil {
+		return config, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return config, errors.New("want one JSON object and nothing after it")
+	}
+	return config, config.Check()
+}
+
+// configure writes config unless the store holds one that is as new.
+func configure(ctx context.Context, store *platform.Store, config routing.Config) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	present, err := store.Read(ctx, platform.Range{Table: platform.OperatorTable, From: platform.ConfigKey, Limit: 1})
+	if err != nil {
+		return err
+	}
+	var revision platform.Expectation
+	revision.Row = platform.RowName{Table: platform.OperatorTable, Key: platform.ConfigKey}
+	for _, record := range present.Records {
+		if record.Key != platform.ConfigKey {
+			continue
+		}
+		former, err := platform.DecodeConfig(record.Value)
+		if err != nil {
+			return errors.Wrap(err, "present configuration")
+		}
+		if former.Version >= config.Version {
+			return errors.Newf("version %d is accepted already: the next one needs a higher Version", former.Version)
+		}
+		revision.Version = record.Version
+	}
+	value, err := platform.EncodeConfig(config)
+	if err != nil {
+		return err
+	}
+	written := platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value}
+	_, err = store.Transact(ctx, platform.Batch{Expected: []platform.Expectation{revision}, Writes: []platform.Record{written}})
+	return err
+}
--- a/cmd/hickoryhead-standin/root.go
+++ b/cmd/hickoryhead-standin/root.go
@@ -13,6 +13,6 @@
 
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := command.Root("hickoryhead-standin", "Stand-ins for the systems around hickoryhead",
-		newEngine(), newService(), newPlatform())
+		newEngine(), newService(), newPlatform(), newRunner(), newConfigure())
 	return command.Run(ctx, root, args, out, errOut)
 }
--- a/cmd/hickoryhead-standin/server.go
+++ b/cmd/hickoryhead-standin/server.go
@@ -27,13 +27,24 @@
 // serve serves handler at listen, which is IP:port, until ctx is done. It then
 // lets the requests in flight finish.
 func serve(ctx context.Context, listen string, handler http.Handler, out io.Writer) error {
-	if _, err := netip.ParseAddrPort(listen); err != nil {
-		return command.Usage(errors.Wrap(err, "--listen: want IP:port"))
-	}
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenAt(listen)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
+	}
+	return serveOn(ctx, listener, handler, out)
+}
+
+// listenAt listens at address, which is IP:port.
+func listenAt(address string) (net.Listener, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, command.Usage(errors.Wrap(err, "--listen: want IP:port"))
 	}
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "listen")
+}
+
+// serveOn serves handler on listener as serve does.
+func serveOn(ctx context.Context, listener net.Listener, handler http.Handler, out io.Writer) error {
 	server := &server{listener: listener, failed: make(chan error, 1)}
 	server.http.Handler = handler
 	fmt.Fprintln(out, "listening on", listener.Addr())
--- a/demo/run.go
+++ b/demo/run.go
@@ -62,12 +62,38 @@
 		return err
 	}
 	trial.print()
+	if !trial.report.Sound() {
+		return errBroken
+	}
+	return fleet.runEntry(ctx, options)
+}
+
+// errBroken means that the demo saw a promise broken.
+var errBroken = errors.New("an answer broke a promise: see the table")
+
+// runEntry shows the routers of the users' platform beside the fleet.
+func (fleet *fleet) runEntry(ctx context.Context, options Options) error {
+	say(options.Out, "\nStarting %d entry routers of the users' platform with %d runners and the store's stand-in.", entryRouters, entryRunners)
+	routers := &entryFleet{logger: options.Logger, others: fleet}
+	defer routers.close()
+	if err := routers.start(); err != nil {
+		return err
+	}
+	if err := routers.waitReady(ctx); err != nil {
+		return err
+	}
+	trial := &entryTrial{fleet: routers, out: options.Out}
+	if err := trial.drive(ctx); err != nil {
+		return err
+	}
+	trial.print()
 	if options.Keep {
 		fleet.explain(options.Out)
+		routers.explain(options.Out)
 		<-ctx.Done()
 	}
-	if !trial.report.Sound() {
-		return errors.New("an answer broke a promise: see the table")
+	if !trial.sound() {
+		return errBroken
 	}
 	return nil
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -62,6 +62,8 @@
 	// Reload reads the settings file again; nil reads none.
 	Reload func() (config.Entry, error)
 	Logger *slog.Logger
+	// Started is told where the router listens, once it does; nil is not told.
+	Started func(addresses Addresses)
 
 	// inForce holds the settings, Config at first.
 	inForce  atomic.Pointer[config.Entry]
@@ -83,6 +85,12 @@
 	sharing follow.Sharing
 }
 
+// Addresses are where a router listens, IP:port.
+type Addresses struct {
+	Callers string
+	Ready   string
+}
+
 // Run serves until ctx ends and then stops as planned.
 func (daemon *Daemon) Run(ctx context.Context) error {
 	reloader := &reloader{daemon: daemon, signals: make(chan os.Signal, 1)}
@@ -105,7 +113,11 @@
 	for _, server := range servers {
 		go server.run()
 	}
-	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", daemon.Config.CallerListen)
+	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
+	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
+	if daemon.Started != nil {
+		daemon.Started(Addresses{Callers: callers, Ready: ready})
+	}
 	go reloader.run(working)
 	<-ctx.Done()
 	daemon.leave(servers[0])
@@ -203,7 +215,7 @@
 	}
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.done
-	daemon.sharing.Self = daemon.Config.PeerListen
+	daemon.sharing.Self = exchange.Address
 	daemon.beliefs.Relay = exchange.Relay
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
@@ -230,7 +242,7 @@
 	return &gossip.Gossip{
 		Router:  balance.RouterID(uuid.NewString()),
 		Started: time.Now(),
-		Address: daemon.Config.PeerListen,
+		Address: socket.LocalAddr().String(),
 		Conn:    socket,
 		Loads:   &daemon.loads,
 		Holders: &daemon.holders,
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,16 +1,15 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/standin"
 )
 
 const (
@@ -18,6 +17,8 @@
 	callerPause = 60 * time.Millisecond
 	// patience is how long a caller waits for an answer.
 	patience = 3 * time.Second
+	// callerHost is the host that all callers ask for.
+	callerHost = "a.example"
 	// apiKey is the key of all callers.
 	apiKey = "key-1"
 	// sharedPrompts is the number of shared prompts of the streams.
@@ -44,16 +45,12 @@
 // call is one request of a caller with what came of it.
 type call struct {
 	kind        kind
-	attempt     string
+	attempt     ident.AttemptID
 	router      *router
 	incarnation int
 	sentAt      time.Time
 	endedAt     time.Time
-	// status is zero where no head of an answer came.
-	status int
-	body   []byte
-	echoed string
-	err    error
+	reply       standin.Reply
 }
 
 // caller sends requests and keeps its connection until it ends.
@@ -111,13 +108,13 @@
 	drawn := kinds[caller.random.IntN(len(kinds))]
 	made := &call{
 		kind:        drawn,
-		attempt:     fmt.Sprintf("%d-%d-%d", caller.soak.options.Seed, caller.number, caller.sent),
+		attempt:     ident.AttemptID(fmt.Sprintf("%d-%d-%d", caller.soak.options.Seed, caller.number, caller.sent)),
 		router:      caller.router,
 		incarnation: caller.router.incarnation(),
 		sentAt:      time.Now(),
 	}
 	made.perform(context.WithoutCancel(ctx), caller.client, caller.random.IntN(sharedPrompts))
-	if made.err != nil {
+	if made.reply.Err != nil {
 		caller.leave()
 	}
 	return made
@@ -128,31 +125,21 @@
 	defer func() { made.endedAt = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	url := "http://" + made.router.settings.CallerListen + made.kind.path
-	request, err := http.NewRequestWithContext(ctx, made.kind.method, url, bytes.NewReader([]byte("body of "+made.attempt)))
-	if err != nil {
-		made.err = err
-		return
-	}
-	// Without a way to make the body anew, net/http sends a request only once.
-	request.GetBody = nil
-	request.Host = "a.example"
 	head := platform.RequestHead{
-		Attempt: ident.AttemptID(made.attempt),
+		Attempt: made.attempt,
 		Wait:    ident.Milliseconds(patience.Milliseconds()),
 		APIKey:  apiKey,
 	}
 	if made.kind.stream {
-		head.Prompt = []platform.PromptPart{{ID: "aa", Tokens: 100}, {ID: fmt.Sprint("b", prompt), Tokens: 4000}, {ID: made.attempt, Tokens: 50}}
+		head.Prompt = []platform.PromptPart{{ID: "aa", Tokens: 100}, {ID: fmt.Sprint("b", prompt), Tokens: 4000}, {ID: string(made.attempt), Tokens: 50}}
 	}
-	platform.EncodeCaller(request.Header, head)
-	response, err := client.Do(request)
-	if err != nil {
-		made.err = err
-		return
+	sent := &standin.Call{
+		Method: made.kind.method,
+		Router: made.router.settings.CallerListen,
+		Host:   callerHost,
+		Path:   made.kind.path,
+		Head:   head,
+		Body:   "body of " + string(made.attempt),
 	}
-	defer response.Body.Close()
-	made.status = response.StatusCode
-	made.echoed = string(platform.AnsweredAttempt(response.Header))
-	made.body, made.err = io.ReadAll(response.Body)
+	made.reply = sent.Send(ctx, client)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/standin"
 )
 
 const (
@@ -29,13 +30,13 @@
 	switch {
 	case made.kind.once && len(runs) > 1:
 		soak.violate("ran more than once", "%s %s ran %d times", made.kind.name, made.attempt, len(runs))
-	case made.status == http.StatusOK && made.err == nil:
+	case made.reply.Status == http.StatusOK && made.reply.Err == nil:
 		soak.checkAnswer(made)
-	case made.status >= 400 && made.status < 500 && !promises(made.status):
-		soak.violate("proper request refused", "%s %s got %d from %s", made.kind.name, made.attempt, made.status, made.router.name)
-	case made.status != 0 && made.err == nil && promises(made.status) && made.kind.once:
+	case made.reply.Status >= 400 && made.reply.Status < 500 && !promises(made.reply.Status):
+		soak.violate("proper request refused", "%s %s got %d from %s", made.kind.name, made.attempt, made.reply.Status, made.router.name)
+	case made.reply.Status != 0 && made.reply.Err == nil && promises(made.reply.Status) && made.kind.once:
 		soak.promised(made.attempt)
-	case made.err != nil:
+	case made.reply.Err != nil:
 		soak.checkCut(made, len(runs) > 0)
 	}
 }
@@ -51,12 +52,12 @@
 
 // checkAnswer wants the whole answer to this request and no other.
 func (soak *Soak) checkAnswer(made *call) {
-	want := answerTo(made.attempt)
+	want := standin.RunnerAnswer(made.attempt)
 	if made.kind.stream {
-		want = streamTo(made.attempt)
+		want = standin.RunnerStream(made.attempt)
 	}
-	if string(made.body) != want || made.echoed != made.attempt {
-		soak.violate("wrong answer", "%s %s got an answer of %d bytes with ID %q, want %d", made.kind.name, made.attempt, len(made.body), made.echoed, len(want))
+	if made.reply.Body != want || made.reply.Attempt != made.attempt {
+		soak.violate("wrong answer", "%s %s got an answer of %d bytes with ID %q, want %d", made.kind.name, made.attempt, len(made.reply.Body), made.reply.Attempt, len(want))
 	}
 }
 
@@ -67,7 +68,7 @@
 		return
 	}
 	if soak.calmBetween(made.sentAt.Add(-settled), made.endedAt) {
-		soak.violate("cut", "%s %s was cut by %s after %v: %v", made.kind.name, made.attempt, made.router.name, made.endedAt.Sub(made.sentAt), made.err)
+		soak.violate("cut", "%s %s was cut by %s after %v: %v", made.kind.name, made.attempt, made.router.name, made.endedAt.Sub(made.sentAt), made.reply.Err)
 	}
 }
 
@@ -94,8 +95,8 @@
 	defer soak.book.mu.Unlock()
 	for attempt, runs := range soak.book.runs {
 		for _, run := range runs {
-			if run.upstream == upstream.id && run.at.After(left.Add(leaveWithin)) && run.at.Before(until) {
-				soak.violate("work for a leaving upstream", "%s ran at %s %v after that was leaving", attempt, upstream.id, run.at.Sub(left))
+			if run.upstream == upstream.runner.ID && run.at.After(left.Add(leaveWithin)) && run.at.Before(until) {
+				soak.violate("work for a leaving upstream", "%s ran at %s %v after that was leaving", attempt, upstream.runner.ID, run.at.Sub(left))
 			}
 		}
 	}
@@ -145,17 +146,13 @@
 func (prober *prober) ask(ctx context.Context, router *router, version int) int {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v%d/", router.settings.CallerListen, version), nil)
-	if err != nil {
-		return 0
+	attempt := ident.AttemptID(fmt.Sprintf("probe-%d-%d", version, time.Now().UnixNano()))
+	probe := &standin.Call{
+		Method: http.MethodGet,
+		Router: router.settings.CallerListen,
+		Host:   callerHost,
+		Path:   fmt.Sprintf("/v%d/", version),
+		Head:   platform.RequestHead{Attempt: attempt},
 	}
-	request.Host = "a.example"
-	attempt := fmt.Sprintf("probe-%d-%d", version, time.Now().UnixNano())
-	platform.EncodeCaller(request.Header, platform.RequestHead{Attempt: ident.AttemptID(attempt)})
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	return response.StatusCode
+	return probe.Send(ctx, http.DefaultClient).Status
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -309,7 +309,7 @@
 		return
 	}
 	schedule.disturb("upstream crashed", length, upstream.crash, func() {
-		if length > lapseAfter {
+		if length > standin.RunnerLapse {
 			upstream.lapse()
 		}
 		upstream.revive()
@@ -322,8 +322,8 @@
 	if !schedule.claim(upstream) {
 		return
 	}
-	schedule.disturb("upstream slow", length, func() { upstream.slow(400 * time.Millisecond) }, func() {
-		upstream.slow(0)
+	schedule.disturb("upstream slow", length, func() { upstream.runner.Slow(400 * time.Millisecond) }, func() {
+		upstream.runner.Slow(0)
 		schedule.free(upstream)
 	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,7 +66,7 @@
 
 	mu         sync.Mutex
 	report     Report
-	notRun     []string
+	notRun     []ident.AttemptID
 	configured int
 	acceptedAt time.Time
 	// disturbed holds the spans in which something unplanned was going on; an
@@ -129,7 +129,7 @@
 	storeAt := strings.TrimPrefix(soak.server.URL, "http://")
 	soak.configure()
 	for i := range soak.options.Upstreams {
-		upstream, err := startUpstream(fmt.Sprintf("i-%d", i), soak.store, &soak.book)
+		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), soak.store, &soak.book)
 		if err != nil {
 			return err
 		}
@@ -195,7 +195,7 @@
 func configOf(version int) routing.Config {
 	route := func(name ident.RouteName, prefix string, kind routing.Kind, attempts int) routing.Route {
 		return routing.Route{
-			Name: name, Host: "a.example", Prefix: prefix, Kind: kind, Timeout: 2500, Target: 300, Priority: 1, MaxAttempts: attempts,
+			Name: name, Host: callerHost, Prefix: prefix, Kind: kind, Timeout: 2500, Target: 300, Priority: 1, MaxAttempts: attempts,
 			Sticky: kind == routing.Stream, MaxGap: 800, Shares: []routing.Share{{Service: poolService, Weight: 1}},
 		}
 	}
@@ -226,10 +226,10 @@
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	outcome := "no answer"
-	if made.status != 0 {
-		outcome = fmt.Sprint(made.status)
+	if made.reply.Status != 0 {
+		outcome = fmt.Sprint(made.reply.Status)
 	}
-	if made.status != 0 && made.err != nil {
+	if made.reply.Status != 0 && made.reply.Err != nil {
 		outcome = "cut"
 	}
 	soak.report.Requests[made.kind.name+" "+outcome]++
@@ -238,7 +238,7 @@
 	}
 }
 
-func (soak *Soak) promised(attempt string) {
+func (soak *Soak) promised(attempt ident.AttemptID) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	soak.notRun = append(soak.notRun, attempt)
@@ -291,10 +291,10 @@
 		}
 		client := &http.Client{Transport: &http.Transport{}}
 		for n := range requests {
-			made := &call{kind: kinds[1], attempt: fmt.Sprintf("last-%s-%d", router.name, n), router: router, sentAt: time.Now()}
+			made := &call{kind: kinds[1], attempt: ident.AttemptID(fmt.Sprintf("last-%s-%d", router.name, n)), router: router, sentAt: time.Now()}
 			made.perform(context.Background(), client, n)
-			if made.status != http.StatusOK {
-				soak.violate("no recovery", "%s answered %d (%v) to %s", router.name, made.status, made.err, made.attempt)
+			if made.reply.Status != http.StatusOK {
+				soak.violate("no recovery", "%s answered %d (%v) to %s", router.name, made.reply.Status, made.reply.Err, made.attempt)
 			}
 		}
 		client.CloseIdleConnections()
