Explain cut requests of killed routers, tell first byte and prompt of a request, count dropped lines

The request line gains FirstMs and Prompt, which were missed in tracing prompts that were read again.

--- a/cmd/hickoryhead/entry.go
+++ b/cmd/hickoryhead/entry.go
@@ -70,6 +70,8 @@
 				Config: loaded,
 				Reload: func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
 				Logger: logger.With("VM", loaded.VM),
+
+				LinesDropped: lines.async.Dropped,
 			}
 			return daemon.Run(ctx)
 		},
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -62,6 +62,9 @@
 	// Reload reads the settings file again; nil reads none.
 	Reload func() (config.Entry, error)
 	Logger *slog.Logger
+	// LinesDropped returns how many log lines a reader that does not read has
+	// cost; nil counts none.
+	LinesDropped func() int64
 	// Started is told where the router listens, once it does; nil is not told.
 	Started func(addresses Addresses)
 
@@ -138,6 +141,11 @@
 		return err
 	}
 	daemon.metrics = set
+	if daemon.LinesDropped != nil {
+		if err := set.Gauge("hickoryhead_log_lines_dropped", "log lines that were not written", daemon.LinesDropped); err != nil {
+			return err
+		}
+	}
 	dialer := forward.Dialer()
 	daemon.handler = &forward.Handler{
 		Routes:      &daemon.routes,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -79,8 +79,8 @@
 func describe(line Line) string {
 	switch line.Message {
 	case requestFinished:
-		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens unread, %d offered",
-			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried)
+		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens unread, %d offered, prompt of %d tokens, first byte after %d ms",
+			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs)
 	case attemptFailed:
 		return fmt.Sprintf("offered to %s (%s, load %d): %s, %s", line.Upstream, line.Reason, line.Load, line.Code, line.Cause)
 	case upstreamAside:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+func TestBreaks(t *testing.T) {
+	const runs = `{"time":"2026-10-21T04:00:00Z","msg":"Started.","VM":"edge-1"}
+{"time":"2026-10-21T04:00:00Z","msg":"Started.","VM":"edge-2"}
+{"time":"2026-10-21T04:00:05Z","msg":"Stopped.","VM":"edge-2"}
+{"time":"2026-10-21T04:00:06Z","msg":"Started.","VM":"edge-2"}
+{"time":"2026-10-21T04:00:07Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1"}
+{"time":"2026-10-21T04:00:09Z","msg":"Started.","VM":"edge-1"}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(runs, "\n") {
+		log.Add([]byte(text))
+	}
+	breaks := log.Breaks()
+	if len(breaks) != 1 || breaks[0].VM != "edge-1" || breaks[0].Started.Sub(breaks[0].LastLine) != 2*time.Second {
+		t.Errorf("got %+v, want the run of edge-1 that ended within two seconds", breaks)
+	}
+	var out strings.Builder
+	if err := log.WriteBreaks(&out, breaks[0].Started.Add(time.Second), time.Time{}); err != nil || out.Len() > 0 {
+		t.Errorf("got %q, %v for a later time, want nothing", out.String(), err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(logs))
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/explain/line.go
+++ b/explain/line.go
@@ -28,6 +28,8 @@
 	Unread        int
 	MeanLoad      float64
 	Tried         int
+	FirstMs       int64
+	Prompt        int
 	Started       bool
 	CallerLeft    bool
 
@@ -42,6 +44,8 @@
 
 // The messages that explain requests.
 const (
+	routerStarted   = "Started."
+	routerStopped   = "Stopped."
 	requestFinished = "forward: Request finished."
 	attemptFailed   = "forward: Attempt failed."
 	upstreamAside   = "forward: Upstream set aside."
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -118,11 +118,16 @@
 	if x.choice.Reason == balance.Holder || x.choice.Source != "" {
 		return own
 	}
-	var all ident.Tokens
-	for _, part := range x.head.Prompt {
-		all += part.Tokens
+	return promptTokens(x.head.Prompt)
+}
+
+// promptTokens returns the length of a prompt.
+func promptTokens(parts []platform.PromptPart) ident.Tokens {
+	var tokens ident.Tokens
+	for _, part := range parts {
+		tokens += part.Tokens
 	}
-	return all
+	return tokens
 }
 
 func (x *exchange) connect(upstream registry.Upstream) (*http1.Conn, error) {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -59,9 +59,11 @@
 	choice balance.Choice
 	// started says that the head of an answer was given to the caller.
 	started bool
-	status  int
-	code    result.Code
-	cause   string
+	// firstByte is when the answer began.
+	firstByte time.Time
+	status    int
+	code      result.Code
+	cause     string
 	// aborted says that the caller's connection has to be broken off, since the
 	// answer on it is not whole.
 	aborted bool
@@ -349,6 +351,12 @@
 	if x.workspace != nil {
 		attributes = append(attributes, slog.String("Workspace", string(x.workspace.ID)))
 	}
+	if !x.firstByte.IsZero() {
+		attributes = append(attributes, slog.Int64("FirstMs", x.firstByte.Sub(x.arrived).Milliseconds()))
+	}
+	if len(x.head.Prompt) > 0 {
+		attributes = append(attributes, slog.Int("Prompt", int(promptTokens(x.head.Prompt))))
+	}
 	if len(x.tried) > 0 {
 		attributes = append(attributes,
 			slog.String("Upstream", string(x.choice.Upstream.ID)),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -144,7 +144,8 @@
 func (x *exchange) start(status int) {
 	x.started = true
 	x.status = status
-	x.handler.Metrics.FirstByte(x.route.Kind.String(), time.Since(x.arrived))
+	x.firstByte = time.Now()
+	x.handler.Metrics.FirstByte(x.route.Kind.String(), x.firstByte.Sub(x.arrived))
 	x.boundWrites(x.deadline.Add(writeGrace))
 	x.writer.WriteHeader(status)
 }
