--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -306,16 +307,7 @@
 }
 
 func (upkeep *upkeep) run(ctx context.Context) {
-	ticker := time.NewTicker(upkeepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			upkeep.daemon.keepUp(time.Now())
-		}
-	}
+	wait.Each(ctx, upkeepEvery, func(context.Context) { upkeep.daemon.keepUp(time.Now()) })
 }
 
 func (daemon *Daemon) keepUp(now time.Time) {
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -39,7 +39,7 @@
 		}
 		membership.daemon.metrics.Happened("register.failed")
 		membership.daemon.Logger.Warn("Not registered.", "Error", err)
-		pause(ctx, time.Duration((0.5+rand.Float64())*float64(registerPause)))
+		wait.For(ctx, wait.Spread(registerPause))
 	}
 }
 
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -71,7 +72,7 @@
 	bounded, cancel := context.WithTimeout(ctx, warmupTimeout)
 	defer cancel()
 	for !warmup.daemon.registry.Listed() || warmup.daemon.routes.Table() == nil {
-		if !pause(bounded, warmupStep) {
+		if !wait.For(bounded, warmupStep) {
 			// Without the store there is nothing to learn from yet.
 			return
 		}
@@ -81,7 +82,7 @@
 	case <-bounded.Done():
 		return
 	}
-	if !pause(bounded, peersWait) {
+	if !wait.For(bounded, peersWait) {
 		return
 	}
 	if oldest, heard := warmup.gossip.OldestPeer(); heard && oldest.Add(olderBy).Before(warmup.began) {
@@ -138,15 +139,3 @@
 	}
 	return best
 }
-
-// pause waits and reports whether ctx still goes on.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/follow/table.go
+++ b/follow/table.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +10,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -58,7 +58,7 @@
 func (table *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if table.known && table.Due != nil && !table.Due(time.Now(), table.readAt) {
-			sleep(ctx, dueStep)
+			wait.For(ctx, dueStep)
 			continue
 		}
 		began := time.Now()
@@ -67,7 +67,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, table.pause(err))
+		wait.For(ctx, table.pause(err))
 	}
 }
 
@@ -76,14 +76,14 @@
 	if !table.known {
 		return table.readAll(ctx)
 	}
-	wait := ident.Milliseconds(0)
+	hold := ident.Milliseconds(0)
 	if table.failures == 0 && table.Wait != nil {
 		// A store that has just come back shows at once what was missed.
-		wait = table.Wait()
+		hold = table.Wait()
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout+wait.Duration())
+	bounded, cancel := context.WithTimeout(ctx, callTimeout+hold.Duration())
 	defer cancel()
-	records, err := table.Changes(bounded, table.Name, table.version, wait)
+	records, err := table.Changes(bounded, table.Name, table.version, hold)
 	if errors.Is(err, platform.ErrHistoryLost) {
 		table.known = false
 		table.Metrics.Happened("store.history.lost")
@@ -125,8 +125,7 @@
 	}
 	table.reached(false, err)
 	table.failures++
-	pause := min(firstPause<<min(table.failures-1, 8), maxPause)
-	return time.Duration((0.5 + rand.Float64()) * float64(pause))
+	return wait.Spread(min(firstPause<<min(table.failures-1, 8), maxPause))
 }
 
 // reached tells of a change between a store that answers and one that does not.
@@ -140,15 +139,3 @@
 		table.Logger.Warn("Store not reached.", "Table", table.Name, "Version", table.version, "Error", err)
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,6 +20,7 @@
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 // Handler forwards requests. Its fields are set before use.
@@ -172,11 +172,12 @@
 	returnAfter = 500 * time.Millisecond
 	// returnShare bounds that time to a part of what the caller still waits.
 	returnShare = 0.3
+	// minReturn is the least time that a refused caller is asked to wait.
+	minReturn = 10 * time.Millisecond
 )
 
 // comeBack returns when a refused caller that waits for left should come back.
 // It is spread, so that callers refused together don't return together.
 func comeBack(left time.Duration) time.Duration {
-	spread := time.Duration((0.5 + rand.Float64()) * float64(returnAfter))
-	return max(min(spread, time.Duration(returnShare*float64(left))), 10*time.Millisecond)
+	return max(min(wait.Spread(returnAfter), time.Duration(returnShare*float64(left))), minReturn)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -158,14 +159,8 @@
 	if client.Pause != nil {
 		return client.Pause(ctx)
 	}
-	timer := time.NewTimer(clientPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	wait.For(ctx, clientPause)
+	return ctx.Err()
 }
 
 func (client *Client) send(ctx context.Context, method, path string, body any, header http.Header, into any) error {
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -10,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -46,7 +46,7 @@
 		if replicator.poll(ctx) != nil && replicator.confirmedByPeers(ctx) {
 			replicator.becomeReady(eventReadyPeers)
 		}
-		if !replicator.Ready() && !wait(ctx, waits.NextBackOff()) {
+		if !replicator.Ready() && !wait.For(ctx, waits.NextBackOff()) {
 			return
 		}
 	}
@@ -61,7 +61,7 @@
 func (poller *poller) loop(ctx context.Context) {
 	replicator := poller.replicator
 	defer replicator.tasks.Done()
-	for wait(ctx, spread(replicator.pollEvery())) {
+	for wait.For(ctx, wait.Spread(replicator.pollEvery())) {
 		if replicator.Ready() {
 			// A failure is counted; the next poll comes at its time, so that
 			// an outage brings no more reads.
@@ -84,7 +84,7 @@
 		every = compareEvery
 	}
 	var turn []*neighbour
-	for wait(ctx, spread(every)) {
+	for wait.For(ctx, wait.Spread(every)) {
 		if len(turn) == 0 {
 			turn = replicator.neighbourList()
 		}
@@ -105,11 +105,6 @@
 	return max(least, time.Duration(replicator.fleet())*time.Second/fleetPolls)
 }
 
-// spread returns a random time around mean, so that daemons do not act at once.
-func spread(mean time.Duration) time.Duration {
-	return mean/2 + time.Duration(rand.Int64N(int64(mean)+1))
-}
-
 // poll reads the heads of the store and loads what is newer there. The daemon
 // is ready after a poll that succeeded.
 func (replicator *Replicator) poll(ctx context.Context) error {
--- a/peer/neighbour.go
+++ b/peer/neighbour.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -49,7 +50,7 @@
 			neighbour.wake()
 			pause = pushRetry
 		}
-		if !wait(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
@@ -116,15 +117,3 @@
 	}
 	return found
 }
-
-// wait returns false if ctx ended first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/placement/conductor.go
+++ b/placement/conductor.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -84,7 +85,7 @@
 	defer conductor.tasks.Wait()
 	for ctx.Err() == nil {
 		conductor.Step(ctx, time.Now())
-		wait(ctx, stepEvery)
+		wait.For(ctx, stepEvery)
 	}
 }
 
--- a/placement/tenure.go
+++ b/placement/tenure.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/lease"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -70,7 +71,7 @@
 	case lease.Commit:
 		return tenure.commit(ctx, step.Transaction)
 	}
-	wait(ctx, step.Until.Sub(tenure.now()))
+	wait.For(ctx, step.Until.Sub(tenure.now()))
 	return tenure.next(func(holder *lease.Holder) lease.Step { return holder.Next(tenure.now()) })
 }
 
@@ -126,13 +127,3 @@
 	}
 	return tenure.Now()
 }
-
-// wait returns after pause or when ctx ends.
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/sidecar/prefixes.go
+++ b/sidecar/prefixes.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/prefix"
 	"github.com/hickoryhead/hickoryhead/upstream"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -170,7 +171,7 @@
 
 // Run reads the engine's cache events until ctx ends.
 func (prefixes *Prefixes) Run(ctx context.Context) {
-	every(ctx, eventInterval, prefixes.readEvents)
+	wait.Each(ctx, eventInterval, prefixes.readEvents)
 }
 
 // readEvents takes in which prefixes the engine dropped. They come late and
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryhead/hickoryhead/peer"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/upstream"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -26,7 +27,7 @@
 // not answer several times in a row counts as lost: its idempotent requests end,
 // so that they can go on elsewhere, and new ones are refused until it answers.
 func (sidecar *Sidecar) Probe(ctx context.Context) {
-	every(ctx, probeInterval, sidecar.probe)
+	wait.Each(ctx, probeInterval, sidecar.probe)
 }
 
 func (sidecar *Sidecar) probe(ctx context.Context) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/hickoryhead/hickoryhead/settings"
 	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/upstream"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -156,21 +157,7 @@
 
 // Run sweeps expired answers and hopeless queue entries until ctx ends.
 func (sidecar *Sidecar) Run(ctx context.Context) {
-	every(ctx, sweepInterval, func(context.Context) { sidecar.sweep(sidecar.now()) })
-}
-
-// every calls act at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, act func(ctx context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			act(ctx)
-		}
-	}
+	wait.Each(ctx, sweepInterval, func(context.Context) { sidecar.sweep(sidecar.now()) })
 }
 
 func (sidecar *Sidecar) sweep(now time.Time) {
--- a/standin/clock.go
+++ b/standin/clock.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 // Clock is the seam through which a stand-in sees time. The zero value is the
@@ -29,14 +31,8 @@
 	if clock.Sleep != nil {
 		return clock.Sleep(ctx, duration)
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	wait.For(ctx, duration)
+	return ctx.Err()
 }
 
 // sleepUntil waits until the time deadline.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -55,16 +56,8 @@
 
 // Run writes the runner's row until ctx ends.
 func (runner *Runner) Run(ctx context.Context) {
-	ticker := time.NewTicker(RunnerHeartbeat)
-	defer ticker.Stop()
-	for {
-		runner.Beat()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	runner.Beat()
+	wait.Each(ctx, RunnerHeartbeat, func(context.Context) { runner.Beat() })
 }
 
 // Beat writes the row, unless the runner is down. A missed heartbeat is made up
