Tell other routers only what changed of loads and prompts

Cause: each message between routers held all loads and each use of a prompt, so that six routers at the design rate sent 36.5 kB a second each, against the few that the users allow. A message now holds the loads that changed, each change in two messages, and all of them once a second; a use of a prompt is told twice, then each 5 s; messages and their parts are arrays without names. The bytes are counted at the metrics address (peer router).

--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,46 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+)
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{18, 53, 2300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var listed []registry.Upstream
+			for i := range size {
+				listed = append(listed, registry.Upstream{ID: ident.UpstreamID(fmt.Sprint("i-", i)), Service: "pool", Address: "10.0.0.1:1"})
+			}
+			known := new(registry.Registry)
+			known.Replace(time.Now(), 1, listed)
+			loads, holders, tracker := new(balance.Loads), new(balance.Holders), new(health.Tracker)
+			now := time.Now()
+			counts := make(balance.Counts)
+			for i := range size {
+				counts[listed[i].ID] = balance.Load{Requests: i % 5}
+				tracker.Add(now, "pool", listed[i].ID, health.Succeeded)
+			}
+			loads.Heard(now, balance.News{Router: "other", Sequence: 1, Whole: true, Counts: counts})
+			for n := range 500 {
+				holders.Served(now, balance.Served{Key: ident.ChatID(fmt.Sprint("chat-", n)), Upstream: listed[n%size].ID})
+			}
+			chooser := &balance.Chooser{Loads: loads, Holders: holders, Ejected: tracker.Ejected, Multiple: 2, Slack: 1.5}
+			pool := known.Pool("pool")
+			n := 0
+			for b.Loop() {
+				n++
+				request := balance.Request{Keys: []ident.ChatID{ident.ChatID(fmt.Sprint("chat-", n%1000)), "house"}}
+				if _, found := chooser.Choose(now, pool, request); !found {
+					b.Fatal("got no upstream, want one")
+				}
+			}
+		})
+	}
+}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -35,7 +35,7 @@
 		counts[id(i)] = balance.Load{Requests: load}
 	}
 	known := new(balance.Loads)
-	known.Heard(start, "other", 1, counts)
+	known.Heard(start, balance.News{Router: "other", Sequence: 1, Whole: true, Counts: counts})
 	return &balance.Chooser{
 		Loads:    known,
 		Holders:  new(balance.Holders),
@@ -180,9 +180,15 @@
 	}{
 		{"report and own change", func() {}, time.Second, 6},
 		{"report too old", func() {}, 2 * time.Second, 2},
-		{"told by a router", func() { loads.Heard(start, "r", 2, balance.Counts{"a": {Requests: 3}}) }, time.Second, 5},
-		{"older message", func() { loads.Heard(start, "r", 1, balance.Counts{"a": {Requests: 9}}) }, time.Second, 5},
-		{"newer message", func() { loads.Heard(start, "r", 3, balance.Counts{"b": {Requests: 9}}) }, time.Second, 2},
+		{"told by a router", func() {
+			loads.Heard(start, balance.News{Router: "r", Sequence: 2, Whole: true, Counts: balance.Counts{"a": {Requests: 3}}})
+		}, time.Second, 5},
+		{"older message", func() {
+			loads.Heard(start, balance.News{Router: "r", Sequence: 1, Whole: true, Counts: balance.Counts{"a": {Requests: 9}}})
+		}, time.Second, 5},
+		{"newer message", func() {
+			loads.Heard(start, balance.News{Router: "r", Sequence: 3, Whole: true, Counts: balance.Counts{"b": {Requests: 9}}})
+		}, time.Second, 2},
 		{"silent router", func() { loads.Expire(start.Add(4 * time.Second)) }, time.Second, 6},
 	}
 	for _, step := range steps {
--- a/balance/holders.go
+++ b/balance/holders.go
@@ -16,12 +16,20 @@
 	// holderLifetime is how long after its last use a shared prompt is taken to
 	// be cached. Upstreams drop what was used least recently.
 	holderLifetime = 30 * time.Second
+	// firstTellings is how many uses of a prompt in a row the others are told of,
+	// so that a lost message does no harm; from then on they are told of a use
+	// each retellAfter.
+	firstTellings = 2
+	retellAfter   = 5 * time.Second
 	// maxHolders bounds the upstreams that are remembered for one prompt.
 	maxHolders = 8
 )
 
 // Served says that an upstream read a shared prompt.
 type Served struct {
+	//lint:ignore U1000 msgpack reads its tag: it is written as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Key      ident.ChatID
 	Upstream ident.UpstreamID
 }
@@ -32,6 +40,20 @@
 	usedAt   time.Time
 	// own says that this router sent it there, or was told by the upstream.
 	own bool
+	// tellings counts how often the others were told, and toldAt when last.
+	tellings int
+	toldAt   time.Time
+}
+
+// tell reports whether the others are to be told that the upstream has the
+// prompt cached, and notes that they are.
+func (one *holder) tell(now time.Time) bool {
+	if one.tellings >= firstTellings && now.Before(one.toldAt.Add(retellAfter)) {
+		return false
+	}
+	one.tellings++
+	one.toldAt = now
+	return true
 }
 
 // Holders remembers which upstreams have which shared prompts cached, from what
@@ -47,12 +69,15 @@
 const maxNews = 512
 
 // Served takes in that this router sent a request with a shared prompt to an
-// upstream, and keeps it to be told to others.
+// upstream, and keeps it to be told to others unless they know.
 func (holders *Holders) Served(now time.Time, served Served) {
 	holders.mu.Lock()
 	defer holders.mu.Unlock()
-	holders.remember(now, served, true)
-	holders.news = append(holders.news, served)
+	one := holders.remember(now, served)
+	one.own = true
+	if one.tell(now) {
+		holders.news = append(holders.news, served)
+	}
 }
 
 // Heard takes in what another router sent.
@@ -60,7 +85,7 @@
 	holders.mu.Lock()
 	defer holders.mu.Unlock()
 	for _, one := range served {
-		holders.remember(now, one, false)
+		holders.remember(now, one)
 	}
 }
 
@@ -94,7 +119,9 @@
 	return served
 }
 
-func (holders *Holders) remember(now time.Time, served Served, own bool) {
+// remember notes the use of a prompt and returns what is known of the upstream
+// that has it cached. The caller holds mu.
+func (holders *Holders) remember(now time.Time, served Served) *holder {
 	if holders.prompts == nil {
 		// The size is positive, which is all that NewLRU asks for.
 		holders.prompts, _ = simplelru.NewLRU[ident.ChatID, []holder](maxPrompts, nil)
@@ -103,15 +130,16 @@
 	for i := range known {
 		if known[i].upstream == served.Upstream {
 			known[i].usedAt = now
-			known[i].own = known[i].own || own
-			return
+			return &known[i]
 		}
 	}
 	known = slices.DeleteFunc(known, func(old holder) bool { return now.After(old.usedAt.Add(holderLifetime)) })
 	if len(known) == maxHolders {
 		known = slices.Delete(known, 0, 1)
 	}
-	holders.prompts.Add(served.Key, append(known, holder{upstream: served.Upstream, usedAt: now, own: own}))
+	known = append(known, holder{upstream: served.Upstream, usedAt: now})
+	holders.prompts.Add(served.Key, known)
+	return &known[len(known)-1]
 }
 
 // Of returns the upstreams that have the shared prompt key cached.
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -34,6 +34,9 @@
 	return Load{Requests: load.Requests + other.Requests, Unread: load.Unread + other.Unread}
 }
 
+// changed returns load where a part before of it has become after.
+func (load Load) changed(before, after Load) Load { return load.minus(before).plus(after) }
+
 func (load Load) minus(other Load) Load {
 	return Load{Requests: max(load.Requests-other.Requests, 0), Unread: max(load.Unread-other.Unread, 0)}
 }
@@ -124,36 +127,64 @@
 	return maps.Clone(loads.own)
 }
 
+// News is what another router says that it has in flight.
+type News struct {
+	Router RouterID
+	// Sequence counts the messages of the router.
+	Sequence uint64
+	// Whole says that the router has nothing in flight at upstreams that are not
+	// among the counts; else their counts stand as they were.
+	Whole  bool
+	Counts Counts
+}
+
 // Heard takes in what another router has in flight, unless a message with a
 // higher sequence number came before.
-func (loads *Loads) Heard(now time.Time, router RouterID, sequence uint64, counts Counts) {
+func (loads *Loads) Heard(now time.Time, news News) {
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
 	loads.prepare()
-	present, known := loads.peers[router]
-	if known && sequence <= present.sequence {
+	present, known := loads.peers[news.Router]
+	if known && news.Sequence <= present.sequence {
 		return
 	}
-	loads.subtract(present.counts)
-	loads.add(counts)
-	loads.peers[router] = peerCounts{counts: counts, sequence: sequence, expiresAt: now.Add(peerLifetime)}
+	if present.counts == nil {
+		present.counts = make(Counts)
+	}
+	if news.Whole {
+		loads.drop(present.counts, news.Counts)
+	}
+	for upstream, load := range news.Counts {
+		loads.replace(present.counts, upstream, load)
+	}
+	present.sequence = news.Sequence
+	present.expiresAt = now.Add(peerLifetime)
+	loads.peers[news.Router] = present
 }
 
-func (loads *Loads) add(counts Counts) {
-	for upstream, load := range counts {
-		loads.others[upstream] = loads.others[upstream].plus(load)
+// drop takes off what counts holds for upstreams that are not in kept. The
+// caller holds mu.
+func (loads *Loads) drop(counts, kept Counts) {
+	for upstream := range counts {
+		if _, stays := kept[upstream]; !stays {
+			loads.replace(counts, upstream, Load{})
+		}
 	}
 }
 
-func (loads *Loads) subtract(counts Counts) {
-	for upstream, load := range counts {
-		left := loads.others[upstream].minus(load)
-		if left == (Load{}) {
-			delete(loads.others, upstream)
-			continue
-		}
-		loads.others[upstream] = left
+// replace sets what counts holds for upstream to load. The caller holds mu.
+func (loads *Loads) replace(counts Counts, upstream ident.UpstreamID, load Load) {
+	set(loads.others, upstream, loads.others[upstream].changed(counts[upstream], load))
+	set(counts, upstream, load)
+}
+
+// set sets what counts holds for upstream to load, which may be nothing.
+func set(counts Counts, upstream ident.UpstreamID, load Load) {
+	if load == (Load{}) {
+		delete(counts, upstream)
+		return
 	}
+	counts[upstream] = load
 }
 
 // Expire drops the counts of routers that fell silent, and returns their IDs.
@@ -165,7 +196,7 @@
 		if now.Before(peer.expiresAt) {
 			continue
 		}
-		loads.subtract(peer.counts)
+		loads.drop(peer.counts, nil)
 		delete(loads.peers, router)
 		expired = append(expired, router)
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"github.com/hickoryhead/hickoryhead/balance"
@@ -53,6 +54,9 @@
 	// collector works harder.
 	memoryShare = 0.7
 	megabyte    = 1 << 20
+	// routerIDBase is the number system of the random ID of a run, which stands in
+	// each message to other routers.
+	routerIDBase = 36
 	// linesPerSecond bounds the log lines of requests served at first offer.
 	linesPerSecond = 50
 )
@@ -249,7 +253,7 @@
 		return nil, errors.Wrap(err, "peer socket")
 	}
 	return &gossip.Gossip{
-		Router:  balance.RouterID(uuid.NewString()),
+		Router:  balance.RouterID(strconv.FormatUint(rand.Uint64(), routerIDBase)),
 		Started: time.Now(),
 		Address: socket.LocalAddr().String(),
 		Conn:    socket,
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -63,7 +63,7 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
-	told     balance.Counts
+	told     telling
 	toldAt   time.Time
 	changes  []registry.Change
 }
@@ -75,7 +75,9 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	if added := gossip.add(now, address); added != nil {
-		gossip.send(gossip.encode(gossip.message(now)), added)
+		message := gossip.message(now)
+		message.InFlight, message.Whole = gossip.Loads.Own(), true
+		gossip.send(gossip.encode(message), added)
 	}
 }
 
@@ -136,21 +138,24 @@
 	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.toldAt.Add(pause)) {
 		return
 	}
-	message := gossip.message(now)
-	message.Leaving = leaving
-	message.Served = gossip.Holders.News()
-	message.Changes = gossip.changes
-	changed := leaving || len(message.Served) > 0 || len(message.Changes) > 0 || !maps.Equal(message.InFlight, gossip.told)
+	served := gossip.Holders.News()
+	counts, whole := gossip.told.next(now, gossip.Loads.Own())
+	changed := leaving || whole || len(served) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.toldAt.Add(repeatEvery)) {
 		return
 	}
+	message := gossip.message(now)
+	message.Leaving = leaving
+	message.Served = served
+	message.Changes = gossip.changes
+	message.InFlight, message.Whole = counts, whole
 	gossip.changes = nil
-	gossip.told = message.InFlight
 	gossip.toldAt = now
 	gossip.broadcast(now, message)
 }
 
-// message returns a message without what was served. The caller holds mu.
+// message returns a message that says of what is in flight nothing yet. The
+// caller holds mu.
 func (gossip *Gossip) message(now time.Time) Message {
 	gossip.sequence++
 	message := Message{
@@ -158,7 +163,6 @@
 		Sequence: gossip.sequence,
 		Address:  gossip.Address,
 		Uptime:   ident.Milliseconds(now.Sub(gossip.Started).Milliseconds()),
-		InFlight: gossip.Loads.Own(),
 	}
 	gossip.Fill(now, &message)
 	return message
@@ -168,7 +172,9 @@
 // holds mu.
 func (gossip *Gossip) greet(now time.Time, fresh *peer) {
 	message := gossip.message(now)
+	message.InFlight, message.Whole = gossip.Loads.Own(), true
 	gossip.send(gossip.encode(message), fresh)
+	message.InFlight, message.Whole = nil, false
 	for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
 		message.Served = served
 		gossip.send(gossip.encode(message), fresh)
@@ -208,6 +214,7 @@
 	if datagram == nil {
 		return
 	}
+	gossip.Metrics.Control(metrics.PeerRouter, metrics.Sent, ident.Bytes(len(datagram)))
 	if _, err := gossip.Conn.WriteTo(datagram, peer.address); err != nil {
 		gossip.Metrics.Happened("gossip.send.failed")
 		gossip.Logger.Debug("Message not sent.", "Address", peer.address.String(), "Error", err)
@@ -248,6 +255,7 @@
 			receiver.gossip.Logger.Info("No more messages are read.", "Error", err)
 			return
 		}
+		receiver.gossip.Metrics.Control(metrics.PeerRouter, metrics.Received, ident.Bytes(count))
 		message, err := Decode(slices.Clone(buffer[:count]))
 		if err != nil {
 			receiver.gossip.Metrics.Happened("gossip.malformed")
@@ -276,7 +284,7 @@
 		}
 	}
 	gossip.mu.Unlock()
-	gossip.Loads.Heard(now, message.Router, message.Sequence, message.InFlight)
+	gossip.Loads.Heard(now, balance.News{Router: message.Router, Sequence: message.Sequence, Whole: message.Whole, Counts: message.InFlight})
 	gossip.Holders.Heard(now, message.Served)
 	gossip.Heard(now, message)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,12 @@
 }
 
 func startMember(t *testing.T, name balance.RouterID) *member {
+	t.Helper()
+	return startCounted(t, name, new(atomic.Int64))
+}
+
+// startCounted starts a member that adds what it sends to sent, in bytes.
+func startCounted(t testing.TB, name balance.RouterID, sent *atomic.Int64) *member {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +43,7 @@
 		Router:  name,
 		Started: time.Now(),
 		Address: conn.LocalAddr().String(),
-		Conn:    conn,
+		Conn:    countedConn{PacketConn: conn, sent: sent},
 		Loads:   &made.loads,
 		Holders: &made.holders,
 		Fill:    func(time.Time, *gossip.Message) {},
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,6 +15,9 @@
 
 // Message is what a router tells the others.
 type Message struct {
+	//lint:ignore U1000 msgpack reads its tag: a message is written as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
 	// Router names the run of the router, and Sequence counts its messages.
 	Router   balance.RouterID
 	Sequence uint64
@@ -22,13 +25,15 @@
 	Address string
 	// Uptime is how long the router runs.
 	Uptime ident.Milliseconds
-	// InFlight is what the router has in flight at each upstream.
-	InFlight balance.Counts `msgpack:",omitempty"`
+	// InFlight is what the router has in flight at upstreams. Where Whole is not
+	// set it names those alone where that has changed of late.
+	InFlight balance.Counts
+	Whole    bool
 	// Served is what the router sent since its message before.
-	Served []balance.Served `msgpack:",omitempty"`
+	Served []balance.Served
 	// StoreServes is how long the store has answered the router without a break;
 	// zero while it does not.
-	StoreServes ident.Milliseconds `msgpack:",omitempty"`
+	StoreServes ident.Milliseconds
 	// ReadAge is how long ago the router read the upstreams, zero if it never
 	// did, and Digest hashes what it lists.
 	ReadAge ident.Milliseconds
@@ -36,9 +41,9 @@
 	// Config is the version of the configuration that the router has in force.
 	Config routing.Version
 	// Changes are changes of upstreams that the router has just read.
-	Changes []registry.Change `msgpack:",omitempty"`
+	Changes []registry.Change
 	// Leaving says that the router stops and this is its last message.
-	Leaving bool `msgpack:",omitempty"`
+	Leaving bool
 }
 
 func encode(message Message) ([]byte, error) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -32,6 +32,7 @@
 	PeerDaemon   Peer = "daemon"
 	PeerPlatform Peer = "platform"
 	PeerUpstream Peer = "upstream"
+	PeerRouter   Peer = "router"
 )
 
 // Direction says which way control bytes went.
