Tell routers of a zone what came of requests, hold back what may not be repeated from an upstream whose connections break

One that fails at once also has the least load, and so draws requests. Mend: routers tell the outcomes of upstreams, those of one zone count them as their own; behind an ejection, and for 0.5 s after a broken connection, an upstream gets only requests that may be repeated; such news goes out at once.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -41,6 +41,8 @@
 	Zone  ident.Zone
 	// Target is the time to the first byte that the request is worth most in.
 	Target ident.Milliseconds
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 }
 
 // Choice is a chosen upstream, with the figures that decided.
@@ -60,6 +62,9 @@
 	Holders *Holders
 	// Ejected reports whether an upstream is set aside.
 	Ejected func(now time.Time, upstream ident.UpstreamID) bool
+	// HeldBack reports whether an upstream is tried with requests alone that may
+	// be repeated; nil holds none back.
+	HeldBack func(now time.Time, upstream ident.UpstreamID) bool
 	// Multiple and Slack bound the load of an upstream that takes another
 	// request: Multiple times the mean of its pool, and Slack.
 	Multiple float64
@@ -86,18 +91,27 @@
 	return ident.Milliseconds(load.Unread / readPerMs)
 }
 
+// standing says how far an upstream is trusted with a request.
+type standing int
+
+const (
+	trusted standing = iota
+	heldBack
+	aside
+)
+
 // candidate is an upstream with its load.
 type candidate struct {
-	index   int
-	load    Load
-	ejected bool
-	tried   bool
-	holds   bool
+	index    int
+	load     Load
+	standing standing
+	tried    bool
+	holds    bool
 }
 
 // usable reports whether the upstream may take a request below bound.
 func (c candidate) usable(bound float64) bool {
-	return !c.tried && !c.ejected && float64(c.load.Requests) < bound
+	return !c.tried && c.standing == trusted && float64(c.load.Requests) < bound
 }
 
 // choice is one choice in the making.
@@ -122,11 +136,11 @@
 	total := 0
 	for i, upstream := range pool.Upstreams {
 		making.candidates[i] = candidate{
-			index:   i,
-			load:    chooser.Loads.Estimate(now, upstream.ID),
-			ejected: chooser.Ejected(now, upstream.ID),
-			tried:   slices.Contains(request.Tried, upstream.ID),
-			holds:   slices.Contains(holders, upstream.ID),
+			index:    i,
+			load:     chooser.Loads.Estimate(now, upstream.ID),
+			standing: chooser.standing(now, upstream.ID, request.Repeatable),
+			tried:    slices.Contains(request.Tried, upstream.ID),
+			holds:    slices.Contains(holders, upstream.ID),
 		}
 		total += making.candidates[i].load.Requests
 	}
@@ -142,6 +156,16 @@
 	return made, true
 }
 
+func (chooser *Chooser) standing(now time.Time, upstream ident.UpstreamID, repeatable bool) standing {
+	switch {
+	case chooser.Ejected(now, upstream):
+		return aside
+	case !repeatable && chooser.HeldBack != nil && chooser.HeldBack(now, upstream):
+		return heldBack
+	}
+	return trusted
+}
+
 // source returns an upstream that has more of the prompt cached than chosen.
 func (chooser *Chooser) source(now time.Time, keys []ident.ChatID, chosen ident.UpstreamID) ident.UpstreamID {
 	for _, key := range keys {
@@ -170,10 +194,13 @@
 			return other, Home, true
 		}
 	}
-	if chosen, found := making.leastLoaded(false); found {
+	if chosen, found := making.leastLoaded(trusted); found {
 		return chosen, Least, true
 	}
-	chosen, found := making.leastLoaded(true)
+	if chosen, found := making.leastLoaded(heldBack); found {
+		return chosen, Distrusted, true
+	}
+	chosen, found := making.leastLoaded(aside)
 	return chosen, Distrusted, found
 }
 
@@ -232,13 +259,13 @@
 	return best, found
 }
 
-// leastLoaded returns the least loaded upstream that was not tried, one of the
-// caller's zone first among equals.
-func (making *choice) leastLoaded(ejected bool) (candidate, bool) {
+// leastLoaded returns the least loaded upstream of a standing that was not
+// tried, one of the caller's zone first among equals.
+func (making *choice) leastLoaded(wanted standing) (candidate, bool) {
 	var best candidate
 	equals := 0
 	for _, rival := range making.candidates {
-		if rival.tried || rival.ejected != ejected {
+		if rival.tried || rival.standing != wanted {
 			continue
 		}
 		switch {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -259,6 +259,7 @@
 		Conn:    socket,
 		Loads:   &daemon.loads,
 		Holders: &daemon.holders,
+		Health:  &daemon.health,
 		Fill:    daemon.fill,
 		Heard:   daemon.heard,
 		Metrics: daemon.metrics,
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -22,6 +22,7 @@
 			Loads:    &daemon.loads,
 			Holders:  &daemon.holders,
 			Ejected:  daemon.health.Ejected,
+			HeldBack: daemon.health.HeldBack,
 			Multiple: settings.LoadMultiple,
 			Slack:    boundSlack,
 		},
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -19,6 +19,7 @@
 	}
 	message.Digest = daemon.registry.Digest()
 	message.Config = daemon.configVersion()
+	message.Zone = daemon.Config.Zone
 }
 
 func milliseconds(duration time.Duration) ident.Milliseconds {
@@ -33,6 +34,9 @@
 	if len(message.Changes) > 0 {
 		daemon.beliefs.Heard(message.Changes)
 	}
+	if message.Zone == daemon.Config.Zone {
+		daemon.hearOutcomes(message)
+	}
 	daemon.sharing.Heard(now, message.Address, follow.View{
 		Serves: message.StoreServes > 0 && message.ReadAge > 0 && !message.Leaving,
 		ReadAt: now.Add(-message.ReadAge.Duration()),
@@ -41,6 +45,16 @@
 	})
 }
 
+// hearOutcomes takes in what came of the requests of another router of this
+// zone: the failures of an upstream may be those of callers in one zone alone.
+func (daemon *Daemon) hearOutcomes(message gossip.Message) {
+	for _, tally := range message.Outcomes {
+		if upstream, listed := daemon.registry.Upstream(tally.Upstream); listed {
+			daemon.handler.Heard(upstream, tally, message.Address)
+		}
+	}
+}
+
 func (daemon *Daemon) configVersion() routing.Version {
 	table := daemon.routes.Table()
 	if table == nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -240,7 +240,13 @@
 }
 
 func (x *exchange) choiceRequest() balance.Request {
-	return balance.Request{Keys: x.shared, Tried: x.tried, Zone: x.handler.Zone, Target: x.route.Target}
+	return balance.Request{
+		Keys:       x.shared,
+		Tried:      x.tried,
+		Zone:       x.handler.Zone,
+		Target:     x.route.Target,
+		Repeatable: x.route.Repeatable(),
+	}
 }
 
 // sharedParts returns the parts of a prompt that other requests share, the
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -68,7 +68,7 @@
 		Lines:       rate.NewLimiter(rate.Inf, 0),
 	}
 	handler.Tune(forward.Tuning{
-		Chooser:    &balance.Chooser{Loads: loads, Holders: holders, Ejected: tracker.Ejected, Multiple: 2, Slack: 1},
+		Chooser:    &balance.Chooser{Loads: loads, Holders: holders, Ejected: tracker.Ejected, HeldBack: tracker.HeldBack, Multiple: 2, Slack: 1},
 		RetryShare: 0.2,
 		RetrySlack: 50,
 	})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -120,11 +120,22 @@
 
 // judge takes in how a request to an upstream ended.
 func (handler *Handler) judge(upstream registry.Upstream, outcome health.Outcome) {
-	if !handler.Health.Add(time.Now(), upstream.Service, upstream.ID, outcome) {
-		return
+	if handler.Health.Add(time.Now(), upstream.Service, upstream.ID, outcome) {
+		handler.setAside(upstream, outcome.String(), "")
+	}
+}
+
+// Heard takes in what came of the requests that the router at address sent to an
+// upstream.
+func (handler *Handler) Heard(upstream registry.Upstream, tally health.Tally, address string) {
+	if handler.Health.Heard(time.Now(), upstream.Service, tally) {
+		handler.setAside(upstream, "told by another router", address)
 	}
+}
+
+func (handler *Handler) setAside(upstream registry.Upstream, outcome, source string) {
 	handler.Metrics.Happened("upstream.ejected")
-	handler.Logger.Warn("Upstream set aside.", "Upstream", upstream.ID, "Service", upstream.Service, "Outcome", outcome.String())
+	handler.Logger.Warn("Upstream set aside.", "Upstream", upstream.ID, "Service", upstream.Service, "Outcome", outcome, "Source", source)
 }
 
 // answerCode writes an answer of the router's own.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -53,6 +54,7 @@
 	Conn    net.PacketConn
 	Loads   *balance.Loads
 	Holders *balance.Holders
+	Health  *health.Tracker
 	// Fill completes a message with what the router knows of the store, and Heard
 	// takes in the message of another one.
 	Fill    func(now time.Time, message *Message)
@@ -135,12 +137,13 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	pause := time.Duration(len(gossip.peers)) * time.Second / sendsPerSecond
-	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.toldAt.Add(pause)) {
+	if !leaving && len(gossip.changes) == 0 && !gossip.Health.Alarm() && now.Before(gossip.toldAt.Add(pause)) {
 		return
 	}
 	served := gossip.Holders.News()
 	counts, whole := gossip.told.next(now, gossip.Loads.Own())
-	changed := leaving || whole || len(served) > 0 || len(gossip.changes) > 0 || len(counts) > 0
+	outcomes := gossip.Health.News(whole)
+	changed := leaving || whole || len(outcomes) > 0 || len(served) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.toldAt.Add(repeatEvery)) {
 		return
 	}
@@ -148,6 +151,7 @@
 	message.Leaving = leaving
 	message.Served = served
 	message.Changes = gossip.changes
+	message.Outcomes = outcomes
 	message.InFlight, message.Whole = counts, whole
 	gossip.changes = nil
 	gossip.toldAt = now
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/gossip"
+	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/registry"
 )
@@ -19,6 +20,7 @@
 	gossip  *gossip.Gossip
 	loads   balance.Loads
 	holders balance.Holders
+	health  health.Tracker
 	done    chan struct{}
 	cancel  context.CancelFunc
 
@@ -46,6 +48,7 @@
 		Conn:    countedConn{PacketConn: conn, sent: sent},
 		Loads:   &made.loads,
 		Holders: &made.holders,
+		Health:  &made.health,
 		Fill:    func(time.Time, *gossip.Message) {},
 		Heard: func(_ time.Time, message gossip.Message) {
 			made.mu.Lock()
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -5,6 +5,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
@@ -42,6 +43,10 @@
 	Config routing.Version
 	// Changes are changes of upstreams that the router has just read.
 	Changes []registry.Change
+	// Zone is the availability zone of the router, and Outcomes what came of its
+	// requests since its message before.
+	Zone     ident.Zone
+	Outcomes []health.Tally
 	// Leaving says that the router stops and this is its last message.
 	Leaving bool
 }
@@ -71,5 +76,10 @@
 			return Message{}, errors.Newf("load %+v at upstream %q", load, upstream)
 		}
 	}
+	for _, tally := range message.Outcomes {
+		if !(tally.Failed >= 0 && tally.Total >= tally.Failed) || tally.Broken < 0 || tally.Upstream == "" {
+			return Message{}, errors.Newf("outcomes %+v", tally)
+		}
+	}
 	return message, nil
 }
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -20,6 +20,12 @@
 	// aside; each one in a row is twice as long.
 	firstEjection = 500 * time.Millisecond
 	maxEjection   = 4 * time.Second
+	// minHoldBack is the least time behind an ejection in which only requests that
+	// may be repeated try the upstream, unless one succeeds.
+	minHoldBack = time.Second
+	// holdAfterBreak is how long after a broken connection the upstream gets no
+	// request that may not be repeated: those are lost where more break.
+	holdAfterBreak = 500 * time.Millisecond
 	// forgiveAfter is the time without a failure after which the next ejection
 	// is a first one again.
 	forgiveAfter = 8 * time.Second
@@ -74,9 +80,9 @@
 	c.at = now
 }
 
-func (c *counts) add(now time.Time, failed float64) {
+func (c *counts) add(now time.Time, total, failed float64) {
 	c.decay(now)
-	c.total++
+	c.total += total
 	c.failed += failed
 }
 
@@ -84,8 +90,42 @@
 type record struct {
 	counts
 	ejectedUntil time.Time
-	lastFailure  time.Time
-	ejections    int
+	// heldBackUntil is when requests that may not be repeated are sent there
+	// again; a success ends it earlier.
+	heldBackUntil time.Time
+	lastFailure   time.Time
+	ejections     int
+	// untold is what other routers were not told yet.
+	untold Tally
+}
+
+// Tally is what came of requests to an upstream.
+type Tally struct {
+	//lint:ignore U1000 msgpack reads its tag: a tally is written as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Upstream ident.UpstreamID
+	// Total counts the requests, and Failed those that failed, by their weight.
+	Total  float64
+	Failed float64
+	// Broken counts the connections that broke.
+	Broken int
+}
+
+// tallyOf returns the tally of one request.
+func tallyOf(upstream ident.UpstreamID, outcome Outcome) Tally {
+	tally := Tally{Upstream: upstream, Total: 1, Failed: outcome.weight()}
+	if outcome == Broken || outcome == Unreachable {
+		tally.Broken = 1
+	}
+	return tally
+}
+
+// add adds what other routers are to be told.
+func (tally *Tally) add(more Tally) {
+	tally.Total += more.Total
+	tally.Failed += more.Failed
+	tally.Broken += more.Broken
 }
 
 // Tracker holds the outcomes of all upstreams. The zero value trusts each one.
@@ -94,12 +134,58 @@
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamID]*record
 	services  map[ident.ServiceName]*counts
+	// alarm says that a connection broke which other routers were not told of.
+	alarm bool
 }
 
 // Add takes in an outcome and reports whether it set the upstream aside.
 func (tracker *Tracker) Add(now time.Time, service ident.ServiceName, upstream ident.UpstreamID, outcome Outcome) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	held, all := tracker.records(service, upstream)
+	tally := tallyOf(upstream, outcome)
+	held.untold.add(tally)
+	tracker.alarm = tracker.alarm || tally.Broken > 0
+	return held.take(now, all, tally, outcome == Unreachable)
+}
+
+// Heard takes in what came of the requests of another router whose connections
+// are like this one's, and reports whether that set the upstream aside.
+func (tracker *Tracker) Heard(now time.Time, service ident.ServiceName, tally Tally) bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	held, all := tracker.records(service, tally.Upstream)
+	return held.take(now, all, tally, false)
+}
+
+// News returns what other routers were not told yet: of the upstreams that
+// failed a request, or of all.
+func (tracker *Tracker) News(all bool) []Tally {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	tracker.alarm = false
+	var news []Tally
+	for upstream, held := range tracker.upstreams {
+		if held.untold.Failed == 0 && (!all || held.untold.Total == 0) {
+			continue
+		}
+		held.untold.Upstream = upstream
+		news = append(news, held.untold)
+		held.untold = Tally{}
+	}
+	return news
+}
+
+// Alarm reports whether other routers had better be told at once.
+func (tracker *Tracker) Alarm() bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.alarm
+}
+
+// records returns what is known of an upstream and its service. The caller
+// holds mu.
+func (tracker *Tracker) records(service ident.ServiceName, upstream ident.UpstreamID) (*record, *counts) {
 	if tracker.upstreams == nil {
 		tracker.upstreams = make(map[ident.UpstreamID]*record)
 		tracker.services = make(map[ident.ServiceName]*counts)
@@ -114,13 +200,24 @@
 		all = new(counts)
 		tracker.services[service] = all
 	}
-	failed := outcome.weight()
-	held.add(now, failed)
-	all.add(now, failed)
-	if failed == 0 {
+	return held, all
+}
+
+// take takes in a tally and reports whether it set the upstream aside. One that
+// can't be reached is set aside at once.
+func (held *record) take(now time.Time, all *counts, tally Tally, unreachable bool) bool {
+	held.add(now, tally.Total, tally.Failed)
+	all.add(now, tally.Total, tally.Failed)
+	if tally.Failed == 0 {
+		if !now.Before(held.ejectedUntil) {
+			held.heldBackUntil = time.Time{}
+		}
 		return false
 	}
-	if outcome != Unreachable && !held.exceeds(all) || now.Before(held.ejectedUntil) {
+	if until := now.Add(holdAfterBreak); tally.Broken > 0 && until.After(held.heldBackUntil) {
+		held.heldBackUntil = until
+	}
+	if !unreachable && !held.exceeds(all) || now.Before(held.ejectedUntil) {
 		held.lastFailure = now
 		return false
 	}
@@ -149,6 +246,7 @@
 	held.ejections++
 	held.lastFailure = now
 	held.ejectedUntil = now.Add(length)
+	held.heldBackUntil = held.ejectedUntil.Add(max(length, minHoldBack))
 }
 
 // Ejected reports whether the upstream is set aside.
@@ -159,6 +257,15 @@
 	return held != nil && now.Before(held.ejectedUntil)
 }
 
+// HeldBack reports whether the upstream, though it is tried again, gets no
+// request that may not be repeated.
+func (tracker *Tracker) HeldBack(now time.Time, upstream ident.UpstreamID) bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	held := tracker.upstreams[upstream]
+	return held != nil && now.Before(held.heldBackUntil)
+}
+
 // Forget drops what is known of an upstream, as when it starts anew or is gone.
 func (tracker *Tracker) Forget(upstream ident.UpstreamID) {
 	tracker.mu.Lock()
