--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -24,7 +24,7 @@
 	warmupTimeout = 1500 * time.Millisecond
 	// settleTimeout bounds the wait for what other routers learn that started at
 	// the same time.
-	settleTimeout = 400 * time.Millisecond
+	settleTimeout = 150 * time.Millisecond
 	// peersWait is the time in which a router that ran before answers a new one.
 	peersWait = 50 * time.Millisecond
 	// olderBy is how much longer another router must have run to be asked
@@ -85,7 +85,7 @@
 	warmup.gossip.Warm()
 	bounded, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	for !warmup.gossip.AllWarm() && wait.For(bounded, warmupStep) {
+	for !warmup.gossip.MostWarm() && wait.For(bounded, warmupStep) {
 		continue
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -155,7 +155,7 @@
 
 // warmWait bounds the wait of a request for a router that has just started: a
 // prompt that goes astray takes longer to be read again.
-const warmWait = 400 * time.Millisecond
+const warmWait = 250 * time.Millisecond
 
 // awaitWarm waits until the router knows where prompts are cached, for a short
 // while after its start.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,6 +29,8 @@
 	// forgottenAfter the one after which it is told nothing.
 	quietAfter     = 5 * time.Second
 	forgottenAfter = 2 * time.Minute
+	// mostShare is the part of the other routers that counts as most of them.
+	mostShare = 0.7
 	// greetingSize bounds the prompts of one message to a new router.
 	greetingSize = 512
 )
@@ -244,16 +246,22 @@
 	gossip.tellNow(time.Now(), false)
 }
 
-// AllWarm reports whether every other router that was heard has said the same.
-func (gossip *Gossip) AllWarm() bool {
+// MostWarm reports whether most other routers that were heard have said the
+// same: one that is cut off from the store or the engines does not hold up all.
+func (gossip *Gossip) MostWarm() bool {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
+	heard, warm := 0, 0
 	for _, peer := range gossip.peers {
-		if peer.run != "" && !peer.warm {
-			return false
+		if peer.run == "" {
+			continue
+		}
+		heard++
+		if peer.warm {
+			warm++
 		}
 	}
-	return true
+	return float64(warm) >= mostShare*float64(heard)
 }
 
 // OldestPeer returns when the router started that has run for longest of those
