--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -130,3 +130,21 @@
 		}
 	})
 }
+
+// TestMostWarm asks a router of five, one of which never learns anything.
+func TestMostWarm(t *testing.T) {
+	one := startMember(t, "one")
+	var others []*member
+	for _, name := range []balance.RouterID{"two", "three", "four", "five"} {
+		other := startMember(t, name)
+		other.gossip.Add(one.gossip.Address)
+		others = append(others, other)
+	}
+	eventually(t, "word of all routers", func() bool {
+		return len(one.gossip.Addresses()) == 5 && !one.gossip.MostWarm()
+	})
+	for _, other := range others[1:] {
+		other.gossip.Warm()
+	}
+	eventually(t, "most routers that have learned", one.gossip.MostWarm)
+}
