Bound the urgent messages of a large fleet

Cause: read again: each broken connection made a router tell all others within 0.1 s; among 300 that is 3,000 datagrams a second from each router that sees some. A broken connection now shortens the time between two messages to a third.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,6 +25,8 @@
 	// sendsPerSecond bounds the datagrams that a router sends in a large fleet,
 	// by longer times between them.
 	sendsPerSecond = 120
+	// urgency divides the time between two messages after a broken connection.
+	urgency = 3
 	// quietAfter is the silence after which a router is told seldom, and
 	// forgottenAfter the one after which it is told nothing.
 	quietAfter     = 5 * time.Second
@@ -142,7 +144,10 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	pause := time.Duration(len(gossip.peers)) * time.Second / sendsPerSecond
-	if !leaving && len(gossip.changes) == 0 && !gossip.Health.Alarm() && now.Before(gossip.toldAt.Add(pause)) {
+	if gossip.Health.Alarm() {
+		pause /= urgency
+	}
+	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.toldAt.Add(pause)) {
 		return
 	}
 	gossip.tellNow(now, leaving)
