--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -220,3 +221,37 @@
 		t.Errorf("got holders %v after an hour, want none", got)
 	}
 }
+
+// TestHeldBackUpstreams are tried with requests that may be repeated, and with
+// others only where none else is left.
+func TestHeldBackUpstreams(t *testing.T) {
+	tests := []struct {
+		name       string
+		repeatable bool
+		heldBack   []ident.UpstreamID
+		ejected    []ident.UpstreamID
+		want       []ident.UpstreamID
+		wantReason balance.Reason
+	}{
+		{"may be repeated", true, []ident.UpstreamID{id(0)}, []ident.UpstreamID{id(1), id(2)}, []ident.UpstreamID{id(0)}, balance.Least},
+		{"may not be repeated", false, []ident.UpstreamID{id(0), id(1)}, nil, []ident.UpstreamID{id(2)}, balance.Least},
+		{"none else is left", false, []ident.UpstreamID{id(0)}, []ident.UpstreamID{id(1), id(2)}, []ident.UpstreamID{id(0)}, balance.Distrusted},
+		{"all are set aside", false, nil, []ident.UpstreamID{id(0), id(1), id(2)}, []ident.UpstreamID{id(0), id(1), id(2)}, balance.Distrusted},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ejected := make(map[ident.UpstreamID]bool)
+			for _, upstream := range test.ejected {
+				ejected[upstream] = true
+			}
+			chooser := chooserWith([]int{0, 0, 0}, ejected)
+			chooser.HeldBack = func(_ time.Time, upstream ident.UpstreamID) bool { return slices.Contains(test.heldBack, upstream) }
+			for range 20 {
+				got, found := chooser.Choose(start, poolOf(3), balance.Request{Repeatable: test.repeatable})
+				if !found || !slices.Contains(test.want, got.Upstream.ID) || got.Reason != test.wantReason {
+					t.Fatalf("got %s as %q, want one of %v as %q", got.Upstream.ID, got.Reason, test.want, test.wantReason)
+				}
+			}
+		})
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -98,6 +98,8 @@
 type Addresses struct {
 	Callers string
 	Ready   string
+	// Peers is where other routers reach this one.
+	Peers string
 }
 
 // Run serves until ctx ends and then stops as planned.
@@ -125,7 +127,7 @@
 	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
 	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
 	if daemon.Started != nil {
-		daemon.Started(Addresses{Callers: callers, Ready: ready})
+		daemon.Started(Addresses{Callers: callers, Ready: ready, Peers: daemon.sharing.Self})
 	}
 	go reloader.run(working)
 	<-ctx.Done()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,8 +31,10 @@
 	config    config.Entry
 	log       syncBuffer
 	daemon    *entry.Daemon
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// at is where the router listens.
+	at     entry.Addresses
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // syncBuffer is a buffer that several goroutines may use.
@@ -79,23 +80,11 @@
 	_, _ = io.WriteString(writer, upstream.id)
 }
 
-func freeAddress(t *testing.T, network string) string {
-	t.Helper()
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		return conn.LocalAddr().String()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
+// anyPort lets a router listen on a port that is free.
+const anyPort = "127.0.0.1:0"
+
+// patient bounds the requests of the tests.
+var patient = &http.Client{Transport: new(http.Transport), Timeout: 10 * time.Second}
 
 func startSite(t *testing.T, ids ...string) *site {
 	t.Helper()
@@ -112,7 +101,7 @@
 	made.configure(1, "/first/")
 	made.config = config.Entry{
 		VM: "vm-1", Zone: "a", Platform: made.storeAt,
-		CallerListen: freeAddress(t, "tcp"), ReadyListen: freeAddress(t, "tcp"), PeerListen: freeAddress(t, "udp"),
+		CallerListen: anyPort, ReadyListen: anyPort, PeerListen: anyPort,
 		StopTimeoutMs: 8000, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 20,
 	}
 	return made
@@ -136,11 +125,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	site.cancel, site.done = cancel, make(chan struct{})
 	running := &running{daemon: site.daemon, done: site.done, t: site.t}
+	started := make(chan entry.Addresses, 1)
+	site.daemon.Started = func(addresses entry.Addresses) { started <- addresses }
 	go running.run(ctx)
 	site.t.Cleanup(func() {
 		cancel()
 		<-running.done
 	})
+	select {
+	case site.at = <-started:
+	case <-running.done:
+		site.t.Fatal("got a router that ended at its start, want one that listens")
+	}
 }
 
 // running runs a daemon and tells when it has ended.
@@ -158,7 +154,7 @@
 }
 
 func (site *site) ready() bool {
-	response, err := http.Get("http://" + site.config.ReadyListen + "/readyz")
+	response, err := patient.Get("http://" + site.at.Ready + "/readyz")
 	if err != nil {
 		return false
 	}
@@ -168,14 +164,14 @@
 
 // get sends a request and returns the status, zero for none, and the body.
 func (site *site) get(path string) (int, string, http.Header) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+site.config.CallerListen+path, nil)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+site.at.Callers+path, nil)
 	if err != nil {
 		site.t.Fatal(err)
 	}
 	request.Host = "a.example"
 	request.Header.Set("Hickoryhead-Attempt-Id", "a1")
 	request.Header.Set("Hickoryhead-Deadline-Ms", "5000")
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := patient.Do(request)
 	if err != nil {
 		return 0, err.Error(), nil
 	}
@@ -361,11 +357,10 @@
 	first.within(3*time.Second, "readiness", first.ready)
 	second := &site{t: t, store: first.store, storeAt: first.storeAt, upstreams: first.upstreams, config: first.config}
 	second.config.VM = ident.VMID("vm-2")
-	second.config.CallerListen, second.config.ReadyListen, second.config.PeerListen = freeAddress(t, "tcp"), freeAddress(t, "tcp"), freeAddress(t, "udp")
 	second.start()
 	second.within(3*time.Second, "readiness", second.ready)
 	first.within(2*time.Second, "word of the second router", func() bool {
-		return strings.Contains(first.log.String(), second.config.PeerListen)
+		return strings.Contains(first.log.String(), second.at.Peers)
 	})
 }
 
@@ -392,7 +387,6 @@
 	second := &site{t: t, store: first.store, upstreams: first.upstreams, config: first.config}
 	second.config.Platform = strings.TrimPrefix(slow.URL, "http://")
 	second.config.VM = "vm-2"
-	second.config.CallerListen, second.config.ReadyListen, second.config.PeerListen = freeAddress(t, "tcp"), freeAddress(t, "tcp"), freeAddress(t, "udp")
 	second.start()
 	second.within(2*time.Second, "readiness", second.ready)
 	if status, _, _ := second.get("/first/x"); status != 200 {
@@ -404,3 +398,19 @@
 		return status == 200
 	})
 }
+
+// TestSlowLinkAsksRoutersFirst starts a router behind a slow link beside one that
+// has the configuration, with a store that would give it at once.
+func TestSlowLinkAsksRoutersFirst(t *testing.T) {
+	first := startSite(t, "i-1")
+	first.start()
+	first.within(3*time.Second, "readiness", first.ready)
+	second := &site{t: t, store: first.store, upstreams: first.upstreams, config: first.config}
+	second.config.VM = "vm-2"
+	second.config.LinkMbps = 10
+	second.start()
+	second.within(2*time.Second, "readiness", second.ready)
+	if !strings.Contains(second.log.String(), "Configuration read from a router.") {
+		t.Error("got a configuration from the store, want it from the other router")
+	}
+}
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -82,7 +82,7 @@
 	defer close(warmup.settled)
 	warmup.learn(ctx)
 	close(warmup.done)
-	warmup.gossip.Warm()
+	warmup.gossip.TellWarm()
 	bounded, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for !warmup.gossip.MostWarm() && wait.For(bounded, warmupStep) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -242,9 +242,9 @@
 	}
 }
 
-// Warm says to the other routers, at once, that this one has learned what its
+// TellWarm says to the other routers, at once, that this one has learned what its
 // part of the engines has cached.
-func (gossip *Gossip) Warm() {
+func (gossip *Gossip) TellWarm() {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	gossip.warm = true
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -144,7 +144,7 @@
 		return len(one.gossip.Addresses()) == 5 && !one.gossip.MostWarm()
 	})
 	for _, other := range others[1:] {
-		other.gossip.Warm()
+		other.gossip.TellWarm()
 	}
 	eventually(t, "most routers that have learned", one.gossip.MostWarm)
 }
