--- a/cmd/hickoryhead/entry.go
+++ b/cmd/hickoryhead/entry.go
@@ -67,10 +67,9 @@
 			ctx, stop := untilStopped(cmd.Context())
 			defer stop()
 			daemon := &entry.Daemon{
-				Config: loaded,
-				Reload: func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
-				Logger: logger.With("VM", loaded.VM),
-
+				Config:       loaded,
+				Reload:       func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
+				Logger:       logger.With("VM", loaded.VM),
 				LinesDropped: lines.async.Dropped,
 			}
 			return daemon.Run(ctx)
--- a/demo/entry_trial.go
+++ b/demo/entry_trial.go
@@ -95,7 +95,7 @@
 	for i, router := range trial.fleet.routers {
 		for n := 0; ; n++ {
 			attempt := ident.AttemptID(fmt.Sprintf("version-%d-%d", i, n))
-			reply := trial.send(ctx, router.addresses.Callers, "/v2/run", attempt)
+			reply := trial.send(ctx, router.addresses.Callers, "/v2/run", attempt, 0)
 			if reply.Status == http.StatusOK {
 				break
 			}
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// send sends one request.
-func (trial *entryTrial) send(ctx context.Context, router, path string, attempt ident.AttemptID) standin.Reply {
+// send sends one request; prompt numbers the shared prompt of a stream.
+func (trial *entryTrial) send(ctx context.Context, router, path string, attempt ident.AttemptID, prompt int) standin.Reply {
 	ctx, cancel := context.WithTimeout(ctx, entryPatience)
 	defer cancel()
 	call := &standin.Call{
@@ -119,8 +119,7 @@
 		Head: platform.RequestHead{Attempt: attempt, Wait: ident.Milliseconds(entryPatience.Milliseconds()), APIKey: entryKey},
 	}
 	if strings.HasPrefix(path, "/stream/") {
-		prompt := fmt.Sprint("planogram-", len(attempt)%entryPrompts)
-		call.Head.Prompt = []platform.PromptPart{{ID: "house", Tokens: 200}, {ID: prompt, Tokens: 2000}}
+		call.Head.Prompt = []platform.PromptPart{{ID: "house", Tokens: 200}, {ID: fmt.Sprint("planogram-", prompt), Tokens: 2000}}
 	}
 	return call.Send(ctx, trial.client)
 }
@@ -179,7 +178,7 @@
 		}
 		path := entryPaths[n%len(entryPaths)]
 		attempt := ident.AttemptID(fmt.Sprintf("%d-%d", caller.number, n))
-		trial.take(path, attempt, trial.send(ctx, address, path, attempt))
+		trial.take(path, attempt, trial.send(ctx, address, path, attempt, n%entryPrompts))
 	}
 }
 
--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -68,12 +68,22 @@
 func (source *configSource) awaitRouters(ctx context.Context) (platform.Records, error) {
 	ctx, cancel := context.WithTimeout(ctx, routersFirst)
 	defer cancel()
-	for len(source.daemon.sharing.Newer(time.Now(), source.daemon.configVersion(), askRouters)) == 0 {
+	if !source.awaitNewer(ctx) {
+		return platform.Records{}, errNoRouter
+	}
+	return source.fromRouters(context.WithoutCancel(ctx), 0)
+}
+
+// awaitNewer waits until a router says that it has a newer configuration, and
+// reports false if ctx ended first.
+func (source *configSource) awaitNewer(ctx context.Context) bool {
+	daemon := source.daemon
+	for len(daemon.sharing.Newer(time.Now(), daemon.configVersion(), askRouters)) == 0 {
 		if !wait.For(ctx, newsStep) {
-			return platform.Records{}, errNoRouter
+			return false
 		}
 	}
-	return source.fromRouters(context.WithoutCancel(ctx), 0)
+	return true
 }
 
 // changes asks a router that said that it has a newer configuration, and else
@@ -141,12 +151,9 @@
 }
 
 func (asking *routerReading) run(ctx context.Context) {
-	daemon := asking.source.daemon
-	for len(daemon.sharing.Newer(time.Now(), daemon.configVersion(), askRouters)) == 0 {
-		if !wait.For(ctx, newsStep) {
-			asking.result <- reading{err: ctx.Err()}
-			return
-		}
+	if !asking.source.awaitNewer(ctx) {
+		asking.result <- reading{err: ctx.Err()}
+		return
 	}
 	records, err := asking.source.fromRouters(ctx, asking.after)
 	asking.result <- reading{records: records, err: err}
