Call what was there: one strict decoder, one question of the balancer, one kind of reading, one greeting

Read again as a whole change. hickoryhead-standin decoded its file strictly by itself, as config does: config.Decode serves both. The soak and the demo each asked a router whether it is ready: standin.Ready. The two readings that race for the configuration were two types of one shape; and asking routers first no longer outlives its caller's context. A greeting was put together in two places, one of which left out that the router is warm.

--- a/cmd/hickoryhead-standin/configure.go
+++ b/cmd/hickoryhead-standin/configure.go
@@ -1,17 +1,15 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/hickoryhead/hickoryhead/command"
+	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/routing"
 )
@@ -23,14 +21,14 @@
 		Short: "Check a configuration of routes and write it to the platform's stand-in, as operators do",
 		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			config, err := readConfig(args[0])
+			routes, err := readConfig(args[0])
 			if err != nil {
 				return command.Usage(errors.Wrap(err, args[0]))
 			}
-			if err := configure(cmd.Context(), platform.NewStore(storeAt, nil), config); err != nil {
+			if err := configure(cmd.Context(), platform.NewStore(storeAt, nil), routes); err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "version %d is accepted\n", config.Version)
+			fmt.Fprintf(cmd.OutOrStdout(), "version %d is accepted\n", routes.Version)
 			return nil
 		},
 	}
@@ -40,24 +38,19 @@
 
 // readConfig reads a JSON file with the fields of routing.Config and checks it.
 func readConfig(name string) (routing.Config, error) {
-	var config routing.Config
+	var routes routing.Config
 	content, err := os.ReadFile(name)
 	if err != nil {
-		return config, err
+		return routes, err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&config); err != nil {
-		return config, err
+	if err := config.Decode(content, &routes); err != nil {
+		return routes, err
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return config, errors.New("want one JSON object and nothing after it")
-	}
-	return config, config.Check()
+	return routes, routes.Check()
 }
 
-// configure writes config unless the store holds one that is as new.
-func configure(ctx context.Context, store *platform.Store, config routing.Config) error {
+// configure writes routes unless the store holds a configuration that is as new.
+func configure(ctx context.Context, store *platform.Store, routes routing.Config) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	present, err := store.Read(ctx, platform.Range{Table: platform.OperatorTable, From: platform.ConfigKey, Limit: 1})
@@ -74,12 +67,12 @@
 		if err != nil {
 			return errors.Wrap(err, "present configuration")
 		}
-		if former.Version >= config.Version {
+		if former.Version >= routes.Version {
 			return errors.Newf("version %d is accepted already: the next one needs a higher Version", former.Version)
 		}
 		revision.Version = record.Version
 	}
-	value, err := platform.EncodeConfig(config)
+	value, err := platform.EncodeConfig(routes)
 	if err != nil {
 		return err
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -88,6 +88,15 @@
 
 // Parse reads content into settings of a daemon and checks it.
 func Parse[T Router | Sidecar | Entry](content []byte, into *T) error {
+	if err := Decode(content, into); err != nil {
+		return err
+	}
+	return check(into)
+}
+
+// Decode reads content, which is one JSON object without unknown fields, into a
+// value and checks nothing else.
+func Decode(content []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -96,7 +105,7 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("want one JSON object and nothing after it")
 	}
-	return check(into)
+	return nil
 }
 
 func decodeError(err error) error {
--- a/demo/entry_fleet.go
+++ b/demo/entry_fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -189,7 +188,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, router := range fleet.routers {
-		for !isReady(ctx, router.addresses.Ready) {
+		for !standin.Ready(ctx, router.addresses.Ready) {
 			if ctx.Err() != nil {
 				return errors.Wrapf(ctx.Err(), "entry router %s", router.daemon.Config.VM)
 			}
@@ -199,19 +198,6 @@
 	return nil
 }
 
-func isReady(ctx context.Context, address string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // close stops the routers and then the runners, and returns the first error of
 // a stop.
 func (fleet *entryFleet) close() error {
--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -66,12 +66,12 @@
 // awaitRouters asks the routers once one says that it has a configuration, which
 // it waits for a short while.
 func (source *configSource) awaitRouters(ctx context.Context) (platform.Records, error) {
-	ctx, cancel := context.WithTimeout(ctx, routersFirst)
+	bounded, cancel := context.WithTimeout(ctx, routersFirst)
 	defer cancel()
-	if !source.awaitNewer(ctx) {
+	if !source.awaitNewer(bounded) {
 		return platform.Records{}, errNoRouter
 	}
-	return source.fromRouters(context.WithoutCancel(ctx), 0)
+	return source.fromRouters(ctx, 0)
 }
 
 // awaitNewer waits until a router says that it has a newer configuration, and
@@ -104,18 +104,21 @@
 func (source *configSource) first(ctx context.Context, after ident.Revision, read func(ctx context.Context) (platform.Records, error)) (platform.Records, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	asking := &routerReading{source: source, after: after, result: make(chan reading, 1)}
-	go asking.run(ctx)
-	storing := &storeReading{read: read, result: make(chan reading, 1)}
-	go storing.run(ctx)
+	fromRouter := begin(ctx, func(ctx context.Context) (platform.Records, error) {
+		if !source.awaitNewer(ctx) {
+			return platform.Records{}, ctx.Err()
+		}
+		return source.fromRouters(ctx, after)
+	})
+	fromStore := begin(ctx, read)
 	select {
-	case told := <-asking.result:
+	case told := <-fromRouter:
 		if told.err == nil {
 			return told.records, nil
 		}
-		stored := <-storing.result
+		stored := <-fromStore
 		return stored.records, stored.err
-	case stored := <-storing.result:
+	case stored := <-fromStore:
 		return stored.records, stored.err
 	}
 }
@@ -143,31 +146,22 @@
 // errNoRouter means that no router gave a newer configuration.
 var errNoRouter = errors.New("no router gave a newer configuration")
 
-// routerReading asks routers, as soon as one says that it has a configuration.
-type routerReading struct {
-	source *configSource
-	after  ident.Revision
+// pendingReading is a reading that goes on.
+type pendingReading struct {
+	read   func(ctx context.Context) (platform.Records, error)
 	result chan reading
 }
 
-func (asking *routerReading) run(ctx context.Context) {
-	if !asking.source.awaitNewer(ctx) {
-		asking.result <- reading{err: ctx.Err()}
-		return
-	}
-	records, err := asking.source.fromRouters(ctx, asking.after)
-	asking.result <- reading{records: records, err: err}
-}
-
-// storeReading reads the row from the store.
-type storeReading struct {
-	read   func(ctx context.Context) (platform.Records, error)
-	result chan reading
+func (pending *pendingReading) run(ctx context.Context) {
+	records, err := pending.read(ctx)
+	pending.result <- reading{records: records, err: err}
 }
 
-func (storing *storeReading) run(ctx context.Context) {
-	records, err := storing.read(ctx)
-	storing.result <- reading{records: records, err: err}
+// begin begins a reading that ends with ctx at the latest.
+func begin(ctx context.Context, read func(ctx context.Context) (platform.Records, error)) <-chan reading {
+	pending := &pendingReading{read: read, result: make(chan reading, 1)}
+	go pending.run(ctx)
+	return pending.result
 }
 
 // configServer serves the configuration to other routers.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -84,9 +84,7 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	if added := gossip.add(now, address); added != nil {
-		message := gossip.message(now)
-		message.InFlight, message.Whole = gossip.Loads.Own(), true
-		gossip.send(gossip.encode(message), added)
+		gossip.send(gossip.encode(gossip.greeting(now)), added)
 	}
 }
 
@@ -164,7 +162,6 @@
 	}
 	message := gossip.message(now)
 	message.Leaving = leaving
-	message.Warm = gossip.warm
 	message.Served = served
 	message.Changes = gossip.changes
 	message.Outcomes = outcomes
@@ -183,17 +180,24 @@
 		Sequence: gossip.sequence,
 		Address:  gossip.Address,
 		Uptime:   ident.Milliseconds(now.Sub(gossip.Started).Milliseconds()),
+		Warm:     gossip.warm,
 	}
 	gossip.Fill(now, &message)
 	return message
 }
 
+// greeting returns a message that says all that is in flight. The caller holds
+// mu.
+func (gossip *Gossip) greeting(now time.Time) Message {
+	message := gossip.message(now)
+	message.InFlight, message.Whole = gossip.Loads.Own(), true
+	return message
+}
+
 // greet tells a router that has just started what this one knows. The caller
 // holds mu.
 func (gossip *Gossip) greet(now time.Time, fresh *peer) {
-	message := gossip.message(now)
-	message.Warm = gossip.warm
-	message.InFlight, message.Whole = gossip.Loads.Own(), true
+	message := gossip.greeting(now)
 	gossip.send(gossip.encode(message), fresh)
 	message.InFlight, message.Whole = nil, false
 	for served := range slices.Chunk(gossip.Holders.Own(now), greetingSize) {
--- a/soak/router.go
+++ b/soak/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/standin"
 )
 
 const (
@@ -156,15 +156,7 @@
 func (router *router) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeEvery)
 	defer cancel()
-	ready := false
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+router.settings.ReadyListen+"/readyz", nil)
-	if err == nil {
-		response, sendErr := http.DefaultTransport.RoundTrip(request)
-		if sendErr == nil {
-			ready = response.StatusCode == http.StatusOK
-			_ = response.Body.Close()
-		}
-	}
+	ready := standin.Ready(ctx, router.settings.ReadyListen)
 	router.mu.Lock()
 	defer router.mu.Unlock()
 	if ready {
--- a/standin/call.go
+++ b/standin/call.go
@@ -21,6 +21,20 @@
 	Body   string
 }
 
+// Ready asks a router once whether it takes callers, as a balancer does.
+func Ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // Reply is what a caller got.
 type Reply struct {
 	// Status is zero where no head of an answer came.
