demo: write one line at a time

What was seen: the demo's departure and its load sampler write lines to Options.Out from two goroutines without a lock.

Cause: Options.Out was handed to both goroutines as it is.

Why it works: Run wraps Out in a writer with a lock, so each line is written whole before the next one.

--- a/demo/run.go
+++ b/demo/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,7 @@
 	options.Engines = orDefault(options.Engines, defaultEngines)
 	options.Routers = orDefault(options.Routers, defaultRouters)
 	options.Requests = orDefault(options.Requests, defaultRequests)
+	options.Out = &lineWriter{out: options.Out}
 	fleet := &fleet{logger: options.Logger}
 	defer fleet.close()
 	printLine(options.Out, "Starting %d engines and a service with their sidecars, %d routers and a platform stand-in.", options.Engines, options.Routers)
@@ -106,6 +108,19 @@
 	return value
 }
 
+// lineWriter writes to out for several goroutines. Each Write is kept together.
+type lineWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Write writes data to the underlying writer.
+func (lineWriter *lineWriter) Write(data []byte) (int, error) {
+	lineWriter.mu.Lock()
+	defer lineWriter.mu.Unlock()
+	return lineWriter.out.Write(data)
+}
+
 func printLine(out io.Writer, format string, args ...any) {
 	fmt.Fprintf(out, format+"\n", args...)
 }
