forward: log what makes two attempts the same request

No counter told a connection that broke during the work from one that could not be opened.

The event attempt.broken counts attempts whose connection broke after the request was sent.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -339,7 +339,10 @@
 		return
 	}
 	switch code {
-	case result.OutcomeUnknown, result.AnswerCut, result.UpstreamUnreachable:
+	case result.UpstreamUnreachable:
+		exchange.handler.recordOutcome(upstream, health.Broken)
+	case result.OutcomeUnknown, result.AnswerCut:
+		exchange.handler.Metrics.CountEvent("attempt.broken")
 		exchange.handler.recordOutcome(upstream, health.Broken)
 	case result.QueueFull:
 		exchange.handler.recordOutcome(upstream, health.Succeeded)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -48,6 +48,9 @@
 	head      platform.RequestHead
 	workspace *routing.Workspace
 	body      []byte
+	// knownFingerprint is what fingerprint returned, once fingerprinted is set.
+	knownFingerprint ident.Fingerprint
+	fingerprinted    bool
 	// prefixIDs identify the prompt parts that other requests share, the
 	// deepest first. They are set on sticky routes only.
 	prefixIDs []ident.ChatID
@@ -401,6 +404,9 @@
 			slog.Int("Tried", len(exchange.tried)),
 			slog.Bool("Started", exchange.started))
 	}
+	if len(exchange.tried) > 0 && exchange.code != result.OK {
+		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()))
+	}
 	if exchange.cause != "" {
 		attributes = append(attributes, slog.String("Cause", exchange.cause))
 	}
@@ -426,7 +432,9 @@
 		"Reason", exchange.choice.Reason,
 		"Load", exchange.choice.Load.Requests,
 		"Code", code.Name(),
-		"Cause", exchange.cause)
+		"Cause", exchange.cause,
+		"Fingerprint", exchange.fingerprint().String(),
+		"Incarnation", exchange.choice.Upstream.Incarnation)
 }
 
 // setCause stores the root cause of err for the log. A nil err keeps the
--- /dev/null
+++ b/forward/fingerprint_test.go
@@ -0,0 +1,55 @@
+package forward_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fingerprints returns the fingerprints in the lines of failed attempts, by
+// attempt ID.
+func fingerprints(log string) map[string]string {
+	found := make(map[string]string)
+	for text := range strings.SplitSeq(log, "\n") {
+		var line struct{ Msg, Attempt, Fingerprint string }
+		if json.Unmarshal([]byte(text), &line) == nil && strings.HasPrefix(line.Msg, "Attempt failed") {
+			found[line.Attempt] = line.Fingerprint
+		}
+	}
+	return found
+}
+
+// TestLogTellsRepeatedRequestFromOthers guards against logs in which a request
+// that comes again can't be told from other requests.
+func TestLogTellsRepeatedRequestFromOthers(t *testing.T) {
+	upstream := startUpstream(t, func(context.Context, net.Conn, int, receivedRequest) bool { return false })
+	router := startRouter(t, upstream)
+	var log syncBuffer
+	router.handler.Logger = slog.New(slog.NewJSONHandler(&log, nil))
+	for i, request := range []struct{ method, path, body string }{
+		{"POST", "/once/x", "same"}, {"POST", "/once/x", "same"},
+		{"PUT", "/once/x", "same"}, {"POST", "/once/y", "same"}, {"POST", "/once/x?y", "same"}, {"POST", "/once/x", "other"},
+	} {
+		router.send(t, fmt.Sprint("a", i), request.method, request.path, request.body, "X-Other", fmt.Sprint(i)).check(t, 502, "")
+	}
+	const attempts, distinct = 6, 5
+	for end := time.Now().Add(5 * time.Second); len(fingerprints(log.String())) < attempts && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	got := fingerprints(log.String())
+	if got["a0"] == "" || got["a0"] != got["a1"] {
+		t.Errorf("got fingerprints %q and %q for one request sent twice, want the same", got["a0"], got["a1"])
+	}
+	values := make(map[string]bool)
+	for _, value := range got {
+		values[value] = true
+	}
+	if len(values) != distinct {
+		t.Errorf("got %d fingerprints in %v, want %d", len(values), got, distinct)
+	}
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -1,6 +1,7 @@
 package ident
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -67,9 +68,13 @@
 // Bytes is a size in bytes.
 type Bytes int64
 
-// Fingerprint is a hash that identifies a request by its workspace and body.
+// Fingerprint is a hash that identifies a request by its workspace, path and body.
+// Attempts of the same request have the same fingerprint.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits, as it is logged.
+func (fingerprint Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(fingerprint)) }
+
 // NewRequestID returns a random RequestID, which is valid as defined by Valid.
 func NewRequestID() RequestID {
 	return RequestID(uuid.NewString())
