entry: show that one request ends upstream after upstream

Six ways: not idempotent, idempotent, an upstream that falls silent, a router that starts after the third crash, all routers restarted after it, the store down from the first crash on.

The runner stand-in learns to crash on a request whose body holds a marker.

--- /dev/null
+++ b/entry/crash_test.go
@@ -0,0 +1,341 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/standin"
+)
+
+const (
+	// crashBody is the body of the request that crashes each upstream that
+	// begins to run it.
+	crashBody = "crash this upstream"
+	// crashRetries is how many times the request is sent, and crashRetryInterval
+	// the time between two of them.
+	crashRetries       = 24
+	crashRetryInterval = 350 * time.Millisecond
+	// restartTime is how long a crashed upstream is away.
+	restartTime = time.Second
+	// maxCrashes is how many upstreams one request may crash. lateCrashTime
+	// after the last of them, at most maxLateCrashes more may happen.
+	maxCrashes     = 3
+	lateCrashTime  = 3 * time.Second
+	maxLateCrashes = 3
+)
+
+// crashFleet is a store, upstreams that a request may crash, and routers.
+type crashFleet struct {
+	t      *testing.T
+	store  *standin.Platform
+	server *httptest.Server
+	// silent makes a crashing upstream keep its connections open.
+	silent  bool
+	routers []*fixture
+
+	mu      sync.Mutex
+	crashes []time.Time
+	started int
+	servers []*http.Server
+}
+
+// newCrashFleet starts upstreams and routers, the last one in another zone.
+func newCrashFleet(t *testing.T, upstreams, routers int) *crashFleet {
+	t.Helper()
+	fleet := &crashFleet{t: t, store: new(standin.Platform)}
+	fleet.server = httptest.NewServer(fleet.store)
+	t.Cleanup(fleet.server.Close)
+	t.Cleanup(fleet.closeServers)
+	fleet.writeConfig()
+	for range upstreams {
+		fleet.startUpstream()
+	}
+	for i := range routers {
+		zone := ident.Zone("a")
+		if i == routers-1 {
+			zone = "b"
+		}
+		fleet.startRouter(zone)
+	}
+	for _, router := range fleet.routers {
+		router.waitFor(3*time.Second, "readiness", router.ready)
+	}
+	return fleet
+}
+
+// writeConfig writes a configuration with a route of each kind.
+func (fleet *crashFleet) writeConfig() {
+	shares := []routing.Share{{Service: "pool", Weight: 1}}
+	value, err := platform.EncodeConfig(routing.Config{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2000, Target: 300, MaxAttempts: 1, Shares: shares},
+			{Name: "again", Host: "a.example", Prefix: "/again/", Kind: routing.Idempotent, Timeout: 2000, Target: 300, MaxAttempts: 2, Shares: shares},
+		},
+		Services:   []routing.Service{{Name: "pool", MaxConnections: 400}},
+		Workspaces: []routing.Workspace{{ID: "t", Keys: []string{"key-1"}}},
+		Limits:     routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 15000},
+	})
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	fleet.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value})
+}
+
+// startUpstream starts an upstream under a new ID. When a request crashes it,
+// another one starts after restartTime, and its row expires.
+func (fleet *crashFleet) startUpstream() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fleet.t.Error(err)
+		return
+	}
+	fleet.started++
+	runner := &standin.Runner{
+		ID:          ident.UpstreamID(fmt.Sprint("i-", fleet.started)),
+		Service:     "pool",
+		Address:     listener.Addr().String(),
+		CrashMarker: crashBody,
+		Write: func(record platform.Record) error {
+			fleet.store.Write(record)
+			return nil
+		},
+	}
+	server := &http.Server{Handler: runner}
+	fleet.servers = append(fleet.servers, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	fleet.t.Cleanup(cancel)
+	runner.OnCrash = func() {
+		cancel()
+		fleet.recordCrash()
+		time.AfterFunc(standin.RunnerExpiry, func() { fleet.store.Remove(runner.Row()) })
+		time.AfterFunc(restartTime, fleet.startUpstream)
+		if fleet.silent {
+			time.Sleep(crashRetries * crashRetryInterval)
+		}
+		_ = server.Close()
+	}
+	process := &upstreamProcess{server: server, listener: listener, runner: runner}
+	go process.run(ctx)
+}
+
+// upstreamProcess serves an upstream and writes its row until ctx ends.
+type upstreamProcess struct {
+	server   *http.Server
+	listener net.Listener
+	runner   *standin.Runner
+}
+
+func (process *upstreamProcess) run(ctx context.Context) {
+	serving := &upstreamServer{server: process.server, listener: process.listener}
+	go serving.run()
+	process.runner.Run(ctx)
+}
+
+// upstreamServer serves HTTP until its server is closed.
+type upstreamServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (server *upstreamServer) run() { _ = server.server.Serve(server.listener) }
+
+func (fleet *crashFleet) closeServers() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, server := range fleet.servers {
+		_ = server.Close()
+	}
+}
+
+func (fleet *crashFleet) recordCrash() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.crashes = append(fleet.crashes, time.Now())
+}
+
+// crashTimes returns when upstreams crashed, in order.
+func (fleet *crashFleet) crashTimes() []time.Time {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return append([]time.Time(nil), fleet.crashes...)
+}
+
+// startRouter starts a router in a zone.
+func (fleet *crashFleet) startRouter(zone ident.Zone) *fixture {
+	router := &fixture{t: fleet.t, store: fleet.store, storeAddress: strings.TrimPrefix(fleet.server.URL, "http://")}
+	router.config.VM = ident.VMID(fmt.Sprint("vm-", len(fleet.routers)+1))
+	router.config.Zone = zone
+	router.config.Platform = router.storeAddress
+	router.config.CallerListen, router.config.ReadyListen, router.config.PeerListen = anyPort, anyPort, anyPort
+	router.config.StopTimeoutMs, router.config.LoadMultiple, router.config.RetryShare, router.config.RetrySlack = 1000, 2, 0.2, 20
+	router.start()
+	fleet.routers = append(fleet.routers, router)
+	return router
+}
+
+// restartRouters ends all routers and starts them again.
+func (fleet *crashFleet) restartRouters() {
+	for _, router := range fleet.routers {
+		router.cancel()
+	}
+	for _, router := range fleet.routers {
+		<-router.done
+		router.start()
+	}
+	for _, router := range fleet.routers {
+		router.waitFor(3*time.Second, "readiness", router.ready)
+	}
+}
+
+// send sends a request with body to a router.
+func (fleet *crashFleet) send(router *fixture, attempt, path, body string) standin.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	call := &standin.Call{
+		Method: http.MethodPost, Router: router.addresses.Callers, Host: "a.example", Path: path, Body: body,
+		Head: platform.RequestHead{Attempt: ident.AttemptID(attempt), Wait: 2500, APIKey: "key-1"},
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	return call.Send(ctx, &http.Client{Transport: transport})
+}
+
+// soundCaller sends sound requests of the same caller and path as the crashing
+// one until stop is closed, each until it is served.
+type soundCaller struct {
+	fleet  *crashFleet
+	path   string
+	stop   chan struct{}
+	done   chan struct{}
+	served int
+	failed []string
+}
+
+func (caller *soundCaller) run() {
+	defer close(caller.done)
+	const maxTries = 5
+	for n := 0; ; n++ {
+		select {
+		case <-caller.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		last := standin.Reply{}
+		for try := range maxTries {
+			attempt := fmt.Sprintf("sound-%d-%d", n, try)
+			last = caller.fleet.send(caller.fleet.routers[(n+try)%len(caller.fleet.routers)], attempt, caller.path, fmt.Sprint("sound ", n))
+			if last.Status == http.StatusOK {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if last.Status != http.StatusOK {
+			caller.failed = append(caller.failed, fmt.Sprintf("sound-%d: status %d, %v, %s", n, last.Status, last.Err, last.Body))
+			continue
+		}
+		caller.served++
+	}
+}
+
+// play sends the crashing request crashRetries times to the routers in turn,
+// with sound requests beside it. afterThird is called once, after the third
+// crash; nil means nothing.
+func (fleet *crashFleet) play(path string, afterThird func()) *soundCaller {
+	sound := &soundCaller{fleet: fleet, path: path, stop: make(chan struct{}), done: make(chan struct{})}
+	go sound.run()
+	for n := range crashRetries {
+		started := time.Now()
+		go fleet.send(fleet.routers[n%len(fleet.routers)], fmt.Sprint("crash-", n), path, crashBody)
+		time.Sleep(time.Until(started.Add(crashRetryInterval)))
+		if len(fleet.crashTimes()) >= maxCrashes && afterThird != nil {
+			afterThird()
+			afterThird = nil
+		}
+	}
+	close(sound.stop)
+	<-sound.done
+	return sound
+}
+
+// check fails the test if upstreams crashed too often, if sound requests were
+// not served, or if the crashing request is not refused as not run.
+func (fleet *crashFleet) check(path string, sound *soundCaller) {
+	fleet.t.Helper()
+	crashes := fleet.crashTimes()
+	if len(crashes) < maxCrashes {
+		fleet.t.Fatalf("got %d crashes, want at least %d", len(crashes), maxCrashes)
+	}
+	late := 0
+	for _, crash := range crashes[maxCrashes:] {
+		if crash.After(crashes[maxCrashes-1].Add(lateCrashTime)) {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		fleet.t.Errorf("got %d crashes, %d of them later than %v after the third, want at most %d", len(crashes), late, lateCrashTime, maxLateCrashes)
+	}
+	if len(sound.failed) > 0 || sound.served == 0 {
+		fleet.t.Errorf("got %d sound requests served and failures %v, want all served", sound.served, sound.failed)
+	}
+	before := len(fleet.crashTimes())
+	for i, router := range fleet.routers {
+		started := time.Now()
+		reply := fleet.send(router, fmt.Sprint("last-", i), path, crashBody)
+		if reply.Status != http.StatusTooManyRequests || time.Since(started) > time.Second {
+			fleet.t.Errorf("got status %d (%v) after %v from router %d, want 429 at once", reply.Status, reply.Err, time.Since(started), i)
+		}
+	}
+	if got := len(fleet.crashTimes()); got != before {
+		fleet.t.Errorf("got %d crashes by refused requests, want none", got-before)
+	}
+	fleet.t.Logf("%d crashes, %d of them late; %d sound requests served", len(crashes), late, sound.served)
+}
+
+// TestRequestKeepsCrashingUpstreams guards against a request that crashes every
+// upstream that runs it and comes again and again.
+func TestRequestKeepsCrashingUpstreams(t *testing.T) {
+	tests := []struct {
+		name string
+		path string
+		play func(fleet *crashFleet) *soundCaller
+	}{
+		{"not idempotent", "/once/x", func(fleet *crashFleet) *soundCaller { return fleet.play("/once/x", nil) }},
+		{"idempotent", "/again/x", func(fleet *crashFleet) *soundCaller { return fleet.play("/again/x", nil) }},
+		{"silent crash", "/once/x", func(fleet *crashFleet) *soundCaller {
+			fleet.silent = true
+			return fleet.play("/once/x", nil)
+		}},
+		{"router started after the third crash", "/again/x", func(fleet *crashFleet) *soundCaller {
+			return fleet.play("/again/x", func() {
+				router := fleet.startRouter("c")
+				router.waitFor(3*time.Second, "readiness", router.ready)
+			})
+		}},
+		{"all routers restarted after the third crash", "/once/x", func(fleet *crashFleet) *soundCaller {
+			return fleet.play("/once/x", fleet.restartRouters)
+		}},
+		{"store down from the first crash on", "/once/x", func(fleet *crashFleet) *soundCaller {
+			time.AfterFunc(crashRetryInterval/2, func() { fleet.store.Switch(standin.PlatformSwitches{Outage: true}) })
+			return fleet.play("/once/x", nil)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newCrashFleet(t, 8, 3)
+			fleet.check(test.path, test.play(fleet))
+		})
+	}
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -44,6 +44,10 @@
 	Write func(record platform.Record) error
 	// OnStart, if set, is called when work on a request starts.
 	OnStart func(attempt ident.AttemptID)
+	// CrashMarker, unless empty, crashes the runner when work starts on a
+	// request whose body contains it. OnCrash, if set, is called then.
+	CrashMarker string
+	OnCrash     func()
 
 	// writeMu is held while a row is made and written, so that rows are
 	// written in order of their sequence numbers.
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,16 +26,41 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	platform.EncodeAnswer(writer.Header(), forwarded.Attempt, runnerSignature)
-	time.Sleep(runner.begin(forwarded.Attempt))
+	workTime := runner.begin(forwarded.Attempt)
+	if runner.hasCrashMarker(body) {
+		runner.crashNow()
+	}
+	time.Sleep(workTime)
+	if runner.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	if strings.Contains(request.URL.Path, runnerStreamMarker) {
 		runner.stream(writer, forwarded)
 		return
 	}
-	body := RunnerAnswer(forwarded.Attempt)
-	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	answer := RunnerAnswer(forwarded.Attempt)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	// A write error means that the sender has disconnected.
-	_, _ = io.WriteString(writer, body)
+	_, _ = io.WriteString(writer, answer)
+}
+
+// hasCrashMarker reports whether body crashes the runner.
+func (runner *Runner) hasCrashMarker(body []byte) bool {
+	return runner.CrashMarker != "" && bytes.Contains(body, []byte(runner.CrashMarker))
+}
+
+// crashNow crashes the runner and closes the connection of the request.
+func (runner *Runner) crashNow() {
+	runner.Crash()
+	if runner.OnCrash != nil {
+		runner.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // stream sends the events that follow the last one that the caller has received.
