--- a/balance/choose.go
+++ b/balance/choose.go
@@ -32,6 +32,9 @@
 	// LastResort means that no healthy upstream is left: the chosen one is on
 	// probation or ejected.
 	LastResort Reason = "distrusted"
+	// Designated means that upstreams crashed while they ran the request, which
+	// may now run on this one only.
+	Designated Reason = "designated"
 )
 
 // Request describes the request that an upstream is chosen for.
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -47,6 +47,8 @@
 	crashes []time.Time
 	started int
 	servers []*http.Server
+	// callers holds the addresses at which the routers listen for callers.
+	callers []string
 }
 
 // newCrashFleet starts upstreams and routers, the last one in another zone.
@@ -181,31 +183,50 @@
 	router.config.Platform = router.storeAddress
 	router.config.CallerListen, router.config.ReadyListen, router.config.PeerListen = anyPort, anyPort, anyPort
 	router.config.StopTimeoutMs, router.config.LoadMultiple, router.config.RetryShare, router.config.RetrySlack = 1000, 2, 0.2, 20
-	router.start()
 	fleet.routers = append(fleet.routers, router)
+	fleet.run(len(fleet.routers) - 1)
 	return router
 }
 
+// run runs the router with the given number.
+func (fleet *crashFleet) run(number int) {
+	router := fleet.routers[number]
+	router.start()
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if number == len(fleet.callers) {
+		fleet.callers = append(fleet.callers, "")
+	}
+	fleet.callers[number] = router.addresses.Callers
+}
+
+// address returns where one of the routers listens for callers, in turn.
+func (fleet *crashFleet) address(n int) string {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.callers[n%len(fleet.callers)]
+}
+
 // restartRouters ends all routers and starts them again.
 func (fleet *crashFleet) restartRouters() {
 	for _, router := range fleet.routers {
 		router.cancel()
 	}
-	for _, router := range fleet.routers {
+	for number, router := range fleet.routers {
 		<-router.done
-		router.start()
+		fleet.run(number)
 	}
 	for _, router := range fleet.routers {
 		router.waitFor(3*time.Second, "readiness", router.ready)
 	}
 }
 
-// send sends a request with body to a router.
-func (fleet *crashFleet) send(router *fixture, attempt, path, body string) standin.Reply {
+// send sends a request with body to the router at address.
+func (fleet *crashFleet) send(address, attempt, path, body string) standin.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	call := &standin.Call{
-		Method: http.MethodPost, Router: router.addresses.Callers, Host: "a.example", Path: path, Body: body,
+		Method: http.MethodPost, Router: address, Host: "a.example", Path: path, Body: body,
 		Head: platform.RequestHead{Attempt: ident.AttemptID(attempt), Wait: 2500, APIKey: "key-1"},
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
@@ -225,7 +246,7 @@
 
 func (caller *soundCaller) run() {
 	defer close(caller.done)
-	const maxTries = 5
+	const maxTime = 3 * time.Second
 	for n := 0; ; n++ {
 		select {
 		case <-caller.stop:
@@ -233,13 +254,13 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		last := standin.Reply{}
-		for try := range maxTries {
+		until := time.Now().Add(maxTime)
+		for try := 0; last.Status != http.StatusOK && time.Now().Before(until); try++ {
 			attempt := fmt.Sprintf("sound-%d-%d", n, try)
-			last = caller.fleet.send(caller.fleet.routers[(n+try)%len(caller.fleet.routers)], attempt, caller.path, fmt.Sprint("sound ", n))
-			if last.Status == http.StatusOK {
-				break
+			last = caller.fleet.send(caller.fleet.address(n+try), attempt, caller.path, fmt.Sprint("sound ", n))
+			if last.Status != http.StatusOK {
+				time.Sleep(50 * time.Millisecond)
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 		if last.Status != http.StatusOK {
 			caller.failed = append(caller.failed, fmt.Sprintf("sound-%d: status %d, %v, %s", n, last.Status, last.Err, last.Body))
@@ -257,7 +278,7 @@
 	go sound.run()
 	for n := range crashRetries {
 		started := time.Now()
-		go fleet.send(fleet.routers[n%len(fleet.routers)], fmt.Sprint("crash-", n), path, crashBody)
+		go fleet.send(fleet.address(n), fmt.Sprint("crash-", n), path, crashBody)
 		time.Sleep(time.Until(started.Add(crashRetryInterval)))
 		if len(fleet.crashTimes()) >= maxCrashes && afterThird != nil {
 			afterThird()
@@ -290,9 +311,9 @@
 		fleet.t.Errorf("got %d sound requests served and failures %v, want all served", sound.served, sound.failed)
 	}
 	before := len(fleet.crashTimes())
-	for i, router := range fleet.routers {
+	for i := range fleet.routers {
 		started := time.Now()
-		reply := fleet.send(router, fmt.Sprint("last-", i), path, crashBody)
+		reply := fleet.send(fleet.address(i), fmt.Sprint("last-", i), path, crashBody)
 		if reply.Status != http.StatusTooManyRequests || time.Since(started) > time.Second {
 			fleet.t.Errorf("got status %d (%v) after %v from router %d, want 429 at once", reply.Status, reply.Err, time.Since(started), i)
 		}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
 
@@ -85,6 +86,7 @@
 	loads      balance.Loads
 	cacheIndex balance.CacheIndex
 	health     health.Tracker
+	strikes    strike.Guard
 	handler    *forward.Handler
 	updater    *follow.Updater
 	idleConns  forward.IdleConns
@@ -159,6 +161,8 @@
 			return err
 		}
 	}
+	daemon.strikes.WroteAfter = daemon.registry.WroteAfter
+	daemon.strikes.OnEvent = daemon.logStrike
 	dialer := forward.Dialer()
 	daemon.handler = &forward.Handler{
 		Routes:      &daemon.routes,
@@ -166,6 +170,7 @@
 		Loads:       &daemon.loads,
 		CacheIndex:  &daemon.cacheIndex,
 		Health:      &daemon.health,
+		Strikes:     &daemon.strikes,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
 		Zone:        daemon.Config.Zone,
 		Routers:     func() int { return daemon.loads.PeerCount() + 1 },
@@ -229,6 +234,8 @@
 	if upstream.Leaving {
 		return
 	}
+	listed, _ := daemon.registry.Upstream(upstream.ID)
+	daemon.strikes.Ended(time.Now(), upstream.ID, listed.Incarnation)
 	daemon.health.Forget(upstream.ID)
 	daemon.cacheIndex.Forget(upstream.ID)
 }
@@ -255,6 +262,8 @@
 		follower := &follower{table: table}
 		go follower.run(ctx)
 	}
+	strikeStore := &strikeStore{store: store, guard: &daemon.strikes, metrics: daemon.metrics, logger: logging.Component(daemon.Logger, "strike"), read: daemon.warmup.strikesRead}
+	go strikeStore.run(ctx)
 	membership := &membership{store: store, gossip: exchange, daemon: daemon}
 	go membership.run(ctx)
 	gossiper := &gossiper{gossip: exchange}
@@ -275,6 +284,7 @@
 		Loads:      &daemon.loads,
 		CacheIndex: &daemon.cacheIndex,
 		Health:     &daemon.health,
+		Strikes:    &daemon.strikes,
 		Fill:       daemon.fillMessage,
 		OnMessage:  daemon.applyMessage,
 		Metrics:    daemon.metrics,
@@ -340,6 +350,7 @@
 	daemon.updater.Expire()
 	daemon.handler.Connections.Retain(daemon.registry.Upstreams())
 	daemon.loads.Expire(now)
+	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
 		daemon.idleConns.CloseOlder(now.Add(-daemon.idleTimeout()))
 	}
--- /dev/null
+++ b/entry/strikes.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/strike"
+	"github.com/hickoryhead/hickoryhead/wait"
+)
+
+const (
+	// strikeSaveInterval is the time between two checks of whether strikes have
+	// to be written to the store.
+	strikeSaveInterval = 50 * time.Millisecond
+	// strikeCallTimeout bounds a call to the store for strikes.
+	strikeCallTimeout = 2 * time.Second
+	// strikeRetryInterval is the mean pause after a failed call.
+	strikeRetryInterval = 300 * time.Millisecond
+)
+
+// strikeStore keeps the strikes of requests that were running at several crashes
+// in the store, so that they outlast all routers.
+type strikeStore struct {
+	store   *platform.Store
+	guard   *strike.Guard
+	metrics *metrics.Set
+	logger  *slog.Logger
+	// read is closed once the rows were read.
+	read chan struct{}
+}
+
+// run reads the rows, and then writes what changes until ctx ends.
+func (strikeStore *strikeStore) run(ctx context.Context) {
+	strikeStore.retry(ctx, "read", strikeStore.readRows)
+	close(strikeStore.read)
+	for wait.Sleep(ctx, strikeSaveInterval) {
+		unsaved := strikeStore.guard.TakeUnsaved()
+		if len(unsaved.Write)+len(unsaved.Remove) == 0 {
+			continue
+		}
+		strikeStore.retry(ctx, "write", func(ctx context.Context) error { return strikeStore.writeRows(ctx, unsaved) })
+	}
+}
+
+// retry calls the store until a call succeeds or ctx ends. operation is logged.
+func (strikeStore *strikeStore) retry(ctx context.Context, operation string, call func(ctx context.Context) error) {
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, strikeCallTimeout)
+		err := call(bounded)
+		cancel()
+		if err == nil {
+			return
+		}
+		strikeStore.metrics.CountEvent("strike.store.failed")
+		strikeStore.logger.Warn("Could not "+operation+" the rows of strikes.", "Error", err)
+		wait.Sleep(ctx, wait.Jitter(strikeRetryInterval))
+	}
+}
+
+// readRows applies the strikes that are rows of the store.
+func (strikeStore *strikeStore) readRows(ctx context.Context) error {
+	records, err := strikeStore.store.ReadAll(ctx, platform.StrikeTable, "")
+	if err != nil {
+		return err
+	}
+	report := strike.Report{Saved: true}
+	for _, record := range records.Records {
+		decoded, err := platform.DecodeStrike(record)
+		if err != nil {
+			strikeStore.metrics.CountEvent("strike.row.unreadable")
+			strikeStore.logger.Warn("Could not decode the row of a strike.", "Key", record.Key, "Error", err)
+			continue
+		}
+		report.Strikes = append(report.Strikes, decoded)
+	}
+	strikeStore.guard.Apply(time.Now(), report)
+	return nil
+}
+
+// writeRows writes the rows of new strikes and removes those of strikes that no
+// longer count. Either may be repeated.
+func (strikeStore *strikeStore) writeRows(ctx context.Context, unsaved strike.Unsaved) error {
+	var batch platform.Batch
+	for _, strike := range unsaved.Write {
+		record, err := platform.EncodeStrike(strike)
+		if err != nil {
+			return err
+		}
+		batch.Writes = append(batch.Writes, record)
+	}
+	for _, strike := range unsaved.Remove {
+		batch.Removes = append(batch.Removes, platform.StrikeName(strike))
+	}
+	return strikeStore.transact(ctx, batch)
+}
+
+// transact applies a batch in as many transactions as its size takes, the writes
+// first.
+func (strikeStore *strikeStore) transact(ctx context.Context, batch platform.Batch) error {
+	for len(batch.Writes)+len(batch.Removes) > 0 {
+		writes := min(len(batch.Writes), platform.MaxEntries)
+		removes := 0
+		if writes == 0 {
+			removes = min(len(batch.Removes), platform.MaxEntries)
+		}
+		next := platform.Batch{Writes: batch.Writes[:writes], Removes: batch.Removes[:removes]}
+		if _, err := strikeStore.store.Transact(ctx, next); err != nil {
+			return err
+		}
+		batch.Writes, batch.Removes = batch.Writes[writes:], batch.Removes[removes:]
+	}
+	return nil
+}
+
+// logStrike counts and logs a decision on a strike.
+func (daemon *Daemon) logStrike(event strike.Event) {
+	names := [...]struct{ metric, message string }{
+		strike.Counted:   {"strike.added", "Strike counted, the upstream broke off while it ran the request."},
+		strike.Withdrawn: {"strike.withdrawn", "Strike withdrawn, the upstream ran on."},
+		strike.Cleared:   {"strike.cleared", "Strike cleared, the request succeeded."},
+	}
+	name := names[event.Decision]
+	source := "router"
+	if event.Strike.Own {
+		source = "own"
+	}
+	daemon.metrics.CountEvent(name.metric)
+	daemon.Logger.Warn("strike: "+name.message,
+		"Fingerprint", event.Strike.Fingerprint.String(), "Attempt", event.Strike.Attempt,
+		"Upstream", event.Strike.Upstream, "Incarnation", event.Strike.Incarnation,
+		"At", event.Strike.At, "Strikes", event.Strikes, "Source", source)
+}
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -54,6 +54,8 @@
 	// registered is closed once the router is registered and has the addresses of
 	// the other registered routers.
 	registered chan struct{}
+	// strikesRead is closed once the strikes in the store were read.
+	strikesRead chan struct{}
 	// localDone is closed once this router has filled its cache index as far as it
 	// can by itself, or warmupTimeout has passed.
 	localDone chan struct{}
@@ -64,13 +66,14 @@
 
 func newWarmup(daemon *Daemon, exchange *gossip.Gossip) *warmup {
 	return &warmup{
-		daemon:     daemon,
-		gossip:     exchange,
-		engines:    &platform.Engines{Client: new(oncehttp.Client)},
-		began:      exchange.Started,
-		registered: make(chan struct{}),
-		localDone:  make(chan struct{}),
-		allDone:    make(chan struct{}),
+		daemon:      daemon,
+		gossip:      exchange,
+		engines:     &platform.Engines{Client: new(oncehttp.Client)},
+		began:       exchange.Started,
+		registered:  make(chan struct{}),
+		strikesRead: make(chan struct{}),
+		localDone:   make(chan struct{}),
+		allDone:     make(chan struct{}),
 	}
 }
 
@@ -114,6 +117,11 @@
 	case <-bounded.Done():
 		return
 	}
+	select {
+	case <-warmup.strikesRead:
+	case <-bounded.Done():
+		return
+	}
 	if !wait.Sleep(bounded, peerReplyWait) {
 		return
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 const (
@@ -217,7 +218,7 @@
 			exchange.handler.Metrics.CountEvent("answer.stray")
 			exchange.handler.Logger.Warn("Answer to another request dropped.", "Attempt", exchange.head.Attempt, "Got", head.Attempt, "Upstream", answer.upstream.ID)
 			if !http1.Skip(response) {
-				exchange.cause = "stray answer without an end"
+				exchange.setCauseText("stray answer without an end")
 				return result.OutcomeUnknown
 			}
 			continue
@@ -226,7 +227,7 @@
 		answer.prefillDone()
 		return exchange.classify(answer)
 	}
-	exchange.cause = "too many stray answers"
+	exchange.setCauseText("too many stray answers")
 	return result.OutcomeUnknown
 }
 
@@ -247,7 +248,7 @@
 		}
 		exchange.handler.recordOutcome(answer.upstream, health.NoResponse)
 		if exchange.shouldSwitch() {
-			exchange.cause = "no answer within " + noResponseTimeout.String()
+			exchange.setUnanswered("no answer within " + noResponseTimeout.String())
 			return result.OutcomeUnknown
 		}
 	}
@@ -256,7 +257,7 @@
 		return exchange.failureCode(err)
 	}
 	if !began {
-		exchange.cause = "no answer before the deadline"
+		exchange.setUnanswered("no answer before the deadline")
 		return result.DeadlineExpired
 	}
 	return exchange.readUntilDeadline(answer)
@@ -266,7 +267,7 @@
 // upstream instead, and if so takes that retry from the budget. Without another
 // upstream it is better to wait for a late response.
 func (exchange *exchange) shouldSwitch() bool {
-	if !exchange.route.Retryable() || exchange.runs+1 >= exchange.route.MaxAttempts {
+	if !exchange.route.Retryable() || exchange.allowance() != strike.Free || exchange.runs+1 >= exchange.route.MaxAttempts {
 		return false
 	}
 	alternative, found := exchange.handler.choose(exchange.handler.Registry.Pool(exchange.service), exchange.choiceRequest())
@@ -294,13 +295,13 @@
 	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
-		exchange.cause = answer.response.Status
+		exchange.setCauseText(answer.response.Status)
 		return result.QueueFull
 	case answer.response.StatusCode < http.StatusMultipleChoices && !answer.head.Signed:
-		exchange.cause = "answer without a signature"
+		exchange.setCauseText("answer without a signature")
 		return result.OutcomeUnknown
 	case impliesNotRun(answer.response.StatusCode):
-		exchange.cause = answer.response.Status + " without proof"
+		exchange.setCauseText(answer.response.Status + " without proof")
 		return result.OutcomeUnknown
 	}
 	return result.OK
@@ -335,6 +336,7 @@
 // recordFailure records a failed attempt in the health of upstream, unless the
 // caller has left. A refusal counts as a success, since the upstream responded.
 func (exchange *exchange) recordFailure(upstream registry.Upstream, code result.Code) {
+	exchange.recordRun(upstream, code)
 	if exchange.request.Context().Err() != nil {
 		return
 	}
--- /dev/null
+++ b/forward/crashing.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// connectionBroke reports whether err means that a connection to an upstream
+// ended, as it does when the upstream crashes. An answer that can't be parsed
+// and a deadline of this router don't count.
+func connectionBroke(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowance returns how the request may run, by the upstreams that crashed while
+// they ran it.
+func (exchange *exchange) allowance() strike.Allowance {
+	if !exchange.handler.Strikes.Any() {
+		return strike.Free
+	}
+	return exchange.handler.Strikes.Allowed(time.Now(), exchange.fingerprint())
+}
+
+// designate chooses the upstream on which a request with several strikes may
+// run. It returns false if another one may have run it already for this caller.
+func (exchange *exchange) designate(pool *registry.Pool) (balance.Choice, bool) {
+	if pool == nil || exchange.runs > 0 {
+		return balance.Choice{}, false
+	}
+	now := time.Now()
+	var untried, trusted []ident.UpstreamID
+	for _, upstream := range pool.Upstreams {
+		if slices.Contains(exchange.tried, upstream.ID) {
+			continue
+		}
+		untried = append(untried, upstream.ID)
+		if !exchange.handler.Health.Ejected(now, upstream.ID) {
+			trusted = append(trusted, upstream.ID)
+		}
+	}
+	if len(trusted) == 0 {
+		trusted = untried
+	}
+	designated := exchange.handler.Strikes.Designated(exchange.fingerprint(), trusted)
+	index := slices.IndexFunc(pool.Upstreams, func(upstream registry.Upstream) bool { return upstream.ID == designated })
+	if index < 0 {
+		return balance.Choice{}, false
+	}
+	return balance.Choice{Upstream: pool.Upstreams[index], Reason: balance.Designated}, true
+}
+
+// recordRun records what the end of an attempt that was sent says about the
+// request: a connection that broke counts as a crash of the upstream, and an
+// answer that did not come counts as one if the upstream ends soon.
+func (exchange *exchange) recordRun(upstream registry.Upstream, code result.Code) {
+	if code.Outcome() == result.NotRun {
+		return
+	}
+	now := time.Now()
+	run := strike.Strike{
+		Fingerprint: exchange.fingerprint(),
+		Upstream:    upstream.ID,
+		Incarnation: upstream.Incarnation,
+		At:          now,
+		Attempt:     exchange.head.Attempt,
+	}
+	unanswered := exchange.unanswered || exchange.request.Context().Err() != nil
+	switch {
+	case exchange.broke, unanswered && exchange.hasEnded(upstream):
+		exchange.handler.Strikes.Broken(now, run)
+	case unanswered:
+		exchange.handler.Strikes.Unanswered(run)
+	}
+}
+
+// hasEnded reports whether an upstream is no longer listed as the incarnation to
+// which the request was sent.
+func (exchange *exchange) hasEnded(upstream registry.Upstream) bool {
+	listed, found := exchange.handler.Registry.Upstream(upstream.ID)
+	return !found || listed.Incarnation != upstream.Incarnation
+}
+
+// recordSuccess records that an upstream answered the request with success.
+func (exchange *exchange) recordSuccess(status int) {
+	if status < http.StatusMultipleChoices {
+		exchange.handler.Strikes.Succeeded(time.Now(), exchange.fingerprint())
+	}
+}
+
+// refusalStatus returns the status of a refusal with code. Callers take 429 as
+// proof that the request did not run, but not 422.
+func refusalStatus(code result.Code) int {
+	if code == result.CrashingRequest {
+		return http.StatusTooManyRequests
+	}
+	return code.Status()
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 const (
@@ -74,6 +76,10 @@
 	status    int
 	code      result.Code
 	cause     string
+	// broke is set if the last cause is a connection to an upstream that broke,
+	// and unanswered if it is an upstream that gave no answer in time.
+	broke      bool
+	unanswered bool
 	// aborted is set if the answer to the caller is truncated, so that its
 	// connection must be broken.
 	aborted bool
@@ -89,6 +95,10 @@
 		return
 	}
 	exchange.handler.countRequest(exchange.arrived, exchange.service)
+	if exchange.allowance() == strike.Refused {
+		exchange.refuse(result.CrashingRequest)
+		return
+	}
 	if exchange.route.Sticky {
 		exchange.handler.awaitWarm(exchange.request.Context())
 	}
@@ -112,7 +122,7 @@
 		return result.NotReady
 	}
 	if err != nil {
-		exchange.cause = err.Error()
+		exchange.setCauseText(err.Error())
 		return result.InvalidHeader
 	}
 	path, _, _ := strings.Cut(exchange.target(), "?")
@@ -211,7 +221,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limit+1))
 	if err != nil {
-		exchange.cause = err.Error()
+		exchange.setCauseText(err.Error())
 		return result.MalformedBody
 	}
 	if int64(len(body)) > limit {
@@ -255,9 +265,17 @@
 }
 
 // chooseNext chooses the upstream of the next attempt and reports whether there
-// is one.
+// is one. A request that crashes upstreams gets none.
 func (exchange *exchange) chooseNext(pool *registry.Pool) bool {
-	choice, found := exchange.handler.choose(pool, exchange.choiceRequest())
+	var choice balance.Choice
+	var found bool
+	switch exchange.allowance() {
+	case strike.Free:
+		choice, found = exchange.handler.choose(pool, exchange.choiceRequest())
+	case strike.Alone:
+		choice, found = exchange.designate(pool)
+	case strike.Refused:
+	}
 	if !found {
 		return false
 	}
@@ -298,6 +316,9 @@
 	if code.Outcome() != result.NotRun {
 		exchange.runs++
 	}
+	if exchange.allowance() == strike.Refused {
+		return false
+	}
 	now := time.Now()
 	action := retry.Next(now, retry.Attempt{
 		Code:       code,
@@ -338,13 +359,15 @@
 // refuse answers the caller with code instead of an upstream's answer.
 func (exchange *exchange) refuse(code result.Code) {
 	exchange.code = code
-	exchange.status = code.Status()
+	exchange.status = refusalStatus(code)
 	exchange.started = true
 	exchange.handler.Metrics.CountRefusal(code)
 	retryAfter := time.Duration(0)
 	switch {
 	case code == result.NotReady:
 		retryAfter = notReadyRetryAfter
+	case code == result.CrashingRequest:
+		retryAfter = time.Until(exchange.handler.Strikes.RefusedUntil(time.Now(), exchange.fingerprint()))
 	case code.Status() == http.StatusServiceUnavailable:
 		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
 	}
@@ -404,7 +427,7 @@
 			slog.Int("Tried", len(exchange.tried)),
 			slog.Bool("Started", exchange.started))
 	}
-	if len(exchange.tried) > 0 && exchange.code != result.OK {
+	if exchange.code == result.CrashingRequest || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()))
 	}
 	if exchange.cause != "" {
@@ -440,7 +463,23 @@
 // setCause stores the root cause of err for the log. A nil err keeps the
 // earlier cause.
 func (exchange *exchange) setCause(err error) {
-	if err != nil {
-		exchange.cause = errors.UnwrapAll(err).Error()
+	if err == nil {
+		return
 	}
+	exchange.setCauseText(errors.UnwrapAll(err).Error())
+	exchange.broke = connectionBroke(err)
+	exchange.unanswered = errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// setCauseText stores a cause that is no broken connection.
+func (exchange *exchange) setCauseText(cause string) {
+	exchange.cause = cause
+	exchange.broke = false
+	exchange.unanswered = false
+}
+
+// setUnanswered stores the cause of an attempt that got no answer in time.
+func (exchange *exchange) setUnanswered(cause string) {
+	exchange.setCauseText(cause)
+	exchange.unanswered = true
 }
--- a/forward/fingerprint_test.go
+++ b/forward/fingerprint_test.go
@@ -32,8 +32,12 @@
 	var log syncBuffer
 	router.handler.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 	for i, request := range []struct{ method, path, body string }{
-		{"POST", "/once/x", "same"}, {"POST", "/once/x", "same"},
-		{"PUT", "/once/x", "same"}, {"POST", "/once/y", "same"}, {"POST", "/once/x?y", "same"}, {"POST", "/once/x", "other"},
+		{"POST", "/once/x", "same"},
+		{"POST", "/once/x", "same"},
+		{"PUT", "/once/x", "same"},
+		{"POST", "/once/y", "same"},
+		{"POST", "/once/x?y", "same"},
+		{"POST", "/once/x", "other"},
 	} {
 		router.send(t, fmt.Sprint("a", i), request.method, request.path, request.body, "X-Other", fmt.Sprint(i)).check(t, 502, "")
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // router is a router under test on the loopback interface, with a client for
@@ -66,6 +67,7 @@
 		Loads:       loads,
 		CacheIndex:  cacheIndex,
 		Health:      tracker,
+		Strikes:     new(strike.Guard),
 		Connections: &forward.Connections{Dial: forward.Dialer().DialContext},
 		Routers:     func() int { return 1 },
 		Logger:      logging.Component(nil, "forward"),
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -20,17 +20,20 @@
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 // Handler forwards requests to upstreams and relays their answers. Set its
 // fields before use. It is safe for concurrent use.
 type Handler struct {
-	Routes      *routing.CurrentTable
-	Registry    *registry.Registry
-	Loads       *balance.Loads
-	CacheIndex  *balance.CacheIndex
-	Health      *health.Tracker
+	Routes     *routing.CurrentTable
+	Registry   *registry.Registry
+	Loads      *balance.Loads
+	CacheIndex *balance.CacheIndex
+	Health     *health.Tracker
+	// Strikes limits requests that crash upstreams; nil means no limit.
+	Strikes     *strike.Guard
 	Connections *Connections
 	Zone        ident.Zone
 	// Routers returns the number of routers that share the retry slack and the
@@ -158,7 +161,7 @@
 	entry, _ := result.Lookup(code)
 	body := fmt.Sprintf("%s %s\n", code, entry.Title)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	writer.WriteHeader(code.Status())
+	writer.WriteHeader(refusalStatus(code))
 	// An error means that the caller has disconnected.
 	_, _ = writer.Write([]byte(body))
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -60,6 +60,7 @@
 		}
 	} else {
 		exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
+		exchange.recordSuccess(status)
 	}
 	return exchange.writePlain(answer, body)
 }
@@ -81,6 +82,7 @@
 		return result.AnswerCut
 	}
 	exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
+	exchange.recordSuccess(answer.response.StatusCode)
 	answer.release()
 	return result.OK
 }
@@ -191,6 +193,7 @@
 		err := exchange.copyEvents(first, answer, &stream, controller)
 		if err == nil {
 			exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
+			exchange.recordSuccess(answer.response.StatusCode)
 			answer.release()
 			if !exchange.started {
 				exchange.copyHeader(first)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 const (
@@ -31,7 +32,14 @@
 	// A router that sent nothing for unresponsiveAfter gets messages only every
 	// keepaliveInterval. One that sent nothing for removeAfter is removed.
 	unresponsiveAfter = 5 * time.Second
-	removeAfter       = 2 * time.Minute
+	// A router that was silent for missedAfter, and for missedPauses times the
+	// time between two messages, may have missed some.
+	missedAfter  = 1500 * time.Millisecond
+	missedPauses = 3
+	// strikeSends is how many times all strikes are sent to a router that has
+	// started or may have missed some, each time after a message of it.
+	strikeSends = 3
+	removeAfter = 2 * time.Minute
 	// majorityShare is the share of the other routers that MajorityWarm requires.
 	majorityShare = 0.7
 	// maxCacheUpdates limits the cache updates in one message; sendFullState sends
@@ -51,6 +59,8 @@
 	startedAt time.Time
 	// warm is Message.Warm of the last message.
 	warm bool
+	// strikeSends is how many more times all strikes are sent to the router.
+	strikeSends int
 }
 
 // Gossip exchanges messages with the other routers. Its exported fields have to
@@ -68,6 +78,8 @@
 	Loads      *balance.Loads
 	CacheIndex *balance.CacheIndex
 	Health     *health.Tracker
+	// Strikes are exchanged with the other routers, unless nil.
+	Strikes *strike.Guard
 	// Fill sets the fields of an outgoing message that describe the store and the
 	// router's zone. It is called with a lock held and must not call methods of
 	// Gossip.
@@ -149,28 +161,36 @@
 	}
 }
 
-// sendIfDue sends a message if changes of upstreams are pending, if the router is
-// leaving or if the last message is long enough ago for the number of peers.
+// sendIfDue sends a message if changes of upstreams or strikes are pending, if the
+// router is leaving or if the last message is long enough ago for the number of peers.
 func (gossip *Gossip) sendIfDue(now time.Time, leaving bool) {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
-	pause := time.Duration(len(gossip.peers)) * time.Second / maxSendsPerSecond
+	pause := gossip.pause()
 	if gossip.Health.BreakPending() {
 		pause /= brokenPauseDivisor
 	}
-	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.sentAt.Add(pause)) {
+	urgent := leaving || len(gossip.changes) > 0 || gossip.Strikes.Pending()
+	if !urgent && now.Before(gossip.sentAt.Add(pause)) {
 		return
 	}
 	gossip.sendPending(now, leaving)
 }
 
+// pause returns the mean time between two messages to the same router, which grows
+// with the number of peers. The caller holds mu.
+func (gossip *Gossip) pause() time.Duration {
+	return time.Duration(len(gossip.peers)) * time.Second / maxSendsPerSecond
+}
+
 // sendPending sends a message with all that changed since the last one. Without
 // changes it sends one only after keepaliveInterval. The caller holds mu.
 func (gossip *Gossip) sendPending(now time.Time, leaving bool) {
 	updates := gossip.CacheIndex.TakePending()
 	counts, complete := gossip.delta.next(now, gossip.Loads.Local())
 	outcomes := gossip.Health.TakePending(complete)
-	changed := leaving || complete || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
+	report := gossip.Strikes.TakeReport(now, complete)
+	changed := leaving || complete || len(report.Strikes)+len(report.Successes) > 0 || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.sentAt.Add(keepaliveInterval)) {
 		return
 	}
@@ -179,6 +199,7 @@
 	message.CacheUpdates = updates
 	message.Changes = gossip.changes
 	message.Outcomes = outcomes
+	message.setReport(now, report)
 	message.InFlight, message.Complete = counts, complete
 	gossip.changes = nil
 	gossip.sentAt = now
@@ -220,6 +241,16 @@
 	}
 }
 
+// sendStrikes sends all strikes that this router knows to a peer that has just
+// started or could not be reached for a while. The caller holds mu.
+func (gossip *Gossip) sendStrikes(now time.Time, peer *peer) {
+	for _, report := range gossip.Strikes.All(now) {
+		message := gossip.newMessage(now)
+		message.setReport(now, report)
+		gossip.send(gossip.encode(message), peer)
+	}
+}
+
 // broadcast sends message to all peers, except unresponsive ones that are not due
 // yet, and removes the peers that sent nothing for removeAfter. The caller holds
 // mu.
@@ -344,6 +375,7 @@
 	}
 	gossip.mu.Lock()
 	if peer := gossip.add(now, message.Address); peer != nil {
+		silent := now.Sub(peer.receivedAt) > max(missedAfter, missedPauses*gossip.pause())
 		peer.receivedAt = now
 		newRun := peer.router != message.Router
 		peer.router = message.Router
@@ -352,12 +384,19 @@
 		if newRun && !message.Leaving {
 			gossip.sendFullState(now, peer)
 		}
+		if newRun || silent {
+			peer.strikeSends = strikeSends
+		}
 		if message.Leaving {
 			delete(gossip.peers, message.Address)
+		} else if peer.strikeSends > 0 {
+			peer.strikeSends--
+			gossip.sendStrikes(now, peer)
 		}
 	}
 	gossip.mu.Unlock()
 	gossip.Loads.ApplyRemote(now, balance.RemoteCounts{Router: message.Router, Sequence: message.Sequence, Complete: message.Complete, Counts: message.InFlight})
 	gossip.CacheIndex.ApplyRemote(now, message.CacheUpdates)
+	gossip.Strikes.Apply(now, message.report(now))
 	gossip.OnMessage(now, message)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // member is a router that exchanges messages over the loopback interface.
@@ -21,6 +22,7 @@
 	loads      balance.Loads
 	cacheIndex balance.CacheIndex
 	health     health.Tracker
+	strikes    strike.Guard
 	done       chan struct{}
 	cancel     context.CancelFunc
 
@@ -35,20 +37,35 @@
 
 // startCountingMember starts a member that adds what it sends to sent, in bytes.
 func startCountingMember(t testing.TB, name balance.RouterID, sent *atomic.Int64) *member {
+	t.Helper()
+	member := newMember(name, countingConn{PacketConn: listen(t), sent: sent})
+	member.start(t)
+	return member
+}
+
+// listen opens a UDP socket on the loopback interface.
+func listen(t testing.TB) net.PacketConn {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return conn
+}
+
+// newMember returns a member that exchanges messages over conn once it is
+// started.
+func newMember(name balance.RouterID, conn net.PacketConn) *member {
 	member := &member{done: make(chan struct{})}
 	member.gossip = &gossip.Gossip{
 		Router:     name,
 		Started:    time.Now(),
 		Address:    conn.LocalAddr().String(),
-		Conn:       countingConn{PacketConn: conn, sent: sent},
+		Conn:       conn,
 		Loads:      &member.loads,
 		CacheIndex: &member.cacheIndex,
 		Health:     &member.health,
+		Strikes:    &member.strikes,
 		Fill:       func(time.Time, *gossip.Message) {},
 		OnMessage: func(_ time.Time, message gossip.Message) {
 			member.mu.Lock()
@@ -57,6 +74,12 @@
 		},
 		Logger: logging.Component(nil, "gossip"),
 	}
+	return member
+}
+
+// start runs the member until the test ends.
+func (member *member) start(t testing.TB) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	member.cancel = cancel
 	go member.run(ctx)
@@ -64,7 +87,6 @@
 		cancel()
 		<-member.done
 	})
-	return member
 }
 
 func (member *member) run(ctx context.Context) {
--- /dev/null
+++ b/gossip/strikes_test.go
@@ -0,0 +1,64 @@
+package gossip_test
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// lossyConn drops all datagrams while cut is set, and otherwise two of three.
+type lossyConn struct {
+	net.PacketConn
+	cut  atomic.Bool
+	sent atomic.Int64
+}
+
+// WriteTo drops a datagram, or sends it.
+func (lossyConn *lossyConn) WriteTo(data []byte, address net.Addr) (int, error) {
+	if lossyConn.cut.Load() || lossyConn.sent.Add(1)%3 != 0 {
+		return len(data), nil
+	}
+	return lossyConn.PacketConn.WriteTo(data, address)
+}
+
+// TestStrikesSurviveLostMessages guards against a router that never hears of a
+// request that crashes upstreams: two of three datagrams are lost, and all of
+// them while each of three routers sees one crash.
+func TestStrikesSurviveLostMessages(t *testing.T) {
+	var members []*member
+	var conns []*lossyConn
+	for n := range 3 {
+		conn := &lossyConn{PacketConn: listen(t)}
+		member := newMember(balance.RouterID(fmt.Sprint("router-", n)), conn)
+		member.start(t)
+		conns = append(conns, conn)
+		members = append(members, member)
+	}
+	for _, member := range members[1:] {
+		member.gossip.Add(members[0].gossip.Address)
+		member.gossip.Add(members[1].gossip.Address)
+	}
+	eventually(t, "message from all routers", func() bool {
+		return len(members[0].gossip.Addresses()) == 3 && len(members[1].gossip.Addresses()) == 3 && len(members[2].gossip.Addresses()) == 3
+	})
+	for _, conn := range conns {
+		conn.cut.Store(true)
+	}
+	for n, member := range members {
+		now := time.Now()
+		member.strikes.Broken(now, strike.Strike{Fingerprint: 1, Upstream: ident.UpstreamID(fmt.Sprint("e", n)), Incarnation: 1, At: now})
+	}
+	time.Sleep(2 * time.Second)
+	for _, conn := range conns {
+		conn.cut.Store(false)
+	}
+	for _, member := range members {
+		eventually(t, "refusal", func() bool { return member.strikes.Allowed(time.Now(), 1) == strike.Refused })
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -86,6 +86,8 @@
 	missingUntil map[ident.UpstreamID]time.Time
 	// removedVersions holds the versions of the latest removals.
 	removedVersions map[ident.UpstreamID]ident.Revision
+	// renewals holds what is known of the writes of the listed rows.
+	renewals map[ident.UpstreamID]renewal
 	// outageBegin and outageEnd bound the last outage of the store as seen by this
 	// router.
 	outageBegin time.Time
@@ -210,6 +212,7 @@
 		registry.listed = make(map[ident.UpstreamID]Upstream)
 		registry.missingUntil = make(map[ident.UpstreamID]time.Time)
 		registry.removedVersions = make(map[ident.UpstreamID]ident.Revision)
+		registry.renewals = make(map[ident.UpstreamID]renewal)
 	}
 }
 
@@ -222,6 +225,7 @@
 		return false
 	}
 	if !change.Gone {
+		registry.recordRenewal(now, change.Upstream)
 		delete(registry.missingUntil, id)
 		registry.listed[id] = change.Upstream
 		return !known || !equalIgnoringVersion(present, change.Upstream)
@@ -237,6 +241,7 @@
 	}
 	delete(registry.listed, id)
 	delete(registry.missingUntil, id)
+	delete(registry.renewals, id)
 	if len(registry.removedVersions) >= maxRemovedVersions {
 		clear(registry.removedVersions)
 	}
@@ -271,6 +276,7 @@
 		expired = append(expired, registry.listed[id])
 		delete(registry.listed, id)
 		delete(registry.missingUntil, id)
+		delete(registry.renewals, id)
 	}
 	if len(expired) > 0 {
 		registry.rebuild()
--- /dev/null
+++ b/strike/guard_test.go
@@ -0,0 +1,184 @@
+package strike_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// crashOf returns the strike of request 1 at the nth upstream, n seconds after
+// start.
+func crashOf(n int) strike.Strike {
+	return strike.Strike{
+		Fingerprint: 1,
+		Upstream:    ident.UpstreamID(fmt.Sprint("e", n)),
+		Incarnation: registry.Incarnation(100 + n),
+		At:          start.Add(time.Duration(n) * time.Second),
+	}
+}
+
+func ExampleGuard() {
+	var guard strike.Guard
+	for n := range 3 {
+		run := crashOf(n)
+		guard.Broken(run.At, run)
+		fmt.Println(guard.Allowed(run.At, 1) == strike.Refused)
+	}
+	// Output:
+	// false
+	// false
+	// true
+}
+
+// checkAllowed fails the test unless request 1 is allowed as wanted.
+func checkAllowed(t *testing.T, guard *strike.Guard, now time.Time, want strike.Allowance) {
+	t.Helper()
+	if got := guard.Allowed(now, 1); got != want {
+		t.Errorf("got allowance %d, want %d", got, want)
+	}
+}
+
+// TestSoundRequestIsNotRefused guards against the refusal of a request that
+// merely ran where connections broke or upstreams crashed.
+func TestSoundRequestIsNotRefused(t *testing.T) {
+	now := start.Add(10 * time.Second)
+	tests := []struct {
+		name  string
+		spoil func(guard *strike.Guard)
+	}{
+		{"succeeded shortly before", func(guard *strike.Guard) { guard.Succeeded(start, 1) }},
+		{"upstreams ran on", func(guard *strike.Guard) {
+			guard.WroteAfter = func(ident.UpstreamID, registry.Incarnation) time.Time { return now }
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var guard strike.Guard
+			test.spoil(&guard)
+			for n := range 3 {
+				guard.Broken(now, crashOf(n))
+			}
+			checkAllowed(t, &guard, now, strike.Free)
+			if got := guard.TakeUnsaved(); len(got.Write) > 0 {
+				t.Errorf("got %d strikes to write, want none", len(got.Write))
+			}
+		})
+	}
+}
+
+// TestStrikesOfRunningUpstreamsAreWithdrawn checks that a refused request may run
+// again once the upstreams are seen to have run on, and that the rows go.
+func TestStrikesOfRunningUpstreamsAreWithdrawn(t *testing.T) {
+	wroteAfter := time.Time{}
+	guard := strike.Guard{WroteAfter: func(ident.UpstreamID, registry.Incarnation) time.Time { return wroteAfter }}
+	for n := range 3 {
+		guard.Broken(crashOf(n).At, crashOf(n))
+	}
+	now := start.Add(time.Minute)
+	guard.Maintain(now)
+	checkAllowed(t, &guard, now, strike.Refused)
+	written := guard.TakeUnsaved().Write
+	wroteAfter = start.Add(30 * time.Second)
+	guard.Maintain(now)
+	checkAllowed(t, &guard, now, strike.Free)
+	if got, want := len(guard.TakeUnsaved().Remove), len(written); got != want || got != 3 {
+		t.Errorf("got %d rows to remove, want the %d written ones", got, want)
+	}
+}
+
+// TestUnansweredRunCountsOnceTheUpstreamEnds checks that a run without an answer
+// is a strike only if its upstream ends.
+func TestUnansweredRunCountsOnceTheUpstreamEnds(t *testing.T) {
+	var guard strike.Guard
+	for n := range 3 {
+		guard.Unanswered(crashOf(n))
+	}
+	now := start.Add(5 * time.Second)
+	checkAllowed(t, &guard, now, strike.Free)
+	guard.Ended(now, "e0", 0)
+	guard.Ended(now, "e1", 999)
+	guard.Ended(now, "e2", crashOf(2).Incarnation)
+	checkAllowed(t, &guard, now, strike.Alone)
+	guard.Ended(now, "e2", 0)
+	checkAllowed(t, &guard, now, strike.Refused)
+}
+
+// TestSuccessClearsStrikesEverywhere passes the report of a success to a router
+// that knows the strikes from others.
+func TestSuccessClearsStrikesEverywhere(t *testing.T) {
+	var first, second strike.Guard
+	for n := range 2 {
+		first.Broken(crashOf(n).At, crashOf(n))
+	}
+	now := start.Add(5 * time.Second)
+	second.Apply(now, first.TakeReport(now, false))
+	checkAllowed(t, &second, now, strike.Alone)
+	first.Succeeded(now, 1)
+	second.Apply(now, first.TakeReport(now, false))
+	checkAllowed(t, &second, now, strike.Free)
+	second.Apply(now, strike.Report{Strikes: []strike.Strike{crashOf(0)}})
+	checkAllowed(t, &second, now, strike.Free)
+}
+
+// TestReportsRepeatStrikes guards against a router that never hears of strikes
+// because messages are lost.
+func TestReportsRepeatStrikes(t *testing.T) {
+	var first, second strike.Guard
+	for n := range 3 {
+		first.Broken(crashOf(n).At, crashOf(n))
+	}
+	now := start.Add(5 * time.Second)
+	for first.Pending() {
+		first.TakeReport(now, false)
+	}
+	second.Apply(now, first.TakeReport(now, true))
+	checkAllowed(t, &second, now, strike.Refused)
+	var third strike.Guard
+	for _, report := range second.All(now) {
+		third.Apply(now, report)
+	}
+	checkAllowed(t, &third, now, strike.Refused)
+}
+
+// TestGuardIsBounded counts many strikes while the store is away.
+func TestGuardIsBounded(t *testing.T) {
+	const requests, maxKept = 6000, 4096
+	var guard strike.Guard
+	for request := range requests {
+		for n := range 3 {
+			run := crashOf(n)
+			run.Fingerprint = ident.Fingerprint(request)
+			guard.Broken(start, run)
+			guard.Unanswered(run)
+		}
+		guard.PutBackUnsaved(guard.TakeUnsaved())
+	}
+	kept := 0
+	for _, report := range guard.All(start) {
+		kept += len(report.Strikes)
+	}
+	if kept > 3*maxKept {
+		t.Errorf("got %d strikes kept, want at most %d", kept, 3*maxKept)
+	}
+	if got := len(guard.TakeUnsaved().Write); got > maxKept {
+		t.Errorf("got %d strikes that wait for the store, want at most %d", got, maxKept)
+	}
+	if got := guard.TakeReport(start, true); len(got.Strikes) > 300 {
+		t.Errorf("got %d strikes in one report, want at most 300", len(got.Strikes))
+	}
+}
+
+// TestNilGuardAllowsEverything checks the methods that forward calls.
+func TestNilGuardAllowsEverything(t *testing.T) {
+	var guard *strike.Guard
+	guard.Broken(start, crashOf(0))
+	guard.Unanswered(crashOf(0))
+	guard.Succeeded(start, 1)
+	if guard.Any() || guard.Pending() {
+		t.Error("got strikes, want none")
+	}
+}
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -1,12 +1,16 @@
 package strike
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 const (
@@ -27,7 +31,14 @@
 type Strike struct {
 	Fingerprint ident.Fingerprint
 	Upstream    ident.UpstreamID
+	// Incarnation is the run of the upstream that crashed, or zero if it is not
+	// known.
+	Incarnation registry.Incarnation
 	At          time.Time
+	// Own is set if this process saw the crash itself, and Attempt is then the
+	// attempt that was running.
+	Own     bool
+	Attempt ident.AttemptID
 }
 
 // Allowance says how a request may run.
@@ -54,7 +65,7 @@
 	// one whose last strike is the oldest.
 	MaxRequests int
 
-	requests map[ident.Fingerprint]crashTimes
+	requests map[ident.Fingerprint]crashes
 	// cleared holds the time at which a success cleared a request, so that
 	// older strikes that arrive later have no effect.
 	cleared map[ident.Fingerprint]time.Time
@@ -74,30 +85,87 @@
 	if tracker.expired(strike.At) || tracker.isCleared(strike) {
 		return false
 	}
-	crashes, found := tracker.requests[strike.Fingerprint]
+	known, found := tracker.requests[strike.Fingerprint]
 	if !found {
 		tracker.evictIfFull()
-		crashes = make(crashTimes)
-		tracker.requests[strike.Fingerprint] = crashes
+		known = make(crashes)
+		tracker.requests[strike.Fingerprint] = known
 	}
-	return crashes.add(strike)
+	return known.add(strike)
 }
 
 // Clear removes the strikes of a request that succeeded. If it had any, strikes
 // up to the latest time passed to the tracker stay cleared, even if they arrive
 // later.
 func (tracker *Tracker) Clear(fingerprint ident.Fingerprint) {
-	if _, found := tracker.requests[fingerprint]; !found {
+	tracker.ClearUntil(fingerprint, tracker.latestTime)
+}
+
+// ClearUntil removes the strikes up to the time at of a request that succeeded
+// then. If it had any, those that arrive later stay cleared, too.
+func (tracker *Tracker) ClearUntil(fingerprint ident.Fingerprint, at time.Time) {
+	known := tracker.requests[fingerprint]
+	if len(known.removeIf(fingerprint, func(strike Strike) bool { return !strike.At.After(at) })) == 0 {
 		return
 	}
-	delete(tracker.requests, fingerprint)
+	tracker.dropIfEmpty(fingerprint)
 	if tracker.cleared == nil {
 		tracker.cleared = make(map[ident.Fingerprint]time.Time)
 	}
 	if len(tracker.cleared) >= tracker.maxRequests() {
 		clear(tracker.cleared)
 	}
-	tracker.cleared[fingerprint] = tracker.latestTime
+	tracker.cleared[fingerprint] = at
+}
+
+func (tracker *Tracker) dropIfEmpty(fingerprint ident.Fingerprint) {
+	if len(tracker.requests[fingerprint]) == 0 {
+		delete(tracker.requests, fingerprint)
+	}
+}
+
+// Withdraw removes the strikes for which withdrawn reports true, and returns
+// them.
+func (tracker *Tracker) Withdraw(withdrawn func(strike Strike) bool) []Strike {
+	var removed []Strike
+	for fingerprint, known := range tracker.requests {
+		removed = append(removed, known.removeIf(fingerprint, withdrawn)...)
+		tracker.dropIfEmpty(fingerprint)
+	}
+	return removed
+}
+
+// Expire removes the strikes that no longer count at the time now, and returns
+// them.
+func (tracker *Tracker) Expire(now time.Time) []Strike {
+	tracker.observe(now)
+	return tracker.Withdraw(func(strike Strike) bool { return tracker.expired(strike.At) })
+}
+
+// has reports whether the strike of a row is among the strikes that count.
+func (tracker *Tracker) has(key rowKey) bool {
+	return slices.ContainsFunc(tracker.requests[key.fingerprint][key.upstream], func(crash crash) bool {
+		return crash.incarnation == key.incarnation
+	})
+}
+
+// Len returns the number of requests that have strikes.
+func (tracker *Tracker) Len() int { return len(tracker.requests) }
+
+// Strikes returns the strikes of a request at the time now, the latest first.
+func (tracker *Tracker) Strikes(now time.Time, fingerprint ident.Fingerprint) []Strike {
+	tracker.observe(now)
+	return tracker.unexpired(fingerprint).list(fingerprint)
+}
+
+// RefusedUntil returns when a refused request may run again, and the zero time
+// for one that is not refused.
+func (tracker *Tracker) RefusedUntil(now time.Time, fingerprint ident.Fingerprint) time.Time {
+	strikes := tracker.Strikes(now, fingerprint)
+	if len(strikes) < neverStrikes {
+		return time.Time{}
+	}
+	return strikes[neverStrikes-1].At.Add(tracker.lifetime())
 }
 
 // HasStrikes reports whether the request has any unexpired strike at the time
@@ -128,10 +196,10 @@
 // strike of the request unless all upstreams of the pool have one. It is empty
 // for an empty pool.
 func (tracker *Tracker) Designated(fingerprint ident.Fingerprint, pool []ident.UpstreamID) ident.UpstreamID {
-	crashes := tracker.unexpired(fingerprint)
+	known := tracker.unexpired(fingerprint)
 	var best candidate
 	for _, upstream := range pool {
-		_, struck := crashes[upstream]
+		_, struck := known[upstream]
 		contender := candidate{upstream: upstream, struck: struck, score: rendezvousScore(fingerprint, upstream)}
 		if best.upstream == "" || contender.before(best) {
 			best = contender
@@ -169,12 +237,15 @@
 	}
 }
 
-func (tracker *Tracker) expired(at time.Time) bool {
-	lifetime := tracker.Lifetime
-	if lifetime == 0 {
-		lifetime = defaultLifetime
+func (tracker *Tracker) lifetime() time.Duration {
+	if tracker.Lifetime == 0 {
+		return defaultLifetime
 	}
-	return !tracker.latestTime.Before(at.Add(lifetime))
+	return tracker.Lifetime
+}
+
+func (tracker *Tracker) expired(at time.Time) bool {
+	return !tracker.latestTime.Before(at.Add(tracker.lifetime()))
 }
 
 func (tracker *Tracker) isCleared(strike Strike) bool {
@@ -190,13 +261,11 @@
 }
 
 // unexpired removes the expired strikes of a request and returns the others.
-func (tracker *Tracker) unexpired(fingerprint ident.Fingerprint) crashTimes {
-	crashes := tracker.requests[fingerprint]
-	crashes.removeIf(tracker.expired)
-	if len(crashes) == 0 {
-		delete(tracker.requests, fingerprint)
-	}
-	return crashes
+func (tracker *Tracker) unexpired(fingerprint ident.Fingerprint) crashes {
+	known := tracker.requests[fingerprint]
+	known.removeIf(fingerprint, func(strike Strike) bool { return tracker.expired(strike.At) })
+	tracker.dropIfEmpty(fingerprint)
+	return known
 }
 
 func (tracker *Tracker) maxRequests() int {
@@ -206,31 +275,37 @@
 	return tracker.MaxRequests
 }
 
+// evictShare is the divisor of MaxRequests that gives how many requests are
+// evicted at once, so that the search for them is rare.
+const evictShare = 16
+
 // evictIfFull makes room for one request. Requests with the fewest strikes are
 // evicted first, because a request with one strike most likely only ran beside
 // the one that caused the crash.
 func (tracker *Tracker) evictIfFull() {
 	if tracker.requests == nil {
-		tracker.requests = make(map[ident.Fingerprint]crashTimes)
+		tracker.requests = make(map[ident.Fingerprint]crashes)
 	}
 	if len(tracker.requests) < tracker.maxRequests() {
 		return
 	}
-	for fingerprint := range tracker.requests {
-		tracker.unexpired(fingerprint)
+	tracker.Expire(tracker.latestTime)
+	excess := len(tracker.requests) - tracker.maxRequests()
+	if excess < 0 {
+		return
 	}
-	for len(tracker.requests) >= tracker.maxRequests() {
-		tracker.evictOne()
+	candidates := slices.SortedFunc(maps.Keys(tracker.requests), tracker.compareEviction)
+	for _, fingerprint := range candidates[:excess+max(tracker.maxRequests()/evictShare, 1)] {
+		delete(tracker.requests, fingerprint)
 	}
 }
 
-func (tracker *Tracker) evictOne() {
-	var evicted ident.Fingerprint
-	var fewest crashTimes
-	for fingerprint, crashes := range tracker.requests {
-		if fewest == nil || crashes.evictBefore(fewest) {
-			evicted, fewest = fingerprint, crashes
-		}
-	}
-	delete(tracker.requests, evicted)
+// compareEviction orders requests by how soon they are evicted.
+func (tracker *Tracker) compareEviction(a, b ident.Fingerprint) int {
+	first, second := tracker.requests[a], tracker.requests[b]
+	return cmp.Or(
+		cmp.Compare(first.strikes(), second.strikes()),
+		first.latest().Compare(second.latest()),
+		cmp.Compare(a, b),
+	)
 }
