Bound what is held of bytes without end from an upstream

What callers saw: an upstream that sends bytes which are no answer, without end, made a router hold all of them until the time limit: 284 MiB to 2.9 GiB in 1.5 s for a status line, a line without an end, a header line, header lines and informational heads; a killed router where memory is limited. An event without an end on a stream took a core, since each read searched all that was held, and got 504 at the time limit. A connection with bytes behind a complete answer was still open a second later.

Cause: http.ReadResponse on a reader without a bound; stream.pending without a bound; idle connections were looked at only when they were to be used again.

Now the heads of one answer, informational ones included, have 64 KiB together, an event has 1 MiB and is searched once, and the maintenance closes idle connections on which bytes arrived or which the peer closed.

Chunks, a body that ends with its connection and whole events are relayed until the time limit, as before.

--- a/forward/connections.go
+++ b/forward/connections.go
@@ -90,7 +90,7 @@
 	return pool
 }
 
-// Retain closes the pools of upstreams that are not in listed, and the expired
+// Retain closes the pools of upstreams that are not in listed, and the unusable
 // idle connections of the others. Connections in use close after their request.
 func (connections *Connections) Retain(listed []registry.Upstream) {
 	present := make(map[incarnationKey]struct{}, len(listed))
@@ -101,7 +101,7 @@
 	defer connections.mu.Unlock()
 	for key, pool := range connections.pools {
 		if _, found := present[key]; found {
-			pool.CloseExpired()
+			pool.CloseUnusable()
 			continue
 		}
 		pool.Close()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -114,6 +114,29 @@
 }
 
 func (router *router) send(t *testing.T, attempt, method, path, body string, header ...string) outcome {
+	t.Helper()
+	response, err := router.do(t, attempt, method, path, body, header...)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return outcome{status: response.StatusCode, header: response.Header, body: string(read), err: err}
+}
+
+// discard sends a request and reads the answer without keeping its body.
+func (router *router) discard(t *testing.T, path string) outcome {
+	t.Helper()
+	response, err := router.do(t, "a1", "POST", path, "")
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return outcome{status: response.StatusCode, header: response.Header, err: err}
+}
+
+func (router *router) do(t *testing.T, attempt, method, path, body string, header ...string) (*http.Response, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+router.address+path, strings.NewReader(body))
 	if err != nil {
@@ -126,13 +149,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := router.client.Do(request)
-	if err != nil {
-		return outcome{err: err}
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	return outcome{status: response.StatusCode, header: response.Header, body: string(read), err: err}
+	return router.client.Do(request)
 }
 
 // check fails the test unless the caller received status and body. An empty
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -25,6 +25,8 @@
 	writeGrace = time.Second
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
+	// maxEventBytes is the longest event of a stream.
+	maxEventBytes = 1 << 20
 )
 
 // relay writes an answer to the caller. If it returns a code other than OK and
@@ -221,7 +223,10 @@
 	}
 }
 
-var errPartialEvent = errors.New("stream ended inside an event")
+var (
+	errPartialEvent = errors.New("stream ended inside an event")
+	errEventTooLong = errors.New("event too long")
+)
 
 // copyEvents relays the events of answer until its end. It returns nil if the
 // stream is complete. The header of first is written before the first event.
@@ -229,12 +234,14 @@
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		count, err := answer.response.Body.Read(buffer)
-		stream.pending = append(stream.pending, buffer[:count]...)
-		if length := completeLength(stream.pending); length > 0 {
+		if length := stream.add(buffer[:count]); length > 0 {
 			if err := exchange.writeEvents(first, stream, length, controller); err != nil {
 				return err
 			}
 		}
+		if len(stream.pending) > maxEventBytes {
+			return errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if len(bytes.TrimSpace(stream.pending)) > 0 {
@@ -267,14 +274,20 @@
 	return nil
 }
 
-// completeLength returns the length of the part of data that consists of
-// complete events.
-func completeLength(data []byte) int {
-	end := bytes.LastIndex(data, []byte("\n\n"))
+// eventEnd ends an event.
+const eventEnd = "\n\n"
+
+// add appends data to the pending bytes. It returns the length of the part of
+// them that consists of complete events.
+func (stream *stream) add(data []byte) int {
+	// The bytes before data hold no end of an event, but may hold its first part.
+	searched := max(len(stream.pending)-len(eventEnd)+1, 0)
+	stream.pending = append(stream.pending, data...)
+	end := bytes.LastIndex(stream.pending[searched:], []byte(eventEnd))
 	if end < 0 {
 		return 0
 	}
-	return end + len("\n\n")
+	return searched + end + len(eventEnd)
 }
 
 // lastEventID returns the ID of the last event in data that has one.
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -26,8 +26,14 @@
 	maxInlineBytes = 8 << 10
 	// maxInformational limits the 1xx responses before the final one.
 	maxInformational = 8
+	// maxHeadBytes limits the head of a response, together with the heads of the
+	// informational ones before it.
+	maxHeadBytes = 64 << 10
 )
 
+// ErrHeadTooLong means that a peer sent a head of more than maxHeadBytes.
+var ErrHeadTooLong = errors.New("response head too long")
+
 // Request is a request with its complete body.
 type Request struct {
 	Method string
@@ -46,6 +52,7 @@
 	Requests int
 
 	pool   *Pool
+	source *source
 	reader *bufio.Reader
 	writer *requestWriter
 	// expiresAt is when an idle connection may no longer be used.
@@ -55,6 +62,42 @@
 	notReusable bool
 }
 
+// source reads from a connection. While it is limited, it fails after a number of
+// bytes.
+type source struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+// Read reads from the connection. It returns ErrHeadTooLong once the limit is
+// reached.
+func (source *source) Read(buffer []byte) (int, error) {
+	if !source.limited {
+		return source.conn.Read(buffer)
+	}
+	if source.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	count, err := source.conn.Read(buffer[:min(len(buffer), source.left)])
+	source.left -= count
+	return count, err
+}
+
+// limit makes the source fail after count bytes, until unlimit.
+func (source *source) limit(count int) {
+	source.limited = true
+	source.left = count
+}
+
+func (source *source) unlimit() { source.limited = false }
+
+// newConn returns a connection of pool that uses opened.
+func newConn(pool *Pool, opened net.Conn) *Conn {
+	source := &source{conn: opened}
+	return &Conn{Conn: opened, pool: pool, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
 // requestWriter writes the rest of a long request while its response is read.
 type requestWriter struct {
 	conn net.Conn
@@ -109,8 +152,11 @@
 
 // Receive reads the head of the next response and skips informational ones. The
 // caller must read the body to its end before the connection can carry another
-// request. The error is a *oncehttp.SendError.
+// request. The error is a *oncehttp.SendError; its cause is ErrHeadTooLong for a
+// head without an end.
 func (conn *Conn) Receive(method string) (*http.Response, error) {
+	conn.source.limit(maxHeadBytes)
+	defer conn.source.unlimit()
 	for range maxInformational {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
--- a/http1/doc.go
+++ b/http1/doc.go
@@ -3,6 +3,6 @@
 //
 // It guarantees that an error says whether any byte of the request may have
 // left this process, that the package never sends a request a second time by
-// itself, and that it never keeps a connection on which bytes could arrive that
-// belong to no request.
+// itself, that it never uses a connection again on which bytes arrived that belong
+// to no request, and that it holds a bounded part of what a peer sends.
 package http1
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -62,7 +61,7 @@
 		pool.unreserve()
 		return nil, err
 	}
-	return &Conn{Conn: opened, pool: pool, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	return newConn(pool, opened), nil
 }
 
 // takeIdle returns the most recently used idle connection, or nil. It closes
@@ -157,35 +156,37 @@
 		return
 	}
 	pool.idle = append(pool.idle, conn)
-	expired := pool.takeExpired(now)
+	expired := pool.takeIf(func(conn *Conn) bool { return !now.Before(conn.expiresAt) })
 	pool.mu.Unlock()
 	for _, old := range expired {
 		old.Discard()
 	}
 }
 
-// takeExpired removes the expired idle connections from the pool and returns
-// them. The caller holds mu.
-func (pool *Pool) takeExpired(now time.Time) []*Conn {
-	var expired []*Conn
+// takeIf removes the idle connections for which remove reports true from the pool
+// and returns them. The caller holds mu.
+func (pool *Pool) takeIf(remove func(conn *Conn) bool) []*Conn {
+	var removed []*Conn
 	kept := pool.idle[:0]
 	for _, conn := range pool.idle {
-		if now.Before(conn.expiresAt) {
-			kept = append(kept, conn)
+		if remove(conn) {
+			removed = append(removed, conn)
 		} else {
-			expired = append(expired, conn)
+			kept = append(kept, conn)
 		}
 	}
 	pool.idle = kept
-	return expired
+	return removed
 }
 
-// CloseExpired closes the expired idle connections.
-func (pool *Pool) CloseExpired() {
+// CloseUnusable closes the idle connections that are expired, that the peer has
+// closed or on which it sent bytes that belong to no request.
+func (pool *Pool) CloseUnusable() {
+	now := pool.now()
 	pool.mu.Lock()
-	expired := pool.takeExpired(pool.now())
+	unusable := pool.takeIf(func(conn *Conn) bool { return !now.Before(conn.expiresAt) || !conn.openAndIdle() })
 	pool.mu.Unlock()
-	for _, conn := range expired {
+	for _, conn := range unusable {
 		conn.Discard()
 	}
 }
