upstream: bound reports without end from an engine

What was seen: a sidecar read a load report or a list of cache events without an end until its call timed out, 64 MiB in 0.3 s in the test.

They have 8 MiB now, and heads that oncehttp reads 64 KiB in place of net/http's 10 MiB. TestEndlessBytesFromAnEngine failed for values and spaces without end and passes.

--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -19,6 +19,9 @@
 	DefaultDialTimeout = 2 * time.Second
 )
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // maxTries bounds the number of connections tried for a request. Only the last
 // one can have sent a byte of it.
 const maxTries = 3
@@ -115,11 +118,12 @@
 		client.DialTimeout = DefaultDialTimeout
 	}
 	client.transport = &http.Transport{
-		DialContext:         client.dial,
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdle,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            client.dial,
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdle,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -24,6 +24,9 @@
 // detail of the error.
 const maxDetailBytes = 512
 
+// maxControlBytes bounds a load report and a list of cache events.
+const maxControlBytes = 8 << 20
+
 // The headers of a call to a plain service.
 const (
 	headerIdempotencyKey = "Idempotency-Key"
@@ -152,7 +155,7 @@
 	}
 	defer response.Body.Close()
 	var events []CacheEvent
-	decoder := json.NewDecoder(response.Body)
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxControlBytes))
 	for {
 		var event CacheEvent
 		err := decoder.Decode(&event)
@@ -280,8 +283,8 @@
 	return content, nil
 }
 
-func decode(body io.Reader, value any) error {
-	if err := json.NewDecoder(body).Decode(value); err != nil {
+func decode(body io.ReadCloser, value any) error {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, body, maxControlBytes)).Decode(value); err != nil {
 		return outcomeUnknown(err)
 	}
 	return nil
