soak: requests that end upstreams, and answers without an end

A crasher sends requests with the same path, caller and body again and again to any router, each for 12 s; an upstream that runs one breaks its connections and is back a second later. An upstream may answer without an end in seven ways: the connection is closed within the route's timeout and a second, and no router holds more than the 284 MB of an entry VM.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -35,12 +35,15 @@
 	// atMostOnce says that a request must not run more than once.
 	atMostOnce bool
 	stream     bool
+	// same says that all requests of the kind are equal but for their attempt.
+	same bool
 }
 
 var kinds = []kind{
 	{name: "once", method: http.MethodPost, path: "/once/", atMostOnce: true},
 	{name: "again", method: http.MethodGet, path: "/again/"},
 	{name: "stream", method: http.MethodPost, path: "/stream/", atMostOnce: true, stream: true},
+	{name: "same", method: http.MethodGet, path: "/again/same", same: true},
 	{name: "resume", method: http.MethodPost, path: "/resume/stream/", stream: true},
 }
 
@@ -119,7 +122,11 @@
 		incarnation: caller.router.incarnation(),
 		sentAt:      time.Now(),
 	}
-	call.perform(context.WithoutCancel(ctx), caller.client, caller.random.IntN(sharedPrefixCount))
+	body := "body of " + string(call.attempt)
+	if kind.same {
+		body = ""
+	}
+	call.perform(context.WithoutCancel(ctx), caller.client, caller.random.IntN(sharedPrefixCount), body)
 	if call.reply.Err != nil {
 		caller.disconnect()
 	}
@@ -127,7 +134,7 @@
 }
 
 // perform sends the request and records its reply and end time in the call.
-func (call *call) perform(ctx context.Context, client *http.Client, prompt int) {
+func (call *call) perform(ctx context.Context, client *http.Client, prompt int, body string) {
 	defer func() { call.endedAt = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -145,7 +152,7 @@
 		Host:   callerHost,
 		Path:   call.kind.path,
 		Head:   head,
-		Body:   "body of " + string(call.attempt),
+		Body:   body,
 	}
 	call.reply = sent.Send(ctx, client)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,8 @@
 	switch {
 	case call.kind.atMostOnce && len(runs) > 1:
 		soak.violate("ran more than once", "%s %s ran %d times", call.kind.name, call.attempt, len(runs))
+	case call.reply.Status == http.StatusTooManyRequests:
+		soak.violate("sound request refused", "%s %s got 429 from %s: %s", call.kind.name, call.attempt, call.router.name, call.reply.Body)
 	case call.reply.Status == http.StatusOK && call.reply.Err == nil:
 		soak.checkAnswer(call)
 	case call.reply.Status >= 400 && call.reply.Status < 500 && !promisesNotRun(call.reply.Status):
--- a/soak/router.go
+++ b/soak/router.go
@@ -64,7 +64,7 @@
 	router := &router{name: name, program: program, path: filepath.Join(dir, name+".json"), store: store, log: log}
 	router.settings = config.Entry{
 		VM: ident.VMID(name), Zone: "a", Platform: store.address(),
-		StopTimeoutMs: 6000, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 50,
+		MemoryMB: maxRouterMB, StopTimeoutMs: 6000, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 50,
 	}
 	addresses := []*string{&router.settings.CallerListen, &router.settings.ReadyListen, &router.settings.PeerListen, &router.settings.MetricsListen}
 	for _, address := range addresses {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -54,6 +54,7 @@
 	{"upstream connections reset", false, (*schedule).upstreamReset},
 	{"upstream crashed", false, (*schedule).upstreamCrashed},
 	{"upstream slow", false, (*schedule).upstreamSlow},
+	{"upstream sends without end", false, (*schedule).upstreamEndless},
 	{"router stopped as planned", true, (*schedule).stopRouter},
 	{"router reloaded", true, (*schedule).reloadRouter},
 	{"configuration changed", true, (*schedule).changeConfig},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -75,12 +75,20 @@
 	// disturbances holds the spans in which faults were active. The span of an
 	// active fault has no end.
 	disturbances []span
+	// crashCalls are the attempts in flight of requests that end upstreams, and
+	// restarts the upstreams that such a request ended.
+	crashCalls sync.WaitGroup
+	restarts   sync.WaitGroup
+	endless    []endlessSpan
 }
 
 // span is a time span. While it lasts, until is zero.
 type span struct {
 	from  time.Time
 	until time.Time
+	// byUpstream is set if the span is the doing of an upstream alone: all other
+	// processes and links are sound.
+	byUpstream bool
 }
 
 // warmUpTime is the time between the start of the processes and the first fault.
@@ -111,6 +119,9 @@
 		done = append(done, caller.done)
 		go caller.run(callerCtx)
 	}
+	crasher := &crasher{soak: soak, random: rand.New(rand.NewPCG(options.Seed, uint64(options.Callers)+1)), done: make(chan struct{})}
+	done = append(done, crasher.done)
+	go crasher.run(callerCtx)
 	prober := &prober{soak: soak, done: make(chan struct{}), served: make(map[string]int)}
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
@@ -122,9 +133,11 @@
 	for _, finished := range done {
 		<-finished
 	}
+	soak.restarts.Wait()
 	stopBalancer()
 	<-balancer.done
 	soak.checkNotRun()
+	soak.checkEndless()
 	soak.checkRecovery()
 	return soak.report, nil
 }
@@ -134,7 +147,7 @@
 	storeAt := strings.TrimPrefix(soak.server.URL, "http://")
 	soak.configure()
 	for i := range soak.options.Upstreams {
-		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), soak.store, &soak.runLog)
+		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), soak)
 		if err != nil {
 			return err
 		}
@@ -193,6 +206,9 @@
 	soak.configVersion, soak.acceptedAt = version, time.Now()
 }
 
+// routeTimeout is the timeout of all routes, in milliseconds.
+const routeTimeout = 2500
+
 // versionStep is the difference between the versions of two successive
 // configurations.
 const versionStep = 3
@@ -201,7 +217,7 @@
 func configOf(version int) routing.Config {
 	route := func(name ident.RouteName, prefix string, kind routing.Kind, attempts int) routing.Route {
 		return routing.Route{
-			Name: name, Host: callerHost, Prefix: prefix, Kind: kind, Timeout: 2500, Target: 300, Priority: 1, MaxAttempts: attempts,
+			Name: name, Host: callerHost, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Target: 300, Priority: 1, MaxAttempts: attempts,
 			Sticky: kind == routing.Stream, MaxGap: 800, Shares: []routing.Share{{Service: poolService, Weight: 1}},
 		}
 	}
@@ -259,11 +275,20 @@
 // beginDisturbance counts a fault and records its start. The returned function
 // records its end.
 func (soak *Soak) beginDisturbance(fault string) (heal func()) {
+	return soak.begin(fault, span{from: time.Now()})
+}
+
+// beginBreak is beginDisturbance for what an upstream does.
+func (soak *Soak) beginBreak(fault string) (heal func()) {
+	return soak.begin(fault, span{from: time.Now(), byUpstream: true})
+}
+
+func (soak *Soak) begin(fault string, span span) (heal func()) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	soak.report.Faults[fault]++
 	index := len(soak.disturbances)
-	soak.disturbances = append(soak.disturbances, span{from: time.Now()})
+	soak.disturbances = append(soak.disturbances, span)
 	return func() {
 		soak.mu.Lock()
 		defer soak.mu.Unlock()
@@ -280,10 +305,22 @@
 
 // undisturbed reports whether no fault was active between from and until.
 func (soak *Soak) undisturbed(from, until time.Time) bool {
+	return !soak.anySpan(from, until, func(span) bool { return true })
+}
+
+// inTouch reports whether no fault was active between from and until but those of
+// upstreams alone.
+func (soak *Soak) inTouch(from, until time.Time) bool {
+	return !soak.anySpan(from, until, func(span span) bool { return !span.byUpstream })
+}
+
+// anySpan reports whether a span that counts overlaps the time between from and
+// until.
+func (soak *Soak) anySpan(from, until time.Time, counts func(span span) bool) bool {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
-	return !slices.ContainsFunc(soak.disturbances, func(span span) bool {
-		return span.from.Before(until) && (span.until.IsZero() || span.until.After(from))
+	return slices.ContainsFunc(soak.disturbances, func(span span) bool {
+		return counts(span) && span.from.Before(until) && (span.until.IsZero() || span.until.After(from))
 	})
 }
 
@@ -299,7 +336,7 @@
 		client := &http.Client{Transport: &http.Transport{}}
 		for n := range requests {
 			call := &call{kind: kinds[1], attempt: ident.AttemptID(fmt.Sprintf("last-%s-%d", router.name, n)), router: router, sentAt: time.Now()}
-			call.perform(context.Background(), client, n)
+			call.perform(context.Background(), client, n, "")
 			if call.reply.Status != http.StatusOK {
 				soak.violate("no recovery", "%s answered with status %d (%v) to %s", router.name, call.reply.Status, call.reply.Err, call.attempt)
 			}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -62,7 +62,7 @@
 	leavingAt time.Time
 }
 
-func startUpstream(id ident.UpstreamID, store *standin.Platform, runLog *runLog) (*upstream, error) {
+func startUpstream(id ident.UpstreamID, soak *Soak) (*upstream, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -72,13 +72,17 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	upstream := &upstream{store: store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
+	upstream := &upstream{store: soak.store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
 	upstream.runner = &standin.Runner{
 		ID:      id,
 		Service: poolService,
 		Address: proxy.address(),
 		Write:   upstream.write,
-		OnStart: func(attempt ident.AttemptID) { runLog.add(attempt, run{upstream: id, at: time.Now()}) },
+		OnStart: func(attempt ident.AttemptID) { soak.runLog.add(attempt, run{upstream: id, at: time.Now()}) },
+
+		CrashMarker: crashMarker,
+		OnCrash:     func() { soak.crashByRequest(upstream) },
+		OnEndless:   soak.recordEndless,
 	}
 	upstream.server = &http.Server{Handler: upstream.runner}
 	serving := &serving{server: upstream.server, listener: listener}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -48,6 +48,9 @@
 	// request whose body contains it. OnCrash, if set, is called then.
 	CrashMarker string
 	OnCrash     func()
+	// OnEndless, if set, is called when the connection of an answer without an
+	// end has closed.
+	OnEndless func(answer string, started, closed time.Time)
 
 	// writeMu is held while a row is made and written, so that rows are
 	// written in order of their sequence numbers.
@@ -58,6 +61,7 @@
 	leaving    bool
 	crashed    bool
 	extraDelay time.Duration
+	endless    *EndlessAnswer
 	served     int
 }
 
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -39,7 +39,16 @@
 	if runner.isDown() {
 		panic(http.ErrAbortHandler)
 	}
-	if strings.Contains(request.URL.Path, runnerStreamMarker) {
+	isStream := strings.Contains(request.URL.Path, runnerStreamMarker)
+	if answer := runner.endlessAnswer(); answer != nil {
+		complete := RunnerAnswer(forwarded.Attempt)
+		if isStream {
+			complete = RunnerStream(forwarded.Attempt)
+		}
+		runner.sendEndless(writer, answer, forwarded.Attempt, complete)
+		return
+	}
+	if isStream {
 		runner.stream(writer, forwarded)
 		return
 	}
