--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -199,6 +199,28 @@
 	}
 }
 
+// TestConnectionHeaderDropsNoModelHeader guards against a request that runs with
+// another model or prompt than its caller's because the caller named these headers
+// in Connection.
+func TestConnectionHeaderDropsNoModelHeader(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	router := startRouter(t, upstream)
+	want := map[string]string{
+		"Hickoryhead-Model": "m", "Hickoryhead-Token-Usage": "1460,80", "Hickoryhead-Prompt-Prefix": "5c:800,91:250", "Last-Event-Id": "4",
+	}
+	header := []string{"Connection", "Hickoryhead-Model, hickoryhead-token-usage, Hickoryhead-Prompt-Prefix, Last-Event-Id"}
+	for name, value := range want {
+		header = append(header, name, value)
+	}
+	router.send(t, "a1", "POST", "/stream/", "", header...)
+	got := upstream.requestsSoFar()[0].header
+	for name, value := range want {
+		if got.Get(name) != value {
+			t.Errorf("got header %s %q at the upstream, want %q", name, got.Get(name), value)
+		}
+	}
+}
+
 func TestRefusedInput(t *testing.T) {
 	upstream := startUpstream(t, echo)
 	router := startRouter(t, upstream)
