forward: serve a server error whose service has lost its last upstream

What callers saw: a broken connection in place of the upstream's 5xx answer, if the service lost its last upstream while the answer was read.

Cause: relayPlain handed shouldRetry the pool of the service, which is nil then; shouldRetry read its length and panicked.

TestLastUpstreamGoesDuringAServerError failed with a broken connection (EOF) and passes: no pool means no candidate, so the answer is given on.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -319,13 +319,17 @@
 	if exchange.allowance() == strike.Refused {
 		return false
 	}
+	candidates := 0
+	if pool != nil {
+		candidates = len(pool.Upstreams)
+	}
 	now := time.Now()
 	action := retry.Next(now, retry.Attempt{
 		Code:       code,
 		Idempotent: exchange.route.Retryable(),
 		Deadline:   exchange.deadline,
 		Tried:      len(exchange.tried),
-		Candidates: len(pool.Upstreams),
+		Candidates: candidates,
 		Runs:       exchange.runs,
 		MaxRuns:    exchange.route.MaxAttempts,
 	})
