registry: give a row that went during an outage time until after its end

What callers saw: an upstream that was alive got no work for a while after an outage of the store, if its row was removed during it and another router had said so: it was dropped the moment the outage ended.

Cause: its grace period was reckoned from the end of the previous outage, or from the zero time, since the current one had no end yet.

TestRemovalDuringAnOutageWaitsForItsEnd failed (1 upstream in place of 2 at the end and 2.5 s after it, with an earlier outage and without) and passes: the end of an outage moves the grace period of each missing row to 2.5 s from then.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -147,12 +147,23 @@
 	switch {
 	case registry.storeDown && !down:
 		registry.outageEnd = now
+		registry.extendMissing(now.Add(RejoinGracePeriod))
 	case !registry.storeDown && down:
 		registry.outageBegin = now
 	}
 	registry.storeDown = down
 }
 
+// extendMissing gives the upstreams whose rows are missing until the given time to
+// write them again. The caller holds mu.
+func (registry *Registry) extendMissing(until time.Time) {
+	for id, current := range registry.missingUntil {
+		if current.Before(until) {
+			registry.missingUntil[id] = until
+		}
+	}
+}
+
 // ObservePeerStore records that the store has served another router without
 // interruption since the given time.
 func (registry *Registry) ObservePeerStore(now, since time.Time) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -105,3 +105,29 @@
 		t.Errorf("got pool %v, want a", got)
 	}
 }
+
+// TestRemovalDuringAnOutageWaitsForItsEnd guards against an upstream that is
+// dropped the moment an outage ends, with the grace period of an earlier one.
+func TestRemovalDuringAnOutageWaitsForItsEnd(t *testing.T) {
+	const begin, end = 60 * time.Second, 70 * time.Second
+	for _, earlierOutage := range []bool{false, true} {
+		var reg registry.Registry
+		reg.Replace(timeAt(0), 1, []registry.Upstream{upstream("a"), upstream("b")})
+		if earlierOutage {
+			reg.SetStoreDown(timeAt(time.Second), true)
+			reg.SetStoreDown(timeAt(2*time.Second), false)
+		}
+		reg.SetStoreDown(timeAt(begin), true)
+		reg.Apply(timeAt(begin+5*time.Second), []registry.Change{{Upstream: upstream("a"), Gone: true}})
+		reg.SetStoreDown(timeAt(end), false)
+		for _, check := range []struct {
+			after time.Duration
+			want  int
+		}{{0, 2}, {registry.RejoinGracePeriod - time.Millisecond, 2}, {registry.RejoinGracePeriod, 1}} {
+			reg.Expire(timeAt(end + check.after))
+			if got := len(members(&reg)); got != check.want {
+				t.Errorf("got %d upstreams %v after the outage, want %d (earlier outage: %t)", got, check.after, check.want, earlierOutage)
+			}
+		}
+	}
+}
