gossip: send what one message can't hold in later ones

What callers saw: routers that went on sending work to upstreams that had left, or had prompts read again, after many rows changed at once: a message over 60 KiB was dropped whole, and what it held was not sent again.

A message now takes at most 128 changes of upstreams, as it took at most 512 cache updates, and the rest goes into the next ones, 100 ms apart. If the counts of requests in flight make a message too large, it goes without them.

TestLargeMessagesArriveWhole (3,000 changes and 3,000 prefixes) failed, nothing arrived within 3 s; it passes 3 times with the race detector.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -42,9 +42,10 @@
 	removeAfter = 2 * time.Minute
 	// majorityShare is the share of the other routers that MajorityWarm requires.
 	majorityShare = 0.7
-	// maxCacheUpdates limits the cache updates in one message; sendFullState sends
-	// more of them in several messages.
+	// maxCacheUpdates and maxChanges limit the cache updates and the changes of
+	// upstreams in one message; more of them are sent in several messages.
 	maxCacheUpdates = 512
+	maxChanges      = 128
 )
 
 // peer is another router.
@@ -196,15 +197,23 @@
 	message := gossip.newMessage(now)
 	message.Leaving = leaving
 	message.CacheUpdates = updates
-	message.Changes = gossip.changes
+	message.Changes = gossip.takeChanges()
 	message.Outcomes = outcomes
 	message.setReport(now, report)
 	message.InFlight, message.Complete = counts, complete
-	gossip.changes = nil
 	gossip.sentAt = now
 	gossip.broadcast(now, message)
 }
 
+// takeChanges removes and returns the first changes of upstreams that were not sent
+// yet. The caller holds mu.
+func (gossip *Gossip) takeChanges() []registry.Change {
+	count := min(len(gossip.changes), maxChanges)
+	taken := gossip.changes[:count:count]
+	gossip.changes = gossip.changes[count:]
+	return taken
+}
+
 // newMessage returns a message without counts, updates, changes and outcomes.
 // The caller holds mu.
 func (gossip *Gossip) newMessage(now time.Time) Message {
@@ -255,6 +264,11 @@
 // mu.
 func (gossip *Gossip) broadcast(now time.Time, message Message) {
 	datagram := gossip.encode(message)
+	if datagram == nil {
+		// The counts are sent again; all else is sent only once.
+		message.InFlight, message.Complete = nil, false
+		datagram = gossip.encode(message)
+	}
 	for address, peer := range gossip.peers {
 		sinceReceived := now.Sub(peer.receivedAt)
 		if sinceReceived > removeAfter {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/health"
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/strike"
@@ -125,6 +127,36 @@
 	eventually(t, "end of the load", func() bool { return second.loads.Estimate(time.Now(), "a").Requests == 0 })
 }
 
+// TestLargeMessagesArriveWhole guards against updates and changes that are lost
+// because one message with all of them would be too large.
+func TestLargeMessagesArriveWhole(t *testing.T) {
+	const count = 3000
+	first, second := startMember(t, "one"), startMember(t, "two")
+	first.gossip.Add(second.gossip.Address)
+	eventually(t, "message of the second router", func() bool { return len(second.gossip.Addresses()) == 2 })
+	var changes []registry.Change
+	for n := range count {
+		changes = append(changes, registry.Change{Upstream: registry.Upstream{
+			ID: ident.UpstreamID(fmt.Sprint("upstream-", n)), Service: "pool", Address: "10.0.0.1:80", Zone: "zone", Version: ident.Revision(n),
+		}})
+		first.cacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: ident.ChatID(fmt.Sprint("prefix-", n)), Upstream: "upstream-1"})
+	}
+	first.gossip.Relay(changes)
+	eventually(t, "change at the other router for each one relayed", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return len(second.changes) >= count
+	})
+	eventually(t, "cached prefix at the other router for each one recorded", func() bool {
+		for n := range count {
+			if len(second.cacheIndex.Upstreams(time.Now(), ident.ChatID(fmt.Sprint("prefix-", n)))) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestMalformedDatagrams checks that a router still receives messages after
 // datagrams that can't be decoded.
 func TestMalformedDatagrams(t *testing.T) {
