forward: say why a refused arrival uses the retry budget

By reading it looked like a fault that the budget is charged after retry.Unbudgeted. It is none: BUDGET counts arrivals that a runner rejects, too. The condition is now whether the attempt reached an upstream, with the reason beside it; an attempt that was not sent for lack of time no longer uses the budget.

--- /dev/null
+++ b/forward/budget_test.go
@@ -0,0 +1,30 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/hickoryhead/hickoryhead/forward"
+)
+
+// TestRefusedArrivalsUseTheRetryBudget has every upstream refuse all requests. With
+// a budget of one retry, one request gets to another upstream.
+func TestRefusedArrivalsUseTheRetryBudget(t *testing.T) {
+	refuse := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		write(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id")))
+		return true
+	}
+	upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
+	router := startRouter(t, upstreams...)
+	tuning := forward.Tuning{Chooser: chooserOf(router.handler), RetryShare: 0, RetrySlack: 1}
+	router.handler.Tune(tuning)
+	const requests = 5
+	for n := range requests {
+		router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n)).check(t, 503, "")
+	}
+	if got, want := runs(upstreams), requests+1; got != want {
+		t.Errorf("got %d arrivals, want %d: the requests and one retry", got, want)
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -309,9 +309,17 @@
 	return keys
 }
 
+// arrived reports whether an attempt that ended with code reached an upstream. The
+// users' platform counts each arrival beyond a request's first as a retry, also
+// one that the upstream refused: retry.Unbudgeted holds for the project's own
+// interface only.
+func arrived(code result.Code) bool {
+	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable
+}
+
 // shouldRetry reports whether the request is sent again after an attempt that
 // ended with code. It counts attempts that may have run, and takes the retry
-// from the budget unless the retry needs none or shouldSwitch has taken it.
+// from the budget unless nothing arrived or shouldSwitch has taken it.
 func (exchange *exchange) shouldRetry(code result.Code, pool *registry.Pool) bool {
 	if code.Outcome() != result.NotRun {
 		exchange.runs++
@@ -336,8 +344,7 @@
 	switch {
 	case action == retry.Stop:
 		return false
-	case code == result.UpstreamUnreachable:
-		// The upstream received nothing, so another attempt needs no budget.
+	case !arrived(code):
 		return true
 	}
 	if exchange.retryReserved {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -73,11 +73,7 @@
 		Logger:      logging.Component(nil, "forward"),
 		LogLimiter:  rate.NewLimiter(rate.Inf, 0),
 	}
-	handler.Tune(forward.Tuning{
-		Chooser:    &balance.Chooser{Loads: loads, CacheIndex: cacheIndex, Ejected: tracker.Ejected, OnProbation: tracker.OnProbation, Multiple: 2, Slack: 1},
-		RetryShare: 0.2,
-		RetrySlack: 50,
-	})
+	handler.Tune(forward.Tuning{Chooser: chooserOf(handler), RetryShare: 0.2, RetrySlack: 50})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -89,6 +85,14 @@
 	return &router{address: listener.Addr().String(), handler: handler, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
+// chooserOf returns a chooser over what handler knows of its upstreams.
+func chooserOf(handler *forward.Handler) *balance.Chooser {
+	return &balance.Chooser{
+		Loads: handler.Loads, CacheIndex: handler.CacheIndex, Ejected: handler.Health.Ejected, OnProbation: handler.Health.OnProbation,
+		Multiple: 2, Slack: 1,
+	}
+}
+
 // routerServer serves a router's listener in the background.
 type routerServer struct {
 	server   *http.Server
