lease: back off from a row that can't be decoded

A daemon read such a row every tenth of the lease's lifetime for ever: RowRead cleared the number of failures before it decoded. TestUnreadableRowBacksOff failed (1 s each time) and passes: 1, 2, 4, 8 s.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -137,16 +137,16 @@
 // RowRead reports the current row of the lease, or nil if there is none, and
 // returns the next step. A row that doesn't decode counts as a failure.
 func (holder *Holder) RowRead(now time.Time, row *platform.Row) Step {
-	holder.failures = 0
 	var record Record
-	if row == nil {
-		holder.observe(now, 0, record)
-		return holder.Next(now)
-	}
-	if err := json.Unmarshal(row.Value, &record); err != nil {
-		return holder.Failed(now)
+	revision := ident.Revision(0)
+	if row != nil {
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			return holder.Failed(now)
+		}
+		revision = row.Revision
 	}
-	holder.observe(now, row.Revision, record)
+	holder.failures = 0
+	holder.observe(now, revision, record)
 	return holder.Next(now)
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -259,3 +259,19 @@
 		t.Error("got the lease held, want it expired 10 s after the write was sent")
 	}
 }
+
+// TestUnreadableRowBacksOff guards against a daemon that reads a row again and
+// again at the same short interval because it can't decode it.
+func TestUnreadableRowBacksOff(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	holder := lease.Holder{Name: "placement", VM: "vm-1", Lifetime: 10 * time.Second, NewWrite: func() string { return "w" }}
+	last := time.Duration(0)
+	for n := range 4 {
+		step := holder.RowRead(now, &platform.Row{Key: "lease", Value: json.RawMessage(`"no record"`), Revision: 1})
+		pause := step.Until.Sub(now)
+		if step.Action != lease.Sleep || pause <= last {
+			t.Errorf("got action %d and a pause of %v after failure %d, want a longer one than %v", step.Action, pause, n+1, last)
+		}
+		last = pause
+	}
+}
