balance: prefer a source of a prompt that is not ejected

What callers saw: a first token that came late, where the upstream that was chosen fetched the prompt from one that did not answer although another had it, too.

Cause: Choice.Source was the latest upstream with a longer prefix, ejected or not. TestEjectedUpstreamIsTheLastSource failed (source "ejected") and passes. Where only an ejected one has the prefix it stays the source, as TestChoice wants it: a prompt read again costs more than a fetch that may fail.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -184,13 +184,18 @@
 }
 
 // source returns an upstream that has a longer prefix of the prompt cached than
-// chosen, or an empty ID.
+// chosen, or an empty ID. It prefers one that is not ejected.
 func (chooser *Chooser) source(now time.Time, keys []ident.ChatID, chosen ident.UpstreamID) ident.UpstreamID {
 	for _, key := range keys {
 		cachedAt := chooser.CacheIndex.Upstreams(now, key)
 		if slices.Contains(cachedAt, chosen) {
 			return ""
 		}
+		for _, upstream := range slices.Backward(cachedAt) {
+			if !chooser.Ejected(now, upstream) {
+				return upstream
+			}
+		}
 		if len(cachedAt) > 0 {
 			return cachedAt[len(cachedAt)-1]
 		}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -259,3 +259,24 @@
 		})
 	}
 }
+
+// TestEjectedUpstreamIsTheLastSource guards against a prompt that is fetched from
+// an upstream that may not answer while another one has it cached, too.
+func TestEjectedUpstreamIsTheLastSource(t *testing.T) {
+	now := time.Now()
+	var loads balance.Loads
+	var cacheIndex balance.CacheIndex
+	cacheIndex.RecordLocal(now, balance.CacheUpdate{Key: "p", Upstream: "healthy"})
+	cacheIndex.RecordLocal(now.Add(time.Millisecond), balance.CacheUpdate{Key: "p", Upstream: "ejected"})
+	var reg registry.Registry
+	reg.Replace(now, 1, []registry.Upstream{{ID: "chosen", Service: "pool"}, {ID: "healthy", Service: "pool"}, {ID: "ejected", Service: "pool"}})
+	chooser := &balance.Chooser{
+		Loads: &loads, CacheIndex: &cacheIndex, Multiple: 2, Slack: 1,
+		Ejected: func(_ time.Time, upstream ident.UpstreamID) bool { return upstream == "ejected" },
+	}
+	request := balance.Request{Keys: []ident.ChatID{"p"}, Tried: []ident.UpstreamID{"healthy"}}
+	choice, found := chooser.Choose(now.Add(time.Second), reg.Pool("pool"), request)
+	if !found || choice.Upstream.ID != "chosen" || choice.Source != "healthy" {
+		t.Errorf("got upstream %q and source %q, want chosen and healthy", choice.Upstream.ID, choice.Source)
+	}
+}
