affinity: drop the reports of upstreams that are gone

A router kept the last report of each upstream for ever: DropExpired had no caller. A first report of an upstream now drops the expired ones of others. TestReportsOfGoneUpstreamsAreDropped failed (1,000 kept) and passes (51).

--- a/affinity/loads.go
+++ b/affinity/loads.go
@@ -77,18 +77,20 @@
 	if loads.reports == nil {
 		loads.reports = make(map[ident.UpstreamID]Report)
 	}
-	if report.SeenAt.Before(loads.reports[report.Upstream].SeenAt) {
+	last, known := loads.reports[report.Upstream]
+	if report.SeenAt.Before(last.SeenAt) {
 		return
 	}
+	if !known {
+		loads.dropExpired(report.SeenAt)
+	}
 	loads.reports[report.Upstream] = report
 	loads.addRecent(report)
 }
 
-// DropExpired removes the reports that are older than LeavingLifetime at the
-// time now.
-func (loads *Loads) DropExpired(now time.Time) {
-	loads.mutex.Lock()
-	defer loads.mutex.Unlock()
+// dropExpired removes the reports that are older than LeavingLifetime at the time
+// now. The caller holds the mutex.
+func (loads *Loads) dropExpired(now time.Time) {
 	for upstream, report := range loads.reports {
 		if now.After(report.SeenAt.Add(LeavingLifetime)) {
 			delete(loads.reports, upstream)
