entry: close the listeners of a start that failed

What was seen: a router whose start failed at a later address still listened at the earlier ones for as long as its process lived, so that a second start in it failed as well. TestFailedStartClosesItsListeners failed for both later steps and passes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -125,7 +125,7 @@
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	if err := daemon.startLoops(loopCtx); err != nil {
-		return err
+		return errors.CombineErrors(err, closeListeners(servers))
 	}
 	for _, server := range servers {
 		go server.run()
@@ -393,6 +393,15 @@
 	}
 }
 
+// closeListeners closes the listeners of services that were not run.
+func closeListeners(services []*httpService) error {
+	var failure error
+	for _, service := range services {
+		failure = errors.CombineErrors(failure, service.listener.Close())
+	}
+	return failure
+}
+
 // listen opens the configured listeners and returns a service for each, the one
 // for callers first.
 func (daemon *Daemon) listen() ([]*httpService, error) {
@@ -411,7 +420,7 @@
 		}
 		listener, err := net.Listen("tcp", endpoint.address)
 		if err != nil {
-			return nil, errors.Wrap(err, "open HTTP listener")
+			return nil, errors.CombineErrors(errors.Wrap(err, "open HTTP listener"), closeListeners(services))
 		}
 		services = append(services, &httpService{
 			listener: listener,
