strike: tell a crash of a request from upstreams that go down beside it

Cause: each break counted, also one of an upstream that had broken off before the request was sent, and crashes that came together counted singly.

- A request that was sent to an upstream up to 3 s after it broke off, and before any success there, has no strike from it.
- Of crashes within 250 ms of each other, at which the request was running, only the first counts.
- Retry-After is a minute at most, since strikes may be withdrawn.

The strikes that are told and stored carry how long the request had run.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,9 +103,9 @@
 	for _, key := range exchange.prefixIDs {
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
 	}
-	sentAt := time.Now()
+	exchange.sentAt = time.Now()
 	code := exchange.roundTrip(answer, remaining, lastEvent)
-	exchange.handler.Metrics.ObserveAttempt(time.Since(sentAt))
+	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
 		exchange.recordFailure(upstream, code)
 		answer.discard()
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -77,6 +77,7 @@
 		Fingerprint: exchange.fingerprint(),
 		Upstream:    upstream.ID,
 		Incarnation: upstream.Incarnation,
+		SentAt:      exchange.sentAt,
 		At:          now,
 		Attempt:     exchange.head.Attempt,
 	}
@@ -97,9 +98,9 @@
 }
 
 // recordSuccess records that an upstream answered the request with success.
-func (exchange *exchange) recordSuccess(status int) {
-	if status < http.StatusMultipleChoices {
-		exchange.handler.Strikes.Succeeded(time.Now(), exchange.fingerprint())
+func (exchange *exchange) recordSuccess(answer *answer) {
+	if answer.response.StatusCode < http.StatusMultipleChoices {
+		exchange.handler.Strikes.Succeeded(time.Now(), exchange.fingerprint(), answer.upstream.ID, answer.upstream.Incarnation)
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -35,6 +35,9 @@
 	// that the caller waits.
 	maxTableWait      = 700 * time.Millisecond
 	maxTableWaitShare = 0.4
+	// maxCrashingRetryAfter limits the Retry-After of a request that crashes
+	// upstreams: its strikes may be withdrawn before they lapse.
+	maxCrashingRetryAfter = time.Minute
 )
 
 // exchange is one request of a caller and all attempts to serve it.
@@ -66,6 +69,8 @@
 	// the attempts that may have run it.
 	tried []ident.UpstreamID
 	runs  int
+	// sentAt is when the last attempt was sent.
+	sentAt time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
@@ -378,7 +383,8 @@
 	case code == result.NotReady:
 		retryAfter = notReadyRetryAfter
 	case code == result.CrashingRequest:
-		retryAfter = time.Until(exchange.handler.Strikes.RefusedUntil(time.Now(), exchange.fingerprint()))
+		until := exchange.handler.Strikes.RefusedUntil(time.Now(), exchange.fingerprint())
+		retryAfter = min(time.Until(until), maxCrashingRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
 		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -62,7 +62,7 @@
 		}
 	} else {
 		exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-		exchange.recordSuccess(status)
+		exchange.recordSuccess(answer)
 	}
 	return exchange.writePlain(answer, body)
 }
@@ -84,7 +84,7 @@
 		return result.AnswerCut
 	}
 	exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-	exchange.recordSuccess(answer.response.StatusCode)
+	exchange.recordSuccess(answer)
 	answer.release()
 	return result.OK
 }
@@ -195,7 +195,7 @@
 		err := exchange.copyEvents(first, answer, &stream, controller)
 		if err == nil {
 			exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-			exchange.recordSuccess(answer.response.StatusCode)
+			exchange.recordSuccess(answer)
 			answer.release()
 			if !exchange.started {
 				exchange.copyHeader(first)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -78,6 +78,8 @@
 	Upstream    ident.UpstreamID
 	Incarnation registry.Incarnation
 	Age         ident.Milliseconds
+	// Ran is how long the request ran before the crash.
+	Ran ident.Milliseconds
 }
 
 // SuccessItem is the success of a request in a message.
@@ -93,12 +95,16 @@
 func (message *Message) setReport(now time.Time, report strike.Report) {
 	message.Strikes, message.Successes = nil, nil
 	for _, strike := range report.Strikes {
-		message.Strikes = append(message.Strikes, StrikeItem{
+		item := StrikeItem{
 			Fingerprint: strike.Fingerprint,
 			Upstream:    strike.Upstream,
 			Incarnation: strike.Incarnation,
 			Age:         ident.Milliseconds(now.Sub(strike.At).Milliseconds()),
-		})
+		}
+		if !strike.SentAt.IsZero() {
+			item.Ran = ident.Milliseconds(strike.At.Sub(strike.SentAt).Milliseconds())
+		}
+		message.Strikes = append(message.Strikes, item)
 	}
 	for _, success := range report.Successes {
 		message.Successes = append(message.Successes, SuccessItem{
@@ -112,11 +118,13 @@
 func (message *Message) report(now time.Time) strike.Report {
 	var report strike.Report
 	for _, item := range message.Strikes {
+		at := now.Add(-item.Age.Duration())
 		report.Strikes = append(report.Strikes, strike.Strike{
 			Fingerprint: item.Fingerprint,
 			Upstream:    item.Upstream,
 			Incarnation: item.Incarnation,
-			At:          now.Add(-item.Age.Duration()),
+			SentAt:      at.Add(-item.Ran.Duration()),
+			At:          at,
 		})
 	}
 	for _, item := range message.Successes {
--- a/strike/crashes.go
+++ b/strike/crashes.go
@@ -9,12 +9,19 @@
 	"github.com/hickoryhead/hickoryhead/registry"
 )
 
-// maxCrashesPerRequest limits the crashes that are kept of one request.
-const maxCrashesPerRequest = 8
+const (
+	// maxCrashesPerRequest limits the crashes that are kept of one request.
+	maxCrashesPerRequest = 16
+	// simultaneousWindow is how long after a crash another one counts as part of
+	// it if the request was running at both: upstreams that go down together were
+	// hardly crashed by one request.
+	simultaneousWindow = 250 * time.Millisecond
+)
 
 // crash is one crash of an upstream.
 type crash struct {
 	incarnation registry.Incarnation
+	sentAt      time.Time
 	at          time.Time
 	// own is set if this process saw the crash itself.
 	own bool
@@ -33,10 +40,29 @@
 			return false
 		}
 	}
-	if len(known) >= neverStrikes || crashes.strikes() >= maxCrashesPerRequest {
+	if len(known) >= neverStrikes || crashes.len() >= maxCrashesPerRequest && !crashes.dropOldest(strike.At) {
+		return false
+	}
+	added := crash{incarnation: strike.Incarnation, sentAt: strike.SentAt, at: strike.At, own: strike.Own}
+	crashes[strike.Upstream] = append(crashes[strike.Upstream], added)
+	return true
+}
+
+// dropOldest removes the oldest crash if it is older than the given time, and
+// reports whether it did.
+func (crashes crashes) dropOldest(than time.Time) bool {
+	oldest := than
+	for _, known := range crashes {
+		for _, crash := range known {
+			if crash.at.Before(oldest) {
+				oldest = crash.at
+			}
+		}
+	}
+	if !oldest.Before(than) {
 		return false
 	}
-	crashes[strike.Upstream] = append(known, crash{incarnation: strike.Incarnation, at: strike.At, own: strike.Own})
+	crashes.removeIf(0, func(strike Strike) bool { return strike.At.Equal(oldest) })
 	return true
 }
 
@@ -72,7 +98,7 @@
 }
 
 func (crash crash) strike(fingerprint ident.Fingerprint, upstream ident.UpstreamID) Strike {
-	return Strike{Fingerprint: fingerprint, Upstream: upstream, Incarnation: crash.incarnation, At: crash.at, Own: crash.own}
+	return Strike{Fingerprint: fingerprint, Upstream: upstream, Incarnation: crash.incarnation, SentAt: crash.sentAt, At: crash.at, Own: crash.own}
 }
 
 // list returns the crashes as strikes, the latest first.
@@ -89,13 +115,41 @@
 	return list
 }
 
-// strikes returns the number of crashes.
+// len returns the number of crashes.
+func (crashes crashes) len() int {
+	count := 0
+	for _, known := range crashes {
+		count += len(known)
+	}
+	return count
+}
+
+// strikes returns the number of crashes that count, which leaves out all but the
+// first of those that were simultaneous.
 func (crashes crashes) strikes() int {
-	strikes := 0
+	return len(crashes.counted(make([]crash, 0, maxCrashesPerRequest)))
+}
+
+// counted appends the crashes that count to counted, the earliest first.
+func (crashes crashes) counted(counted []crash) []crash {
+	var all [maxCrashesPerRequest]crash
+	sorted := all[:0]
 	for _, known := range crashes {
-		strikes += len(known)
+		sorted = append(sorted, known...)
+	}
+	slices.SortFunc(sorted, func(a, b crash) int { return a.at.Compare(b.at) })
+	for _, crash := range sorted {
+		if len(counted) == 0 || !crash.partOf(counted[len(counted)-1]) {
+			counted = append(counted, crash)
+		}
 	}
-	return strikes
+	return counted
+}
+
+// partOf reports whether the crash belongs to an earlier one of another upstream.
+func (crash crash) partOf(earlier crash) bool {
+	simultaneous := crash.at.Sub(earlier.at) <= simultaneousWindow
+	return simultaneous && !crash.sentAt.IsZero() && !crash.sentAt.After(earlier.at)
 }
 
 // latest returns the time of the most recent crash.
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -28,6 +28,10 @@
 	repeatTime = 10 * time.Second
 	// maxPerMessage limits the strikes, and the successes, in one message.
 	maxPerMessage = 200
+	// breakLifetime is how long after it broke off an upstream is assumed to be
+	// away, and maxBreaks limits the upstreams of which that is remembered.
+	breakLifetime = 3 * time.Second
+	maxBreaks     = 1024
 )
 
 // Decision is what a Guard concluded about a strike.
@@ -90,6 +94,8 @@
 	tracker    Tracker
 	successes  successes
 	unanswered []Strike
+	// breaks holds when each incarnation broke off first, until it is seen to run.
+	breaks map[incarnationKey]time.Time
 	// unsent holds the messages that still have to carry each new strike and
 	// each success.
 	unsentStrikes   []unsent[Strike]
@@ -100,6 +106,12 @@
 	saved map[rowKey]struct{}
 }
 
+// incarnationKey identifies one run of an upstream.
+type incarnationKey struct {
+	upstream    ident.UpstreamID
+	incarnation registry.Incarnation
+}
+
 // rowKey identifies the row of a strike.
 type rowKey struct {
 	fingerprint ident.Fingerprint
@@ -149,10 +161,32 @@
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
+	if guard.wasAway(strike) {
+		return
+	}
 	strike.Own = true
 	guard.count(now, strike)
 }
 
+// wasAway reports whether the upstream had broken off before the request was
+// sent, so that the request did not crash it. If not, it has broken off now. The
+// caller holds mu.
+func (guard *Guard) wasAway(strike Strike) bool {
+	key := incarnationKey{upstream: strike.Upstream, incarnation: strike.Incarnation}
+	began, known := guard.breaks[key]
+	if known && strike.SentAt.After(began) && strike.SentAt.Sub(began) < breakLifetime {
+		return true
+	}
+	if known && strike.At.Sub(began) < breakLifetime {
+		return false
+	}
+	if guard.breaks == nil || len(guard.breaks) >= maxBreaks {
+		guard.breaks = make(map[incarnationKey]time.Time)
+	}
+	guard.breaks[key] = strike.At
+	return false
+}
+
 // Unanswered records that an upstream took the request and gave no answer while
 // its caller waited. It counts as a strike if the upstream ends soon.
 func (guard *Guard) Unanswered(strike Strike) {
@@ -185,14 +219,17 @@
 	guard.unanswered = remaining
 }
 
-// Succeeded records that an upstream ran the request to a good end, which clears
-// its strikes.
-func (guard *Guard) Succeeded(now time.Time, fingerprint ident.Fingerprint) {
+// Succeeded records that an incarnation of an upstream ran the request to a good
+// end, which clears its strikes.
+func (guard *Guard) Succeeded(now time.Time, fingerprint ident.Fingerprint, upstream ident.UpstreamID, incarnation registry.Incarnation) {
 	if guard == nil {
 		return
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
+	if len(guard.breaks) > 0 {
+		delete(guard.breaks, incarnationKey{upstream: upstream, incarnation: incarnation})
+	}
 	guard.successes.record(now, fingerprint)
 	if !guard.tracker.HasStrikes(now, fingerprint) {
 		return
@@ -213,6 +250,7 @@
 		if report.Saved {
 			guard.markSaved(strike)
 		}
+		guard.wasAway(strike)
 		guard.count(now, strike)
 	}
 	for _, success := range report.Successes {
@@ -237,7 +275,7 @@
 // and this process saw one of them. The caller holds mu.
 func (guard *Guard) save(now time.Time, fingerprint ident.Fingerprint) {
 	strikes := guard.tracker.Strikes(now, fingerprint)
-	if len(strikes) < aloneStrikes || !anyOwn(strikes) {
+	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !anyOwn(strikes) {
 		return
 	}
 	for _, strike := range strikes {
@@ -298,7 +336,7 @@
 func (guard *Guard) report(now time.Time, decision Decision, strike Strike) {
 	guard.requests.Store(int64(guard.tracker.Len()))
 	if guard.OnEvent != nil {
-		strikes := len(guard.tracker.Strikes(now, strike.Fingerprint))
+		strikes := guard.tracker.Count(now, strike.Fingerprint)
 		guard.OnEvent(Event{Decision: decision, Strike: strike, Strikes: strikes})
 	}
 }
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -34,7 +34,10 @@
 	// Incarnation is the run of the upstream that crashed, or zero if it is not
 	// known.
 	Incarnation registry.Incarnation
-	At          time.Time
+	// SentAt is when the request was sent to the upstream, or zero if that is not
+	// known. At is when the crash was seen.
+	SentAt time.Time
+	At     time.Time
 	// Own is set if this process saw the crash itself, and Attempt is then the
 	// attempt that was running.
 	Own     bool
@@ -158,14 +161,21 @@
 	return tracker.unexpired(fingerprint).list(fingerprint)
 }
 
+// Count returns the number of strikes of a request that count at the time now.
+func (tracker *Tracker) Count(now time.Time, fingerprint ident.Fingerprint) int {
+	tracker.observe(now)
+	return tracker.unexpired(fingerprint).strikes()
+}
+
 // RefusedUntil returns when a refused request may run again, and the zero time
 // for one that is not refused.
 func (tracker *Tracker) RefusedUntil(now time.Time, fingerprint ident.Fingerprint) time.Time {
-	strikes := tracker.Strikes(now, fingerprint)
-	if len(strikes) < neverStrikes {
+	tracker.observe(now)
+	counted := tracker.unexpired(fingerprint).counted(nil)
+	if len(counted) < neverStrikes {
 		return time.Time{}
 	}
-	return strikes[neverStrikes-1].At.Add(tracker.lifetime())
+	return counted[len(counted)-neverStrikes].at.Add(tracker.lifetime())
 }
 
 // HasStrikes reports whether the request has any unexpired strike at the time
