soak: check that a request runs on no more upstreams than its route allows

BUDGET names it and no test of ours had it: a request that may run again runs on at most max-attempts upstreams.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -52,7 +52,7 @@
 
 // startUnconfiguredRouter starts a router that knows its upstreams but has no
 // configuration yet.
-func startUnconfiguredRouter(t *testing.T, upstreams ...*fakeUpstream) *router {
+func startUnconfiguredRouter(t testing.TB, upstreams ...*fakeUpstream) *router {
 	t.Helper()
 	var listed []registry.Upstream
 	for i, upstream := range upstreams {
@@ -102,7 +102,7 @@
 func (routerServer *routerServer) run() { _ = routerServer.server.Serve(routerServer.listener) }
 
 // startRouter starts a router with the configuration of testConfig.
-func startRouter(t *testing.T, upstreams ...*fakeUpstream) *router {
+func startRouter(t testing.TB, upstreams ...*fakeUpstream) *router {
 	t.Helper()
 	router := startUnconfiguredRouter(t, upstreams...)
 	router.handler.Routes.Adopt(routing.New(testConfig()))
--- a/forward/upstream_test.go
+++ b/forward/upstream_test.go
@@ -33,7 +33,7 @@
 	conns    int
 }
 
-func startUpstream(t *testing.T, answer func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool) *fakeUpstream {
+func startUpstream(t testing.TB, answer func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool) *fakeUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/result/code.go
+++ b/result/code.go
@@ -125,7 +125,7 @@
 	{NotReady, "NotReady", "The daemon is not ready", "The daemon does not yet have a settings revision that it may serve. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
 	{UpstreamUnreachable, "UpstreamUnreachable", "The upstream could not be reached", "No connection could be opened, so nothing was sent. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
 	{ClaimUnavailable, "ClaimUnavailable", "The claim could not be recorded", "The platform's table did not confirm the claim before the deadline, so the request was abandoned and will not be run later. Nothing was run.", http.StatusServiceUnavailable, NotRun, false},
-	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while running this request, so it is refused. Nothing was run this time.", http.StatusUnprocessableEntity, NotRun, false},
+	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while running this request, so it is refused. Nothing was run this time. An entry router answers 429, which callers of the users' platform take as not run.", http.StatusUnprocessableEntity, NotRun, false},
 	{CrashingRequestAlone, "CrashingRequestAlone", "The request may only run alone elsewhere", "Upstreams crashed while running this request. It may run only on the upstream designated for it, without other requests. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,8 @@
 	switch {
 	case call.kind.atMostOnce && len(runs) > 1:
 		soak.violate("ran more than once", "%s %s ran %d times", call.kind.name, call.attempt, len(runs))
+	case len(runs) > maxAttempts:
+		soak.violate("ran on too many upstreams", "%s %s ran %d times, want at most %d", call.kind.name, call.attempt, len(runs), maxAttempts)
 	case call.reply.Status == http.StatusTooManyRequests:
 		soak.violate("sound request refused", "%s %s got 429 from %s: %s", call.kind.name, call.attempt, call.router.name, call.reply.Body)
 	case call.reply.Status == http.StatusOK && call.reply.Err == nil:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -206,8 +206,13 @@
 	soak.configVersion, soak.acceptedAt = version, time.Now()
 }
 
-// routeTimeout is the timeout of all routes, in milliseconds.
-const routeTimeout = 2500
+const (
+	// routeTimeout is the timeout of all routes, in milliseconds.
+	routeTimeout = 2500
+	// maxAttempts is how many upstreams may run a request that may run more than
+	// once.
+	maxAttempts = 2
+)
 
 // versionStep is the difference between the versions of two successive
 // configurations.
@@ -221,14 +226,14 @@
 			Sticky: kind == routing.Stream, MaxGap: 800, Shares: []routing.Share{{Service: poolService, Weight: 1}},
 		}
 	}
-	resume := route("resume", "/resume/", routing.Stream, 2)
+	resume := route("resume", "/resume/", routing.Stream, maxAttempts)
 	resume.Resumable = true
-	probe := route("probe", fmt.Sprintf("/v%d/", version), routing.Idempotent, 2)
+	probe := route("probe", fmt.Sprintf("/v%d/", version), routing.Idempotent, maxAttempts)
 	probe.Public = true
 	return routing.Config{
 		Version: routing.Version(version * versionStep),
 		Routes: []routing.Route{
-			route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, 2),
+			route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, maxAttempts),
 			route("stream", "/stream/", routing.Stream, 1), resume, probe,
 		},
 		Services:   []routing.Service{{Name: poolService, MaxConnections: 400}},
