--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -504,6 +505,34 @@
 	}
 }
 
+// TestSwitchEndsTheFirstRun guards against a request that runs at two upstreams at
+// a time: when it goes to another one, the first must see its connection close.
+func TestSwitchEndsTheFirstRun(t *testing.T) {
+	const maxOverlap = 400 * time.Millisecond
+	ended := make(chan time.Time, 1)
+	silent := func(ctx context.Context, _ net.Conn, _ int, _ receivedRequest) bool {
+		<-ctx.Done()
+		ended <- time.Now()
+		return false
+	}
+	started := make(chan time.Time, 1)
+	second := func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		started <- time.Now()
+		return echo(ctx, conn, n, request)
+	}
+	var first sync.Once
+	either := func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		answer := second
+		first.Do(func() { answer = silent })
+		return answer(ctx, conn, n, request)
+	}
+	router := startRouter(t, startUpstream(t, either), startUpstream(t, either))
+	router.send(t, "a1", "GET", "/again/", "").check(t, 200, "answer to a1")
+	if overlap := (<-ended).Sub(<-started); overlap > maxOverlap {
+		t.Errorf("got a first run that ended %v after the second began, want at most %v", overlap, maxOverlap)
+	}
+}
+
 // TestUnresponsiveUpstreamAtTheTimeout checks that a request without a response
 // is answered with 504 at the timeout of its route.
 func TestUnresponsiveUpstreamAtTheTimeout(t *testing.T) {
