forward: share the retry slack with routers that are cut off, too

Routers that did not hear each other for 3 s took themselves for the whole fleet: in three zones cut from each other each spent the slack of all three at a failing service.

Cause: the slack was divided by the routers whose loads are known, which lapse after 3 s. It is divided by the registered routers now, which a silent one stays for two minutes; the connections to upstreams are still shared among those that run.

TestSilentRoutersKeepTheirPartOfTheRetrySlack: 20 arrivals in place of 12 with the routers that are heard of alone; it passes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -248,6 +248,7 @@
 		return err
 	}
 	exchange := daemon.newGossip(socket)
+	daemon.handler.RegisteredRouters = func() int { return len(exchange.Addresses()) }
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.allDone
 	daemon.scheduler.Self = exchange.Address
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -28,3 +28,21 @@
 		t.Errorf("got %d arrivals, want %d: the requests and one retry", got, want)
 	}
 }
+
+// TestSilentRoutersKeepTheirPartOfTheRetrySlack guards against routers that are cut
+// off from each other and each spend the retry slack of all.
+func TestSilentRoutersKeepTheirPartOfTheRetrySlack(t *testing.T) {
+	reset := func(context.Context, net.Conn, int, receivedRequest) bool { return false }
+	upstreams := []*fakeUpstream{startUpstream(t, reset), startUpstream(t, reset)}
+	router := startRouter(t, upstreams...)
+	router.handler.Strikes = nil
+	router.handler.RegisteredRouters = func() int { return 6 }
+	router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetryShare: 0, RetrySlack: 12})
+	const requests = 10
+	for n := range requests {
+		router.send(t, fmt.Sprint("a", n), "GET", "/again/x", fmt.Sprint(n)).check(t, 502, "")
+	}
+	if got, want := runs(upstreams), requests+2; got != want {
+		t.Errorf("got %d arrivals, want %d: the requests and a sixth of 12 retries", got, want)
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -36,9 +36,13 @@
 	Strikes     *strike.Guard
 	Connections *Connections
 	Zone        ident.Zone
-	// Routers returns the number of routers that share the retry slack and the
-	// connections to upstreams, this one included.
+	// Routers returns the number of routers that share the connections to
+	// upstreams, this one included: those that are known to run.
 	Routers func() int
+	// RegisteredRouters returns the number of routers that share the retry slack,
+	// this one included: also those that are not heard of, since they may serve
+	// callers behind a partition. With nil it is that of Routers.
+	RegisteredRouters func() int
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 	// LogLimiter limits the log lines of requests that the first upstream
@@ -109,10 +113,19 @@
 	budget := handler.budget(service)
 	tuning := handler.tuning.Load()
 	budget.Share = tuning.RetryShare
-	budget.Slack = max(tuning.RetrySlack/float64(max(handler.Routers(), 1)), 1)
+	budget.Slack = max(tuning.RetrySlack/float64(handler.slackRouters()), 1)
 	return budget.Spend(now)
 }
 
+// slackRouters returns the number of routers that share the retry slack.
+func (handler *Handler) slackRouters() int {
+	routers := handler.Routers()
+	if handler.RegisteredRouters != nil {
+		routers = max(routers, handler.RegisteredRouters())
+	}
+	return max(routers, 1)
+}
+
 // budget returns the retry budget of service and creates it on first use. The
 // caller holds mu.
 func (handler *Handler) budget(service ident.ServiceName) *retry.Budget {
