caller: count an answer that can't be decoded once

An answer of a service with invalid base64 was counted as done and then as cut. TestUndecodableAnswerIsCountedOnce failed (a second line, Done 1) and passes.

--- a/caller/write.go
+++ b/caller/write.go
@@ -100,9 +100,9 @@
 // writeComplete writes a complete answer: that of a model as Text, that of a plain
 // service with its own status and content type.
 func (server *Server) writeComplete(writer http.ResponseWriter, relay *relay, end *answer.End, text string) {
-	server.Metrics.CountAnswer(result.Done)
 	relay.setHeaders(writer.Header())
 	if relay.incoming.route.Model != "" {
+		server.Metrics.CountAnswer(result.Done)
 		writeJSON(writer, http.StatusOK, Text{Text: text, Cached: end.Cached, Prompt: end.Prompt})
 		return
 	}
@@ -115,6 +115,7 @@
 		}
 		body = decoded
 	}
+	server.Metrics.CountAnswer(result.Done)
 	writer.Header().Set("Content-Type", end.ContentType)
 	writer.WriteHeader(end.Status)
 	_, _ = writer.Write(body)
