directory: ignore a late report of a sidecar's earlier run

What callers saw: requests refused by an upstream that was leaving, and tried elsewhere, since a report of its sidecar's run before a restart arrived after the word that it leaves and took the mark away.

Cause: any other incarnation counted as a newer one. The previous one is remembered and its reports are ignored. TestLateReportOfAnEarlierRun failed (2 upstreams, incarnation run1) and passes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -58,9 +59,11 @@
 	mu  sync.Mutex
 	vms []platform.VM
 	// leaving holds the incarnation in which each sidecar reported that its upstream
-	// is leaving, and incarnations the latest one that each sidecar reported.
+	// is leaving, incarnations the latest one that each sidecar reported, and
+	// previous the one before it.
 	leaving      map[ident.UpstreamID]string
 	incarnations map[ident.UpstreamID]string
+	previous     map[ident.UpstreamID]string
 	loads        map[PoolKey]*affinity.Loads
 }
 
@@ -82,15 +85,15 @@
 
 // ObserveSidecar records the state that the sidecar of an upstream reported.
 // Incarnation identifies the run of the sidecar's process. A leaving upstream
-// stays out of the pools until another incarnation reports that it is not leaving,
-// so a delayed report of the same incarnation doesn't bring it back.
+// stays out of the pools until a newer incarnation reports that it is not leaving,
+// so a delayed report of the same or the previous one doesn't bring it back.
 func (directory *Directory) ObserveSidecar(upstream ident.UpstreamID, incarnation string, leaving bool) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	if directory.incarnations == nil {
-		directory.incarnations = make(map[ident.UpstreamID]string)
+	if previous, known := directory.previous[upstream]; known && previous == incarnation {
+		return
 	}
-	directory.incarnations[upstream] = incarnation
+	directory.setIncarnation(upstream, incarnation)
 	leavingIncarnation, wasLeaving := directory.leaving[upstream]
 	switch {
 	case leaving && leavingIncarnation != incarnation:
@@ -106,6 +109,18 @@
 	directory.rebuild()
 }
 
+// setIncarnation records the latest incarnation of a sidecar. The caller holds mu.
+func (directory *Directory) setIncarnation(upstream ident.UpstreamID, incarnation string) {
+	if directory.incarnations == nil {
+		directory.incarnations = make(map[ident.UpstreamID]string)
+		directory.previous = make(map[ident.UpstreamID]string)
+	}
+	if latest, known := directory.incarnations[upstream]; known && latest != incarnation {
+		directory.previous[upstream] = latest
+	}
+	directory.incarnations[upstream] = incarnation
+}
+
 // Incarnation returns the latest incarnation that the sidecar of upstream
 // reported, or an empty string if it has reported none.
 func (directory *Directory) Incarnation(upstream ident.UpstreamID) string {
@@ -123,16 +138,10 @@
 			listed[vm.Upstream.ID] = true
 		}
 	}
-	for upstream := range directory.leaving {
-		if !listed[upstream] {
-			delete(directory.leaving, upstream)
-		}
-	}
-	for upstream := range directory.incarnations {
-		if !listed[upstream] {
-			delete(directory.incarnations, upstream)
-		}
-	}
+	unlisted := func(upstream ident.UpstreamID, _ string) bool { return !listed[upstream] }
+	maps.DeleteFunc(directory.leaving, unlisted)
+	maps.DeleteFunc(directory.incarnations, unlisted)
+	maps.DeleteFunc(directory.previous, unlisted)
 }
 
 // rebuild publishes a new snapshot. The caller holds mu.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// TestLateReportOfAnEarlierRun guards against work for a leaving upstream because a
+// report of its sidecar's earlier run arrived late.
+func TestLateReportOfAnEarlierRun(t *testing.T) {
+	var d directory.Directory
+	d.SetVMs([]platform.VM{sidecarVM("a", ""), sidecarVM("b", "")})
+	d.ObserveSidecar("a", "run1", false)
+	d.ObserveSidecar("a", "run2", true)
+	d.ObserveSidecar("a", "run1", false)
+	if got, want := poolSize(&d), 1; got != want {
+		t.Errorf("after a late report of the earlier run: got %d upstreams, want %d", got, want)
+	}
+	if got, want := d.Incarnation("a"), "run2"; got != want {
+		t.Errorf("got incarnation %s, want %s", got, want)
+	}
+}
+
 func TestPoolFallsBackToOtherRegions(t *testing.T) {
 	d := directory.Directory{Region: "est"}
 	d.SetVMs([]platform.VM{sidecarVM("a", "est"), sidecarVM("b", "ouest")})
