--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -193,7 +193,7 @@
 	upstream.ID = ident.UpstreamID(id)
 	loaded := config.Sidecar{Daemon: fleet.daemon("vm-" + id), HopListen: loopback, Upstream: upstream}
 	daemonRun, ctx := newDaemonRun()
-	sidecar := &daemon.Sidecar{Config: loaded, Logger: fleet.logger, Started: daemonRun.reportStarted}
+	sidecar := &daemon.Sidecar{Config: loaded, Logger: fleet.logger, OnStart: daemonRun.reportStarted}
 	daemonRun.serve = sidecar.Run
 	fleet.sidecars = append(fleet.sidecars, daemonRun)
 	go daemonRun.run(ctx)
@@ -210,7 +210,7 @@
 func (fleet *fleet) startRouter(id string) error {
 	loaded := config.Router{Daemon: fleet.daemon(id), CallerListen: loopback, OperatorListen: loopback}
 	daemonRun, ctx := newDaemonRun()
-	router := &daemon.Router{Config: loaded, Logger: fleet.logger, Started: daemonRun.reportStarted}
+	router := &daemon.Router{Config: loaded, Logger: fleet.logger, OnStart: daemonRun.reportStarted}
 	daemonRun.serve = router.Run
 	fleet.routers = append(fleet.routers, daemonRun)
 	go daemonRun.run(ctx)
--- a/demo/run.go
+++ b/demo/run.go
@@ -46,13 +46,13 @@
 
 // Run runs the demo. It returns an error if a component does not start or if an
 // answer breaks a guarantee.
-func Run(ctx context.Context, options Options) error {
+func Run(ctx context.Context, options Options) (err error) {
 	options.Engines = orDefault(options.Engines, defaultEngines)
 	options.Routers = orDefault(options.Routers, defaultRouters)
 	options.Requests = orDefault(options.Requests, defaultRequests)
 	options.Out = &lineWriter{out: options.Out}
 	fleet := &fleet{logger: options.Logger}
-	defer fleet.close()
+	defer func() { err = errors.CombineErrors(err, fleet.close()) }()
 	printLine(options.Out, "Starting %d engines and a service with their sidecars, %d routers and a platform stand-in.", options.Engines, options.Routers)
 	if err := fleet.start(ctx, options.Engines, options.Routers); err != nil {
 		return err
@@ -75,10 +75,10 @@
 var errBroken = errors.New("an answer broke a guarantee: see the table")
 
 // runEntry runs entry routers of the users' platform beside the fleet.
-func (fleet *fleet) runEntry(ctx context.Context, options Options) error {
+func (fleet *fleet) runEntry(ctx context.Context, options Options) (err error) {
 	printLine(options.Out, "\nStarting %d entry routers of the users' platform with %d runners and a store stand-in.", entryRouters, entryRunners)
 	routers := &entryFleet{logger: options.Logger, host: fleet}
-	defer routers.close()
+	defer func() { err = errors.CombineErrors(err, routers.close()) }()
 	if err := routers.start(); err != nil {
 		return err
 	}
