--- a/answer/encode.go
+++ b/answer/encode.go
@@ -22,7 +22,7 @@
 
 // DecodeFrame decodes one line of JSON with the same result as json.Unmarshal.
 func DecodeFrame(line []byte) (Frame, error) {
-	if seq, text, found := dataLine.Cut(line); found {
+	if seq, text, found := dataLine.Parse(line); found {
 		return Frame{Seq: Seq(seq), Data: text}, nil
 	}
 	var frame Frame
--- a/capacity/claims_test.go
+++ b/capacity/claims_test.go
@@ -51,7 +51,7 @@
 		group.Go(func() error {
 			for i := range confirmationsPerCaller {
 				key := fmt.Sprintf("key-%d-%d-%d", run, caller, i)
-				reply, err := fleettest.Ask(fleet.Routers[0], fleettest.Request{Route: "confirm", Key: key, Body: `{"Run":1}`})
+				reply, err := fleettest.Send(fleet.Routers[0], fleettest.Request{Route: "confirm", Key: key, Body: `{"Run":1}`})
 				if err != nil {
 					return err
 				}
@@ -68,7 +68,7 @@
 // platformCounters returns the platform stand-in's counters.
 func platformCounters(b *testing.B, fleet *fleettest.Fleet) standin.PlatformCounters {
 	b.Helper()
-	response, err := client.Get("http://" + fleet.PlatformAt + "/v1/counters")
+	response, err := client.Get("http://" + fleet.PlatformAddress + "/v1/counters")
 	if err != nil {
 		b.Fatalf("get platform counters: %v", err)
 	}
--- a/capacity/profile_test.go
+++ b/capacity/profile_test.go
@@ -43,7 +43,7 @@
 		VM:         vm,
 		Zone:       "est-a",
 		Region:     "est",
-		Platform:   fleet.PlatformAt,
+		Platform:   fleet.PlatformAddress,
 		PeerListen: "127.0.0.1:0",
 		Secret:     fleettest.Secret,
 	}
@@ -57,7 +57,7 @@
 	upstream := config.Upstream{ID: "profiled-1", Address: fleet.Engines[0].Address, Model: profiledModel, Limit: 4096}
 	sidecar := &daemon.Sidecar{
 		Config:  config.Sidecar{Daemon: daemonConfig(fleet, "vm-profiled-1"), HopListen: "127.0.0.1:0", Upstream: upstream},
-		Started: func(addresses daemon.Addresses) { started <- addresses },
+		OnStart: func(addresses daemon.Addresses) { started <- addresses },
 	}
 	runner := daemonRunner{b: b, runDaemon: sidecar.Run}
 	go runner.run(ctx)
@@ -80,7 +80,7 @@
 	started := make(chan daemon.Addresses, 1)
 	router := &daemon.Router{
 		Config:  config.Router{Daemon: daemonConfig(fleet, "profiled-router"), CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0"},
-		Started: func(addresses daemon.Addresses) { started <- addresses },
+		OnStart: func(addresses daemon.Addresses) { started <- addresses },
 	}
 	runner := daemonRunner{b: b, runDaemon: router.Run}
 	go runner.run(ctx)
--- a/capacity/usage_test.go
+++ b/capacity/usage_test.go
@@ -89,7 +89,7 @@
 }
 
 // routerUsage reads the usage of a router from its operator address.
-func routerUsage(b *testing.B, entry *fleettest.Entry) usage { return scrapeUsage(b, entry.Operators) }
+func routerUsage(b *testing.B, entry *fleettest.Router) usage { return scrapeUsage(b, entry.Operators) }
 
 // sidecarUsage reads the usage of a sidecar from its hop address.
 func sidecarUsage(b *testing.B, unit *fleettest.Unit) usage { return scrapeUsage(b, unit.Hop) }
--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -71,7 +71,7 @@
 func newRouter() *cobra.Command {
 	return newDaemon("router", "Run a router on an entry VM",
 		func(ctx context.Context, loaded config.Router, logger *slog.Logger, started func(daemon.Addresses)) error {
-			router := &daemon.Router{Config: loaded, Logger: logger, Started: started}
+			router := &daemon.Router{Config: loaded, Logger: logger, OnStart: started}
 			return router.Run(ctx)
 		})
 }
@@ -79,7 +79,7 @@
 func newSidecar() *cobra.Command {
 	return newDaemon("sidecar", "Run the sidecar of one upstream",
 		func(ctx context.Context, loaded config.Sidecar, logger *slog.Logger, started func(daemon.Addresses)) error {
-			sidecar := &daemon.Sidecar{Config: loaded, Logger: logger, Started: started}
+			sidecar := &daemon.Sidecar{Config: loaded, Logger: logger, OnStart: started}
 			return sidecar.Run(ctx)
 		})
 }
--- a/cmd/hickoryhead/settings.go
+++ b/cmd/hickoryhead/settings.go
@@ -278,7 +278,7 @@
 // showAccepted prints the accepted change. If the change lost a race against
 // another one it prints the current settings and returns err.
 func showAccepted(cmd *cobra.Command, accepted operator.Accepted, err error) error {
-	var raced *operator.RacedError
+	var raced *operator.ConflictError
 	if errors.As(err, &raced) {
 		fmt.Fprintf(cmd.ErrOrStderr(), "current settings at revision %d:\n", raced.Present.Revision)
 		_ = printJSON(cmd.ErrOrStderr(), raced.Present.Values)
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -21,9 +21,9 @@
 type Router struct {
 	Config config.Router
 	Logger *slog.Logger
-	// Started, if not nil, is called with the addresses once the daemon listens on
+	// OnStart, if not nil, is called with the addresses once the daemon listens on
 	// all of them.
-	Started func(addresses Addresses)
+	OnStart func(addresses Addresses)
 
 	base            *base
 	callers         *caller.Server
@@ -46,8 +46,8 @@
 		return err
 	}
 	base.logger.Info("Started.", "callers", router.callerService.address(), "operators", router.operatorService.address())
-	if router.Started != nil {
-		router.Started(Addresses{
+	if router.OnStart != nil {
+		router.OnStart(Addresses{
 			Callers:   router.callerService.address(),
 			Operators: router.operatorService.address(),
 			Peers:     base.peerListener.Addr().String(),
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -27,9 +27,9 @@
 type Sidecar struct {
 	Config config.Sidecar
 	Logger *slog.Logger
-	// Started, if not nil, is called with the addresses once the daemon listens on
+	// OnStart, if not nil, is called with the addresses once the daemon listens on
 	// all of them.
-	Started func(addresses Addresses)
+	OnStart func(addresses Addresses)
 
 	base    *base
 	core    *sidecar.Sidecar
@@ -54,8 +54,8 @@
 		return err
 	}
 	base.logger.Info("Started.", "hop", daemon.hop.address(), "upstream", daemon.Config.Upstream.ID)
-	if daemon.Started != nil {
-		daemon.Started(Addresses{Hop: daemon.hop.address(), Peers: base.peerListener.Addr().String()})
+	if daemon.OnStart != nil {
+		daemon.OnStart(Addresses{Hop: daemon.hop.address(), Peers: base.peerListener.Addr().String()})
 	}
 	<-ctx.Done()
 	return daemon.stop(servicesCtx)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -27,9 +27,9 @@
 	return standin.Answer(upstream.Prompt{Text: "Header copy for the end gondola of aisle twelve", MaxTokens: 24, Seed: 7})
 }
 
-func ask(t *testing.T, entry *fleettest.Entry, request fleettest.Request) fleettest.Reply {
+func ask(t *testing.T, entry *fleettest.Router, request fleettest.Request) fleettest.Reply {
 	t.Helper()
-	reply, err := fleettest.Ask(entry, request)
+	reply, err := fleettest.Send(entry, request)
 	if err != nil {
 		t.Fatalf("request to %s: %v", request.Route, err)
 	}
--- a/e2e/settings_test.go
+++ b/e2e/settings_test.go
@@ -21,7 +21,7 @@
 
 // change sets the weight of a workspace through a router and returns the revision
 // of the accepted change.
-func (operators *settingsOperator) change(entry *fleettest.Entry, weight int) ident.Revision {
+func (operators *settingsOperator) change(entry *fleettest.Router, weight int) ident.Revision {
 	operators.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -40,7 +40,7 @@
 
 // revision returns the revision in force at a router, or 0 if the router does not
 // answer.
-func (operators *settingsOperator) revision(entry *fleettest.Entry) ident.Revision {
+func (operators *settingsOperator) revision(entry *fleettest.Router) ident.Revision {
 	status, err := operators.fleet.Status(entry)
 	if err != nil {
 		return 0
@@ -49,7 +49,7 @@
 }
 
 // waitInForce waits until the routers have at least the revision want in force.
-func (operators *settingsOperator) waitInForce(entries []*fleettest.Entry, want ident.Revision) {
+func (operators *settingsOperator) waitInForce(entries []*fleettest.Router, want ident.Revision) {
 	operators.t.Helper()
 	for _, entry := range entries {
 		what := fmt.Sprintf("revision %d at %s", want, entry.VM.ID)
--- a/faulttest/crash_test.go
+++ b/faulttest/crash_test.go
@@ -53,7 +53,7 @@
 		default:
 		}
 		request, want := draft(sender*1_000_000+number, 40)
-		reply, err := fleettest.Ask(load.fleet.Routers[sender%len(load.fleet.Routers)], request)
+		reply, err := fleettest.Send(load.fleet.Routers[sender%len(load.fleet.Routers)], request)
 		load.mu.Lock()
 		switch {
 		case err != nil:
@@ -93,7 +93,7 @@
 	pause()
 	var last fleettest.Reply
 	for i := range 12 {
-		reply, err := fleettest.Ask(fleet.Routers[i%3], crashingRequest)
+		reply, err := fleettest.Send(fleet.Routers[i%3], crashingRequest)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/faulttest/cut_test.go
+++ b/faulttest/cut_test.go
@@ -51,7 +51,7 @@
 		request, want := draft(number, 8)
 		before := relay.breakCount()
 		relay.breakAfter(at)
-		reply, err := fleettest.Ask(fleet.Routers[0], request)
+		reply, err := fleettest.Send(fleet.Routers[0], request)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -81,7 +81,7 @@
 }
 
 // routesTo reports whether a router has an upstream with that address.
-func routesTo(fleet *fleettest.Fleet, entry *fleettest.Entry, address string) bool {
+func routesTo(fleet *fleettest.Fleet, entry *fleettest.Router, address string) bool {
 	status, err := fleet.Status(entry)
 	if err != nil {
 		return false
@@ -109,7 +109,7 @@
 	ask := func() {
 		number++
 		request, want := draft(number, 8)
-		reply, err := fleettest.Ask(fleet.Routers[0], request)
+		reply, err := fleettest.Send(fleet.Routers[0], request)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -158,7 +158,7 @@
 
 // readFirstEvents reads the first count events of an answer and closes the
 // connection. It returns their text and the ID of the last one.
-func readFirstEvents(t *testing.T, entry *fleettest.Entry, request fleettest.Request, count int) (text, last string) {
+func readFirstEvents(t *testing.T, entry *fleettest.Router, request fleettest.Request, count int) (text, last string) {
 	t.Helper()
 	response, err := fleettest.Open(entry, request)
 	if err != nil {
--- a/faulttest/fault_test.go
+++ b/faulttest/fault_test.go
@@ -39,7 +39,7 @@
 // send sends the confirmation through a router. If the connection breaks or the
 // router is down, the outcome is unknown.
 func (confirmation *confirmation) send(router int) fleettest.Reply {
-	reply, err := fleettest.Ask(confirmation.fleet.Routers[router], confirmation.request())
+	reply, err := fleettest.Send(confirmation.fleet.Routers[router], confirmation.request())
 	if err != nil {
 		reply.Problem.Outcome = result.Unknown
 		reply.Problem.Detail = err.Error()
--- a/faulttest/lease_test.go
+++ b/faulttest/lease_test.go
@@ -58,7 +58,7 @@
 }
 
 // routerOf returns the router that holds the lease.
-func routerOf(t *testing.T, fleet *fleettest.Fleet, record lease.Record) *fleettest.Entry {
+func routerOf(t *testing.T, fleet *fleettest.Fleet, record lease.Record) *fleettest.Router {
 	t.Helper()
 	for _, entry := range fleet.Routers {
 		if entry.VM.ID == record.Holder {
--- a/faulttest/once_test.go
+++ b/faulttest/once_test.go
@@ -154,7 +154,7 @@
 	confirmation.wantOutcome(confirmation.send(0), result.Done)
 	request := confirmation.request()
 	request.Body = `{"Headers":41}`
-	reply, err := fleettest.Ask(confirmation.fleet.Routers[1], request)
+	reply, err := fleettest.Send(confirmation.fleet.Routers[1], request)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/faulttest/retry_test.go
+++ b/faulttest/retry_test.go
@@ -23,7 +23,7 @@
 	}
 	for number := range requests {
 		request, want := draft(number, 40)
-		reply, err := fleettest.Ask(fleet.Routers[0], request)
+		reply, err := fleettest.Send(fleet.Routers[0], request)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/fleettest/caller.go
+++ b/fleettest/caller.go
@@ -36,9 +36,9 @@
 	Affinity string
 }
 
-// Ask sends request to a router and reads the complete reply. It returns an
+// Send sends request to a router and reads the complete reply. It returns an
 // error if the connection fails; an error status is part of the reply.
-func Ask(entry *Entry, request Request) (Reply, error) {
+func Send(entry *Router, request Request) (Reply, error) {
 	response, err := Open(entry, request)
 	if err != nil {
 		return Reply{}, err
@@ -59,7 +59,7 @@
 
 // Open sends request to a router and returns the response once its header has
 // arrived. The caller must close the body.
-func Open(entry *Entry, request Request) (*http.Response, error) {
+func Open(entry *Router, request Request) (*http.Response, error) {
 	url := "http://" + entry.Callers + "/v1/teams/" + string(Team) + "/routes/" + request.Route + "/requests"
 	httpRequest, err := http.NewRequest(http.MethodPost, url, strings.NewReader(request.Body))
 	if err != nil {
@@ -86,7 +86,7 @@
 
 // Resume requests from a router the events of an answer that follow lastEventID.
 // The caller must close the body.
-func Resume(entry *Entry, lastEventID string) (*http.Response, error) {
+func Resume(entry *Router, lastEventID string) (*http.Response, error) {
 	httpRequest, err := http.NewRequest(http.MethodGet, "http://"+entry.Callers+"/v1/answers", nil)
 	if err != nil {
 		return nil, err
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -63,9 +63,9 @@
 	VM       platform.VM
 }
 
-// Entry is a router. Callers and Operators are the addresses, IP:port, that it
+// Router is a router. Callers and Operators are the addresses, IP:port, that it
 // listens on for callers and operators.
-type Entry struct {
+type Router struct {
 	Process   *Process
 	Callers   string
 	Operators string
@@ -76,11 +76,11 @@
 type Fleet struct {
 	T        testing.TB
 	Platform *platform.Client
-	// PlatformAt is the address, IP:port, of the stand-in for the platform.
-	PlatformAt string
-	Routers    []*Entry
-	Engines    []*Unit
-	Services   []*Unit
+	// PlatformAddress is the address, IP:port, of the stand-in for the platform.
+	PlatformAddress string
+	Routers         []*Router
+	Engines         []*Unit
+	Services        []*Unit
 
 	dir       string
 	options   Options
@@ -102,8 +102,8 @@
 	t.Helper()
 	fleet := &Fleet{T: t, dir: t.TempDir(), options: options}
 	standin := start(t, "platform", "hickoryhead-standin", append([]string{"platform"}, options.PlatformArgs...)...)
-	fleet.PlatformAt = standin.line(t, "listening on ")
-	fleet.Platform = platform.New(fleet.PlatformAt, nil)
+	fleet.PlatformAddress = standin.line(t, "listening on ")
+	fleet.Platform = platform.New(fleet.PlatformAddress, nil)
 	fleet.seed()
 	for i := range max(1, options.Engines) {
 		fleet.Engines = append(fleet.Engines, fleet.startUnit(fmt.Sprintf("engine-%d", i+1), true))
@@ -203,16 +203,16 @@
 	fleet.PutVM(unit.VM)
 }
 
-func (fleet *Fleet) startRouter(name string) *Entry {
+func (fleet *Fleet) startRouter(name string) *Router {
 	fleet.T.Helper()
-	entry := &Entry{VM: platform.VM{ID: ident.VMID(name)}}
+	entry := &Router{VM: platform.VM{ID: ident.VMID(name)}}
 	fleet.StartRouter(entry)
 	return entry
 }
 
 // StartRouter starts a router and adds its VM to the platform's list. A restarted
 // router keeps its addresses.
-func (fleet *Fleet) StartRouter(entry *Entry) {
+func (fleet *Fleet) StartRouter(entry *Router) {
 	fleet.T.Helper()
 	host := fleet.host()
 	name := string(entry.VM.ID)
@@ -234,7 +234,7 @@
 		VM:         ident.VMID(vm),
 		Zone:       "est-a",
 		Region:     "est",
-		Platform:   fleet.PlatformAt,
+		Platform:   fleet.PlatformAddress,
 		PeerListen: peers,
 		Secret:     Secret,
 	}
@@ -298,7 +298,7 @@
 
 func (fleet *Fleet) send(method, path string, body []byte) {
 	fleet.T.Helper()
-	request, err := http.NewRequest(method, "http://"+fleet.PlatformAt+path, bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+fleet.PlatformAddress+path, bytes.NewReader(body))
 	if err != nil {
 		fleet.T.Fatalf("request to the platform: %v", err)
 	}
@@ -324,7 +324,7 @@
 	}
 }
 
-func (fleet *Fleet) knowsAllUpstreams(entry *Entry) bool {
+func (fleet *Fleet) knowsAllUpstreams(entry *Router) bool {
 	status, err := fleet.Status(entry)
 	return err == nil && status.Ready && len(status.Upstreams) == len(fleet.Engines)+len(fleet.Services)
 }
@@ -340,7 +340,7 @@
 }
 
 // Status requests the status of a router from its operator address.
-func (fleet *Fleet) Status(entry *Entry) (daemon.RouterStatus, error) {
+func (fleet *Fleet) Status(entry *Router) (daemon.RouterStatus, error) {
 	var status daemon.RouterStatus
 	response, err := http.Get("http://" + entry.Operators + "/v1/status")
 	if err != nil {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -43,8 +43,8 @@
 	// this one included: also those that are not heard of, since they may serve
 	// callers behind a partition. With nil it is that of Routers.
 	RegisteredRouters func() int
-	Metrics *metrics.Set
-	Logger  *slog.Logger
+	Metrics           *metrics.Set
+	Logger            *slog.Logger
 	// LogLimiter limits the log lines of requests that the first upstream
 	// served. All other requests are logged.
 	LogLimiter *rate.Limiter
--- a/jsonline/jsonline.go
+++ b/jsonline/jsonline.go
@@ -1,7 +1,7 @@
 // Package jsonline encodes and decodes the most frequent JSON lines without
 // reflection.
 //
-// It guarantees the same bytes and values as encoding/json. Lines that Cut does
+// It guarantees the same bytes and values as encoding/json. Lines that Parse does
 // not recognize have to be decoded with encoding/json.
 package jsonline
 
@@ -38,9 +38,9 @@
 	return append(line, "}\n"...)
 }
 
-// Cut returns the number and the text of line. It reports false unless line is
+// Parse returns the number and the text of line. It reports false unless line is
 // exactly what Append writes and its text contains no escapes.
-func (shape Shape) Cut(line []byte) (number uint64, text string, found bool) {
+func (shape Shape) Parse(line []byte) (number uint64, text string, found bool) {
 	line, hasNumber := bytes.CutPrefix(line, []byte(shape.number))
 	digits, rest, hasText := bytes.Cut(line, []byte(shape.text))
 	rest, hasEnd := bytes.CutSuffix(rest, []byte(lineEnd))
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -3,8 +3,8 @@
 // lease holders.
 //
 // While the clocks of two daemons run at the same rate, at most one of them
-// holds a lease at any time. Each tenure has a higher fencing number than all
-// earlier ones. A Fence admits no order of a tenure earlier than one it has
+// holds a lease at any time. Each term has a higher fencing number than all
+// earlier ones. A Fence admits no order of a term earlier than one it has
 // seen, and no order at all before it knows the current number. Clocks need not
 // show the same time: a daemon that wants the lease waits for the lifetime in
 // the row, on its own clock, from when it first saw the row's revision.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -62,8 +62,8 @@
 	// order is the fencing number of an order that the daemon decided on while it
 	// held the lease, and may give later.
 	order ident.FencingNumber
-	// tenure is the fencing number of the daemon's latest tenure.
-	tenure ident.FencingNumber
+	// term is the fencing number of the daemon's latest term.
+	term ident.FencingNumber
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -140,11 +140,11 @@
 		}
 		holders++
 		for j, other := range simulation.daemons {
-			if i != j && other.tenure >= fence {
-				t.Fatalf("got fencing number %d, want it above %d of an earlier tenure", fence, other.tenure)
+			if i != j && other.term >= fence {
+				t.Fatalf("got fencing number %d, want it above %d of an earlier term", fence, other.term)
 			}
 		}
-		daemon.tenure = fence
+		daemon.term = fence
 	}
 	if holders > 1 {
 		t.Fatalf("got %d holders at one time, want at most 1", holders)
@@ -165,7 +165,7 @@
 
 // Requests and responses are lost, writes are delayed, daemons pause and the
 // sidecar restarts. There is still at most one holder at a time, fencing numbers
-// rise with each tenure, and no order is admitted after one of a later tenure.
+// rise with each term, and no order is admitted after one of a later term.
 func TestLease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newSimulation(t)
--- a/operator/client.go
+++ b/operator/client.go
@@ -44,18 +44,18 @@
 	Pause func(ctx context.Context) error
 }
 
-// RacedError reports that another change was accepted first. Present holds the
+// ConflictError reports that another change was accepted first. Present holds the
 // current values of the paths that the rejected change names.
-type RacedError struct {
+type ConflictError struct {
 	Problem *result.Error
 	Present Listing
 }
 
 // Error returns the text of the router's error response.
-func (e *RacedError) Error() string { return e.Problem.Error() }
+func (e *ConflictError) Error() string { return e.Problem.Error() }
 
 // Unwrap returns Problem, so that result.CodeOf finds its code.
-func (e *RacedError) Unwrap() error { return e.Problem }
+func (e *ConflictError) Unwrap() error { return e.Problem }
 
 // List returns the settings of the team that are in force at the router. An empty
 // kind means all kinds.
@@ -219,7 +219,7 @@
 	}
 	problem := refusal.Err(time.Now())
 	if refusal.Present != nil {
-		return &RacedError{Problem: problem, Present: *refusal.Present}
+		return &ConflictError{Problem: problem, Present: *refusal.Present}
 	}
 	return problem
 }
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -65,9 +65,9 @@
 		t.Fatal(err)
 	}
 	_, err := client.Apply(context.Background(), 0, weightChange)
-	var raced *operator.RacedError
+	var raced *operator.ConflictError
 	if !errors.As(err, &raced) {
-		t.Fatalf("got %v, want a RacedError", err)
+		t.Fatalf("got %v, want a ConflictError", err)
 	}
 	if got, want := raced.Present.Revision, ident.Revision(1); got != want {
 		t.Errorf("got revision %d, want %d", got, want)
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -66,15 +66,15 @@
 	Logger   *slog.Logger
 
 	mu sync.Mutex
-	// tenure is the fencing number of the tenure that orders belongs to.
-	tenure ident.FencingNumber
+	// term is the fencing number of the term that orders belongs to.
+	term   ident.FencingNumber
 	orders map[ident.UpstreamID]*order
 	// nextLoadAt is the earliest time of the next order.
 	nextLoadAt time.Time
 	tasks      sync.WaitGroup
 }
 
-// order is one order of the current tenure, or one that was read from the record
+// order is one order of the current term, or one that was read from the record
 // of the former holder. The controller's mutex guards the fields after fence.
 type order struct {
 	controller *Controller
@@ -105,7 +105,7 @@
 	if !held {
 		return
 	}
-	if err := controller.beginTenure(ctx, fence, now); err != nil {
+	if err := controller.beginTerm(ctx, fence, now); err != nil {
 		controller.reportRecordError(err)
 		return
 	}
@@ -129,11 +129,11 @@
 	controller.logger().Warn("Record of placement orders could not be read or written.", "error", err)
 }
 
-// beginTenure reads the orders of the former holder from the record, if this is
-// the first step of a tenure.
-func (controller *Controller) beginTenure(ctx context.Context, fence ident.FencingNumber, now time.Time) error {
+// beginTerm reads the orders of the former holder from the record, if this is
+// the first step of a term.
+func (controller *Controller) beginTerm(ctx context.Context, fence ident.FencingNumber, now time.Time) error {
 	controller.mu.Lock()
-	begun := controller.tenure == fence && controller.orders != nil
+	begun := controller.term == fence && controller.orders != nil
 	controller.mu.Unlock()
 	if begun {
 		return nil
@@ -146,7 +146,7 @@
 	}
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	controller.tenure = fence
+	controller.term = fence
 	// The former holder may have started a load just before.
 	controller.nextLoadAt = now.Add(controller.loadInterval())
 	controller.orders = make(map[ident.UpstreamID]*order)
@@ -176,11 +176,11 @@
 	return nil
 }
 
-// writeRecord writes the orders of this tenure to the table. It is called before
+// writeRecord writes the orders of this term to the table. It is called before
 // an order is sent, so that the next holder knows of every order.
 func (controller *Controller) writeRecord(ctx context.Context) error {
 	controller.mu.Lock()
-	record := Record{Fence: controller.tenure, Models: make(map[ident.UpstreamID]ident.ModelName)}
+	record := Record{Fence: controller.term, Models: make(map[ident.UpstreamID]ident.ModelName)}
 	for upstream, order := range controller.orders {
 		if !order.rejected {
 			record.Models[upstream] = order.move.To
@@ -200,7 +200,7 @@
 }
 
 // plannedEngines returns the engines with the models that the orders of this
-// tenure lead to. An engine that rejected its order keeps its model and is fixed
+// term lead to. An engine that rejected its order keeps its model and is fixed
 // for rejectedOrderPause. The caller holds the mutex.
 func (controller *Controller) plannedEngines(now time.Time) []Engine {
 	engines := controller.Engines()
--- a/policybench/engine_test.go
+++ b/policybench/engine_test.go
@@ -164,7 +164,7 @@
 	outcome := prefix.Outcome{Source: chat.lastUpstream, Tokens: chat.prefix, Bytes: bytesPerToken * ident.Bytes(chat.prefix)}
 	switch {
 	case holder == nil || holder.removed:
-		outcome.Reason = prefix.HolderFailed
+		outcome.Reason = prefix.SourceFailed
 	case holder.cache.peek(chat.id) < chat.prefix:
 		outcome.Reason = prefix.HolderEvicted
 	}
--- a/prefix/fetcher.go
+++ b/prefix/fetcher.go
@@ -46,16 +46,16 @@
 // is Fetch. The other values are part of event names.
 type Reason string
 
-// The decision to fetch, and the reasons to prefill instead. The holder in their
-// names is the source: the upstream that served the chat last and has its prefix
-// cached.
+// The decision to fetch, and the reasons to prefill instead. The source is the
+// upstream that served the chat last and has its prefix cached; event names call
+// it the holder.
 const (
 	Fetch         Reason = ""
-	NoHolder      Reason = "NoHolder"
+	NoSource      Reason = "NoHolder"
 	CachedHere    Reason = "CachedHere"
 	TooShort      Reason = "TooShort"
 	Slower        Reason = "Slower"
-	HolderFailed  Reason = "HolderFailed"
+	SourceFailed  Reason = "HolderFailed"
 	TooMany       Reason = "TooMany"
 	OverBudget    Reason = "OverBudget"
 	HolderEvicted Reason = "HolderEvicted"
@@ -122,13 +122,13 @@
 	case request.Cached:
 		return CachedHere
 	case request.Source == "" || request.Source == request.Self:
-		return NoHolder
+		return NoSource
 	case request.Tokens < max(1, fetcher.policy.MinTokens):
 		return TooShort
 	case fetcher.slower(request.Tokens):
 		return Slower
 	case now.Before(fetcher.retryAt[request.Source]):
-		return HolderFailed
+		return SourceFailed
 	case fetcher.running >= fetcher.policy.MaxRunning:
 		return TooMany
 	}
@@ -165,7 +165,7 @@
 func (fetcher *Fetcher) End(now time.Time, outcome Outcome) {
 	fetcher.running--
 	switch outcome.Reason {
-	case HolderFailed:
+	case SourceFailed:
 		fetcher.backOff(now, outcome.Source)
 	case Fetch:
 		delete(fetcher.retryAt, outcome.Source)
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -24,7 +24,7 @@
 	now := time.Unix(1000, 0)
 	request := prefix.Request{Chat: "chat-7", Self: "engine-2", Source: "engine-1", Tokens: 4000}
 	fmt.Println(fetcher.Begin(now, request) == prefix.Fetch)
-	fetcher.End(now, prefix.Outcome{Source: "engine-1", Reason: prefix.HolderFailed})
+	fetcher.End(now, prefix.Outcome{Source: "engine-1", Reason: prefix.SourceFailed})
 	fmt.Println(fetcher.Begin(now, request))
 	// Output:
 	// true
@@ -39,8 +39,8 @@
 		want   prefix.Reason
 	}{
 		{"fetched", func(*prefix.Policy, *prefix.Request) {}, prefix.Fetch},
-		{"unknown source", func(_ *prefix.Policy, request *prefix.Request) { request.Source = "" }, prefix.NoHolder},
-		{"last served here", func(_ *prefix.Policy, request *prefix.Request) { request.Source = "a" }, prefix.NoHolder},
+		{"unknown source", func(_ *prefix.Policy, request *prefix.Request) { request.Source = "" }, prefix.NoSource},
+		{"last served here", func(_ *prefix.Policy, request *prefix.Request) { request.Source = "a" }, prefix.NoSource},
 		{"cached here", func(_ *prefix.Policy, request *prefix.Request) { request.Cached = true }, prefix.CachedHere},
 		{"too short", func(_ *prefix.Policy, request *prefix.Request) { request.Tokens = 99 }, prefix.TooShort},
 		{"slow network", func(policy *prefix.Policy, _ *prefix.Request) { policy.TransferRate = 99e3 }, prefix.Slower},
--- a/sidecar/prefixes.go
+++ b/sidecar/prefixes.go
@@ -112,7 +112,7 @@
 	case errors.Is(err, errNoPrefix):
 		return prefix.HolderEvicted
 	}
-	return prefix.HolderFailed
+	return prefix.SourceFailed
 }
 
 var errNoPrefix = errors.New("the upstream does not have the prefix cached")
--- a/soak/check.go
+++ b/soak/check.go
@@ -37,18 +37,18 @@
 		soak.violate("sound request refused", "%s %s got 429 from %s: %s", call.kind.name, call.attempt, call.router.name, call.reply.Body)
 	case call.reply.Status == http.StatusOK && call.reply.Err == nil:
 		soak.checkAnswer(call)
-	case call.reply.Status >= 400 && call.reply.Status < 500 && !promisesNotRun(call.reply.Status):
+	case call.reply.Status >= 400 && call.reply.Status < 500 && !meansNotRun(call.reply.Status):
 		soak.violate("proper request refused", "%s %s got %d from %s", call.kind.name, call.attempt, call.reply.Status, call.router.name)
-	case call.reply.Status != 0 && call.reply.Err == nil && promisesNotRun(call.reply.Status) && call.kind.atMostOnce:
+	case call.reply.Status != 0 && call.reply.Err == nil && meansNotRun(call.reply.Status) && call.kind.atMostOnce:
 		soak.recordNotRun(call.attempt)
 	case call.reply.Err != nil:
 		soak.checkTruncated(call, len(runs) > 0)
 	}
 }
 
-// promisesNotRun reports whether a response status guarantees that the request was
+// meansNotRun reports whether a response status guarantees that the request was
 // not run.
-func promisesNotRun(status int) bool {
+func meansNotRun(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -89,7 +89,7 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	crashCall.call.perform(context.Background(), &http.Client{Transport: transport}, 0, crashCall.body)
 	reply := crashCall.call.reply
-	if reply.Err == nil && promisesNotRun(reply.Status) {
+	if reply.Err == nil && meansNotRun(reply.Status) {
 		crashCall.soak.recordNotRun(crashCall.call.attempt)
 	}
 	crashCall.soak.countCrashCall(reply)
--- a/upstream/decode.go
+++ b/upstream/decode.go
@@ -15,7 +15,7 @@
 // decodeToken decodes one line of an engine's response. The result is that of
 // json.Unmarshal, but lines of textTokenShape are decoded faster.
 func decodeToken(line []byte) (Token, error) {
-	index, text, found := textTokenShape.Cut(line)
+	index, text, found := textTokenShape.Parse(line)
 	if found && index <= math.MaxInt {
 		return Token{Index: ident.Tokens(index), Text: text}, nil
 	}
