--- /dev/null
+++ b/strike/bench_test.go
@@ -0,0 +1,33 @@
+package strike_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// BenchmarkSoundRequest asks whether a sound request may run and records its
+// success, while many other requests have strikes.
+func BenchmarkSoundRequest(b *testing.B) {
+	for name, struck := range map[string]int{"none": 0, "1000": 1000} {
+		b.Run(name, func(b *testing.B) {
+			var guard strike.Guard
+			for n := range struck {
+				run := crashOf(1)
+				run.Fingerprint = ident.Fingerprint(n + 1)
+				guard.Broken(start, run)
+			}
+			now := time.Now()
+			sound := ident.Fingerprint(1 << 40)
+			b.ReportAllocs()
+			for b.Loop() {
+				if guard.Any() && guard.Allowed(now, sound) != strike.Free {
+					b.Fatal("got a sound request that is not free")
+				}
+				guard.Succeeded(now, sound, "e1", 1)
+			}
+		})
+	}
+}
