--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -115,7 +115,8 @@
 	return nil
 }
 
-// logStrike counts and logs a decision on a strike.
+// logStrike counts and logs a decision on a strike. What other routers saw once is
+// in their own logs, so it is logged for debugging only.
 func (daemon *Daemon) logStrike(event strike.Event) {
 	names := [...]struct{ metric, message string }{
 		strike.Counted:   {"strike.added", "Strike counted, the upstream broke off while it ran the request."},
@@ -123,12 +124,15 @@
 		strike.Cleared:   {"strike.cleared", "Strike cleared, the request succeeded."},
 	}
 	name := names[event.Decision]
-	source := "router"
+	source, level := "router", slog.LevelDebug
 	if event.Strike.Own {
 		source = "own"
 	}
+	if event.Strike.Own || event.Strikes > 1 || event.Decision == strike.Withdrawn {
+		level = slog.LevelWarn
+	}
 	daemon.metrics.CountEvent(name.metric)
-	daemon.Logger.Warn("strike: "+name.message,
+	daemon.Logger.Log(context.Background(), level, "strike: "+name.message,
 		"Fingerprint", event.Strike.Fingerprint.String(), "Attempt", event.Strike.Attempt,
 		"Upstream", event.Strike.Upstream, "Incarnation", event.Strike.Incarnation,
 		"At", event.Strike.At, "Strikes", event.Strikes, "Source", source)
