forward: take a caller that breaks off for no crash of its upstream

What callers saw: a sound request refused with 429 after its caller had broken off three times in the middle of the answer, and upstreams ejected for it.

Cause: an error of writing to the caller (connection reset, broken pipe) went through the same code as one of reading from the upstream, and counted as a crash unless the request's context had already ended.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -87,7 +87,7 @@
 	conn, err := exchange.connect(upstream)
 	if err != nil {
 		exchange.setCause(err)
-		if exchange.request.Context().Err() == nil && !errors.Is(err, http1.ErrFull) {
+		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
@@ -337,7 +337,7 @@
 // caller has left. A refusal counts as a success, since the upstream responded.
 func (exchange *exchange) recordFailure(upstream registry.Upstream, code result.Code) {
 	exchange.recordRun(upstream, code)
-	if exchange.request.Context().Err() != nil {
+	if exchange.callerLeft() {
 		return
 	}
 	switch code {
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -81,9 +81,10 @@
 		At:          now,
 		Attempt:     exchange.head.Attempt,
 	}
-	unanswered := exchange.unanswered || exchange.request.Context().Err() != nil
+	left := exchange.callerLeft()
+	unanswered := exchange.unanswered || left
 	switch {
-	case exchange.broke, unanswered && exchange.hasEnded(upstream):
+	case exchange.broke && !left, unanswered && exchange.hasEnded(upstream):
 		exchange.handler.Strikes.Broken(now, run)
 	case unanswered:
 		exchange.handler.Strikes.Unanswered(run)
--- a/forward/crashing_test.go
+++ b/forward/crashing_test.go
@@ -1,11 +1,16 @@
 package forward_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 )
 
 // crashOn returns answers of an upstream that ends each connection with a request
@@ -87,3 +92,47 @@
 		t.Errorf("got %d requests at the upstream, want %d", got, attempts)
 	}
 }
+
+// TestCallerThatBreaksOffIsNoCrash guards against strikes, and the refusal of a
+// sound request, because its caller breaks off while the answer is written.
+func TestCallerThatBreaksOffIsNoCrash(t *testing.T) {
+	const attempts = 5
+	endless := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		head := fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))
+		if request.target == "/once/x" {
+			head = fmt.Sprintf("HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id"))
+		}
+		_, err := io.WriteString(conn, head)
+		block := []byte(strings.Repeat(chunk("data: a\n\n"), 1000))
+		for err == nil {
+			_, err = conn.Write(block)
+		}
+		return false
+	}
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		var upstreams []*fakeUpstream
+		for range 5 {
+			upstreams = append(upstreams, startUpstream(t, endless))
+		}
+		router := startRouter(t, upstreams...)
+		for n := range attempts {
+			conn, err := net.Dial("tcp", router.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			write(conn, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a%d\r\nAuthorization: Token key-1\r\nContent-Length: 4\r\n\r\nsame", path, n))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("got %v and error %v for attempt %d to %s, want an answer that begins", response, err, n, path)
+			}
+			reset(conn)
+			for end := time.Now().Add(5 * time.Second); runs(upstreams) <= n && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if router.handler.Strikes.Any() {
+			t.Errorf("got strikes for a caller that breaks off at %s, want none", path)
+		}
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -85,6 +85,8 @@
 	// and unanswered if it is an upstream that gave no answer in time.
 	broke      bool
 	unanswered bool
+	// callerFailed is set once a write to the caller has failed.
+	callerFailed bool
 	// aborted is set if the answer to the caller is truncated, so that its
 	// connection must be broken.
 	aborted bool
@@ -255,7 +257,7 @@
 		if code == result.OK {
 			code = exchange.relay(answer)
 		}
-		if exchange.started || code == result.OK || exchange.request.Context().Err() != nil {
+		if exchange.started || code == result.OK || exchange.callerLeft() {
 			exchange.code = code
 			exchange.markCallerLeft()
 			return
@@ -450,16 +452,36 @@
 	if exchange.cause != "" {
 		attributes = append(attributes, slog.String("Cause", exchange.cause))
 	}
-	if exchange.request.Context().Err() != nil {
+	if exchange.callerLeft() {
 		attributes = append(attributes, slog.Bool("CallerLeft", true))
 	}
 	exchange.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
 }
 
+// callerLeft reports whether the caller has disconnected.
+func (exchange *exchange) callerLeft() bool {
+	return exchange.callerFailed || exchange.request.Context().Err() != nil
+}
+
+// callerWriter writes the body of the answer to the caller, and records a failure
+// as the caller's: its error looks like that of a connection to an upstream.
+type callerWriter struct {
+	exchange *exchange
+}
+
+// Write writes data to the caller.
+func (callerWriter callerWriter) Write(data []byte) (int, error) {
+	count, err := callerWriter.exchange.writer.Write(data)
+	if err != nil {
+		callerWriter.exchange.callerFailed = true
+	}
+	return count, err
+}
+
 // markCallerLeft changes the code to CallerLeft if the answer is incomplete
 // because the caller disconnected.
 func (exchange *exchange) markCallerLeft() {
-	if exchange.request.Context().Err() != nil && exchange.code != result.OK && exchange.code != result.UpstreamFailed {
+	if exchange.callerLeft() && exchange.code != result.OK && exchange.code != result.UpstreamFailed {
 		exchange.code = result.CallerLeft
 	}
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -75,7 +75,7 @@
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
 	}
 	exchange.start(answer.response.StatusCode)
-	_, err := io.Copy(exchange.writer, io.MultiReader(bytes.NewReader(beginning), answer.response.Body))
+	_, err := io.Copy(callerWriter{exchange}, io.MultiReader(bytes.NewReader(beginning), answer.response.Body))
 	if err != nil {
 		exchange.setCause(err)
 		exchange.recordFailure(answer.upstream, exchange.truncationCode())
@@ -101,7 +101,7 @@
 	if code == result.OK {
 		code = exchange.relay(answer)
 	}
-	if code == result.OK || exchange.started || exchange.request.Context().Err() != nil {
+	if code == result.OK || exchange.started || exchange.callerLeft() {
 		return code
 	}
 	exchange.logAttempt(code)
@@ -119,7 +119,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	exchange.start(answer.response.StatusCode)
-	if _, err := exchange.writer.Write(body); err != nil {
+	if _, err := (callerWriter{exchange}).Write(body); err != nil {
 		exchange.setCause(err)
 	}
 	if answer.response.StatusCode >= http.StatusInternalServerError {
@@ -207,7 +207,7 @@
 		code := exchange.truncationCode()
 		exchange.recordFailure(answer.upstream, code)
 		answer.discard()
-		if exchange.request.Context().Err() != nil {
+		if exchange.callerLeft() {
 			return code
 		}
 		if !exchange.started {
@@ -264,10 +264,11 @@
 	if id, found := lastEventID(stream.pending[:length]); found {
 		stream.lastEvent = id
 	}
-	if _, err := exchange.writer.Write(stream.pending[:length]); err != nil {
+	if _, err := (callerWriter{exchange}).Write(stream.pending[:length]); err != nil {
 		return err
 	}
 	if err := controller.Flush(); err != nil {
+		exchange.callerFailed = true
 		return err
 	}
 	stream.pending = append(stream.pending[:0], stream.pending[length:]...)
