strike, forward: split the large files by job

A failed write of rows goes back to the Guard, where it is bounded, in place of being tried for ever with all that follows behind it; a strike that counts again keeps its row.

--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -34,30 +34,41 @@
 
 // run reads the rows, and then writes what changes until ctx ends.
 func (strikeStore *strikeStore) run(ctx context.Context) {
-	strikeStore.retry(ctx, "read", strikeStore.readRows)
+	for !strikeStore.call(ctx, "read", strikeStore.readRows) {
+		if !wait.Sleep(ctx, wait.Jitter(strikeRetryInterval)) {
+			return
+		}
+	}
 	close(strikeStore.read)
 	for wait.Sleep(ctx, strikeSaveInterval) {
-		unsaved := strikeStore.guard.TakeUnsaved()
-		if len(unsaved.Write)+len(unsaved.Remove) == 0 {
-			continue
-		}
-		strikeStore.retry(ctx, "write", func(ctx context.Context) error { return strikeStore.writeRows(ctx, unsaved) })
+		strikeStore.save(ctx)
 	}
 }
 
-// retry calls the store until a call succeeds or ctx ends. operation is logged.
-func (strikeStore *strikeStore) retry(ctx context.Context, operation string, call func(ctx context.Context) error) {
-	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, strikeCallTimeout)
-		err := call(bounded)
-		cancel()
-		if err == nil {
-			return
-		}
+// save writes what changed since the last time. After a failure it pauses.
+func (strikeStore *strikeStore) save(ctx context.Context) {
+	unsaved := strikeStore.guard.TakeUnsaved()
+	if len(unsaved.Write)+len(unsaved.Remove) == 0 {
+		return
+	}
+	write := func(ctx context.Context) error { return strikeStore.writeRows(ctx, unsaved) }
+	if !strikeStore.call(ctx, "write", write) {
+		strikeStore.guard.PutBackUnsaved(unsaved)
+		wait.Sleep(ctx, wait.Jitter(strikeRetryInterval))
+	}
+}
+
+// call makes one call to the store and reports whether it succeeded. operation is
+// logged.
+func (strikeStore *strikeStore) call(ctx context.Context, operation string, call func(ctx context.Context) error) bool {
+	bounded, cancel := context.WithTimeout(ctx, strikeCallTimeout)
+	defer cancel()
+	err := call(bounded)
+	if err != nil {
 		strikeStore.metrics.CountEvent("strike.store.failed")
 		strikeStore.logger.Warn("Could not "+operation+" the rows of strikes.", "Error", err)
-		wait.Sleep(ctx, wait.Jitter(strikeRetryInterval))
 	}
+	return err == nil
 }
 
 // readRows applies the strikes that are rows of the store.
--- a/forward/doc.go
+++ b/forward/doc.go
@@ -7,5 +7,7 @@
 //   - a status that means "not run" is true;
 //   - an answer goes only to the request whose ID it carries;
 //   - a truncated answer never looks complete;
-//   - the disconnect of a caller cancels the work at the upstream.
+//   - the disconnect of a caller cancels the work at the upstream;
+//   - a request under which three upstreams crashed is sent to none;
+//   - what an upstream sends without end is held in part only.
 package forward
--- /dev/null
+++ b/forward/request_log.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+// finish records the metrics and the log line of the request, and breaks the
+// caller's connection if the answer is truncated.
+func (exchange *exchange) finish() {
+	exchange.handler.Metrics.CountAnswer(exchange.code.Outcome())
+	if exchange.route != nil {
+		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
+	}
+	switch {
+	case exchange.code != result.OK || len(exchange.tried) > 1:
+		exchange.log(slog.LevelWarn)
+	case exchange.handler.LogLimiter.Allow():
+		exchange.log(slog.LevelInfo)
+	default:
+		exchange.handler.Metrics.CountEvent("log.request.omitted")
+	}
+	if exchange.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (exchange *exchange) log(level slog.Level) {
+	attributes := []slog.Attr{
+		slog.String("Attempt", string(exchange.head.Attempt)),
+		slog.Int("Status", exchange.status),
+		slog.String("Code", exchange.code.Name()),
+		slog.Int64("Ms", time.Since(exchange.arrived).Milliseconds()),
+	}
+	if exchange.table != nil {
+		attributes = append(attributes, slog.Uint64("ConfigVersion", uint64(exchange.table.Version)))
+	}
+	if exchange.route != nil {
+		attributes = append(attributes, slog.String("Route", string(exchange.route.Name)))
+	}
+	if exchange.workspace != nil {
+		attributes = append(attributes, slog.String("Workspace", string(exchange.workspace.ID)))
+	}
+	if !exchange.firstByte.IsZero() {
+		attributes = append(attributes, slog.Int64("FirstMs", exchange.firstByte.Sub(exchange.arrived).Milliseconds()))
+	}
+	if len(exchange.head.Prompt) > 0 {
+		attributes = append(attributes, slog.Int("Prompt", int(promptTokens(exchange.head.Prompt))))
+	}
+	if len(exchange.tried) > 0 {
+		attributes = append(attributes,
+			slog.String("Upstream", string(exchange.choice.Upstream.ID)),
+			slog.String("Reason", string(exchange.choice.Reason)),
+			slog.Int("Load", exchange.choice.Load.Requests),
+			slog.Int("Unread", int(exchange.choice.Load.PendingPrefill)),
+			slog.String("Source", string(exchange.choice.Source)),
+			slog.Float64("MeanLoad", exchange.choice.Mean),
+			slog.Int("Tried", len(exchange.tried)),
+			slog.Bool("Started", exchange.started))
+	}
+	if exchange.code == result.CrashingRequest || len(exchange.tried) > 0 && exchange.code != result.OK {
+		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()))
+	}
+	if exchange.cause != "" {
+		attributes = append(attributes, slog.String("Cause", exchange.cause))
+	}
+	if exchange.callerLeft() {
+		attributes = append(attributes, slog.Bool("CallerLeft", true))
+	}
+	exchange.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
+}
+
+// callerLeft reports whether the caller has disconnected.
+func (exchange *exchange) callerLeft() bool {
+	return exchange.callerFailed || exchange.request.Context().Err() != nil
+}
+
+// callerWriter writes the body of the answer to the caller, and records a failure
+// as the caller's: its error looks like that of a connection to an upstream.
+type callerWriter struct {
+	exchange *exchange
+}
+
+// Write writes data to the caller.
+func (callerWriter callerWriter) Write(data []byte) (int, error) {
+	count, err := callerWriter.exchange.writer.Write(data)
+	if err != nil {
+		callerWriter.exchange.callerFailed = true
+	}
+	return count, err
+}
+
+// markCallerLeft changes the code to CallerLeft if the answer is incomplete
+// because the caller disconnected.
+func (exchange *exchange) markCallerLeft() {
+	if exchange.callerLeft() && exchange.code != result.OK && exchange.code != result.UpstreamFailed {
+		exchange.code = result.CallerLeft
+	}
+}
+
+// logAttempt logs an attempt that did not answer the request.
+func (exchange *exchange) logAttempt(code result.Code) {
+	exchange.handler.Logger.Warn("Attempt failed.",
+		"Attempt", exchange.head.Attempt,
+		"Upstream", exchange.choice.Upstream.ID,
+		"Reason", exchange.choice.Reason,
+		"Load", exchange.choice.Load.Requests,
+		"Code", code.Name(),
+		"Cause", exchange.cause,
+		"Fingerprint", exchange.fingerprint().String(),
+		"Incarnation", exchange.choice.Upstream.Incarnation)
+}
+
+// setCause stores the root cause of err for the log. A nil err keeps the
+// earlier cause.
+func (exchange *exchange) setCause(err error) {
+	if err == nil {
+		return
+	}
+	exchange.setCauseText(errors.UnwrapAll(err).Error())
+	exchange.broke = connectionBroke(err)
+	exchange.unanswered = errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// setCauseText stores a cause that is no broken connection.
+func (exchange *exchange) setCauseText(cause string) {
+	exchange.cause = cause
+	exchange.broke = false
+	exchange.unanswered = false
+}
+
+// setUnanswered stores the cause of an attempt that got no answer in time.
+func (exchange *exchange) setUnanswered(cause string) {
+	exchange.setCauseText(cause)
+	exchange.unanswered = true
+}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -18,16 +18,6 @@
 	// before the crash is taken back: a write that was sent before the crash may
 	// take effect later.
 	withdrawMargin = 5 * time.Second
-	// sendsPerStrike is the number of messages to other routers that carry a new
-	// strike, and maxRepeated the number of older strikes in a message that
-	// repeats them.
-	sendsPerStrike = 2
-	maxRepeated    = 48
-	// repeatTime is how long a strike that this process saw is repeated, even if
-	// it is the only one of its request.
-	repeatTime = 10 * time.Second
-	// maxPerMessage limits the strikes, and the successes, in one message.
-	maxPerMessage = 200
 	// breakLifetime is how long after it broke off an upstream is assumed to be
 	// away, and maxBreaks limits the upstreams of which that is remembered.
 	breakLifetime = 3 * time.Second
@@ -56,27 +46,6 @@
 	Strikes  int
 }
 
-// Success tells other routers that a request with strikes succeeded.
-type Success struct {
-	Fingerprint ident.Fingerprint
-	At          time.Time
-}
-
-// Report is what routers tell each other about strikes. Saved says that the
-// strikes are rows of the store.
-type Report struct {
-	Strikes   []Strike
-	Successes []Success
-	Saved     bool
-}
-
-// Unsaved holds the strikes that have to be written to the store and those that
-// have to be removed from it.
-type Unsaved struct {
-	Write  []Strike
-	Remove []Strike
-}
-
 // Guard keeps the strikes of an entry router, which sees crashes only as
 // connections that break. Its zero value is ready to use, and a nil *Guard
 // allows everything. It is safe for concurrent use.
@@ -112,23 +81,6 @@
 	incarnation registry.Incarnation
 }
 
-// rowKey identifies the row of a strike.
-type rowKey struct {
-	fingerprint ident.Fingerprint
-	upstream    ident.UpstreamID
-	incarnation registry.Incarnation
-}
-
-func (strike Strike) rowKey() rowKey {
-	return rowKey{fingerprint: strike.Fingerprint, upstream: strike.Upstream, incarnation: strike.Incarnation}
-}
-
-// unsent is an item that sends further messages have to carry.
-type unsent[T any] struct {
-	item  T
-	sends int
-}
-
 // Allowed returns how the request may run at the time now.
 func (guard *Guard) Allowed(now time.Time, fingerprint ident.Fingerprint) Allowance {
 	guard.mu.Lock()
@@ -271,42 +223,6 @@
 	guard.report(now, Counted, strike)
 }
 
-// save has the strikes of a request written to the store if it has more than one
-// and this process saw one of them. The caller holds mu.
-func (guard *Guard) save(now time.Time, fingerprint ident.Fingerprint) {
-	strikes := guard.tracker.Strikes(now, fingerprint)
-	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !anyOwn(strikes) {
-		return
-	}
-	for _, strike := range strikes {
-		if guard.markSaved(strike) {
-			guard.unsaved.Write = append(guard.unsaved.Write, strike)
-		}
-	}
-}
-
-// markSaved records that a strike is, or is about to be, a row of the store. It
-// reports false if that was recorded before. The caller holds mu.
-func (guard *Guard) markSaved(strike Strike) bool {
-	if guard.saved == nil {
-		guard.saved = make(map[rowKey]struct{})
-	}
-	if _, found := guard.saved[strike.rowKey()]; found {
-		return false
-	}
-	guard.saved[strike.rowKey()] = struct{}{}
-	return true
-}
-
-func anyOwn(strikes []Strike) bool {
-	for _, strike := range strikes {
-		if strike.Own {
-			return true
-		}
-	}
-	return false
-}
-
 // clear removes the strikes of a request that succeeded. The caller holds mu.
 func (guard *Guard) clear(now time.Time, success Success) {
 	before := guard.tracker.Strikes(now, success.Fingerprint)
@@ -321,17 +237,6 @@
 	}
 }
 
-// removeStale has the rows of strikes removed from the store that no longer
-// count. The caller holds mu.
-func (guard *Guard) removeStale() {
-	for key := range guard.saved {
-		if !guard.tracker.has(key) {
-			delete(guard.saved, key)
-			guard.unsaved.Remove = append(guard.unsaved.Remove, Strike{Fingerprint: key.fingerprint, Upstream: key.upstream, Incarnation: key.incarnation})
-		}
-	}
-}
-
 // report updates the number of requests and calls OnEvent. The caller holds mu.
 func (guard *Guard) report(now time.Time, decision Decision, strike Strike) {
 	guard.requests.Store(int64(guard.tracker.Len()))
@@ -367,113 +272,3 @@
 	}
 	guard.unanswered = remaining
 }
-
-// Pending reports whether there is anything new to tell other routers.
-func (guard *Guard) Pending() bool {
-	if guard == nil {
-		return false
-	}
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	return len(guard.unsentStrikes)+len(guard.unsentSuccesses) > 0
-}
-
-// TakeReport returns what the next message to the other routers has to say. With
-// repeat it also holds some of the strikes of requests that have more than one or
-// a recent one, which makes up for lost messages.
-func (guard *Guard) TakeReport(now time.Time, repeat bool) Report {
-	if guard == nil {
-		return Report{}
-	}
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	var report Report
-	report.Strikes, guard.unsentStrikes = take(guard.unsentStrikes)
-	report.Successes, guard.unsentSuccesses = take(guard.unsentSuccesses)
-	if repeat {
-		report.Strikes = append(report.Strikes, guard.repeated(now)...)
-	}
-	return report
-}
-
-// take returns the first items of queue, at most maxPerMessage, and what is left
-// of the queue once they are sent.
-func take[T any](queue []unsent[T]) ([]T, []unsent[T]) {
-	var items []T
-	var rest []unsent[T]
-	for i, next := range queue {
-		if i >= maxPerMessage {
-			rest = append(rest, queue[i:]...)
-			break
-		}
-		items = append(items, next.item)
-		if next.sends > 1 {
-			rest = append(rest, unsent[T]{item: next.item, sends: next.sends - 1})
-		}
-	}
-	return items, rest
-}
-
-// repeated returns some of the strikes that are repeated, other ones each time.
-// The caller holds mu.
-func (guard *Guard) repeated(now time.Time) []Strike {
-	var repeated []Strike
-	for fingerprint, known := range guard.tracker.requests {
-		if len(repeated) >= maxRepeated {
-			break
-		}
-		if known.strikes() >= aloneStrikes || known.ownSince(now.Add(-repeatTime)) {
-			repeated = append(repeated, guard.tracker.Strikes(now, fingerprint)...)
-		}
-	}
-	return repeated
-}
-
-// All returns all strikes, for a router that has just started, at most
-// maxPerMessage in each report.
-func (guard *Guard) All(now time.Time) []Report {
-	if guard == nil {
-		return nil
-	}
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	var reports []Report
-	var report Report
-	for fingerprint := range guard.tracker.requests {
-		report.Strikes = append(report.Strikes, guard.tracker.Strikes(now, fingerprint)...)
-		if len(report.Strikes) >= maxPerMessage {
-			reports = append(reports, report)
-			report = Report{}
-		}
-	}
-	if len(report.Strikes) > 0 {
-		reports = append(reports, report)
-	}
-	return reports
-}
-
-// TakeUnsaved returns the changes that have to be made in the store. The caller
-// passes them to PutBackUnsaved if it can't make them.
-func (guard *Guard) TakeUnsaved() Unsaved {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	unsaved := guard.unsaved
-	guard.unsaved = Unsaved{}
-	return unsaved
-}
-
-// PutBackUnsaved takes back changes that could not be made in the store. Beyond
-// a bound it drops the oldest removals and then the oldest writes.
-func (guard *Guard) PutBackUnsaved(unsaved Unsaved) {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	guard.unsaved.Write = newest(append(unsaved.Write, guard.unsaved.Write...))
-	guard.unsaved.Remove = newest(append(unsaved.Remove, guard.unsaved.Remove...))
-}
-
-// maxUnsaved limits the writes, and the removals, that wait for the store.
-const maxUnsaved = 4096
-
-func newest(strikes []Strike) []Strike {
-	return strikes[max(len(strikes)-maxUnsaved, 0):]
-}
--- /dev/null
+++ b/strike/rows.go
@@ -0,0 +1,105 @@
+package strike
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+)
+
+// maxUnsaved limits the writes, and the removals, that wait for the store.
+const maxUnsaved = 4096
+
+// Unsaved holds the strikes that have to be written to the store and those that
+// have to be removed from it.
+type Unsaved struct {
+	Write  []Strike
+	Remove []Strike
+}
+
+// rowKey identifies the row of a strike.
+type rowKey struct {
+	fingerprint ident.Fingerprint
+	upstream    ident.UpstreamID
+	incarnation registry.Incarnation
+}
+
+func (strike Strike) rowKey() rowKey {
+	return rowKey{fingerprint: strike.Fingerprint, upstream: strike.Upstream, incarnation: strike.Incarnation}
+}
+
+// save has the strikes of a request written to the store if it has more than one
+// and this process saw one of them. The caller holds mu.
+func (guard *Guard) save(now time.Time, fingerprint ident.Fingerprint) {
+	strikes := guard.tracker.Strikes(now, fingerprint)
+	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !anyOwn(strikes) {
+		return
+	}
+	for _, strike := range strikes {
+		if guard.markSaved(strike) {
+			guard.unsaved.Write = append(guard.unsaved.Write, strike)
+		}
+	}
+}
+
+// markSaved records that a strike is, or is about to be, a row of the store. It
+// reports false if that was recorded before. The caller holds mu.
+func (guard *Guard) markSaved(strike Strike) bool {
+	if guard.saved == nil {
+		guard.saved = make(map[rowKey]struct{})
+	}
+	if _, found := guard.saved[strike.rowKey()]; found {
+		return false
+	}
+	guard.saved[strike.rowKey()] = struct{}{}
+	return true
+}
+
+func anyOwn(strikes []Strike) bool {
+	for _, strike := range strikes {
+		if strike.Own {
+			return true
+		}
+	}
+	return false
+}
+
+// removeStale has the rows of strikes removed from the store that no longer
+// count. The caller holds mu.
+func (guard *Guard) removeStale() {
+	for key := range guard.saved {
+		if !guard.tracker.has(key) {
+			delete(guard.saved, key)
+			guard.unsaved.Remove = append(guard.unsaved.Remove, Strike{Fingerprint: key.fingerprint, Upstream: key.upstream, Incarnation: key.incarnation})
+		}
+	}
+}
+
+// TakeUnsaved returns the changes that have to be made in the store. The caller
+// passes them to PutBackUnsaved if it can't make them.
+func (guard *Guard) TakeUnsaved() Unsaved {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	unsaved := guard.unsaved
+	guard.unsaved = Unsaved{}
+	// A strike that counts again keeps its row.
+	unsaved.Remove = slices.DeleteFunc(unsaved.Remove, func(strike Strike) bool {
+		_, counts := guard.saved[strike.rowKey()]
+		return counts
+	})
+	return unsaved
+}
+
+// PutBackUnsaved takes back changes that could not be made in the store. Beyond
+// a bound it drops the oldest removals and then the oldest writes.
+func (guard *Guard) PutBackUnsaved(unsaved Unsaved) {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.unsaved.Write = newest(append(unsaved.Write, guard.unsaved.Write...))
+	guard.unsaved.Remove = newest(append(unsaved.Remove, guard.unsaved.Remove...))
+}
+
+func newest(strikes []Strike) []Strike {
+	return strikes[max(len(strikes)-maxUnsaved, 0):]
+}
