forward: count a run without an answer once its upstream is ejected

It counts now as soon as the upstream is ejected for silence or broken connections, too; a strike of an upstream that runs on is withdrawn as any other.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -40,7 +40,11 @@
 	store  *standin.Platform
 	server *httptest.Server
 	// silent makes a crashing upstream keep its connections open.
-	silent  bool
+	silent bool
+	// rowExpiry is how long the row of a crashed upstream stays.
+	rowExpiry time.Duration
+	// wait is how long callers wait for an answer.
+	wait    ident.Milliseconds
 	routers []*fixture
 
 	mu      sync.Mutex
@@ -54,7 +58,7 @@
 // newCrashFleet starts upstreams and routers, the last one in another zone.
 func newCrashFleet(t *testing.T, upstreams, routers int) *crashFleet {
 	t.Helper()
-	fleet := &crashFleet{t: t, store: new(standin.Platform)}
+	fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500}
 	fleet.server = httptest.NewServer(fleet.store)
 	t.Cleanup(fleet.server.Close)
 	t.Cleanup(fleet.closeServers)
@@ -122,7 +126,7 @@
 	runner.OnCrash = func() {
 		cancel()
 		fleet.recordCrash()
-		time.AfterFunc(standin.RunnerExpiry, func() { fleet.store.Remove(runner.Row()) })
+		time.AfterFunc(fleet.rowExpiry, func() { fleet.store.Remove(runner.Row()) })
 		time.AfterFunc(restartTime, fleet.startUpstream)
 		if fleet.silent {
 			time.Sleep(crashRetries * crashRetryInterval)
@@ -227,7 +231,7 @@
 	defer cancel()
 	call := &standin.Call{
 		Method: http.MethodPost, Router: address, Host: "a.example", Path: path, Body: body,
-		Head: platform.RequestHead{Attempt: ident.AttemptID(attempt), Wait: 2500, APIKey: "key-1"},
+		Head: platform.RequestHead{Attempt: ident.AttemptID(attempt), Wait: fleet.wait, APIKey: "key-1"},
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	return call.Send(ctx, &http.Client{Transport: transport})
@@ -338,6 +342,12 @@
 			fleet.silent = true
 			return fleet.play("/once/x", nil)
 		}},
+		{"silent crash, rows that stay and callers that leave", "/once/x", func(fleet *crashFleet) *soundCaller {
+			fleet.silent = true
+			fleet.rowExpiry = 3600 * time.Millisecond
+			fleet.wait = 1000
+			return fleet.play("/once/x", nil)
+		}},
 		{"router started after the third crash", "/again/x", func(fleet *crashFleet) *soundCaller {
 			return fleet.play("/again/x", func() {
 				router := fleet.startRouter("c")
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -67,7 +67,7 @@
 
 // recordRun records what the end of an attempt that was sent says about the
 // request: a connection that broke counts as a crash of the upstream, and an
-// answer that did not come counts as one if the upstream ends soon.
+// answer that did not come counts as one if the upstream is down, or soon is.
 func (exchange *exchange) recordRun(upstream registry.Upstream, code result.Code) {
 	if code.Outcome() == result.NotRun {
 		return
@@ -84,18 +84,18 @@
 	left := exchange.callerLeft()
 	unanswered := exchange.unanswered || left
 	switch {
-	case exchange.broke && !left, unanswered && exchange.hasEnded(upstream):
+	case exchange.broke && !left, unanswered && exchange.isDown(now, upstream):
 		exchange.handler.Strikes.Broken(now, run)
 	case unanswered:
 		exchange.handler.Strikes.Unanswered(run)
 	}
 }
 
-// hasEnded reports whether an upstream is no longer listed as the incarnation to
-// which the request was sent.
-func (exchange *exchange) hasEnded(upstream registry.Upstream) bool {
+// isDown reports whether an upstream is ejected, or no longer listed as the
+// incarnation to which the request was sent.
+func (exchange *exchange) isDown(now time.Time, upstream registry.Upstream) bool {
 	listed, found := exchange.handler.Registry.Upstream(upstream.ID)
-	return !found || listed.Incarnation != upstream.Incarnation
+	return !found || listed.Incarnation != upstream.Incarnation || exchange.handler.Health.Ejected(now, upstream.ID)
 }
 
 // recordSuccess records that an upstream answered the request with success.
--- a/forward/crashing_test.go
+++ b/forward/crashing_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -136,3 +137,23 @@
 		}
 	}
 }
+
+// TestSilentUpstreamIsAStrike guards against a request that ends upstreams without
+// a word: it is known before the rows of these are gone.
+func TestSilentUpstreamIsAStrike(t *testing.T) {
+	silent := func(ctx context.Context, _ net.Conn, _ int, _ receivedRequest) bool {
+		<-ctx.Done()
+		return false
+	}
+	router := startRouter(t, startUpstream(t, silent))
+	var calls sync.WaitGroup
+	for n := range 3 {
+		calls.Go(func() {
+			router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n), "Hickoryhead-Deadline-Ms", "700").check(t, 504, "")
+		})
+	}
+	calls.Wait()
+	if !router.handler.Strikes.Any() {
+		t.Error("got no strike of requests at an upstream that fell silent, want one each")
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -143,8 +143,13 @@
 // recordOutcome records how a request to upstream ended. It reports an ejection
 // that results from the outcome.
 func (handler *Handler) recordOutcome(upstream registry.Upstream, outcome health.Outcome) {
-	if handler.Health.Add(time.Now(), upstream.Service, upstream.ID, outcome) {
-		handler.reportEjection(upstream, outcome.String(), "")
+	now := time.Now()
+	if !handler.Health.Add(now, upstream.Service, upstream.ID, outcome) {
+		return
+	}
+	handler.reportEjection(upstream, outcome.String(), "")
+	if outcome != health.ServerError {
+		handler.Strikes.Ended(now, upstream.ID, 0)
 	}
 }
 
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -140,7 +140,7 @@
 }
 
 // Unanswered records that an upstream took the request and gave no answer while
-// its caller waited. It counts as a strike if the upstream ends soon.
+// its caller waited. It counts as a strike if Ended follows soon.
 func (guard *Guard) Unanswered(strike Strike) {
 	if guard == nil {
 		return
@@ -153,9 +153,12 @@
 	guard.unanswered = append(guard.unanswered, strike)
 }
 
-// Ended records that an upstream no longer runs as any incarnation but the given
-// one; zero means not at all.
+// Ended records that an upstream no longer runs, or no longer answers, as any
+// incarnation but the given one; zero means not at all.
 func (guard *Guard) Ended(now time.Time, upstream ident.UpstreamID, incarnation registry.Incarnation) {
+	if guard == nil {
+		return
+	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	remaining := guard.unanswered[:0]
