--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -32,6 +32,7 @@
 	// A router that sent nothing for unresponsiveAfter gets messages only every
 	// keepaliveInterval. One that sent nothing for removeAfter is removed.
 	unresponsiveAfter = 5 * time.Second
+	removeAfter       = 2 * time.Minute
 	// A router that was silent for missedAfter, and for missedPauses times the
 	// time between two messages, may have missed some.
 	missedAfter  = 1500 * time.Millisecond
@@ -39,7 +40,6 @@
 	// strikeSends is how many times all strikes are sent to a router that has
 	// started or may have missed some, each time after a message of it.
 	strikeSends = 3
-	removeAfter = 2 * time.Minute
 	// majorityShare is the share of the other routers that MajorityWarm requires.
 	majorityShare = 0.7
 	// maxCacheUpdates and maxChanges limit the cache updates and the changes of
