strike: refuse a request no sooner than half a second after its first strike

Its trace at router-3: a copy was running at i-1 as it crashed (20.4022), was sent again to i-2 and was running there as that crashed (20.4097), and router-3 heard of one at i-3 (20.4126): three upstreams in 10 ms, one after the other, no success of it yet.

A request with three strikes runs alone, on its designated upstream, until the first of them is half a second old.

--- a/forward/crashing_test.go
+++ b/forward/crashing_test.go
@@ -44,6 +44,7 @@
 			}
 			router := startRouter(t, upstreams...)
 			for n, want := range test.want {
+				time.Sleep(300 * time.Millisecond)
 				before := runs(upstreams)
 				got := router.send(t, fmt.Sprint("crash-", n), "POST", test.path, "crash")
 				if got.status != want {
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -18,6 +18,10 @@
 	// before the crash is taken back: a write that was sent before the crash may
 	// take effect later.
 	withdrawMargin = 5 * time.Second
+	// verdictDelay is how long after the first of three strikes a request is
+	// refused; until then it runs alone. Upstreams that go down together may do so
+	// one after the other, with a sound request that comes again in between.
+	verdictDelay = 500 * time.Millisecond
 	// breakLifetime is how long after it broke off an upstream is assumed to be
 	// away, and maxBreaks limits the upstreams of which that is remembered.
 	breakLifetime = 3 * time.Second
@@ -85,7 +89,11 @@
 func (guard *Guard) Allowed(now time.Time, fingerprint ident.Fingerprint) Allowance {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	return guard.tracker.Allowed(now, fingerprint)
+	allowance := guard.tracker.Allowed(now, fingerprint)
+	if allowance == Refused && now.Sub(guard.tracker.refusedSince(fingerprint)) < verdictDelay {
+		return Alone
+	}
+	return allowance
 }
 
 // Any reports whether any request has strikes.
