gossip: tell strikes in datagrams of their own

What callers would have seen: during a rolling upgrade routers of the old and the new program dropped each other's messages, so that neither knew the loads, the cached prompts and the leaving upstreams of the other half.

Cause: strikes had become two more fields of Message, which is written as an array, and the decoder refuses an array with another number of fields. Seen in a trial with: "number of fields in array-encoded struct has changed", both ways.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -199,10 +199,9 @@
 	message.CacheUpdates = updates
 	message.Changes = gossip.takeChanges()
 	message.Outcomes = outcomes
-	message.setReport(now, report)
 	message.InFlight, message.Complete = counts, complete
 	gossip.sentAt = now
-	gossip.broadcast(now, message)
+	gossip.broadcast(now, message, report)
 }
 
 // takeChanges removes and returns the first changes of upstreams that were not sent
@@ -253,22 +252,24 @@
 // started or could not be reached for a while. The caller holds mu.
 func (gossip *Gossip) sendStrikes(now time.Time, peer *peer) {
 	for _, report := range gossip.Strikes.All(now) {
-		message := gossip.newMessage(now)
-		message.setReport(now, report)
-		gossip.send(gossip.encode(message), peer)
+		gossip.send(gossip.encode(newStrikeMessage(now, gossip.Router, report)), peer)
 	}
 }
 
-// broadcast sends message to all peers, except unresponsive ones that are not due
+// broadcast sends message, and report if there is anything in it, to all peers, except unresponsive ones that are not due
 // yet, and removes the peers that sent nothing for removeAfter. The caller holds
 // mu.
-func (gossip *Gossip) broadcast(now time.Time, message Message) {
+func (gossip *Gossip) broadcast(now time.Time, message Message, report strike.Report) {
 	datagram := gossip.encode(message)
 	if datagram == nil {
 		// The counts are sent again; all else is sent only once.
 		message.InFlight, message.Complete = nil, false
 		datagram = gossip.encode(message)
 	}
+	var strikes []byte
+	if len(report.Strikes)+len(report.Successes) > 0 {
+		strikes = gossip.encode(newStrikeMessage(now, gossip.Router, report))
+	}
 	for address, peer := range gossip.peers {
 		sinceReceived := now.Sub(peer.receivedAt)
 		if sinceReceived > removeAfter {
@@ -280,11 +281,12 @@
 		}
 		peer.sentAt = now
 		gossip.send(datagram, peer)
+		gossip.send(strikes, peer)
 	}
 }
 
 // encode returns the datagram of message, or nil if it can't be encoded.
-func (gossip *Gossip) encode(message Message) []byte {
+func (gossip *Gossip) encode(message any) []byte {
 	datagram, err := encode(message)
 	if err != nil {
 		gossip.Metrics.CountEvent("gossip.encode.failed")
@@ -370,15 +372,29 @@
 			return
 		}
 		receiver.gossip.Metrics.AddControlBytes(metrics.PeerRouter, metrics.Received, ident.Bytes(count))
-		message, err := Decode(slices.Clone(buffer[:count]))
-		if err != nil {
+		if err := receiver.gossip.receive(slices.Clone(buffer[:count])); err != nil {
 			receiver.gossip.Metrics.CountEvent("gossip.malformed")
-			continue
 		}
-		receiver.gossip.handle(time.Now(), message)
 	}
 }
 
+// receive applies the message in a datagram.
+func (gossip *Gossip) receive(datagram []byte) error {
+	if isStrikeMessage(datagram) {
+		message, err := decodeStrikes(datagram)
+		if err == nil && message.Router != gossip.Router {
+			now := time.Now()
+			gossip.Strikes.Apply(now, message.report(now))
+		}
+		return err
+	}
+	message, err := Decode(datagram)
+	if err == nil {
+		gossip.handle(time.Now(), message)
+	}
+	return err
+}
+
 // handle applies a message from another router. It adds a sender that is not a
 // peer yet, sends the full state to one that has just started and removes one
 // that is leaving.
@@ -410,6 +426,5 @@
 	gossip.mu.Unlock()
 	gossip.Loads.ApplyRemote(now, balance.RemoteCounts{Router: message.Router, Sequence: message.Sequence, Complete: message.Complete, Counts: message.InFlight})
 	gossip.CacheIndex.ApplyRemote(now, message.CacheUpdates)
-	gossip.Strikes.Apply(now, message.report(now))
 	gossip.OnMessage(now, message)
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -11,7 +9,6 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
-	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // maxDatagramBytes limits the size of a datagram.
@@ -62,80 +59,11 @@
 	Warm bool
 	// Leaving says that the router stops and that this is its last message.
 	Leaving bool
-	// Strikes are the crashes of upstreams while they ran a request, and
-	// Successes the requests with strikes that succeeded since.
-	Strikes   []StrikeItem
-	Successes []SuccessItem
-}
-
-// StrikeItem is a strike in a message. It has an age in place of a time, since
-// the clocks of routers differ.
-type StrikeItem struct {
-	//lint:ignore U1000 msgpack reads its tag: an item is written as an array
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Fingerprint ident.Fingerprint
-	Upstream    ident.UpstreamID
-	Incarnation registry.Incarnation
-	Age         ident.Milliseconds
-	// Ran is how long the request ran before the crash.
-	Ran ident.Milliseconds
-}
-
-// SuccessItem is the success of a request in a message.
-type SuccessItem struct {
-	//lint:ignore U1000 msgpack reads its tag: an item is written as an array
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Fingerprint ident.Fingerprint
-	Age         ident.Milliseconds
-}
-
-// setReport fills in the strikes and successes of report, as of now.
-func (message *Message) setReport(now time.Time, report strike.Report) {
-	message.Strikes, message.Successes = nil, nil
-	for _, strike := range report.Strikes {
-		item := StrikeItem{
-			Fingerprint: strike.Fingerprint,
-			Upstream:    strike.Upstream,
-			Incarnation: strike.Incarnation,
-			Age:         ident.Milliseconds(now.Sub(strike.At).Milliseconds()),
-		}
-		if !strike.SentAt.IsZero() {
-			item.Ran = ident.Milliseconds(strike.At.Sub(strike.SentAt).Milliseconds())
-		}
-		message.Strikes = append(message.Strikes, item)
-	}
-	for _, success := range report.Successes {
-		message.Successes = append(message.Successes, SuccessItem{
-			Fingerprint: success.Fingerprint,
-			Age:         ident.Milliseconds(now.Sub(success.At).Milliseconds()),
-		})
-	}
-}
-
-// report returns the strikes and successes of a message that was received now.
-func (message *Message) report(now time.Time) strike.Report {
-	var report strike.Report
-	for _, item := range message.Strikes {
-		at := now.Add(-item.Age.Duration())
-		report.Strikes = append(report.Strikes, strike.Strike{
-			Fingerprint: item.Fingerprint,
-			Upstream:    item.Upstream,
-			Incarnation: item.Incarnation,
-			SentAt:      at.Add(-item.Ran.Duration()),
-			At:          at,
-		})
-	}
-	for _, item := range message.Successes {
-		report.Successes = append(report.Successes, strike.Success{Fingerprint: item.Fingerprint, At: now.Add(-item.Age.Duration())})
-	}
-	return report
 }
 
-// encode returns the datagram of message. It fails if the datagram would be
-// larger than maxDatagramBytes.
-func encode(message Message) ([]byte, error) {
+// encode returns the datagram of a Message or a StrikeMessage. It fails if the
+// datagram would be larger than maxDatagramBytes.
+func encode(message any) ([]byte, error) {
 	datagram, err := msgpack.Marshal(message)
 	if err != nil {
 		return nil, err
