soak: a router that has just begun may end by SIGTERM

Trace: router-0's first run logged "Stopped." at 12:49:09.626; the soak started it again at once and drew it for the next planned stop, 12.039 s after its start at 12:48:57.6, that is within some ms of the start of the process. That run wrote no line; the third one logged "Started." at 12:49:09.669. A process gets SIGTERM before its program runs and ends by it, as any program does; it had taken no request.

The check is narrowed to that case alone: ended by SIGTERM, and never ready. Any other error, and this one after it was ready, is a violation as before.

--- a/soak/router.go
+++ b/soak/router.go
@@ -42,9 +42,11 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	err     error
-	// runs counts the starts. stopping, frozen and killed say which signals were
+	// runs counts the starts. wasReady says that the current run has been ready,
+	// and stopping, frozen and killed say which signals were
 	// sent to the current run.
 	runs         int
+	wasReady     bool
 	stopping     bool
 	frozen       bool
 	killed       bool
@@ -92,7 +94,7 @@
 	router.command.Stderr = router.log
 	router.ended = make(chan struct{})
 	router.runs++
-	router.stopping, router.frozen, router.killed = false, false, false
+	router.wasReady, router.stopping, router.frozen, router.killed = false, false, false, false
 	router.failedProbes = maxFailedProbes
 	router.startedAt = time.Now()
 	if err := router.command.Start(); err != nil {
@@ -156,6 +158,20 @@
 	}
 }
 
+// stoppedBadly reports whether the run ended with an error after SIGTERM. One that
+// was not ready yet may end by that signal: a process that has just begun does not
+// handle signals, and has taken no request.
+func (router *router) stoppedBadly() bool {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	var exit *exec.ExitError
+	if errors.As(router.err, &exit) && !router.wasReady {
+		status, known := exit.Sys().(syscall.WaitStatus)
+		return !known || !status.Signaled() || status.Signal() != syscall.SIGTERM
+	}
+	return router.err != nil
+}
+
 // probe sends one readiness probe, as a load balancer does, and records the result.
 func (router *router) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readyProbeInterval)
@@ -165,6 +181,7 @@
 	defer router.mu.Unlock()
 	if ready {
 		router.failedProbes = 0
+		router.wasReady = true
 		return
 	}
 	router.failedProbes++
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -178,7 +178,7 @@
 	router := plannedStop.router
 	select {
 	case <-router.ended:
-		if router.err != nil {
+		if router.stoppedBadly() {
 			plannedStop.schedule.soak.violate("bad end of a planned stop", "%s: %v", router.name, router.err)
 		}
 	case <-time.After(plannedStopTimeout + 2*time.Second):
