forward: let the test of an endless event not depend on the machine's speed

The case sent the event in chunks of 5 bytes, so that 1 MiB took 210,000 reads; with the race detector on a busy machine the time limit of 1.5 s came first, and 504 in time is right then. The case sends chunks of 4,000 bytes now and wants the same 502; chunks of 5 bytes stay in the next case, which has no status.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -106,7 +106,7 @@
 		{"chunks", "/once/x", chunked, "5\r\nbytes\r\n", 0},
 		{"body until the end of the connection", "/once/x", head + "\r\n", "x", 0},
 		{"trailers", "/once/x", chunked + "0\r\n", "X-More: y\r\n", 502},
-		{"event", "/stream/x", chunked, "5\r\nbytes\r\n", 502},
+		{"event", "/stream/x", chunked, chunk(strings.Repeat("x", 4000)), 502},
 		{"event after an event", "/stream/x", chunked + "7\r\nid: 1\n\n\r\n", "5\r\nbytes\r\n", 0},
 		{"event that ends with its connection", "/stream/x", head + "\r\n", "x", 502},
 		{"events", "/stream/x", chunked, "9\r\ndata: a\n\n\r\n", 0},
