Use one locked buffer in tests, and a run method for the crashing call

forward's test had got a third copy of a buffer that several goroutines use, beside entry's and fleettest's; fleettest.Buffer serves all three. The goroutine that sends the crashing request is a run method, as the other ones. No assertion changes.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -274,6 +274,16 @@
 	}
 }
 
+// crashCall is one attempt of the crashing request.
+type crashCall struct {
+	fleet   *crashFleet
+	address string
+	attempt string
+	path    string
+}
+
+func (call *crashCall) run() { call.fleet.send(call.address, call.attempt, call.path, crashBody) }
+
 // play sends the crashing request crashRetries times to the routers in turn,
 // with sound requests beside it. afterThird is called once, after the third
 // crash; nil means nothing.
@@ -282,7 +292,8 @@
 	go sound.run()
 	for n := range crashRetries {
 		started := time.Now()
-		go fleet.send(fleet.address(n), fmt.Sprint("crash-", n), path, crashBody)
+		call := &crashCall{fleet: fleet, address: fleet.address(n), attempt: fmt.Sprint("crash-", n), path: path}
+		go call.run()
 		time.Sleep(time.Until(started.Add(crashRetryInterval)))
 		if len(fleet.crashTimes()) >= maxCrashes && afterThird != nil {
 			afterThird()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,13 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/entry"
+	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/standin"
@@ -29,31 +28,13 @@
 	storeAddress string
 	upstreams    map[string]*upstream
 	config       config.Entry
-	log          syncBuffer
+	log          fleettest.Buffer
 	daemon       *entry.Daemon
 	addresses    entry.Addresses
 	cancel       context.CancelFunc
 	done         chan struct{}
 }
 
-// syncBuffer is a buffer that several goroutines may use.
-type syncBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (buffer *syncBuffer) Write(data []byte) (int, error) {
-	buffer.mu.Lock()
-	defer buffer.mu.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *syncBuffer) String() string {
-	buffer.mu.Lock()
-	defer buffer.mu.Unlock()
-	return buffer.buffer.String()
-}
-
 // upstream answers each request with its own ID, after a delay.
 type upstream struct {
 	id      string
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,7 +21,7 @@
 	lines   chan string
 	ended   chan struct{}
 	err     error
-	log     lockedBuffer
+	log     Buffer
 }
 
 var builtPrograms struct {
@@ -150,23 +149,3 @@
 
 // Log returns what the process has written to its standard error so far.
 func (process *Process) Log() string { return process.log.String() }
-
-// lockedBuffer is a buffer that is safe for concurrent use.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write appends content to the buffer. It never fails.
-func (locked *lockedBuffer) Write(content []byte) (int, error) {
-	locked.mu.Lock()
-	defer locked.mu.Unlock()
-	return locked.buffer.Write(content)
-}
-
-// String returns the content that has been written so far.
-func (locked *lockedBuffer) String() string {
-	locked.mu.Lock()
-	defer locked.mu.Unlock()
-	return locked.buffer.String()
-}
--- a/forward/fingerprint_test.go
+++ b/forward/fingerprint_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/fleettest"
 )
 
 // fingerprints returns the fingerprints in the lines of failed attempts, by
@@ -29,7 +31,7 @@
 func TestLogTellsRepeatedRequestFromOthers(t *testing.T) {
 	upstream := startUpstream(t, func(context.Context, net.Conn, int, receivedRequest) bool { return false })
 	router := startRouter(t, upstream)
-	var log syncBuffer
+	var log fleettest.Buffer
 	router.handler.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 	for i, request := range []struct{ method, path, body string }{
 		{"POST", "/once/x", "same"},
