explain, soak: call what exists in place of a copy

The soak's upstream that sends without end repeated how a fault is injected and undone; both kinds of fault go through inject now. Behaviour is as it was.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -55,7 +55,7 @@
 			log.writeContext(out, line)
 			log.writeStrikes(out, line)
 		}
-		fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
+		writeLine(out, line)
 		if line.Message == requestFinished {
 			fmt.Fprintf(out, "cause: %s\n", Cause(line))
 		}
@@ -76,7 +76,7 @@
 		switch {
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged),
 			line.Message == storeUnreachable, line.Message == configInForce:
-			fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
+			writeLine(out, line)
 		}
 	}
 }
@@ -97,11 +97,16 @@
 		}
 		seen := line.Message != strikeCounted || line.Source == "own"
 		if isStrike(line) && seen && line.Fingerprint == request.Fingerprint {
-			fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
+			writeLine(out, line)
 		}
 	}
 }
 
+// writeLine writes when and where the event of a log line happened, and the event.
+func writeLine(out io.Writer, line Line) {
+	fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
+}
+
 // describe returns the event of a log line in words.
 func describe(line Line) string {
 	switch line.Message {
--- a/soak/endless.go
+++ b/soak/endless.go
@@ -31,10 +31,8 @@
 		return
 	}
 	heal := schedule.soak.beginBreak("upstream sends without end")
-	upstream.runner.Endless(&answer)
-	schedule.healAfter(length, func() {
+	schedule.inject(heal, length, func() { upstream.runner.Endless(&answer) }, func() {
 		upstream.runner.Endless(nil)
-		heal()
 		schedule.release(upstream)
 	})
 }
--- a/soak/router.go
+++ b/soak/router.go
@@ -43,8 +43,7 @@
 	ended   chan struct{}
 	err     error
 	// runs counts the starts. wasReady says that the current run has been ready,
-	// and stopping, frozen and killed say which signals were
-	// sent to the current run.
+	// and stopping, frozen and killed say which signals were sent to it.
 	runs         int
 	wasReady     bool
 	stopping     bool
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -92,7 +92,12 @@
 // injectFor records a fault, injects it by calling begin, and undoes it after length
 // by calling end.
 func (schedule *schedule) injectFor(name string, length time.Duration, begin, end func()) {
-	heal := schedule.soak.beginDisturbance(name)
+	schedule.inject(schedule.soak.beginDisturbance(name), length, begin, end)
+}
+
+// inject injects a fault by calling begin, and undoes it after length by calling end
+// and heal.
+func (schedule *schedule) inject(heal func(), length time.Duration, begin, end func()) {
 	begin()
 	schedule.healAfter(length, func() {
 		end()
