forward: log the parts of a prompt whose run broke off; stand-ins crash on a part

Lines of failed attempts, and of failed requests, now name the parts of the prompt. TestLogNamesThePartsOfBrokenRuns failed before.

The stand-in runner can be crashed by a part of a prompt, for the tests that follow.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -44,7 +44,11 @@
 	// rowExpiry is how long the row of a crashed upstream stays.
 	rowExpiry time.Duration
 	// wait is how long callers wait for an answer.
-	wait    ident.Milliseconds
+	wait ident.Milliseconds
+	// crashPart reports whether a part of a prompt crashes upstreams.
+	crashPart func(part string) bool
+	// runTime is how much longer than usual a run takes.
+	runTime time.Duration
 	routers []*fixture
 
 	mu      sync.Mutex
@@ -59,6 +63,15 @@
 func newCrashFleet(t *testing.T, upstreams, routers int) *crashFleet {
 	t.Helper()
 	fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500}
+	fleet.start(upstreams, routers)
+	return fleet
+}
+
+// start starts the upstreams and routers of a fleet whose settings are made, the
+// last router in another zone.
+func (fleet *crashFleet) start(upstreams, routers int) {
+	t := fleet.t
+	t.Helper()
 	fleet.server = httptest.NewServer(fleet.store)
 	t.Cleanup(fleet.server.Close)
 	t.Cleanup(fleet.closeServers)
@@ -76,7 +89,6 @@
 	for _, router := range fleet.routers {
 		router.waitFor(3*time.Second, "readiness", router.ready)
 	}
-	return fleet
 }
 
 // writeConfig writes a configuration with a route of each kind.
@@ -87,6 +99,8 @@
 		Routes: []routing.Route{
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2000, Target: 300, MaxAttempts: 1, Shares: shares},
 			{Name: "again", Host: "a.example", Prefix: "/again/", Kind: routing.Idempotent, Timeout: 2000, Target: 300, MaxAttempts: 2, Shares: shares},
+			{Name: "stream", Host: "a.example", Prefix: "/stream/", Kind: routing.Stream, Timeout: 2000, Target: 300, MaxAttempts: 1, Sticky: true, Shares: shares},
+			{Name: "resume", Host: "a.example", Prefix: "/resume/", Kind: routing.Stream, Resumable: true, Timeout: 2000, Target: 300, MaxAttempts: 2, Sticky: true, Shares: shares},
 		},
 		Services:   []routing.Service{{Name: "pool", MaxConnections: 400}},
 		Workspaces: []routing.Workspace{{ID: "t", Keys: []string{"key-1"}}},
@@ -114,11 +128,13 @@
 		Service:     "pool",
 		Address:     listener.Addr().String(),
 		CrashMarker: crashBody,
+		CrashPart:   fleet.crashPart,
 		Write: func(record platform.Record) error {
 			fleet.store.Write(record)
 			return nil
 		},
 	}
+	runner.Slow(fleet.runTime)
 	server := &http.Server{Handler: runner}
 	fleet.servers = append(fleet.servers, server)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -225,14 +241,18 @@
 	}
 }
 
-// send sends a request with body to the router at address.
-func (fleet *crashFleet) send(address, attempt, path, body string) standin.Reply {
+// send sends a request with body, and a prompt of the given parts if there are any,
+// to the router at address.
+func (fleet *crashFleet) send(address, attempt, path, body string, parts ...string) standin.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	call := &standin.Call{
 		Method: http.MethodPost, Router: address, Host: "a.example", Path: path, Body: body,
 		Head: platform.RequestHead{Attempt: ident.AttemptID(attempt), Wait: fleet.wait, APIKey: "key-1"},
 	}
+	for _, part := range parts {
+		call.Head.Prompt = append(call.Head.Prompt, platform.PromptPart{ID: part, Tokens: 100})
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	return call.Send(ctx, &http.Client{Transport: transport})
 }
--- a/forward/fingerprint_test.go
+++ b/forward/fingerprint_test.go
@@ -59,3 +59,16 @@
 		t.Errorf("got %d fingerprints in %v, want %d", len(values), got, distinct)
 	}
 }
+
+// TestLogNamesThePartsOfBrokenRuns guards against logs that don't show what two
+// requests have in common under which upstreams broke off.
+func TestLogNamesThePartsOfBrokenRuns(t *testing.T) {
+	upstream := startUpstream(t, func(context.Context, net.Conn, int, receivedRequest) bool { return false })
+	router := startRouter(t, upstream)
+	var log fleettest.Buffer
+	router.handler.Logger = slog.New(slog.NewJSONHandler(&log, nil))
+	router.send(t, "a1", "POST", "/once/x", "body", "Hickoryhead-Prompt-Prefix", "5c1e:80, 91bd:4").check(t, 502, "")
+	if got, want := log.String(), `"Parts":["5c1e","91bd"]`; !strings.Contains(got, want) {
+		t.Errorf("got log %s, want %s in it", got, want)
+	}
+}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -66,7 +66,7 @@
 			slog.Bool("Started", exchange.started))
 	}
 	if exchange.code == result.CrashingRequest || len(exchange.tried) > 0 && exchange.code != result.OK {
-		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()))
+		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
 	if exchange.cause != "" {
 		attributes = append(attributes, slog.String("Cause", exchange.cause))
@@ -115,9 +115,19 @@
 		"Code", code.Name(),
 		"Cause", exchange.cause,
 		"Fingerprint", exchange.fingerprint().String(),
+		"Parts", exchange.partIDs(),
 		"Incarnation", exchange.choice.Upstream.Incarnation)
 }
 
+// partIDs returns the IDs of the parts of the prompt, in order.
+func (exchange *exchange) partIDs() []string {
+	ids := make([]string, 0, len(exchange.head.Prompt))
+	for _, part := range exchange.head.Prompt {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // setCause stores the root cause of err for the log. A nil err keeps the
 // earlier cause.
 func (exchange *exchange) setCause(err error) {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -48,6 +48,9 @@
 	// request whose body contains it. OnCrash, if set, is called then.
 	CrashMarker string
 	OnCrash     func()
+	// CrashPart reports whether a part of a prompt, but for the last one, crashes
+	// the runner when it begins to write the answer; nil means that none does.
+	CrashPart func(part string) bool
 	// OnEndless, if set, is called when the connection of an answer without an
 	// end has closed.
 	OnEndless func(answer string, started, closed time.Time)
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +41,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	isStream := strings.Contains(request.URL.Path, runnerStreamMarker)
+	if runner.hasCrashPart(forwarded.Prompt) {
+		runner.crashWhileAnswering(writer, forwarded, isStream)
+	}
 	if answer := runner.endlessAnswer(); answer != nil {
 		complete := RunnerAnswer(forwarded.Attempt)
 		if isStream {
@@ -63,6 +67,28 @@
 	return runner.CrashMarker != "" && bytes.Contains(body, []byte(runner.CrashMarker))
 }
 
+// hasCrashPart reports whether a part of the prompt, but for the last, crashes the
+// runner.
+func (runner *Runner) hasCrashPart(prompt []platform.PromptPart) bool {
+	if runner.CrashPart == nil || len(prompt) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(prompt[:len(prompt)-1], func(part platform.PromptPart) bool { return runner.CrashPart(part.ID) })
+}
+
+// crashWhileAnswering crashes the runner once it has written the head of a stream
+// and half of an event, or nothing of a plain answer.
+func (runner *Runner) crashWhileAnswering(writer http.ResponseWriter, forwarded platform.Forwarded, isStream bool) {
+	if isStream {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		event := runnerEvent(forwarded.Attempt, 1)
+		// An error means that the sender has disconnected; the crash follows.
+		_, _ = io.WriteString(writer, event[:len(event)/2])
+		_ = http.NewResponseController(writer).Flush()
+	}
+	runner.crashNow()
+}
+
 // crashNow crashes the runner and closes the connection of the request.
 func (runner *Runner) crashNow() {
 	runner.Crash()
