--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -53,6 +53,9 @@
 
 	mu      sync.Mutex
 	crashes []time.Time
+	// runs holds when each upstream began to run its requests.
+	runs    map[ident.UpstreamID][]time.Time
+	runners []*standin.Runner
 	started int
 	servers []*http.Server
 	// callers holds the addresses at which the routers listen for callers.
@@ -123,18 +126,21 @@
 		return
 	}
 	fleet.started++
+	id := ident.UpstreamID(fmt.Sprint("i-", fleet.started))
 	runner := &standin.Runner{
-		ID:          ident.UpstreamID(fmt.Sprint("i-", fleet.started)),
+		ID:          id,
 		Service:     "pool",
 		Address:     listener.Addr().String(),
 		CrashMarker: crashBody,
 		CrashPart:   fleet.crashPart,
+		OnStart:     func(ident.AttemptID) { fleet.recordRun(id) },
 		Write: func(record platform.Record) error {
 			fleet.store.Write(record)
 			return nil
 		},
 	}
 	runner.Slow(fleet.runTime)
+	fleet.runners = append(fleet.runners, runner)
 	server := &http.Server{Handler: runner}
 	fleet.servers = append(fleet.servers, server)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -188,6 +194,22 @@
 	fleet.crashes = append(fleet.crashes, time.Now())
 }
 
+func (fleet *crashFleet) recordRun(upstream ident.UpstreamID) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.runs == nil {
+		fleet.runs = make(map[ident.UpstreamID][]time.Time)
+	}
+	fleet.runs[upstream] = append(fleet.runs[upstream], time.Now())
+}
+
+// runTimes returns when an upstream began to run its requests, in order.
+func (fleet *crashFleet) runTimes(upstream ident.UpstreamID) []time.Time {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return append([]time.Time(nil), fleet.runs[upstream]...)
+}
+
 // crashTimes returns when upstreams crashed, in order.
 func (fleet *crashFleet) crashTimes() []time.Time {
 	fleet.mu.Lock()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -298,6 +298,9 @@
 	if answer.head.Load != nil {
 		exchange.handler.Loads.RecordReport(time.Now(), answer.upstream.ID, answer.head.Load.Running+answer.head.Load.Waiting)
 	}
+	if answer.head.Limit != nil {
+		exchange.handler.Metrics.CountEvent("answer.limited")
+	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
 		exchange.setCauseText(answer.response.Status)
--- a/standin/call.go
+++ b/standin/call.go
@@ -42,7 +42,9 @@
 	Status int
 	// Attempt is the request that the answer says it belongs to.
 	Attempt ident.AttemptID
-	Body    string
+	// RetryAfter is the value of the header Retry-After.
+	RetryAfter string
+	Body       string
 	// Err is nil if the answer was received completely.
 	Err error
 }
@@ -64,9 +66,10 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	return Reply{
-		Status:  response.StatusCode,
-		Attempt: platform.AnsweredAttempt(response.Header),
-		Body:    string(body),
-		Err:     err,
+		Status:     response.StatusCode,
+		Attempt:    platform.AnsweredAttempt(response.Header),
+		RetryAfter: response.Header.Get("Retry-After"),
+		Body:       string(body),
+		Err:        err,
 	}
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -66,6 +66,8 @@
 	extraDelay time.Duration
 	endless    *EndlessAnswer
 	served     int
+	limit      float64
+	limited    bool
 }
 
 // Run writes the runner's row at once and then at RunnerHeartbeatInterval until
@@ -133,17 +135,40 @@
 }
 
 // Restart starts the runner as a new incarnation with the same ID, no longer
-// crashed or leaving, and writes its row.
+// crashed, leaving or limited, and writes its row.
 func (runner *Runner) Restart() {
 	runner.mu.Lock()
 	runner.crashed = false
 	runner.leaving = false
+	runner.limited = false
 	runner.startedAt = time.Time{}
 	runner.sequence = 0
 	runner.mu.Unlock()
 	runner.Heartbeat()
 }
 
+// Limit makes the runner name a limit of perSecond requests a second in its answers,
+// until Unlimit. It does not refuse more.
+func (runner *Runner) Limit(perSecond float64) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.limit, runner.limited = perSecond, true
+}
+
+// Unlimit makes the runner name no limit.
+func (runner *Runner) Unlimit() {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.limited = false
+}
+
+// namedLimit returns the limit that the runner names, if it names one.
+func (runner *Runner) namedLimit() (float64, bool) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return runner.limit, runner.limited
+}
+
 // Slow adds a delay to the work on each request. It replaces an earlier delay.
 func (runner *Runner) Slow(by time.Duration) {
 	runner.mu.Lock()
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -32,6 +32,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	platform.EncodeAnswer(writer.Header(), forwarded.Attempt, runnerSignature)
+	if limit, limited := runner.namedLimit(); limited {
+		platform.EncodeLimit(writer.Header(), limit)
+	}
 	workTime := runner.begin(forwarded.Attempt)
 	if runner.hasCrashMarker(body) {
 		runner.crashNow()
