quota: keep the limits that upstreams name, by all routers together

Upstreams in need got several times the requests that they had named in Server-Limit, since nothing read it.

Routers tell each other at once what an answer names, and repeat it each second and to routers that start, so that those without a share learn when it changes or is gone. The choice of an upstream, for first attempts, retries, changes-over and continued streams alike, leaves out upstreams that are at their limit; if that leaves none, the request is refused at once as UpstreamsAtLimit (503, not run) with the time at which one takes it.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -13,6 +13,10 @@
 // considered before the least loaded one of the pool is taken.
 const maxRankedCandidates = 8
 
+// maxSkippedCandidates is how many more are considered to make up for those that are
+// at their limits, so that a prompt has the same upstreams as long as these are.
+const maxSkippedCandidates = 64
+
 // Reason says why an upstream was chosen.
 type Reason string
 
@@ -57,7 +61,7 @@
 	Upstream registry.Upstream
 	Reason   Reason
 	// Load is the load of the chosen upstream, and Mean the mean number of
-	// requests in flight at the upstreams of the pool.
+	// requests in flight at the upstreams of the pool that are below their limits.
 	Load Load
 	Mean float64
 	// Source is an upstream that has a longer prefix of the prompt cached than the
@@ -74,6 +78,9 @@
 	// OnProbation reports whether an upstream should get retryable requests only.
 	// If it is nil, no upstream is on probation.
 	OnProbation func(now time.Time, upstream ident.UpstreamID) bool
+	// AtLimit reports whether an upstream names a limit that leaves no request for
+	// this router now. If it is nil, no upstream does.
+	AtLimit func(now time.Time, upstream registry.Upstream) bool
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -118,15 +125,16 @@
 	index  int
 	load   Load
 	health healthState
-	tried  bool
+	// excluded is set if the upstream was tried already or is at its limit.
+	excluded bool
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
 }
 
-// usable reports whether the upstream is healthy, was not tried yet and has
-// fewer than bound requests in flight.
+// usable reports whether the upstream is healthy, not excluded and has fewer than
+// bound requests in flight.
 func (candidate candidate) usable(bound float64) bool {
-	return !candidate.tried && candidate.health == healthy && float64(candidate.load.Requests) < bound
+	return !candidate.excluded && candidate.health == healthy && float64(candidate.load.Requests) < bound
 }
 
 // selection is the state of one call of Choose.
@@ -135,12 +143,15 @@
 	pool       *registry.Pool
 	request    Request
 	candidates []candidate
-	// mean is the mean number of requests in flight at an upstream of the pool.
+	// atLimit is how many of the candidates are at their limits.
+	atLimit int
+	// mean is the mean number of requests in flight at the upstreams of the pool that
+	// are below their limits: the others' share of the load is theirs.
 	mean float64
 }
 
 // Choose returns an upstream of pool for request, and false if there is none
-// that was not tried yet.
+// that was not tried yet and is below its limit.
 func (chooser *Chooser) Choose(now time.Time, pool *registry.Pool, request Request) (Choice, bool) {
 	if pool == nil {
 		return Choice{}, false
@@ -150,18 +161,24 @@
 		cachedAt = chooser.CacheIndex.Upstreams(now, request.Keys[0])
 	}
 	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
-	total := 0
+	total, counted := 0, 0
 	for i, upstream := range pool.Upstreams {
+		atLimit := chooser.AtLimit != nil && chooser.AtLimit(now, upstream)
 		selection.candidates[i] = candidate{
-			index:  i,
-			load:   chooser.Loads.Estimate(now, upstream.ID),
-			health: chooser.healthOf(now, upstream.ID, request.Retryable),
-			tried:  slices.Contains(request.Tried, upstream.ID),
-			cached: slices.Contains(cachedAt, upstream.ID),
+			index:    i,
+			load:     chooser.Loads.Estimate(now, upstream.ID),
+			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
+			excluded: atLimit || slices.Contains(request.Tried, upstream.ID),
+			cached:   slices.Contains(cachedAt, upstream.ID),
+		}
+		if atLimit {
+			selection.atLimit++
+			continue
 		}
 		total += selection.candidates[i].load.Requests
+		counted++
 	}
-	selection.mean = float64(total) / float64(max(len(pool.Upstreams), 1))
+	selection.mean = float64(total) / float64(max(counted, 1))
 	chosen, reason, found := selection.pick(len(cachedAt) > 0)
 	if !found {
 		return Choice{}, false
@@ -268,10 +285,14 @@
 // of the rendezvous order that are at most slightly more loaded than the mean.
 // All routers with the same view choose the same one.
 func (selection *selection) bestRanked() (candidate, bool) {
-	var order [maxRankedCandidates]int
+	var space [maxRankedCandidates]int
+	order := space[:]
+	if selection.atLimit > 0 {
+		order = make([]int, maxRankedCandidates+min(selection.atLimit, maxSkippedCandidates))
+	}
 	var best candidate
 	found := false
-	for _, index := range selection.pool.Ranking.Rank(selection.request.Keys[0], "", order[:]) {
+	for _, index := range selection.pool.Ranking.Rank(selection.request.Keys[0], "", order) {
 		candidate := selection.candidates[index]
 		if !candidate.usable(selection.mean + uncachedSlack) {
 			continue
@@ -284,14 +305,14 @@
 	return best, found
 }
 
-// leastLoaded returns the least loaded upstream with the given health that was
-// not tried yet. Among equally loaded ones it prefers the zone of the request
+// leastLoaded returns the least loaded upstream with the given health that is not
+// excluded. Among equally loaded ones it prefers the zone of the request
 // and then chooses at random.
 func (selection *selection) leastLoaded(health healthState) (candidate, bool) {
 	var best candidate
 	equals := 0
 	for _, candidate := range selection.candidates {
-		if candidate.tried || candidate.health != health {
+		if candidate.excluded || candidate.health != health {
 			continue
 		}
 		switch {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/strike"
@@ -87,6 +88,8 @@
 	cacheIndex balance.CacheIndex
 	health     health.Tracker
 	strikes    strike.Guard
+	quota      quota.Tracker
+	gossip     *gossip.Gossip
 	handler    *forward.Handler
 	updater    *follow.Updater
 	idleConns  forward.IdleConns
@@ -173,6 +176,7 @@
 		CacheIndex:  &daemon.cacheIndex,
 		Health:      &daemon.health,
 		Strikes:     &daemon.strikes,
+		Quota:       &daemon.quota,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
 		Zone:        daemon.Config.Zone,
 		Routers:     daemon.routers,
@@ -253,6 +257,7 @@
 		return err
 	}
 	exchange := daemon.newGossip(socket)
+	daemon.gossip = exchange
 	daemon.handler.RegisteredRouters = func() int { return len(exchange.Addresses()) }
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.allDone
@@ -291,6 +296,7 @@
 		CacheIndex: &daemon.cacheIndex,
 		Health:     &daemon.health,
 		Strikes:    &daemon.strikes,
+		Quota:      &daemon.quota,
 		Fill:       daemon.fillMessage,
 		OnMessage:  daemon.applyMessage,
 		Metrics:    daemon.metrics,
@@ -354,7 +360,10 @@
 // idle connections open, because callers may still be sent here.
 func (daemon *Daemon) maintain(now time.Time) {
 	daemon.updater.Expire()
-	daemon.handler.Connections.Retain(daemon.registry.Upstreams())
+	listed := daemon.registry.Upstreams()
+	daemon.handler.Connections.Retain(listed)
+	daemon.quota.Retain(now, listed)
+	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -108,6 +108,7 @@
 				if got := mostInWindow(times[:until], named.Add(limitDelay)); got > allowed {
 					t.Errorf("got %d requests in %v at %s with a limit of %d a second, want at most %d", got, limitWindow, runner.ID, namedLimit, allowed)
 				}
+				t.Logf("%s: %d after the limit was gone", runner.ID, len(times)-until)
 				if got := len(times) - until; got < 2*allowed {
 					t.Errorf("got %d requests in %v at %s without a limit, want at least %d", got, liftedTime, runner.ID, 2*allowed)
 				}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -23,6 +23,7 @@
 			CacheIndex:  &daemon.cacheIndex,
 			Ejected:     daemon.health.Ejected,
 			OnProbation: daemon.health.OnProbation,
+			AtLimit:     daemon.quota.Reached,
 			Multiple:    settings.LoadMultiple,
 			Slack:       loadBoundSlack,
 		},
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -291,15 +291,15 @@
 	return result.OK
 }
 
-// classify records the load that the head of an answer reports, and returns
+// classify records the load and the limit that the head of an answer reports, and returns
 // what the head says about the request. OK means that the answer can be
 // relayed.
 func (exchange *exchange) classify(answer *answer) result.Code {
 	if answer.head.Load != nil {
 		exchange.handler.Loads.RecordReport(time.Now(), answer.upstream.ID, answer.head.Load.Running+answer.head.Load.Waiting)
 	}
-	if answer.head.Limit != nil {
-		exchange.handler.Metrics.CountEvent("answer.limited")
+	if answer.response.StatusCode != http.StatusMisdirectedRequest && exchange.matchesRequest(answer) {
+		exchange.recordLimit(answer)
 	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -64,7 +64,7 @@
 	}
 	now := time.Now()
 	var untried, trusted []ident.UpstreamID
-	for _, upstream := range pool.Upstreams {
+	for _, upstream := range exchange.belowLimit(pool.Upstreams) {
 		if slices.Contains(exchange.tried, upstream.ID) {
 			continue
 		}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/strike"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
@@ -82,8 +83,10 @@
 	status    int
 	code      result.Code
 	cause     string
-	// refusal says why the request is refused, if it crashes upstreams.
-	refusal strike.Refusal
+	// refusal says why the request is refused, if it crashes upstreams, and limitedAt
+	// when an upstream takes it, if all are at their limits.
+	refusal   strike.Refusal
+	limitedAt time.Time
 	// broke is set if the last cause is a connection to an upstream that broke,
 	// and unanswered if it is an upstream that gave no answer in time.
 	broke      bool
@@ -253,7 +256,7 @@
 	for {
 		pool := exchange.handler.Registry.Pool(exchange.service)
 		if !exchange.chooseNext(pool) {
-			exchange.abandon(result.NoUpstream)
+			exchange.abandon(exchange.noChoiceCode(pool))
 			return
 		}
 		answer, code := exchange.attempt(exchange.choice.Upstream, "")
@@ -274,24 +277,46 @@
 	}
 }
 
+// maxChoices limits how often an upstream is chosen for one attempt that another
+// request of this router uses up in the meantime.
+const maxChoices = 8
+
 // chooseNext chooses the upstream of the next attempt and reports whether there
 // is one. A request that crashes upstreams gets none.
 func (exchange *exchange) chooseNext(pool *registry.Pool) bool {
-	var choice balance.Choice
-	var found bool
-	switch exchange.allowance() {
+	for range maxChoices {
+		choice, found := exchange.chooseBy(exchange.allowance(), pool)
+		if !found {
+			return false
+		}
+		// Another request may have taken the last one that the upstream's limit
+		// leaves.
+		if exchange.handler.Quota.Take(time.Now(), choice.Upstream) {
+			exchange.choice = choice
+			exchange.tried = append(exchange.tried, choice.Upstream.ID)
+			return true
+		}
+	}
+	return false
+}
+
+func (exchange *exchange) chooseBy(allowance strike.Allowance, pool *registry.Pool) (balance.Choice, bool) {
+	switch allowance {
 	case strike.Free:
-		choice, found = exchange.handler.choose(pool, exchange.choiceRequest())
+		return exchange.handler.choose(pool, exchange.choiceRequest())
 	case strike.Alone:
-		choice, found = exchange.designate(pool)
-	case strike.Refused:
+		return exchange.designate(pool)
 	}
-	if !found {
-		return false
+	return balance.Choice{}, false
+}
+
+// noChoiceCode returns the code of a request for which there is no upstream.
+func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
+	if until := exchange.limitedUntil(pool); !until.IsZero() {
+		exchange.limitedAt = until
+		return result.UpstreamsAtLimit
 	}
-	exchange.choice = choice
-	exchange.tried = append(exchange.tried, choice.Upstream.ID)
-	return true
+	return result.NoUpstream
 }
 
 func (exchange *exchange) choiceRequest() balance.Request {
@@ -390,6 +415,8 @@
 	case code == result.CrashingRequest:
 		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
 		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
+	case code == result.UpstreamsAtLimit:
+		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
 		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/retry"
@@ -33,7 +34,9 @@
 	CacheIndex *balance.CacheIndex
 	Health     *health.Tracker
 	// Strikes limits requests that crash upstreams; nil means no limit.
-	Strikes     *strike.Guard
+	Strikes *strike.Guard
+	// Quota keeps the limits that upstreams name; nil means that they have none.
+	Quota       *quota.Tracker
 	Connections *Connections
 	Zone        ident.Zone
 	// Routers returns the number of routers that share the connections to
--- /dev/null
+++ b/forward/limit.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/registry"
+)
+
+// recordLimit records the limit that an answer of the upstream names. Only a signed
+// answer tells by its silence that the limit is gone.
+func (exchange *exchange) recordLimit(answer *answer) {
+	limit := answer.head.Limit
+	if limit == nil && !answer.head.Signed {
+		return
+	}
+	if limit != nil {
+		exchange.handler.Metrics.CountEvent("answer.limited")
+	}
+	upstream := answer.upstream
+	if !exchange.handler.Quota.Observe(time.Now(), upstream.ID, upstream.Incarnation, limit, exchange.sentAt) {
+		return
+	}
+	if limit == nil {
+		exchange.handler.Metrics.CountEvent("limit.lifted")
+		exchange.handler.Logger.Info("Upstream names no limit any more.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation)
+		return
+	}
+	exchange.handler.Metrics.CountEvent("limit.named")
+	exchange.handler.Logger.Warn("Upstream named a limit.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "PerSecond", *limit)
+}
+
+// belowLimit returns the upstreams whose limits leave this router a request now.
+func (exchange *exchange) belowLimit(upstreams []registry.Upstream) []registry.Upstream {
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(upstreams), func(upstream registry.Upstream) bool {
+		return exchange.handler.Quota.Reached(now, upstream)
+	})
+}
+
+// limitedUntil returns when the first of the upstreams that were not tried and are at
+// their limit takes a request again. It returns the zero time if none is at its limit.
+func (exchange *exchange) limitedUntil(pool *registry.Pool) time.Time {
+	var earliest time.Time
+	if pool == nil {
+		return earliest
+	}
+	now := time.Now()
+	for _, upstream := range pool.Upstreams {
+		at := exchange.handler.Quota.NextAt(now, upstream)
+		if at.IsZero() || slices.Contains(exchange.tried, upstream.ID) {
+			continue
+		}
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
@@ -37,6 +38,9 @@
 	// time between two messages, may have missed some.
 	missedAfter  = 1500 * time.Millisecond
 	missedPauses = 3
+	// liveTimeout is how long after its last message a router is assumed to take its
+	// share of the limits of upstreams.
+	liveTimeout = 3 * time.Second
 	// strikeSends is how many times all strikes are sent to a router that has
 	// started or may have missed some, each time after a message of it.
 	strikeSends = 3
@@ -81,6 +85,8 @@
 	Health     *health.Tracker
 	// Strikes are exchanged with the other routers, unless nil.
 	Strikes *strike.Guard
+	// Quota has the limits of upstreams that are exchanged, unless nil.
+	Quota *quota.Tracker
 	// Fill sets the fields of an outgoing message that describe the store and the
 	// router's zone. It is called with a lock held and must not call methods of
 	// Gossip.
@@ -168,7 +174,7 @@
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	pause := gossip.pause()
-	if gossip.Health.BreakPending() || gossip.Strikes.Pending() {
+	if gossip.Health.BreakPending() || gossip.Strikes.Pending() || gossip.Quota.Pending() {
 		pause /= brokenPauseDivisor
 	}
 	if !leaving && len(gossip.changes) == 0 && now.Before(gossip.sentAt.Add(pause)) {
@@ -189,8 +195,11 @@
 	updates := gossip.CacheIndex.TakePending()
 	counts, complete := gossip.delta.next(now, gossip.Loads.Local())
 	outcomes := gossip.Health.TakePending(complete)
-	report := gossip.Strikes.TakeReport(now, complete)
-	changed := leaving || complete || len(report.Strikes)+len(report.Successes) > 0 || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
+	extra := strikeMessages(now, gossip.Router, gossip.Strikes.TakeReport(now, complete))
+	if limits := gossip.Quota.TakeReport(now, complete); len(limits) > 0 {
+		extra = append(extra, newLimitMessage(now, gossip.Router, limits))
+	}
+	changed := leaving || complete || len(extra) > 0 || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.sentAt.Add(keepaliveInterval)) {
 		return
 	}
@@ -201,7 +210,7 @@
 	message.Outcomes = outcomes
 	message.InFlight, message.Complete = counts, complete
 	gossip.sentAt = now
-	gossip.broadcast(now, message, report)
+	gossip.broadcast(now, message, extra)
 }
 
 // takeChanges removes and returns the first changes of upstreams that were not sent
@@ -236,9 +245,12 @@
 	return message
 }
 
-// sendFullState sends all requests in flight and all cached prefixes that this
-// router knows directly to a peer that has just started. The caller holds mu.
+// sendFullState sends all limits, all requests in flight and all cached prefixes that
+// this router knows directly to a peer that has just started. The caller holds mu.
 func (gossip *Gossip) sendFullState(now time.Time, peer *peer) {
+	if limits := gossip.Quota.All(now); len(limits) > 0 {
+		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
+	}
 	message := gossip.completeMessage(now)
 	gossip.send(gossip.encode(message), peer)
 	message.InFlight, message.Complete = nil, false
@@ -258,10 +270,10 @@
 	}
 }
 
-// broadcast sends message, and report if there is anything in it, to all peers,
+// broadcast sends message and the extra messages on strikes and limits to all peers,
 // except unresponsive ones that are not due yet, and removes the peers that sent
 // nothing for removeAfter. The caller holds mu.
-func (gossip *Gossip) broadcast(now time.Time, message Message, report strike.Report) {
+func (gossip *Gossip) broadcast(now time.Time, message Message, extra []any) {
 	datagram := gossip.encode(message)
 	if datagram == nil {
 		// The counts are sent again; all else is sent only once.
@@ -269,7 +281,7 @@
 		datagram = gossip.encode(message)
 	}
 	datagrams := [][]byte{datagram}
-	for _, message := range strikeMessages(now, gossip.Router, report) {
+	for _, message := range extra {
 		datagrams = append(datagrams, gossip.encode(message))
 	}
 	for address, peer := range gossip.peers {
@@ -353,6 +365,20 @@
 	return oldest, !oldest.IsZero()
 }
 
+// Live returns the addresses of the peers that were added or sent a message within
+// liveTimeout, and of the router itself, in no particular order.
+func (gossip *Gossip) Live(now time.Time) []string {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	live := []string{gossip.Address}
+	for address, peer := range gossip.peers {
+		if now.Sub(peer.receivedAt) <= max(liveTimeout, missedPauses*gossip.pause()) {
+			live = append(live, address)
+		}
+	}
+	return live
+}
+
 // Addresses returns the addresses of all peers and of the router itself, in no
 // particular order.
 func (gossip *Gossip) Addresses() []string {
@@ -391,6 +417,14 @@
 		}
 		return err
 	}
+	if isLimitMessage(datagram) {
+		message, err := decodeLimits(datagram)
+		if err == nil && message.Router != gossip.Router {
+			now := time.Now()
+			gossip.Quota.Apply(now, message.limits(now))
+		}
+		return err
+	}
 	message, err := Decode(datagram)
 	if err == nil {
 		gossip.handle(time.Now(), message)
--- a/result/code.go
+++ b/result/code.go
@@ -54,6 +54,7 @@
 	ClaimUnavailable     Code = 2011
 	CrashingRequest      Code = 2012
 	CrashingRequestAlone Code = 2013
+	UpstreamsAtLimit     Code = 2014
 )
 
 // Codes for requests that were run or may have been run.
@@ -127,6 +128,7 @@
 	{ClaimUnavailable, "ClaimUnavailable", "The claim could not be recorded", "The platform's table did not confirm the claim before the deadline, so the request was abandoned and will not be run later. Nothing was run.", http.StatusServiceUnavailable, NotRun, false},
 	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while running this request, so it is refused. Nothing was run this time. An entry router answers 429, which callers of the users' platform take as not run.", http.StatusUnprocessableEntity, NotRun, false},
 	{CrashingRequestAlone, "CrashingRequestAlone", "The request may only run alone elsewhere", "Upstreams crashed while running this request. It may run only on the upstream designated for it, without other requests. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
+	{UpstreamsAtLimit, "UpstreamsAtLimit", "Every upstream is at the limit that it names", "The upstreams of the route take fewer requests a second than arrive, by what they say. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
