--- a/balance/choose.go
+++ b/balance/choose.go
@@ -13,6 +13,10 @@
 // considered before the least loaded one of the pool is taken.
 const maxRankedCandidates = 8
 
+// spareLoadDivisor is how many times as many requests as an upstream below its limit
+// another one has in flight before the limited one gets a prompt that it hasn't cached.
+const spareLoadDivisor = 3
+
 // maxSkippedCandidates is how many more are considered to make up for those that are
 // at their limits, so that a prompt has the same upstreams as long as these are.
 const maxSkippedCandidates = 64
@@ -61,7 +65,7 @@
 	Upstream registry.Upstream
 	Reason   Reason
 	// Load is the load of the chosen upstream, and Mean the mean number of
-	// requests in flight at the upstreams of the pool that are below their limits.
+	// requests in flight at the upstreams of the pool that name no limit.
 	Load Load
 	Mean float64
 	// Source is an upstream that has a longer prefix of the prompt cached than the
@@ -69,6 +73,20 @@
 	Source ident.UpstreamID
 }
 
+// LimitState is how an upstream stands to the limit of requests that it names.
+type LimitState int
+
+// The states, from free to excluded.
+const (
+	// Unlimited means that the upstream names no limit.
+	Unlimited LimitState = iota
+	// BelowLimit means that the limit leaves this router a request now, which is
+	// lost to the fleet if it is not used.
+	BelowLimit
+	// AtLimit means that it leaves none.
+	AtLimit
+)
+
 // Chooser chooses upstreams. Its fields must be set before use.
 type Chooser struct {
 	Loads      *Loads
@@ -78,9 +96,9 @@
 	// OnProbation reports whether an upstream should get retryable requests only.
 	// If it is nil, no upstream is on probation.
 	OnProbation func(now time.Time, upstream ident.UpstreamID) bool
-	// AtLimit reports whether an upstream names a limit that leaves no request for
-	// this router now. If it is nil, no upstream does.
-	AtLimit func(now time.Time, upstream registry.Upstream) bool
+	// Limit returns how an upstream stands to the limit that it names. If it is nil,
+	// no upstream names one.
+	Limit func(now time.Time, upstream registry.Upstream) LimitState
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -127,6 +145,7 @@
 	health healthState
 	// excluded is set if the upstream was tried already or is at its limit.
 	excluded bool
+	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
 }
@@ -143,10 +162,10 @@
 	pool       *registry.Pool
 	request    Request
 	candidates []candidate
-	// atLimit is how many of the candidates are at their limits.
-	atLimit int
+	// limited is how many of the candidates name limits.
+	limited int
 	// mean is the mean number of requests in flight at the upstreams of the pool that
-	// are below their limits: the others' share of the load is theirs.
+	// name no limit: the others' share of the load is theirs.
 	mean float64
 }
 
@@ -163,16 +182,17 @@
 	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
 	total, counted := 0, 0
 	for i, upstream := range pool.Upstreams {
-		atLimit := chooser.AtLimit != nil && chooser.AtLimit(now, upstream)
+		limit := chooser.limitOf(now, upstream)
 		selection.candidates[i] = candidate{
 			index:    i,
 			load:     chooser.Loads.Estimate(now, upstream.ID),
 			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: atLimit || slices.Contains(request.Tried, upstream.ID),
+			excluded: limit == AtLimit || slices.Contains(request.Tried, upstream.ID),
+			limit:    limit,
 			cached:   slices.Contains(cachedAt, upstream.ID),
 		}
-		if atLimit {
-			selection.atLimit++
+		if limit != Unlimited {
+			selection.limited++
 			continue
 		}
 		total += selection.candidates[i].load.Requests
@@ -183,6 +203,9 @@
 	if !found {
 		return Choice{}, false
 	}
+	if spare, better := selection.spare(chosen); better {
+		chosen, reason = spare, Spillover
+	}
 	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean}
 	if !chosen.cached {
 		choice.Source = chooser.source(now, request.Keys, choice.Upstream.ID)
@@ -190,6 +213,13 @@
 	return choice, true
 }
 
+func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
+	if chooser.Limit == nil {
+		return Unlimited
+	}
+	return chooser.Limit(now, upstream)
+}
+
 func (chooser *Chooser) healthOf(now time.Time, upstream ident.UpstreamID, retryable bool) healthState {
 	switch {
 	case chooser.Ejected(now, upstream):
@@ -287,8 +317,8 @@
 func (selection *selection) bestRanked() (candidate, bool) {
 	var space [maxRankedCandidates]int
 	order := space[:]
-	if selection.atLimit > 0 {
-		order = make([]int, maxRankedCandidates+min(selection.atLimit, maxSkippedCandidates))
+	if selection.limited > 0 {
+		order = make([]int, maxRankedCandidates+min(selection.limited, maxSkippedCandidates))
 	}
 	var best candidate
 	found := false
@@ -305,6 +335,26 @@
 	return best, found
 }
 
+// spare returns an upstream below its limit that is far less loaded than the chosen
+// one, preferably one that has the prefix cached, and whether there is one.
+func (selection *selection) spare(chosen candidate) (candidate, bool) {
+	if selection.limited == 0 || chosen.limit != Unlimited {
+		return candidate{}, false
+	}
+	var best candidate
+	found := false
+	for _, candidate := range selection.candidates {
+		if candidate.limit != BelowLimit || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
+			continue
+		}
+		if !found || candidate.cached && !best.cached || candidate.cached == best.cached && answersSooner(candidate.load, best.load) {
+			best = candidate
+			found = true
+		}
+	}
+	return best, found
+}
+
 // leastLoaded returns the least loaded upstream with the given health that is not
 // excluded. Among equally loaded ones it prefers the zone of the request
 // and then chooses at random.
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -229,16 +229,34 @@
 	return found
 }
 
-// Reached reports whether the upstream names a limit that leaves this router no
-// request now.
-func (tracker *Tracker) Reached(now time.Time, upstream registry.Upstream) bool {
+// State is how an upstream stands to its limit.
+type State int
+
+// The states.
+const (
+	// Unlimited means that the upstream names no limit.
+	Unlimited State = iota
+	// Below means that the limit leaves this router a request now.
+	Below
+	// Reached means that it leaves none.
+	Reached
+)
+
+// State returns how the upstream stands to its limit at the time now.
+func (tracker *Tracker) State(now time.Time, upstream registry.Upstream) State {
 	if tracker == nil {
-		return false
+		return Unlimited
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	bucket := tracker.limiting(now, upstream)
-	return bucket != nil && bucket.tokens < 1
+	switch {
+	case bucket == nil:
+		return Unlimited
+	case bucket.tokens < 1:
+		return Reached
+	}
+	return Below
 }
 
 // Take counts a request to the upstream and reports whether its limit allows it.
--- a/quota/tracker_test.go
+++ b/quota/tracker_test.go
@@ -165,7 +165,7 @@
 	var tracker *quota.Tracker
 	tracker.Observe(start, "i-1", 1, perSecond(0), start)
 	tracker.Apply(start, []quota.Limit{{Upstream: "i-1"}})
-	if !tracker.Take(start, upstream) || tracker.Reached(start, upstream) || tracker.Pending() || len(tracker.All(start)) > 0 {
+	if !tracker.Take(start, upstream) || tracker.State(start, upstream) != quota.Unlimited || tracker.Pending() || len(tracker.All(start)) > 0 {
 		t.Error("got a limit, want none")
 	}
 }
