--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,38 @@
 	readLimit   rateLimit
 	pendingLoss float64
 	counters    PlatformCounters
+	era         platformapi.Era
+}
+
+// PlatformCopy is a copy of what a Platform holds at one moment.
+type PlatformCopy struct {
+	table   table
+	objects map[string][]byte
+}
+
+// Copy returns a copy of the rows and objects.
+func (platform *Platform) Copy() PlatformCopy {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	return PlatformCopy{table: platform.table.clone(), objects: maps.Clone(platform.objects)}
+}
+
+// Restore replaces the rows and objects by those of an earlier copy and begins a new
+// era. Versions go on from that of the copy. The operator and the runners have to write
+// their rows again.
+func (platform *Platform) Restore(earlier PlatformCopy) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.table = earlier.table.clone()
+	platform.objects = maps.Clone(earlier.objects)
+	platform.era++
+}
+
+// Era returns how often the platform was restored.
+func (platform *Platform) Era() platformapi.Era {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	return platform.era
 }
 
 // Commit applies transaction regardless of the switches. If a check fails, it
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -24,6 +24,7 @@
 		PutObject:    platform.servePutObject,
 		GetObject:    platform.serveGetObject,
 		DeleteObject: platform.serveDeleteObject,
+		Era:          platform.Era,
 	}
 	store.Register(mux)
 	mux.HandleFunc("PUT /v1/vms/{id}", platform.servePutVM)
--- a/standin/table.go
+++ b/standin/table.go
@@ -25,6 +25,13 @@
 	historyStart ident.Revision
 }
 
+// clone returns a copy of the table.
+func (original *table) clone() table {
+	cloned := *original
+	cloned.rows, cloned.removed = maps.Clone(original.rows), maps.Clone(original.removed)
+	return cloned
+}
+
 // apply applies batch atomically and returns the new version. If expectations of
 // the batch fail, it changes nothing and returns the current rows of these
 // expectations and false.
@@ -119,9 +126,9 @@
 
 // changes returns the rows and tombstones of a table that changed after a
 // version, in version order. It fails with platform.ErrHistoryLost if the
-// history since that version has been dropped.
+// history since that version has been dropped or the table has no such version.
 func (table *table) changes(name platform.TableName, after ident.Revision) (platform.Records, error) {
-	if after < table.historyStart {
+	if after < table.historyStart || after > table.version {
 		return platform.Records{}, platform.ErrHistoryLost
 	}
 	records := platform.Records{Version: table.version}
