platform, registry, entry: tell apart the eras of a store that comes back from an older copy

After such a return callers would have been refused, or sent to upstreams that are gone or leaving: versions went back and were given out again, and whatever compared them believed the old ones.

A revision now holds the store's era above its version, so that it rises across eras for everything that compares it: the registry, the feeds, the messages between routers. In a new era the registry gives missing rows the same grace as after an outage, keeps an incarnation that was leaving as leaving, lists a removed one again only once it has written its row, and takes no row of the copy for a renewal.

--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -36,10 +36,11 @@
 	service configrpc.Service
 }
 
-// publish makes the configuration's row available to other routers.
+// publish makes the configuration's row available to other routers, unless it is older
+// than the configuration in force, as in an older copy of the store.
 func (source *configSource) publish(records []platform.Record) {
 	for _, record := range records {
-		if record.Key == platform.ConfigKey && !record.Deleted {
+		if record.Key == platform.ConfigKey && !record.Deleted && platform.DecodeConfigVersion(record.Value) >= source.daemon.configVersion() {
 			source.service.Set(configrpc.Row{Value: record.Value, Version: record.Version})
 		}
 	}
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/strike"
@@ -18,6 +20,9 @@
 	strikeSaveInterval = 50 * time.Millisecond
 	// strikeCallTimeout bounds a call to the store for strikes.
 	strikeCallTimeout = 2 * time.Second
+	// maxRestoreDelay bounds the random pause before a router writes rows again that the
+	// store has lost.
+	maxRestoreDelay = time.Second
 	// strikeRetryInterval is the mean pause after a failed call.
 	strikeRetryInterval = 300 * time.Millisecond
 )
@@ -31,6 +36,8 @@
 	logger  *slog.Logger
 	// read is closed once the rows were read.
 	read chan struct{}
+	// era is the era of the store in which all rows were written.
+	era ident.Era
 }
 
 // run reads the rows, and then writes what changes until ctx ends.
@@ -41,6 +48,7 @@
 		}
 	}
 	close(strikeStore.read)
+	strikeStore.era = strikeStore.store.Era()
 	for wait.Sleep(ctx, strikeSaveInterval) {
 		strikeStore.save(ctx)
 	}
@@ -48,6 +56,10 @@
 
 // save writes what changed since the last time. After a failure it pauses.
 func (strikeStore *strikeStore) save(ctx context.Context) {
+	if era := strikeStore.store.Era(); era != strikeStore.era {
+		strikeStore.era = era
+		strikeStore.restore(ctx)
+	}
 	unsaved := strikeStore.guard.TakeUnsaved()
 	if len(unsaved.Write)+len(unsaved.Remove) == 0 {
 		return
@@ -59,6 +71,16 @@
 	}
 }
 
+// restore writes the rows again that the store lost when it came back from an older
+// copy, and reads those of other routers. Routers do so at different times.
+func (strikeStore *strikeStore) restore(ctx context.Context) {
+	strikeStore.metrics.CountEvent("strike.store.restored")
+	strikeStore.guard.SaveAgain(time.Now())
+	if wait.Sleep(ctx, rand.N(maxRestoreDelay)) {
+		strikeStore.call(ctx, "read", strikeStore.readRows)
+	}
+}
+
 // call makes one call to the store and reports whether it succeeded. operation is
 // logged.
 func (strikeStore *strikeStore) call(ctx context.Context, operation string, call func(ctx context.Context) error) bool {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -56,7 +56,8 @@
 // Region is the name of a region, which consists of availability zones.
 type Region string
 
-// Revision is the number of an accepted change of settings; a higher one is newer.
+// Revision is the number of an accepted change of settings, or of the version of a row
+// in the platform's store; a higher one is newer.
 type Revision uint64
 
 // FencingNumber identifies one holding of a lease; a higher number is newer.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -86,8 +86,14 @@
 	missingUntil map[ident.UpstreamID]time.Time
 	// removedVersions holds the versions of the latest removals.
 	removedVersions map[ident.UpstreamID]ident.Revision
+	// departures holds the latest incarnations that were leaving or removed.
+	departures map[ident.UpstreamID]departure
 	// renewals holds what is known of the writes of the listed rows.
 	renewals map[ident.UpstreamID]renewal
+	// era is the latest era of the store, and restoredAt when it was first seen after
+	// an earlier one.
+	era        ident.Era
+	restoredAt time.Time
 	// outageBegin and outageEnd bound the last outage of the store as seen by this
 	// router.
 	outageBegin time.Time
@@ -179,6 +185,9 @@
 // last outage. The store served another router throughout it, so that upstreams
 // could renew their rows and removed rows have not expired because of it.
 func (registry *Registry) partitioned(now time.Time) bool {
+	if registry.restored(now, RejoinGracePeriod) {
+		return false
+	}
 	return now.Sub(registry.peerStoreSeenAt) <= peerStoreTTL && registry.peerStoreUpSince.Before(registry.outageBegin)
 }
 
@@ -190,7 +199,7 @@
 	registry.initMaps()
 	var applied []Change
 	for _, change := range changes {
-		if registry.apply(now, change) {
+		if registry.apply(now, &change) {
 			applied = append(applied, change)
 		}
 	}
@@ -224,18 +233,27 @@
 		registry.missingUntil = make(map[ident.UpstreamID]time.Time)
 		registry.removedVersions = make(map[ident.UpstreamID]ident.Revision)
 		registry.renewals = make(map[ident.UpstreamID]renewal)
+		registry.departures = make(map[ident.UpstreamID]departure)
 	}
 }
 
-// apply applies one change and reports whether it took effect. The caller holds
-// mu.
-func (registry *Registry) apply(now time.Time, change Change) bool {
+// apply applies one change and reports whether it took effect. It may change what a row
+// of an older copy of the store says. The caller holds mu.
+func (registry *Registry) apply(now time.Time, change *Change) bool {
 	id := change.Upstream.ID
 	present, known := registry.listed[id]
 	if change.Upstream.Version < max(present.Version, registry.removedVersions[id]) {
 		return false
 	}
+	registry.observeEra(now, change.Upstream.Version.Era())
 	if !change.Gone {
+		var usable bool
+		if change.Upstream, usable = registry.withDeparture(change.Upstream); !usable {
+			return false
+		}
+		if change.Upstream.Leaving {
+			registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
+		}
 		registry.recordRenewal(now, change.Upstream)
 		delete(registry.missingUntil, id)
 		registry.listed[id] = change.Upstream
@@ -246,10 +264,11 @@
 	}
 	if registry.mayHaveExpired(now) && !present.Leaving {
 		if _, missing := registry.missingUntil[id]; !missing {
-			registry.missingUntil[id] = registry.outageEnd.Add(RejoinGracePeriod)
+			registry.missingUntil[id] = registry.graceEnd()
 		}
 		return false
 	}
+	registry.recordDeparture(present, change.Upstream.Version, true)
 	delete(registry.listed, id)
 	delete(registry.missingUntil, id)
 	delete(registry.renewals, id)
@@ -260,9 +279,23 @@
 	return true
 }
 
+// graceEnd returns until when the row of a live upstream may be missing. The caller
+// holds mu.
+func (registry *Registry) graceEnd() time.Time {
+	end := registry.outageEnd
+	if registry.restoredAt.After(end) {
+		end = registry.restoredAt
+	}
+	return end.Add(RejoinGracePeriod)
+}
+
 // mayHaveExpired reports whether a row that is removed now may have expired
-// because of a store outage. The caller holds mu.
+// because of a store outage, or be missing in an older copy of the store. The caller
+// holds mu.
 func (registry *Registry) mayHaveExpired(now time.Time) bool {
+	if registry.restored(now, OutageExpiryWindow) {
+		return true
+	}
 	if registry.partitioned(now) {
 		return false
 	}
@@ -285,6 +318,7 @@
 			continue
 		}
 		expired = append(expired, registry.listed[id])
+		registry.recordDeparture(registry.listed[id], registry.listed[id].Version, true)
 		delete(registry.listed, id)
 		delete(registry.missingUntil, id)
 		delete(registry.renewals, id)
--- a/registry/renewal.go
+++ b/registry/renewal.go
@@ -21,7 +21,8 @@
 func (registry *Registry) recordRenewal(now time.Time, upstream Upstream) {
 	last := registry.renewals[upstream.ID]
 	switch {
-	case last.incarnation != upstream.Incarnation:
+	case last.incarnation != upstream.Incarnation || last.version.Era() != upstream.Version.Era():
+		// The row of an older copy of the store was not written since.
 		registry.renewals[upstream.ID] = renewal{incarnation: upstream.Incarnation, version: upstream.Version, readAt: now}
 	case upstream.Version > last.version:
 		registry.renewals[upstream.ID] = renewal{incarnation: upstream.Incarnation, version: upstream.Version, readAt: now, wroteAfter: last.readAt}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -29,7 +29,7 @@
 	readLimit   rateLimit
 	pendingLoss float64
 	counters    PlatformCounters
-	era         platformapi.Era
+	era         ident.Era
 }
 
 // PlatformCopy is a copy of what a Platform holds at one moment.
@@ -57,7 +57,7 @@
 }
 
 // Era returns how often the platform was restored.
-func (platform *Platform) Era() platformapi.Era {
+func (platform *Platform) Era() ident.Era {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	return platform.era
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -60,6 +60,23 @@
 	return true
 }
 
+// SaveAgain has the strikes of all keys with more than one written to the store, which
+// has lost some of them. Which router saw them does not matter.
+func (guard *Guard) SaveAgain(now time.Time) {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	for fingerprint := range guard.tracker.requests {
+		if guard.tracker.Count(now, fingerprint) < aloneStrikes {
+			continue
+		}
+		for _, strike := range guard.tracker.Strikes(now, fingerprint) {
+			guard.markSaved(strike)
+			guard.unsaved.Write = append(guard.unsaved.Write, strike)
+		}
+	}
+	guard.unsaved.Write = newest(guard.unsaved.Write)
+}
+
 func anyOwn(strikes []Strike) bool {
 	for _, strike := range strikes {
 		if strike.Own {
