lease: keep one holder and rising fencing numbers when the store comes back from an older copy

Such a store may have lost the lease's row, or hold that of an earlier term: a second router would have acquired the lease at once, with a fencing number that had been given out. A daemon that sees a new era now waits for a whole lifetime, a holder writes its record again at once, and fencing numbers of a later era are above all revisions that the row had. An acquisition that turns out to have been decided on in an earlier era does not count.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -60,10 +60,13 @@
 type Holder struct {
 	Name Name
 	VM   ident.VMID
-	// Lifetime is how long the lease remains valid without a renewal.
+	// Lifetime is how long the lease remains valid without a renewal. All daemons have
+	// the same one if the store may come back from an older copy.
 	Lifetime time.Duration
 	// NewWrite returns a value for Record.Write that was never used before.
 	NewWrite func() string
+	// Era returns the era of the store as of its last response; nil means zero.
+	Era func() ident.Era
 
 	// expiresAt is when the lease expires, counted from just before the write that
 	// acquired or renewed it was sent. It is zero while the lease is not held.
@@ -79,6 +82,8 @@
 	// is empty if there is none.
 	pending Record
 	sentAt  time.Time
+	// lastEra is the era of the store in which the row was last seen.
+	lastEra ident.Era
 	// failures counts the failed accesses to the table since the last success.
 	failures int
 }
@@ -103,12 +108,31 @@
 	case now.Before(holder.acquirableAt):
 		return Step{Action: Sleep, Until: holder.acquirableAt}
 	}
-	return holder.commitStep(now, holder.VM, holder.lastRecord.Fence+1)
+	return holder.commitStep(now, holder.VM, holder.nextFence())
+}
+
+// nextFence returns a fencing number above those of all earlier terms. In a later era
+// the row may not hold the last of them: then it is above all revisions that the row
+// had, each of which was written by at most one term.
+func (holder *Holder) nextFence() ident.FencingNumber {
+	next := holder.lastRecord.Fence + 1
+	if holder.lastEra == 0 {
+		return next
+	}
+	return max(next, ident.FencingNumber(max(holder.lastEra.Revision(0), holder.lastRevision))+1)
+}
+
+func (holder *Holder) era() ident.Era {
+	if holder.Era == nil {
+		return 0
+	}
+	return holder.Era()
 }
 
 func (holder *Holder) renewOrSleep(now time.Time) Step {
 	renewAt := holder.expiresAt.Add(-holder.Lifetime + holder.Lifetime/renewalsPerLifetime)
-	if now.Before(renewAt) {
+	written := holder.lastRecord.Holder == holder.VM && holder.lastRecord.Fence == holder.fence
+	if now.Before(renewAt) && written {
 		return Step{Action: Sleep, Until: renewAt}
 	}
 	return holder.commitStep(now, holder.VM, holder.fence)
@@ -165,9 +189,13 @@
 func (holder *Holder) observe(now time.Time, revision ident.Revision, record Record) {
 	pending := holder.pending
 	holder.pending = Record{}
+	era := holder.era()
+	_, held := holder.Held(now)
 	switch {
-	case pending.Write != "" && record.Write == pending.Write:
+	case pending.Write != "" && record.Write == pending.Write && (held || era == holder.lastEra):
 		holder.applyWrite(record)
+	case era > holder.lastEra:
+		holder.observeRestored(now, record)
 	case revision == holder.lastRevision && !holder.acquirableAt.IsZero():
 		return
 	default:
@@ -179,6 +207,18 @@
 	}
 	holder.lastRevision = revision
 	holder.lastRecord = record
+	holder.lastEra = era
+}
+
+// observeRestored processes the row of a store that has come back from an older copy.
+// Another daemon may hold a lease of which that knows nothing; if this one does, it
+// writes its record again.
+func (holder *Holder) observeRestored(now time.Time, record Record) {
+	if _, held := holder.Held(now); held {
+		return
+	}
+	holder.expiresAt = time.Time{}
+	holder.acquirableAt = now.Add(max(holder.Lifetime, time.Duration(record.LifetimeMs)*time.Millisecond))
 }
 
 // applyWrite updates the state after a write of this holder, sent at sentAt, was
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -44,7 +44,10 @@
 	now      time.Time
 	row      *platform.Row
 	revision ident.Revision
-	daemons  []*daemon
+	// era counts how often the store came back from copy, an older state of it.
+	era     ident.Era
+	copy    savedRow
+	daemons []*daemon
 	// delayed holds the commits that were sent but not applied yet.
 	delayed []platform.Transaction
 	fence   lease.Fence
@@ -53,6 +56,12 @@
 }
 
 // daemon is one competitor for the lease, with the step that it has to take next.
+// savedRow is the row at some moment, and the version of the store at it.
+type savedRow struct {
+	row      *platform.Row
+	revision ident.Revision
+}
+
 type daemon struct {
 	holder lease.Holder
 	step   lease.Step
@@ -64,32 +73,63 @@
 	order ident.FencingNumber
 	// term is the fencing number of the daemon's latest term.
 	term ident.FencingNumber
+	// era is the latest era of the store that a response to the daemon had, and
+	// sentIn the one in which its write was sent.
+	era    ident.Era
+	sentIn ident.Era
 }
 
-func newSimulation(t *rapid.T) *simulation {
+// newSimulation returns three daemons, whose leases have the same lifetime if the store
+// may come back from an older copy.
+func newSimulation(t *rapid.T, sameLifetime bool) *simulation {
 	simulation := &simulation{now: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}
 	writes := 0
 	for i := range 3 {
-		lifetime := time.Duration(rapid.IntRange(5, 15).Draw(t, "lifetime")) * time.Second
+		lifetime := 10 * time.Second
+		if !sameLifetime {
+			lifetime = time.Duration(rapid.IntRange(5, 15).Draw(t, "lifetime")) * time.Second
+		}
 		newWrite := func() string { writes++; return fmt.Sprint("write-", writes) }
-		holder := lease.Holder{Name: "orders", VM: ident.VMID(fmt.Sprint("vm-", i)), Lifetime: lifetime, NewWrite: newWrite}
-		simulation.daemons = append(simulation.daemons, &daemon{holder: holder, step: holder.Next(simulation.now)})
+		daemon := new(daemon)
+		daemon.holder = lease.Holder{
+			Name: "orders", VM: ident.VMID(fmt.Sprint("vm-", i)), Lifetime: lifetime, NewWrite: newWrite,
+			Era: func() ident.Era { return daemon.era },
+		}
+		daemon.step = daemon.holder.Next(simulation.now)
+		simulation.daemons = append(simulation.daemons, daemon)
 	}
 	return simulation
 }
 
-// commit applies a transaction and returns its revision, or zero for a conflict.
+// commit applies a transaction and returns its revision, or zero for a conflict. The
+// store itself knows versions only.
 func (simulation *simulation) commit(transaction platform.Transaction) ident.Revision {
 	var present ident.Revision
 	if simulation.row != nil {
 		present = simulation.row.Revision
 	}
-	if transaction.Checks[0].Revision != present {
+	if transaction.Checks[0].Revision.Version() != present.Version() {
 		return 0
 	}
 	simulation.revision++
-	simulation.row = &platform.Row{Key: transaction.Writes[0].Key, Value: transaction.Writes[0].Value, Revision: simulation.revision}
-	return simulation.revision
+	simulation.row = &platform.Row{Key: transaction.Writes[0].Key, Value: transaction.Writes[0].Value, Revision: simulation.era.Revision(simulation.revision)}
+	return simulation.row.Revision
+}
+
+// restore brings the store back from its older copy, in a new era.
+func (simulation *simulation) restore() {
+	simulation.era++
+	simulation.row, simulation.revision = nil, simulation.copy.revision
+	if saved := simulation.copy.row; saved != nil {
+		simulation.row = &platform.Row{Key: saved.Key, Value: saved.Value, Revision: simulation.era.Revision(saved.Revision.Version())}
+	}
+}
+
+// conflicts reports whether the client of the daemon knows that its write has to
+// conflict, since the revision that it expects is of another era.
+func (daemon *daemon) conflicts() bool {
+	expected := daemon.step.Transaction.Checks[0].Revision
+	return expected != 0 && expected.Era() != daemon.era
 }
 
 // act takes the daemon's next step. A commit takes two calls, one that sends the
@@ -105,10 +145,14 @@
 	case daemon.step.Action == lease.Read && lost:
 		daemon.step = holder.Failed(simulation.now)
 	case daemon.step.Action == lease.Read:
+		daemon.era = simulation.era
 		daemon.step = holder.RowRead(simulation.now, simulation.row)
 	case !daemon.sent:
-		daemon.sent = true
+		daemon.sent, daemon.sentIn = true, simulation.era
 		daemon.applied = 0
+		if daemon.conflicts() {
+			return
+		}
 		if lost {
 			simulation.delayed = append(simulation.delayed, daemon.step.Transaction)
 			return
@@ -121,12 +165,17 @@
 }
 
 func (simulation *simulation) answer(daemon *daemon, lost bool) {
+	if !lost {
+		daemon.era = max(daemon.era, daemon.sentIn)
+	}
+	expected := daemon.step.Transaction.Checks[0].Revision
 	switch {
-	case lost:
+	case lost, daemon.applied != 0 && expected != 0 && expected.Era() != daemon.sentIn:
 		daemon.step = daemon.holder.Failed(simulation.now)
 	case daemon.applied != 0:
 		daemon.step = daemon.holder.Committed(simulation.now, daemon.applied)
 	default:
+		daemon.era = simulation.era
 		daemon.step = daemon.holder.RowRead(simulation.now, simulation.row)
 	}
 }
@@ -168,7 +217,7 @@
 // rise with each term, and no order is admitted after one of a later term.
 func TestLease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		simulation := newSimulation(t)
+		simulation := newSimulation(t, false)
 		pick := func(t *rapid.T) *daemon {
 			return simulation.daemons[rapid.IntRange(0, len(simulation.daemons)-1).Draw(t, "daemon")]
 		}
@@ -245,6 +294,36 @@
 	t.Fatal("got no holder 80 s after the last fault, want one")
 }
 
+// TestLeaseAcrossOlderCopies guards against two holders at one time, and fencing numbers
+// that are given out again, when the store comes back from an older copy.
+func TestLeaseAcrossOlderCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		simulation := newSimulation(t, true)
+		act := func(t *rapid.T) {
+			simulation.act(t, simulation.daemons[rapid.IntRange(0, len(simulation.daemons)-1).Draw(t, "daemon")])
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":      func(t *rapid.T) { simulation.check(t) },
+			"act":   act,
+			"act 2": act,
+			"act 3": act,
+			"act 4": act,
+			"tick": func(t *rapid.T) {
+				simulation.now = simulation.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"run delayed write": func(t *rapid.T) {
+				if len(simulation.delayed) == 0 {
+					t.Skip("no write is delayed")
+				}
+				simulation.commit(simulation.delayed[0])
+				simulation.delayed = simulation.delayed[1:]
+			},
+			"copy":    func(*rapid.T) { simulation.copy = savedRow{row: simulation.row, revision: simulation.revision} },
+			"restore": func(*rapid.T) { simulation.restore() },
+		})
+	})
+}
+
 // A daemon may be paused between sending a write and acting on the response. Its
 // lease counts from before the write was sent, so Held reports that it expired.
 func TestPausedHolderFindsItsLeaseLapsed(t *testing.T) {
--- a/placement/lease_runner.go
+++ b/placement/lease_runner.go
@@ -117,7 +117,7 @@
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
 	if runner.holder == nil {
-		runner.holder = &lease.Holder{Name: LeaseName, VM: runner.VM, Lifetime: leaseLifetime, NewWrite: uuid.NewString}
+		runner.holder = &lease.Holder{Name: LeaseName, VM: runner.VM, Lifetime: leaseLifetime, NewWrite: uuid.NewString, Era: runner.Client.CurrentEra}
 	}
 	return event(runner.holder)
 }
