soak: parts that end upstreams, limits of upstreams, and a store from an older copy

A second sender ends upstreams by a part of prompts, in the first place or behind the part that all streams share. Upstreams name limits, and what they get in any 4 s is checked. The store goes away for a moment and comes back from a copy up to 4 s old, the operator and the upstreams write their rows again, and all routers have to be registered again within 4 s.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -22,6 +22,9 @@
 	callerHost = "a.example"
 	// apiKey is the API key of all callers.
 	apiKey = "key-1"
+	// sharedPart is in the prompts of all streams, and of the requests that end
+	// upstreams by another part.
+	sharedPart = "aa"
 	// sharedPrefixCount is the number of different prompt prefixes that streams
 	// share.
 	sharedPrefixCount = 20
@@ -56,6 +59,8 @@
 	sentAt      time.Time
 	endedAt     time.Time
 	reply       standin.Reply
+	// prompt holds the shared parts of the prompt, if they are not those of the kind.
+	prompt []string
 }
 
 // caller sends requests over one connection to a router until its context ends.
@@ -143,8 +148,15 @@
 		Wait:    ident.Milliseconds(requestTimeout.Milliseconds()),
 		APIKey:  apiKey,
 	}
-	if call.kind.stream {
-		head.Prompt = []platform.PromptPart{{ID: "aa", Tokens: 100}, {ID: fmt.Sprint("b", prompt), Tokens: 4000}, {ID: string(call.attempt), Tokens: 50}}
+	shared := call.prompt
+	if call.kind.stream && shared == nil {
+		shared = []string{sharedPart, fmt.Sprint("b", prompt)}
+	}
+	for _, part := range shared {
+		head.Prompt = append(head.Prompt, platform.PromptPart{ID: part, Tokens: 1000})
+	}
+	if len(shared) > 0 {
+		head.Prompt = append(head.Prompt, platform.PromptPart{ID: string(call.attempt), Tokens: 50})
 	}
 	sent := &standin.Call{
 		Method: call.kind.method,
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -22,36 +23,57 @@
 	crashRequestPause = 500 * time.Millisecond
 	// restartTime is how long an upstream that a request ended is away.
 	restartTime = time.Second
-	// maxCrashes is how many upstreams a request may end. contactTime after the
-	// last of them, at most maxLateRuns more may run it.
-	maxCrashes  = 3
-	contactTime = 3 * time.Second
-	maxLateRuns = 3
+	// maxCrashes is how many upstreams a request may end, and maxPartCrashes how many
+	// requests with one part of a prompt may. contactTime after the last of them, at
+	// most maxLateRuns more may run.
+	maxCrashes     = 3
+	maxPartCrashes = 5
+	contactTime    = 3 * time.Second
+	maxLateRuns    = 3
+	// badPartPrefix begins the ID of each part that ends the upstreams which begin
+	// to answer a prompt with it.
+	badPartPrefix = "bad-"
 )
 
-// crasher sends requests that end the upstreams that run them: each with the same
-// path, caller and body for crashRequestLife, at any router.
+// crasher sends requests that end the upstreams that run them, for crashRequestLife at
+// any router: each with the same path, caller and body, or, with parts set, requests of
+// which no two are alike but for one part of their prompts.
 type crasher struct {
 	soak   *Soak
 	random *rand.Rand
+	parts  bool
 	done   chan struct{}
+	// calls are the attempts in flight.
+	calls sync.WaitGroup
 }
 
 func (crasher *crasher) run(ctx context.Context) {
 	defer close(crasher.done)
 	for number := 0; ctx.Err() == nil; number++ {
-		kind := kinds[crasher.random.IntN(len(kinds))]
-		request := &crashRequest{crasher: crasher, kind: kind, body: fmt.Sprint(crashMarker, " ", number)}
+		request := &crashRequest{crasher: crasher, kind: kinds[crasher.random.IntN(len(kinds))], name: fmt.Sprint(crashMarker, " ", number), crashes: maxCrashes}
+		if crasher.parts {
+			request.name, request.crashes = fmt.Sprint(badPartPrefix, number), maxPartCrashes
+			request.prompt = []string{request.name, sharedPart}
+			if crasher.random.IntN(2) == 0 {
+				slices.Reverse(request.prompt)
+			}
+		}
 		request.repeat(ctx)
 		request.check()
 	}
 }
 
-// crashRequest is one request that ends upstreams.
+// crashRequest is one request that ends upstreams, or the requests that do so by a part
+// of their prompts.
 type crashRequest struct {
 	crasher *crasher
 	kind    kind
-	body    string
+	// name is the body, or the part.
+	name string
+	// prompt is what the prompts have in common, if a part ends upstreams.
+	prompt []string
+	// crashes is how many upstreams may end before the routers have to know.
+	crashes int
 	sent    []*call
 }
 
@@ -71,10 +93,14 @@
 // the answer.
 func (request *crashRequest) send(router *router) *call {
 	soak := request.crasher.soak
-	attempt := ident.AttemptID(fmt.Sprintf("%s-%d", request.body, len(request.sent)))
-	call := &call{kind: request.kind, attempt: attempt, router: router, sentAt: time.Now()}
-	sending := &crashCall{soak: soak, call: call, body: request.body}
-	soak.crashCalls.Go(sending.run)
+	attempt := ident.AttemptID(fmt.Sprintf("%s-%d", request.name, len(request.sent)))
+	call := &call{kind: request.kind, attempt: attempt, router: router, sentAt: time.Now(), prompt: request.prompt}
+	body := request.name
+	if len(request.prompt) > 0 {
+		body = "body of " + string(attempt)
+	}
+	sending := &crashCall{soak: soak, call: call, body: body}
+	request.crasher.calls.Go(sending.run)
 	return call
 }
 
@@ -101,31 +127,31 @@
 	run  run
 }
 
-// check checks that the request did not run too often once three upstreams had
-// ended under it.
+// check checks that the request did not run too often once so many upstreams had ended
+// under it that the routers have to know.
 func (request *crashRequest) check() {
 	soak := request.crasher.soak
-	soak.crashCalls.Wait()
+	request.crasher.calls.Wait()
 	var runs []attemptRun
 	for _, call := range request.sent {
 		for _, run := range soak.runLog.runsOf(call.attempt) {
 			runs = append(runs, attemptRun{call: call, run: run})
 		}
 	}
-	if len(runs) <= maxCrashes {
+	if len(runs) <= request.crashes {
 		return
 	}
 	slices.SortFunc(runs, func(a, b attemptRun) int { return a.run.at.Compare(b.run.at) })
-	third := runs[maxCrashes-1].run.at
+	decisive := runs[request.crashes-1].run.at
 	late := 0
-	for _, attemptRun := range runs[maxCrashes:] {
+	for _, attemptRun := range runs[request.crashes:] {
 		sentAt := attemptRun.call.sentAt
-		if sentAt.After(third.Add(contactTime)) && soak.inTouch(sentAt.Add(-contactTime), attemptRun.run.at) {
+		if sentAt.After(decisive.Add(contactTime)) && soak.inTouch(sentAt.Add(-contactTime), attemptRun.run.at) {
 			late++
 		}
 	}
 	if late > maxLateRuns {
-		soak.violate("request ends upstream after upstream", "%s %s ran %d times, %d of them later than %v after the third", request.kind.name, request.body, len(runs), late, contactTime)
+		soak.violate("request ends upstream after upstream", "%s %s ran %d times, %d of them later than %v after run %d", request.kind.name, request.name, len(runs), late, contactTime, request.crashes)
 	}
 }
 
--- /dev/null
+++ b/soak/limit.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// limitDelay after an upstream has named a limit, it may get in any limitWindow
+	// limitFactor times what the limit allows and limitSlack more.
+	limitDelay  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// minLimit and maxLimit bound the limits, in requests per second.
+	minLimit = 0.5
+	maxLimit = 6
+	// limitLength is how much longer than other faults a limit lasts.
+	limitLength = limitDelay + limitWindow
+)
+
+// upstreamLimited makes an upstream name a limit.
+func (schedule *schedule) upstreamLimited(length time.Duration) {
+	upstream := schedule.upstream()
+	limit := minLimit + schedule.random.Float64()*(maxLimit-minLimit)
+	if !schedule.claim(upstream) {
+		return
+	}
+	schedule.soak.countPlanned("upstream names a limit")
+	named := time.Now()
+	upstream.runner.Limit(limit)
+	schedule.healAfter(limitLength+length, func() {
+		// An upstream that has restarted meanwhile names no limit.
+		if upstream.runner.Limited() {
+			schedule.soak.checkLimit(upstream, limit, named, time.Now())
+		}
+		upstream.runner.Unlimit()
+		schedule.release(upstream)
+	})
+}
+
+// checkLimit checks that an upstream got no more requests than the limit allows that it
+// named until now, in any window in which no fault but those of upstreams was active.
+func (soak *Soak) checkLimit(upstream *upstream, limit float64, named, until time.Time) {
+	times := soak.runLog.timesAt(upstream.runner.ID)
+	allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
+	for i, first := range times {
+		end := first.Add(limitWindow)
+		if first.Before(named.Add(limitDelay)) || end.After(until) {
+			continue
+		}
+		last, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
+		if last-i > allowed && soak.inTouch(first.Add(-settleTime), end) {
+			soak.violate("more than the limit", "%s got %d requests in %v at a limit of %.2f a second, want at most %d", upstream.runner.ID, last-i, limitWindow, limit, allowed)
+			return
+		}
+	}
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -47,6 +47,7 @@
 	{"store slow", false, (*schedule).storeSlow},
 	{"store answers lost", false, (*schedule).storeLost},
 	{"store history dropped", false, (*schedule).dropStoreHistory},
+	{"store back from an older copy", false, (*schedule).storeRestored},
 	{"router cut off from the store", false, (*schedule).storePartitioned},
 	{"upstream delayed", false, (*schedule).upstreamDelayed},
 	{"upstream silent", false, (*schedule).upstreamUnresponsive},
@@ -55,6 +56,7 @@
 	{"upstream crashed", false, (*schedule).upstreamCrashed},
 	{"upstream slow", false, (*schedule).upstreamSlow},
 	{"upstream sends without end", false, (*schedule).upstreamEndless},
+	{"upstream names a limit", true, (*schedule).upstreamLimited},
 	{"router stopped as planned", true, (*schedule).stopRouter},
 	{"router reloaded", true, (*schedule).reloadRouter},
 	{"configuration changed", true, (*schedule).changeConfig},
@@ -232,16 +234,16 @@
 // switchStore changes the switches of the store with on, and undoes that with off
 // after length.
 func (schedule *schedule) switchStore(name string, length time.Duration, on, off func(switches *standin.PlatformSwitches)) {
-	change := func(change func(switches *standin.PlatformSwitches)) func() {
-		return func() {
-			schedule.mu.Lock()
-			defer schedule.mu.Unlock()
-			switches := schedule.soak.store.Switches()
-			change(&switches)
-			schedule.soak.store.Switch(switches)
-		}
-	}
-	schedule.injectFor(name, length, change(on), change(off))
+	schedule.injectFor(name, length, func() { schedule.changeSwitches(on) }, func() { schedule.changeSwitches(off) })
+}
+
+// changeSwitches changes the switches of the store.
+func (schedule *schedule) changeSwitches(change func(switches *standin.PlatformSwitches)) {
+	schedule.mu.Lock()
+	defer schedule.mu.Unlock()
+	switches := schedule.soak.store.Switches()
+	change(&switches)
+	schedule.soak.store.Switch(switches)
 }
 
 func (schedule *schedule) storeDown(length time.Duration) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -71,15 +71,18 @@
 	report        Report
 	notRun        []ident.AttemptID
 	configVersion int
+	configValue   []byte
 	acceptedAt    time.Time
+	// copies are the latest copies of the store, the oldest first, and restoredAt is
+	// when it last came back from one.
+	copies     []standin.PlatformCopy
+	restoredAt time.Time
 	// disturbances holds the spans in which faults were active. The span of an
 	// active fault has no end.
 	disturbances []span
-	// crashCalls are the attempts in flight of requests that end upstreams, and
-	// restarts the upstreams that such a request ended.
-	crashCalls sync.WaitGroup
-	restarts   sync.WaitGroup
-	endless    []endlessSpan
+	// restarts are the upstreams that a request ended.
+	restarts sync.WaitGroup
+	endless  []endlessSpan
 }
 
 // span is a time span. While it lasts, until is zero.
@@ -111,6 +114,7 @@
 	balancerCtx, stopBalancer := context.WithCancel(context.Background())
 	balancer := &balancer{routers: soak.routers, done: make(chan struct{})}
 	go balancer.run(balancerCtx)
+	soak.keepCopy()
 	time.Sleep(warmUpTime)
 	callerCtx, stopCallers := context.WithCancel(context.Background())
 	var done []chan struct{}
@@ -119,9 +123,15 @@
 		done = append(done, caller.done)
 		go caller.run(callerCtx)
 	}
-	crasher := &crasher{soak: soak, random: rand.New(rand.NewPCG(options.Seed, uint64(options.Callers)+1)), done: make(chan struct{})}
-	done = append(done, crasher.done)
-	go crasher.run(callerCtx)
+	for number, parts := range []bool{false, true} {
+		random := rand.New(rand.NewPCG(options.Seed, uint64(options.Callers+number)+1))
+		crasher := &crasher{soak: soak, random: random, parts: parts, done: make(chan struct{})}
+		done = append(done, crasher.done)
+		go crasher.run(callerCtx)
+	}
+	copier := &storeCopier{soak: soak, done: make(chan struct{})}
+	done = append(done, copier.done)
+	go copier.run(callerCtx)
 	prober := &prober{soak: soak, done: make(chan struct{}), served: make(map[string]int)}
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
@@ -138,6 +148,7 @@
 	<-balancer.done
 	soak.checkNotRun()
 	soak.checkEndless()
+	soak.checkRegistered()
 	soak.checkRecovery()
 	return soak.report, nil
 }
@@ -203,7 +214,7 @@
 	soak.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value})
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
-	soak.configVersion, soak.acceptedAt = version, time.Now()
+	soak.configVersion, soak.configValue, soak.acceptedAt = version, value, time.Now()
 }
 
 const (
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +49,22 @@
 	return runLog.runs[attempt]
 }
 
+// timesAt returns when runs started at an upstream, in order.
+func (runLog *runLog) timesAt(upstream ident.UpstreamID) []time.Time {
+	runLog.mu.Lock()
+	defer runLog.mu.Unlock()
+	var times []time.Time
+	for _, runs := range runLog.runs {
+		for _, run := range runs {
+			if run.upstream == upstream {
+				times = append(times, run.at)
+			}
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
 // upstream is a runner stand-in behind a proxy.
 type upstream struct {
 	runner *standin.Runner
@@ -82,6 +100,7 @@
 
 		CrashMarker: crashMarker,
 		OnCrash:     func() { soak.crashByRequest(upstream) },
+		CrashPart:   func(part string) bool { return strings.HasPrefix(part, badPartPrefix) },
 		OnEndless:   soak.recordEndless,
 	}
 	upstream.server = &http.Server{Handler: upstream.runner}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -87,6 +87,14 @@
 	platform.apply(platformapi.Batch{Removes: []platformapi.RowName{name}})
 }
 
+// Has reports whether a row of any table is there, regardless of the switches.
+func (platform *Platform) Has(name platformapi.RowName) bool {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	_, found := platform.table.rows[name]
+	return found
+}
+
 // Forget drops the history of changes up to now. Readers of changes that are
 // behind then get platform.ErrHistoryLost.
 func (platform *Platform) Forget() {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -162,6 +162,12 @@
 	runner.limited = false
 }
 
+// Limited reports whether the runner names a limit.
+func (runner *Runner) Limited() bool {
+	_, limited := runner.namedLimit()
+	return limited
+}
+
 // namedLimit returns the limit that the runner names, if it names one.
 func (runner *Runner) namedLimit() (float64, bool) {
 	runner.mu.Lock()
