sidecar, operator: bound frames and responses without end; move what belongs to relaying

A sidecar's frame and a router's response to the operator's client were read until memory ran out; now 4 MiB and 64 MiB.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -258,7 +258,7 @@
 	}
 	exchange := daemon.newGossip(socket)
 	daemon.gossip = exchange
-	daemon.handler.RegisteredRouters = func() int { return len(exchange.Addresses()) }
+	daemon.handler.RegisteredRouters = exchange.Count
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.allDone
 	daemon.scheduler.Self = exchange.Address
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -169,6 +169,26 @@
 	}
 }
 
+// callerLeft reports whether the caller has disconnected.
+func (exchange *exchange) callerLeft() bool {
+	return exchange.callerFailed || exchange.request.Context().Err() != nil
+}
+
+// callerWriter writes the body of the answer to the caller, and records a failure
+// as the caller's: its error looks like that of a connection to an upstream.
+type callerWriter struct {
+	exchange *exchange
+}
+
+// Write writes data to the caller.
+func (callerWriter callerWriter) Write(data []byte) (int, error) {
+	count, err := callerWriter.exchange.writer.Write(data)
+	if err != nil {
+		callerWriter.exchange.callerFailed = true
+	}
+	return count, err
+}
+
 // truncationCode returns the code of a request whose answer was truncated.
 func (exchange *exchange) truncationCode() result.Code {
 	if !time.Now().Before(exchange.deadline) {
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -80,26 +80,6 @@
 	exchange.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
 }
 
-// callerLeft reports whether the caller has disconnected.
-func (exchange *exchange) callerLeft() bool {
-	return exchange.callerFailed || exchange.request.Context().Err() != nil
-}
-
-// callerWriter writes the body of the answer to the caller, and records a failure
-// as the caller's: its error looks like that of a connection to an upstream.
-type callerWriter struct {
-	exchange *exchange
-}
-
-// Write writes data to the caller.
-func (callerWriter callerWriter) Write(data []byte) (int, error) {
-	count, err := callerWriter.exchange.writer.Write(data)
-	if err != nil {
-		callerWriter.exchange.callerFailed = true
-	}
-	return count, err
-}
-
 // markCallerLeft changes the code to CallerLeft if the answer is incomplete
 // because the caller disconnected.
 func (exchange *exchange) markCallerLeft() {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -379,6 +379,13 @@
 	return live
 }
 
+// Count returns the number of peers and the router itself.
+func (gossip *Gossip) Count() int {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	return len(gossip.peers) + 1
+}
+
 // Addresses returns the addresses of all peers and of the router itself, in no
 // particular order.
 func (gossip *Gossip) Addresses() []string {
--- a/operator/client.go
+++ b/operator/client.go
@@ -171,6 +171,9 @@
 	return ctx.Err()
 }
 
+// maxResponseBytes limits the length of a router's response.
+const maxResponseBytes = 64 << 20
+
 func (client *Client) send(ctx context.Context, method, path string, body any, header http.Header, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
@@ -183,10 +186,13 @@
 		return errors.Wrapf(err, "router at %s", client.Server)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return errors.Wrapf(err, "router at %s", client.Server)
 	}
+	if len(content) > maxResponseBytes {
+		return errors.Newf("router at %s: response longer than %d bytes", client.Server, maxResponseBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		return decodeRefusal(response.StatusCode, content)
 	}
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -107,15 +107,27 @@
 	return answer.DecodeFrame(line)
 }
 
+// maxFrameBytes limits the length of a frame: an event of an engine is far shorter.
+const maxFrameBytes = 4 << 20
+
+// errFrameTooLong means that a sidecar sent a frame of more than maxFrameBytes.
+var errFrameTooLong = errors.New("frame too long")
+
 // readLongLine reads the rest of a frame that is longer than the buffer and
 // begins with start.
 func (frames *Frames) readLongLine(start []byte) (answer.Frame, error) {
 	line := bytes.Clone(start)
-	rest, err := frames.buffer.ReadBytes('\n')
-	if err != nil {
-		return answer.Frame{}, unexpectedEOF(err)
+	for len(line) <= maxFrameBytes {
+		rest, err := frames.buffer.ReadSlice('\n')
+		line = append(line, rest...)
+		if err == nil {
+			return answer.DecodeFrame(line)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return answer.Frame{}, unexpectedEOF(err)
+		}
 	}
-	return answer.DecodeFrame(append(line, rest...))
+	return answer.Frame{}, errFrameTooLong
 }
 
 // unexpectedEOF replaces io.EOF, since an answer ends with its last frame and not
--- a/sidecar/client_test.go
+++ b/sidecar/client_test.go
@@ -58,3 +58,27 @@
 		t.Errorf("got error %v at the end, want io.ErrUnexpectedEOF", err)
 	}
 }
+
+// endlessReader returns the same byte without end and counts the bytes read.
+type endlessReader struct {
+	count int
+}
+
+// Read fills the buffer.
+func (reader *endlessReader) Read(buffer []byte) (int, error) {
+	for i := range buffer {
+		buffer[i] = 'x'
+	}
+	reader.count += len(buffer)
+	return len(buffer), nil
+}
+
+// TestFrameWithoutEndIsGivenUp guards against a frame that is read until memory runs
+// out.
+func TestFrameWithoutEndIsGivenUp(t *testing.T) {
+	const maxRead = 8 << 20
+	reader := new(endlessReader)
+	if _, err := framesOf(reader).Next(); err == nil || reader.count > maxRead {
+		t.Errorf("got error %v after %d bytes, want one after at most %d", err, reader.count, maxRead)
+	}
+}
