--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -273,7 +273,7 @@
 		follower := &follower{table: table}
 		go follower.run(ctx)
 	}
-	strikeStore := &strikeStore{store: store, guard: &daemon.strikes, metrics: daemon.metrics, logger: logging.Component(daemon.Logger, "strike"), read: daemon.warmup.strikesRead}
+	strikeStore := newStrikeStore(daemon, store)
 	go strikeStore.run(ctx)
 	membership := &membership{store: store, gossip: exchange, daemon: daemon}
 	go membership.run(ctx)
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/strike"
@@ -15,9 +16,6 @@
 )
 
 const (
-	// strikeSaveInterval is the time between two checks of whether strikes have
-	// to be written to the store.
-	strikeSaveInterval = 50 * time.Millisecond
 	// strikeCallTimeout bounds a call to the store for strikes.
 	strikeCallTimeout = 2 * time.Second
 	// maxRestoreDelay bounds the random pause before a router writes rows again that the
@@ -36,10 +34,34 @@
 	logger  *slog.Logger
 	// read is closed once the rows were read.
 	read chan struct{}
+	// unsaved gets a value when strikes have to be written.
+	unsaved chan struct{}
 	// era is the era of the store in which all rows were written.
 	era ident.Era
 }
 
+// newStrikeStore returns a strikeStore of the daemon's strikes.
+func newStrikeStore(daemon *Daemon, store *platform.Store) *strikeStore {
+	strikeStore := &strikeStore{
+		store:   store,
+		guard:   &daemon.strikes,
+		metrics: daemon.metrics,
+		logger:  logging.Component(daemon.Logger, "strike"),
+		read:    daemon.warmup.strikesRead,
+		unsaved: make(chan struct{}, 1),
+	}
+	daemon.strikes.OnUnsaved = strikeStore.announce
+	return strikeStore
+}
+
+// announce has strikes written soon. It does not block.
+func (strikeStore *strikeStore) announce() {
+	select {
+	case strikeStore.unsaved <- struct{}{}:
+	default:
+	}
+}
+
 // run reads the rows, and then writes what changes until ctx ends.
 func (strikeStore *strikeStore) run(ctx context.Context) {
 	for !strikeStore.call(ctx, "read", strikeStore.readRows) {
@@ -49,8 +71,15 @@
 	}
 	close(strikeStore.read)
 	strikeStore.era = strikeStore.store.Era()
-	for wait.Sleep(ctx, strikeSaveInterval) {
+	checkEra := time.NewTicker(eraCheckInterval)
+	defer checkEra.Stop()
+	for ctx.Err() == nil {
 		strikeStore.save(ctx)
+		select {
+		case <-ctx.Done():
+		case <-strikeStore.unsaved:
+		case <-checkEra.C:
+		}
 	}
 }
 
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -59,6 +59,9 @@
 	WroteAfter func(upstream ident.UpstreamID, incarnation registry.Incarnation) time.Time
 	// OnEvent, if set, is called with each decision. It must not call the Guard.
 	OnEvent func(event Event)
+	// OnUnsaved, if set, is called when there is something to write to the store. It
+	// must not call the Guard.
+	OnUnsaved func()
 	// Router identifies the router among others, and Routers returns how many
 	// there are; nil means one.
 	Router  string
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -45,6 +45,14 @@
 			guard.unsaved.Write = append(guard.unsaved.Write, strike)
 		}
 	}
+	guard.announceUnsaved()
+}
+
+// announceUnsaved calls OnUnsaved if there is something to write. The caller holds mu.
+func (guard *Guard) announceUnsaved() {
+	if guard.OnUnsaved != nil && len(guard.unsaved.Write)+len(guard.unsaved.Remove) > 0 {
+		guard.OnUnsaved()
+	}
 }
 
 // markSaved records that a strike is, or is about to be, a row of the store. It
@@ -95,6 +103,7 @@
 			guard.unsaved.Remove = append(guard.unsaved.Remove, Strike{Fingerprint: key.fingerprint, Upstream: key.upstream, Incarnation: key.incarnation})
 		}
 	}
+	guard.announceUnsaved()
 }
 
 // TakeUnsaved returns the changes that have to be made in the store. The caller
