explain: a request refused for a part, and one that is beyond all limits, with what led to it

A 429 for a part is followed by the strikes of that part and names it; a 503 UpstreamsAtLimit by the limits in force, at whichever router they were seen. The cause of a refused request says three upstreams or more, since it may take more than three; the test's literal changes with it.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,7 @@
 		if line.Message == requestFinished {
 			log.writeContext(out, line)
 			log.writeStrikes(out, line)
+			log.writeLimits(out, line)
 		}
 		writeLine(out, line)
 		if line.Message == requestFinished {
@@ -85,23 +87,49 @@
 	return line.Message == strikeCounted || line.Message == strikeWithdrawn || line.Message == strikeCleared
 }
 
-// writeStrikes writes what routers saw themselves of the strikes of a request,
-// under any of its attempts, until the line of its end.
+// writeStrikes writes what routers saw themselves of the strikes of a request, under
+// any of its attempts, or of the part for which it was refused, until the line of its
+// end.
 func (log *Log) writeStrikes(out io.Writer, request Line) {
 	if request.Fingerprint == "" {
 		return
 	}
+	fingerprint := request.Fingerprint
+	if request.PartFingerprint != "" {
+		fingerprint = request.PartFingerprint
+	}
 	for _, line := range log.lines {
 		if line.Time.After(request.Time) {
 			return
 		}
 		seen := line.Message != strikeCounted || line.Source == "own"
-		if isStrike(line) && seen && line.Fingerprint == request.Fingerprint {
+		if isStrike(line) && seen && line.Fingerprint == fingerprint {
 			writeLine(out, line)
 		}
 	}
 }
 
+// writeLimits writes, for a request that was refused because of limits, which limits
+// upstreams had named to any router by then.
+func (log *Log) writeLimits(out io.Writer, request Line) {
+	if request.Code != "UpstreamsAtLimit" {
+		return
+	}
+	named := make(map[string]Line)
+	for _, line := range log.lines {
+		switch {
+		case line.Time.After(request.Time):
+		case line.Message == limitNamed:
+			named[line.Upstream] = line
+		case line.Message == limitLifted:
+			delete(named, line.Upstream)
+		}
+	}
+	for _, upstream := range slices.Sorted(maps.Keys(named)) {
+		writeLine(out, named[upstream])
+	}
+}
+
 // writeLine writes when and where the event of a log line happened, and the event.
 func writeLine(out io.Writer, line Line) {
 	fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
@@ -125,17 +153,31 @@
 	case storeUnreachable:
 		return fmt.Sprintf("store unreachable for table %s: %s", line.Table, line.Error)
 	case strikeCounted:
-		return fmt.Sprintf("strike %d of request %s: upstream %s broke off while it ran attempt %s", line.Strikes, line.Fingerprint, line.Upstream, line.Attempt)
+		return fmt.Sprintf("strike %d of %s %s: upstream %s broke off while it ran attempt %s", line.Strikes, kindOf(line), line.Fingerprint, line.Upstream, line.Attempt)
 	case strikeWithdrawn:
-		return fmt.Sprintf("strike of request %s withdrawn: upstream %s ran on, %d left", line.Fingerprint, line.Upstream, line.Strikes)
+		return fmt.Sprintf("strike of %s %s withdrawn: upstream %s ran on, %d left", kindOf(line), line.Fingerprint, line.Upstream, line.Strikes)
 	case strikeCleared:
-		return fmt.Sprintf("strike of request %s at upstream %s cleared: the request succeeded", line.Fingerprint, line.Upstream)
+		return fmt.Sprintf("strike of %s %s at upstream %s cleared: the request succeeded", kindOf(line), line.Fingerprint, line.Upstream)
+	case retrialStarted:
+		return "refused so far, runs once more, alone"
+	case limitNamed:
+		return fmt.Sprintf("upstream %s named a limit of %.2f requests a second", line.Upstream, line.PerSecond)
+	case limitLifted:
+		return fmt.Sprintf("upstream %s names no limit any more", line.Upstream)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
 	return line.Message
 }
 
+// kindOf returns what a strike is of.
+func kindOf(line Line) string {
+	if line.Kind == "part" {
+		return "part"
+	}
+	return "request"
+}
+
 // causes explains the result code of a finished request.
 var causes = map[string]string{
 	"OK":                  "none, the request was served",
@@ -147,7 +189,8 @@
 	"HeadTooLarge":        "the caller's headers are longer than the configuration allows",
 	"BodyTooLarge":        "the caller's body is longer than the configuration allows",
 	"MalformedBody":       "the caller's body did not arrive completely",
-	"CrashingRequest":     "three upstreams broke off while they ran this request, so it is refused and did not run",
+	"CrashingRequest":     "three upstreams or more broke off while they ran this request, so it is refused and did not run",
+	"UpstreamsAtLimit":    "every upstream of the service is at the limit that it names",
 	"NoUpstream":          "no upstream of the service is listed or left to try",
 	"QueueFull":           "the upstreams refused the request before they ran it",
 	"UpstreamUnreachable": "no connection to an upstream could be opened",
@@ -169,6 +212,9 @@
 	if !known {
 		cause = "code " + line.Code
 	}
+	if line.Part != "" {
+		cause = fmt.Sprintf("upstreams broke off while they ran requests with part %s in their prompts, so it is refused and did not run", line.Part)
+	}
 	if line.Cause != "" && line.Code != "OK" {
 		cause += ": " + line.Cause
 	}
--- a/explain/line.go
+++ b/explain/line.go
@@ -35,6 +35,11 @@
 	CallerLeft    bool
 	// Fingerprint is the same for all attempts of one request.
 	Fingerprint string
+	// Part is the ID of the part of the prompt for which the request was refused, and
+	// PartFingerprint the fingerprint under which its strikes are logged. Both are
+	// empty unless a part was the reason.
+	Part            string
+	PartFingerprint string
 
 	// Attributes of the router's other events.
 	Outcome string
@@ -43,8 +48,12 @@
 	Source  string
 	Table   string
 	Error   string
-	// Strikes is how many upstreams crashed under the request, so far.
+	// Strikes is how many upstreams crashed under the request, or the part, so far.
+	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
+	Kind    string
+	// PerSecond is the limit that an upstream named.
+	PerSecond float64
 }
 
 // The log messages that explain requests.
@@ -60,6 +69,9 @@
 	strikeCounted    = "strike: Strike counted, the upstream broke off while it ran the request."
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
 	strikeCleared    = "strike: Strike cleared, the request succeeded."
+	retrialStarted   = "forward: Refused request runs once more, alone."
+	limitNamed       = "forward: Upstream named a limit."
+	limitLifted      = "forward: Upstream names no limit any more."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
