peer, settingstable: write settings again that the store has lost

On the project's own interface, a store that came back from an older copy held older settings of a team than daemons had in force, and the next change was accepted at a revision that they ignored. A daemon that finds the store behind now writes what is in force, on the condition that the older row is still there.

TestSettingsThatTheStoreLostAreWrittenAgain fails without the call (revision 1).

--- a/daemon/base.go
+++ b/daemon/base.go
@@ -81,12 +81,13 @@
 	base.links = &peer.Links{Identity: identity, Traffic: base.peerTraffic, Metrics: set}
 	base.store = &settingstable.Store{Client: base.platform}
 	base.settings = &peer.Replicator{
-		Call:     base.links.Call,
-		Heads:    base.store.Heads,
-		Load:     base.store.Load,
-		Snapshot: base.store.ReadSnapshot,
-		Metrics:  set,
-		Logger:   logger,
+		Call:       base.links.Call,
+		Heads:      base.store.Heads,
+		WriteAgain: base.store.WriteAgain,
+		Load:       base.store.Load,
+		Snapshot:   base.store.ReadSnapshot,
+		Metrics:    set,
+		Logger:     logger,
 	}
 	return base, base.server.Register("Settings", base.settings.Receiver())
 }
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -149,6 +149,9 @@
 	if ahead := newer(inForce, heads); len(ahead) > 0 {
 		// A change that is adopted after the heads were read is counted as well.
 		replicator.Metrics.CountEvent(eventStoreOlder)
+		if err := replicator.writeAgain(ctx, ahead); err != nil {
+			return err
+		}
 	}
 	wanted := newer(heads, inForce)
 	if len(wanted) == 0 {
@@ -171,6 +174,20 @@
 	return nil
 }
 
+// writeAgain writes the settings of teams to the store that are newer here than there.
+func (replicator *Replicator) writeAgain(ctx context.Context, ahead map[ident.TeamID]ident.Revision) error {
+	if replicator.WriteAgain == nil {
+		return nil
+	}
+	view := replicator.View()
+	for team := range ahead {
+		if err := replicator.WriteAgain(ctx, view.Team(team)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // compare exchanges revisions with a neighbour, pulls those that are newer
 // there, and schedules an announcement of those that the neighbour is missing.
 // It reports whether the neighbour is ready.
--- a/peer/replicator.go
+++ b/peer/replicator.go
@@ -49,6 +49,8 @@
 	// Snapshot returns settings that may be outdated. A new daemon starts from
 	// them and loads only newer revisions from the store. May be nil.
 	Snapshot func(ctx context.Context) ([]*settings.Subtree, error)
+	// WriteAgain writes settings to the store that it has lost. May be nil.
+	WriteAgain func(ctx context.Context, subtree *settings.Subtree) error
 	// OnAdopt is called with each new revision after it is in force. It may be
 	// called concurrently. May be nil.
 	OnAdopt func(subtree *settings.Subtree)
--- a/settingstable/settings.go
+++ b/settingstable/settings.go
@@ -226,6 +226,36 @@
 	return accepted, err == nil, err
 }
 
+// WriteAgain writes settings that are in force if the table holds older ones of the
+// team, as it does once the platform's store has come back from an older copy. The
+// history entries and change IDs that the store has lost with them stay lost. Any number
+// of daemons may do so for the same settings.
+func (store *Store) WriteAgain(ctx context.Context, subtree *settings.Subtree) error {
+	rows, err := store.Client.Read(ctx, subtreeKey(subtree.Team))
+	if err != nil {
+		return storeError(err)
+	}
+	present, revision, err := findSubtree(rows, subtree.Team)
+	if err != nil || present != nil && present.Revision >= subtree.Revision {
+		return err
+	}
+	var writes writeList
+	writes.add(subtreeKey(subtree.Team), subtree)
+	writes.add(headPrefix+platform.Key(subtree.Team), head{Revision: subtree.Revision})
+	if writes.err != nil {
+		return writes.err
+	}
+	checks := []platform.Check{{Key: subtreeKey(subtree.Team), Revision: revision}}
+	_, err = store.Client.Commit(ctx, platform.Transaction{Checks: checks, Writes: writes.writes})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		// Another daemon has written meanwhile; the next comparison tells whether it
+		// wrote these settings.
+		return nil
+	}
+	return storeError(err)
+}
+
 // Heads returns the latest revision of each team.
 func (store *Store) Heads(ctx context.Context) (map[ident.TeamID]ident.Revision, error) {
 	rows, err := store.scanAll(ctx, headPrefix)
