forward: log and count a panic of a request's handler; strike: blame the key that allows the least

Panics are now logged with their stack, counted, and looked for by the soak. Found while reading for it: a key with more weight that may run was named, and its times used, in place of the one for which a request is refused.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -96,10 +97,25 @@
 		request: request,
 		arrived: time.Now(),
 	}
+	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
 }
 
+// reportPanic logs and counts a panic that does not break the caller's connection on
+// purpose, and goes on with it: net/http closes the connection without an answer.
+func (handler *Handler) reportPanic(exchange *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		handler.Metrics.CountEvent("request.panicked")
+		handler.Logger.Error("Request handler panicked.", "Attempt", exchange.head.Attempt, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+	}
+	panic(cause)
+}
+
 // countRequest counts a new request toward the retry budget of service.
 func (handler *Handler) countRequest(now time.Time, service ident.ServiceName) {
 	handler.mu.Lock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -92,6 +94,17 @@
 	}
 }
 
+// checkPanics checks that no router's log has a panic of a request's handler, which
+// closes the caller's connection and is no end of the process.
+func (soak *Soak) checkPanics() {
+	for _, router := range soak.routers {
+		log, err := os.ReadFile(router.log.Name())
+		if err != nil || bytes.Contains(log, []byte("panicked")) {
+			soak.violate("handler panicked", "%s: see its log (error %v)", router.name, err)
+		}
+	}
+}
+
 // checkLeaving checks that upstream ran no request between maxLeaveTime after it
 // began to leave and until. It checks nothing if a fault was active meanwhile.
 func (soak *Soak) checkLeaving(upstream *upstream, until time.Time) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -149,6 +149,7 @@
 	soak.checkNotRun()
 	soak.checkEndless()
 	soak.checkRegistered()
+	soak.checkPanics()
 	soak.checkRecovery()
 	return soak.report, nil
 }
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -209,7 +209,8 @@
 // verdict is how a request may run, and why.
 type verdict struct {
 	allowance Allowance
-	// worst is the evidence with the most weight.
+	// worst is the evidence that allows the least, and of that the one with the most
+	// weight.
 	worst evidence
 	// others is set for a refused request if another of its keys has strikes of
 	// other crashes, so that one more would not tell which of them is guilty.
@@ -225,7 +226,7 @@
 		}
 		found := guard.evidenceAgainst(now, key, keys)
 		allowance := found.allowance()
-		if allowance > result.allowance || found.weight > result.worst.weight {
+		if allowance > result.allowance || allowance == result.allowance && found.weight > result.worst.weight {
 			result.worst = found
 		}
 		result.allowance = max(result.allowance, allowance)
