strike: count a crash less against a key if others that were there have several strikes

Four upstreams ended within 0.9 s, under two requests that crash and two parts, with a request with b16 at each; the causes had fewer strikes than b16, so that each crash counted in full against it. A crash at which a key outside the request was running that has several strikes, if fewer, now counts less by their share.

TestPartBesideSeveralCausesIsNotRefused failed before.

--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -84,7 +84,8 @@
 
 // evidenceAgainst returns what speaks against one key of a request, whose keys are
 // given. A crash at which a key outside the request was running that was at as
-// many crashes speaks against that one. The caller holds mu.
+// many crashes speaks against that one, and in part if it was at some. The caller holds
+// mu.
 func (guard *Guard) evidenceAgainst(now time.Time, key ident.Fingerprint, keys []ident.Fingerprint) evidence {
 	found := evidence{key: key}
 	strikes := guard.tracker.Count(now, key)
@@ -102,7 +103,7 @@
 			found.alternatives++
 		}
 		others, younger := guard.runningAt(crash, keys)
-		found.weight += weightOf(crash.crash, younger)
+		found.weight += weightOf(crash.crash, younger) * unsharedShare(strikes, mostStrikes)
 		if others <= 1 {
 			found.single++
 		}
@@ -163,6 +164,16 @@
 	return 1
 }
 
+// unsharedShare returns the share of a crash that speaks against a key with the given
+// strikes if another one that was running there has fewer. A single strike, as each
+// request has that ran beside the cause, takes nothing away.
+func unsharedShare(strikes, others int) float64 {
+	if others < aloneStrikes {
+		return 1
+	}
+	return 1 - float64(others)/float64(strikes)
+}
+
 // crashesOf returns the crashes of a key, the earliest first. The caller holds mu.
 func (guard *Guard) crashesOf(key ident.Fingerprint) []crashAt {
 	var sorted []crashAt
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// TestPartBesideSeveralCausesIsNotRefused guards against the refusal of a part of sound
+// requests that were running at four crashes within a second, two each of two other parts.
+func TestPartBesideSeveralCausesIsNotRefused(t *testing.T) {
+	const sound, firstCause, secondCause ident.Fingerprint = 100, 200, 300
+	var guard strike.Guard
+	now := start
+	for n := range 4 {
+		now = start.Add(time.Duration(n) * 280 * time.Millisecond)
+		for request, part := range map[ident.Fingerprint]ident.Fingerprint{1: sound, 2: firstCause + (secondCause-firstCause)*ident.Fingerprint(n%2)} {
+			run := crashOf(n)
+			run.Fingerprint, run.SentAt, run.At = 10*ident.Fingerprint(n+1)+request, now.Add(-20*time.Millisecond), now
+			guard.Broken(now, run, part)
+		}
+	}
+	now = now.Add(time.Second)
+	if got := guard.Allowed(now, 999, sound); got == strike.Refused {
+		t.Errorf("got a request with a sound part refused, want it allowed")
+	}
+}
+
 // TestRunAtAnUpstreamThatWasAwayIsNoStrike guards against strikes of requests that
 // were sent to an upstream after it had crashed.
 func TestRunAtAnUpstreamThatWasAwayIsNoStrike(t *testing.T) {
