--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -133,26 +133,27 @@
 func (daemon *daemon) start() {
 	daemon.ctx, daemon.cancel = context.WithCancel(context.Background())
 	daemon.tasks.Add(3)
-	go daemon.runServer()
-	go daemon.runLinks()
-	go daemon.runReplicator()
+	for _, task := range []func(){daemon.serve, func() { daemon.links.Run(daemon.ctx) }, func() { daemon.replicator.Run(daemon.ctx) }} {
+		go (&daemonTask{daemon: daemon, do: task}).run()
+	}
 }
 
-func (daemon *daemon) runServer() {
-	defer daemon.tasks.Done()
-	if err := daemon.server.Serve(daemon.ctx, &gatedListener{Listener: daemon.listener, gate: daemon.gate}); err != nil {
-		daemon.fleet.t.Errorf("got %v from Serve, want nil", err)
-	}
+// daemonTask is one of the goroutines of a daemon.
+type daemonTask struct {
+	daemon *daemon
+	do     func()
 }
 
-func (daemon *daemon) runLinks() {
-	defer daemon.tasks.Done()
-	daemon.links.Run(daemon.ctx)
+func (task *daemonTask) run() {
+	defer task.daemon.tasks.Done()
+	task.do()
 }
 
-func (daemon *daemon) runReplicator() {
-	defer daemon.tasks.Done()
-	daemon.replicator.Run(daemon.ctx)
+// serve serves the other daemons until the daemon's context ends.
+func (daemon *daemon) serve() {
+	if err := daemon.server.Serve(daemon.ctx, &gatedListener{Listener: daemon.listener, gate: daemon.gate}); err != nil {
+		daemon.fleet.t.Errorf("got %v from Serve, want nil", err)
+	}
 }
 
 // stop ends a daemon like a killed process: it notifies no peer.
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -149,17 +149,11 @@
 func (router *router) run(ctx context.Context, done *sync.WaitGroup) {
 	defer done.Done()
 	var leaseDone sync.WaitGroup
-	leaseDone.Add(1)
-	go router.runLease(ctx, &leaseDone)
+	leaseDone.Go(func() { router.leaseRunner.Run(ctx) })
 	router.controller.Run(ctx)
 	leaseDone.Wait()
 }
 
-func (router *router) runLease(ctx context.Context, done *sync.WaitGroup) {
-	defer done.Done()
-	router.leaseRunner.Run(ctx)
-}
-
 // orders returns the number of orders that the engines received, and their times
 // in ascending order.
 func (fixture *fixture) orders() (count int, at []time.Time) {
--- a/policybench/bytes_test.go
+++ b/policybench/bytes_test.go
@@ -40,6 +40,14 @@
 }
 
 // exchangeBytes returns the bytes of one load exchange over an established
+// servedConn is a connection on which a server answers calls until it closes.
+type servedConn struct {
+	server *rpc.Server
+	conn   net.Conn
+}
+
+func (served *servedConn) run() { served.server.ServeConn(served.conn) }
+
 // connection, both directions together.
 func exchangeBytes(t testing.TB) float64 {
 	const exchanges = 100
@@ -48,7 +56,8 @@
 		t.Fatal(err)
 	}
 	clientConn, serverConn := net.Pipe()
-	go server.ServeConn(serverConn)
+	serving := &servedConn{server: server, conn: serverConn}
+	go serving.run()
 	var bytes atomic.Int64
 	client := rpc.NewClient(countingConn{Conn: clientConn, bytes: &bytes})
 	t.Cleanup(func() { _ = client.Close() })
