--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -27,11 +27,6 @@
 	crashRetryInterval = 350 * time.Millisecond
 	// restartTime is how long a crashed upstream is away.
 	restartTime = time.Second
-	// maxCrashes is how many upstreams one request may crash. lateCrashTime
-	// after the last of them, at most maxLateCrashes more may happen.
-	maxCrashes     = 3
-	lateCrashTime  = 3 * time.Second
-	maxLateCrashes = 3
 )
 
 // crashFleet is a store, upstreams that a request may crash, and routers.
@@ -337,7 +332,7 @@
 		call := &crashCall{fleet: fleet, address: fleet.address(n), attempt: fmt.Sprint("crash-", n), path: path}
 		go call.run()
 		time.Sleep(time.Until(started.Add(crashRetryInterval)))
-		if len(fleet.crashTimes()) >= maxCrashes && afterThird != nil {
+		if len(fleet.crashTimes()) >= standin.MaxCrashes && afterThird != nil {
 			afterThird()
 			afterThird = nil
 		}
@@ -352,17 +347,17 @@
 func (fleet *crashFleet) check(path string, sound *soundCaller) {
 	fleet.t.Helper()
 	crashes := fleet.crashTimes()
-	if len(crashes) < maxCrashes {
-		fleet.t.Fatalf("got %d crashes, want at least %d", len(crashes), maxCrashes)
+	if len(crashes) < standin.MaxCrashes {
+		fleet.t.Fatalf("got %d crashes, want at least %d", len(crashes), standin.MaxCrashes)
 	}
 	late := 0
-	for _, crash := range crashes[maxCrashes:] {
-		if crash.After(crashes[maxCrashes-1].Add(lateCrashTime)) {
+	for _, crash := range crashes[standin.MaxCrashes:] {
+		if crash.After(crashes[standin.MaxCrashes-1].Add(standin.ContactTime)) {
 			late++
 		}
 	}
-	if late > maxLateCrashes {
-		fleet.t.Errorf("got %d crashes, %d of them later than %v after the third, want at most %d", len(crashes), late, lateCrashTime, maxLateCrashes)
+	if late > standin.MaxLateRuns {
+		fleet.t.Errorf("got %d crashes, %d of them later than %v after the third, want at most %d", len(crashes), late, standin.ContactTime, standin.MaxLateRuns)
 	}
 	if len(sound.failed) > 0 || sound.served == 0 {
 		fleet.t.Errorf("got %d sound requests served and failures %v, want all served", sound.served, sound.failed)
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/standin"
 )
 
 // TestStoreFromAnOlderCopy guards against routers that believe versions of a store which
@@ -21,7 +22,7 @@
 	leaving.Leave()
 	gone.Crash()
 	fleet.store.Remove(gone.Row())
-	for n := range maxCrashes {
+	for n := range standin.MaxCrashes {
 		fleet.send(fleet.address(n), fmt.Sprint("crash-", n), "/once/x", crashBody)
 		time.Sleep(crashRetryInterval)
 	}
@@ -45,7 +46,7 @@
 	if got := len(fleet.runTimes(fleet.runners[started].ID)); got == 0 {
 		t.Error("got no request at an upstream that has started since, want some")
 	}
-	for table, want := range map[platform.TableName]int{platform.RouterTable: len(fleet.routers), platform.StrikeTable: maxCrashes} {
+	for table, want := range map[platform.TableName]int{platform.RouterTable: len(fleet.routers), platform.StrikeTable: standin.MaxCrashes} {
 		store := platform.NewStore(fleet.routers[0].storeAddress, nil)
 		records, err := store.ReadAll(t.Context(), table, "")
 		if err != nil || len(records.Records) < want {
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -13,12 +13,6 @@
 )
 
 const (
-	// limitDelay after an upstream has named a limit, it may get in any limitWindow
-	// at most limitFactor times what the limit allows and limitSlack more.
-	limitDelay  = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
 	// namedLimit is the limit in requests a second, limitedTime how long it is named,
 	// and liftedTime how long requests go on without it.
 	namedLimit  = 2
@@ -59,14 +53,14 @@
 }
 
 // mostInWindow returns the most of the times from a given one on that lie within
-// limitWindow.
+// standin.LimitWindow.
 func mostInWindow(times []time.Time, from time.Time) int {
 	most := 0
 	for i, first := range times {
 		if first.Before(from) {
 			continue
 		}
-		end, _ := slices.BinarySearchFunc(times, first.Add(limitWindow), time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(times, first.Add(standin.LimitWindow), time.Time.Compare)
 		most = max(most, end-i)
 	}
 	return most
@@ -101,12 +95,12 @@
 			}
 			lifted := time.Now()
 			fleet.traffic("lifted", lifted.Add(liftedTime))
-			const allowed = int(limitFactor*namedLimit*4) + limitSlack
+			allowed := standin.AllowedInLimitWindow(namedLimit)
 			for _, runner := range fleet.runners[:test.limited] {
 				times := fleet.runTimes(runner.ID)
 				until, _ := slices.BinarySearchFunc(times, lifted, time.Time.Compare)
-				if got := mostInWindow(times[:until], named.Add(limitDelay)); got > allowed {
-					t.Errorf("got %d requests in %v at %s with a limit of %d a second, want at most %d", got, limitWindow, runner.ID, namedLimit, allowed)
+				if got := mostInWindow(times[:until], named.Add(standin.ContactTime)); got > allowed {
+					t.Errorf("got %d requests in %v at %s with a limit of %d a second, want at most %d", got, standin.LimitWindow, runner.ID, namedLimit, allowed)
 				}
 				t.Logf("%s: %d after the limit was gone", runner.ID, len(times)-until)
 				if got := len(times) - until; got < 2*allowed {
--- a/entry/part_crash_test.go
+++ b/entry/part_crash_test.go
@@ -15,12 +15,10 @@
 	// sent, one every partInterval.
 	partRequests = 48
 	partInterval = 250 * time.Millisecond
-	// maxPartCrashes is how many upstreams one part may crash. lateCrashTime after
-	// the last of them, at most maxLateCrashes more may happen. From lostTime after
-	// it on, sound requests have to be served at the first attempt.
-	maxPartCrashes = 5
-	lostTime       = 2 * lateCrashTime
-	minSoundShare  = 0.9
+	// lostTime after the last crash that a part may cause, minSoundShare of the sound
+	// requests have to be served at the first attempt.
+	lostTime      = 2 * standin.ContactTime
+	minSoundShare = 0.9
 )
 
 // promptCall is one request with a prompt, and what came of it.
@@ -104,19 +102,19 @@
 func (fleet *crashFleet) checkParts(bad int, crashing, sound *promptTraffic) {
 	fleet.t.Helper()
 	crashes := fleet.crashTimes()
-	first := bad * maxPartCrashes
+	first := bad * standin.MaxPartCrashes
 	if len(crashes) < bad {
 		fleet.t.Fatalf("got %d crashes, want at least %d", len(crashes), bad)
 	}
 	decisive := crashes[min(first, len(crashes))-1]
 	late := 0
 	for _, crash := range crashes {
-		if crash.After(decisive.Add(lateCrashTime)) {
+		if crash.After(decisive.Add(standin.ContactTime)) {
 			late++
 		}
 	}
-	if late > bad*maxLateCrashes {
-		fleet.t.Errorf("got %d crashes, %d of them later than %v after number %d, want at most %d", len(crashes), late, lateCrashTime, first, bad*maxLateCrashes)
+	if late > bad*standin.MaxLateRuns {
+		fleet.t.Errorf("got %d crashes, %d of them later than %v after number %d, want at most %d", len(crashes), late, standin.ContactTime, first, bad*standin.MaxLateRuns)
 	}
 	counted, served, all := 0, 0, 0
 	for _, call := range sound.calls {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -116,6 +116,18 @@
 	return simulation.row.Revision
 }
 
+func (simulation *simulation) tick(t *rapid.T) {
+	simulation.now = simulation.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (simulation *simulation) runDelayed(t *rapid.T) {
+	if len(simulation.delayed) == 0 {
+		t.Skip("no write is delayed")
+	}
+	simulation.commit(simulation.delayed[0])
+	simulation.delayed = simulation.delayed[1:]
+}
+
 // restore brings the store back from its older copy, in a new era.
 func (simulation *simulation) restore() {
 	simulation.era++
@@ -223,20 +235,12 @@
 		}
 		act := func(t *rapid.T) { simulation.act(t, pick(t)) }
 		t.Repeat(map[string]func(*rapid.T){
-			"":      func(t *rapid.T) { simulation.check(t) },
-			"act":   act,
-			"act 2": act,
-			"act 3": act,
-			"tick": func(t *rapid.T) {
-				simulation.now = simulation.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"run delayed write": func(t *rapid.T) {
-				if len(simulation.delayed) == 0 {
-					t.Skip("no write is delayed")
-				}
-				simulation.commit(simulation.delayed[0])
-				simulation.delayed = simulation.delayed[1:]
-			},
+			"":                  func(t *rapid.T) { simulation.check(t) },
+			"act":               act,
+			"act 2":             act,
+			"act 3":             act,
+			"tick":              simulation.tick,
+			"run delayed write": simulation.runDelayed,
 			"decide to order": func(t *rapid.T) {
 				daemon := pick(t)
 				if fence, held := daemon.holder.Held(simulation.now); held {
@@ -303,23 +307,15 @@
 			simulation.act(t, simulation.daemons[rapid.IntRange(0, len(simulation.daemons)-1).Draw(t, "daemon")])
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":      func(t *rapid.T) { simulation.check(t) },
-			"act":   act,
-			"act 2": act,
-			"act 3": act,
-			"act 4": act,
-			"tick": func(t *rapid.T) {
-				simulation.now = simulation.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"run delayed write": func(t *rapid.T) {
-				if len(simulation.delayed) == 0 {
-					t.Skip("no write is delayed")
-				}
-				simulation.commit(simulation.delayed[0])
-				simulation.delayed = simulation.delayed[1:]
-			},
-			"copy":    func(*rapid.T) { simulation.copy = savedRow{row: simulation.row, revision: simulation.revision} },
-			"restore": func(*rapid.T) { simulation.restore() },
+			"":                  func(t *rapid.T) { simulation.check(t) },
+			"act":               act,
+			"act 2":             act,
+			"act 3":             act,
+			"act 4":             act,
+			"tick":              simulation.tick,
+			"run delayed write": simulation.runDelayed,
+			"copy":              func(*rapid.T) { simulation.copy = savedRow{row: simulation.row, revision: simulation.revision} },
+			"restore":           func(*rapid.T) { simulation.restore() },
 		})
 	})
 }
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -23,13 +23,6 @@
 	crashRequestPause = 500 * time.Millisecond
 	// restartTime is how long an upstream that a request ended is away.
 	restartTime = time.Second
-	// maxCrashes is how many upstreams a request may end, and maxPartCrashes how many
-	// requests with one part of a prompt may. contactTime after the last of them, at
-	// most maxLateRuns more may run.
-	maxCrashes     = 3
-	maxPartCrashes = 5
-	contactTime    = 3 * time.Second
-	maxLateRuns    = 3
 	// badPartPrefix begins the ID of each part that ends the upstreams which begin
 	// to answer a prompt with it.
 	badPartPrefix = "bad-"
@@ -50,9 +43,9 @@
 func (crasher *crasher) run(ctx context.Context) {
 	defer close(crasher.done)
 	for number := 0; ctx.Err() == nil; number++ {
-		request := &crashRequest{crasher: crasher, kind: kinds[crasher.random.IntN(len(kinds))], name: fmt.Sprint(crashMarker, " ", number), crashes: maxCrashes}
+		request := &crashRequest{crasher: crasher, kind: kinds[crasher.random.IntN(len(kinds))], name: fmt.Sprint(crashMarker, " ", number), crashes: standin.MaxCrashes}
 		if crasher.parts {
-			request.name, request.crashes = fmt.Sprint(badPartPrefix, number), maxPartCrashes
+			request.name, request.crashes = fmt.Sprint(badPartPrefix, number), standin.MaxPartCrashes
 			request.prompt = []string{request.name, sharedPart}
 			if crasher.random.IntN(2) == 0 {
 				slices.Reverse(request.prompt)
@@ -146,12 +139,12 @@
 	late := 0
 	for _, attemptRun := range runs[request.crashes:] {
 		sentAt := attemptRun.call.sentAt
-		if sentAt.After(decisive.Add(contactTime)) && soak.inTouch(sentAt.Add(-contactTime), attemptRun.run.at) {
+		if sentAt.After(decisive.Add(standin.ContactTime)) && soak.inTouch(sentAt.Add(-standin.ContactTime), attemptRun.run.at) {
 			late++
 		}
 	}
-	if late > maxLateRuns {
-		soak.violate("request ends upstream after upstream", "%s %s ran %d times, %d of them later than %v after run %d", request.kind.name, request.name, len(runs), late, contactTime, request.crashes)
+	if late > standin.MaxLateRuns {
+		soak.violate("request ends upstream after upstream", "%s %s ran %d times, %d of them later than %v after run %d", request.kind.name, request.name, len(runs), late, standin.ContactTime, request.crashes)
 	}
 }
 
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -3,20 +3,16 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/standin"
 )
 
 const (
-	// limitDelay after an upstream has named a limit, it may get in any limitWindow
-	// limitFactor times what the limit allows and limitSlack more.
-	limitDelay  = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
 	// minLimit and maxLimit bound the limits, in requests per second.
 	minLimit = 0.5
 	maxLimit = 6
 	// limitLength is how much longer than other faults a limit lasts.
-	limitLength = limitDelay + limitWindow
+	limitLength = standin.ContactTime + standin.LimitWindow
 )
 
 // upstreamLimited makes an upstream name a limit.
@@ -43,15 +39,15 @@
 // named until now, in any window in which no fault but those of upstreams was active.
 func (soak *Soak) checkLimit(upstream *upstream, limit float64, named, until time.Time) {
 	times := soak.runLog.timesAt(upstream.runner.ID)
-	allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
+	allowed := standin.AllowedInLimitWindow(limit)
 	for i, first := range times {
-		end := first.Add(limitWindow)
-		if first.Before(named.Add(limitDelay)) || end.After(until) {
+		end := first.Add(standin.LimitWindow)
+		if first.Before(named.Add(standin.ContactTime)) || end.After(until) {
 			continue
 		}
 		last, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
 		if last-i > allowed && soak.inTouch(first.Add(-settleTime), end) {
-			soak.violate("more than the limit", "%s got %d requests in %v at a limit of %.2f a second, want at most %d", upstream.runner.ID, last-i, limitWindow, limit, allowed)
+			soak.violate("more than the limit", "%s got %d requests in %v at a limit of %.2f a second, want at most %d", upstream.runner.ID, last-i, standin.LimitWindow, limit, allowed)
 			return
 		}
 	}
