strike: find a request that crashes upstreams among many other crashes

Other crashes that nothing accounts for made more and more weight necessary, and what takes away from a crash multiplied, so that its weight never reached that. A crash that counts now weighs half at least, unexplained crashes ask for two more at most against a part, and for nothing more against a request: it is refused after six crashes at the latest.

TestRequestIsFoundAmongOtherCrashes failed before.

--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -16,19 +16,26 @@
 	// successWeight is how much more weight is needed against a key that
 	// succeeded within successWindow before its first crash.
 	successWeight float64
+	// maxUnexplained is how much more weight crashes that nothing accounts for may
+	// take at most. Among many of them a request may still crash only few upstreams.
+	maxUnexplained float64
 }
 
 var (
 	requestPolicy = policy{besideWeight: 0.5, successWeight: 2}
 	// A prompt is prefilled before a part of it does harm, so that a younger
 	// request says less against a part.
-	partPolicy = policy{besideWeight: 0.75, successWeight: 1}
+	partPolicy = policy{besideWeight: 0.75, successWeight: 1, maxUnexplained: 2}
 )
 
 // unexplainedWeight is how much more weight is needed for each crash that nothing
 // accounts for.
 const unexplainedWeight = 0.5
 
+// minWeight is the least weight of a crash that counts at all, so that the cause of many
+// crashes among others is found.
+const minWeight = 0.5
+
 // sentMargin is by how much the times of sending of one run may differ that two
 // routers report.
 const sentMargin = 5 * time.Millisecond
@@ -103,7 +110,7 @@
 			found.alternatives++
 		}
 		others, younger := guard.runningAt(crash, keys)
-		found.weight += weightOf(crash.crash, younger) * unsharedShare(strikes, mostStrikes)
+		found.weight += max(weightOf(crash.crash, younger)*unsharedShare(strikes, mostStrikes), minWeight)
 		if others <= 1 {
 			found.single++
 		}
@@ -111,10 +118,11 @@
 	if len(found.crashes) < aloneStrikes {
 		return found
 	}
+	policy := policyOf(found.crashes[0].crash)
+	found.needed = min(unexplainedWeight*float64(guard.unexplained(now, &found)), policy.maxUnexplained)
 	if guard.succeededBefore(found.crashes[0], key) {
-		found.needed += policyOf(found.crashes[0].crash).successWeight
+		found.needed += policy.successWeight
 	}
-	found.needed += unexplainedWeight * float64(guard.unexplained(now, &found))
 	return found
 }
 
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// TestRequestIsFoundAmongOtherCrashes guards against a request that goes on crashing
+// upstreams because many others crash meanwhile that nothing accounts for.
+func TestRequestIsFoundAmongOtherCrashes(t *testing.T) {
+	var guard strike.Guard
+	now := start
+	for n := range 10 {
+		now = start.Add(time.Duration(n) * 400 * time.Millisecond)
+		other := crashOf(100 + n)
+		other.Fingerprint, other.SentAt, other.At = ident.Fingerprint(1000+n), now.Add(-20*time.Millisecond), now
+		guard.Broken(now, other)
+		if n%2 == 0 {
+			run := crashOf(n)
+			run.SentAt, run.At = now.Add(-20*time.Millisecond), now
+			guard.Broken(now, run)
+		}
+	}
+	checkAllowed(t, &guard, now.Add(time.Second), strike.Refused)
+}
+
 // TestRunAtAnUpstreamThatWasAwayIsNoStrike guards against strikes of requests that
 // were sent to an upstream after it had crashed.
 func TestRunAtAnUpstreamThatWasAwayIsNoStrike(t *testing.T) {
