strike: ask for more against a part if other keys could be refused for each of its crashes

A request and a part crashed all eight upstreams within 1.5 s, ten times, and b1, whose requests stay with few upstreams, was running at six of them: at more than either cause. It was cleared a second later. A part now needs two more if a key outside the request that has three strikes was running at each of its crashes.

TestPartBesideSeveralCausesIsNotRefused with six and eight crashes failed before.

--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -19,13 +19,16 @@
 	// maxUnexplained is how much more weight crashes that nothing accounts for may
 	// take at most. Among many of them a request may still crash only few upstreams.
 	maxUnexplained float64
+	// alternativesWeight is how much more weight is needed against a key if others
+	// could be refused for each of its crashes.
+	alternativesWeight float64
 }
 
 var (
 	requestPolicy = policy{besideWeight: 0.5, successWeight: 2}
 	// A prompt is prefilled before a part of it does harm, so that a younger
 	// request says less against a part.
-	partPolicy = policy{besideWeight: 0.75, successWeight: 1, maxUnexplained: 2}
+	partPolicy = policy{besideWeight: 0.75, successWeight: 1, maxUnexplained: 2, alternativesWeight: 2}
 )
 
 // unexplainedWeight is how much more weight is needed for each crash that nothing
@@ -123,6 +126,9 @@
 	if guard.succeededBefore(found.crashes[0], key) {
 		found.needed += policy.successWeight
 	}
+	if found.alternatives == len(found.crashes) {
+		found.needed += policy.alternativesWeight
+	}
 	return found
 }
 
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -105,12 +105,21 @@
 }
 
 // TestPartBesideSeveralCausesIsNotRefused guards against the refusal of a part of sound
-// requests that were running at four crashes within a second, two each of two other parts.
+// requests that were running at several crashes in a row, half of them of each of two parts.
 func TestPartBesideSeveralCausesIsNotRefused(t *testing.T) {
 	const sound, firstCause, secondCause ident.Fingerprint = 100, 200, 300
+	for _, crashes := range []int{4, 6, 8} {
+		checkPartBesideCauses(t, crashes, sound, firstCause, secondCause)
+	}
+}
+
+// checkPartBesideCauses has a sound part run at a number of crashes of two causes in
+// turn, and fails the test if it is refused.
+func checkPartBesideCauses(t *testing.T, crashes int, sound, firstCause, secondCause ident.Fingerprint) {
+	t.Helper()
 	var guard strike.Guard
 	now := start
-	for n := range 4 {
+	for n := range crashes {
 		now = start.Add(time.Duration(n) * 280 * time.Millisecond)
 		for request, part := range map[ident.Fingerprint]ident.Fingerprint{1: sound, 2: firstCause + (secondCause-firstCause)*ident.Fingerprint(n%2)} {
 			run := crashOf(n)
@@ -120,7 +129,7 @@
 	}
 	now = now.Add(time.Second)
 	if got := guard.Allowed(now, 999, sound); got == strike.Refused {
-		t.Errorf("got a request with a sound part refused, want it allowed")
+		t.Errorf("got a request with a sound part refused after %d crashes, want it allowed", crashes)
 	}
 }
 
