standin: a runner whose answer has bytes behind it goes on behind Last-Event-Id

A request's upstream broke off after four events, and the one that went on sent all eight: one that sends bytes behind a complete answer sent the whole stream, whatever event it was asked to go on behind. The routers passed on what they were given. The stand-in now sends the rest.

--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -50,7 +50,7 @@
 	if answer := runner.endlessAnswer(); answer != nil {
 		complete := RunnerAnswer(forwarded.Attempt)
 		if isStream {
-			complete = RunnerStream(forwarded.Attempt)
+			complete = runnerEvents(forwarded.Attempt, eventNumber(forwarded.LastEvent)+1)
 		}
 		runner.sendEndless(writer, answer, forwarded.Attempt, complete)
 		return
@@ -133,9 +133,12 @@
 }
 
 // RunnerStream returns the complete stream that answers a request.
-func RunnerStream(attempt ident.AttemptID) string {
+func RunnerStream(attempt ident.AttemptID) string { return runnerEvents(attempt, 1) }
+
+// runnerEvents returns the events from the nth on of the stream that answers a request.
+func runnerEvents(attempt ident.AttemptID, first int) string {
 	var stream strings.Builder
-	for n := 1; n <= RunnerEvents; n++ {
+	for n := first; n <= RunnerEvents; n++ {
 		stream.WriteString(runnerEvent(attempt, n))
 	}
 	return stream.String()
