--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -236,7 +236,8 @@
 const (
 	// Unlimited means that the upstream names no limit.
 	Unlimited State = iota
-	// Below means that the limit leaves this router a request now.
+	// Below means that the limit leaves this router a request now, which is lost to
+	// the fleet if it is not used.
 	Below
 	// Reached means that it leaves none.
 	Reached
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -112,9 +112,9 @@
 		if mostStrikes >= neverStrikes {
 			found.alternatives++
 		}
-		others, younger := guard.runningAt(crash, keys)
+		requests, younger := guard.runningAt(crash, keys)
 		found.weight += max(weightOf(crash.crash, younger)*unsharedShare(strikes, mostStrikes), minWeight)
-		if others <= 1 {
+		if requests <= 1 {
 			found.single++
 		}
 	}
@@ -123,7 +123,7 @@
 	}
 	policy := policyOf(found.crashes[0].crash)
 	found.needed = min(unexplainedWeight*float64(guard.unexplained(now, &found)), policy.maxUnexplained)
-	if guard.succeededBefore(found.crashes[0], key) {
+	if guard.succeededBefore(found.crashes[0].crash, key) {
 		found.needed += policy.successWeight
 	}
 	if found.alternatives == len(found.crashes) {
