--- a/balance/choose.go
+++ b/balance/choose.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 )
 
@@ -74,6 +73,20 @@
 	Source ident.UpstreamID
 }
 
+// LimitState is how an upstream stands to the limit of requests that it names.
+type LimitState int
+
+// The states, from free to excluded.
+const (
+	// Unlimited means that the upstream names no limit.
+	Unlimited LimitState = iota
+	// BelowLimit means that the limit leaves this router a request now, which is
+	// lost to the fleet if it is not used.
+	BelowLimit
+	// AtLimit means that it leaves none.
+	AtLimit
+)
+
 // Chooser chooses upstreams. Its fields must be set before use.
 type Chooser struct {
 	Loads      *Loads
@@ -85,7 +98,7 @@
 	OnProbation func(now time.Time, upstream ident.UpstreamID) bool
 	// Limit returns how an upstream stands to the limit that it names. If it is nil,
 	// no upstream names one.
-	Limit func(now time.Time, upstream registry.Upstream) quota.State
+	Limit func(now time.Time, upstream registry.Upstream) LimitState
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -132,7 +145,7 @@
 	health healthState
 	// excluded is set if the upstream was tried already or is at its limit.
 	excluded bool
-	limit    quota.State
+	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
 }
@@ -174,11 +187,11 @@
 			index:    i,
 			load:     chooser.Loads.Estimate(now, upstream.ID),
 			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: limit == quota.Reached || slices.Contains(request.Tried, upstream.ID),
+			excluded: limit == AtLimit || slices.Contains(request.Tried, upstream.ID),
 			limit:    limit,
 			cached:   slices.Contains(cachedAt, upstream.ID),
 		}
-		if limit != quota.Unlimited {
+		if limit != Unlimited {
 			selection.limited++
 			continue
 		}
@@ -200,9 +213,9 @@
 	return choice, true
 }
 
-func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) quota.State {
+func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
 	if chooser.Limit == nil {
-		return quota.Unlimited
+		return Unlimited
 	}
 	return chooser.Limit(now, upstream)
 }
@@ -325,13 +338,13 @@
 // spare returns an upstream below its limit that is far less loaded than the chosen
 // one, preferably one that has the prefix cached, and whether there is one.
 func (selection *selection) spare(chosen candidate) (candidate, bool) {
-	if selection.limited == 0 || chosen.limit != quota.Unlimited {
+	if selection.limited == 0 || chosen.limit != Unlimited {
 		return candidate{}, false
 	}
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if candidate.limit != quota.Below || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
+		if candidate.limit != BelowLimit || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
 			continue
 		}
 		if !found || candidate.cached && !best.cached || candidate.cached == best.cached && answersSooner(candidate.load, best.load) {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -8,6 +8,8 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/quota"
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 // reloadInterval is the time between two reads of the settings file, which may
@@ -23,7 +25,7 @@
 			CacheIndex:  &daemon.cacheIndex,
 			Ejected:     daemon.health.Ejected,
 			OnProbation: daemon.health.OnProbation,
-			Limit:       daemon.quota.State,
+			Limit:       daemon.limitState,
 			Multiple:    settings.LoadMultiple,
 			Slack:       loadBoundSlack,
 		},
@@ -32,6 +34,17 @@
 	})
 }
 
+// limitState returns how an upstream stands to the limit that it names.
+func (daemon *Daemon) limitState(now time.Time, upstream registry.Upstream) balance.LimitState {
+	switch daemon.quota.State(now, upstream) {
+	case quota.Below:
+		return balance.BelowLimit
+	case quota.Reached:
+		return balance.AtLimit
+	}
+	return balance.Unlimited
+}
+
 // reloader reloads the settings file on SIGHUP and every reloadInterval.
 type reloader struct {
 	daemon  *Daemon
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -291,8 +291,8 @@
 	return result.OK
 }
 
-// classify records the load and the limit that the head of an answer reports, and
-// returns what the head says about the request. OK means that the answer can be
+// classify records the load and the limit that the head of an answer reports, and returns
+// what the head says about the request. OK means that the answer can be
 // relayed.
 func (exchange *exchange) classify(answer *answer) result.Code {
 	if answer.head.Load != nil {
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -17,8 +17,8 @@
 )
 
 // connectionBroke reports whether err means that a connection to an upstream
-// ended, as it does when the upstream crashes, also if it ended a stream that is not
-// complete. An answer that can't be parsed and a deadline of this router don't count.
+// ended, as it does when the upstream crashes, or a stream in the middle. An answer that can't be parsed
+// and a deadline of this router don't count.
 func connectionBroke(err error) bool {
 	for _, broken := range []error{errBrokenEvent, errNoEvent, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
 		if errors.Is(err, broken) {
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -236,8 +236,7 @@
 const (
 	// Unlimited means that the upstream names no limit.
 	Unlimited State = iota
-	// Below means that the limit leaves this router a request now, which is lost to
-	// the fleet if it is not used.
+	// Below means that the limit leaves this router a request now.
 	Below
 	// Reached means that it leaves none.
 	Reached
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -112,9 +112,9 @@
 		if mostStrikes >= neverStrikes {
 			found.alternatives++
 		}
-		requests, younger := guard.runningAt(crash, keys)
+		others, younger := guard.runningAt(crash, keys)
 		found.weight += max(weightOf(crash.crash, younger)*unsharedShare(strikes, mostStrikes), minWeight)
-		if requests <= 1 {
+		if others <= 1 {
 			found.single++
 		}
 	}
@@ -123,7 +123,7 @@
 	}
 	policy := policyOf(found.crashes[0].crash)
 	found.needed = min(unexplainedWeight*float64(guard.unexplained(now, &found)), policy.maxUnexplained)
-	if guard.succeededBefore(found.crashes[0].crash, key) {
+	if guard.succeededBefore(found.crashes[0], key) {
 		found.needed += policy.successWeight
 	}
 	if found.alternatives == len(found.crashes) {
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -264,7 +264,7 @@
 
 // succeededBefore reports whether a key succeeded here shortly before a crash of it.
 // The caller holds mu.
-func (guard *Guard) succeededBefore(crash crash, key ident.Fingerprint) bool {
+func (guard *Guard) succeededBefore(crash crashAt, key ident.Fingerprint) bool {
 	if crash.part {
 		return guard.partSuccesses.within(crash.at, key)
 	}
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -33,13 +33,14 @@
 // process saw one of them, and the key did not succeed shortly before. The caller
 // holds mu.
 func (guard *Guard) save(now time.Time, fingerprint ident.Fingerprint) {
-	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !guard.tracker.requests[fingerprint].ownSince(time.Time{}) {
+	strikes := guard.tracker.Strikes(now, fingerprint)
+	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !anyOwn(strikes) {
 		return
 	}
-	if guard.succeededBefore(guard.crashesOf(fingerprint)[0].crash, fingerprint) {
+	if first := strikes[len(strikes)-1]; guard.succeededBefore(crashAt{crash: crash{at: first.At, part: first.Part}}, fingerprint) {
 		return
 	}
-	for _, strike := range guard.tracker.Strikes(now, fingerprint) {
+	for _, strike := range strikes {
 		if guard.markSaved(strike) {
 			guard.unsaved.Write = append(guard.unsaved.Write, strike)
 		}
@@ -84,6 +85,15 @@
 	guard.unsaved.Write = newest(guard.unsaved.Write)
 }
 
+func anyOwn(strikes []Strike) bool {
+	for _, strike := range strikes {
+		if strike.Own {
+			return true
+		}
+	}
+	return false
+}
+
 // removeStale has the rows of strikes removed from the store that no longer
 // count. The caller holds mu.
 func (guard *Guard) removeStale() {
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -178,6 +178,27 @@
 	return tracker.unexpired(fingerprint).strikes()
 }
 
+// RefusedUntil returns when a refused request may run again, and the zero time
+// for one that is not refused.
+func (tracker *Tracker) RefusedUntil(now time.Time, fingerprint ident.Fingerprint) time.Time {
+	tracker.observe(now)
+	since := tracker.refusedSince(fingerprint)
+	if since.IsZero() {
+		return since
+	}
+	return since.Add(tracker.lifetime())
+}
+
+// refusedSince returns when the first of the last three strikes of a request
+// happened, and the zero time if it has fewer.
+func (tracker *Tracker) refusedSince(fingerprint ident.Fingerprint) time.Time {
+	counted := tracker.unexpired(fingerprint).counted(nil)
+	if len(counted) < neverStrikes {
+		return time.Time{}
+	}
+	return counted[len(counted)-neverStrikes].at
+}
+
 // HasStrikes reports whether the request has any unexpired strike at the time
 // now.
 func (tracker *Tracker) HasStrikes(now time.Time, fingerprint ident.Fingerprint) bool {
