strike, http1: count the crash of an upstream that restarted before its row is known

Cause: for three seconds after an upstream broke off, a request that was sent to it later was taken for one that met a dead upstream. A process that restarts within that time, and whose row the router has not read, was not believed to be there, so what it ran did not count.

A connection that was established after the break proves a new process. Two reports of one crash that name it differently are told by their times.

The soak's crashed upstreams refuse connections, as a process that has ended does; before, they took and broke them.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -108,7 +108,7 @@
 	for _, key := range exchange.prefixIDs {
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
 	}
-	exchange.sentAt = time.Now()
+	exchange.sentAt, exchange.connectedAt = time.Now(), conn.OpenedAt
 	code := exchange.roundTrip(answer, remaining, lastEvent)
 	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -98,6 +98,7 @@
 		Incarnation: upstream.Incarnation,
 		SentAt:      exchange.sentAt,
 		At:          now,
+		ConnectedAt: exchange.connectedAt,
 		Attempt:     exchange.head.Attempt,
 	}
 	left := exchange.callerLeft()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -71,11 +71,15 @@
 	// the attempts that may have run it.
 	tried []ident.UpstreamID
 	runs  int
-	// sentAt is when the last attempt was sent.
-	sentAt time.Time
+	// sentAt is when the last attempt was sent, and connectedAt when the connection
+	// that carried it was established.
+	sentAt      time.Time
+	connectedAt time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
+	// began is the answer that brought the first event of a stream.
+	began *answer
 	// started is set once the header of an answer was written to the caller.
 	started bool
 	// firstByte is when the answer to the caller began.
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -50,6 +50,8 @@
 	net.Conn
 	// Requests counts the requests sent on the connection.
 	Requests int
+	// OpenedAt is when the connection was established.
+	OpenedAt time.Time
 
 	pool   *Pool
 	source *source
@@ -95,7 +97,7 @@
 // newConn returns a connection of pool that uses opened.
 func newConn(pool *Pool, opened net.Conn) *Conn {
 	source := &source{conn: opened}
-	return &Conn{Conn: opened, pool: pool, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	return &Conn{Conn: opened, OpenedAt: pool.now(), pool: pool, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // requestWriter writes the rest of a long request while its response is read.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -35,6 +35,19 @@
 // Unix milliseconds.
 type Incarnation int64
 
+// Successor returns the incarnation that followed a known one, if its own start time
+// is not known yet. It is negative.
+func (incarnation Incarnation) Successor() Incarnation { return -incarnation }
+
+// Predecessor returns the known incarnation that a Successor followed, and any other
+// incarnation itself. It reports whether the incarnation is a Successor.
+func (incarnation Incarnation) Predecessor() (Incarnation, bool) {
+	if incarnation < 0 {
+		return -incarnation, true
+	}
+	return incarnation, false
+}
+
 // Upstream is one upstream as described by its row.
 type Upstream struct {
 	ID          ident.UpstreamID
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -18,12 +18,14 @@
 
 // proxy forwards TCP connections to a target and injects faults into them.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu    sync.Mutex
-	state linkState
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// listener is nil while the proxy refuses connections.
+	listener net.Listener
+	listenAt string
+	state    linkState
+	conns    map[net.Conn]struct{}
 }
 
 func startProxy(target string) (*proxy, error) {
@@ -31,20 +33,54 @@
 	if err != nil {
 		return nil, err
 	}
-	proxy := &proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
-	go proxy.run()
+	proxy := &proxy{target: target, listener: listener, listenAt: listener.Addr().String(), conns: make(map[net.Conn]struct{})}
+	acceptor := &acceptor{proxy: proxy, listener: listener}
+	go acceptor.run()
 	return proxy, nil
 }
 
-func (proxy *proxy) address() string { return proxy.listener.Addr().String() }
+func (proxy *proxy) address() string { return proxy.listenAt }
+
+// refuse refuses connections, as the address of a process that has ended does.
+func (proxy *proxy) refuse() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	if proxy.listener != nil {
+		_ = proxy.listener.Close()
+		proxy.listener = nil
+	}
+}
+
+// accept accepts connections again after refuse.
+func (proxy *proxy) accept() error {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	if proxy.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", proxy.listenAt)
+	if err != nil {
+		return err
+	}
+	proxy.listener = listener
+	acceptor := &acceptor{proxy: proxy, listener: listener}
+	go acceptor.run()
+	return nil
+}
+
+// acceptor accepts the connections of a proxy until its listener is closed.
+type acceptor struct {
+	proxy    *proxy
+	listener net.Listener
+}
 
-func (proxy *proxy) run() {
+func (acceptor *acceptor) run() {
 	for {
-		client, err := proxy.listener.Accept()
+		client, err := acceptor.listener.Accept()
 		if err != nil {
 			return
 		}
-		link := &link{proxy: proxy, client: client}
+		link := &link{proxy: acceptor.proxy, client: client}
 		go link.run()
 	}
 }
@@ -82,7 +118,7 @@
 }
 
 func (proxy *proxy) close() {
-	_ = proxy.listener.Close()
+	proxy.refuse()
 	proxy.reset()
 }
 
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -67,6 +67,7 @@
 
 // upstream is a runner stand-in behind a proxy.
 type upstream struct {
+	soak   *Soak
 	runner *standin.Runner
 	store  *standin.Platform
 	proxy  *proxy
@@ -90,7 +91,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	upstream := &upstream{store: soak.store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
+	upstream := &upstream{soak: soak, store: soak.store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
 	upstream.runner = &standin.Runner{
 		ID:      id,
 		Service: poolService,
@@ -148,6 +149,7 @@
 // restart.
 func (upstream *upstream) crash() {
 	upstream.runner.Crash()
+	upstream.proxy.refuse()
 	upstream.proxy.reset()
 }
 
@@ -161,6 +163,9 @@
 	upstream.leavingAt = time.Time{}
 	upstream.mu.Unlock()
 	upstream.runner.Restart()
+	if err := upstream.proxy.accept(); err != nil {
+		upstream.soak.violate("soak failed", "%s does not listen again: %v", upstream.runner.ID, err)
+	}
 }
 
 // leavingSince returns when the upstream began to leave, or zero if it is not
--- a/strike/crashes.go
+++ b/strike/crashes.go
@@ -81,9 +81,9 @@
 }
 
 // sameAs reports whether strike, which is of the same upstream, belongs to the
-// same crash. An incarnation crashes once; without one the time decides.
+// same crash. A known incarnation crashes once; without one the time decides.
 func (crash crash) sameAs(strike Strike) bool {
-	if crash.incarnation != 0 && strike.Incarnation != 0 {
+	if crash.incarnation > 0 && strike.Incarnation > 0 {
 		return crash.incarnation == strike.Incarnation
 	}
 	return strike.At.Sub(crash.at).Abs() <= duplicateWindow
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -139,7 +139,8 @@
 func (guard *Guard) unexplained(now time.Time, evidence *evidence) int {
 	first, last := evidence.crashes[0].at, evidence.crashes[len(evidence.crashes)-1].at
 	var times []time.Time
-	for run, at := range guard.breaks {
+	for run, broke := range guard.breaks {
+		at := broke.first
 		if !at.Before(first) && !at.After(last) && !guard.explained(now, run, evidence.key) {
 			times = append(times, at)
 		}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -80,8 +80,8 @@
 	requestSuccesses successes
 	partSuccesses    successes
 	unanswered       []run
-	// breaks holds when each incarnation broke off first, until it is seen to run.
-	breaks map[incarnationKey]time.Time
+	// breaks holds when each incarnation broke off, until it is seen to run.
+	breaks map[incarnationKey]breakTimes
 	// unsent holds the messages that still have to carry each new strike and
 	// each success.
 	unsentStrikes   []unsent[Strike]
@@ -98,6 +98,24 @@
 	incarnation registry.Incarnation
 }
 
+// breakTimes are when an incarnation broke off first, when it or a successor that is
+// not known yet did so last, and when one of them last succeeded.
+type breakTimes struct {
+	first       time.Time
+	last        time.Time
+	succeededAt time.Time
+}
+
+// recent reports whether the upstream may still be away at a time.
+func (times breakTimes) recent(at time.Time) bool {
+	return !times.last.IsZero() && at.Sub(times.last) < breakLifetime
+}
+
+// succeededSince reports whether the upstream has been seen to run since it broke off.
+func (times breakTimes) succeededSince() bool {
+	return !times.last.IsZero() && !times.succeededAt.Before(times.last)
+}
+
 // run is a run of a request that may have crashed its upstream.
 type run struct {
 	strike Strike
@@ -184,29 +202,57 @@
 	if guard.wasAway(strike) {
 		return
 	}
+	if guard.hitSuccessor(strike) {
+		strike.Incarnation = strike.Incarnation.Successor()
+	}
 	guard.recordBreak(strike)
 	guard.countOwn(now, run{strike: strike, parts: parts})
 }
 
+// breaksOf returns when the incarnation of a strike, or the one that it followed, broke
+// off. The caller holds mu.
+func (guard *Guard) breaksOf(strike Strike) breakTimes { return guard.breaks[breakKey(strike)] }
+
+func breakKey(strike Strike) incarnationKey {
+	known, _ := strike.Incarnation.Predecessor()
+	return incarnationKey{upstream: strike.Upstream, incarnation: known}
+}
+
 // wasAway reports whether the upstream had broken off before the request was
-// sent, so that the request did not crash it. The caller holds mu.
+// sent, so that the request did not crash it. A connection that was established
+// since proves that the upstream runs again. The caller holds mu.
 func (guard *Guard) wasAway(strike Strike) bool {
-	began, known := guard.breaks[incarnationKey{upstream: strike.Upstream, incarnation: strike.Incarnation}]
-	return known && strike.SentAt.After(began) && strike.SentAt.Sub(began) < breakLifetime
+	times := guard.breaksOf(strike)
+	seenSince := strike.ConnectedAt.After(times.last) || times.succeededSince()
+	return strike.SentAt.After(times.last) && times.recent(strike.SentAt) && !seenSince
+}
+
+// hitSuccessor reports whether the request ran at a process that started after the
+// incarnation of the strike had broken off. The caller holds mu.
+func (guard *Guard) hitSuccessor(strike Strike) bool {
+	times := guard.breaksOf(strike)
+	return strike.Incarnation > 0 && times.recent(strike.SentAt) && strike.ConnectedAt.After(times.first)
 }
 
 // recordBreak records when the upstream broke off, unless it was away already. The
 // caller holds mu.
 func (guard *Guard) recordBreak(strike Strike) {
-	key := incarnationKey{upstream: strike.Upstream, incarnation: strike.Incarnation}
-	began, known := guard.breaks[key]
-	if known && strike.At.Sub(began) < breakLifetime || guard.wasAway(strike) {
+	times := guard.breaksOf(strike)
+	_, successor := strike.Incarnation.Predecessor()
+	switch {
+	case guard.wasAway(strike):
+		return
+	case !times.recent(strike.At):
+		times = breakTimes{first: strike.At, last: strike.At, succeededAt: times.succeededAt}
+	case (successor || times.succeededSince()) && strike.SentAt.After(times.last):
+		times.last = strike.At
+	default:
 		return
 	}
 	if guard.breaks == nil || len(guard.breaks) >= maxBreaks {
-		guard.breaks = make(map[incarnationKey]time.Time)
+		guard.breaks = make(map[incarnationKey]breakTimes)
 	}
-	guard.breaks[key] = strike.At
+	guard.breaks[breakKey(strike)] = times
 }
 
 // Unanswered records that an upstream took the request and gave no answer while
@@ -251,8 +297,10 @@
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	if len(guard.breaks) > 0 {
-		delete(guard.breaks, incarnationKey{upstream: upstream, incarnation: incarnation})
+	key := incarnationKey{upstream: upstream, incarnation: incarnation}
+	if times, broke := guard.breaks[key]; broke {
+		times.succeededAt = now
+		guard.breaks[key] = times
 	}
 	guard.requestSuccesses.record(now, fingerprint)
 	guard.clearOwn(now, fingerprint)
@@ -352,7 +400,8 @@
 	if guard.WroteAfter == nil || strike.Incarnation == 0 {
 		return false
 	}
-	return guard.WroteAfter(strike.Upstream, strike.Incarnation).After(strike.At.Add(withdrawMargin))
+	known, _ := strike.Incarnation.Predecessor()
+	return guard.WroteAfter(strike.Upstream, known).After(strike.At.Add(withdrawMargin))
 }
 
 // Maintain withdraws the strikes of upstreams that run on and removes what is
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -152,6 +152,38 @@
 	checkAllowed(t, &guard, now.Add(time.Second), strike.Refused)
 }
 
+// TestCrashOfARestartedUpstreamCountsBeforeItsRowIsKnown guards against a request that
+// goes on crashing upstreams which restart at once.
+func TestCrashOfARestartedUpstreamCountsBeforeItsRowIsKnown(t *testing.T) {
+	var guard strike.Guard
+	first := crashOf(1)
+	guard.Broken(first.At, first)
+	for n, want := range []int{2, 3} {
+		again := first
+		again.ConnectedAt = first.At.Add(time.Duration(n)*1500*time.Millisecond + 1100*time.Millisecond)
+		again.SentAt, again.At = again.ConnectedAt.Add(time.Millisecond), again.ConnectedAt.Add(20*time.Millisecond)
+		guard.Broken(again.At, again)
+		late := again
+		late.Fingerprint, late.SentAt, late.At = 9, again.At.Add(time.Millisecond), again.At.Add(2*time.Millisecond)
+		guard.Broken(late.At, late)
+		strikes := guard.TakeReport(again.At, true).Strikes
+		got := make(map[registry.Incarnation]map[time.Time]bool)
+		for _, strike := range strikes {
+			if strike.Fingerprint != first.Fingerprint {
+				t.Errorf("got a strike of request %d, which was sent while the upstream was away, want none", strike.Fingerprint)
+			}
+			if got[strike.Incarnation] == nil {
+				got[strike.Incarnation] = make(map[time.Time]bool)
+			}
+			got[strike.Incarnation][strike.At] = true
+		}
+		if count := len(got[first.Incarnation]) + len(got[first.Incarnation.Successor()]); count != want {
+			t.Errorf("got %d crashes %v, want %d", count, got, want)
+		}
+	}
+	checkAllowed(t, &guard, first.At.Add(4*time.Second), strike.Refused)
+}
+
 // TestRunAtAnUpstreamThatWasAwayIsNoStrike guards against strikes of requests that
 // were sent to an upstream after it had crashed.
 func TestRunAtAnUpstreamThatWasAwayIsNoStrike(t *testing.T) {
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -40,6 +40,9 @@
 	// known. At is when the crash was seen.
 	SentAt time.Time
 	At     time.Time
+	// ConnectedAt is when the connection that carried the request was established,
+	// or zero if that is not known.
+	ConnectedAt time.Time
 	// Own is set if this process saw the crash itself, and Attempt is then the
 	// attempt that was running.
 	Own     bool
