--- a/follow/updater.go
+++ b/follow/updater.go
@@ -113,7 +113,7 @@
 		updater.Metrics.CountEvent("upstream.changed")
 		updater.Logger.Info("Upstream changed.",
 			"Upstream", change.Upstream.ID, "Service", change.Upstream.Service, "Address", change.Upstream.Address, "Incarnation", change.Upstream.Incarnation,
-			"Leaving", change.Upstream.Leaving, "Gone", change.Gone, "RowVersion", change.Upstream.Version, "Source", source)
+			"Software", change.Upstream.Software, "Leaving", change.Upstream.Leaving, "Gone", change.Gone, "RowVersion", change.Upstream.Version, "Source", source)
 		updater.OnUpstreamChange(change.Upstream)
 	}
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -292,6 +292,7 @@
 // complete events, to the caller.
 func (exchange *exchange) writeEvents(first *answer, stream *stream, length int, controller *http.ResponseController) error {
 	if !exchange.started {
+		exchange.began = first
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
 	}
@@ -357,6 +358,7 @@
 		var answer *answer
 		answer, code = exchange.attempt(exchange.choice.Upstream, lastEvent)
 		if code == result.OK && answer.response.StatusCode == http.StatusOK {
+			exchange.logResumed(answer, lastEvent)
 			return answer
 		}
 		if code == result.OK {
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -54,9 +54,13 @@
 	if len(exchange.head.Prompt) > 0 {
 		attributes = append(attributes, slog.Int("Prompt", int(promptTokens(exchange.head.Prompt))))
 	}
+	if exchange.head.TakesUp() {
+		attributes = append(attributes, slog.String("Resumes", string(exchange.head.Resumes)), slog.String("LastEvent", exchange.head.LastEvent))
+	}
 	if len(exchange.tried) > 0 {
 		attributes = append(attributes,
 			slog.String("Upstream", string(exchange.choice.Upstream.ID)),
+			slog.String("Software", string(exchange.choice.Upstream.Software)),
 			slog.String("Reason", string(exchange.choice.Reason)),
 			slog.Int("Load", exchange.choice.Load.Requests),
 			slog.Int("Unread", int(exchange.choice.Load.PendingPrefill)),
@@ -134,3 +138,15 @@
 	exchange.setCauseText(cause)
 	exchange.unanswered = true
 }
+
+// logResumed logs that another upstream goes on with a stream behind its last event.
+func (exchange *exchange) logResumed(answer *answer, lastEvent string) {
+	exchange.handler.Metrics.CountEvent("stream.resumed")
+	exchange.handler.Logger.Info("Stream resumed at another upstream.",
+		"Attempt", exchange.head.Attempt,
+		"LastEvent", lastEvent,
+		"Upstream", answer.upstream.ID,
+		"Software", answer.upstream.Software,
+		"Began", exchange.began.upstream.ID,
+		"BeganSoftware", exchange.began.upstream.Software)
+}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
 )
 
 const streamHead = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -109,3 +111,41 @@
 		t.Errorf("got %q and %v, want the second event", rest, err)
 	}
 }
+
+// TestStreamIsNotResumedAtAnotherSoftwareVersion guards against an answer that is
+// joined from what two versions of an upstream's software write.
+func TestStreamIsNotResumedAtAnotherSoftwareVersion(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	upstream := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		head := fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))
+		if request.header.Get("Last-Event-Id") == "1" {
+			write(conn, head+chunk(second)+"0\r\n\r\n")
+			return true
+		}
+		write(conn, head+chunk(first)+chunk("id: 2\nda"))
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	tests := []struct {
+		name     string
+		software []ident.SoftwareVersion
+		want     string
+	}{
+		{"another version", []ident.SoftwareVersion{"v1", "v2"}, first},
+		{"no version", []ident.SoftwareVersion{"v1", ""}, first},
+		{"none has a version", []ident.SoftwareVersion{"", ""}, first},
+		{"same version", []ident.SoftwareVersion{"v1", "v1"}, first + second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			router := startRouter(t, startUpstream(t, upstream), startUpstream(t, upstream))
+			router.setSoftware(test.software...)
+			for n := range 4 {
+				got := router.send(t, fmt.Sprint("a", n), "POST", "/resume/", "")
+				if got.body != test.want || (got.err == nil) != (test.want != first) {
+					t.Errorf("got body %q and error %v, want %q", got.body, got.err, test.want)
+				}
+			}
+		})
+	}
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -14,6 +14,14 @@
 // UpstreamID identifies one model engine or one instance of a plain service.
 type UpstreamID string
 
+// SoftwareVersion names the version of an upstream's software. Versions are equal or
+// not, without an order; the empty one is no version at all.
+type SoftwareVersion string
+
+// StoreTime is a time of the clock of the platform's store, in milliseconds. The clock
+// is steady and begins anywhere.
+type StoreTime int64
+
 // VMID identifies one VM of the platform.
 type VMID string
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -56,6 +56,9 @@
 	// Address is where the upstream listens, as host:port.
 	Address string
 	Zone    ident.Zone
+	// Software is the version of the upstream's software, or empty if the row names
+	// none.
+	Software ident.SoftwareVersion
 	// Slots is how many requests the upstream runs at once.
 	Slots   int
 	Leaving bool
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -37,6 +37,9 @@
 	Service ident.ServiceName
 	// Zone is the availability zone; empty means "a".
 	Zone ident.Zone
+	// Software is the version of the runner's software that its row names; empty
+	// means that it names none.
+	Software ident.SoftwareVersion
 	// Address is the address at which routers reach the runner, IP:port.
 	Address string
 	// Write writes the row to the store. Its errors are ignored, since the
@@ -103,6 +106,7 @@
 		Service:     runner.Service,
 		Address:     runner.Address,
 		Zone:        cmp.Or(runner.Zone, defaultRunnerZone),
+		Software:    runner.Software,
 		Slots:       runnerSlots,
 		Leaving:     runner.leaving,
 	}, runner.sequence)
