--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/split"
 	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
@@ -89,6 +90,8 @@
 	health     health.Tracker
 	strikes    strike.Guard
 	quota      quota.Tracker
+	splits     split.Tracker
+	origins    split.Origins
 	gossip     *gossip.Gossip
 	handler    *forward.Handler
 	updater    *follow.Updater
@@ -177,6 +180,8 @@
 		Health:      &daemon.health,
 		Strikes:     &daemon.strikes,
 		Quota:       &daemon.quota,
+		Splits:      &daemon.splits,
+		Origins:     &daemon.origins,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
 		Zone:        daemon.Config.Zone,
 		Routers:     daemon.routers,
@@ -275,6 +280,8 @@
 	}
 	strikeStore := newStrikeStore(daemon, store)
 	go strikeStore.run(ctx)
+	versions := newVersions(daemon, store, exchange)
+	go versions.run(ctx)
 	membership := &membership{store: store, gossip: exchange, daemon: daemon}
 	go membership.run(ctx)
 	gossiper := &gossiper{gossip: exchange}
--- /dev/null
+++ b/entry/versions.go
@@ -0,0 +1,483 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/gossip"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/split"
+	"github.com/hickoryhead/hickoryhead/wait"
+)
+
+const (
+	// splitCallTimeout bounds a call to the store for splits.
+	splitCallTimeout = 2 * time.Second
+	// splitCheckInterval is the time between two checks of whether the splits have to
+	// change.
+	splitCheckInterval = 100 * time.Millisecond
+	// splitRepeatInterval is the time between two messages about a split that not all
+	// routers are known to have adopted.
+	splitRepeatInterval = time.Second
+	// calmTime is how long the upstreams of a service must not have changed for a
+	// change of its split that is not urgent.
+	calmTime = time.Second
+	// keeperCount is how many routers keep the splits: those with the lowest addresses.
+	// keeperDelay is how much later each of them acts than the one before it.
+	keeperCount = 3
+	keeperDelay = 700 * time.Millisecond
+	// originHomes is how many routers are told where a stream began.
+	originHomes = 3
+	// askTimeout bounds the wait for the origin of a stream, and askInterval is the
+	// time between two requests for it.
+	askTimeout  = 100 * time.Millisecond
+	askInterval = 40 * time.Millisecond
+)
+
+// versions keeps the splits of services among the software versions of their upstreams,
+// and the origins of streams. A split changes by a transaction in the store; routers tell
+// each other that they have adopted it, and one of them then records that it is settled.
+type versions struct {
+	daemon  *Daemon
+	store   *platform.Store
+	gossip  *gossip.Gossip
+	splits  *split.Tracker
+	origins *split.Origins
+	metrics *metrics.Set
+	logger  *slog.Logger
+	// read is closed once the splits were read.
+	read      chan struct{}
+	era       ident.Era
+	refresher *refresher
+
+	// services holds what the loop knows of each service with resumable streams.
+	services map[ident.ServiceName]*serviceVersions
+	// registered are the routers that this one added as peers since it started.
+	registered map[string]struct{}
+
+	mu sync.Mutex
+	// adopted holds which revision of each split the other routers have adopted.
+	adopted map[ident.ServiceName]map[string]uint64
+}
+
+// serviceVersions is the state of one service.
+type serviceVersions struct {
+	// row is the version of the split's row, or zero if there is none.
+	row      ident.Revision
+	capacity split.Capacity
+	// changedAt is when capacity changed last, dueAt when the split became due, and
+	// toldAt when routers were last told of a split that is not settled.
+	changedAt time.Time
+	dueAt     time.Time
+	toldAt    time.Time
+	// unsettledAt is since when all routers are known to have adopted the split.
+	unsettledAt time.Time
+}
+
+func newVersions(daemon *Daemon, store *platform.Store, exchange *gossip.Gossip) *versions {
+	versions := &versions{
+		daemon:     daemon,
+		store:      store,
+		gossip:     exchange,
+		splits:     &daemon.splits,
+		origins:    &daemon.origins,
+		metrics:    daemon.metrics,
+		logger:     logging.Component(daemon.Logger, "versions"),
+		read:       daemon.warmup.splitsRead,
+		services:   make(map[ident.ServiceName]*serviceVersions),
+		registered: make(map[string]struct{}),
+		adopted:    make(map[ident.ServiceName]map[string]uint64),
+	}
+	exchange.OnVersions = versions.receive
+	exchange.Splits = versions.splits.All
+	daemon.handler.TellOrigin = versions.tellOrigin
+	daemon.handler.AskOrigin = versions.askOrigin
+	versions.refresher = &refresher{versions: versions, requests: make(chan *refresh)}
+	daemon.handler.RefreshSplits = versions.refresher.refresh
+	return versions
+}
+
+// run reads the splits once this router is registered, so that a router which changes
+// one knows of it, and keeps them until ctx ends.
+func (versions *versions) run(ctx context.Context) {
+	select {
+	case <-versions.daemon.warmup.registered:
+	case <-ctx.Done():
+		return
+	}
+	for !versions.readAll(ctx) {
+		if !wait.Sleep(ctx, wait.Jitter(strikeRetryInterval)) {
+			return
+		}
+	}
+	versions.splits.MarkRead()
+	close(versions.read)
+	versions.era = versions.store.Era()
+	go versions.refresher.run(ctx)
+	wait.Every(ctx, splitCheckInterval, func(ctx context.Context) { versions.check(ctx, time.Now()) })
+}
+
+// readAll reads the splits, and the versions of their rows, and reports whether that
+// succeeded.
+func (versions *versions) readAll(ctx context.Context) bool {
+	records, read := versions.readRows(ctx, splitCallTimeout)
+	for _, record := range records {
+		versions.service(ident.ServiceName(record.Key)).row = record.Version
+	}
+	return read
+}
+
+// readRows reads and adopts the splits in the store. It returns their rows, and whether
+// that succeeded.
+func (versions *versions) readRows(ctx context.Context, timeout time.Duration) ([]platform.Record, bool) {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	records, err := versions.store.ReadAll(bounded, platform.SplitTable, "")
+	if err != nil {
+		versions.metrics.CountEvent("split.store.failed")
+		versions.logger.Warn("Could not read the splits.", "Error", err)
+		return nil, false
+	}
+	versions.splits.ObserveClock(time.Now(), records.Now)
+	for _, record := range records.Records {
+		adopted, err := platform.DecodeSplit(record)
+		if err != nil {
+			versions.metrics.CountEvent("split.row.unreadable")
+			versions.logger.Warn("Could not decode the row of a split.", "Key", record.Key, "Error", err)
+			continue
+		}
+		versions.adopt(adopted, "store")
+	}
+	return records.Records, true
+}
+
+// service returns the state of a service.
+func (versions *versions) service(name ident.ServiceName) *serviceVersions {
+	service := versions.services[name]
+	if service == nil {
+		service = new(serviceVersions)
+		versions.services[name] = service
+	}
+	return service
+}
+
+// adopt puts a split in force unless a newer one is, and tells the keepers.
+func (versions *versions) adopt(adopted split.Split, source string) bool {
+	if !versions.splits.Adopt(adopted) {
+		return false
+	}
+	versions.metrics.CountEvent("split.adopted")
+	versions.logger.Info("Split adopted.", "Service", adopted.Service, "Revision", adopted.Revision, "Settled", adopted.Settled(), "Cells", cellCounts(adopted), "Source", source)
+	versions.tellAdopted(time.Now(), adopted)
+	return true
+}
+
+// cellCounts returns how many cells each version has.
+func cellCounts(of split.Split) map[ident.SoftwareVersion]int {
+	counts := make(map[ident.SoftwareVersion]int)
+	for _, cell := range of.Cells {
+		counts[cell.Version]++
+	}
+	return counts
+}
+
+// tellAdopted tells the keepers that this router has adopted a split.
+func (versions *versions) tellAdopted(now time.Time, adopted split.Split) {
+	if adopted.Settled() {
+		return
+	}
+	item := gossip.AdoptedItem{Service: adopted.Service, Revision: adopted.Revision}
+	if keepers := versions.keepers(now); len(keepers) > 0 {
+		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, keepers...)
+	}
+}
+
+// keepers returns the addresses of the routers that keep the splits, the first to act
+// first.
+func (versions *versions) keepers(now time.Time) []string {
+	live := slices.Sorted(slices.Values(versions.gossip.Live(now)))
+	return live[:min(len(live), keeperCount)]
+}
+
+// actingDelay returns how long this router waits before it changes a split that another
+// one should change.
+func (versions *versions) actingDelay(now time.Time) time.Duration {
+	rank := slices.Index(versions.keepers(now), versions.gossip.Address)
+	if rank < 0 {
+		rank = keeperCount + 1
+	}
+	return time.Duration(rank) * keeperDelay
+}
+
+// check changes the splits that are due, and settles those that all routers have adopted.
+func (versions *versions) check(ctx context.Context, now time.Time) {
+	if era := versions.store.Era(); era != versions.era {
+		versions.era = era
+		versions.restore(ctx, now)
+	}
+	table := versions.daemon.routes.Table()
+	if table == nil || !versions.daemon.registry.Loaded() {
+		return
+	}
+	for name := range table.StreamTimeouts() {
+		service := versions.service(name)
+		capacity := split.Capacity(versions.daemon.registry.Versions(name))
+		if !maps.Equal(capacity, service.capacity) {
+			service.capacity, service.changedAt = capacity, now
+		}
+		if versions.isDue(now, name, service) {
+			versions.rebalance(ctx, name, service)
+			continue
+		}
+		versions.settle(ctx, now, name, service)
+	}
+}
+
+// isDue reports whether this router has to change the split of a service now.
+func (versions *versions) isDue(now time.Time, name ident.ServiceName, service *serviceVersions) bool {
+	current, found := versions.splits.Split(name)
+	urgency := current.Due(service.capacity)
+	if !found && len(service.capacity) > 0 {
+		urgency = split.DueNow
+	}
+	if urgency == split.NotDue || urgency == split.DueWhenCalm && now.Sub(service.changedAt) < calmTime {
+		service.dueAt = time.Time{}
+		return false
+	}
+	if service.dueAt.IsZero() {
+		service.dueAt = now
+	}
+	return now.Sub(service.dueAt) >= versions.actingDelay(now)
+}
+
+// rebalance writes the next revision of the split of a service.
+func (versions *versions) rebalance(ctx context.Context, name ident.ServiceName, service *serviceVersions) {
+	current, _ := versions.splits.Split(name)
+	current.Service = name
+	if versions.write(ctx, current.Rebalanced(service.capacity), service) {
+		versions.metrics.CountEvent("split.rebalanced")
+		service.dueAt = time.Time{}
+	}
+}
+
+// write writes a split whose row must be the one last read, adopts it and sends it to
+// all routers. It reports whether that succeeded.
+func (versions *versions) write(ctx context.Context, next split.Split, service *serviceVersions) bool {
+	record, err := platform.EncodeSplit(next)
+	if err != nil {
+		versions.logger.Error("Could not encode a split.", "Service", next.Service, "Error", err)
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, splitCallTimeout)
+	defer cancel()
+	expected := platform.Expectation{Row: platform.SplitName(next.Service), Version: service.row}
+	row, err := versions.store.Transact(bounded, platform.Batch{Expected: []platform.Expectation{expected}, Writes: []platform.Record{record}})
+	if err != nil {
+		versions.writeFailed(ctx, next.Service, err)
+		return false
+	}
+	service.row = row
+	versions.adopt(next, "own")
+	versions.gossip.SendVersions(gossip.VersionMessage{Splits: []gossip.SplitItem{gossip.NewSplitItem(next)}})
+	return true
+}
+
+// writeFailed reads the splits again after a write of one failed, since another router
+// may have written it, or pauses if the store does not answer.
+func (versions *versions) writeFailed(ctx context.Context, service ident.ServiceName, err error) {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		versions.metrics.CountEvent("split.store.failed")
+		versions.logger.Warn("Could not write a split.", "Service", service, "Error", err)
+		wait.Sleep(ctx, wait.Jitter(strikeRetryInterval))
+	}
+	versions.readAll(ctx)
+}
+
+// settle records that all routers have adopted the split of a service, once they have.
+// Until then it repeats what routers have to know for that.
+func (versions *versions) settle(ctx context.Context, now time.Time, name ident.ServiceName, service *serviceVersions) {
+	current, found := versions.splits.Split(name)
+	if !found || current.Settled() {
+		service.unsettledAt = time.Time{}
+		return
+	}
+	behind := versions.behind(current)
+	if now.Sub(service.toldAt) >= splitRepeatInterval {
+		service.toldAt = now
+		versions.tellAdopted(now, current)
+		if len(behind) > 0 && slices.Contains(versions.keepers(now), versions.gossip.Address) {
+			versions.gossip.SendVersions(gossip.VersionMessage{Splits: []gossip.SplitItem{gossip.NewSplitItem(current)}}, behind...)
+		}
+	}
+	if len(behind) > 0 {
+		service.unsettledAt = time.Time{}
+		return
+	}
+	if service.unsettledAt.IsZero() {
+		service.unsettledAt = now
+	}
+	if now.Sub(service.unsettledAt) < versions.actingDelay(now) || !versions.allRegisteredKnown(ctx) {
+		return
+	}
+	versions.write(ctx, current.Settle(versions.splits.StoreTime(time.Now())), service)
+}
+
+// behind returns the other routers that are not known to have adopted a split.
+func (versions *versions) behind(current split.Split) []string {
+	versions.mu.Lock()
+	defer versions.mu.Unlock()
+	var behind []string
+	for _, address := range versions.gossip.Addresses() {
+		if address != versions.gossip.Address && versions.adopted[current.Service][address] < current.Revision {
+			behind = append(behind, address)
+		}
+	}
+	return behind
+}
+
+// allRegisteredKnown reports whether all registered routers were peers of this one, and
+// adds those that were not. Each read of the store brings its clock.
+func (versions *versions) allRegisteredKnown(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, splitCallTimeout)
+	defer cancel()
+	records, err := versions.store.ReadAll(bounded, platform.RouterTable, "")
+	if err != nil {
+		versions.metrics.CountEvent("split.store.failed")
+		return false
+	}
+	versions.splits.ObserveClock(time.Now(), records.Now)
+	for _, address := range versions.gossip.Addresses() {
+		versions.registered[address] = struct{}{}
+	}
+	known := true
+	for _, record := range records.Records {
+		if _, found := versions.registered[string(record.Key)]; !found {
+			known = false
+			versions.gossip.Add(string(record.Key))
+		}
+	}
+	return known
+}
+
+// restore writes the splits again that the store lost when it came back from an older
+// copy.
+func (versions *versions) restore(ctx context.Context, now time.Time) {
+	wait.Sleep(ctx, versions.actingDelay(now))
+	kept := versions.splits.All()
+	if !versions.readAll(ctx) {
+		versions.era = 0
+		return
+	}
+	versions.metrics.CountEvent("split.store.restored")
+	for _, current := range kept {
+		latest, _ := versions.splits.Split(current.Service)
+		versions.write(ctx, latest, versions.service(current.Service))
+	}
+}
+
+// receive applies a message of another router.
+func (versions *versions) receive(now time.Time, message gossip.VersionMessage) {
+	var reply gossip.VersionMessage
+	for _, item := range message.Splits {
+		received, err := item.Split()
+		if err != nil {
+			versions.metrics.CountEvent("gossip.malformed")
+			continue
+		}
+		versions.recordAdopted(message.Address, item.Service, item.Revision)
+		versions.adopt(received, "router")
+	}
+	for _, item := range message.Adopted {
+		versions.recordAdopted(message.Address, item.Service, item.Revision)
+		current, found := versions.splits.Split(item.Service)
+		if found && (current.Revision > item.Revision || current.Revision == item.Revision && current.Settled()) {
+			reply.Splits = append(reply.Splits, gossip.NewSplitItem(current))
+		}
+	}
+	for _, item := range message.Origins {
+		versions.origins.Add(now, item.Origin(now))
+	}
+	for _, attempt := range message.Asked {
+		if origin, found := versions.origins.Get(attempt); found {
+			reply.Origins = append(reply.Origins, gossip.NewOriginItem(now, origin))
+		}
+	}
+	if len(reply.Splits)+len(reply.Origins) > 0 {
+		versions.gossip.SendVersions(reply, message.Address)
+	}
+}
+
+// recordAdopted records which revision of a split another router has adopted.
+func (versions *versions) recordAdopted(address string, service ident.ServiceName, revision uint64) {
+	versions.mu.Lock()
+	defer versions.mu.Unlock()
+	if versions.adopted[service] == nil {
+		versions.adopted[service] = make(map[string]uint64)
+	}
+	versions.adopted[service][address] = max(versions.adopted[service][address], revision)
+}
+
+// homes returns the other routers that are told where the stream of an attempt began.
+func (versions *versions) homes(now time.Time, attempt ident.AttemptID) []string {
+	live := versions.gossip.Live(now)
+	slices.SortFunc(live, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(string(attempt)+" "+b), xxhash.Sum64String(string(attempt)+" "+a))
+	})
+	homes := live[:min(len(live), originHomes)]
+	return slices.DeleteFunc(homes, func(address string) bool { return address == versions.gossip.Address })
+}
+
+// storeReachable reports whether the store answered this router's last call for
+// upstreams.
+func (versions *versions) storeReachable() bool { return !versions.daemon.storeUp.since().IsZero() }
+
+// tellOrigin tells the homes of a stream where it began, unless they can tell by the
+// split, which they read from the store.
+func (versions *versions) tellOrigin(origin split.Origin, certain bool) {
+	if certain && versions.storeReachable() {
+		return
+	}
+	now := time.Now()
+	if homes := versions.homes(now, origin.Attempt); len(homes) > 0 {
+		versions.metrics.CountEvent("origin.told")
+		versions.gossip.SendVersions(gossip.VersionMessage{Origins: []gossip.OriginItem{gossip.NewOriginItem(now, origin)}}, homes...)
+	}
+}
+
+// askOrigin asks the homes of a stream where it began, and waits until one has answered,
+// at most for askTimeout.
+func (versions *versions) askOrigin(ctx context.Context, attempt ident.AttemptID) {
+	homes := versions.homes(time.Now(), attempt)
+	if len(homes) == 0 {
+		return
+	}
+	versions.metrics.CountEvent("origin.asked")
+	added, cancel := versions.origins.Wait(attempt)
+	defer cancel()
+	bounded, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	for bounded.Err() == nil {
+		versions.gossip.SendVersions(gossip.VersionMessage{Asked: []ident.AttemptID{attempt}}, homes...)
+		timer := time.NewTimer(askInterval)
+		select {
+		case <-added:
+			timer.Stop()
+			return
+		case <-bounded.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -56,6 +56,8 @@
 	registered chan struct{}
 	// strikesRead is closed once the strikes in the store were read.
 	strikesRead chan struct{}
+	// splitsRead is closed once the splits in the store were read.
+	splitsRead chan struct{}
 	// localDone is closed once this router has filled its cache index as far as it
 	// can by itself, or warmupTimeout has passed.
 	localDone chan struct{}
@@ -72,6 +74,7 @@
 		began:       exchange.Started,
 		registered:  make(chan struct{}),
 		strikesRead: make(chan struct{}),
+		splitsRead:  make(chan struct{}),
 		localDone:   make(chan struct{}),
 		allDone:     make(chan struct{}),
 	}
@@ -112,15 +115,12 @@
 			return
 		}
 	}
-	select {
-	case <-warmup.registered:
-	case <-bounded.Done():
-		return
-	}
-	select {
-	case <-warmup.strikesRead:
-	case <-bounded.Done():
-		return
+	for _, read := range []chan struct{}{warmup.registered, warmup.strikesRead, warmup.splitsRead} {
+		select {
+		case <-read:
+		case <-bounded.Done():
+			return
+		}
 	}
 	if !wait.Sleep(bounded, peerReplyWait) {
 		return
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -56,6 +56,7 @@
 			log.writeContext(out, line)
 			log.writeStrikes(out, line)
 			log.writeLimits(out, line)
+			log.writeOrigin(out, line)
 		}
 		writeLine(out, line)
 		if line.Message == requestFinished {
@@ -130,6 +131,22 @@
 	}
 }
 
+// writeOrigin writes, for a take-up, the end of the attempt that it named, and, if it was
+// refused, the splits that its router had adopted by then.
+func (log *Log) writeOrigin(out io.Writer, request Line) {
+	refused := request.Code == "OriginUnknown" || request.Code == "VersionGone"
+	for _, line := range log.lines {
+		if line.Time.After(request.Time) {
+			return
+		}
+		named := line.Message == requestFinished && request.Resumes != "" && line.Attempt == request.Resumes
+		adopted := line.Message == splitAdopted && refused && line.VM == request.VM
+		if named || adopted {
+			writeLine(out, line)
+		}
+	}
+}
+
 // writeLine writes when and where the event of a log line happened, and the event.
 func writeLine(out io.Writer, line Line) {
 	fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
@@ -140,10 +157,14 @@
 	switch line.Message {
 	case requestFinished:
 		if line.Tried == 0 {
-			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion)
+			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line)
 		}
 		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens pending prefill, %d upstreams tried, prompt of %d tokens, first byte after %d ms",
-			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs)
+			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeOrigin(line)
+	case streamResumed:
+		return fmt.Sprintf("stream begun at upstream %s (%s) goes on at %s (%s)", line.Began, line.BeganSoftware, line.Upstream, line.Software)
+	case splitAdopted:
+		return fmt.Sprintf("split %d of service %s adopted: cells %v, settled %v, from %s", line.Revision, line.Service, line.Cells, line.Settled, line.Source)
 	case attemptFailed:
 		return fmt.Sprintf("offered to %s (%s, load %d): %s, %s", line.Upstream, line.Reason, line.Load, line.Code, line.Cause)
 	case upstreamEjected:
@@ -170,6 +191,25 @@
 	return line.Message
 }
 
+// describeOrigin returns what is known of the version at which a stream has to run, or
+// an empty text if it may run at any.
+func describeOrigin(line Line) string {
+	text := ""
+	if line.Resumes != "" {
+		text += ", takes up " + line.Resumes
+	}
+	if line.Version != "" {
+		text += fmt.Sprintf(", bound to version %s by the %s", line.Version, line.VersionSource)
+	}
+	if line.VersionAgeMs > 0 {
+		text += fmt.Sprintf(", begun %d ms before", line.VersionAgeMs)
+	}
+	if len(line.Versions) > 0 {
+		text += fmt.Sprintf(", cell %d, upstreams by version %v", line.Cell, line.Versions)
+	}
+	return text
+}
+
 // kindOf returns what a strike is of.
 func kindOf(line Line) string {
 	if line.Kind == "part" {
@@ -191,6 +231,8 @@
 	"MalformedBody":       "the caller's body did not arrive completely",
 	"CrashingRequest":     "three upstreams or more broke off while they ran this request, so it is refused and did not run",
 	"UpstreamsAtLimit":    "every upstream of the service is at the limit that it names",
+	"OriginUnknown":       "the router could not tell which software version began the stream, and did not guess; it did not run",
+	"VersionGone":         "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":          "no upstream of the service is listed or left to try",
 	"QueueFull":           "the upstreams refused the request before they ran it",
 	"UpstreamUnreachable": "no connection to an upstream could be opened",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -150,3 +150,34 @@
 		}
 	})
 }
+
+// TestRefusedTakeUpNamesWhatIsKnown explains take-ups that were refused: one whose version
+// is unknown, by the splits of its router, and one whose version has left.
+func TestRefusedTakeUpNamesWhatIsKnown(t *testing.T) {
+	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"b1","Status":200,"Code":"AnswerCut","Version":"v1","VersionSource":"answer","VersionAgeMs":40}
+{"time":"2026-10-21T04:00:02Z","msg":"versions: Split adopted.","VM":"edge-2","Service":"pool","Revision":2,"Settled":false,"Cells":{"v1":39,"v2":25},"Source":"store"}
+{"time":"2026-10-21T04:00:03Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a4","Resumes":"b1","Status":503,"Code":"OriginUnknown","Cell":7,"Versions":{"v1":2,"v2":1}}
+{"time":"2026-10-21T04:00:04Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a5","Resumes":"b1","Status":503,"Code":"VersionGone","Version":"v1","VersionSource":"router","VersionAgeMs":3000,"Cell":7,"Versions":{"v2":3}}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(lines, "\n") {
+		log.Add([]byte(text))
+	}
+	tests := map[string]string{
+		"a4": `2026-10-21T04:00:01Z edge-1 finished with status 200 (AnswerCut) after 0 ms: route , configuration 0, offered to no upstream, bound to version v1 by the answer, begun 40 ms before
+2026-10-21T04:00:02Z edge-2 split 2 of service pool adopted: cells map[v1:39 v2:25], settled false, from store
+2026-10-21T04:00:03Z edge-2 finished with status 503 (OriginUnknown) after 0 ms: route , configuration 0, offered to no upstream, takes up b1, cell 7, upstreams by version map[v1:2 v2:1]
+cause: the router could not tell which software version began the stream, and did not guess; it did not run
+`,
+		"a5": `2026-10-21T04:00:01Z edge-1 finished with status 200 (AnswerCut) after 0 ms: route , configuration 0, offered to no upstream, bound to version v1 by the answer, begun 40 ms before
+2026-10-21T04:00:04Z edge-1 finished with status 503 (VersionGone) after 0 ms: route , configuration 0, offered to no upstream, takes up b1, bound to version v1 by the router, begun 3000 ms before, cell 7, upstreams by version map[v2:3]
+cause: no upstream of the software version that began the stream takes requests; it did not run
+`,
+	}
+	for attempt, want := range tests {
+		var out strings.Builder
+		log.WriteRequest(&out, attempt)
+		if got := out.String(); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -54,6 +54,27 @@
 	Kind    string
 	// PerSecond is the limit that an upstream named.
 	PerSecond float64
+
+	// Attributes of streams. Version is the software version to which a request was
+	// bound, VersionSource how it was known, and VersionAgeMs how long before the
+	// stream had begun. Resumes is the attempt that a take-up named, and Versions are
+	// the upstreams of each version when it was refused.
+	Version       string
+	VersionSource string
+	VersionAgeMs  int64
+	Resumes       string
+	Cell          int
+	Versions      map[string]int
+	// Software and BeganSoftware are the versions of the upstream that goes on with a
+	// stream and of Began, which began it.
+	Software      string
+	Began         string
+	BeganSoftware string
+	// Service, Revision, Settled and Cells describe a split.
+	Service  string
+	Revision uint64
+	Settled  bool
+	Cells    map[string]int
 }
 
 // The log messages that explain requests.
@@ -72,6 +93,8 @@
 	retrialStarted   = "forward: Refused request runs once more, alone."
 	limitNamed       = "forward: Upstream named a limit."
 	limitLifted      = "forward: Upstream names no limit any more."
+	streamResumed    = "forward: Stream resumed at another upstream."
+	splitAdopted     = "versions: Split adopted."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -275,7 +275,7 @@
 	if !exchange.route.Retryable() || exchange.allowance() != strike.Free || exchange.runs+1 >= exchange.route.MaxAttempts {
 		return false
 	}
-	alternative, found := exchange.handler.choose(exchange.handler.Registry.Pool(exchange.service), exchange.choiceRequest())
+	alternative, found := exchange.handler.choose(exchange.pool(), exchange.choiceRequest())
 	if !found || alternative.Reason == balance.LastResort || !exchange.handler.spendRetry(time.Now(), exchange.service) {
 		return false
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -78,6 +78,10 @@
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
+	// binding restricts the request to one software version, and certainAt is when
+	// the version that began the stream of a refused take-up will be known, or zero.
+	binding   binding
+	certainAt time.Time
 	// began is the answer that brought the first event of a stream.
 	began *answer
 	// started is set once the header of an answer was written to the caller.
@@ -116,6 +120,10 @@
 		exchange.refuse(result.CrashingRequest)
 		return
 	}
+	if code := exchange.bindVersion(); code != result.OK {
+		exchange.refuse(code)
+		return
+	}
 	if exchange.route.Sticky {
 		exchange.handler.awaitWarm(exchange.request.Context())
 	}
@@ -161,15 +169,20 @@
 	return exchange.readBody()
 }
 
-// awaitTable waits for the first configuration. It returns nil if there is none
-// after maxTableWait or maxTableWaitShare of the time that the caller waits,
-// whichever is shorter.
+// tableWait returns how long the request waits for what a router that has just started
+// reads: maxTableWait, or maxTableWaitShare of the time that the caller waits, whichever
+// is shorter.
+func (exchange *exchange) tableWait() time.Duration {
+	if exchange.head.Wait <= 0 {
+		return maxTableWait
+	}
+	return min(maxTableWait, time.Duration(maxTableWaitShare*float64(exchange.head.Wait.Duration())))
+}
+
+// awaitTable waits for the first configuration. It returns nil if there is none after
+// tableWait.
 func (exchange *exchange) awaitTable() *routing.Table {
-	timeout := maxTableWait
-	if exchange.head.Wait > 0 {
-		timeout = min(timeout, time.Duration(maxTableWaitShare*float64(exchange.head.Wait.Duration())))
-	}
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(exchange.tableWait())
 	defer timer.Stop()
 	select {
 	case <-exchange.handler.Routes.Loaded():
@@ -258,7 +271,7 @@
 // answered or may not be sent again.
 func (exchange *exchange) tryUpstreams() {
 	for {
-		pool := exchange.handler.Registry.Pool(exchange.service)
+		pool := exchange.pool()
 		if !exchange.chooseNext(pool) {
 			exchange.abandon(exchange.noChoiceCode(pool))
 			return
@@ -320,6 +333,9 @@
 		exchange.limitedAt = until
 		return result.UpstreamsAtLimit
 	}
+	if exchange.takesUp() && pool == nil {
+		return result.VersionGone
+	}
 	return result.NoUpstream
 }
 
@@ -419,6 +435,10 @@
 	case code == result.CrashingRequest:
 		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
 		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
+	case code == result.VersionGone:
+		// The version is not known to come back.
+	case code == result.OriginUnknown:
+		retryAfter = max(time.Until(exchange.certainAt), 0)
 	case code == result.UpstreamsAtLimit:
 		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -90,7 +90,7 @@
 func (router *router) setSoftware(versions ...ident.SoftwareVersion) {
 	listed := router.handler.Registry.Upstreams()
 	for i, version := range versions {
-		listed[i].Software = version
+		listed[i].Software, listed[i].Version = version, 2
 	}
 	router.handler.Registry.Replace(time.Now(), 2, listed)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -22,6 +22,7 @@
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/split"
 	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
@@ -37,9 +38,20 @@
 	// Strikes limits requests that crash upstreams; nil means no limit.
 	Strikes *strike.Guard
 	// Quota keeps the limits that upstreams name; nil means that they have none.
-	Quota       *quota.Tracker
-	Connections *Connections
-	Zone        ident.Zone
+	Quota *quota.Tracker
+	// Splits are the software versions that begin streams, and Origins where recent
+	// ones began; nil means that none is known.
+	Splits  *split.Tracker
+	Origins *split.Origins
+	// TellOrigin tells other routers where a stream began; certain says that any of
+	// them can tell by the split. AskOrigin asks them, and waits for their answer.
+	// RefreshSplits reads the splits again, and reports whether that succeeded. Each
+	// may be nil, which does nothing.
+	TellOrigin    func(origin split.Origin, certain bool)
+	AskOrigin     func(ctx context.Context, attempt ident.AttemptID)
+	RefreshSplits func(ctx context.Context) bool
+	Connections   *Connections
+	Zone          ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
@@ -65,6 +77,8 @@
 
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
+	// streamLifetimes holds the longest time that a stream of each service may last.
+	streamLifetimes map[ident.ServiceName]time.Duration
 }
 
 // Tuning holds the settings that operators may change while the router runs.
--- /dev/null
+++ b/forward/origin.go
@@ -0,0 +1,205 @@
+package forward
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/routing"
+	"github.com/hickoryhead/hickoryhead/split"
+	"github.com/hickoryhead/hickoryhead/wait"
+)
+
+const (
+	// minStreamLifetime and maxStreamLifetime bound the time that a stream is assumed to
+	// last at most, take-ups included. The first holds for a router that has just
+	// started and has seen no caller; the second keeps one caller from making all
+	// take-ups uncertain.
+	minStreamLifetime = 10 * time.Second
+	maxStreamLifetime = 2 * time.Minute
+	// splitPollInterval is the time between two checks of whether the splits were read.
+	splitPollInterval = 10 * time.Millisecond
+)
+
+// originSource says how the version that began a stream is known.
+type originSource string
+
+// The sources.
+const (
+	// fromSplit means that all routers began the stream's cell at that version.
+	fromSplit originSource = "split"
+	// fromRouter means that this router began the stream or was told of it.
+	fromRouter originSource = "router"
+	// fromAnswer means that the stream began within the same answer.
+	fromAnswer originSource = "answer"
+	// newStream means that the stream begins now, in a cell of that version.
+	newStream originSource = "new"
+)
+
+// binding restricts a request to the upstreams of one software version. The zero value
+// does not.
+type binding struct {
+	version ident.SoftwareVersion
+	source  originSource
+	// beganAt is when the stream began, or zero if that is not known.
+	beganAt time.Time
+}
+
+// bound reports whether the request may run at upstreams of the version only.
+func (binding binding) bound() bool { return binding.source != "" }
+
+// takesUp reports whether the request asks for the rest of a stream that another attempt
+// began.
+func (exchange *exchange) takesUp() bool { return exchange.resumable() && exchange.head.TakesUp() }
+
+// resumable reports whether the answer is a stream that may go on at another upstream.
+func (exchange *exchange) resumable() bool {
+	return exchange.route.Kind == routing.Stream && exchange.route.Resumable
+}
+
+// pool returns the upstreams at which the request may run, or nil if there are none.
+func (exchange *exchange) pool() *registry.Pool {
+	if exchange.binding.bound() {
+		return exchange.handler.Registry.VersionPool(exchange.service, exchange.binding.version)
+	}
+	return exchange.handler.Registry.Pool(exchange.service)
+}
+
+// bindVersion restricts a stream that may be taken up to one software version: a new one
+// to that of its cell, another one to that which began it. It returns OK, or the code
+// with which the request is refused.
+func (exchange *exchange) bindVersion() result.Code {
+	if !exchange.resumable() {
+		return result.OK
+	}
+	exchange.handler.observeLifetime(exchange)
+	if !exchange.awaitSplits() {
+		return result.NotReady
+	}
+	if exchange.head.TakesUp() {
+		return exchange.bindOrigin()
+	}
+	version, state := exchange.handler.Splits.Version(exchange.service, exchange.streamKey())
+	if state == split.Assigned {
+		exchange.binding = binding{version: version, source: newStream}
+	}
+	return result.OK
+}
+
+// awaitSplits waits until the splits were read, as long as awaitTable would, and reports
+// whether they were.
+func (exchange *exchange) awaitSplits() bool {
+	splits := exchange.handler.Splits
+	if _, state := splits.Version(exchange.service, exchange.streamKey()); state != split.Unread {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.tableWait())
+	defer cancel()
+	for wait.Sleep(ctx, splitPollInterval) {
+		if _, state := splits.Version(exchange.service, exchange.streamKey()); state != split.Unread {
+			return true
+		}
+	}
+	return false
+}
+
+// bindOrigin restricts a take-up to the version that began its stream.
+func (exchange *exchange) bindOrigin() result.Code {
+	if exchange.bindRemembered() {
+		return result.OK
+	}
+	if exchange.bindCell() {
+		return result.OK
+	}
+	if exchange.head.Resumes != "" && exchange.handler.AskOrigin != nil {
+		exchange.handler.AskOrigin(exchange.request.Context(), exchange.head.Resumes)
+		if exchange.bindRemembered() {
+			return result.OK
+		}
+	}
+	return result.OriginUnknown
+}
+
+// bindCell restricts a take-up to the version of its cell if all routers certainly began
+// the stream there, and reports whether they did. That takes a read of the splits: others
+// may have adopted a newer one than this router knows.
+func (exchange *exchange) bindCell() bool {
+	handler := exchange.handler
+	if handler.RefreshSplits == nil || !handler.RefreshSplits(exchange.request.Context()) {
+		return false
+	}
+	version, certainAt, certain := handler.Splits.Began(time.Now(), exchange.service, exchange.streamKey(), handler.streamLifetime(exchange.service))
+	if certain {
+		exchange.binding = binding{version: version, source: fromSplit}
+		return true
+	}
+	if certainAt.Before(exchange.callerDeadline) {
+		exchange.certainAt = certainAt
+	}
+	return false
+}
+
+// bindRemembered restricts a take-up to the version that this router knows from the
+// attempt that began the stream, and reports whether it knows it.
+func (exchange *exchange) bindRemembered() bool {
+	origin, found := exchange.handler.Origins.Get(exchange.head.Resumes)
+	if !found || origin.Version == "" || origin.Workspace != exchange.workspaceID() {
+		return false
+	}
+	exchange.binding = binding{version: origin.Version, source: fromRouter, beganAt: origin.BeganAt}
+	return true
+}
+
+// streamKey returns what a stream and the requests that take it up have in common: the
+// part of the prompt that is the request's own, or else the request itself.
+func (exchange *exchange) streamKey() split.Key {
+	parts := exchange.head.Prompt
+	if len(parts) == 0 {
+		return split.Key(exchange.fingerprint())
+	}
+	return split.Key(xxhash.Sum64String(strings.ToLower(parts[len(parts)-1].ID)))
+}
+
+// recordOrigin records, before the first event of a stream is written to the caller, the
+// version that it comes from. Other routers are told if their split doesn't say so.
+func (exchange *exchange) recordOrigin(first *answer) {
+	exchange.began = first
+	if !exchange.resumable() {
+		return
+	}
+	now := time.Now()
+	version := first.upstream.Software
+	if !exchange.takesUp() {
+		exchange.binding = binding{version: version, source: fromAnswer, beganAt: now}
+	}
+	origin := split.Origin{Attempt: exchange.head.Attempt, Version: version, Workspace: exchange.workspaceID(), BeganAt: now}
+	exchange.handler.Origins.Add(now, origin)
+	known, _, certain := exchange.handler.Splits.Began(now, exchange.service, exchange.streamKey(), exchange.handler.streamLifetime(exchange.service))
+	if exchange.handler.TellOrigin != nil {
+		exchange.handler.TellOrigin(origin, certain && known == version)
+	}
+}
+
+// observeLifetime records how long the streams of a service may last: as long as a
+// caller waits.
+func (handler *Handler) observeLifetime(exchange *exchange) {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	if handler.streamLifetimes == nil {
+		handler.streamLifetimes = make(map[ident.ServiceName]time.Duration)
+	}
+	longest := max(exchange.table.StreamTimeouts()[exchange.service].Duration(), exchange.callerDeadline.Sub(exchange.arrived), minStreamLifetime)
+	handler.streamLifetimes[exchange.service] = min(max(handler.streamLifetimes[exchange.service], longest), maxStreamLifetime)
+}
+
+// streamLifetime returns the longest time that a stream of the service may last.
+func (handler *Handler) streamLifetime(service ident.ServiceName) time.Duration {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	return max(handler.streamLifetimes[service], minStreamLifetime)
+}
--- /dev/null
+++ b/forward/origin_test.go
@@ -0,0 +1,149 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/split"
+)
+
+// ownKey is the part of the prompts in these tests that is the request's own.
+const ownKey = "91bd"
+
+// wholeStream answers each request with one event.
+func wholeStream(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+	write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 9\ndata: z\n\n")+"0\r\n\r\n")
+	return true
+}
+
+// useSplit gives the router a split with all cells at one version, settled for the given
+// time.
+func (router *router) useSplit(version ident.SoftwareVersion, settledFor time.Duration) {
+	empty := split.Split{Service: "pool"}
+	only := empty.Rebalanced(split.Capacity{version: 1})
+	router.handler.Splits, router.handler.Origins = new(split.Tracker), new(split.Origins)
+	const storeTime = 1_000_000
+	router.handler.Splits.ObserveClock(time.Now(), storeTime)
+	router.handler.Splits.Adopt(only.Settle(storeTime - ident.StoreTime(settledFor.Milliseconds())))
+	router.handler.RefreshSplits = func(context.Context) bool { return true }
+}
+
+// takeUp sends a take-up of the stream of an attempt.
+func (router *router) takeUp(t *testing.T, attempt, resumes string) outcome {
+	t.Helper()
+	header := []string{"Last-Event-Id", "3", "Hickoryhead-Prompt-Prefix", "5c:80," + ownKey + ":20"}
+	if resumes != "" {
+		header = append(header, "Resumes", resumes)
+	}
+	return router.send(t, attempt, "POST", "/resume/", "", header...)
+}
+
+// TestTakeUp takes streams up at a router with one upstream of v1, i-0, and one of v2,
+// i-1. A take-up must go on at the version that began its stream, or be refused with 503
+// and not run.
+func TestTakeUp(t *testing.T) {
+	origin := func(attempt ident.AttemptID, version ident.SoftwareVersion, workspace ident.WorkspaceID) split.Origin {
+		return split.Origin{Attempt: attempt, Version: version, Workspace: workspace, BeganAt: time.Now()}
+	}
+	tests := []struct {
+		name string
+		// version has all cells of the split, which is settled for settledFor.
+		version    ident.SoftwareVersion
+		settledFor time.Duration
+		storeDown  bool
+		origins    []split.Origin
+		told       []split.Origin
+		resumes    string
+		want       ident.SoftwareVersion
+		code       string
+	}{
+		{name: "known attempt", version: "v1", origins: []split.Origin{origin("b1", "v2", "grocer")}, resumes: "b1", want: "v2"},
+		{name: "attempt that another router knows", version: "v1", told: []split.Origin{origin("b1", "v2", "grocer")}, resumes: "b1", want: "v2"},
+		{name: "certain by its cell", version: "v2", settledFor: time.Minute, resumes: "b1", want: "v2"},
+		{name: "no attempt named, certain by its cell", version: "v1", settledFor: time.Minute, want: "v1"},
+		{name: "cell settled just now", version: "v2", settledFor: time.Second, resumes: "b1", code: "HH2015"},
+		{name: "store away", version: "v2", settledFor: time.Minute, storeDown: true, resumes: "b1", code: "HH2015"},
+		{name: "unknown attempt", version: "v1", resumes: "b9", code: "HH2015"},
+		{name: "no attempt named", version: "v1", code: "HH2015"},
+		{name: "its own attempt", version: "v1", resumes: "a1", code: "HH2015"},
+		{name: "attempt of another workspace", version: "v1", origins: []split.Origin{origin("b1", "v1", "cane")}, resumes: "b1", code: "HH2015"},
+		{name: "attempt with two origins", version: "v1", origins: []split.Origin{origin("b1", "v1", "grocer"), origin("b1", "v2", "grocer")}, resumes: "b1", code: "HH2015"},
+		{name: "begun at an upstream without a version", version: "v1", origins: []split.Origin{origin("b1", "", "grocer")}, resumes: "b1", code: "HH2015"},
+		{name: "version has left", version: "v1", origins: []split.Origin{origin("b1", "v3", "grocer")}, resumes: "b1", code: "HH2016"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			upstreams := map[ident.SoftwareVersion]*fakeUpstream{"v1": startUpstream(t, wholeStream), "v2": startUpstream(t, wholeStream)}
+			router := startRouter(t, upstreams["v1"], upstreams["v2"])
+			router.setSoftware("v1", "v2")
+			router.useSplit(test.version, test.settledFor)
+			if test.storeDown {
+				router.handler.RefreshSplits = func(context.Context) bool { return false }
+			}
+			for _, origin := range test.origins {
+				router.handler.Origins.Add(time.Now(), origin)
+			}
+			router.handler.AskOrigin = func(_ context.Context, attempt ident.AttemptID) {
+				for _, origin := range test.told {
+					router.handler.Origins.Add(time.Now(), origin)
+				}
+			}
+			got := router.takeUp(t, "a1", test.resumes)
+			for version, upstream := range upstreams {
+				if runs := len(upstream.requestsSoFar()); runs > 0 != (version == test.want) {
+					t.Errorf("got %d runs at %s, want the stream to go on at %q", runs, version, test.want)
+				}
+			}
+			if test.want != "" {
+				got.check(t, http.StatusOK, "id: 9\ndata: z\n\n")
+				return
+			}
+			if got.status != http.StatusServiceUnavailable || got.body[:len(test.code)] != test.code {
+				t.Errorf("got status %d and body %q, want 503 and %s", got.status, got.body, test.code)
+			}
+			if retryAfter := got.header.Get("Retry-After"); retryAfter != "" {
+				t.Errorf("got Retry-After %q, want none: the caller's time ends before that helps", retryAfter)
+			}
+		})
+	}
+}
+
+// TestSecondTakeUpIsBoundByTheFirstAttempt guards against a stream that is taken up twice
+// and goes on the second time where the router would begin it now.
+func TestSecondTakeUpIsBoundByTheFirstAttempt(t *testing.T) {
+	old, current := startUpstream(t, wholeStream), startUpstream(t, wholeStream)
+	router := startRouter(t, old, current)
+	router.setSoftware("v1", "v2")
+	router.useSplit("v1", 0)
+	router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20").check(t, http.StatusOK, "")
+	all := split.Split{Service: "pool", Revision: 1}
+	router.handler.Splits.Adopt(all.Rebalanced(split.Capacity{"v2": 1}))
+	for _, attempt := range []string{"a2", "a3"} {
+		router.takeUp(t, attempt, "a1").check(t, http.StatusOK, "")
+	}
+	if got := len(old.requestsSoFar()); got != 3 {
+		t.Errorf("got %d runs at the version that began the stream, want 3", got)
+	}
+	if got := len(current.requestsSoFar()); got != 0 {
+		t.Errorf("got %d runs at the other version, want none", got)
+	}
+}
+
+// TestNewStreamWaitsForTheSplits guards against a stream that a router begins at any
+// version while it doesn't know the splits yet.
+func TestNewStreamWaitsForTheSplits(t *testing.T) {
+	upstream := startUpstream(t, wholeStream)
+	router := startRouter(t, upstream)
+	router.handler.Splits = new(split.Tracker)
+	got := router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Deadline-Ms", "500")
+	if got.status != http.StatusServiceUnavailable || len(upstream.requestsSoFar()) > 0 {
+		t.Errorf("got status %d and %d runs, want 503 without a run", got.status, len(upstream.requestsSoFar()))
+	}
+	time.AfterFunc(50*time.Millisecond, router.handler.Splits.MarkRead)
+	router.send(t, "a2", "POST", "/resume/", "").check(t, http.StatusOK, "")
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -56,7 +56,7 @@
 	answer.release()
 	if status >= http.StatusInternalServerError {
 		exchange.handler.recordOutcome(answer.upstream, health.ServerError)
-		if exchange.shouldRetry(result.UpstreamFailed, exchange.handler.Registry.Pool(exchange.service)) {
+		if exchange.shouldRetry(result.UpstreamFailed, exchange.pool()) {
 			exchange.handler.Metrics.CountRetry(result.UpstreamFailed)
 			return exchange.retryServerError(answer, body)
 		}
@@ -93,7 +93,7 @@
 // to another one. If that gives no answer, the caller gets the server error
 // with its body.
 func (exchange *exchange) retryServerError(failed *answer, body []byte) result.Code {
-	pool := exchange.handler.Registry.Pool(exchange.service)
+	pool := exchange.pool()
 	if !exchange.chooseNext(pool) {
 		return exchange.writePlain(failed, body)
 	}
@@ -292,7 +292,7 @@
 // complete events, to the caller.
 func (exchange *exchange) writeEvents(first *answer, stream *stream, length int, controller *http.ResponseController) error {
 	if !exchange.started {
-		exchange.began = first
+		exchange.recordOrigin(first)
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
 	}
@@ -347,7 +347,7 @@
 // route does not allow that or no upstream can continue the stream.
 func (exchange *exchange) resume(code result.Code, lastEvent string) *answer {
 	for lastEvent != "" && exchange.route.Resumable {
-		pool := exchange.handler.Registry.Pool(exchange.service)
+		pool := exchange.pool()
 		if pool == nil || !exchange.shouldRetry(code, pool) {
 			return nil
 		}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -57,6 +57,7 @@
 	if exchange.head.TakesUp() {
 		attributes = append(attributes, slog.String("Resumes", string(exchange.head.Resumes)), slog.String("LastEvent", exchange.head.LastEvent))
 	}
+	attributes = append(attributes, exchange.bindingAttributes()...)
 	if len(exchange.tried) > 0 {
 		attributes = append(attributes,
 			slog.String("Upstream", string(exchange.choice.Upstream.ID)),
@@ -150,3 +151,23 @@
 		"Began", exchange.began.upstream.ID,
 		"BeganSoftware", exchange.began.upstream.Software)
 }
+
+// bindingAttributes describes how the request is bound to a software version: the
+// version, how it is known, and for how long if that is known. For a refused take-up
+// they hold the versions that there are.
+func (exchange *exchange) bindingAttributes() []slog.Attr {
+	var attributes []slog.Attr
+	if exchange.binding.bound() {
+		attributes = append(attributes,
+			slog.String("Version", string(exchange.binding.version)),
+			slog.String("VersionSource", string(exchange.binding.source)),
+			slog.Int("Cell", exchange.streamKey().Cell()))
+	}
+	if !exchange.binding.beganAt.IsZero() {
+		attributes = append(attributes, slog.Int64("VersionAgeMs", time.Since(exchange.binding.beganAt).Milliseconds()))
+	}
+	if exchange.code == result.OriginUnknown || exchange.code == result.VersionGone {
+		attributes = append(attributes, slog.Int("Cell", exchange.streamKey().Cell()), slog.Any("Versions", exchange.handler.Registry.Versions(exchange.service)))
+	}
+	return attributes
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/split"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
 
@@ -94,8 +95,12 @@
 	// OnMessage is called with each message received, after its counts and cache
 	// updates are applied.
 	OnMessage func(now time.Time, message Message)
-	Metrics   *metrics.Set
-	Logger    *slog.Logger
+	// OnVersions, if set, is called with each VersionMessage received.
+	OnVersions func(now time.Time, message VersionMessage)
+	// Splits, if set, returns the splits that a router which has just started is sent.
+	Splits  func() []split.Split
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 
 	mu       sync.Mutex
 	peers    map[string]*peer
@@ -251,6 +256,9 @@
 	if limits := gossip.Quota.All(now); len(limits) > 0 {
 		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
 	}
+	if gossip.Splits != nil {
+		gossip.sendSplits(gossip.Splits(), peer)
+	}
 	message := gossip.completeMessage(now)
 	gossip.send(gossip.encode(message), peer)
 	message.InFlight, message.Complete = nil, false
@@ -424,6 +432,9 @@
 		}
 		return err
 	}
+	if isVersionMessage(datagram) {
+		return gossip.receiveVersions(datagram)
+	}
 	if isLimitMessage(datagram) {
 		message, err := decodeLimits(datagram)
 		if err == nil && message.Router != gossip.Router {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -123,7 +123,9 @@
 
 // snapshot is an immutable view of the registry for readers.
 type snapshot struct {
-	pools     map[ident.ServiceName]*Pool
+	pools map[ident.ServiceName]*Pool
+	// versions holds the upstreams of each pool by their software versions.
+	versions  map[ident.ServiceName]map[ident.SoftwareVersion]*Pool
 	upstreams map[ident.UpstreamID]Upstream
 	digest    uint64
 }
@@ -138,6 +140,28 @@
 	return snapshot.pools[service]
 }
 
+// VersionPool returns the upstreams of a service that have the given software version
+// and accept new requests, or nil if there are none. No upstream has the empty version.
+func (registry *Registry) VersionPool(service ident.ServiceName, version ident.SoftwareVersion) *Pool {
+	snapshot := registry.current.Load()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.versions[service][version]
+}
+
+// Versions returns how many upstreams of each software version accept new requests of a
+// service.
+func (registry *Registry) Versions(service ident.ServiceName) map[ident.SoftwareVersion]int {
+	counts := make(map[ident.SoftwareVersion]int)
+	if snapshot := registry.current.Load(); snapshot != nil {
+		for version, pool := range snapshot.versions[service] {
+			counts[version] = len(pool.Upstreams)
+		}
+	}
+	return counts
+}
+
 // Upstream returns the upstream with the given ID, also if it is leaving, and
 // whether it is listed.
 func (registry *Registry) Upstream(id ident.UpstreamID) (Upstream, bool) {
@@ -270,6 +294,10 @@
 		if change.Upstream.Leaving {
 			registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
 		}
+		if change.Upstream.Software == "" && known && change.Upstream.Version == present.Version {
+			// A router of a program that doesn't read the version relayed the row.
+			change.Upstream.Software = present.Software
+		}
 		registry.recordRenewal(now, change.Upstream)
 		delete(registry.missingUntil, id)
 		registry.listed[id] = change.Upstream
@@ -363,10 +391,12 @@
 		}
 	}
 	pools := make(map[ident.ServiceName]*Pool, len(members))
+	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
 	for service, upstreams := range members {
 		pools[service] = newPool(upstreams)
+		versions[service] = versionPools(pools[service])
 	}
-	registry.current.Store(&snapshot{pools: pools, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
+	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
 }
 
 // digest returns a hash that does not depend on the order of the map: routers
@@ -380,6 +410,25 @@
 	return digest
 }
 
+// versionPools returns the upstreams of a pool by their software versions.
+func versionPools(pool *Pool) map[ident.SoftwareVersion]*Pool {
+	members := make(map[ident.SoftwareVersion][]Upstream)
+	for _, upstream := range pool.Upstreams {
+		if upstream.Software != "" {
+			members[upstream.Software] = append(members[upstream.Software], upstream)
+		}
+	}
+	pools := make(map[ident.SoftwareVersion]*Pool, len(members))
+	for version, upstreams := range members {
+		if len(upstreams) == len(pool.Upstreams) {
+			pools[version] = pool
+			continue
+		}
+		pools[version] = newPool(upstreams)
+	}
+	return pools
+}
+
 // newPool returns the pool of upstreams, which it sorts by ID.
 func newPool(upstreams []Upstream) *Pool {
 	slices.SortFunc(upstreams, byID)
--- a/result/code.go
+++ b/result/code.go
@@ -55,6 +55,8 @@
 	CrashingRequest      Code = 2012
 	CrashingRequestAlone Code = 2013
 	UpstreamsAtLimit     Code = 2014
+	OriginUnknown        Code = 2015
+	VersionGone          Code = 2016
 )
 
 // Codes for requests that were run or may have been run.
@@ -129,6 +131,8 @@
 	{CrashingRequest, "CrashingRequest", "The request crashes upstreams", "Upstreams crashed while running this request, so it is refused. Nothing was run this time. An entry router answers 429, which callers of the users' platform take as not run.", http.StatusUnprocessableEntity, NotRun, false},
 	{CrashingRequestAlone, "CrashingRequestAlone", "The request may only run alone elsewhere", "Upstreams crashed while running this request. It may run only on the upstream designated for it, without other requests. Nothing was run.", http.StatusServiceUnavailable, NotRun, true},
 	{UpstreamsAtLimit, "UpstreamsAtLimit", "Every upstream is at the limit that it names", "The upstreams of the route take fewer requests a second than arrive, by what they say. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{OriginUnknown, "OriginUnknown", "The software version that began the stream is unknown", "A stream goes on only at the software version that began it, and this router can't tell which one did. Nothing was run. Another router may know. With Retry-After, this one will by then; without, send the request as a new one.", http.StatusServiceUnavailable, NotRun, false},
+	{VersionGone, "VersionGone", "No upstream of the version that began the stream is left", "A stream goes on only at the software version that began it, and no upstream with that version takes requests. Nothing was run. Send the request as a new one.", http.StatusServiceUnavailable, NotRun, false},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
--- a/routing/table.go
+++ b/routing/table.go
@@ -21,6 +21,9 @@
 	services        map[ident.ServiceName]Service
 	workspacesByKey map[string]*Workspace
 	workspaceIDs    map[ident.WorkspaceID]struct{}
+	// streamTimeouts holds the longest timeout of the routes to each service whose
+	// streams may be taken up.
+	streamTimeouts map[ident.ServiceName]ident.Milliseconds
 }
 
 // New returns the table of config. The table refers to the slices of config,
@@ -33,11 +36,13 @@
 		services:        make(map[ident.ServiceName]Service, len(config.Services)),
 		workspacesByKey: make(map[string]*Workspace),
 		workspaceIDs:    make(map[ident.WorkspaceID]struct{}, len(config.Workspaces)),
+		streamTimeouts:  make(map[ident.ServiceName]ident.Milliseconds),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		host := canonicalHost(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
+		table.addStreamTimeout(route)
 	}
 	for _, routes := range table.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -125,3 +130,19 @@
 		}
 	}
 }
+
+// addStreamTimeout records the timeout of a route whose streams may be taken up.
+func (table *Table) addStreamTimeout(route *Route) {
+	if route.Kind != Stream || !route.Resumable {
+		return
+	}
+	for _, share := range route.Shares {
+		table.streamTimeouts[share.Service] = max(table.streamTimeouts[share.Service], route.Timeout)
+	}
+}
+
+// StreamTimeouts returns, for each service with streams that may be taken up, the longest
+// timeout of their routes. The map must not be changed.
+func (table *Table) StreamTimeouts() map[ident.ServiceName]ident.Milliseconds {
+	return table.streamTimeouts
+}
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -24,6 +24,7 @@
 		PutObject:    platform.servePutObject,
 		GetObject:    platform.serveGetObject,
 		DeleteObject: platform.serveDeleteObject,
+		Now:          platform.storeTime,
 		Era:          platform.Era,
 	}
 	store.Register(mux)
@@ -186,3 +187,8 @@
 	}
 	return vm, true
 }
+
+// storeTime returns the time of the store's clock.
+func (platform *Platform) storeTime() ident.StoreTime {
+	return ident.StoreTime(time.Now().UnixMilli())
+}
