forward, http1, registry: check which process a stream goes on at before it is sent

An upstream may restart under its ID with another software version while the row that a router has is the old one, or the store is away. Its connections break, the router opens new ones to the same address, and believes them to be of the version in the row: a stream would go on, or be recorded as begun, at the wrong version.

A connection is known to lead to the row's process if the row was read before it was opened and written again after. Otherwise the process is asked for its report on that connection, which names its start: for each stream that goes on, and for a new one if a connection to the upstream broke before this one was opened. Where rows name no start time nothing can be checked.

TestStreamAtARestartedUpstream failed without the check: 200 from the other process, for a take-up and for a new stream.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -78,6 +78,14 @@
 	answer.conn.Release(answer.response.Body, http1.KeepAlive(answer.response.Header))
 }
 
+// fail closes the connection, which broke or not.
+func (answer *answer) fail(broke bool) {
+	if broke {
+		answer.conn.RecordBreak()
+	}
+	answer.discard()
+}
+
 // discard closes the connection, which cancels the work at the upstream.
 func (answer *answer) discard() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
@@ -97,6 +105,12 @@
 		}
 		return nil, result.UpstreamUnreachable
 	}
+	if err := exchange.checkIdentity(upstream, conn); err != nil {
+		exchange.setCause(err)
+		conn.RecordBreak()
+		conn.Discard()
+		return nil, result.UpstreamUnreachable
+	}
 	remaining := time.Until(exchange.deadline)
 	if remaining < minAttemptTime {
 		conn.Discard()
@@ -113,7 +127,7 @@
 	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
 		exchange.recordFailure(upstream, code)
-		answer.discard()
+		answer.fail(exchange.broke)
 		return nil, code
 	}
 	return answer, result.OK
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,60 @@
 	time.AfterFunc(50*time.Millisecond, router.handler.Splits.MarkRead)
 	router.send(t, "a2", "POST", "/resume/", "").check(t, http.StatusOK, "")
 }
+
+// restartable answers requests for its report with the start time of its process, and
+// breaks its first stream behind an event, as a process that restarts does.
+type restartable struct {
+	born atomic.Int64
+	next int64
+}
+
+func (restartable *restartable) answer(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+	if request.target == "/report" {
+		body := fmt.Sprintf(`{"born":%d}`, restartable.born.Load())
+		write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		return true
+	}
+	if restartable.next != 0 && restartable.born.Swap(restartable.next) != restartable.next {
+		write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 3\ndata: c\n\n")+chunk("id: 4\nda"))
+		return false
+	}
+	return wholeStream(ctx, conn, n, request)
+}
+
+// TestStreamAtARestartedUpstream guards against a stream that goes on, or begins, at a
+// process of another version than the upstream's row still names: the process has
+// restarted under its ID.
+func TestStreamAtARestartedUpstream(t *testing.T) {
+	const first, second = 1_700_000_000_001, 1_700_000_000_002
+	tests := []struct {
+		name string
+		next int64
+		want int
+	}{
+		{"other incarnation", second, http.StatusServiceUnavailable},
+		{"connection broke, same incarnation", first, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			process := &restartable{next: test.next}
+			process.born.Store(first)
+			if test.next == first {
+				process.next = 0
+			}
+			router := startRouter(t, startUpstream(t, process.answer))
+			listed := router.handler.Registry.Upstreams()
+			listed[0].Incarnation, listed[0].Version = first, 2
+			router.handler.Registry.Replace(time.Now(), 2, listed)
+			router.useSplit("v1", time.Minute)
+			router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20")
+			router.takeUp(t, "a2", "a1").check(t, test.want, "")
+			router.send(t, "a3", "POST", "/resume/", "").check(t, test.want, "")
+			listed[0].Incarnation, listed[0].Version, listed[0].Software = second, 3, "v2"
+			if test.next == second {
+				router.handler.Registry.Replace(time.Now(), 3, listed)
+				router.takeUp(t, "a4", "a1").check(t, http.StatusServiceUnavailable, "")
+			}
+		})
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -49,7 +49,7 @@
 		exchange.setCause(err)
 		code := exchange.truncationCode()
 		exchange.recordFailure(answer.upstream, code)
-		answer.discard()
+		answer.fail(exchange.broke)
 		return code
 	}
 	status := answer.response.StatusCode
@@ -226,7 +226,7 @@
 		exchange.setCause(err)
 		code := exchange.truncationCode()
 		exchange.recordFailure(answer.upstream, code)
-		answer.discard()
+		answer.fail(exchange.broke)
 		if exchange.callerLeft() {
 			return code
 		}
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -52,6 +52,8 @@
 	Requests int
 	// OpenedAt is when the connection was established.
 	OpenedAt time.Time
+	// Verified is set by Verify.
+	Verified bool
 
 	pool   *Pool
 	source *source
@@ -265,3 +267,18 @@
 // ended without an error, so that the next response on the connection can be
 // read.
 func Skip(response *http.Response) bool { return drain(response.Body, maxDrainBytes) }
+
+// AfterBreak reports whether the connection was established after another one of its
+// pool broke, so that another process may have answered.
+func (conn *Conn) AfterBreak() bool {
+	return conn.pool != nil && conn.pool.brokenBefore(conn.OpenedAt)
+}
+
+// Verify records that the peer is the process that the pool is for.
+func (conn *Conn) Verify() {
+	conn.Verified = true
+	conn.pool.verify(conn.OpenedAt)
+}
+
+// RecordBreak records that the connection broke, before it is discarded.
+func (conn *Conn) RecordBreak() { conn.pool.recordBreak() }
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -37,6 +37,33 @@
 	idle   []*Conn
 	open   int
 	closed bool
+	// brokenAt is when a connection was last found closed by the peer or could not be
+	// opened, until a later one is verified.
+	brokenAt time.Time
+}
+
+// recordBreak records that a connection broke.
+func (pool *Pool) recordBreak() {
+	now := pool.now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.brokenAt = now
+}
+
+// brokenBefore reports whether a connection broke before the given time.
+func (pool *Pool) brokenBefore(at time.Time) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return !pool.brokenAt.IsZero() && pool.brokenAt.Before(at)
+}
+
+// verify forgets breaks before the given time, at which the peer was the right one.
+func (pool *Pool) verify(at time.Time) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if pool.brokenAt.Before(at) {
+		pool.brokenAt = time.Time{}
+	}
 }
 
 func (pool *Pool) now() time.Time {
@@ -59,6 +86,7 @@
 	opened, err := pool.Dial(ctx)
 	if err != nil {
 		pool.unreserve()
+		pool.recordBreak()
 		return nil, err
 	}
 	return newConn(pool, opened), nil
@@ -73,9 +101,13 @@
 			return nil
 		}
 		now := pool.now()
-		if now.Before(conn.expiresAt) && now.Sub(conn.idleSince) <= maxIdle && conn.openAndIdle() {
+		open := conn.openAndIdle()
+		if now.Before(conn.expiresAt) && now.Sub(conn.idleSince) <= maxIdle && open {
 			return conn
 		}
+		if !open {
+			pool.recordBreak()
+		}
 		conn.Discard()
 	}
 }
@@ -184,7 +216,13 @@
 func (pool *Pool) CloseUnusable() {
 	now := pool.now()
 	pool.mu.Lock()
-	unusable := pool.takeIf(func(conn *Conn) bool { return !now.Before(conn.expiresAt) || !conn.openAndIdle() })
+	unusable := pool.takeIf(func(conn *Conn) bool {
+		open := conn.openAndIdle()
+		if !open {
+			pool.brokenAt = now
+		}
+		return !open || !now.Before(conn.expiresAt)
+	})
 	pool.mu.Unlock()
 	for _, conn := range unusable {
 		conn.Discard()
--- a/registry/renewal_test.go
+++ b/registry/renewal_test.go
@@ -43,3 +43,33 @@
 		}
 	}
 }
+
+// TestRanAt reads the rows of one upstream at several times. An incarnation certainly ran
+// between the first read of its row and the last one before its latest write.
+func TestRanAt(t *testing.T) {
+	var reg registry.Registry
+	for _, read := range []struct {
+		after       time.Duration
+		incarnation registry.Incarnation
+		version     ident.Revision
+	}{{time.Second, 1, 1}, {2 * time.Second, 1, 2}, {3 * time.Second, 1, 3}, {4 * time.Second, 2, 4}, {5 * time.Second, 2, 5}} {
+		row := upstream("a")
+		row.Incarnation, row.Version = read.incarnation, read.version
+		reg.Apply(timeAt(read.after), []registry.Change{{Upstream: row}})
+	}
+	tests := []struct {
+		incarnation registry.Incarnation
+		at          time.Duration
+		want        bool
+	}{
+		{2, 4 * time.Second, true},
+		{2, 3900 * time.Millisecond, false},
+		{2, 4100 * time.Millisecond, false},
+		{1, 2 * time.Second, false},
+	}
+	for _, test := range tests {
+		if got := reg.RanAt("a", test.incarnation, timeAt(test.at)); got != test.want {
+			t.Errorf("got %t for incarnation %d after %v, want %t", got, test.incarnation, test.at, test.want)
+		}
+	}
+}
