--- /dev/null
+++ b/forward/announce.go
@@ -0,0 +1,25 @@
+package forward
+
+import (
+	"net/http"
+
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/registry"
+)
+
+// recordAnnouncement records what the head of an answer says of the upstream itself, be
+// it the answer to this request or not. An answer with 421 may be that of another process
+// at the address.
+func (exchange *exchange) recordAnnouncement(upstream registry.Upstream, status int, head platform.ResponseHead) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	if head.Leaving {
+		exchange.handler.Metrics.CountEvent("answer.leaving")
+		exchange.handler.Logger.Warn("Upstream says that it leaves.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt)
+	}
+	if head.Rest > 0 {
+		exchange.handler.Metrics.CountEvent("answer.rest")
+		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", head.Rest.Milliseconds())
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -233,6 +233,7 @@
 			return exchange.failureCode(err)
 		}
 		head := platform.DecodeResponse(response)
+		exchange.recordAnnouncement(answer.upstream, response.StatusCode, head)
 		if head.Attempt != "" && head.Attempt != exchange.head.Attempt {
 			exchange.handler.Metrics.CountEvent("answer.stray")
 			exchange.handler.Logger.Warn("Answer to another request dropped.", "Attempt", exchange.head.Attempt, "Got", head.Attempt, "Upstream", answer.upstream.ID)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -99,6 +99,9 @@
 func chooserOf(handler *forward.Handler) *balance.Chooser {
 	return &balance.Chooser{
 		Loads: handler.Loads, CacheIndex: handler.CacheIndex, Ejected: handler.Health.Ejected, OnProbation: handler.Health.OnProbation,
+		Limit: func(now time.Time, upstream registry.Upstream) balance.LimitState {
+			return balance.LimitState(handler.Quota.State(now, upstream))
+		},
 		Multiple: 2, Slack: 1,
 	}
 }
