registry, forward: send nothing to an upstream that has said that it leaves

Upstreams that leave say so in all their answers (Server-Leaving). Routers went by the row alone: with the store silent an upstream got requests for seconds after it had told the very router that sent them.

The word now goes before the row: the incarnation takes no new request, retry, take-up or second attempt at this router, whatever its row says or is read to say later, until another incarnation is listed under the ID. It counts in any answer: refusals, heads of streams, strays, reports, lists of cached prompts; not in a 421, which may be another process's. Other routers are told with the changes of rows: the word is the upstream's own and final for its incarnation, so there is nothing to undo.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -197,6 +197,7 @@
 		Metrics:          set,
 		Logger:           logging.Component(daemon.Logger, "follow"),
 	}
+	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
 	return nil
 }
 
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -155,7 +155,10 @@
 func (warmup *warmup) listEngine(ctx context.Context, upstream registry.Upstream) error {
 	bounded, cancel := context.WithTimeout(ctx, engineListTimeout)
 	defer cancel()
-	parts, err := warmup.engines.Cached(bounded, upstream.Address)
+	parts, head, err := warmup.engines.Cached(bounded, upstream.Address)
+	if head.Leaving {
+		warmup.daemon.handler.AnnounceLeaving(upstream.ID, upstream.Incarnation)
+	}
 	if err != nil {
 		warmup.daemon.metrics.CountEvent("warmup.failed")
 		return err
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -75,6 +75,13 @@
 	updater.reportChanges(updater.Registry.Apply(time.Now(), changes), "router")
 }
 
+// ApplyAnnounced reports a change that an upstream announced to this router, and relays
+// it.
+func (updater *Updater) ApplyAnnounced(change registry.Change) {
+	updater.reportChanges([]registry.Change{change}, "upstream")
+	updater.Relay([]registry.Change{change})
+}
+
 // ReplaceUpstreams replaces the registry's upstreams by the rows of all
 // upstreams at version, and relays the changes.
 func (updater *Updater) ReplaceUpstreams(records []platform.Record, version ident.Revision) {
@@ -107,7 +114,8 @@
 }
 
 // reportChanges counts and logs changes and calls OnUpstreamChange. source is
-// "store" for own reads and "router" for changes received from a router.
+// "store" for own reads, "router" for changes received from a router, and "upstream"
+// for what an upstream said in an answer to this one.
 func (updater *Updater) reportChanges(changes []registry.Change, source string) {
 	for _, change := range changes {
 		updater.Metrics.CountEvent("upstream.changed")
--- a/forward/announce.go
+++ b/forward/announce.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"time"
 
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 )
@@ -17,9 +19,19 @@
 	if head.Leaving {
 		exchange.handler.Metrics.CountEvent("answer.leaving")
 		exchange.handler.Logger.Warn("Upstream says that it leaves.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt)
+		exchange.handler.AnnounceLeaving(upstream.ID, upstream.Incarnation)
 	}
 	if head.Rest > 0 {
 		exchange.handler.Metrics.CountEvent("answer.rest")
 		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", head.Rest.Milliseconds())
 	}
 }
+
+// AnnounceLeaving records that an incarnation of an upstream has said that it leaves: no
+// request is sent there any more.
+func (handler *Handler) AnnounceLeaving(id ident.UpstreamID, incarnation registry.Incarnation) {
+	change, changed := handler.Registry.Announce(time.Now(), id, incarnation)
+	if changed && handler.OnAnnounced != nil {
+		handler.OnAnnounced(change)
+	}
+}
--- a/forward/announce_test.go
+++ b/forward/announce_test.go
@@ -176,7 +176,7 @@
 	}
 	before := runs(upstreams)
 	sent := time.Now()
-	got := router.send(t, "a1", "POST", "/again/", "", "Hickoryhead-Deadline-Ms", strconv.Itoa(int((20*time.Second).Milliseconds())))
+	got := router.send(t, "a1", "POST", "/again/", "", "Hickoryhead-Deadline-Ms", strconv.Itoa(int((20 * time.Second).Milliseconds())))
 	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	if got.status != http.StatusServiceUnavailable || time.Since(sent) > time.Second/2 || err != nil || retryAfter < 2 || retryAfter > 5 {
 		t.Errorf("got status %d after %v with Retry-After %q, want 503 at once with about 3 s", got.status, time.Since(sent), got.header.Get("Retry-After"))
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -50,8 +50,11 @@
 	TellOrigin    func(origin split.Origin, certain bool)
 	AskOrigin     func(ctx context.Context, attempt ident.AttemptID)
 	RefreshSplits func(ctx context.Context) bool
-	Connections   *Connections
-	Zone          ident.Zone
+	// OnAnnounced, if set, is called with the change when an upstream says that it
+	// leaves.
+	OnAnnounced func(change registry.Change)
+	Connections *Connections
+	Zone        ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
--- a/forward/identity.go
+++ b/forward/identity.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return 0, false, err
 	}
+	exchange.recordAnnouncement(upstream, response.StatusCode, platform.DecodeResponse(response))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil || response.Close {
 		return 0, false, errors.CombineErrors(err, errOtherIncarnation)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -87,6 +87,9 @@
 type Change struct {
 	Upstream Upstream
 	Gone     bool
+	// Announced is set if the upstream itself said that it leaves, whatever its row
+	// says.
+	Announced bool
 }
 
 // Registry holds the upstreams. The zero value is empty and ready for use. It is
@@ -104,6 +107,8 @@
 	removedVersions map[ident.UpstreamID]ident.Revision
 	// departures holds the latest incarnations that were leaving or removed.
 	departures map[ident.UpstreamID]departure
+	// announced holds the latest incarnations that have said that they leave.
+	announced map[ident.UpstreamID]Incarnation
 	// renewals holds what is known of the writes of the listed rows.
 	renewals map[ident.UpstreamID]renewal
 	// era is the latest era of the store, and restoredAt when it was first seen after
@@ -274,12 +279,16 @@
 		registry.removedVersions = make(map[ident.UpstreamID]ident.Revision)
 		registry.renewals = make(map[ident.UpstreamID]renewal)
 		registry.departures = make(map[ident.UpstreamID]departure)
+		registry.announced = make(map[ident.UpstreamID]Incarnation)
 	}
 }
 
 // apply applies one change and reports whether it took effect. It may change what a row
 // of an older copy of the store says. The caller holds mu.
 func (registry *Registry) apply(now time.Time, change *Change) bool {
+	if change.Announced {
+		return registry.applyAnnouncement(change)
+	}
 	id := change.Upstream.ID
 	present, known := registry.listed[id]
 	if change.Upstream.Version < max(present.Version, registry.removedVersions[id]) {
@@ -291,6 +300,9 @@
 		if change.Upstream, usable = registry.withDeparture(change.Upstream); !usable {
 			return false
 		}
+		if registry.hasAnnounced(change.Upstream) {
+			change.Upstream.Leaving = true
+		}
 		if change.Upstream.Leaving {
 			registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
 		}
