quota, forward: send nothing to an upstream that has asked this router for rest

An upstream that turns a request away with 503 may ask for rest (Retry-After). Routers didn't read that: they went on offering it requests, each of which was turned away and sent once more elsewhere, out of the retry budget that all share.

A rest is kept beside the limits that upstreams name, where a choice already asks whether an upstream takes a request: for the incarnation that asked, at the router that was asked, until its end. A later answer that asks for less doesn't shorten it. Other routers go on: they have not been asked, and an upstream that sheds turns them away itself.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -77,7 +77,8 @@
 		}
 		sameUpstream := line.Upstream != "" && line.Upstream == request.Upstream
 		switch {
-		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged),
+		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == leavingSaid),
+			request.Code == "UpstreamsResting" && line.Message == restAsked,
 			line.Message == storeUnreachable, line.Message == configInForce:
 			writeLine(out, line)
 		}
@@ -183,6 +184,10 @@
 		return "refused so far, runs once more, alone"
 	case limitNamed:
 		return fmt.Sprintf("upstream %s named a limit of %.2f requests a second", line.Upstream, line.PerSecond)
+	case restAsked:
+		return fmt.Sprintf("upstream %s asked this router for %d ms of rest", line.Upstream, line.RestMs)
+	case leavingSaid:
+		return fmt.Sprintf("upstream %s said that it leaves", line.Upstream)
 	case limitLifted:
 		return fmt.Sprintf("upstream %s names no limit any more", line.Upstream)
 	case configInForce:
@@ -231,6 +236,7 @@
 	"MalformedBody":       "the caller's body did not arrive completely",
 	"CrashingRequest":     "three upstreams or more broke off while they ran this request, so it is refused and did not run",
 	"UpstreamsAtLimit":    "every upstream of the service is at the limit that it names",
+	"UpstreamsResting":    "every upstream of the service had asked this router for rest",
 	"OriginUnknown":       "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":         "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":          "no upstream of the service is listed or left to try",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -86,7 +86,10 @@
 {"time":"2026-10-21T04:00:05Z","msg":"forward: Upstream named a limit.","VM":"edge-1","Upstream":"i-2","PerSecond":1.5}
 {"time":"2026-10-21T04:00:05Z","msg":"forward: Upstream named a limit.","VM":"edge-1","Upstream":"i-3","PerSecond":2}
 {"time":"2026-10-21T04:00:06Z","msg":"forward: Upstream names no limit any more.","VM":"edge-3","Upstream":"i-3"}
-{"time":"2026-10-21T04:00:20Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a5","Status":503,"Code":"UpstreamsAtLimit"}`
+{"time":"2026-10-21T04:00:20Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a5","Status":503,"Code":"UpstreamsAtLimit"}
+{"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-1","Upstream":"i-2","Attempt":"a6","RestMs":3000}
+{"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-2","Upstream":"i-3","Attempt":"a7","RestMs":3000}
+{"time":"2026-10-21T04:00:31Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a8","Status":503,"Code":"UpstreamsResting"}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
 		log.Add([]byte(text))
@@ -95,6 +98,10 @@
 		"a4": `2026-10-21T04:00:01Z edge-1 strike 3 of part 0a: upstream i-1 broke off while it ran attempt a1
 2026-10-21T04:00:04Z edge-2 finished with status 429 (CrashingRequest) after 0 ms: route , configuration 0, offered to no upstream
 cause: upstreams broke off while they ran requests with part 5c1e in their prompts, so it is refused and did not run
+`,
+		"a8": `2026-10-21T04:00:30Z edge-1 upstream i-2 asked this router for 3000 ms of rest
+2026-10-21T04:00:31Z edge-1 finished with status 503 (UpstreamsResting) after 0 ms: route , configuration 0, offered to no upstream
+cause: every upstream of the service had asked this router for rest
 `,
 		"a5": `2026-10-21T04:00:05Z edge-1 upstream i-2 named a limit of 1.50 requests a second
 2026-10-21T04:00:20Z edge-2 finished with status 503 (UpstreamsAtLimit) after 0 ms: route , configuration 0, offered to no upstream
--- a/explain/line.go
+++ b/explain/line.go
@@ -52,8 +52,10 @@
 	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
 	Kind    string
-	// PerSecond is the limit that an upstream named.
+	// PerSecond is the limit that an upstream named, and RestMs the rest that one asked
+	// for.
 	PerSecond float64
+	RestMs    int64
 
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
@@ -93,6 +95,8 @@
 	retrialStarted   = "forward: Refused request runs once more, alone."
 	limitNamed       = "forward: Upstream named a limit."
 	limitLifted      = "forward: Upstream names no limit any more."
+	restAsked        = "forward: Upstream asks for rest."
+	leavingSaid      = "forward: Upstream says that it leaves."
 	streamResumed    = "forward: Stream resumed at another upstream."
 	splitAdopted     = "versions: Split adopted."
 )
--- a/forward/announce.go
+++ b/forward/announce.go
@@ -24,6 +24,7 @@
 	if head.Rest > 0 {
 		exchange.handler.Metrics.CountEvent("answer.rest")
 		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", head.Rest.Milliseconds())
+		exchange.handler.Quota.Rest(time.Now(), upstream.ID, upstream.Incarnation, head.Rest)
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -329,8 +329,11 @@
 
 // noChoiceCode returns the code of a request for which there is no upstream.
 func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
-	if until := exchange.limitedUntil(pool); !until.IsZero() {
+	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
 		exchange.limitedAt = until
+		if rests {
+			return result.UpstreamsResting
+		}
 		return result.UpstreamsAtLimit
 	}
 	if exchange.takesUp() && pool == nil {
@@ -439,6 +442,8 @@
 		// The version is not known to come back.
 	case code == result.OriginUnknown:
 		retryAfter = max(time.Until(exchange.certainAt), 0)
+	case code == result.UpstreamsResting:
+		retryAfter = spreadAfter(time.Until(exchange.limitedAt))
 	case code == result.UpstreamsAtLimit:
 		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -256,6 +257,16 @@
 	minRetryAfter = 10 * time.Millisecond
 )
 
+// maxSpread limits by how much later than they may callers return that were refused
+// until the same time.
+const maxSpread = 500 * time.Millisecond
+
+// spreadAfter returns a random time from remaining on, before which it would be of no
+// use to return.
+func spreadAfter(remaining time.Duration) time.Duration {
+	return max(remaining, minRetryAfter) + rand.N(maxSpread)
+}
+
 // jitteredRetryAfter returns the Retry-After of a refused caller that waits for
 // the remaining time. It is jittered, so that callers refused together do not
 // retry together.
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -40,11 +40,11 @@
 }
 
 // limitedUntil returns when the first of the upstreams that were not tried and are at
-// their limit takes a request again. It returns the zero time if none is at its limit.
-func (exchange *exchange) limitedUntil(pool *registry.Pool) time.Time {
-	var earliest time.Time
+// their limit, or rest, takes a request again, and whether that one rests. It returns the
+// zero time if there are none.
+func (exchange *exchange) limitedUntil(pool *registry.Pool) (earliest time.Time, rests bool) {
 	if pool == nil {
-		return earliest
+		return time.Time{}, false
 	}
 	now := time.Now()
 	for _, upstream := range pool.Upstreams {
@@ -54,7 +54,8 @@
 		}
 		if earliest.IsZero() || at.Before(earliest) {
 			earliest = at
+			rests = !exchange.handler.Quota.RestsUntil(now, upstream).IsZero()
 		}
 	}
-	return earliest
+	return earliest, rests
 }
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -7,4 +7,7 @@
 // upstream, and learns from the others when the limit changes or is gone. The package
 // does no I/O and reads no clock, and holds at most one limit for each incarnation of
 // an upstream.
+//
+// An upstream that asks a router for rest gets nothing from that router until the rest is
+// over. Others have not been asked: they go on.
 package quota
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -73,6 +73,9 @@
 	self    string
 	routers []string
 	buckets map[key]*bucket
+	// restUntil holds until when incarnations of upstreams want no request from this
+	// router.
+	restUntil map[key]time.Time
 }
 
 // SetRouters sets the address of this router and of all routers that are known to
@@ -242,13 +245,17 @@
 	Reached
 )
 
-// State returns how the upstream stands to its limit at the time now.
+// State returns how the upstream stands to its limit at the time now. One that rests has
+// reached it.
 func (tracker *Tracker) State(now time.Time, upstream registry.Upstream) State {
 	if tracker == nil {
 		return Unlimited
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	if !tracker.restsUntil(now, upstream).IsZero() {
+		return Reached
+	}
 	bucket := tracker.limiting(now, upstream)
 	switch {
 	case bucket == nil:
@@ -259,13 +266,17 @@
 	return Below
 }
 
-// Take counts a request to the upstream and reports whether its limit allows it.
+// Take counts a request to the upstream and reports whether its limit allows it, and
+// whether it does not rest.
 func (tracker *Tracker) Take(now time.Time, upstream registry.Upstream) bool {
 	if tracker == nil {
 		return true
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	if !tracker.restsUntil(now, upstream).IsZero() {
+		return false
+	}
 	bucket := tracker.limiting(now, upstream)
 	switch {
 	case bucket == nil:
@@ -277,24 +288,29 @@
 	return true
 }
 
-// NextAt returns when an upstream that has reached its limit takes the next request
-// from this router, or, if it has no share, from another one. It returns the zero time
-// for an upstream that has not reached its limit.
+// NextAt returns when an upstream that has reached its limit, or rests, takes the next
+// request from this router, or, if it has no share, from another one. It returns the zero
+// time for any other upstream.
 func (tracker *Tracker) NextAt(now time.Time, upstream registry.Upstream) time.Time {
 	if tracker == nil {
 		return time.Time{}
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	restsUntil := tracker.restsUntil(now, upstream)
 	bucket := tracker.limiting(now, upstream)
 	if bucket == nil || bucket.tokens >= 1 {
-		return time.Time{}
+		return restsUntil
 	}
 	rate, missing := bucket.share, 1-bucket.tokens
 	if rate == 0 {
 		rate, missing = usedShare*bucket.rate(), 1
 	}
-	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+	next := now.Add(time.Duration(missing / rate * float64(time.Second)))
+	if restsUntil.After(next) {
+		return restsUntil
+	}
+	return next
 }
 
 // Retain forgets the limits of incarnations that are not listed and were not heard of
@@ -302,6 +318,7 @@
 func (tracker *Tracker) Retain(now time.Time, listed []registry.Upstream) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	tracker.endRests(now)
 	if len(tracker.buckets) == 0 {
 		return
 	}
--- a/quota/tracker_test.go
+++ b/quota/tracker_test.go
@@ -169,3 +169,35 @@
 		t.Error("got a limit, want none")
 	}
 }
+
+// TestRest checks that a rest is not cut short by one that asks for less, is lengthened by
+// one that asks for more, holds beside a limit, and is that of one incarnation alone.
+func TestRest(t *testing.T) {
+	var tracker quota.Tracker
+	resting := registry.Upstream{ID: "a", Incarnation: 1}
+	restarted := registry.Upstream{ID: "a", Incarnation: 2}
+	limit := 1000.0
+	tracker.Observe(start, "a", 1, &limit, start)
+	for _, rest := range []time.Duration{3 * time.Second, time.Second, 5 * time.Second, 0, -time.Second} {
+		tracker.Rest(start, "a", 1, rest)
+	}
+	tests := []struct {
+		after time.Duration
+		rests bool
+	}{{0, true}, {4999 * time.Millisecond, true}, {5 * time.Second, false}}
+	for _, test := range tests {
+		now := start.Add(test.after)
+		if got := tracker.State(now, resting) == quota.Reached; got != test.rests {
+			t.Errorf("got resting %t after %v, want %t", got, test.after, test.rests)
+		}
+		if got := tracker.Take(now, resting); got == test.rests {
+			t.Errorf("got a request allowed %t after %v, want %t", got, test.after, !test.rests)
+		}
+		if got, want := tracker.NextAt(now, resting).Equal(start.Add(5*time.Second)), test.rests; got != want {
+			t.Errorf("got the next request at the end of the rest %t after %v, want %t", got, test.after, want)
+		}
+		if tracker.State(now, restarted) != quota.Unlimited {
+			t.Errorf("got a rest of the next incarnation after %v, want none", test.after)
+		}
+	}
+}
