standin, soak: versions side by side, take-ups, all routers killed, rests, and leaving said in answers

The soak had no software versions, took no stream up, never ended all routers at once, and its upstreams said nothing of themselves, so it could not see what the users saw. Now upstreams have versions and may restart under their ID with another one; the type of each event is the version that wrote it; callers take cut streams up and check that no stream has two versions (ORDER) and that half of the take-ups go on that must (LOST); upstreams ask for rest (BUDGET) and say that they leave while their row says that they are ready (DRAIN).

--- a/cmd/hickoryhead-soak/main.go
+++ b/cmd/hickoryhead-soak/main.go
@@ -57,6 +57,7 @@
 	flags.IntVar(&options.Routers, "routers", 6, "number of router processes")
 	flags.IntVar(&options.Upstreams, "upstreams", 8, "number of upstream stand-ins")
 	flags.IntVar(&options.Callers, "callers", 24, "number of concurrent callers")
+	flags.StringVar(&options.Previous, "previous", "", "path of an earlier hickoryhead executable that routers are upgraded from")
 	flags.StringVar(&options.Program, "program", "target/hickoryhead", "path of the hickoryhead executable")
 	flags.StringVar(&options.Dir, "dir", filepath.Join(os.TempDir(), "hickoryhead-soak"), "directory for the logs and settings of the processes")
 	return root
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -38,6 +39,8 @@
 	// atMostOnce says that a request must not run more than once.
 	atMostOnce bool
 	stream     bool
+	// resumable says that a stream may be taken up.
+	resumable bool
 	// same says that all requests of the kind are equal but for their attempt.
 	same bool
 }
@@ -47,7 +50,7 @@
 	{name: "again", method: http.MethodGet, path: "/again/"},
 	{name: "stream", method: http.MethodPost, path: "/stream/", atMostOnce: true, stream: true},
 	{name: "same", method: http.MethodGet, path: "/again/same", same: true},
-	{name: "resume", method: http.MethodPost, path: "/resume/stream/", stream: true},
+	{name: "resume", method: http.MethodPost, path: "/resume/stream/", stream: true, resumable: true},
 }
 
 // call is one request of a caller and its outcome.
@@ -58,9 +61,16 @@
 	incarnation int
 	sentAt      time.Time
 	endedAt     time.Time
-	reply       standin.Reply
+	// earlier says that the router ran the earlier program.
+	earlier bool
+	reply   standin.Reply
 	// prompt holds the shared parts of the prompt, if they are not those of the kind.
 	prompt []string
+	// own is the part of the prompt that is the stream's own; empty means the attempt.
+	own ident.AttemptID
+	// resumes and lastEvent are set for a take-up.
+	resumes   ident.AttemptID
+	lastEvent string
 }
 
 // caller sends requests over one connection to a router until its context ends.
@@ -126,14 +136,18 @@
 		router:      caller.router,
 		incarnation: caller.router.incarnation(),
 		sentAt:      time.Now(),
+		earlier:     caller.router.earlier(),
 	}
 	body := "body of " + string(call.attempt)
 	if kind.same {
 		body = ""
 	}
-	call.perform(context.WithoutCancel(ctx), caller.client, caller.random.IntN(sharedPrefixCount), body)
+	caller.soak.recordSender(call)
+	prompt := caller.random.IntN(sharedPrefixCount)
+	call.perform(context.WithoutCancel(ctx), caller.client, prompt, body)
 	if call.reply.Err != nil {
 		caller.disconnect()
+		caller.takeUp(ctx, call, prompt, body)
 	}
 	return call
 }
@@ -156,8 +170,9 @@
 		head.Prompt = append(head.Prompt, platform.PromptPart{ID: part, Tokens: 1000})
 	}
 	if len(shared) > 0 {
-		head.Prompt = append(head.Prompt, platform.PromptPart{ID: string(call.attempt), Tokens: 50})
+		head.Prompt = append(head.Prompt, platform.PromptPart{ID: string(cmp.Or(call.own, call.attempt)), Tokens: 50})
 	}
+	head.Resumes, head.LastEvent = call.resumes, call.lastEvent
 	sent := &standin.Call{
 		Method: call.kind.method,
 		Router: call.router.settings.CallerListen,
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,9 +26,17 @@
 	configProbeInterval = 150 * time.Millisecond
 )
 
-// check checks a finished call against the guarantees to callers.
+// check checks a finished call against the guarantees to callers, unless the earlier
+// program served it.
 func (soak *Soak) check(call *call) {
 	soak.count(call)
+	if call.earlier {
+		return
+	}
+	soak.recordLeaving(call)
+	if call.kind.stream {
+		soak.checkVersions(call)
+	}
 	runs := soak.runLog.runsOf(call.attempt)
 	switch {
 	case call.kind.atMostOnce && len(runs) > 1:
@@ -61,10 +69,11 @@
 // checkAnswer checks that the answer is complete and belongs to this request.
 func (soak *Soak) checkAnswer(call *call) {
 	want := standin.RunnerAnswer(call.attempt)
+	right := call.reply.Body == want
 	if call.kind.stream {
-		want = standin.RunnerStream(call.attempt)
+		right = isWholeStream(call)
 	}
-	if call.reply.Body != want || call.reply.Attempt != call.attempt {
+	if !right || call.reply.Attempt != call.attempt {
 		soak.violate("wrong answer", "%s %s got an answer of %d bytes with ID %q, want %d", call.kind.name, call.attempt, len(call.reply.Body), call.reply.Attempt, len(want))
 	}
 }
--- a/soak/router.go
+++ b/soak/router.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"os"
@@ -31,8 +32,11 @@
 // router is a router process, which may be started several times. The runs share
 // the name, settings, addresses and log.
 type router struct {
-	name     string
-	program  string
+	name    string
+	program string
+	// previous is the program that the router runs until it is upgraded; empty means
+	// that it is.
+	previous string
 	path     string
 	settings config.Entry
 	store    *proxy
@@ -88,7 +92,7 @@
 func (router *router) start() error {
 	router.mu.Lock()
 	defer router.mu.Unlock()
-	router.command = exec.Command(router.program, "entry", "--settings", router.path)
+	router.command = exec.Command(cmp.Or(router.previous, router.program), "entry", "--settings", router.path)
 	router.command.Stdout = router.log
 	router.command.Stderr = router.log
 	router.ended = make(chan struct{})
@@ -137,10 +141,15 @@
 	_ = router.command.Process.Signal(signal)
 }
 
-// end kills the process and waits for its end.
-func (router *router) end() {
+// kill kills the process.
+func (router *router) kill() {
 	router.signal(syscall.SIGCONT)
 	router.signal(syscall.SIGKILL)
+}
+
+// end kills the process and waits for its end.
+func (router *router) end() {
+	router.kill()
 	<-router.ended
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -42,6 +42,7 @@
 
 var faults = []fault{
 	{"router killed", false, (*schedule).killRouter},
+	{"all routers killed", false, (*schedule).killAllRouters},
 	{"router frozen", false, (*schedule).freezeRouter},
 	{"store down", false, (*schedule).storeDown},
 	{"store slow", false, (*schedule).storeSlow},
@@ -57,6 +58,8 @@
 	{"upstream slow", false, (*schedule).upstreamSlow},
 	{"upstream sends without end", false, (*schedule).upstreamEndless},
 	{"upstream names a limit", true, (*schedule).upstreamLimited},
+	{"upstream asks for rest", true, (*schedule).upstreamRefuses},
+	{"upstream says that it leaves", true, (*schedule).upstreamLeavesUnlisted},
 	{"router stopped as planned", true, (*schedule).stopRouter},
 	{"router reloaded", true, (*schedule).reloadRouter},
 	{"configuration changed", true, (*schedule).changeConfig},
@@ -66,7 +69,6 @@
 // play injects faults for the length of the soak, and returns when all of them are
 // undone.
 func (schedule *schedule) play(ctx context.Context) {
-	schedule.busy = make(map[any]bool)
 	soak := schedule.soak
 	begin := time.Now()
 	for time.Since(begin) < soak.options.Length && ctx.Err() == nil {
@@ -217,6 +219,7 @@
 func (schedule *schedule) upstreamLeaves(time.Duration) {
 	const leaveTime, downTime = 4 * time.Second, time.Second
 	upstream := schedule.upstream()
+	software := randomVersion(schedule.random)
 	if !schedule.claim(upstream) {
 		return
 	}
@@ -226,7 +229,7 @@
 		schedule.soak.checkLeaving(upstream, time.Now())
 		upstream.expireRow()
 		time.Sleep(downTime)
-		upstream.restart()
+		upstream.restartAs(software)
 		schedule.release(upstream)
 	})
 }
@@ -319,6 +322,7 @@
 
 func (schedule *schedule) upstreamCrashed(length time.Duration) {
 	upstream := schedule.upstream()
+	software := randomVersion(schedule.random)
 	if !schedule.claim(upstream) {
 		return
 	}
@@ -326,7 +330,7 @@
 		if length > standin.RunnerExpiry {
 			upstream.expireRow()
 		}
-		upstream.restart()
+		upstream.restartAs(software)
 		schedule.release(upstream)
 	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,10 @@
 	Callers   int
 	// Program is the path of the hickoryhead executable.
 	Program string
+	// Previous, if set, is the path of the executable of an earlier program, which all
+	// routers run at first. They are stopped as planned and started with Program one
+	// after the other.
+	Previous string
 	// Dir is the directory for the logs and settings of the processes. Run
 	// creates it.
 	Dir string
@@ -82,7 +86,11 @@
 	disturbances []span
 	// restarts are the upstreams that a request ended.
 	restarts sync.WaitGroup
-	endless  []endlessSpan
+	// takeUps counts the take-ups that had to go on, and senders holds the router of
+	// each attempt.
+	takeUps takeUps
+	senders map[ident.AttemptID]sender
+	endless []endlessSpan
 }
 
 // span is a time span. While it lasts, until is zero.
@@ -136,8 +144,11 @@
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
 
-	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0))}
+	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), busy: make(map[any]bool)}
+	upgrade := &upgrade{schedule: schedule, done: make(chan struct{})}
+	go upgrade.run(ctx)
 	schedule.play(ctx)
+	<-upgrade.done
 	time.Sleep(recoveryTime)
 	stopCallers()
 	for _, finished := range done {
@@ -150,6 +161,7 @@
 	soak.checkEndless()
 	soak.checkRegistered()
 	soak.checkPanics()
+	soak.checkTakeUps()
 	soak.checkRecovery()
 	return soak.report, nil
 }
@@ -159,7 +171,7 @@
 	storeAt := strings.TrimPrefix(soak.server.URL, "http://")
 	soak.configure()
 	for i := range soak.options.Upstreams {
-		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), soak)
+		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), softwareVersions[i%2], soak)
 		if err != nil {
 			return err
 		}
@@ -178,6 +190,7 @@
 		if err != nil {
 			return err
 		}
+		router.previous = soak.options.Previous
 		if err := router.start(); err != nil {
 			return err
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -79,9 +79,17 @@
 
 	mu        sync.Mutex
 	leavingAt time.Time
+	// software is the version of the upstream, and servesFrom since when it has that
+	// and neither leaves nor is away, or zero.
+	software   ident.SoftwareVersion
+	servesFrom time.Time
+	// arrivals, rests and words are what the checks of announcements need.
+	arrivals []arrival
+	rests    []rest
+	words    []leavingWord
 }
 
-func startUpstream(id ident.UpstreamID, soak *Soak) (*upstream, error) {
+func startUpstream(id ident.UpstreamID, software ident.SoftwareVersion, soak *Soak) (*upstream, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -91,13 +99,16 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	upstream := &upstream{soak: soak, store: soak.store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
+	upstream := &upstream{software: software, servesFrom: time.Now(), soak: soak, store: soak.store, proxy: proxy, listener: listener, cancel: cancel, done: make(chan struct{})}
 	upstream.runner = &standin.Runner{
-		ID:      id,
-		Service: poolService,
-		Address: proxy.address(),
-		Write:   upstream.write,
-		OnStart: func(attempt ident.AttemptID) { soak.runLog.add(attempt, run{upstream: id, at: time.Now()}) },
+		ID:       id,
+		Service:  poolService,
+		Software: software,
+		Address:  proxy.address(),
+		Write:    upstream.write,
+		OnArrive: upstream.recordArrival,
+		OnRefuse: upstream.recordRefusal,
+		OnStart:  func(attempt ident.AttemptID) { soak.runLog.add(attempt, run{upstream: id, at: time.Now()}) },
 
 		CrashMarker: crashMarker,
 		OnCrash:     func() { soak.crashByRequest(upstream) },
@@ -143,11 +154,23 @@
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
 	upstream.leavingAt = time.Now()
+	upstream.servesFrom = time.Time{}
+}
+
+// servesSince reports whether the upstream has had a version, and neither left nor been
+// away, since a time.
+func (upstream *upstream) servesSince(software ident.SoftwareVersion, since time.Time) bool {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	return upstream.software == software && !upstream.servesFrom.IsZero() && upstream.servesFrom.Before(since)
 }
 
 // crash stops the runner and its heartbeats and resets all connections, until
 // restart.
 func (upstream *upstream) crash() {
+	upstream.mu.Lock()
+	upstream.servesFrom = time.Time{}
+	upstream.mu.Unlock()
 	upstream.runner.Crash()
 	upstream.proxy.refuse()
 	upstream.proxy.reset()
@@ -157,12 +180,24 @@
 // heartbeats.
 func (upstream *upstream) expireRow() { upstream.store.Remove(upstream.runner.Row()) }
 
-// restart starts the runner as a new incarnation with the same ID.
+// restart starts the runner as a new incarnation with the same ID. Its software version
+// is the one that it had.
 func (upstream *upstream) restart() {
+	upstream.mu.Lock()
+	software := upstream.software
+	upstream.mu.Unlock()
+	upstream.restartAs(software)
+}
+
+// restartAs starts the runner as a new incarnation with the same ID and a software
+// version.
+func (upstream *upstream) restartAs(software ident.SoftwareVersion) {
 	upstream.mu.Lock()
 	upstream.leavingAt = time.Time{}
+	upstream.software, upstream.servesFrom = software, time.Now()
 	upstream.mu.Unlock()
-	upstream.runner.Restart()
+	upstream.proxy.reset()
+	upstream.runner.RestartAs(software)
 	if err := upstream.proxy.accept(); err != nil {
 		upstream.soak.violate("soak failed", "%s does not listen again: %v", upstream.runner.ID, err)
 	}
--- a/standin/call.go
+++ b/standin/call.go
@@ -44,7 +44,9 @@
 	Attempt ident.AttemptID
 	// RetryAfter is the value of the header Retry-After.
 	RetryAfter string
-	Body       string
+	// Leaving says that the answer is one of an upstream that leaves.
+	Leaving bool
+	Body    string
 	// Err is nil if the answer was received completely.
 	Err error
 }
@@ -69,6 +71,7 @@
 		Status:     response.StatusCode,
 		Attempt:    platform.AnsweredAttempt(response.Header),
 		RetryAfter: response.Header.Get("Retry-After"),
+		Leaving:    platform.DecodeResponse(response).Leaving,
 		Body:       string(body),
 		Err:        err,
 	}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -54,6 +54,11 @@
 	// CrashPart reports whether a part of a prompt, but for the last one, crashes
 	// the runner when it begins to write the answer; nil means that none does.
 	CrashPart func(part string) bool
+	// OnRefuse, if set, is called with each request that the runner turns away and the
+	// time until which it then wants none from its router, and OnArrive with each
+	// request that reaches it.
+	OnRefuse func(attempt ident.AttemptID, until time.Time)
+	OnArrive func(attempt ident.AttemptID)
 	// OnEndless, if set, is called when the connection of an answer without an
 	// end has closed.
 	OnEndless func(answer string, started, closed time.Time)
@@ -71,6 +76,8 @@
 	served     int
 	limit      float64
 	limited    bool
+	announces  bool
+	rest       time.Duration
 }
 
 // Run writes the runner's row at once and then at RunnerHeartbeatInterval until
@@ -130,6 +137,49 @@
 	runner.Heartbeat()
 }
 
+// Announce makes the runner say in its answers that it leaves, whatever its row says.
+func (runner *Runner) Announce() {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.announces = true
+}
+
+// Refuse makes the runner turn all requests away and ask for rest, until it is called
+// with zero.
+func (runner *Runner) Refuse(rest time.Duration) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.rest = rest
+}
+
+// state is what a runner says of itself in an answer.
+type state struct {
+	incarnation registry.Incarnation
+	software    ident.SoftwareVersion
+	leaving     bool
+	rest        time.Duration
+}
+
+func (runner *Runner) state() state {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return state{
+		incarnation: registry.Incarnation(runner.startedAt.UnixMilli()),
+		software:    runner.Software,
+		leaving:     runner.leaving || runner.announces,
+		rest:        runner.rest,
+	}
+}
+
+// RestartAs starts the runner as a new incarnation with the same ID and another software
+// version.
+func (runner *Runner) RestartAs(software ident.SoftwareVersion) {
+	runner.mu.Lock()
+	runner.Software = software
+	runner.mu.Unlock()
+	runner.Restart()
+}
+
 // Crash ends the heartbeats and closes the connection of each stream at its next
 // event and of each new request, until Restart.
 func (runner *Runner) Crash() {
@@ -139,13 +189,14 @@
 }
 
 // Restart starts the runner as a new incarnation with the same ID, no longer
-// crashed, leaving or limited, and writes its row.
+// crashed, leaving, resting or limited, and writes its row.
 func (runner *Runner) Restart() {
 	runner.mu.Lock()
 	runner.crashed = false
-	runner.leaving = false
+	runner.leaving, runner.announces = false, false
 	runner.limited = false
-	runner.startedAt = time.Time{}
+	runner.rest = 0
+	runner.startedAt = time.Now()
 	runner.sequence = 0
 	runner.mu.Unlock()
 	runner.Heartbeat()
