gossip, entry: a split is unsettled while a router of a program without splits runs

A router of the earlier program begins streams at any version. While a fleet is upgraded that does no harm: the first split isn't settled before all routers have adopted it, and the earlier program never does. Where the earlier program comes back (a rollback, a VM with the old image) the split is settled, and the others would be certain of cells to which that router doesn't keep: a guess.

Each router sends a VersionMessage to a run of a router that it first hears of, so one that has been heard of for two seconds without one runs the earlier program. The first of the other keepers then writes a revision with no cell settled; it settles again only once all routers that run have adopted it. For those two seconds the others still believe the split.

Evidence: gossip TestRouterOfAnEarlierProgramIsRecognised.

--- a/entry/versions.go
+++ b/entry/versions.go
@@ -81,8 +81,9 @@
 	changedAt time.Time
 	dueAt     time.Time
 	toldAt    time.Time
-	// unsettledAt is since when all routers are known to have adopted the split.
-	unsettledAt time.Time
+	// adoptedAt is since when all routers are known to have adopted a split that is not
+	// settled.
+	adoptedAt time.Time
 }
 
 func newVersions(daemon *Daemon, store *platform.Store, exchange *gossip.Gossip) *versions {
@@ -206,7 +207,9 @@
 // keepers returns the addresses of the routers that keep the splits, the first to act
 // first.
 func (versions *versions) keepers(now time.Time) []string {
+	others := versions.gossip.WithoutVersions(now)
 	live := slices.Sorted(slices.Values(versions.gossip.Live(now)))
+	live = slices.DeleteFunc(live, func(address string) bool { return slices.Contains(others, address) })
 	return live[:min(len(live), keeperCount)]
 }
 
@@ -310,7 +313,10 @@
 func (versions *versions) settle(ctx context.Context, now time.Time, name ident.ServiceName, service *serviceVersions) {
 	current, found := versions.splits.Split(name)
 	if !found || current.Settled() {
-		service.unsettledAt = time.Time{}
+		service.adoptedAt = time.Time{}
+		if found {
+			versions.unsettle(ctx, now, current, service)
+		}
 		return
 	}
 	behind := versions.behind(current)
@@ -322,18 +328,30 @@
 		}
 	}
 	if len(behind) > 0 {
-		service.unsettledAt = time.Time{}
+		service.adoptedAt = time.Time{}
 		return
 	}
-	if service.unsettledAt.IsZero() {
-		service.unsettledAt = now
+	if service.adoptedAt.IsZero() {
+		service.adoptedAt = now
 	}
-	if now.Sub(service.unsettledAt) < versions.actingDelay(now) || !versions.allRegisteredKnown(ctx) {
+	if now.Sub(service.adoptedAt) < versions.actingDelay(now) || !versions.allRegisteredKnown(ctx) {
 		return
 	}
 	versions.write(ctx, current.Settle(versions.splits.StoreTime(time.Now())), service)
 }
 
+// unsettle makes all cells of a split uncertain if a router runs a program that doesn't
+// keep to splits, until it has ended.
+func (versions *versions) unsettle(ctx context.Context, now time.Time, current split.Split, service *serviceVersions) {
+	if slices.Index(versions.keepers(now), versions.gossip.Address) != 0 {
+		return
+	}
+	if others := versions.gossip.WithoutVersions(now); len(others) > 0 && versions.write(ctx, current.Unsettled(), service) {
+		versions.metrics.CountEvent("split.unsettled")
+		versions.logger.Warn("Split unsettled, routers of an earlier program begin streams at any version.", "Service", current.Service, "Routers", others)
+	}
+}
+
 // behind returns the other routers that are not known to have adopted a split.
 func (versions *versions) behind(current split.Split) []string {
 	versions.mu.Lock()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -67,6 +67,10 @@
 	warm bool
 	// strikeSends is how many more times all strikes are sent to the router.
 	strikeSends int
+	// runSince is when the first message of that run came, and versionsRun the run that
+	// sent the last VersionMessage.
+	runSince    time.Time
+	versionsRun balance.RouterID
 }
 
 // Gossip exchanges messages with the other routers. Its exported fields have to
@@ -257,6 +261,7 @@
 		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
 	}
 	if gossip.Splits != nil {
+		// Without splits the message says that this router knows of them.
 		gossip.sendSplits(gossip.Splits(), peer)
 	}
 	message := gossip.completeMessage(now)
@@ -462,6 +467,9 @@
 		silent := now.Sub(peer.receivedAt) > max(missedAfter, missedPauses*gossip.pause())
 		peer.receivedAt = now
 		newRun := peer.router != message.Router
+		if newRun {
+			peer.runSince = now
+		}
 		peer.router = message.Router
 		peer.startedAt = now.Add(-message.Uptime.Duration())
 		peer.warm = message.Warm
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -132,10 +132,35 @@
 // receiveVersions applies the VersionMessage in a datagram.
 func (gossip *Gossip) receiveVersions(datagram []byte) error {
 	message, err := decodeVersions(datagram)
-	if err == nil && message.Router != gossip.Router && gossip.OnVersions != nil {
+	if err != nil || message.Router == gossip.Router {
+		return err
+	}
+	gossip.mu.Lock()
+	if peer := gossip.peers[message.Address]; peer != nil {
+		peer.versionsRun = message.Router
+	}
+	gossip.mu.Unlock()
+	if gossip.OnVersions != nil {
 		gossip.OnVersions(time.Now(), message)
 	}
-	return err
+	return nil
+}
+
+// versionsTimeout is how long after its first message a router has sent a VersionMessage,
+// unless its program knows none.
+const versionsTimeout = 2 * time.Second
+
+// WithoutVersions returns the addresses of the routers whose program knows no splits.
+func (gossip *Gossip) WithoutVersions(now time.Time) []string {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	var addresses []string
+	for address, peer := range gossip.peers {
+		if peer.router != "" && peer.versionsRun != peer.router && now.Sub(peer.runSince) > versionsTimeout {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
 }
 
 // SendVersions sends a message about versions to the routers at the given addresses, or
@@ -160,9 +185,6 @@
 
 // sendSplits sends splits to one router. The caller holds mu.
 func (gossip *Gossip) sendSplits(splits []split.Split, peer *peer) {
-	if len(splits) == 0 {
-		return
-	}
 	message := VersionMessage{Router: gossip.Router, Address: gossip.Address}
 	for _, adopted := range splits {
 		message.Splits = append(message.Splits, NewSplitItem(adopted))
--- a/gossip/version_message_test.go
+++ b/gossip/version_message_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +51,22 @@
 	}
 	t.Logf("one origin: %d bytes, the split of two versions: %d bytes", len(told), len(datagram))
 }
+
+// TestRouterOfAnEarlierProgramIsRecognised guards against a router that begins streams at
+// any version while the others rely on the split.
+func TestRouterOfAnEarlierProgramIsRecognised(t *testing.T) {
+	now := time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+	gossip := &Gossip{Router: "self", peers: map[string]*peer{
+		"current":     {router: "a", versionsRun: "a", runSince: now},
+		"earlier":     {router: "b", runSince: now},
+		"downgraded":  {router: "c2", versionsRun: "c1", runSince: now},
+		"not heard":   {},
+		"just begun":  {router: "d", runSince: now.Add(versionsTimeout)},
+		"was earlier": {router: "e2", versionsRun: "e2", runSince: now},
+	}}
+	got := gossip.WithoutVersions(now.Add(versionsTimeout + time.Millisecond))
+	slices.Sort(got)
+	if want := []string{"downgraded", "earlier"}; !slices.Equal(got, want) {
+		t.Errorf("got %q without splits, want %q", got, want)
+	}
+}
--- a/split/split.go
+++ b/split/split.go
@@ -62,6 +62,17 @@
 	return settled
 }
 
+// Unsettled returns the next revision of the split with no cell settled: some router does
+// not keep to it.
+func (split *Split) Unsettled() Split {
+	next := *split
+	next.Revision++
+	for i := range next.Cells {
+		next.Cells[i].SettledAt = 0
+	}
+	return next
+}
+
 // Rebalanced returns the next revision of the split, whose cells are shared in
 // proportion to capacity. It moves as few cells as possible. Without any capacity it
 // returns the split itself.
