--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,12 +5,10 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,24 +32,13 @@
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/split"
 	"github.com/hickoryhead/hickoryhead/strike"
-	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 const (
-	// headerTimeout bounds reading the headers of a request. The configured limit
-	// is shorter, and callers stay within it.
-	headerTimeout = 10 * time.Second
 	// maxConfigHold is how long the store may hold a call that waits for a new
 	// configuration. A call that the store accepts and never answers delays the
 	// next one by as much.
 	maxConfigHold ident.Milliseconds = 2500
-	// upstreamPollInterval is the pause between two reads of changed upstreams.
-	upstreamPollInterval ident.Milliseconds = 500
-	// maintenanceInterval is the time between two rounds of periodic maintenance.
-	maintenanceInterval = 500 * time.Millisecond
-	// defaultIdleTimeout bounds idle connections of callers while no configuration
-	// sets a limit.
-	defaultIdleTimeout = 60 * time.Second
 	// loadBoundSlack is how many requests above its multiple of the mean load an
 	// upstream may have. Without it a small mean would leave no room.
 	loadBoundSlack = 1.5
@@ -215,33 +202,6 @@
 	}
 }
 
-// stateStart records when a state began that still holds. The zero value is a
-// state that does not hold. It is safe for concurrent use.
-type stateStart struct {
-	mu    sync.Mutex
-	began time.Time
-}
-
-// update records at now whether the state holds. A state that holds already
-// keeps its beginning.
-func (start *stateStart) update(now time.Time, holds bool) {
-	start.mu.Lock()
-	defer start.mu.Unlock()
-	switch {
-	case !holds:
-		start.began = time.Time{}
-	case start.began.IsZero():
-		start.began = now
-	}
-}
-
-// since returns when the state began, and the zero time if it does not hold.
-func (start *stateStart) since() time.Time {
-	start.mu.Lock()
-	defer start.mu.Unlock()
-	return start.began
-}
-
 // forgetUpstream discards the health and cache entries of an upstream whose row
 // changed, because it may have been restarted or removed. An upstream that is
 // leaving keeps them.
@@ -311,153 +271,3 @@
 		Logger:     logging.Component(daemon.Logger, "gossip"),
 	}
 }
-
-// newConfigTable returns a table that follows the configuration.
-func (daemon *Daemon) newConfigTable(source *configSource) *follow.Table {
-	adopt := func(records []platform.Record, version ident.Revision) {
-		source.publish(records)
-		daemon.updater.ApplyConfig(records, version)
-	}
-	return &follow.Table{
-		Name:        platform.OperatorTable,
-		Wait:        daemon.configHold,
-		Due:         daemon.configDue,
-		ReadAll:     source.readAll,
-		Changes:     source.changes,
-		OnReplace:   adopt,
-		OnChange:    adopt,
-		OnStoreCall: func(bool) {},
-		Metrics:     daemon.metrics,
-		Logger:      logging.Component(daemon.Logger, "follow"),
-	}
-}
-
-// newUpstreamTable returns a table that follows the rows of the upstreams.
-func (daemon *Daemon) newUpstreamTable(store *platform.Store) *follow.Table {
-	return &follow.Table{
-		Name:        platform.ServerTable,
-		Pause:       upstreamPollInterval,
-		Due:         daemon.upstreamsDue,
-		ReadAll:     store.ReadAll,
-		Changes:     store.Changes,
-		OnReplace:   daemon.updater.ReplaceUpstreams,
-		OnChange:    daemon.updater.ApplyUpstreams,
-		OnStoreCall: daemon.setStoreReachable,
-		Metrics:     daemon.metrics,
-		Logger:      logging.Component(daemon.Logger, "follow"),
-	}
-}
-
-// follower follows one table of the store.
-type follower struct {
-	table *follow.Table
-}
-
-func (follower *follower) run(ctx context.Context) { follower.table.Run(ctx) }
-
-// maintenance periodically discards expired state and idle connections.
-type maintenance struct {
-	daemon *Daemon
-}
-
-func (maintenance *maintenance) run(ctx context.Context) {
-	wait.Every(ctx, maintenanceInterval, func(context.Context) { maintenance.daemon.maintain(time.Now()) })
-}
-
-// maintain performs one round of maintenance. During a planned stop it leaves
-// idle connections open, because callers may still be sent here.
-func (daemon *Daemon) maintain(now time.Time) {
-	daemon.updater.Expire()
-	listed := daemon.registry.Upstreams()
-	daemon.handler.Connections.Retain(listed)
-	daemon.quota.Retain(now, listed)
-	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
-	daemon.loads.Expire(now)
-	daemon.strikes.Maintain(now)
-	if !daemon.stop.stopping() {
-		daemon.idleConns.CloseOlder(now.Add(-daemon.idleTimeout()))
-	}
-}
-
-// idleTimeout returns how long a caller's connection may be idle before it is
-// closed.
-func (daemon *Daemon) idleTimeout() time.Duration {
-	table := daemon.routes.Table()
-	if table == nil || table.Limits.IdleTimeout <= 0 {
-		return defaultIdleTimeout
-	}
-	return table.Limits.IdleTimeout.Duration()
-}
-
-// ready reports whether the balancer may send callers to this router.
-func (daemon *Daemon) ready() bool {
-	return !daemon.stop.stopping() && daemon.routes.Table() != nil && daemon.registry.Loaded() && daemon.warmup.isLocalDone()
-}
-
-func (daemon *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	if !daemon.ready() {
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	writer.WriteHeader(http.StatusOK)
-}
-
-// httpService serves HTTP on one listener.
-type httpService struct {
-	server   *http.Server
-	listener net.Listener
-	logger   *slog.Logger
-}
-
-func (service *httpService) run() {
-	err := service.server.Serve(service.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
-		service.logger.Error("HTTP server failed.", "Error", err)
-	}
-}
-
-// closeListeners closes the listeners of services that were not run.
-func closeListeners(services []*httpService) error {
-	var failure error
-	for _, service := range services {
-		failure = errors.CombineErrors(failure, service.listener.Close())
-	}
-	return failure
-}
-
-// listen opens the configured listeners and returns a service for each, the one
-// for callers first.
-func (daemon *Daemon) listen() ([]*httpService, error) {
-	endpoints := []struct {
-		address string
-		handler http.Handler
-	}{
-		{daemon.Config.CallerListen, daemon.handler},
-		{daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
-		{daemon.Config.MetricsListen, daemon.metrics.Handler()},
-	}
-	var services []*httpService
-	for _, endpoint := range endpoints {
-		if endpoint.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", endpoint.address)
-		if err != nil {
-			return nil, errors.CombineErrors(errors.Wrap(err, "open HTTP listener"), closeListeners(services))
-		}
-		services = append(services, &httpService{
-			listener: listener,
-			logger:   daemon.Logger,
-			server: &http.Server{
-				Handler:           endpoint.handler,
-				ReadHeaderTimeout: headerTimeout,
-				ErrorLog:          slog.NewLogLogger(daemon.Logger.Handler(), slog.LevelDebug),
-			},
-		})
-	}
-	callers := services[0]
-	callers.listener = forward.Listener{Listener: callers.listener}
-	callers.server.ConnContext = forward.ConnContext
-	callers.server.ConnState = daemon.idleConns.Track
-	return services, nil
-}
--- /dev/null
+++ b/entry/tables.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/hickoryhead/hickoryhead/follow"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/platform"
+)
+
+const (
+	// upstreamPollInterval is the pause between two reads of changed upstreams.
+	upstreamPollInterval ident.Milliseconds = 500
+)
+
+// newConfigTable returns a table that follows the configuration.
+func (daemon *Daemon) newConfigTable(source *configSource) *follow.Table {
+	adopt := func(records []platform.Record, version ident.Revision) {
+		source.publish(records)
+		daemon.updater.ApplyConfig(records, version)
+	}
+	return &follow.Table{
+		Name:        platform.OperatorTable,
+		Wait:        daemon.configHold,
+		Due:         daemon.configDue,
+		ReadAll:     source.readAll,
+		Changes:     source.changes,
+		OnReplace:   adopt,
+		OnChange:    adopt,
+		OnStoreCall: func(bool) {},
+		Metrics:     daemon.metrics,
+		Logger:      logging.Component(daemon.Logger, "follow"),
+	}
+}
+
+// newUpstreamTable returns a table that follows the rows of the upstreams.
+func (daemon *Daemon) newUpstreamTable(store *platform.Store) *follow.Table {
+	return &follow.Table{
+		Name:        platform.ServerTable,
+		Pause:       upstreamPollInterval,
+		Due:         daemon.upstreamsDue,
+		ReadAll:     store.ReadAll,
+		Changes:     store.Changes,
+		OnReplace:   daemon.updater.ReplaceUpstreams,
+		OnChange:    daemon.updater.ApplyUpstreams,
+		OnStoreCall: daemon.setStoreReachable,
+		Metrics:     daemon.metrics,
+		Logger:      logging.Component(daemon.Logger, "follow"),
+	}
+}
+
+// follower follows one table of the store.
+type follower struct {
+	table *follow.Table
+}
+
+func (follower *follower) run(ctx context.Context) { follower.table.Run(ctx) }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,14 +1,10 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -17,24 +13,6 @@
 	"github.com/hickoryhead/hickoryhead/retry"
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/strike"
-	"github.com/hickoryhead/hickoryhead/wait"
-)
-
-const (
-	// defaultTimeout limits requests of a route without a timeout of its own.
-	defaultTimeout = 60 * time.Second
-	// notReadyRetryAfter is the Retry-After of a router without a
-	// configuration.
-	notReadyRetryAfter = 300 * time.Millisecond
-	// maxTableWait limits how long a request waits for the first configuration
-	// of a router that has just started: one of 1,200 routes takes 0.4 s over a
-	// link of 10 Mbit/s. maxTableWaitShare limits it to a fraction of the time
-	// that the caller waits.
-	maxTableWait      = 700 * time.Millisecond
-	maxTableWaitShare = 0.4
-	// maxCrashingRetryAfter limits the Retry-After of a request that crashes
-	// upstreams: its strikes may be withdrawn before they lapse.
-	maxCrashingRetryAfter = time.Minute
 )
 
 // exchange is one request of a caller and all attempts to serve it.
@@ -130,143 +108,6 @@
 	exchange.tryUpstreams()
 }
 
-// prepare validates the request, selects its route and reads its body. It
-// returns OK or the code with which the request is refused.
-func (exchange *exchange) prepare() result.Code {
-	if !Unambiguous(exchange.request.Context()) {
-		exchange.writer.Header().Set("Connection", "close")
-		return result.AmbiguousFraming
-	}
-	head, err := platform.DecodeRequest(exchange.request.Header)
-	exchange.head = head
-	exchange.table = exchange.handler.Routes.Table()
-	if exchange.table == nil {
-		exchange.table = exchange.awaitTable()
-	}
-	if exchange.table == nil {
-		return result.NotReady
-	}
-	if err != nil {
-		exchange.setCauseText(err.Error())
-		return result.InvalidHeader
-	}
-	path, _, _ := strings.Cut(exchange.target(), "?")
-	exchange.route = exchange.table.Route(exchange.request.Host, path)
-	if exchange.route == nil {
-		return result.UnknownRoute
-	}
-	if limit := exchange.table.Limits.HeaderBytes; limit > 0 && headBytes(exchange.request) > limit {
-		return result.HeadTooLarge
-	}
-	if code := exchange.authenticate(); code != result.OK {
-		return code
-	}
-	if exchange.route.Sticky {
-		exchange.prefixIDs = sharedPrefixIDs(exchange.head.Prompt)
-	}
-	exchange.setDeadline()
-	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.head.Attempt)))
-	return exchange.readBody()
-}
-
-// tableWait returns how long the request waits for what a router that has just started
-// reads: maxTableWait, or maxTableWaitShare of the time that the caller waits, whichever
-// is shorter.
-func (exchange *exchange) tableWait() time.Duration {
-	if exchange.head.Wait <= 0 {
-		return maxTableWait
-	}
-	return min(maxTableWait, time.Duration(maxTableWaitShare*float64(exchange.head.Wait.Duration())))
-}
-
-// awaitTable waits for the first configuration. It returns nil if there is none after
-// tableWait.
-func (exchange *exchange) awaitTable() *routing.Table {
-	timer := time.NewTimer(exchange.tableWait())
-	defer timer.Stop()
-	select {
-	case <-exchange.handler.Routes.Loaded():
-	case <-exchange.request.Context().Done():
-	case <-timer.C:
-	}
-	return exchange.handler.Routes.Table()
-}
-
-// target returns the path and query as the caller sent them.
-func (exchange *exchange) target() string {
-	if strings.HasPrefix(exchange.request.RequestURI, "/") {
-		return exchange.request.RequestURI
-	}
-	return exchange.request.URL.RequestURI()
-}
-
-// headBytes returns the size in bytes of the request line and the headers.
-func headBytes(request *http.Request) int {
-	count := len(request.Method) + len(request.RequestURI) + len(request.Host)
-	for name, values := range request.Header {
-		for _, value := range values {
-			count += len(name) + len(value) + len(": \r\n")
-		}
-	}
-	return count
-}
-
-func (exchange *exchange) authenticate() result.Code {
-	if !exchange.table.NeedsKeys() {
-		return result.OK
-	}
-	exchange.workspace = exchange.table.Workspace(exchange.head.APIKey)
-	if exchange.workspace == nil && !exchange.route.Public {
-		return result.UnknownKey
-	}
-	return result.OK
-}
-
-func (exchange *exchange) setDeadline() {
-	timeout := exchange.route.Timeout.Duration()
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	exchange.deadline = exchange.arrived.Add(timeout)
-	exchange.callerDeadline = exchange.deadline
-	if exchange.head.Wait > 0 {
-		exchange.callerDeadline = exchange.arrived.Add(exchange.head.Wait.Duration())
-	}
-	if exchange.callerDeadline.Before(exchange.deadline) {
-		exchange.deadline = exchange.callerDeadline
-	}
-}
-
-func (exchange *exchange) readBody() result.Code {
-	controller := http.NewResponseController(exchange.writer)
-	if err := controller.SetReadDeadline(exchange.deadline); err != nil {
-		exchange.handler.Logger.Debug("Could not set the read deadline.", "Error", err)
-	}
-	limit := int64(exchange.table.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if exchange.request.ContentLength > limit {
-		return result.BodyTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limit+1))
-	if err != nil {
-		exchange.setCauseText(err.Error())
-		return result.MalformedBody
-	}
-	if int64(len(body)) > limit {
-		return result.BodyTooLarge
-	}
-	exchange.body = body
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		exchange.handler.Logger.Debug("Could not clear the read deadline.", "Error", err)
-	}
-	return result.OK
-}
-
-// defaultMaxBodyBytes limits a request body if the configuration does not.
-const defaultMaxBodyBytes = 4 << 20
-
 // tryUpstreams sends the request to one upstream after another until it is
 // answered or may not be sent again.
 func (exchange *exchange) tryUpstreams() {
@@ -327,21 +168,6 @@
 	return balance.Choice{}, false
 }
 
-// noChoiceCode returns the code of a request for which there is no upstream.
-func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
-	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
-		exchange.limitedAt = until
-		if rests {
-			return result.UpstreamsResting
-		}
-		return result.UpstreamsAtLimit
-	}
-	if exchange.takesUp() && pool == nil {
-		return result.VersionGone
-	}
-	return result.NoUpstream
-}
-
 func (exchange *exchange) choiceRequest() balance.Request {
 	return balance.Request{
 		Keys:      exchange.prefixIDs,
@@ -415,39 +241,3 @@
 	}
 	return true
 }
-
-// abandon refuses a request that no upstream served. If an earlier attempt may
-// have run, the code does not claim that the request did not run.
-func (exchange *exchange) abandon(code result.Code) {
-	if exchange.runs > 0 && code.Outcome() == result.NotRun {
-		code = result.OutcomeUnknown
-	}
-	exchange.refuse(code)
-}
-
-// refuse answers the caller with code instead of an upstream's answer.
-func (exchange *exchange) refuse(code result.Code) {
-	exchange.code = code
-	exchange.status = refusalStatus(code)
-	exchange.started = true
-	exchange.handler.Metrics.CountRefusal(code)
-	retryAfter := time.Duration(0)
-	switch {
-	case code == result.NotReady:
-		retryAfter = notReadyRetryAfter
-	case code == result.CrashingRequest:
-		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
-		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
-	case code == result.VersionGone:
-		// The version is not known to come back.
-	case code == result.OriginUnknown:
-		retryAfter = max(time.Until(exchange.certainAt), 0)
-	case code == result.UpstreamsResting:
-		retryAfter = spreadAfter(time.Until(exchange.limitedAt))
-	case code == result.UpstreamsAtLimit:
-		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
-	case code.Status() == http.StatusServiceUnavailable:
-		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
-	}
-	exchange.handler.writeCode(exchange.writer, code, retryAfter)
-}
--- /dev/null
+++ b/forward/refuse.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/wait"
+)
+
+const (
+	// notReadyRetryAfter is the Retry-After of a router without a
+	// configuration.
+	notReadyRetryAfter = 300 * time.Millisecond
+	// maxCrashingRetryAfter limits the Retry-After of a request that crashes
+	// upstreams: its strikes may be withdrawn before they lapse.
+	maxCrashingRetryAfter = time.Minute
+)
+
+// noChoiceCode returns the code of a request for which there is no upstream.
+func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
+	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
+		exchange.limitedAt = until
+		if rests {
+			return result.UpstreamsResting
+		}
+		return result.UpstreamsAtLimit
+	}
+	if exchange.takesUp() && pool == nil {
+		return result.VersionGone
+	}
+	return result.NoUpstream
+}
+
+// abandon refuses a request that no upstream served. If an earlier attempt may
+// have run, the code does not claim that the request did not run.
+func (exchange *exchange) abandon(code result.Code) {
+	if exchange.runs > 0 && code.Outcome() == result.NotRun {
+		code = result.OutcomeUnknown
+	}
+	exchange.refuse(code)
+}
+
+// refuse answers the caller with code instead of an upstream's answer.
+func (exchange *exchange) refuse(code result.Code) {
+	exchange.code = code
+	exchange.status = refusalStatus(code)
+	exchange.started = true
+	exchange.handler.Metrics.CountRefusal(code)
+	retryAfter := time.Duration(0)
+	switch {
+	case code == result.NotReady:
+		retryAfter = notReadyRetryAfter
+	case code == result.CrashingRequest:
+		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
+		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
+	case code == result.VersionGone:
+		// The version is not known to come back.
+	case code == result.OriginUnknown:
+		retryAfter = max(time.Until(exchange.certainAt), 0)
+	case code == result.UpstreamsResting:
+		retryAfter = spreadAfter(time.Until(exchange.limitedAt))
+	case code == result.UpstreamsAtLimit:
+		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
+	case code.Status() == http.StatusServiceUnavailable:
+		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
+	}
+	exchange.handler.writeCode(exchange.writer, code, retryAfter)
+}
