--- a/entry/versions.go
+++ b/entry/versions.go
@@ -329,7 +329,9 @@
 	if now.Sub(service.adoptedAt) < versions.actingDelay(now) || !versions.allRegisteredKnown(ctx) {
 		return
 	}
-	versions.write(ctx, current.Settle(versions.splits.StoreTime(time.Now())), service)
+	if settledAt := versions.splits.StoreTime(time.Now()); settledAt > 0 {
+		versions.write(ctx, current.Settle(settledAt), service)
+	}
 }
 
 // unsettle makes all cells of a split uncertain if a router runs a program that doesn't
