--- a/entry/versions.go
+++ b/entry/versions.go
@@ -28,6 +28,9 @@
 	// splitRepeatInterval is the time between two messages about a split that not all
 	// routers are known to have adopted.
 	splitRepeatInterval = time.Second
+	// greetInterval is the time between two messages to routers that have not shown
+	// that they know of splits.
+	greetInterval = 300 * time.Millisecond
 	// calmTime is how long the upstreams of a service must not have changed for a
 	// change of its split that is not urgent.
 	calmTime = time.Second
@@ -307,6 +310,7 @@
 	if !found || current.Settled() {
 		service.adoptedAt = time.Time{}
 		if found {
+			versions.greet(now, current, service)
 			versions.unsettle(ctx, now, current, service)
 		}
 		return
@@ -334,13 +338,26 @@
 	}
 }
 
+// greet has routers answer that have not shown yet that they know of splits.
+func (versions *versions) greet(now time.Time, current split.Split, service *serviceVersions) {
+	if now.Sub(service.toldAt) < greetInterval {
+		return
+	}
+	if ungreeted := versions.gossip.Ungreeted(now); len(ungreeted) > 0 {
+		service.toldAt = now
+		item := gossip.AdoptedItem{Service: current.Service, Revision: current.Revision, Settled: true}
+		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, ungreeted...)
+	}
+}
+
 // unsettle makes all cells of a split uncertain if a router runs a program that doesn't
 // keep to splits, until it has ended.
 func (versions *versions) unsettle(ctx context.Context, now time.Time, current split.Split, service *serviceVersions) {
 	if slices.Index(versions.keepers(now), versions.gossip.Address) != 0 {
 		return
 	}
-	if others := versions.gossip.WithoutVersions(now); len(others) > 0 && versions.write(ctx, current.Unsettled(), service) {
+	others := versions.gossip.WithoutVersions(now)
+	if len(others) > 0 && versions.write(ctx, current.Unsettled(), service) {
 		versions.metrics.CountEvent("split.unsettled")
 		versions.logger.Warn("Split unsettled, routers of an earlier program begin streams at any version.", "Service", current.Service, "Routers", others)
 	}
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -146,17 +146,33 @@
 	return nil
 }
 
-// versionsTimeout is how long after its first message a router has sent a VersionMessage,
-// unless its program knows none.
-const versionsTimeout = 2 * time.Second
+const (
+	// versionsTimeout is how long after its first message a router has sent a
+	// VersionMessage, unless its program knows none, and greetAfter when those that
+	// have not are sent one that they answer.
+	versionsTimeout = 3 * time.Second
+	greetAfter      = time.Second
+)
+
+// Ungreeted returns the addresses of the routers that should have sent a VersionMessage
+// by now. One may have been lost.
+func (gossip *Gossip) Ungreeted(now time.Time) []string {
+	return gossip.silentOnVersions(now, greetAfter)
+}
 
 // WithoutVersions returns the addresses of the routers whose program knows no splits.
 func (gossip *Gossip) WithoutVersions(now time.Time) []string {
+	return gossip.silentOnVersions(now, versionsTimeout)
+}
+
+// silentOnVersions returns the addresses of the routers whose run has sent no
+// VersionMessage for the given time.
+func (gossip *Gossip) silentOnVersions(now time.Time, timeout time.Duration) []string {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	var addresses []string
 	for address, peer := range gossip.peers {
-		if peer.router != "" && peer.versionsRun != peer.router && now.Sub(peer.runSince) > versionsTimeout {
+		if peer.router != "" && peer.versionsRun != peer.router && now.Sub(peer.runSince) > timeout {
 			addresses = append(addresses, address)
 		}
 	}
