forward, split: a take-up stays at the service that began its stream

A route may split its traffic among services, by a hash of the attempt. A take-up has an attempt of its own, so it went to another service as often as not: a stream joined from two services, with versions that mean nothing to each other. The service of a take-up is now that of the attempt that it names, and an origin is known with its service.

Also, an answer to an earlier request is no longer taken for a report of the process at the end of a connection.

--- a/forward/identity.go
+++ b/forward/identity.go
@@ -23,6 +23,9 @@
 // its row says.
 var errOtherIncarnation = errors.New("another incarnation runs at the upstream's address")
 
+// errStrayAnswer means that an answer to an earlier request came in place of a report.
+var errStrayAnswer = errors.New("stray answer in place of a report")
+
 // checkIdentity returns an error if the process behind the connection may be another one
 // than the row of the upstream describes, and so have another software version. The
 // request was not sent then.
@@ -71,7 +74,11 @@
 	if err != nil {
 		return 0, false, err
 	}
-	exchange.recordAnnouncement(upstream, response.StatusCode, platform.DecodeResponse(response))
+	head := platform.DecodeResponse(response)
+	exchange.recordAnnouncement(upstream, response.StatusCode, head)
+	if head.Attempt != "" {
+		return 0, false, errStrayAnswer
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil || response.Close {
 		return 0, false, errors.CombineErrors(err, errOtherIncarnation)
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -57,6 +57,16 @@
 // began.
 func (exchange *exchange) takesUp() bool { return exchange.resumable() && exchange.head.TakesUp() }
 
+// firstAttempt returns the attempt that began the stream which the request takes up, if
+// it names one, and its own attempt otherwise. A route with several services has the same
+// one for both.
+func (exchange *exchange) firstAttempt() ident.AttemptID {
+	if exchange.takesUp() && exchange.head.Resumes != "" {
+		return exchange.head.Resumes
+	}
+	return exchange.head.Attempt
+}
+
 // resumable reports whether the answer is a stream that may go on at another upstream.
 func (exchange *exchange) resumable() bool {
 	return exchange.route.Kind == routing.Stream && exchange.route.Resumable
@@ -148,7 +158,7 @@
 // attempt that began the stream, and reports whether it knows it.
 func (exchange *exchange) bindRemembered() bool {
 	origin, found := exchange.handler.Origins.Get(exchange.head.Resumes)
-	if !found || origin.Version == "" || origin.Workspace != exchange.workspaceID() {
+	if !found || origin.Version == "" || origin.Workspace != exchange.workspaceID() || origin.Service != exchange.service {
 		return false
 	}
 	exchange.binding = binding{version: origin.Version, source: fromRouter, beganAt: origin.BeganAt}
@@ -177,7 +187,7 @@
 	if !exchange.takesUp() {
 		exchange.binding = binding{version: version, source: fromAnswer, beganAt: now}
 	}
-	origin := split.Origin{Attempt: exchange.head.Attempt, Version: version, Workspace: exchange.workspaceID(), BeganAt: now}
+	origin := split.Origin{Attempt: exchange.head.Attempt, Service: exchange.service, Version: version, Workspace: exchange.workspaceID(), BeganAt: now}
 	exchange.handler.Origins.Add(now, origin)
 	known, _, certain := exchange.handler.Splits.Began(now, exchange.service, exchange.streamKey(), exchange.handler.streamLifetime(exchange.service))
 	if exchange.handler.TellOrigin != nil {
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/split"
 )
 
@@ -49,7 +51,7 @@
 // and not run.
 func TestTakeUp(t *testing.T) {
 	origin := func(attempt ident.AttemptID, version ident.SoftwareVersion, workspace ident.WorkspaceID) split.Origin {
-		return split.Origin{Attempt: attempt, Version: version, Workspace: workspace, BeganAt: time.Now()}
+		return split.Origin{Attempt: attempt, Service: "pool", Version: version, Workspace: workspace, BeganAt: time.Now()}
 	}
 	tests := []struct {
 		name string
@@ -73,6 +75,7 @@
 		{name: "no attempt named", version: "v1", code: "HH2015"},
 		{name: "its own attempt", version: "v1", resumes: "a1", code: "HH2015"},
 		{name: "attempt of another workspace", version: "v1", origins: []split.Origin{origin("b1", "v1", "cane")}, resumes: "b1", code: "HH2015"},
+		{name: "attempt of another service", version: "v1", origins: []split.Origin{{Attempt: "b1", Service: "other", Version: "v1", Workspace: "grocer", BeganAt: time.Now()}}, resumes: "b1", code: "HH2015"},
 		{name: "attempt with two origins", version: "v1", origins: []split.Origin{origin("b1", "v1", "grocer"), origin("b1", "v2", "grocer")}, resumes: "b1", code: "HH2015"},
 		{name: "begun at an upstream without a version", version: "v1", origins: []split.Origin{origin("b1", "", "grocer")}, resumes: "b1", code: "HH2015"},
 		{name: "version has left", version: "v1", origins: []split.Origin{origin("b1", "v3", "grocer")}, resumes: "b1", code: "HH2016"},
@@ -205,3 +208,39 @@
 		})
 	}
 }
+
+// TestTakeUpStaysAtTheServiceThatBeganTheStream guards against a stream that goes on at
+// another service of a route that splits its traffic.
+func TestTakeUpStaysAtTheServiceThatBeganTheStream(t *testing.T) {
+	upstreams := map[ident.ServiceName]*fakeUpstream{"pool": startUpstream(t, wholeStream), "other": startUpstream(t, wholeStream)}
+	router := startRouter(t, upstreams["pool"], upstreams["other"])
+	listed := router.handler.Registry.Upstreams()
+	listed[1].Service, listed[1].Version = "other", 2
+	router.handler.Registry.Replace(time.Now(), 2, listed)
+	config := testConfig()
+	config.Version++
+	for i := range config.Routes {
+		config.Routes[i].Shares = []routing.Share{{Service: "pool", Weight: 1}, {Service: "other", Weight: 1}}
+	}
+	router.handler.Routes.Adopt(routing.New(config))
+	router.handler.Splits, router.handler.Origins = new(split.Tracker), new(split.Origins)
+	router.handler.Splits.MarkRead()
+	for n := range 12 {
+		first := fmt.Sprint("first-", n)
+		router.send(t, first, "POST", "/resume/", "").check(t, http.StatusOK, "")
+		began := map[ident.ServiceName]int{}
+		for service, upstream := range upstreams {
+			began[service] = len(upstream.requestsSoFar())
+		}
+		router.takeUp(t, fmt.Sprint("then-", n), first).check(t, http.StatusOK, "")
+		for service, upstream := range upstreams {
+			requests := upstream.requestsSoFar()
+			ranFirst := slices.ContainsFunc(requests[:began[service]], func(request receivedRequest) bool {
+				return request.header.Get("Hickoryhead-Attempt-Id") == first
+			})
+			if len(requests) > began[service] && !ranFirst {
+				t.Errorf("got stream %s taken up at service %s, which did not begin it", first, service)
+			}
+		}
+	}
+}
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -59,7 +59,7 @@
 		exchange.prefixIDs = sharedPrefixIDs(exchange.head.Prompt)
 	}
 	exchange.setDeadline()
-	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.head.Attempt)))
+	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.firstAttempt())))
 	return exchange.readBody()
 }
 
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -73,6 +73,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Attempt   ident.AttemptID
+	Service   ident.ServiceName
 	Version   ident.SoftwareVersion
 	Workspace ident.WorkspaceID
 	Age       ident.Milliseconds
@@ -100,6 +101,7 @@
 func NewOriginItem(now time.Time, origin split.Origin) OriginItem {
 	return OriginItem{
 		Attempt:   origin.Attempt,
+		Service:   origin.Service,
 		Version:   origin.Version,
 		Workspace: origin.Workspace,
 		Age:       ident.Milliseconds(now.Sub(origin.BeganAt).Milliseconds()),
@@ -108,7 +110,7 @@
 
 // Origin returns the origin of an item that was received now.
 func (item OriginItem) Origin(now time.Time) split.Origin {
-	return split.Origin{Attempt: item.Attempt, Version: item.Version, Workspace: item.Workspace, BeganAt: now.Add(-item.Age.Duration())}
+	return split.Origin{Attempt: item.Attempt, Service: item.Service, Version: item.Version, Workspace: item.Workspace, BeganAt: now.Add(-item.Age.Duration())}
 }
 
 // isVersionMessage reports whether a datagram holds a VersionMessage.
--- a/gossip/version_message_test.go
+++ b/gossip/version_message_test.go
@@ -15,7 +15,7 @@
 	first := empty.Rebalanced(split.Capacity{"v1": 2})
 	settled := first.Settle(12)
 	want := settled.Rebalanced(split.Capacity{"v1": 1, "v2": 1})
-	origin := split.Origin{Attempt: "9c41d07be2a35f68", Version: "v1.1", Workspace: "hule930", BeganAt: now.Add(-3 * time.Second)}
+	origin := split.Origin{Attempt: "9c41d07be2a35f68", Service: "huvo11a", Version: "v1.1", Workspace: "hule930", BeganAt: now.Add(-3 * time.Second)}
 	datagram, err := encode(VersionMessage{
 		Router: "r", Address: "10.0.0.1:7", Splits: []SplitItem{NewSplitItem(want)},
 		Origins: []OriginItem{NewOriginItem(now, origin)}, Adopted: []AdoptedItem{{Service: "pool", Revision: 3}},
--- a/split/origins.go
+++ b/split/origins.go
@@ -16,6 +16,7 @@
 // Origin is where a stream began.
 type Origin struct {
 	Attempt   ident.AttemptID
+	Service   ident.ServiceName
 	Version   ident.SoftwareVersion
 	Workspace ident.WorkspaceID
 	BeganAt   time.Time
@@ -43,7 +44,7 @@
 	switch {
 	case !found:
 		origins.insert(origin)
-	case known.Version != origin.Version || known.Workspace != origin.Workspace:
+	case known.Version != origin.Version || known.Service != origin.Service || known.Workspace != origin.Workspace:
 		known.Version = ""
 		origins.origins[origin.Attempt] = known
 	}
