--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -23,7 +23,8 @@
 	gone.Crash()
 	fleet.store.Remove(gone.Row())
 	for n := range standin.MaxCrashes {
-		fleet.send(fleet.address(n), fmt.Sprint("crash-", n), "/once/x", crashBody)
+		reply := fleet.send(fleet.address(n), fmt.Sprint("crash-", n), "/once/x", crashBody)
+		t.Logf("crash-%d: status %d (%v), %d upstreams crashed so far", n, reply.Status, reply.Err, len(fleet.crashTimes()))
 		time.Sleep(crashRetryInterval)
 	}
 	time.Sleep(rewriteTime)
--- a/strike/doc.go
+++ b/strike/doc.go
@@ -8,11 +8,11 @@
 // Tracker does that for a sidecar, which sees its upstream crash, by the request
 // alone. Guard does it for an entry router, which sees connections that break. It
 // counts by two kinds of keys, the request as a whole and each part of its prompt,
-// and condemns the key that accounts for the crashes: a crash speaks against a key
-// only if no other key that was running there was at as many crashes, less if a
-// younger request was running, and more is needed after a success of the key and
-// among crashes that nothing accounts for. A refused key may run once more at some
-// time, which clears it if it is sound. Guard also withdraws the strikes of upstreams
+// and refuses the key that explains the crashes: a crash is blamed on a key only if no
+// other key that was running there was at as many crashes, and less so if a younger
+// request was running. More crashes are needed after a success of the key and among
+// unexplained ones. A refused key may run once more at some time, which clears it if it
+// is sound. Guard also withdraws the strikes of upstreams
 // that run on, and holds what has to be told to other routers and written to the
 // store. Both keep a bounded number of strikes for a bounded time.
 package strike
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -43,7 +43,7 @@
 // routers report.
 const sentMargin = 5 * time.Millisecond
 
-// evidence is what speaks against one key of a request.
+// evidence is the weight of the crashes for which one key of a request is to blame.
 type evidence struct {
 	key ident.Fingerprint
 	// crashes are those that count, the earliest first.
@@ -86,16 +86,15 @@
 	return evidence.crashes[max(len(evidence.crashes)-neverStrikes, 0)].at
 }
 
-// sameCrashes reports whether two keys are accused of the same crashes, so that
+// sameCrashes reports whether two keys are blamed for the same crashes, so that
 // nothing tells them apart.
 func (evidence *evidence) sameCrashes(other *evidence) bool {
 	return slices.EqualFunc(evidence.crashes, other.crashes, func(a, b crashAt) bool { return a.run() == b.run() })
 }
 
-// evidenceAgainst returns what speaks against one key of a request, whose keys are
-// given. A crash at which a key outside the request was running that was at as
-// many crashes speaks against that one, and in part if it was at some. The caller holds
-// mu.
+// evidenceAgainst returns the evidence for one key of a request, whose keys are given. A
+// crash is blamed on the key that was running at most crashes: if that is one outside the
+// request, this key gets none of it, and a part if it comes close. The caller holds mu.
 func (guard *Guard) evidenceAgainst(now time.Time, key ident.Fingerprint, keys []ident.Fingerprint) evidence {
 	found := evidence{key: key}
 	strikes := guard.tracker.Count(now, key)
@@ -179,7 +178,7 @@
 	return 1
 }
 
-// unsharedShare returns the share of a crash that speaks against a key with the given
+// unsharedShare returns the share of a crash that is blamed on a key with the given
 // strikes if another one that was running there has fewer. A single strike, as each
 // request has that ran beside the cause, takes nothing away.
 func unsharedShare(strikes, others int) float64 {
@@ -239,7 +238,7 @@
 	// weight.
 	worst evidence
 	// others is set for a refused request if another of its keys has strikes of
-	// other crashes, so that one more would not tell which of them is guilty.
+	// other crashes, so that one more would not tell which of them is to blame.
 	others bool
 }
 
--- a/strike/successes.go
+++ b/strike/successes.go
@@ -9,7 +9,7 @@
 const (
 	// successSlots is the number of requests whose last success is remembered.
 	successSlots = 4096
-	// successWindow is how long a success speaks against a crash: a request that
+	// successWindow is how long a success makes a crash count less: a request that
 	// is sent often runs at an upstream that crashes for another reason.
 	successWindow = 30 * time.Second
 )
