soak: a restart of an upstream that serves breaks its connections

Traced: the upstream had begun to leave as planned, was crashed by a request half a second later and came back as a new process, and the end of the planned leave restarted that one in the middle of the stream, since with a reset of its connections. The upstream broke off, which the check allows; the soak had not recorded it. It does, as a break of that upstream alone.

--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -193,9 +193,14 @@
 // version.
 func (upstream *upstream) restartAs(software ident.SoftwareVersion) {
 	upstream.mu.Lock()
+	wasServing := !upstream.servesFrom.IsZero()
 	upstream.leavingAt = time.Time{}
 	upstream.software, upstream.servesFrom = software, time.Now()
 	upstream.mu.Unlock()
+	if wasServing {
+		heal := upstream.soak.beginBreak("upstream restarted while it served")
+		defer heal()
+	}
 	upstream.proxy.reset()
 	upstream.runner.RestartAs(software)
 	if err := upstream.proxy.accept(); err != nil {
