entry: read splits that others adopted unheard, and write them anew after an older copy

Two ways in which routers could have disagreed on a split, found while the diff was read:

A router whose write of a split got no answer doesn't adopt it, and nobody is told. One that reads the row for a take-up does, and its word to the keepers was passed over: the split stayed unsettled until something else changed. A keeper that hears of a newer revision now reads the splits.

After the store came back from an older copy, a router without memory could write another split under the revision that the others had; equal revisions were taken for equal splits, and a row that was not in the copy was expected at its old version, so that it was never written again. Splits are written again unsettled, under revisions that are higher by 16, by the first keeper that notices; the others see that they are there.

TestSplitSurvivesAnOlderCopyOfTheStore failed before: no split came back.

--- a/entry/versions.go
+++ b/entry/versions.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,9 @@
 	// calmTime is how long the upstreams of a service must not have changed for a
 	// change of its split that is not urgent.
 	calmTime = time.Second
+	// restoredRevisions is by how much the revision of a split rises when the store came
+	// back from an older copy: more than others are written before that is noticed.
+	restoredRevisions = 16
 	// keeperCount is how many routers keep the splits: those with the lowest addresses.
 	// keeperDelay is how much later each of them acts than the one before it.
 	keeperCount = 3
@@ -61,6 +65,10 @@
 	// registered are the routers that this one added as peers since it started.
 	registered map[string]struct{}
 
+	// behindOthers is set if another router has adopted a newer split than this one has
+	// heard of: whoever wrote it got no answer.
+	behindOthers atomic.Bool
+
 	mu sync.Mutex
 	// adopted holds which revision of each split the other routers have adopted.
 	adopted map[ident.ServiceName]map[string]uint64
@@ -68,8 +76,10 @@
 
 // serviceVersions is the state of one service.
 type serviceVersions struct {
-	// row is the version of the split's row, or zero if there is none.
+	// row is the version of the split's row as last read or written, or zero if there
+	// is none, and stored the split in it.
 	row      ident.Revision
+	stored   split.Split
 	capacity split.Capacity
 	// changedAt is when capacity changed last, dueAt when the split became due, and
 	// toldAt when routers were last told of a split that is not settled.
@@ -128,10 +138,20 @@
 // succeeded.
 func (versions *versions) readAll(ctx context.Context) bool {
 	records, read := versions.readRows(ctx, splitCallTimeout)
+	if !read {
+		return false
+	}
+	for _, service := range versions.services {
+		service.row, service.stored = 0, split.Split{}
+	}
 	for _, record := range records {
-		versions.service(ident.ServiceName(record.Key)).row = record.Version
+		service := versions.service(ident.ServiceName(record.Key))
+		service.row = record.Version
+		if stored, err := platform.DecodeSplit(record); err == nil {
+			service.stored = stored
+		}
 	}
-	return read
+	return true
 }
 
 // readRows reads and adopts the splits in the store. It returns their rows, and whether
@@ -224,6 +244,9 @@
 		versions.era = era
 		versions.restore(ctx, now)
 	}
+	if versions.behindOthers.Swap(false) {
+		versions.readAll(ctx)
+	}
 	table := versions.daemon.routes.Table()
 	if table == nil || !versions.daemon.registry.Loaded() {
 		return
@@ -285,7 +308,7 @@
 		versions.writeFailed(ctx, next.Service, err)
 		return false
 	}
-	service.row = row
+	service.row, service.stored = row, next
 	versions.adopt(next, "own")
 	versions.gossip.SendVersions(gossip.VersionMessage{Splits: []gossip.SplitItem{gossip.NewSplitItem(next)}})
 	return true
@@ -401,18 +424,23 @@
 }
 
 // restore writes the splits again that the store lost when it came back from an older
-// copy.
+// copy, unless another router has. Some router may have written another split under the
+// same revision meanwhile, so they get higher ones, and no cell is settled.
 func (versions *versions) restore(ctx context.Context, now time.Time) {
 	wait.Sleep(ctx, versions.actingDelay(now))
-	kept := versions.splits.All()
 	if !versions.readAll(ctx) {
 		versions.era = 0
 		return
 	}
 	versions.metrics.CountEvent("split.store.restored")
-	for _, current := range kept {
-		latest, _ := versions.splits.Split(current.Service)
-		versions.write(ctx, latest, versions.service(current.Service))
+	for _, current := range versions.splits.All() {
+		service := versions.service(current.Service)
+		if service.stored == current {
+			continue
+		}
+		next := current.Unsettled()
+		next.Revision += restoredRevisions
+		versions.write(ctx, next, service)
 	}
 }
 
@@ -431,6 +459,9 @@
 	for _, item := range message.Adopted {
 		versions.recordAdopted(message.Address, item.Service, item.Revision)
 		current, found := versions.splits.Split(item.Service)
+		if item.Revision > current.Revision {
+			versions.behindOthers.Store(true)
+		}
 		if found && (current.Revision > item.Revision || current.Revision == item.Revision && current.Settled()) {
 			reply.Splits = append(reply.Splits, gossip.NewSplitItem(current))
 		}
--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -158,3 +158,27 @@
 	fleet.leave(0, 2)
 	fleet.restartRouters()
 }
+
+// TestSplitSurvivesAnOlderCopyOfTheStore guards against routers that disagree on the split
+// after the store came back from a copy made before it changed.
+func TestSplitSurvivesAnOlderCopyOfTheStore(t *testing.T) {
+	t.Parallel()
+	fleet := newVersionFleet(t, "v1", "v1", "v2", "v2")
+	earlier := fleet.store.Copy()
+	fleet.leave(2, 3)
+	fleet.begin()
+	fleet.store.Restore(earlier)
+	fleet.writeConfig()
+	store := platform.NewStore(fleet.routers[0].storeAddress, nil)
+	fleet.routers[0].waitFor(5*time.Second, "settled split of a later revision", func() bool {
+		records, err := store.ReadAll(t.Context(), platform.SplitTable, "")
+		if err != nil || len(records.Records) != 1 {
+			return false
+		}
+		latest, err := platform.DecodeSplit(records.Records[0])
+		return err == nil && latest.Settled() && latest.Revision > 16
+	})
+	if got := fleet.takeUp("take-up"); got < takeUpStreams {
+		t.Errorf("got %d streams taken up, want %d", got, takeUpStreams)
+	}
+}
