soak: end the routers of a soak that is ended by a signal; forward: name what a test counts

Soaks that were ended by SIGTERM left their routers.

Routers of an ended soak ask for its store at ports that the test's upstreams may be given; that this was it is only suspected. The test now names the requests that it counts.

--- a/cmd/hickoryhead-soak/main.go
+++ b/cmd/hickoryhead-soak/main.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +21,11 @@
 )
 
 func main() {
-	os.Exit(command.Run(context.Background(), newRoot(), os.Args[1:], os.Stdout, os.Stderr))
+	// A soak that is ended by a signal ends its routers, too.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, newRoot(), os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
 func newRoot() *cobra.Command {
@@ -44,6 +50,9 @@
 				failed++
 			}
 			options.Seed++
+			if cmd.Context().Err() != nil {
+				break
+			}
 		}
 		if failed > 0 {
 			return errors.Newf("%d of %d seeds broke a guarantee", failed, seeds)
--- a/forward/crashing_test.go
+++ b/forward/crashing_test.go
@@ -59,7 +59,7 @@
 				}
 			}
 			if got, want := runs(upstreams), 3; got != want {
-				t.Errorf("got %d upstreams that ran the request, want %d", got, want)
+				t.Errorf("got %d upstreams that ran the request, want %d: %q", got, want, attemptsAt(upstreams))
 			}
 			for n := range 5 {
 				attempt := fmt.Sprint("sound-", n)
@@ -78,6 +78,18 @@
 	return total
 }
 
+// attemptsAt returns the attempts of the requests that upstreams have received, each with
+// the upstream that it was meant for.
+func attemptsAt(upstreams []*fakeUpstream) []string {
+	var attempts []string
+	for _, upstream := range upstreams {
+		for _, request := range upstream.requestsSoFar() {
+			attempts = append(attempts, request.header.Get("Hickoryhead-Attempt-Id")+" for "+request.header.Get("Hickoryhead-Expect-Instance"))
+		}
+	}
+	return attempts
+}
+
 // TestMalformedAnswersAreNoCrashes sends one request again and again to an
 // upstream whose answers can't be parsed: it still runs.
 func TestMalformedAnswersAreNoCrashes(t *testing.T) {
