soak: keep the port of an upstream that refuses connections

Since a crashed upstream of the soak refuses connections: its proxy closed the listener, and the kernel could give the port to any other process.

A second socket stays bound to the port and never listens.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // linkState is the fault that a proxy applies to its connections.
@@ -21,19 +24,25 @@
 	target string
 
 	mu sync.Mutex
-	// listener is nil while the proxy refuses connections.
+	// listener is nil while the proxy refuses connections. reserved is a socket that
+	// keeps its port meanwhile.
 	listener net.Listener
 	listenAt string
+	reserved int
 	state    linkState
 	conns    map[net.Conn]struct{}
 }
 
 func startProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenShared("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	proxy := &proxy{target: target, listener: listener, listenAt: listener.Addr().String(), conns: make(map[net.Conn]struct{})}
+	reserved, err := reservePort(listener.Addr().(*net.TCPAddr).Port)
+	if err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	proxy := &proxy{target: target, listener: listener, listenAt: listener.Addr().String(), reserved: reserved, conns: make(map[net.Conn]struct{})}
 	acceptor := &acceptor{proxy: proxy, listener: listener}
 	go acceptor.run()
 	return proxy, nil
@@ -58,7 +67,7 @@
 	if proxy.listener != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", proxy.listenAt)
+	listener, err := listenShared(proxy.listenAt)
 	if err != nil {
 		return err
 	}
@@ -120,6 +129,8 @@
 func (proxy *proxy) close() {
 	proxy.refuse()
 	proxy.reset()
+	// The port is free from now on, whatever Close returns.
+	_ = syscall.Close(proxy.reserved)
 }
 
 // track adds conn to the open connections, or removes it.
