--- a/soak/crash.go
+++ b/soak/crash.go
@@ -163,6 +163,10 @@
 // restartTime. Its connections break, which excuses cut answers, but not a
 // request that ends too many upstreams.
 func (soak *Soak) crashByRequest(upstream *upstream) {
+	if !upstream.beginRestart() {
+		// Another request has ended the same process.
+		return
+	}
 	heal := soak.beginBreak("upstream ended by a request")
 	upstream.crash()
 	restart := &restart{upstream: upstream, heal: heal}
@@ -178,6 +182,7 @@
 func (restart *restart) run() {
 	time.Sleep(restartTime)
 	restart.upstream.expireRow()
+	restart.upstream.endRestart()
 	restart.upstream.restart()
 	restart.heal()
 }
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -83,6 +83,8 @@
 	// and neither leaves nor is away, or zero.
 	software   ident.SoftwareVersion
 	servesFrom time.Time
+	// restarting is set from the end of the process by a request until it starts again.
+	restarting bool
 	// arrivals, rests and words are what the checks of announcements need.
 	arrivals []arrival
 	rests    []rest
@@ -176,6 +178,24 @@
 	upstream.proxy.reset()
 }
 
+// beginRestart records that a request ended the process, and reports false if another one
+// has already.
+func (upstream *upstream) beginRestart() bool {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	if upstream.restarting {
+		return false
+	}
+	upstream.restarting = true
+	return true
+}
+
+func (upstream *upstream) endRestart() {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	upstream.restarting = false
+}
+
 // expireRow removes the row, as the platform does after RunnerExpiry without
 // heartbeats.
 func (upstream *upstream) expireRow() { upstream.store.Remove(upstream.runner.Row()) }
