split, gossip, forward: what reading the change once more found

No behaviour changes but where a rest is rounded up to a millisecond.

A row of a split was decoded twice for each read; the field Settled of an AdoptedItem was written and never read; a stream's version was looked up three times before it began; the first keeper sorted all routers ten times a second before it looked for one of an earlier program. Replicas of an origin and the routers that list engines are ranked by one function. A rest has the unit of the other times on the wire. Three comments described code that had changed.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/split"
@@ -26,7 +24,7 @@
 func (versions *versions) homes(now time.Time, attempt ident.AttemptID) []string {
 	live := versions.gossip.Live(now)
 	slices.SortFunc(live, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(string(attempt)+" "+b), xxhash.Sum64String(string(attempt)+" "+a))
+		return cmp.Compare(routerScore(string(attempt), b), routerScore(string(attempt), a))
 	})
 	homes := live[:min(len(live), originHomes)]
 	return slices.DeleteFunc(homes, func(address string) bool { return address == versions.gossip.Address })
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -74,15 +74,19 @@
 	adopted map[ident.ServiceName]map[string]uint64
 }
 
+// storedSplit is the row of a split as last read or written. The version of the row is
+// zero if there is none, and the split is empty if it can't be decoded.
+type storedSplit struct {
+	row   ident.Revision
+	split split.Split
+}
+
 // serviceVersions is the state of one service.
 type serviceVersions struct {
-	// row is the version of the split's row as last read or written, or zero if there
-	// is none, and stored the split in it.
-	row      ident.Revision
-	stored   split.Split
+	storedSplit
 	capacity split.Capacity
 	// changedAt is when capacity changed last, dueAt when the split became due, and
-	// toldAt when routers were last told of a split that is not settled.
+	// toldAt when this router last repeated what others have to know.
 	changedAt time.Time
 	dueAt     time.Time
 	toldAt    time.Time
@@ -137,26 +141,22 @@
 // readAll reads the splits, and the versions of their rows, and reports whether that
 // succeeded.
 func (versions *versions) readAll(ctx context.Context) bool {
-	records, read := versions.readRows(ctx, splitCallTimeout)
+	rows, read := versions.readRows(ctx, splitCallTimeout)
 	if !read {
 		return false
 	}
 	for _, service := range versions.services {
-		service.row, service.stored = 0, split.Split{}
+		service.storedSplit = storedSplit{}
 	}
-	for _, record := range records {
-		service := versions.service(ident.ServiceName(record.Key))
-		service.row = record.Version
-		if stored, err := platform.DecodeSplit(record); err == nil {
-			service.stored = stored
-		}
+	for name, row := range rows {
+		versions.service(name).storedSplit = row
 	}
 	return true
 }
 
-// readRows reads and adopts the splits in the store. It returns their rows, and whether
-// that succeeded.
-func (versions *versions) readRows(ctx context.Context, timeout time.Duration) ([]platform.Record, bool) {
+// readRows reads and adopts the splits in the store. It returns them by service, and
+// whether that succeeded.
+func (versions *versions) readRows(ctx context.Context, timeout time.Duration) (map[ident.ServiceName]storedSplit, bool) {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	records, err := versions.store.ReadAll(bounded, platform.SplitTable, "")
@@ -166,8 +166,10 @@
 		return nil, false
 	}
 	versions.splits.ObserveClock(time.Now(), records.Now)
+	rows := make(map[ident.ServiceName]storedSplit, len(records.Records))
 	for _, record := range records.Records {
 		adopted, err := platform.DecodeSplit(record)
+		rows[ident.ServiceName(record.Key)] = storedSplit{row: record.Version, split: adopted}
 		if err != nil {
 			versions.metrics.CountEvent("split.row.unreadable")
 			versions.logger.Warn("Could not decode the row of a split.", "Key", record.Key, "Error", err)
@@ -175,7 +177,7 @@
 		}
 		versions.adopt(adopted, "store")
 	}
-	return records.Records, true
+	return rows, true
 }
 
 // service returns the state of a service.
@@ -308,7 +310,7 @@
 		versions.writeFailed(ctx, next.Service, err)
 		return false
 	}
-	service.row, service.stored = row, next
+	service.storedSplit = storedSplit{row: row, split: next}
 	versions.adopt(next, "own")
 	versions.gossip.SendVersions(gossip.VersionMessage{Splits: []gossip.SplitItem{gossip.NewSplitItem(next)}})
 	return true
@@ -368,7 +370,7 @@
 	}
 	if ungreeted := versions.gossip.Ungreeted(now); len(ungreeted) > 0 {
 		service.toldAt = now
-		item := gossip.AdoptedItem{Service: current.Service, Revision: current.Revision, Settled: true}
+		item := gossip.AdoptedItem{Service: current.Service, Revision: current.Revision}
 		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, ungreeted...)
 	}
 }
@@ -376,11 +378,11 @@
 // unsettle makes all cells of a split uncertain if a router runs a program that doesn't
 // keep to splits, until it has ended.
 func (versions *versions) unsettle(ctx context.Context, now time.Time, current split.Split, service *serviceVersions) {
-	if slices.Index(versions.keepers(now), versions.gossip.Address) != 0 {
+	others := versions.gossip.WithoutVersions(now)
+	if len(others) == 0 || slices.Index(versions.keepers(now), versions.gossip.Address) != 0 {
 		return
 	}
-	others := versions.gossip.WithoutVersions(now)
-	if len(others) > 0 && versions.write(ctx, current.Unsettled(), service) {
+	if versions.write(ctx, current.Unsettled(), service) {
 		versions.metrics.CountEvent("split.unsettled")
 		versions.logger.Warn("Split unsettled, routers of an earlier program begin streams at any version.", "Service", current.Service, "Routers", others)
 	}
@@ -435,7 +437,7 @@
 	versions.metrics.CountEvent("split.store.restored")
 	for _, current := range versions.splits.All() {
 		service := versions.service(current.Service)
-		if service.stored == current {
+		if service.split == current {
 			continue
 		}
 		next := current.Unsettled()
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -183,10 +183,13 @@
 	var best string
 	var highest uint64
 	for _, router := range routers {
-		if score := xxhash.Sum64String(string(upstream) + " " + router); best == "" || score > highest {
+		if score := routerScore(string(upstream), router); best == "" || score > highest {
 			best = router
 			highest = score
 		}
 	}
 	return best
 }
+
+// routerScore ranks routers for a key by rendezvous hashing, the highest first.
+func routerScore(key, router string) uint64 { return xxhash.Sum64String(key + " " + router) }
--- a/forward/announce.go
+++ b/forward/announce.go
@@ -23,8 +23,8 @@
 	}
 	if head.Rest > 0 {
 		exchange.handler.Metrics.CountEvent("answer.rest")
-		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", head.Rest.Milliseconds())
-		exchange.handler.Quota.Rest(time.Now(), upstream.ID, upstream.Incarnation, head.Rest)
+		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", int64(head.Rest))
+		exchange.handler.Quota.Rest(time.Now(), upstream.ID, upstream.Incarnation, head.Rest.Duration())
 	}
 }
 
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -88,34 +88,33 @@
 		return result.OK
 	}
 	exchange.handler.observeLifetime(exchange)
-	if !exchange.awaitSplits() {
+	version, state := exchange.awaitVersion()
+	if state == split.Unread {
 		return result.NotReady
 	}
 	if exchange.head.TakesUp() {
 		return exchange.bindOrigin()
 	}
-	version, state := exchange.handler.Splits.Version(exchange.service, exchange.streamKey())
 	if state == split.Assigned {
 		exchange.binding = binding{version: version, source: newStream}
 	}
 	return result.OK
 }
 
-// awaitSplits waits until the splits were read, as long as awaitTable would, and reports
-// whether they were.
-func (exchange *exchange) awaitSplits() bool {
-	splits := exchange.handler.Splits
-	if _, state := splits.Version(exchange.service, exchange.streamKey()); state != split.Unread {
-		return true
+// awaitVersion returns the version that begins streams of the request's cell. While the
+// splits were not read it waits, as long as awaitTable would.
+func (exchange *exchange) awaitVersion() (ident.SoftwareVersion, split.State) {
+	splits, key := exchange.handler.Splits, exchange.streamKey()
+	version, state := splits.Version(exchange.service, key)
+	if state != split.Unread {
+		return version, state
 	}
 	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.tableWait())
 	defer cancel()
-	for wait.Sleep(ctx, splitPollInterval) {
-		if _, state := splits.Version(exchange.service, exchange.streamKey()); state != split.Unread {
-			return true
-		}
+	for state == split.Unread && wait.Sleep(ctx, splitPollInterval) {
+		version, state = splits.Version(exchange.service, key)
 	}
-	return false
+	return version, state
 }
 
 // bindOrigin restricts a take-up to the version that began its stream.
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -55,15 +55,13 @@
 	SettledAt ident.StoreTime
 }
 
-// AdoptedItem says which revision of the split of a service a router has adopted, and
-// whether it knows that all routers have.
+// AdoptedItem says which revision of the split of a service a router has adopted.
 type AdoptedItem struct {
 	//lint:ignore U1000 msgpack reads its tag: an item is written as an array
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Service  ident.ServiceName
 	Revision uint64
-	Settled  bool
 }
 
 // OriginItem is the origin of a stream in a message. It has an age in place of a time,
--- a/soak/announce.go
+++ b/soak/announce.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// restLength bounds the rests that upstreams ask for, and restGrace is how long a
+	// minRest and maxRest bound the rests that upstreams ask for, and restGrace is how long a
 	// router may still send after it was asked for one.
 	minRest   = time.Second
 	maxRest   = 2500 * time.Millisecond
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -80,7 +80,7 @@
 	requestSuccesses successes
 	partSuccesses    successes
 	unanswered       []run
-	// breaks holds when each incarnation broke off, until it is seen to run.
+	// breaks holds when each incarnation broke off.
 	breaks map[incarnationKey]breakTimes
 	// unsent holds the messages that still have to carry each new strike and
 	// each success.
