registry: an upstream that leaves is believed whatever its start time is

Incarnations were ordered by their start times where only equality says anything: a process that started under the same ID after its VM's clock was set back, and then said that it leaves, was taken for an earlier one and went on getting requests. The incarnations that have said so are a set now, without an order.

The new case of TestAnnouncedLeavingGoesBeforeTheRow failed before.

--- a/registry/announcement.go
+++ b/registry/announcement.go
@@ -6,6 +6,12 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
+// announcer is an incarnation of an upstream that has said that it leaves.
+type announcer struct {
+	upstream    ident.UpstreamID
+	incarnation Incarnation
+}
+
 // Announce records that an incarnation of an upstream has said that it leaves. It takes
 // no new requests from then on, whatever its row says, until another incarnation is
 // listed. Announce returns the change for other routers, and whether it is one.
@@ -22,13 +28,10 @@
 // took effect. The caller holds mu.
 func (registry *Registry) applyAnnouncement(change *Change) bool {
 	id, incarnation := change.Upstream.ID, change.Upstream.Incarnation
-	if incarnation < registry.announced[id] {
-		return false
-	}
 	if len(registry.announced) >= maxRemovedVersions {
 		clear(registry.announced)
 	}
-	registry.announced[id] = incarnation
+	registry.announced[announcer{upstream: id, incarnation: incarnation}] = struct{}{}
 	present, known := registry.listed[id]
 	if !known || present.Incarnation != incarnation || present.Leaving {
 		return false
@@ -43,6 +46,6 @@
 // hasAnnounced reports whether the incarnation of an upstream has said that it leaves.
 // The caller holds mu.
 func (registry *Registry) hasAnnounced(upstream Upstream) bool {
-	incarnation, found := registry.announced[upstream.ID]
-	return found && incarnation == upstream.Incarnation
+	_, found := registry.announced[announcer{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	return found
 }
--- a/registry/announcement_test.go
+++ b/registry/announcement_test.go
@@ -30,6 +30,7 @@
 		{"removed and written again", []registry.Change{{Upstream: row(5, 9, false), Gone: true}, {Upstream: row(5, 10, false)}}, false},
 		{"new incarnation", []registry.Change{{Upstream: row(6, 9, false)}}, true},
 		{"new incarnation that has said so to another router", []registry.Change{said(6), {Upstream: row(6, 9, false)}}, false},
+		{"new incarnation, after the clock of its VM was set back, that says so too", []registry.Change{{Upstream: row(4, 9, false)}, said(4), {Upstream: row(4, 10, false)}}, false},
 		{"late word of an earlier incarnation", []registry.Change{{Upstream: row(6, 9, false)}, said(5)}, true},
 	}
 	for _, test := range tests {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -107,8 +107,8 @@
 	removedVersions map[ident.UpstreamID]ident.Revision
 	// departures holds the latest incarnations that were leaving or removed.
 	departures map[ident.UpstreamID]departure
-	// announced holds the latest incarnations that have said that they leave.
-	announced map[ident.UpstreamID]Incarnation
+	// announced holds the incarnations that have said that they leave.
+	announced map[announcer]struct{}
 	// renewals holds what is known of the writes of the listed rows.
 	renewals map[ident.UpstreamID]renewal
 	// era is the latest era of the store, and restoredAt when it was first seen after
@@ -279,7 +279,7 @@
 		registry.removedVersions = make(map[ident.UpstreamID]ident.Revision)
 		registry.renewals = make(map[ident.UpstreamID]renewal)
 		registry.departures = make(map[ident.UpstreamID]departure)
-		registry.announced = make(map[ident.UpstreamID]Incarnation)
+		registry.announced = make(map[announcer]struct{})
 	}
 }
 
