entry, forward, gossip, soak: the field's terms for replicas, coordinators and notices

Renames and comments only. The routers that hold an origin are its replicas, those that change and settle splits the coordinators; origins are replicated and fetched. The log key of a take-up is TakesUp, since the platform's name for it is package platform's own; the events are origin.replicated and origin.fetched.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -12,56 +12,56 @@
 )
 
 const (
-	// originHomes is how many routers are told where a stream began.
-	originHomes = 3
-	// askTimeout bounds the wait for the origin of a stream, and askInterval is the
+	// originReplicas is how many routers hold the origin of a stream.
+	originReplicas = 3
+	// fetchTimeout bounds the wait for the origin of a stream, and fetchInterval is the
 	// time between two requests for it.
-	askTimeout  = 100 * time.Millisecond
-	askInterval = 40 * time.Millisecond
+	fetchTimeout  = 100 * time.Millisecond
+	fetchInterval = 40 * time.Millisecond
 )
 
-// homes returns the other routers that are told where the stream of an attempt began.
-func (versions *versions) homes(now time.Time, attempt ident.AttemptID) []string {
+// replicas returns the other routers that hold the origin of an attempt's stream.
+func (versions *versions) replicas(now time.Time, attempt ident.AttemptID) []string {
 	live := versions.gossip.Live(now)
 	slices.SortFunc(live, func(a, b string) int {
 		return cmp.Compare(routerScore(string(attempt), b), routerScore(string(attempt), a))
 	})
-	homes := live[:min(len(live), originHomes)]
-	return slices.DeleteFunc(homes, func(address string) bool { return address == versions.gossip.Address })
+	replicas := live[:min(len(live), originReplicas)]
+	return slices.DeleteFunc(replicas, func(address string) bool { return address == versions.gossip.Address })
 }
 
 // storeReachable reports whether the store answered this router's last call for
 // upstreams.
 func (versions *versions) storeReachable() bool { return !versions.daemon.storeUp.since().IsZero() }
 
-// tellOrigin tells the homes of a stream where it began, unless they can tell by the
-// split, which they read from the store.
-func (versions *versions) tellOrigin(origin split.Origin, certain bool) {
+// replicateOrigin sends the origin of a stream to its replicas, unless any router can
+// derive it from the split, which it reads from the store.
+func (versions *versions) replicateOrigin(origin split.Origin, certain bool) {
 	if certain && versions.storeReachable() {
 		return
 	}
 	now := time.Now()
-	if homes := versions.homes(now, origin.Attempt); len(homes) > 0 {
-		versions.metrics.CountEvent("origin.told")
-		versions.gossip.SendVersions(gossip.VersionMessage{Origins: []gossip.OriginItem{gossip.NewOriginItem(now, origin)}}, homes...)
+	if replicas := versions.replicas(now, origin.Attempt); len(replicas) > 0 {
+		versions.metrics.CountEvent("origin.replicated")
+		versions.gossip.SendVersions(gossip.VersionMessage{Origins: []gossip.OriginItem{gossip.NewOriginItem(now, origin)}}, replicas...)
 	}
 }
 
-// askOrigin asks the homes of a stream where it began, and waits until one has answered,
-// at most for askTimeout.
-func (versions *versions) askOrigin(ctx context.Context, attempt ident.AttemptID) {
-	homes := versions.homes(time.Now(), attempt)
-	if len(homes) == 0 {
+// fetchOrigin requests the origin of a stream from its replicas, and waits for the first
+// answer, at most for fetchTimeout.
+func (versions *versions) fetchOrigin(ctx context.Context, attempt ident.AttemptID) {
+	replicas := versions.replicas(time.Now(), attempt)
+	if len(replicas) == 0 {
 		return
 	}
-	versions.metrics.CountEvent("origin.asked")
+	versions.metrics.CountEvent("origin.fetched")
 	added, cancel := versions.origins.Wait(attempt)
 	defer cancel()
-	bounded, stop := context.WithTimeout(ctx, askTimeout)
+	bounded, stop := context.WithTimeout(ctx, fetchTimeout)
 	defer stop()
 	for bounded.Err() == nil {
-		versions.gossip.SendVersions(gossip.VersionMessage{Asked: []ident.AttemptID{attempt}}, homes...)
-		timer := time.NewTimer(askInterval)
+		versions.gossip.SendVersions(gossip.VersionMessage{Requested: []ident.AttemptID{attempt}}, replicas...)
+		timer := time.NewTimer(fetchInterval)
 		select {
 		case <-added:
 			timer.Stop()
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -29,24 +29,26 @@
 	// splitRepeatInterval is the time between two messages about a split that not all
 	// routers are known to have adopted.
 	splitRepeatInterval = time.Second
-	// greetInterval is the time between two messages to routers that have not shown
+	// pingInterval is the time between two messages to routers that have not shown
 	// that they know of splits.
-	greetInterval = 300 * time.Millisecond
+	pingInterval = 300 * time.Millisecond
 	// calmTime is how long the upstreams of a service must not have changed for a
 	// change of its split that is not urgent.
 	calmTime = time.Second
 	// restoredRevisions is by how much the revision of a split rises when the store came
 	// back from an older copy: more than others are written before that is noticed.
 	restoredRevisions = 16
-	// keeperCount is how many routers keep the splits: those with the lowest addresses.
-	// keeperDelay is how much later each of them acts than the one before it.
-	keeperCount = 3
-	keeperDelay = 700 * time.Millisecond
+	// coordinatorCount is how many routers change and settle splits: those with the lowest
+	// addresses.
+	// coordinatorDelay is how much later each of them acts than the one before it.
+	coordinatorCount = 3
+	coordinatorDelay = 700 * time.Millisecond
 )
 
-// versions keeps the splits of services among the software versions of their upstreams,
-// and the origins of streams. A split changes by a transaction in the store; routers tell
-// each other that they have adopted it, and one of them then records that it is settled.
+// versions maintains the splits of services among the software versions of their
+// upstreams, and the origins of streams. A split changes by a transaction in the store;
+// routers confirm to the coordinators that they have adopted it, and one of those then
+// records that it is settled.
 type versions struct {
 	daemon  *Daemon
 	store   *platform.Store
@@ -65,8 +67,8 @@
 	// registered are the routers that this one added as peers since it started.
 	registered map[string]struct{}
 
-	// behindOthers is set if another router has adopted a newer split than this one has
-	// heard of: whoever wrote it got no answer.
+	// behindOthers is set if another router has adopted a newer split than this one: its
+	// writer got no response from the store.
 	behindOthers atomic.Bool
 
 	mu sync.Mutex
@@ -86,10 +88,10 @@
 	storedSplit
 	capacity split.Capacity
 	// changedAt is when capacity changed last, dueAt when the split became due, and
-	// toldAt when this router last repeated what others have to know.
-	changedAt time.Time
-	dueAt     time.Time
-	toldAt    time.Time
+	// repeatedAt when this router last repeated its messages about it.
+	changedAt  time.Time
+	dueAt      time.Time
+	repeatedAt time.Time
 	// adoptedAt is since when all routers are known to have adopted a split that is not
 	// settled.
 	adoptedAt time.Time
@@ -111,8 +113,8 @@
 	}
 	exchange.OnVersions = versions.receive
 	exchange.Splits = versions.splits.All
-	daemon.handler.TellOrigin = versions.tellOrigin
-	daemon.handler.AskOrigin = versions.askOrigin
+	daemon.handler.ReplicateOrigin = versions.replicateOrigin
+	daemon.handler.FetchOrigin = versions.fetchOrigin
 	versions.refresher = &refresher{versions: versions, requests: make(chan *refresh)}
 	daemon.handler.RefreshSplits = versions.refresher.refresh
 	return versions
@@ -190,14 +192,15 @@
 	return service
 }
 
-// adopt puts a split in force unless a newer one is, and tells the keepers.
+// adopt puts a split in force unless a newer one is, and confirms that to the
+// coordinators.
 func (versions *versions) adopt(adopted split.Split, source string) bool {
 	if !versions.splits.Adopt(adopted) {
 		return false
 	}
 	versions.metrics.CountEvent("split.adopted")
 	versions.logger.Info("Split adopted.", "Service", adopted.Service, "Revision", adopted.Revision, "Settled", adopted.Settled(), "Cells", cellCounts(adopted), "Source", source)
-	versions.tellAdopted(time.Now(), adopted)
+	versions.confirmAdopted(time.Now(), adopted)
 	return true
 }
 
@@ -210,34 +213,34 @@
 	return counts
 }
 
-// tellAdopted tells the keepers that this router has adopted a split.
-func (versions *versions) tellAdopted(now time.Time, adopted split.Split) {
+// confirmAdopted confirms to the coordinators that this router has adopted a split.
+func (versions *versions) confirmAdopted(now time.Time, adopted split.Split) {
 	if adopted.Settled() {
 		return
 	}
 	item := gossip.AdoptedItem{Service: adopted.Service, Revision: adopted.Revision}
-	if keepers := versions.keepers(now); len(keepers) > 0 {
-		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, keepers...)
+	if coordinators := versions.coordinators(now); len(coordinators) > 0 {
+		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, coordinators...)
 	}
 }
 
-// keepers returns the addresses of the routers that keep the splits, the first to act
-// first.
-func (versions *versions) keepers(now time.Time) []string {
+// coordinators returns the addresses of the routers that change and settle splits, the
+// first to act first.
+func (versions *versions) coordinators(now time.Time) []string {
 	others := versions.gossip.WithoutVersions(now)
 	live := slices.Sorted(slices.Values(versions.gossip.Live(now)))
 	live = slices.DeleteFunc(live, func(address string) bool { return slices.Contains(others, address) })
-	return live[:min(len(live), keeperCount)]
+	return live[:min(len(live), coordinatorCount)]
 }
 
 // actingDelay returns how long this router waits before it changes a split that another
 // one should change.
 func (versions *versions) actingDelay(now time.Time) time.Duration {
-	rank := slices.Index(versions.keepers(now), versions.gossip.Address)
+	rank := slices.Index(versions.coordinators(now), versions.gossip.Address)
 	if rank < 0 {
-		rank = keeperCount + 1
+		rank = coordinatorCount + 1
 	}
-	return time.Duration(rank) * keeperDelay
+	return time.Duration(rank) * coordinatorDelay
 }
 
 // check changes the splits that are due, and settles those that all routers have adopted.
@@ -335,16 +338,16 @@
 	if !found || current.Settled() {
 		service.adoptedAt = time.Time{}
 		if found {
-			versions.greet(now, current, service)
+			versions.ping(now, current, service)
 			versions.unsettle(ctx, now, current, service)
 		}
 		return
 	}
 	behind := versions.behind(current)
-	if now.Sub(service.toldAt) >= splitRepeatInterval {
-		service.toldAt = now
-		versions.tellAdopted(now, current)
-		if len(behind) > 0 && slices.Contains(versions.keepers(now), versions.gossip.Address) {
+	if now.Sub(service.repeatedAt) >= splitRepeatInterval {
+		service.repeatedAt = now
+		versions.confirmAdopted(now, current)
+		if len(behind) > 0 && slices.Contains(versions.coordinators(now), versions.gossip.Address) {
 			versions.gossip.SendVersions(gossip.VersionMessage{Splits: []gossip.SplitItem{gossip.NewSplitItem(current)}}, behind...)
 		}
 	}
@@ -363,15 +366,16 @@
 	}
 }
 
-// greet has routers answer that have not shown yet that they know of splits.
-func (versions *versions) greet(now time.Time, current split.Split, service *serviceVersions) {
-	if now.Sub(service.toldAt) < greetInterval {
+// ping sends routers a message that those which know splits answer, if they have sent no
+// VersionMessage yet.
+func (versions *versions) ping(now time.Time, current split.Split, service *serviceVersions) {
+	if now.Sub(service.repeatedAt) < pingInterval {
 		return
 	}
-	if ungreeted := versions.gossip.Ungreeted(now); len(ungreeted) > 0 {
-		service.toldAt = now
+	if unconfirmed := versions.gossip.Unconfirmed(now); len(unconfirmed) > 0 {
+		service.repeatedAt = now
 		item := gossip.AdoptedItem{Service: current.Service, Revision: current.Revision}
-		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, ungreeted...)
+		versions.gossip.SendVersions(gossip.VersionMessage{Adopted: []gossip.AdoptedItem{item}}, unconfirmed...)
 	}
 }
 
@@ -379,7 +383,7 @@
 // keep to splits, until it has ended.
 func (versions *versions) unsettle(ctx context.Context, now time.Time, current split.Split, service *serviceVersions) {
 	others := versions.gossip.WithoutVersions(now)
-	if len(others) == 0 || slices.Index(versions.keepers(now), versions.gossip.Address) != 0 {
+	if len(others) == 0 || slices.Index(versions.coordinators(now), versions.gossip.Address) != 0 {
 		return
 	}
 	if versions.write(ctx, current.Unsettled(), service) {
@@ -471,7 +475,7 @@
 	for _, item := range message.Origins {
 		versions.origins.Add(now, item.Origin(now))
 	}
-	for _, attempt := range message.Asked {
+	for _, attempt := range message.Requested {
 		if origin, found := versions.origins.Get(attempt); found {
 			reply.Origins = append(reply.Origins, gossip.NewOriginItem(now, origin))
 		}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -140,7 +140,7 @@
 		if line.Time.After(request.Time) {
 			return
 		}
-		named := line.Message == requestFinished && request.Resumes != "" && line.Attempt == request.Resumes
+		named := line.Message == requestFinished && request.TakesUp != "" && line.Attempt == request.TakesUp
 		adopted := line.Message == splitAdopted && refused && line.VM == request.VM
 		if named || adopted {
 			writeLine(out, line)
@@ -200,8 +200,8 @@
 // an empty text if it may run at any.
 func describeOrigin(line Line) string {
 	text := ""
-	if line.Resumes != "" {
-		text += ", takes up " + line.Resumes
+	if line.TakesUp != "" {
+		text += ", takes up " + line.TakesUp
 	}
 	if line.Version != "" {
 		text += fmt.Sprintf(", bound to version %s by the %s", line.Version, line.VersionSource)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -163,8 +163,8 @@
 func TestRefusedTakeUpNamesWhatIsKnown(t *testing.T) {
 	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"b1","Status":200,"Code":"AnswerCut","Version":"v1","VersionSource":"answer","VersionAgeMs":40}
 {"time":"2026-10-21T04:00:02Z","msg":"versions: Split adopted.","VM":"edge-2","Service":"pool","Revision":2,"Settled":false,"Cells":{"v1":39,"v2":25},"Source":"store"}
-{"time":"2026-10-21T04:00:03Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a4","Resumes":"b1","Status":503,"Code":"OriginUnknown","Cell":7,"Versions":{"v1":2,"v2":1}}
-{"time":"2026-10-21T04:00:04Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a5","Resumes":"b1","Status":503,"Code":"VersionGone","Version":"v1","VersionSource":"router","VersionAgeMs":3000,"Cell":7,"Versions":{"v2":3}}`
+{"time":"2026-10-21T04:00:03Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a4","TakesUp":"b1","Status":503,"Code":"OriginUnknown","Cell":7,"Versions":{"v1":2,"v2":1}}
+{"time":"2026-10-21T04:00:04Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a5","TakesUp":"b1","Status":503,"Code":"VersionGone","Version":"v1","VersionSource":"router","VersionAgeMs":3000,"Cell":7,"Versions":{"v2":3}}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
 		log.Add([]byte(text))
--- a/explain/line.go
+++ b/explain/line.go
@@ -59,12 +59,12 @@
 
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
-	// stream had begun. Resumes is the attempt that a take-up named, and Versions are
+	// stream had begun. TakesUp is the attempt that a take-up named, and Versions are
 	// the upstreams of each version when it was refused.
 	Version       string
 	VersionSource string
 	VersionAgeMs  int64
-	Resumes       string
+	TakesUp       string
 	Cell          int
 	Versions      map[string]int
 	// Software and BeganSoftware are the versions of the upstream that goes on with a
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -44,13 +44,13 @@
 	// ones began; nil means that none is known.
 	Splits  *split.Tracker
 	Origins *split.Origins
-	// TellOrigin tells other routers where a stream began; certain says that any of
-	// them can tell by the split. AskOrigin asks them, and waits for their answer.
+	// ReplicateOrigin sends the origin of a stream to other routers; certain says that any
+	// of them can derive it from the split. FetchOrigin requests it from them, and waits.
 	// RefreshSplits reads the splits again, and reports whether that succeeded. Each
 	// may be nil, which does nothing.
-	TellOrigin    func(origin split.Origin, certain bool)
-	AskOrigin     func(ctx context.Context, attempt ident.AttemptID)
-	RefreshSplits func(ctx context.Context) bool
+	ReplicateOrigin func(origin split.Origin, certain bool)
+	FetchOrigin     func(ctx context.Context, attempt ident.AttemptID)
+	RefreshSplits   func(ctx context.Context) bool
 	// OnAnnounced, if set, is called with the change when an upstream says that it
 	// leaves.
 	OnAnnounced func(change registry.Change)
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -125,8 +125,8 @@
 	if exchange.bindCell() {
 		return result.OK
 	}
-	if exchange.head.Resumes != "" && exchange.handler.AskOrigin != nil {
-		exchange.handler.AskOrigin(exchange.request.Context(), exchange.head.Resumes)
+	if exchange.head.Resumes != "" && exchange.handler.FetchOrigin != nil {
+		exchange.handler.FetchOrigin(exchange.request.Context(), exchange.head.Resumes)
 		if exchange.bindRemembered() {
 			return result.OK
 		}
@@ -189,8 +189,8 @@
 	origin := split.Origin{Attempt: exchange.head.Attempt, Service: exchange.service, Version: version, Workspace: exchange.workspaceID(), BeganAt: now}
 	exchange.handler.Origins.Add(now, origin)
 	known, _, certain := exchange.handler.Splits.Began(now, exchange.service, exchange.streamKey(), exchange.handler.streamLifetime(exchange.service))
-	if exchange.handler.TellOrigin != nil {
-		exchange.handler.TellOrigin(origin, certain && known == version)
+	if exchange.handler.ReplicateOrigin != nil {
+		exchange.handler.ReplicateOrigin(origin, certain && known == version)
 	}
 }
 
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -92,7 +92,7 @@
 			for _, origin := range test.origins {
 				router.handler.Origins.Add(time.Now(), origin)
 			}
-			router.handler.AskOrigin = func(_ context.Context, attempt ident.AttemptID) {
+			router.handler.FetchOrigin = func(_ context.Context, attempt ident.AttemptID) {
 				for _, origin := range test.told {
 					router.handler.Origins.Add(time.Now(), origin)
 				}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -55,7 +55,7 @@
 		attributes = append(attributes, slog.Int("Prompt", int(promptTokens(exchange.head.Prompt))))
 	}
 	if exchange.head.TakesUp() {
-		attributes = append(attributes, slog.String("Resumes", string(exchange.head.Resumes)), slog.String("LastEvent", exchange.head.LastEvent))
+		attributes = append(attributes, slog.String("TakesUp", string(exchange.head.Resumes)), slog.String("LastEvent", exchange.head.LastEvent))
 	}
 	attributes = append(attributes, exchange.bindingAttributes()...)
 	if len(exchange.tried) > 0 {
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -25,10 +25,10 @@
 	Splits []SplitItem
 	// Adopted are the revisions of splits that the router has adopted.
 	Adopted []AdoptedItem
-	// Origins are where streams began, and Asked the attempts whose origins the router
+	// Origins are where streams began, and Requested the attempts whose origins the router
 	// asks for.
-	Origins []OriginItem
-	Asked   []ident.AttemptID
+	Origins   []OriginItem
+	Requested []ident.AttemptID
 }
 
 // versionMessageStart is the first byte of the datagram of a VersionMessage, which in
@@ -148,16 +148,16 @@
 
 const (
 	// versionsTimeout is how long after its first message a router has sent a
-	// VersionMessage, unless its program knows none, and greetAfter when those that
+	// VersionMessage, unless its program knows none, and pingAfter when those that
 	// have not are sent one that they answer.
 	versionsTimeout = 3 * time.Second
-	greetAfter      = time.Second
+	pingAfter       = time.Second
 )
 
-// Ungreeted returns the addresses of the routers that should have sent a VersionMessage
+// Unconfirmed returns the addresses of the routers that should have sent a VersionMessage
 // by now. One may have been lost.
-func (gossip *Gossip) Ungreeted(now time.Time) []string {
-	return gossip.silentOnVersions(now, greetAfter)
+func (gossip *Gossip) Unconfirmed(now time.Time) []string {
+	return gossip.silentOnVersions(now, pingAfter)
 }
 
 // WithoutVersions returns the addresses of the routers whose program knows no splits.
--- a/soak/announce.go
+++ b/soak/announce.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// leavingWord is the first answer of a leaving upstream that the run of a router passed on.
-type leavingWord struct {
+// leavingNotice is the first answer of a leaving upstream that the run of a router passed on.
+type leavingNotice struct {
 	sender sender
 	at     time.Time
 }
@@ -130,15 +130,15 @@
 	}
 	for _, upstream := range soak.upstreams {
 		if upstream.runner.ID == runs[0].upstream {
-			upstream.recordLeaving(leavingWord{sender: sender, at: call.endedAt})
+			upstream.recordLeaving(leavingNotice{sender: sender, at: call.endedAt})
 		}
 	}
 }
 
-func (upstream *upstream) recordLeaving(word leavingWord) {
+func (upstream *upstream) recordLeaving(notice leavingNotice) {
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
-	upstream.words = append(upstream.words, word)
+	upstream.notices = append(upstream.notices, notice)
 }
 
 // upstreamLeavesUnlisted has an upstream say in its answers that it leaves, while its row
@@ -150,39 +150,39 @@
 		return
 	}
 	schedule.soak.countPlanned("upstream says that it leaves")
-	upstream.clearWords()
+	upstream.clearNotices()
 	began := time.Now()
 	upstream.runner.Announce()
 	schedule.healAfter(leaveTime, func() {
-		schedule.soak.checkWords(upstream, began, time.Now())
+		schedule.soak.checkNotices(upstream, began, time.Now())
 		upstream.expireRow()
 		upstream.restart()
 		schedule.release(upstream)
 	})
 }
 
-func (upstream *upstream) clearWords() {
+func (upstream *upstream) clearNotices() {
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
-	upstream.words, upstream.arrivals = nil, nil
+	upstream.notices, upstream.arrivals = nil, nil
 }
 
-// checkWords checks that the upstream got no request from a router later than
-// maxLeaveTime after that had passed on its word that it leaves. Only faults of the
+// checkNotices checks that the upstream got no request from a router later than
+// maxLeaveTime after that had passed on its notice that it leaves. Only faults of the
 // router itself are an excuse.
-func (soak *Soak) checkWords(upstream *upstream, began, until time.Time) {
+func (soak *Soak) checkNotices(upstream *upstream, began, until time.Time) {
 	upstream.mu.Lock()
-	words, arrivals := upstream.words, upstream.arrivals
+	notices, arrivals := upstream.notices, upstream.arrivals
 	upstream.mu.Unlock()
-	for _, word := range words {
-		if word.at.Before(began) || !soak.undisturbed(word.at.Add(-standin.ContactTime), until) {
+	for _, notice := range notices {
+		if notice.at.Before(began) || !soak.undisturbed(notice.at.Add(-standin.ContactTime), until) {
 			continue
 		}
 		for _, arrival := range arrivals {
 			sender, known := soak.senderOf(arrival.attempt)
-			late := arrival.at.After(word.at.Add(maxLeaveTime)) && arrival.at.Before(until) && sender.sentAt.After(word.at.Add(maxLeaveTime))
-			if known && late && sender.router == word.sender.router && sender.run == word.sender.run {
-				soak.violate("work for a leaving upstream", "%s got %s from %s %v after that had passed on its word that it leaves", upstream.runner.ID, arrival.attempt, sender.router.name, arrival.at.Sub(word.at))
+			late := arrival.at.After(notice.at.Add(maxLeaveTime)) && arrival.at.Before(until) && sender.sentAt.After(notice.at.Add(maxLeaveTime))
+			if known && late && sender.router == notice.sender.router && sender.run == notice.sender.run {
+				soak.violate("work for a leaving upstream", "%s got %s from %s %v after that had passed on its notice that it leaves", upstream.runner.ID, arrival.attempt, sender.router.name, arrival.at.Sub(notice.at))
 				return
 			}
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -85,10 +85,10 @@
 	servesFrom time.Time
 	// restarting is set from the end of the process by a request until it starts again.
 	restarting bool
-	// arrivals, rests and words are what the checks of announcements need.
+	// arrivals, rests and notices are what the checks of announcements need.
 	arrivals []arrival
 	rests    []rest
-	words    []leavingWord
+	notices  []leavingNotice
 }
 
 func startUpstream(id ident.UpstreamID, software ident.SoftwareVersion, soak *Soak) (*upstream, error) {
