http1, forward: a connection stays in doubt until a later one is verified

Now the pool keeps from when its connections are in doubt beside when the last break was, and ends the doubt when a connection opened behind the last break is verified. A connection that reached another process puts all connections of the pool in doubt, also those opened before any break was noticed, since that process has the address.

Evidence: TestDoubtfulConnections (as a first form, on AfterBreak) and both cases of TestStreamOnAnEarlierConnectionToARestartedUpstream failed before: 200 at the other process, want 503. The case without a break is from reading, no soak showed it.

--- a/forward/identity.go
+++ b/forward/identity.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	goesOn := exchange.takesUp() || exchange.started
-	doubtful := conn.AfterBreak()
+	doubtful := conn.Doubtful()
 	if !goesOn && !doubtful {
 		return nil
 	}
@@ -43,14 +43,17 @@
 	switch {
 	case err != nil:
 		return err
-	case known && incarnation != upstream.Incarnation, !known && doubtful && goesOn:
-		exchange.handler.Metrics.CountEvent("identity.other")
-		exchange.handler.Logger.Warn("Another process runs at the upstream's address.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Got", incarnation)
-		return errOtherIncarnation
-	case known:
+	case known && incarnation == upstream.Incarnation:
 		conn.Verify()
+		return nil
+	case known:
+		conn.Refute()
+	case !doubtful || !goesOn:
+		return nil
 	}
-	return nil
+	exchange.handler.Metrics.CountEvent("identity.other")
+	exchange.handler.Logger.Warn("Another process runs at the upstream's address.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Got", incarnation)
+	return errOtherIncarnation
 }
 
 // askIdentity asks the process behind the connection which incarnation it is. It reports
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -209,6 +210,48 @@
 	}
 }
 
+// TestStreamOnAnEarlierConnectionToARestartedUpstream guards against a stream that begins
+// on a connection which was opened after the upstream restarted, and before the router
+// noticed on another one.
+func TestStreamOnAnEarlierConnectionToARestartedUpstream(t *testing.T) {
+	const first, second = 1_700_000_000_001, 1_700_000_000_002
+	for _, broke := range []bool{false, true} {
+		t.Run(fmt.Sprintf("a connection broke before: %t", broke), func(t *testing.T) {
+			process := &restartable{next: second}
+			process.born.Store(second)
+			end := make(chan struct{})
+			router := startRouter(t, startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+				if request.target != "/stream/" {
+					return process.answer(ctx, conn, n, request)
+				}
+				write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+				<-end
+				write(conn, "0\r\n\r\n")
+				return true
+			}))
+			listed := router.handler.Registry.Upstreams()
+			listed[0].Incarnation, listed[0].Version = first, 2
+			router.handler.Registry.Replace(time.Now(), 2, listed)
+			router.useSplit("v1", time.Minute)
+			if broke {
+				process.born.Store(first)
+				router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20")
+			}
+			response, err := router.do(t, "b1", "POST", "/stream/", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			router.takeUp(t, "a2", "a1").check(t, http.StatusServiceUnavailable, "")
+			close(end)
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				t.Fatal(err)
+			}
+			router.send(t, "a3", "POST", "/resume/", "").check(t, http.StatusServiceUnavailable, "")
+		})
+	}
+}
+
 // TestTakeUpStaysAtTheServiceThatBeganTheStream guards against a stream that goes on at
 // another service of a route that splits its traffic.
 func TestTakeUpStaysAtTheServiceThatBeganTheStream(t *testing.T) {
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -268,10 +268,10 @@
 // read.
 func Skip(response *http.Response) bool { return drain(response.Body, maxDrainBytes) }
 
-// AfterBreak reports whether the connection was established after another one of its
-// pool broke, so that another process may have answered.
-func (conn *Conn) AfterBreak() bool {
-	return conn.pool != nil && conn.pool.brokenBefore(conn.OpenedAt)
+// Doubtful reports whether another process than that of the pool may have accepted the
+// connection.
+func (conn *Conn) Doubtful() bool {
+	return conn.pool != nil && conn.pool.doubts(conn.OpenedAt)
 }
 
 // Verify records that the peer is the process that the pool is for.
@@ -280,5 +280,8 @@
 	conn.pool.verify(conn.OpenedAt)
 }
 
+// Refute records that the peer is not the process that the pool is for.
+func (conn *Conn) Refute() { conn.pool.refute() }
+
 // RecordBreak records that the connection broke, before it is discarded.
 func (conn *Conn) RecordBreak() { conn.pool.recordBreak() }
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -135,6 +135,47 @@
 	}
 }
 
+// TestDoubtfulConnections opens a connection between breaks of others: which process is
+// its peer stays in doubt until a connection that was opened behind the last break is
+// verified.
+func TestDoubtfulConnections(t *testing.T) {
+	peer := startPeer(t)
+	now := time.Now()
+	peer.pool.Now = func() time.Time {
+		now = now.Add(time.Second)
+		return now
+	}
+	before, _ := peer.open()
+	before.RecordBreak()
+	between, _ := peer.open()
+	between.RecordBreak()
+	after, _ := peer.open()
+	steps := []struct {
+		name                   string
+		act                    func()
+		before, between, after bool
+	}{
+		{"two breaks", func() {}, false, true, true},
+		{"the second connection verified", between.Verify, false, false, true},
+		{"the last connection verified", after.Verify, false, false, false},
+		{"one more break", before.RecordBreak, false, false, false},
+		{"another process found", after.Refute, true, true, true},
+		{"a break after that", before.RecordBreak, true, true, true},
+	}
+	for _, step := range steps {
+		step.act()
+		if got, want := before.Doubtful(), step.before; got != want {
+			t.Errorf("%s: got %t for the first connection, want %t", step.name, got, want)
+		}
+		if got, want := between.Doubtful(), step.between; got != want {
+			t.Errorf("%s: got %t for the second connection, want %t", step.name, got, want)
+		}
+		if got, want := after.Doubtful(), step.after; got != want {
+			t.Errorf("%s: got %t for the last connection, want %t", step.name, got, want)
+		}
+	}
+}
+
 // TestUnsentRequest writes to a connection that the peer has reset. The error
 // must say that nothing was sent.
 func TestUnsentRequest(t *testing.T) {
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -38,8 +38,10 @@
 	open   int
 	closed bool
 	// brokenAt is when a connection was last found closed by the peer or could not be
-	// opened, until a later one is verified.
-	brokenAt time.Time
+	// opened, until a later one is verified. Connections that were opened after
+	// doubtedAfter may reach another process then.
+	brokenAt     time.Time
+	doubtedAfter time.Time
 }
 
 // recordBreak records that a connection broke.
@@ -47,22 +49,39 @@
 	now := pool.now()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
+	if pool.brokenAt.IsZero() {
+		pool.doubtedAfter = now
+	}
 	pool.brokenAt = now
 }
 
-// brokenBefore reports whether a connection broke before the given time.
-func (pool *Pool) brokenBefore(at time.Time) bool {
+// refute puts all connections in doubt: one of them reached another process.
+func (pool *Pool) refute() {
+	now := pool.now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.brokenAt, pool.doubtedAfter = now, time.Time{}
+}
+
+// doubts reports whether a connection that was opened at the given time may reach another
+// process.
+func (pool *Pool) doubts(openedAt time.Time) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	return !pool.brokenAt.IsZero() && pool.brokenAt.Before(at)
+	return !pool.brokenAt.IsZero() && pool.doubtedAfter.Before(openedAt)
 }
 
-// verify forgets breaks before the given time, at which the peer was the right one.
+// verify ends the doubt about connections that were opened until the given time, at which
+// the peer was the right one, and about all if none broke since.
 func (pool *Pool) verify(at time.Time) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	if pool.brokenAt.Before(at) {
 		pool.brokenAt = time.Time{}
+		return
+	}
+	if pool.doubtedAfter.Before(at) {
+		pool.doubtedAfter = at
 	}
 }
 
