--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,6 +38,13 @@
 	server *httptest.Server
 	// silent makes a crashing upstream keep its connections open.
 	silent bool
+	// restartAfter is how long a crashed upstream is away, and sameID is set if it comes
+	// back under its ID.
+	restartAfter time.Duration
+	sameID       bool
+	// crashAttempt reports whether an attempt crashes its upstream; nil means that none
+	// does by itself.
+	crashAttempt func(attempt ident.AttemptID) bool
 	// rowExpiry is how long the row of a crashed upstream stays.
 	rowExpiry time.Duration
 	// wait is how long callers wait for an answer.
@@ -56,15 +65,30 @@
 	runs    map[ident.UpstreamID][]time.Time
 	runners []*standin.Runner
 	started int
+	// upstreams is how many upstreams the fleet began with, and replaced how many have
+	// come back under a new ID.
+	upstreams int
+	replaced  int
+	lives     []lifetime
+	// beganAt is when the fleet was started, and ran holds when each attempt began to run.
+	beganAt time.Time
+	ran     map[string][]time.Time
 	servers []*http.Server
 	// callers holds the addresses at which the routers listen for callers.
 	callers []string
 }
 
+// lifetime is the time from the first row of an upstream's process to its crash, which is
+// zero while it runs.
+type lifetime struct {
+	upstream    ident.UpstreamID
+	from, until time.Time
+}
+
 // newCrashFleet starts upstreams and routers, the last one in another zone.
 func newCrashFleet(t *testing.T, upstreams, routers int) *crashFleet {
 	t.Helper()
-	fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500}
+	fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, restartAfter: restartTime, wait: 2500}
 	fleet.start(upstreams, routers)
 	return fleet
 }
@@ -74,12 +98,14 @@
 func (fleet *crashFleet) start(upstreams, routers int) {
 	t := fleet.t
 	t.Helper()
+	fleet.beganAt = time.Now()
+	fleet.upstreams = upstreams
 	fleet.server = httptest.NewServer(fleet.store)
 	t.Cleanup(fleet.server.Close)
 	t.Cleanup(fleet.closeServers)
 	fleet.writeConfig()
-	for range upstreams {
-		fleet.startUpstream()
+	for n := range upstreams {
+		fleet.startUpstream(newUpstreamID(n + 1))
 	}
 	for i := range routers {
 		zone := ident.Zone("a")
@@ -114,9 +140,11 @@
 	fleet.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value})
 }
 
-// startUpstream starts an upstream under a new ID. When a request crashes it,
-// another one starts after restartTime, and its row expires.
-func (fleet *crashFleet) startUpstream() {
+func newUpstreamID(n int) ident.UpstreamID { return ident.UpstreamID(fmt.Sprint("i-", n)) }
+
+// startUpstream starts an upstream. When a request crashes it, another one starts after
+// restartAfter, under a new ID unless sameID is set, and the row of an old ID expires.
+func (fleet *crashFleet) startUpstream(id ident.UpstreamID) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -125,14 +153,16 @@
 		return
 	}
 	fleet.started++
-	id := ident.UpstreamID(fmt.Sprint("i-", fleet.started))
+	life := len(fleet.lives)
+	fleet.lives = append(fleet.lives, lifetime{upstream: id, from: time.Now()})
 	runner := &standin.Runner{
-		ID:          id,
-		Service:     "pool",
-		Address:     listener.Addr().String(),
-		CrashMarker: crashBody,
-		CrashPart:   fleet.crashPart,
-		Software:    "v1",
+		ID:           id,
+		Service:      "pool",
+		Address:      listener.Addr().String(),
+		CrashMarker:  crashBody,
+		CrashAttempt: fleet.crashAttempt,
+		CrashPart:    fleet.crashPart,
+		Software:     "v1",
 		Write: func(record platform.Record) error {
 			fleet.store.Write(record)
 			return nil
@@ -142,7 +172,7 @@
 		runner.Software = fleet.software(fleet.started)
 	}
 	runner.OnStart = func(attempt ident.AttemptID) {
-		fleet.recordRun(id)
+		fleet.recordRun(id, attempt)
 		if fleet.onRun != nil {
 			fleet.onRun(runner, attempt)
 		}
@@ -155,9 +185,12 @@
 	fleet.t.Cleanup(cancel)
 	runner.OnCrash = func() {
 		cancel()
-		fleet.recordCrash()
-		time.AfterFunc(fleet.rowExpiry, func() { fleet.store.Remove(runner.Row()) })
-		time.AfterFunc(restartTime, fleet.startUpstream)
+		fleet.recordCrash(life)
+		next := fleet.nextID(id)
+		if next != id {
+			time.AfterFunc(fleet.rowExpiry, func() { fleet.store.Remove(runner.Row()) })
+		}
+		time.AfterFunc(fleet.restartAfter, func() { fleet.startUpstream(next) })
 		if fleet.silent {
 			time.Sleep(crashRetries * crashRetryInterval)
 		}
@@ -196,15 +229,47 @@
 	}
 }
 
-func (fleet *crashFleet) recordCrash() {
+// nextID returns the ID under which an upstream that has crashed comes back.
+func (fleet *crashFleet) nextID(id ident.UpstreamID) ident.UpstreamID {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.sameID {
+		return id
+	}
+	fleet.replaced++
+	return newUpstreamID(fleet.upstreams + fleet.replaced)
+}
+
+// lifetimes returns the lifetimes of all upstreams.
+func (fleet *crashFleet) lifetimes() []lifetime {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	fleet.crashes = append(fleet.crashes, time.Now())
+	return slices.Clone(fleet.lives)
 }
 
-func (fleet *crashFleet) recordRun(upstream ident.UpstreamID) {
+// attemptRuns returns when each attempt began to run.
+func (fleet *crashFleet) attemptRuns() map[string][]time.Time {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	return maps.Clone(fleet.ran)
+}
+
+// recordCrash records the end of a lifetime.
+func (fleet *crashFleet) recordCrash(life int) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	now := time.Now()
+	fleet.crashes = append(fleet.crashes, now)
+	fleet.lives[life].until = now
+}
+
+func (fleet *crashFleet) recordRun(upstream ident.UpstreamID, attempt ident.AttemptID) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.ran == nil {
+		fleet.ran = make(map[string][]time.Time)
+	}
+	fleet.ran[string(attempt)] = append(fleet.ran[string(attempt)], time.Now())
 	if fleet.runs == nil {
 		fleet.runs = make(map[ident.UpstreamID][]time.Time)
 	}
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -33,7 +33,7 @@
 	restored := time.Now()
 	before := len(fleet.runTimes(leaving.ID))
 	started := len(fleet.runners)
-	fleet.startUpstream()
+	fleet.startUpstream(fleet.nextID(""))
 	for n := range 60 {
 		reply := fleet.send(fleet.address(n), fmt.Sprint("sound-", n), "/once/x", fmt.Sprint("sound ", n))
 		if reply.Status != http.StatusOK {
--- a/entry/part_crash_test.go
+++ b/entry/part_crash_test.go
@@ -164,7 +164,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500, crashPart: isBadPart, runTime: 75 * time.Millisecond}
+			fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, restartAfter: restartTime, wait: 2500, crashPart: isBadPart, runTime: 75 * time.Millisecond}
 			fleet.start(8, 3)
 			crashing, sound := test.play(fleet)
 			fleet.checkParts(test.bad, crashing, sound)
@@ -184,7 +184,7 @@
 	for _, path := range []string{"/once/x", "/again/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500, runTime: 375 * time.Millisecond}
+			fleet := &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, restartAfter: restartTime, wait: 2500, runTime: 375 * time.Millisecond}
 			fleet.start(8, 2)
 			var calls sync.WaitGroup
 			for n := range bodies * timesEach {
--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -36,7 +36,7 @@
 func newVersionFleet(t *testing.T, versions ...ident.SoftwareVersion) *versionFleet {
 	t.Helper()
 	fleet := &versionFleet{
-		crashFleet: &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, wait: 2500},
+		crashFleet: &crashFleet{t: t, store: new(standin.Platform), rowExpiry: standin.RunnerExpiry, restartAfter: restartTime, wait: 2500},
 		ranAt:      make(map[ident.AttemptID][]ident.SoftwareVersion),
 	}
 	fleet.software = func(n int) ident.SoftwareVersion { return versions[n-1] }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -51,6 +51,9 @@
 	// request whose body contains it. OnCrash, if set, is called then.
 	CrashMarker string
 	OnCrash     func()
+	// CrashAttempt reports whether an attempt crashes the runner in the middle of the
+	// work on it, whatever its body is; nil means that none does.
+	CrashAttempt func(attempt ident.AttemptID) bool
 	// CrashPart reports whether a part of a prompt, but for the last one, crashes
 	// the runner when it begins to write the answer; nil means that none does.
 	CrashPart func(part string) bool
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -55,6 +55,10 @@
 	if runner.hasCrashMarker(body) {
 		runner.crashNow()
 	}
+	if runner.isCrashAttempt(forwarded.Attempt) {
+		time.Sleep(workTime / 2)
+		runner.crashNow()
+	}
 	time.Sleep(workTime)
 	if runner.isDown() {
 		panic(http.ErrAbortHandler)
@@ -105,6 +109,11 @@
 	return runner.CrashMarker != "" && bytes.Contains(body, []byte(runner.CrashMarker))
 }
 
+// isCrashAttempt reports whether the attempt crashes the runner.
+func (runner *Runner) isCrashAttempt(attempt ident.AttemptID) bool {
+	return runner.CrashAttempt != nil && runner.CrashAttempt(attempt)
+}
+
 // hasCrashPart reports whether a part of the prompt, but for the last, crashes the
 // runner.
 func (runner *Runner) hasCrashPart(prompt []platform.PromptPart) bool {
