forward: log how a request stands with the crashes of upstreams

A failed attempt is logged with the allowance of its request, the crashes that are blamed on it, what they weigh and how much more weight is asked for. The strikes alone could not tell a request that needs more crashes from one that other routers have not heard of, or one whose strikes a success has cleared.

--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -95,6 +95,7 @@
 
 // logAttempt logs an attempt that did not answer the request.
 func (exchange *exchange) logAttempt(code result.Code) {
+	standing := exchange.handler.Strikes.Standing(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
 	exchange.handler.Logger.Warn("Attempt failed.",
 		"Attempt", exchange.head.Attempt,
 		"Upstream", exchange.choice.Upstream.ID,
@@ -104,7 +105,11 @@
 		"Cause", exchange.cause,
 		"Fingerprint", exchange.fingerprint().String(),
 		"Parts", exchange.partIDs(),
-		"Incarnation", exchange.choice.Upstream.Incarnation)
+		"Incarnation", exchange.choice.Upstream.Incarnation,
+		"Allowance", standing.Allowance.String(),
+		"Crashes", standing.Crashes,
+		"Weight", standing.Weight,
+		"Needed", standing.Needed)
 }
 
 // partIDs returns the IDs of the parts of the prompt, in order.
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -158,6 +158,28 @@
 	return verdict.allowance, false
 }
 
+// Standing is how a request stands: how it may run, and the evidence against its most
+// suspected key. Crashes is how many crashes are blamed on that, Weight what they weigh,
+// and Needed how much more weight than usual takes effect.
+type Standing struct {
+	Allowance Allowance
+	Crashes   int
+	Weight    float64
+	Needed    float64
+}
+
+// Standing returns how a request stands at the time now.
+func (guard *Guard) Standing(now time.Time, fingerprint ident.Fingerprint, parts ...ident.Fingerprint) Standing {
+	if guard == nil {
+		return Standing{}
+	}
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	verdict := guard.judge(now, keysOf(fingerprint, parts))
+	worst := verdict.worst
+	return Standing{Allowance: verdict.allowance, Crashes: len(worst.crashes), Weight: worst.weight, Needed: worst.needed}
+}
+
 // Any reports whether any request has strikes.
 func (guard *Guard) Any() bool { return guard != nil && guard.requests.Load() > 0 }
 
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -63,6 +63,11 @@
 	Refused
 )
 
+// String returns the name of the allowance, as logged.
+func (allowance Allowance) String() string {
+	return [...]string{"free", "alone", "refused"}[allowance]
+}
+
 // Tracker keeps the recent strikes. The zero value is empty and ready to use.
 // It is not safe for concurrent use.
 type Tracker struct {
