--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -34,7 +34,7 @@
 	if !exchange.handler.Strikes.Any() {
 		return strike.Free
 	}
-	allowance := exchange.handler.Strikes.Allowed(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
+	allowance := exchange.handler.Strikes.Allowed(time.Now(), exchange.suspect())
 	if allowance == strike.Refused && exchange.retrial && exchange.runs == 0 {
 		return strike.Alone
 	}
@@ -47,7 +47,7 @@
 	if !exchange.handler.Strikes.Any() {
 		return true
 	}
-	allowance, retrial := exchange.handler.Strikes.Admit(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
+	allowance, retrial := exchange.handler.Strikes.Admit(time.Now(), exchange.suspect())
 	if retrial {
 		exchange.retrial = true
 		exchange.handler.Metrics.CountEvent("strike.retrial")
@@ -76,7 +76,7 @@
 	if len(trusted) == 0 {
 		trusted = untried
 	}
-	designated := exchange.handler.Strikes.Designated(exchange.fingerprint(), trusted, exchange.partKeys()...)
+	designated := exchange.handler.Strikes.Designated(exchange.suspect(), trusted)
 	index := slices.IndexFunc(pool.Upstreams, func(upstream registry.Upstream) bool { return upstream.ID == designated })
 	if index < 0 {
 		return balance.Choice{}, false
@@ -93,7 +93,6 @@
 	}
 	now := time.Now()
 	run := strike.Strike{
-		Fingerprint: exchange.fingerprint(),
 		Upstream:    upstream.ID,
 		Incarnation: upstream.Incarnation,
 		SentAt:      exchange.sentAt,
@@ -105,9 +104,9 @@
 	unanswered := exchange.unanswered || left
 	switch {
 	case exchange.broke && !left, unanswered && exchange.isDown(now, upstream):
-		exchange.handler.Strikes.Broken(now, run, exchange.partKeys()...)
+		exchange.handler.Strikes.Broken(now, exchange.suspect(), run)
 	case unanswered:
-		exchange.handler.Strikes.Unanswered(run, exchange.partKeys()...)
+		exchange.handler.Strikes.Unanswered(exchange.suspect(), run)
 	}
 }
 
@@ -124,7 +123,7 @@
 	if answer.response.StatusCode >= http.StatusMultipleChoices || answer.endsWithConnection() {
 		return
 	}
-	exchange.handler.Strikes.Succeeded(time.Now(), exchange.fingerprint(), answer.upstream.ID, answer.upstream.Incarnation, exchange.partKeys()...)
+	exchange.handler.Strikes.Succeeded(time.Now(), exchange.suspect(), answer.upstream.ID, answer.upstream.Incarnation)
 }
 
 // refusalStatus returns the status of a refusal with code. Callers take 429 as
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // fingerprint identifies what the caller asks for: the same caller has the same
@@ -29,6 +30,11 @@
 	return exchange.knownFingerprint
 }
 
+// suspect returns the keys of the request as a possible cause of crashes.
+func (exchange *exchange) suspect() strike.Request {
+	return strike.Request{Fingerprint: exchange.fingerprint(), Parts: exchange.partKeys()}
+}
+
 // workspaceID returns the workspace of the caller, or an empty ID if the caller
 // has none.
 func (exchange *exchange) workspaceID() ident.WorkspaceID {
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -53,7 +53,7 @@
 	case code == result.NotReady:
 		retryAfter = notReadyRetryAfter
 	case code == result.CrashingRequest:
-		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
+		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.suspect())
 		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
 	case code == result.VersionGone:
 		// The version is not known to come back.
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -95,7 +95,7 @@
 
 // logAttempt logs an attempt that did not answer the request.
 func (exchange *exchange) logAttempt(code result.Code) {
-	standing := exchange.handler.Strikes.Standing(time.Now(), exchange.fingerprint(), exchange.partKeys()...)
+	standing := exchange.handler.Strikes.Standing(time.Now(), exchange.suspect())
 	exchange.handler.Logger.Warn("Attempt failed.",
 		"Attempt", exchange.head.Attempt,
 		"Upstream", exchange.choice.Upstream.ID,
--- a/gossip/strikes_test.go
+++ b/gossip/strikes_test.go
@@ -52,7 +52,7 @@
 	}
 	for n, member := range members {
 		now := time.Now()
-		member.strikes.Broken(now, strike.Strike{Fingerprint: 1, Upstream: ident.UpstreamID(fmt.Sprint("e", n)), Incarnation: 1, SentAt: now.Add(-10 * time.Millisecond), At: now})
+		member.strikes.Broken(now, strike.Request{Fingerprint: 1}, strike.Strike{Upstream: ident.UpstreamID(fmt.Sprint("e", n)), Incarnation: 1, SentAt: now.Add(-10 * time.Millisecond), At: now})
 		time.Sleep(350 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
@@ -60,7 +60,7 @@
 		conn.cut.Store(false)
 	}
 	for _, member := range members {
-		refused := func() bool { return member.strikes.Allowed(time.Now(), 1) == strike.Refused }
+		refused := func() bool { return member.strikes.Allowed(time.Now(), strike.Request{Fingerprint: 1}) == strike.Refused }
 		for end := time.Now().Add(8 * time.Second); !refused() && time.Now().Before(end); {
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/strike/bench_test.go
+++ b/strike/bench_test.go
@@ -17,18 +17,19 @@
 			for n := range struck {
 				run := crashOf(1)
 				run.Fingerprint = ident.Fingerprint(n + 1)
-				guard.Broken(start, run)
+				guard.Broken(start, requestOf(run), run)
 			}
 			now := time.Now()
 			sound := ident.Fingerprint(1 << 40)
 			for name, parts := range map[string][]ident.Fingerprint{"plain": nil, "3 parts": {sound + 1, sound + 2, sound + 3}} {
 				b.Run(name, func(b *testing.B) {
+					request := strike.Request{Fingerprint: sound, Parts: parts}
 					b.ReportAllocs()
 					for b.Loop() {
-						if guard.Any() && guard.Allowed(now, sound, parts...) != strike.Free {
+						if guard.Any() && guard.Allowed(now, request) != strike.Free {
 							b.Fatal("got a sound request that is not free")
 						}
-						guard.Succeeded(now, sound, "e1", 1, parts...)
+						guard.Succeeded(now, request, "e1", 1)
 					}
 				})
 			}
--- a/strike/fleet_test.go
+++ b/strike/fleet_test.go
@@ -68,6 +68,10 @@
 	crashes     bool
 }
 
+func (request simulatedRequest) keys() strike.Request {
+	return strike.Request{Fingerprint: request.fingerprint, Parts: request.parts}
+}
+
 type simulatedRun struct {
 	request  simulatedRequest
 	router   *strike.Guard
@@ -116,7 +120,7 @@
 	if !request.crashes {
 		simulation.sound++
 	}
-	allowance, _ := guard.Admit(simulation.now, request.fingerprint, request.parts...)
+	allowance, _ := guard.Admit(simulation.now, request.keys())
 	if allowance == strike.Refused {
 		if !request.crashes {
 			simulation.refused++
@@ -149,7 +153,7 @@
 	simulation.after(begin+simulation.between(10*time.Millisecond, 700*time.Millisecond), func() {
 		if upstream.running[run] {
 			delete(upstream.running, run)
-			guard.Succeeded(simulation.now, request.fingerprint, upstream.id, incarnation, request.parts...)
+			guard.Succeeded(simulation.now, request.keys(), upstream.id, incarnation)
 		}
 	})
 }
@@ -175,7 +179,7 @@
 		return nil
 	}
 	if allowance == strike.Alone {
-		designated := guard.Designated(request.fingerprint, ids, request.parts...)
+		designated := guard.Designated(request.keys(), ids)
 		for _, upstream := range up {
 			if upstream.id == designated {
 				return upstream
@@ -193,9 +197,9 @@
 	upstream.up = false
 	for run := range upstream.running {
 		simulation.attempts++
-		run.router.Broken(simulation.now, strike.Strike{
-			Fingerprint: run.request.fingerprint, Upstream: upstream.id, Incarnation: upstream.incarnation, SentAt: run.sentAt, At: simulation.now,
-		}, run.request.parts...)
+		run.router.Broken(simulation.now, run.request.keys(), strike.Strike{
+			Upstream: upstream.id, Incarnation: upstream.incarnation, SentAt: run.sentAt, At: simulation.now,
+		})
 	}
 	clear(upstream.running)
 	simulation.after(simulation.between(time.Second, 3*time.Second), func() {
@@ -267,7 +271,7 @@
 		simulation.play(check)
 		for body := range bodies {
 			guard := simulation.routers[body%2]
-			if allowance, _ := guard.Admit(simulation.now, ownPart+ident.Fingerprint(body)); allowance == strike.Refused {
+			if allowance, _ := guard.Admit(simulation.now, strike.Request{Fingerprint: ownPart + ident.Fingerprint(body)}); allowance == strike.Refused {
 				refused++
 				t.Errorf("seed %d: got body %d refused after the crashes, want it allowed", seed, body)
 			}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -118,40 +118,35 @@
 
 // run is a run of a request that may have crashed its upstream.
 type run struct {
-	strike Strike
-	parts  []ident.Fingerprint
+	strike  Strike
+	request Request
 }
 
-// strikes returns a strike for the request and for each part of its prompt.
+// strikes returns a strike for each key of the request.
 func (run run) strikes() []Strike {
-	all := []Strike{run.strike}
-	for _, part := range run.parts {
-		one := run.strike
-		one.Fingerprint, one.Part = part, true
-		all = append(all, one)
+	strike := run.strike
+	strike.Fingerprint, strike.Part = run.request.Fingerprint, false
+	all := []Strike{strike}
+	for _, part := range run.request.Parts {
+		strike.Fingerprint, strike.Part = part, true
+		all = append(all, strike)
 	}
 	return all
 }
 
-// keysOf returns the keys of a request with the given parts, its own first.
-func keysOf(fingerprint ident.Fingerprint, parts []ident.Fingerprint) []ident.Fingerprint {
-	return append([]ident.Fingerprint{fingerprint}, parts...)
-}
-
-// Allowed returns how the request, whose prompt has the given parts, may run at the
-// time now.
-func (guard *Guard) Allowed(now time.Time, fingerprint ident.Fingerprint, parts ...ident.Fingerprint) Allowance {
+// Allowed returns how the request may run at the time now.
+func (guard *Guard) Allowed(now time.Time, request Request) Allowance {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	return guard.judge(now, keysOf(fingerprint, parts)).allowance
+	return guard.judge(now, request.keys()).allowance
 }
 
 // Admit returns how the request may run, and whether it would be refused but may run
 // once more, alone: by that it may clear itself.
-func (guard *Guard) Admit(now time.Time, fingerprint ident.Fingerprint, parts ...ident.Fingerprint) (Allowance, bool) {
+func (guard *Guard) Admit(now time.Time, request Request) (Allowance, bool) {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	verdict := guard.judge(now, keysOf(fingerprint, parts))
+	verdict := guard.judge(now, request.keys())
 	if verdict.allowance == Refused && guard.takeRetrial(now, verdict) {
 		return Alone, true
 	}
@@ -169,13 +164,13 @@
 }
 
 // Standing returns how a request stands at the time now.
-func (guard *Guard) Standing(now time.Time, fingerprint ident.Fingerprint, parts ...ident.Fingerprint) Standing {
+func (guard *Guard) Standing(now time.Time, request Request) Standing {
 	if guard == nil {
 		return Standing{}
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	verdict := guard.judge(now, keysOf(fingerprint, parts))
+	verdict := guard.judge(now, request.keys())
 	worst := verdict.worst
 	return Standing{Allowance: verdict.allowance, Crashes: len(worst.crashes), Weight: worst.weight, Needed: worst.needed}
 }
@@ -185,12 +180,12 @@
 
 // Designated returns the upstream of the pool on which a request may run alone. It
 // is the same for all requests that share the part that is suspected most.
-func (guard *Guard) Designated(fingerprint ident.Fingerprint, pool []ident.UpstreamID, parts ...ident.Fingerprint) ident.UpstreamID {
+func (guard *Guard) Designated(request Request, pool []ident.UpstreamID) ident.UpstreamID {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	key := guard.judge(guard.tracker.latestTime, keysOf(fingerprint, parts)).worst.key
+	key := guard.judge(guard.tracker.latestTime, request.keys()).worst.key
 	if key == 0 {
-		key = fingerprint
+		key = request.Fingerprint
 	}
 	return guard.tracker.Designated(key, pool)
 }
@@ -203,10 +198,10 @@
 }
 
 // Refusal returns why a request is refused, and the zero value for one that is not.
-func (guard *Guard) Refusal(now time.Time, fingerprint ident.Fingerprint, parts ...ident.Fingerprint) Refusal {
+func (guard *Guard) Refusal(now time.Time, request Request) Refusal {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	verdict := guard.judge(now, keysOf(fingerprint, parts))
+	verdict := guard.judge(now, request.keys())
 	if verdict.allowance != Refused {
 		return Refusal{}
 	}
@@ -214,8 +209,8 @@
 }
 
 // Broken records that the connection to an upstream broke while it may have run
-// the request, whose prompt has the given parts.
-func (guard *Guard) Broken(now time.Time, strike Strike, parts ...ident.Fingerprint) {
+// the request. The strike's key is left out.
+func (guard *Guard) Broken(now time.Time, request Request, strike Strike) {
 	if guard == nil {
 		return
 	}
@@ -228,7 +223,7 @@
 		strike.Incarnation = strike.Incarnation.Successor()
 	}
 	guard.recordBreak(strike)
-	guard.countOwn(now, run{strike: strike, parts: parts})
+	guard.countOwn(now, run{strike: strike, request: request})
 }
 
 // breaksOf returns when the incarnation of a strike, or the one that it followed, broke
@@ -279,7 +274,7 @@
 
 // Unanswered records that an upstream took the request and gave no answer while
 // its caller waited. It counts as a strike if Ended follows soon.
-func (guard *Guard) Unanswered(strike Strike, parts ...ident.Fingerprint) {
+func (guard *Guard) Unanswered(request Request, strike Strike) {
 	if guard == nil {
 		return
 	}
@@ -288,7 +283,7 @@
 	if len(guard.unanswered) >= maxUnanswered {
 		guard.unanswered = guard.unanswered[1:]
 	}
-	guard.unanswered = append(guard.unanswered, run{strike: strike, parts: parts})
+	guard.unanswered = append(guard.unanswered, run{strike: strike, request: request})
 }
 
 // Ended records that an upstream no longer runs, or no longer answers, as any
@@ -311,9 +306,9 @@
 	guard.unanswered = remaining
 }
 
-// Succeeded records that an incarnation of an upstream ran the request, whose prompt
-// has the given parts, to a good end. That clears the strikes of all of them.
-func (guard *Guard) Succeeded(now time.Time, fingerprint ident.Fingerprint, upstream ident.UpstreamID, incarnation registry.Incarnation, parts ...ident.Fingerprint) {
+// Succeeded records that an incarnation of an upstream ran the request to a good end.
+// That clears the strikes of all its keys.
+func (guard *Guard) Succeeded(now time.Time, request Request, upstream ident.UpstreamID, incarnation registry.Incarnation) {
 	if guard == nil {
 		return
 	}
@@ -324,9 +319,9 @@
 		times.succeededAt = now
 		guard.breaks[key] = times
 	}
-	guard.requestSuccesses.record(now, fingerprint)
-	guard.clearOwn(now, fingerprint)
-	for _, part := range parts {
+	guard.requestSuccesses.record(now, request.Fingerprint)
+	guard.clearOwn(now, request.Fingerprint)
+	for _, part := range request.Parts {
 		guard.partSuccesses.record(now, part)
 		guard.clearOwn(now, part)
 	}
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -22,12 +22,17 @@
 	}
 }
 
+// requestOf returns the request of a strike, with a prompt of the given parts.
+func requestOf(run strike.Strike, parts ...ident.Fingerprint) strike.Request {
+	return strike.Request{Fingerprint: run.Fingerprint, Parts: parts}
+}
+
 func ExampleGuard() {
 	var guard strike.Guard
 	for n := range 3 {
 		run := crashOf(n)
-		guard.Broken(run.At, run)
-		fmt.Println(guard.Allowed(run.At, 1) == strike.Refused)
+		guard.Broken(run.At, requestOf(run), run)
+		fmt.Println(guard.Allowed(run.At, requestOf(run)) == strike.Refused)
 	}
 	// Output:
 	// false
@@ -38,7 +43,7 @@
 // checkAllowed fails the test unless request 1 is allowed as wanted.
 func checkAllowed(t *testing.T, guard *strike.Guard, now time.Time, want strike.Allowance) {
 	t.Helper()
-	if got := guard.Allowed(now, 1); got != want {
+	if got := guard.Allowed(now, strike.Request{Fingerprint: 1}); got != want {
 		t.Errorf("got allowance %d, want %d", got, want)
 	}
 }
@@ -51,7 +56,7 @@
 		name  string
 		spoil func(guard *strike.Guard)
 	}{
-		{"succeeded shortly before", func(guard *strike.Guard) { guard.Succeeded(start, 1, "e9", 1) }},
+		{"succeeded shortly before", func(guard *strike.Guard) { guard.Succeeded(start, strike.Request{Fingerprint: 1}, "e9", 1) }},
 		{"upstreams ran on", func(guard *strike.Guard) {
 			guard.WroteAfter = func(ident.UpstreamID, registry.Incarnation) time.Time { return now }
 		}},
@@ -61,7 +66,7 @@
 			var guard strike.Guard
 			test.spoil(&guard)
 			for n := range 3 {
-				guard.Broken(now, crashOf(n))
+				guard.Broken(now, requestOf(crashOf(n)), crashOf(n))
 			}
 			checkAllowed(t, &guard, now, strike.Free)
 			if got := guard.TakeUnsaved(); len(got.Write) > 0 {
@@ -92,7 +97,7 @@
 				now = start.Add(time.Duration(n) * test.gap)
 				run := crashOf(n)
 				run.At, run.SentAt = now, now.Add(-test.ran)
-				guard.Broken(now, run)
+				guard.Broken(now, requestOf(run), run)
 			}
 			checkAllowed(t, &guard, now, test.want)
 			later := start.Add(500 * time.Millisecond)
@@ -124,11 +129,11 @@
 		for request, part := range map[ident.Fingerprint]ident.Fingerprint{1: sound, 2: firstCause + (secondCause-firstCause)*ident.Fingerprint(n%2)} {
 			run := crashOf(n)
 			run.Fingerprint, run.SentAt, run.At = 10*ident.Fingerprint(n+1)+request, now.Add(-20*time.Millisecond), now
-			guard.Broken(now, run, part)
+			guard.Broken(now, requestOf(run, part), run)
 		}
 	}
 	now = now.Add(time.Second)
-	if got := guard.Allowed(now, 999, sound); got == strike.Refused {
+	if got := guard.Allowed(now, strike.Request{Fingerprint: 999, Parts: []ident.Fingerprint{sound}}); got == strike.Refused {
 		t.Errorf("got a request with a sound part refused after %d crashes, want it allowed", crashes)
 	}
 }
@@ -142,11 +147,11 @@
 		now = start.Add(time.Duration(n) * 400 * time.Millisecond)
 		other := crashOf(100 + n)
 		other.Fingerprint, other.SentAt, other.At = ident.Fingerprint(1000+n), now.Add(-20*time.Millisecond), now
-		guard.Broken(now, other)
+		guard.Broken(now, requestOf(other), other)
 		if n%2 == 0 {
 			run := crashOf(n)
 			run.SentAt, run.At = now.Add(-20*time.Millisecond), now
-			guard.Broken(now, run)
+			guard.Broken(now, requestOf(run), run)
 		}
 	}
 	checkAllowed(t, &guard, now.Add(time.Second), strike.Refused)
@@ -157,15 +162,15 @@
 func TestCrashOfARestartedUpstreamCountsBeforeItsRowIsKnown(t *testing.T) {
 	var guard strike.Guard
 	first := crashOf(1)
-	guard.Broken(first.At, first)
+	guard.Broken(first.At, requestOf(first), first)
 	for n, want := range []int{2, 3} {
 		again := first
 		again.ConnectedAt = first.At.Add(time.Duration(n)*1500*time.Millisecond + 1100*time.Millisecond)
 		again.SentAt, again.At = again.ConnectedAt.Add(time.Millisecond), again.ConnectedAt.Add(20*time.Millisecond)
-		guard.Broken(again.At, again)
+		guard.Broken(again.At, requestOf(again), again)
 		late := again
 		late.Fingerprint, late.SentAt, late.At = 9, again.At.Add(time.Millisecond), again.At.Add(2*time.Millisecond)
-		guard.Broken(late.At, late)
+		guard.Broken(late.At, requestOf(late), late)
 		strikes := guard.TakeReport(again.At, true).Strikes
 		got := make(map[registry.Incarnation]map[time.Time]bool)
 		for _, strike := range strikes {
@@ -191,13 +196,13 @@
 		var guard strike.Guard
 		crashed := crashOf(1)
 		crashed.Fingerprint = 7
-		guard.Broken(crashed.At, crashed)
+		guard.Broken(crashed.At, requestOf(crashed), crashed)
 		if aliveBetween {
-			guard.Succeeded(crashed.At, 8, crashed.Upstream, crashed.Incarnation)
+			guard.Succeeded(crashed.At, strike.Request{Fingerprint: 8}, crashed.Upstream, crashed.Incarnation)
 		}
 		later := crashOf(1)
 		later.SentAt, later.At = crashed.At.Add(time.Second), crashed.At.Add(time.Second+time.Millisecond)
-		guard.Broken(later.At, later)
+		guard.Broken(later.At, requestOf(later), later)
 		want := 0
 		if aliveBetween {
 			want = 1
@@ -220,7 +225,7 @@
 	wroteAfter := time.Time{}
 	guard := strike.Guard{WroteAfter: func(ident.UpstreamID, registry.Incarnation) time.Time { return wroteAfter }}
 	for n := range 3 {
-		guard.Broken(crashOf(n).At, crashOf(n))
+		guard.Broken(crashOf(n).At, requestOf(crashOf(n)), crashOf(n))
 	}
 	now := start.Add(time.Minute)
 	guard.Maintain(now)
@@ -239,7 +244,7 @@
 func TestUnansweredRunCountsOnceTheUpstreamEnds(t *testing.T) {
 	var guard strike.Guard
 	for n := range 3 {
-		guard.Unanswered(crashOf(n))
+		guard.Unanswered(requestOf(crashOf(n)), crashOf(n))
 	}
 	now := start.Add(5 * time.Second)
 	checkAllowed(t, &guard, now, strike.Free)
@@ -256,12 +261,12 @@
 func TestSuccessClearsStrikesEverywhere(t *testing.T) {
 	var first, second strike.Guard
 	for n := range 2 {
-		first.Broken(crashOf(n).At, crashOf(n))
+		first.Broken(crashOf(n).At, requestOf(crashOf(n)), crashOf(n))
 	}
 	now := start.Add(5 * time.Second)
 	second.Apply(now, first.TakeReport(now, false))
 	checkAllowed(t, &second, now, strike.Alone)
-	first.Succeeded(now, 1, "e9", 1)
+	first.Succeeded(now, strike.Request{Fingerprint: 1}, "e9", 1)
 	second.Apply(now, first.TakeReport(now, false))
 	checkAllowed(t, &second, now, strike.Free)
 	second.Apply(now, strike.Report{Strikes: []strike.Strike{crashOf(0)}})
@@ -273,7 +278,7 @@
 func TestReportsRepeatStrikes(t *testing.T) {
 	var first, second strike.Guard
 	for n := range 3 {
-		first.Broken(crashOf(n).At, crashOf(n))
+		first.Broken(crashOf(n).At, requestOf(crashOf(n)), crashOf(n))
 	}
 	now := start.Add(5 * time.Second)
 	for first.Pending() {
@@ -296,8 +301,8 @@
 		for n := range 3 {
 			run := crashOf(n)
 			run.Fingerprint = ident.Fingerprint(request)
-			guard.Broken(start, run)
-			guard.Unanswered(run)
+			guard.Broken(start, requestOf(run), run)
+			guard.Unanswered(requestOf(run), run)
 		}
 		guard.PutBackUnsaved(guard.TakeUnsaved())
 	}
@@ -319,9 +324,9 @@
 // TestNilGuardAllowsEverything checks the methods that forward calls.
 func TestNilGuardAllowsEverything(t *testing.T) {
 	var guard *strike.Guard
-	guard.Broken(start, crashOf(0))
-	guard.Unanswered(crashOf(0))
-	guard.Succeeded(start, 1, "e9", 1)
+	guard.Broken(start, requestOf(crashOf(0)), crashOf(0))
+	guard.Unanswered(requestOf(crashOf(0)), crashOf(0))
+	guard.Succeeded(start, strike.Request{Fingerprint: 1}, "e9", 1)
 	if guard.Any() || guard.Pending() {
 		t.Error("got strikes, want none")
 	}
