strike: contain a request by where and when it runs, not by more crashes

Callers of a service of two or three upstreams saw it refuse everything for seconds, again and again: a request that crashes its upstreams ran 7 to 22 times, 4 to 16 of them later than 3 s after the third.

Cause: what a refusal took was counted in crashes, and more were asked for after a success of the request, beside younger requests, among unexplained crashes and for simultaneous ones. A pool of 18 supplies ten crashes within three seconds; one of three supplies three, then none until its upstreams are back, so that each further crash came late and took a third of the service.

The weights are gone. A crash is blamed on the key with the most strikes that was running there. Two strikes let a request run alone: on one designated upstream, 250 ms after its last crash, at one router after the other, and only while another upstream serves. Three refuse it, for a second after its last crash and thirty times as long for each further strike, or if no other request can be blamed; then it runs alone again, which clears it if it is sound. Doubt ends by such a run and not by more crashes among everybody. Parts of prompts go by the same rule with four and five strikes. Simultaneous crashes count as two. A strike that is heard of after a success of its key doesn't count.

Repeats that differ in their query remain red.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -156,8 +156,6 @@
 	}
 	daemon.strikes.WroteAfter = daemon.registry.WroteAfter
 	daemon.strikes.OnEvent = daemon.logStrike
-	daemon.strikes.Routers = daemon.routers
-	daemon.strikes.Router = string(daemon.Config.VM)
 	dialer := forward.Dialer()
 	daemon.handler = &forward.Handler{
 		Routes:      &daemon.routes,
@@ -225,6 +223,7 @@
 	exchange := daemon.newGossip(socket)
 	daemon.gossip = exchange
 	daemon.handler.RegisteredRouters = exchange.Count
+	daemon.strikes.SetRouters(exchange.Address, []string{exchange.Address})
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.allDone
 	daemon.scheduler.Self = exchange.Address
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -31,7 +31,9 @@
 	listed := daemon.registry.Upstreams()
 	daemon.handler.Connections.Retain(listed)
 	daemon.quota.Retain(now, listed)
-	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
+	routers := daemon.gossip.Live(now)
+	daemon.quota.SetRouters(now, daemon.gossip.Address, routers)
+	daemon.strikes.SetRouters(daemon.gossip.Address, routers)
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -287,7 +287,7 @@
 // upstream instead, and if so takes that retry from the budget. Without another
 // upstream it is better to wait for a late response.
 func (exchange *exchange) shouldSwitch() bool {
-	if !exchange.route.Retryable() || exchange.allowance() != strike.Free || exchange.runs+1 >= exchange.route.MaxAttempts {
+	if !exchange.route.Retryable() || exchange.standing().Allowance != strike.Free || exchange.runs+1 >= exchange.route.MaxAttempts {
 		return false
 	}
 	alternative, found := exchange.handler.choose(exchange.pool(), exchange.choiceRequest())
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -14,8 +14,13 @@
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/strike"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
+// designatedPause is the least time between two designated upstreams of a request: other
+// routers say within it whether the request crashed the first.
+const designatedPause = 250 * time.Millisecond
+
 // connectionBroke reports whether err means that a connection to an upstream
 // ended, as it does when the upstream crashes, or a stream in the middle. An answer that can't be parsed
 // and a deadline of this router don't count.
@@ -28,40 +33,83 @@
 	return false
 }
 
-// allowance returns how the request may run, by the upstreams that crashed while
-// they ran it.
-func (exchange *exchange) allowance() strike.Allowance {
+// standing returns how the request may run, by the upstreams that crashed while they ran
+// it or parts of its prompt.
+func (exchange *exchange) standing() strike.Standing {
 	if !exchange.handler.Strikes.Any() {
-		return strike.Free
-	}
-	allowance := exchange.handler.Strikes.Allowed(time.Now(), exchange.suspect())
-	if allowance == strike.Refused && exchange.retrial && exchange.runs == 0 {
-		return strike.Alone
+		return strike.Standing{}
 	}
-	return allowance
+	return exchange.handler.Strikes.Standing(time.Now(), exchange.suspect())
 }
 
-// admit reports whether the request may run at all, by the upstreams that crashed
-// while they ran it or parts of its prompt.
-func (exchange *exchange) admit() bool {
-	if !exchange.handler.Strikes.Any() {
+// minServing is the least number of upstreams that have to serve a service with several
+// for one of them to run a request that may crash it.
+const minServing = 2
+
+// hasSpare reports whether the service would go on being served if the request crashed an
+// upstream. A service with a single upstream has none to spare, and runs it all the same.
+func (exchange *exchange) hasSpare() bool {
+	pool := exchange.handler.Registry.Pool(exchange.service)
+	if pool == nil || len(pool.Upstreams) < minServing {
 		return true
 	}
-	allowance, retrial := exchange.handler.Strikes.Admit(time.Now(), exchange.suspect())
-	if retrial {
-		exchange.retrial = true
-		exchange.handler.Metrics.CountEvent("strike.retrial")
-		exchange.handler.Logger.Warn("Refused request runs once more, alone.", "Attempt", exchange.head.Attempt, "Fingerprint", exchange.fingerprint().String(), "Parts", exchange.partIDs())
+	now := time.Now()
+	serving := 0
+	var back time.Time
+	for _, upstream := range pool.Upstreams {
+		awayUntil := exchange.handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation)
+		switch {
+		case !awayUntil.IsZero():
+			if back.IsZero() || awayUntil.Before(back) {
+				back = awayUntil
+			}
+		case !exchange.handler.Health.Ejected(now, upstream.ID):
+			serving++
+		}
+	}
+	if serving >= minServing {
+		return true
+	}
+	exchange.postponedUntil = back
+	return false
+}
+
+// awaitTurn returns how the request may run. If that is alone only, it waits until every
+// router has heard of the last crash and it is this router's turn. It returns false if that
+// takes longer than the request may wait.
+func (exchange *exchange) awaitTurn() (strike.Standing, bool) {
+	for {
+		standing := exchange.standing()
+		if standing.Allowance != strike.Alone || exchange.runs > 0 {
+			return standing, true
+		}
+		if exchange.aloneNotBefore.IsZero() {
+			exchange.aloneNotBefore = time.Now().Add(standing.Turn)
+		}
+		notBefore := exchange.aloneNotBefore
+		if standing.NotBefore.After(notBefore) {
+			notBefore = standing.NotBefore
+		}
+		if !notBefore.After(time.Now()) {
+			return standing, true
+		}
+		if !notBefore.Before(exchange.deadline) || !wait.Sleep(exchange.request.Context(), time.Until(notBefore)) {
+			return standing, false
+		}
 	}
-	return allowance != strike.Refused
 }
 
 // designate chooses the upstream on which a request with several strikes may
-// run. It returns false if another one may have run it already for this caller.
+// run. It returns false if another one may have run it already for this caller, or if no
+// other one would be left to serve.
 func (exchange *exchange) designate(pool *registry.Pool) (balance.Choice, bool) {
 	if pool == nil || exchange.runs > 0 {
 		return balance.Choice{}, false
 	}
+	if !exchange.hasSpare() {
+		exchange.postponed = true
+		return balance.Choice{}, false
+	}
 	now := time.Now()
 	var untried, trusted []ident.UpstreamID
 	for _, upstream := range exchange.belowLimit(pool.Upstreams) {
@@ -69,7 +117,8 @@
 			continue
 		}
 		untried = append(untried, upstream.ID)
-		if !exchange.handler.Health.Ejected(now, upstream.ID) {
+		away := !exchange.handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero()
+		if !away && !exchange.handler.Health.Ejected(now, upstream.ID) {
 			trusted = append(trusted, upstream.ID)
 		}
 	}
@@ -81,6 +130,8 @@
 	if index < 0 {
 		return balance.Choice{}, false
 	}
+	// If it can't be reached, the request may just have crashed it at another router.
+	exchange.aloneNotBefore = now.Add(designatedPause)
 	return balance.Choice{Upstream: pool.Upstreams[index], Reason: balance.Designated}, true
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,9 +33,11 @@
 	fingerprinted    bool
 	// knownPartKeys is what partKeys returned.
 	knownPartKeys []ident.Fingerprint
-	// retrial is set if the request is refused for the crashes of upstreams but
-	// runs once more.
-	retrial bool
+	// aloneNotBefore is the time before which the request doesn't run alone. postponed is set if it may run alone only and had to be refused for now,
+	// and postponedUntil when more upstreams may serve, or zero if that is not known.
+	aloneNotBefore time.Time
+	postponed      bool
+	postponedUntil time.Time
 	// prefixIDs identify the prompt parts that other requests share, the
 	// deepest first. They are set on sticky routes only.
 	prefixIDs []ident.ChatID
@@ -94,7 +96,7 @@
 		return
 	}
 	exchange.handler.countRequest(exchange.arrived, exchange.service)
-	if !exchange.admit() {
+	if exchange.standing().Allowance == strike.Refused {
 		exchange.refuse(result.CrashingRequest)
 		return
 	}
@@ -143,7 +145,12 @@
 // is one. A request that crashes upstreams gets none.
 func (exchange *exchange) chooseNext(pool *registry.Pool) bool {
 	for range maxChoices {
-		choice, found := exchange.chooseBy(exchange.allowance(), pool)
+		standing, inTime := exchange.awaitTurn()
+		if !inTime {
+			exchange.postponed = true
+			return false
+		}
+		choice, found := exchange.chooseBy(standing.Allowance, pool)
 		if !found {
 			return false
 		}
@@ -208,7 +215,7 @@
 	if code.Outcome() != result.NotRun {
 		exchange.runs++
 	}
-	if exchange.allowance() == strike.Refused {
+	if exchange.standing().Allowance == strike.Refused {
 		return false
 	}
 	candidates := 0
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/strike"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
 
@@ -16,10 +17,18 @@
 	// maxCrashingRetryAfter limits the Retry-After of a request that crashes
 	// upstreams: its strikes may be withdrawn before they lapse.
 	maxCrashingRetryAfter = time.Minute
+	// minPostponement is the least Retry-After of a request that may run alone only.
+	minPostponement = 300 * time.Millisecond
 )
 
 // noChoiceCode returns the code of a request for which there is no upstream.
 func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
+	if exchange.postponed {
+		return result.CrashingRequestAlone
+	}
+	if exchange.standing().Allowance == strike.Refused {
+		return result.CrashingRequest
+	}
 	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
 		exchange.limitedAt = until
 		if rests {
@@ -54,7 +63,9 @@
 		retryAfter = notReadyRetryAfter
 	case code == result.CrashingRequest:
 		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.suspect())
-		retryAfter = min(time.Until(exchange.refusal.Until), maxCrashingRetryAfter)
+		retryAfter = spreadAfter(min(max(time.Until(exchange.refusal.Until), exchange.postponement()), maxCrashingRetryAfter))
+	case code == result.CrashingRequestAlone:
+		retryAfter = spreadAfter(exchange.postponement())
 	case code == result.VersionGone:
 		// The version is not known to come back.
 	case code == result.OriginUnknown:
@@ -68,3 +79,8 @@
 	}
 	exchange.handler.writeCode(exchange.writer, code, retryAfter)
 }
+
+// postponement returns how long a request that may run alone only has to wait at least.
+func (exchange *exchange) postponement() time.Duration {
+	return max(time.Until(exchange.postponedUntil), minPostponement)
+}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -70,7 +70,7 @@
 			slog.Int("Tried", len(exchange.tried)),
 			slog.Bool("Started", exchange.started))
 	}
-	if exchange.code == result.CrashingRequest || len(exchange.tried) > 0 && exchange.code != result.OK {
+	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
 	if part := exchange.partID(exchange.refusal.Key); part != "" {
@@ -95,7 +95,7 @@
 
 // logAttempt logs an attempt that did not answer the request.
 func (exchange *exchange) logAttempt(code result.Code) {
-	standing := exchange.handler.Strikes.Standing(time.Now(), exchange.suspect())
+	standing := exchange.standing()
 	exchange.handler.Logger.Warn("Attempt failed.",
 		"Attempt", exchange.head.Attempt,
 		"Upstream", exchange.choice.Upstream.ID,
@@ -107,9 +107,7 @@
 		"Parts", exchange.partIDs(),
 		"Incarnation", exchange.choice.Upstream.Incarnation,
 		"Allowance", standing.Allowance.String(),
-		"Crashes", standing.Crashes,
-		"Weight", standing.Weight,
-		"Needed", standing.Needed)
+		"Crashes", standing.Crashes)
 }
 
 // partIDs returns the IDs of the parts of the prompt, in order.
--- a/strike/crashes.go
+++ b/strike/crashes.go
@@ -13,10 +13,12 @@
 const (
 	// maxCrashesPerRequest limits the crashes that are kept of one request.
 	maxCrashesPerRequest = 16
-	// simultaneousWindow is how long after a crash another one counts as part of
-	// it if the request was running at both: upstreams that go down together were
-	// hardly crashed by one request.
+	// simultaneousWindow is how long after a crash another one belongs to it if the
+	// request was running at both, and maxSimultaneous how many of those count:
+	// upstreams that go down together were hardly crashed by one request, unless it was
+	// sent to all of them at once.
 	simultaneousWindow = 250 * time.Millisecond
+	maxSimultaneous    = 2
 )
 
 // crash is one crash of an upstream.
@@ -30,6 +32,16 @@
 	part bool
 }
 
+// crashAt is a crash with its upstream.
+type crashAt struct {
+	crash
+	upstream ident.UpstreamID
+}
+
+func (crashAt crashAt) run() incarnationKey {
+	return incarnationKey{upstream: crashAt.upstream, incarnation: crashAt.incarnation}
+}
+
 // crashes holds the crashes of each upstream while it ran one request, up to
 // neverStrikes per upstream and maxCrashesPerRequest in all.
 type crashes map[ident.UpstreamID][]crash
@@ -136,25 +148,39 @@
 	return count
 }
 
-// strikes returns the number of crashes that count, which leaves out all but the
-// first of those that were simultaneous.
+// strikes returns the number of crashes that count.
 func (crashes crashes) strikes() int {
 	if len(crashes) == 0 {
 		return 0
 	}
-	return len(crashes.counted(make([]crash, 0, maxCrashesPerRequest)))
+	return len(crashes.counted())
 }
 
-// counted appends the crashes that count to counted, the earliest first.
-func (crashes crashes) counted(counted []crash) []crash {
-	var all [maxCrashesPerRequest]crash
-	sorted := all[:0]
-	for _, crash := range crashes.all() {
-		sorted = append(sorted, crash)
+// counted returns the crashes that count, the earliest first.
+func (crashes crashes) counted() []crashAt { return withoutSimultaneous(crashes.sorted()) }
+
+// sorted returns all crashes, the earliest first.
+func (crashes crashes) sorted() []crashAt {
+	sorted := make([]crashAt, 0, maxCrashesPerRequest)
+	for upstream, crash := range crashes.all() {
+		sorted = append(sorted, crashAt{crash: crash, upstream: upstream})
 	}
-	slices.SortFunc(sorted, func(a, b crash) int { return a.at.Compare(b.at) })
+	slices.SortFunc(sorted, func(a, b crashAt) int { return a.at.Compare(b.at) })
+	return sorted
+}
+
+// withoutSimultaneous returns sorted crashes without those beyond maxSimultaneous that
+// belong to an earlier one. It reuses the array.
+func withoutSimultaneous(sorted []crashAt) []crashAt {
+	counted := sorted[:0]
+	var first crashAt
+	group := 0
 	for _, crash := range sorted {
-		if len(counted) == 0 || !crash.partOf(counted[len(counted)-1]) {
+		if group == 0 || !crash.partOf(first.crash) {
+			first, group = crash, 0
+		}
+		group++
+		if group <= maxSimultaneous {
 			counted = append(counted, crash)
 		}
 	}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -18,14 +18,13 @@
 	// before the crash is taken back: a write that was sent before the crash may
 	// take effect later.
 	withdrawMargin = 5 * time.Second
-	// verdictDelay is how long after the first of three strikes a request is
-	// refused; until then it runs alone. Upstreams that go down together may do so
-	// one after the other, with a sound request that comes again in between.
-	verdictDelay = 500 * time.Millisecond
 	// breakLifetime is how long after it broke off an upstream is assumed to be
 	// away, and maxBreaks limits the upstreams of which that is remembered.
 	breakLifetime = 3 * time.Second
 	maxBreaks     = 1024
+	// awayTime is how long after it broke off an upstream that was not seen to run
+	// since doesn't count as one that serves: its row may stay as long.
+	awayTime = 6 * time.Second
 )
 
 // Decision is what a Guard concluded about a strike.
@@ -62,21 +61,18 @@
 	// OnUnsaved, if set, is called when there is something to write to the store. It
 	// must not call the Guard.
 	OnUnsaved func()
-	// Router identifies the router among others, and Routers returns how many
-	// there are; nil means one.
-	Router  string
-	Routers func() int
 
 	// requests is the number of keys that have strikes.
 	requests atomic.Int64
 
 	mu      sync.Mutex
 	tracker Tracker
+	// router identifies this router among routers, which are all that run.
+	router  string
+	routers []string
 	// running holds the keys that were running at each crash, also some whose
 	// strikes no longer count.
-	running map[incarnationKey][]ident.Fingerprint
-	// retrials holds when this router last let a request with a refused key run.
-	retrials         map[ident.Fingerprint]time.Time
+	running          map[incarnationKey][]ident.Fingerprint
 	requestSuccesses successes
 	partSuccesses    successes
 	unanswered       []run
@@ -141,26 +137,14 @@
 	return guard.judge(now, request.keys()).allowance
 }
 
-// Admit returns how the request may run, and whether it would be refused but may run
-// once more, alone: by that it may clear itself.
-func (guard *Guard) Admit(now time.Time, request Request) (Allowance, bool) {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	verdict := guard.judge(now, request.keys())
-	if verdict.allowance == Refused && guard.takeRetrial(now, verdict) {
-		return Alone, true
-	}
-	return verdict.allowance, false
-}
-
-// Standing is how a request stands: how it may run, and the evidence against its most
-// suspected key. Crashes is how many crashes are blamed on that, Weight what they weigh,
-// and Needed how much more weight than usual takes effect.
+// Standing is how a request stands: how it may run, how many crashes its most suspected
+// key is blamed for, and, if it may run alone only, the time before which it may not, and
+// how long it waits for the turn of this router.
 type Standing struct {
 	Allowance Allowance
 	Crashes   int
-	Weight    float64
-	Needed    float64
+	NotBefore time.Time
+	Turn      time.Duration
 }
 
 // Standing returns how a request stands at the time now.
@@ -171,8 +155,28 @@
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	verdict := guard.judge(now, request.keys())
-	worst := verdict.worst
-	return Standing{Allowance: verdict.allowance, Crashes: len(worst.crashes), Weight: worst.weight, Needed: worst.needed}
+	standing := Standing{Allowance: verdict.allowance, Crashes: len(verdict.worst.crashes)}
+	if standing.Allowance == Alone {
+		standing.NotBefore = verdict.worst.lastAt().Add(settleTime)
+		standing.Turn = guard.turn(verdict.worst.key)
+	}
+	return standing
+}
+
+// AwayUntil returns the time until which an incarnation of an upstream is assumed to be
+// away since it broke off, and the zero time for one that is assumed to run.
+func (guard *Guard) AwayUntil(now time.Time, upstream ident.UpstreamID, incarnation registry.Incarnation) time.Time {
+	if guard == nil {
+		return time.Time{}
+	}
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	times, broke := guard.breaks[incarnationKey{upstream: upstream, incarnation: incarnation}]
+	until := times.last.Add(awayTime)
+	if !broke || times.succeededSince() || now.After(until) {
+		return time.Time{}
+	}
+	return until
 }
 
 // Any reports whether any request has strikes.
@@ -191,7 +195,7 @@
 }
 
 // Refusal says why a request is refused: for Key, which is the request's own
-// fingerprint or that of a part, until the given time.
+// fingerprint or that of a part, until the given time at the soonest.
 type Refusal struct {
 	Key   ident.Fingerprint
 	Until time.Time
@@ -205,7 +209,7 @@
 	if verdict.allowance != Refused {
 		return Refusal{}
 	}
-	return Refusal{Key: verdict.worst.key, Until: verdict.worst.decidedAt().Add(guard.tracker.lifetime())}
+	return Refusal{Key: verdict.worst.key, Until: verdict.worst.refusedUntil()}
 }
 
 // Broken records that the connection to an upstream broke while it may have run
@@ -327,13 +331,13 @@
 	}
 }
 
-// succeededBefore reports whether a key succeeded here shortly before a crash of it.
-// The caller holds mu.
-func (guard *Guard) succeededBefore(crash crashAt, key ident.Fingerprint) bool {
-	if crash.part {
-		return guard.partSuccesses.within(crash.at, key)
+// succeededSince reports whether the key of a strike is known to have succeeded here since
+// the crash. The caller holds mu.
+func (guard *Guard) succeededSince(strike Strike) bool {
+	if strike.Part {
+		return guard.partSuccesses.since(strike.At, strike.Fingerprint)
 	}
-	return guard.requestSuccesses.within(crash.at, key)
+	return guard.requestSuccesses.since(strike.At, strike.Fingerprint)
 }
 
 // clearOwn clears a key that succeeded here, and has other routers told if it had
@@ -384,8 +388,12 @@
 	if strike.Own {
 		guard.unsentStrikes = append(guard.unsentStrikes, unsent[Strike]{item: strike, sends: sendsPerStrike})
 	}
-	guard.save(now, strike.Fingerprint)
 	guard.report(now, Counted, strike)
+	if guard.succeededSince(strike) {
+		guard.clearOwn(now, strike.Fingerprint)
+		return
+	}
+	guard.save(now, strike.Fingerprint)
 }
 
 // clear removes the strikes of a request that succeeded. The caller holds mu.
@@ -430,7 +438,6 @@
 	guard.tracker.Expire(now)
 	guard.removeStale()
 	guard.pruneRunning()
-	guard.pruneRetrials()
 	guard.requests.Store(int64(guard.tracker.Len()))
 	remaining := guard.unanswered[:0]
 	for _, run := range guard.unanswered {
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -29,17 +29,13 @@
 	return rowKey{fingerprint: strike.Fingerprint, upstream: strike.Upstream, incarnation: strike.Incarnation}
 }
 
-// save has the strikes of a key written to the store if it has more than one, this
-// process saw one of them, and the key did not succeed shortly before. The caller
-// holds mu.
+// save has the strikes of a key written to the store if it has more than one and this
+// process saw one of them. The caller holds mu.
 func (guard *Guard) save(now time.Time, fingerprint ident.Fingerprint) {
 	strikes := guard.tracker.Strikes(now, fingerprint)
 	if guard.tracker.Count(now, fingerprint) < aloneStrikes || !anyOwn(strikes) {
 		return
 	}
-	if first := strikes[len(strikes)-1]; guard.succeededBefore(crashAt{crash: crash{at: first.At, part: first.Part}}, fingerprint) {
-		return
-	}
 	for _, strike := range strikes {
 		if guard.markSaved(strike) {
 			guard.unsaved.Write = append(guard.unsaved.Write, strike)
--- a/strike/strike.go
+++ b/strike/strike.go
@@ -200,7 +200,7 @@
 // refusedSince returns when the first of the last three strikes of a request
 // happened, and the zero time if it has fewer.
 func (tracker *Tracker) refusedSince(fingerprint ident.Fingerprint) time.Time {
-	counted := tracker.unexpired(fingerprint).counted(nil)
+	counted := tracker.unexpired(fingerprint).counted()
 	if len(counted) < neverStrikes {
 		return time.Time{}
 	}
@@ -264,10 +264,10 @@
 	return candidate.upstream < other.upstream
 }
 
-// rendezvousScore ranks the upstreams for a request by rendezvous hashing.
-func rendezvousScore(fingerprint ident.Fingerprint, upstream ident.UpstreamID) uint64 {
+// rendezvousScore ranks upstreams or routers for a key by rendezvous hashing.
+func rendezvousScore[Member ~string](fingerprint ident.Fingerprint, member Member) uint64 {
 	key := binary.LittleEndian.AppendUint64(nil, uint64(fingerprint))
-	return xxhash.Sum64(append(key, upstream...))
+	return xxhash.Sum64(append(key, member...))
 }
 
 func (tracker *Tracker) observe(now time.Time) {
--- a/strike/successes.go
+++ b/strike/successes.go
@@ -6,13 +6,9 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
-const (
-	// successSlots is the number of requests whose last success is remembered.
-	successSlots = 4096
-	// successWindow is how long a success makes a crash count less: a request that
-	// is sent often runs at an upstream that crashes for another reason.
-	successWindow = 30 * time.Second
-)
+// successSlots is the number of keys whose last success is remembered, so that a strike
+// from before it that is heard of afterwards doesn't count.
+const successSlots = 4096
 
 // success is the last success of one request.
 type success struct {
@@ -33,11 +29,11 @@
 	successes.slots[fingerprint%successSlots] = success{fingerprint: fingerprint, at: now}
 }
 
-// within reports whether the request succeeded in the successWindow before at.
-func (successes *successes) within(at time.Time, fingerprint ident.Fingerprint) bool {
+// since reports whether the request is known to have succeeded later than at.
+func (successes *successes) since(at time.Time, fingerprint ident.Fingerprint) bool {
 	if successes.slots == nil {
 		return false
 	}
 	slot := successes.slots[fingerprint%successSlots]
-	return slot.fingerprint == fingerprint && at.Sub(slot.at) <= successWindow
+	return slot.fingerprint == fingerprint && slot.at.After(at)
 }
