strike, gossip: one router at a time lets a request run alone, and silent crashes count sooner

Callers of a service of three upstreams that fall silent when a request crashes them saw it run 12 times, 7 of them later than 3 s after the third: whether a silent upstream has crashed is known only once its row has expired, and meanwhile each router let the request run alone at another upstream, as their lists differ.

A run that gives no answer for three targets counts as soon as its upstream can't be reached, whoever finds that out. Any complete answer of an upstream clears a request now, also one with a status of 500: it shows that the request has crashed nothing.

The stand-in of a silent crash takes no new connection any more and never answers on old ones; it had closed them, which sound requests paid for. A crashed upstream comes back once, also if two requests ran there.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -179,19 +179,22 @@
 	}
 	runner.Slow(fleet.runTime)
 	fleet.runners = append(fleet.runners, runner)
-	server := &http.Server{Handler: runner}
+	server := &http.Server{Handler: &upstreamHandler{fleet: fleet, runner: runner, life: life}}
 	fleet.servers = append(fleet.servers, server)
 	ctx, cancel := context.WithCancel(context.Background())
 	fleet.t.Cleanup(cancel)
 	runner.OnCrash = func() {
 		cancel()
-		fleet.recordCrash(life)
+		if !fleet.recordCrash(life) {
+			return
+		}
 		next := fleet.nextID(id)
 		if next != id {
 			time.AfterFunc(fleet.rowExpiry, func() { fleet.store.Remove(runner.Row()) })
 		}
 		time.AfterFunc(fleet.restartAfter, func() { fleet.startUpstream(next) })
 		if fleet.silent {
+			_ = listener.Close()
 			time.Sleep(crashRetries * crashRetryInterval)
 		}
 		_ = server.Close()
@@ -200,6 +203,23 @@
 	go process.run(ctx)
 }
 
+// upstreamHandler is the handler of an upstream, which does not answer once it has crashed
+// in silence.
+type upstreamHandler struct {
+	fleet  *crashFleet
+	runner *standin.Runner
+	life   int
+}
+
+// ServeHTTP answers a request, or waits until the connection is closed.
+func (handler *upstreamHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if handler.fleet.silent && handler.fleet.hasCrashed(handler.life) {
+		<-request.Context().Done()
+		return
+	}
+	handler.runner.ServeHTTP(writer, request)
+}
+
 // upstreamProcess serves an upstream and writes its row until ctx ends.
 type upstreamProcess struct {
 	server   *http.Server
@@ -254,13 +274,23 @@
 	return maps.Clone(fleet.ran)
 }
 
-// recordCrash records the end of a lifetime.
-func (fleet *crashFleet) recordCrash(life int) {
+func (fleet *crashFleet) hasCrashed(life int) bool {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	return !fleet.lives[life].until.IsZero()
+}
+
+// recordCrash records the end of a lifetime. It returns false if that was recorded before.
+func (fleet *crashFleet) recordCrash(life int) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if !fleet.lives[life].until.IsZero() {
+		return false
+	}
 	now := time.Now()
 	fleet.crashes = append(fleet.crashes, now)
 	fleet.lives[life].until = now
+	return true
 }
 
 func (fleet *crashFleet) recordRun(upstream ident.UpstreamID, attempt ident.AttemptID) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -123,9 +123,11 @@
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
 	}
 	exchange.sentAt, exchange.connectedAt = time.Now(), conn.OpenedAt
+	exchange.beginTrial(upstream)
 	code := exchange.roundTrip(answer, remaining, lastEvent)
 	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
+		exchange.endTrial(code)
 		exchange.recordFailure(upstream, code)
 		answer.fail(exchange.broke)
 		return nil, code
@@ -267,6 +269,7 @@
 			return exchange.readUntilDeadline(answer)
 		}
 		exchange.handler.recordOutcome(answer.upstream, health.NoResponse)
+		exchange.handler.Strikes.Waiting(exchange.suspect(), exchange.strike(time.Now(), answer.upstream))
 		if exchange.shouldSwitch() {
 			exchange.setUnanswered("no answer within " + noResponseTimeout.String())
 			return result.OutcomeUnknown
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -21,6 +21,13 @@
 // routers say within it whether the request crashed the first.
 const designatedPause = 250 * time.Millisecond
 
+const (
+	// maxTurnWait is how long a request waits until it may run alone, and
+	// turnCheckInterval how often it checks.
+	maxTurnWait       = time.Second
+	turnCheckInterval = 20 * time.Millisecond
+)
+
 // connectionBroke reports whether err means that a connection to an upstream
 // ended, as it does when the upstream crashes, or a stream in the middle. An answer that can't be parsed
 // and a deadline of this router don't count.
@@ -75,25 +82,31 @@
 }
 
 // awaitTurn returns how the request may run. If that is alone only, it waits until every
-// router has heard of the last crash and it is this router's turn. It returns false if that
-// takes longer than the request may wait.
+// router has heard of the last crash, no other run alone is under way and it is this
+// router's turn. It returns false if that takes longer than maxTurnWait or than the request
+// may wait.
 func (exchange *exchange) awaitTurn() (strike.Standing, bool) {
+	var giveUpAt time.Time
 	for {
+		now := time.Now()
 		standing := exchange.standing()
 		if standing.Allowance != strike.Alone || exchange.runs > 0 {
 			return standing, true
 		}
+		if giveUpAt.IsZero() {
+			giveUpAt = now.Add(maxTurnWait)
+		}
 		if exchange.aloneNotBefore.IsZero() {
-			exchange.aloneNotBefore = time.Now().Add(standing.Turn)
+			exchange.aloneNotBefore = now.Add(standing.Turn)
 		}
 		notBefore := exchange.aloneNotBefore
 		if standing.NotBefore.After(notBefore) {
 			notBefore = standing.NotBefore
 		}
-		if !notBefore.After(time.Now()) {
+		if !notBefore.After(now) {
 			return standing, true
 		}
-		if !notBefore.Before(exchange.deadline) || !wait.Sleep(exchange.request.Context(), time.Until(notBefore)) {
+		if now.After(giveUpAt) || now.After(exchange.deadline) || !wait.Sleep(exchange.request.Context(), min(time.Until(notBefore), turnCheckInterval)) {
 			return standing, false
 		}
 	}
@@ -135,6 +148,23 @@
 	return balance.Choice{Upstream: pool.Upstreams[index], Reason: balance.Designated}, true
 }
 
+// beginTrial records that the request begins to run alone, if it does.
+func (exchange *exchange) beginTrial(upstream registry.Upstream) {
+	if exchange.choice.Reason != balance.Designated {
+		return
+	}
+	exchange.handler.Metrics.CountEvent("strike.trial")
+	exchange.handler.Logger.Warn("Request runs alone.", "Attempt", exchange.head.Attempt, "Upstream", upstream.ID, "Fingerprint", exchange.fingerprint().String(), "Parts", exchange.partIDs())
+	exchange.handler.Strikes.BeginTrial(exchange.sentAt, exchange.suspect(), upstream.ID, upstream.Incarnation)
+}
+
+// endTrial records that a request that was to run alone has not run.
+func (exchange *exchange) endTrial(code result.Code) {
+	if exchange.choice.Reason == balance.Designated && code.Outcome() == result.NotRun {
+		exchange.handler.Strikes.EndTrial(time.Now(), exchange.suspect())
+	}
+}
+
 // recordRun records what the end of an attempt that was sent says about the
 // request: a connection that broke counts as a crash of the upstream, and an
 // answer that did not come counts as one if the upstream is down, or soon is.
@@ -143,14 +173,7 @@
 		return
 	}
 	now := time.Now()
-	run := strike.Strike{
-		Upstream:    upstream.ID,
-		Incarnation: upstream.Incarnation,
-		SentAt:      exchange.sentAt,
-		At:          now,
-		ConnectedAt: exchange.connectedAt,
-		Attempt:     exchange.head.Attempt,
-	}
+	run := exchange.strike(now, upstream)
 	left := exchange.callerLeft()
 	unanswered := exchange.unanswered || left
 	switch {
@@ -161,6 +184,18 @@
 	}
 }
 
+// strike returns a strike of the last attempt, which was sent to upstream, at the time now.
+func (exchange *exchange) strike(now time.Time, upstream registry.Upstream) strike.Strike {
+	return strike.Strike{
+		Upstream:    upstream.ID,
+		Incarnation: upstream.Incarnation,
+		SentAt:      exchange.sentAt,
+		At:          now,
+		ConnectedAt: exchange.connectedAt,
+		Attempt:     exchange.head.Attempt,
+	}
+}
+
 // isDown reports whether an upstream is ejected, or no longer listed as the
 // incarnation to which the request was sent.
 func (exchange *exchange) isDown(now time.Time, upstream registry.Upstream) bool {
@@ -168,10 +203,10 @@
 	return !found || listed.Incarnation != upstream.Incarnation || exchange.handler.Health.Ejected(now, upstream.ID)
 }
 
-// recordSuccess records that an upstream answered the request with success. An
-// answer that ended with its connection does not prove that the upstream runs on.
-func (exchange *exchange) recordSuccess(answer *answer) {
-	if answer.response.StatusCode >= http.StatusMultipleChoices || answer.endsWithConnection() {
+// recordSurvival records that an upstream answered the request, whatever the status, and so
+// did not crash. An answer that ended with its connection does not prove that.
+func (exchange *exchange) recordSurvival(answer *answer) {
+	if answer.endsWithConnection() {
 		return
 	}
 	exchange.handler.Strikes.Succeeded(time.Now(), exchange.suspect(), answer.upstream.ID, answer.upstream.Incarnation)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -181,12 +181,15 @@
 // that results from the outcome.
 func (handler *Handler) recordOutcome(upstream registry.Upstream, outcome health.Outcome) {
 	now := time.Now()
-	if !handler.Health.Add(now, upstream.Service, upstream.ID, outcome) {
-		return
+	ejected := handler.Health.Add(now, upstream.Service, upstream.ID, outcome)
+	if ejected {
+		handler.reportEjection(upstream, outcome.String(), "")
 	}
-	handler.reportEjection(upstream, outcome.String(), "")
-	if outcome != health.ServerError {
+	switch {
+	case outcome == health.Unreachable:
 		handler.Strikes.Ended(now, upstream.ID, 0)
+	case ejected && outcome != health.ServerError:
+		handler.Strikes.Ejected(now, upstream.ID)
 	}
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -54,6 +54,7 @@
 	}
 	status := answer.response.StatusCode
 	answer.release()
+	exchange.recordSurvival(answer)
 	if status >= http.StatusInternalServerError {
 		exchange.handler.recordOutcome(answer.upstream, health.ServerError)
 		if exchange.shouldRetry(result.UpstreamFailed, exchange.pool()) {
@@ -62,7 +63,6 @@
 		}
 	} else {
 		exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-		exchange.recordSuccess(answer)
 	}
 	return exchange.writePlain(answer, body)
 }
@@ -84,7 +84,7 @@
 		return result.AnswerCut
 	}
 	exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-	exchange.recordSuccess(answer)
+	exchange.recordSurvival(answer)
 	answer.release()
 	return result.OK
 }
@@ -215,7 +215,7 @@
 		err := exchange.copyEvents(first, answer, &stream, controller)
 		if err == nil {
 			exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
-			exchange.recordSuccess(answer)
+			exchange.recordSurvival(answer)
 			answer.release()
 			if !exchange.started {
 				exchange.copyHeader(first)
--- a/gossip/strike_message.go
+++ b/gossip/strike_message.go
@@ -43,8 +43,16 @@
 // KeyKind is a kind of key that may be to blame for the crash of an upstream.
 type KeyKind int
 
-// PartKey is the key of a part of a prompt.
-const PartKey KeyKind = 1
+// The kinds.
+const (
+	// requestKey is the key of a request as a whole, which a StrikeMessage is about.
+	requestKey KeyKind = 0
+	// PartKey is the key of a part of a prompt.
+	PartKey KeyKind = 1
+	// TrialKey is the key of a request that has begun to run alone. The strikes of such a
+	// message are these runs.
+	TrialKey KeyKind = 2
+)
 
 // strikeMessageStart and keyMessageStart are the first bytes of the datagrams of a
 // StrikeMessage and a KeyMessage, which in msgpack say: an array of three, or of
@@ -77,8 +85,8 @@
 	Age         ident.Milliseconds
 }
 
-// strikeMessages returns the messages of a router with report, as of now: one about
-// requests, one about parts, or both.
+// strikeMessages returns the messages of a router with report, as of now: at most one each
+// about requests, parts and trials.
 func strikeMessages(now time.Time, router balance.RouterID, report strike.Report) []any {
 	var requests, parts []StrikeItem
 	for _, strike := range report.Strikes {
@@ -103,6 +111,13 @@
 	if len(parts) > 0 {
 		messages = append(messages, KeyMessage{Router: router, Strikes: parts, Kind: PartKey})
 	}
+	var trials []StrikeItem
+	for _, trial := range report.Trials {
+		trials = append(trials, newStrikeItem(now, trial))
+	}
+	if len(trials) > 0 {
+		messages = append(messages, KeyMessage{Router: router, Strikes: trials, Kind: TrialKey})
+	}
 	return messages
 }
 
@@ -120,20 +135,21 @@
 	return item
 }
 
-// report returns the strikes, which are of the given kind, and the successes of a
-// message that was received now.
-func (message *StrikeMessage) report(now time.Time, part bool) strike.Report {
+// report returns the strikes or trials, which are of the given kind, and the successes of a
+// message that was received now. A message about an unknown kind of key has none.
+func (message *KeyMessage) report(now time.Time) strike.Report {
 	var report strike.Report
 	for _, item := range message.Strikes {
-		at := now.Add(-item.Age.Duration())
-		report.Strikes = append(report.Strikes, strike.Strike{
-			Fingerprint: item.Fingerprint,
-			Part:        part,
-			Upstream:    item.Upstream,
-			Incarnation: item.Incarnation,
-			SentAt:      at.Add(-item.Ran.Duration()),
-			At:          at,
-		})
+		decoded := item.strike(now)
+		switch message.Kind {
+		case requestKey:
+			report.Strikes = append(report.Strikes, decoded)
+		case PartKey:
+			decoded.Part = true
+			report.Strikes = append(report.Strikes, decoded)
+		case TrialKey:
+			report.Trials = append(report.Trials, decoded)
+		}
 	}
 	for _, item := range message.Successes {
 		report.Successes = append(report.Successes, strike.Success{Fingerprint: item.Fingerprint, At: now.Add(-item.Age.Duration())})
@@ -141,6 +157,18 @@
 	return report
 }
 
+// strike returns the strike of an item that was received now.
+func (item *StrikeItem) strike(now time.Time) strike.Strike {
+	at := now.Add(-item.Age.Duration())
+	return strike.Strike{
+		Fingerprint: item.Fingerprint,
+		Upstream:    item.Upstream,
+		Incarnation: item.Incarnation,
+		SentAt:      at.Add(-item.Ran.Duration()),
+		At:          at,
+	}
+}
+
 // isStrikeMessage reports whether a datagram holds a StrikeMessage or a KeyMessage.
 func isStrikeMessage(datagram []byte) bool {
 	return len(datagram) > 0 && (datagram[0] == strikeMessageStart || datagram[0] == keyMessageStart)
@@ -150,30 +178,24 @@
 // was received now. It returns an error if the datagram is malformed or if the router
 // is missing.
 func decodeStrikes(now time.Time, datagram []byte) (balance.RouterID, strike.Report, error) {
-	message, part, err := decodeStrikeMessage(datagram)
+	message, err := decodeStrikeMessage(datagram)
 	switch {
 	case err != nil:
 		return "", strike.Report{}, err
 	case message.Router == "":
 		return "", strike.Report{}, errors.New("gossip message: missing router")
 	}
-	return message.Router, message.report(now, part), nil
+	return message.Router, message.report(now), nil
 }
 
-// decodeStrikeMessage returns the message in a datagram and whether it is about
-// parts. A message about an unknown kind of key has nothing in it but the router.
-func decodeStrikeMessage(datagram []byte) (StrikeMessage, bool, error) {
-	var message StrikeMessage
-	if datagram[0] == strikeMessageStart {
+// decodeStrikeMessage returns the message in a datagram.
+func decodeStrikeMessage(datagram []byte) (KeyMessage, error) {
+	if datagram[0] == keyMessageStart {
+		var message KeyMessage
 		err := msgpack.Unmarshal(datagram, &message)
-		return message, false, err
+		return message, err
 	}
-	var keys KeyMessage
-	if err := msgpack.Unmarshal(datagram, &keys); err != nil {
-		return StrikeMessage{}, false, err
-	}
-	if keys.Kind != PartKey {
-		return StrikeMessage{Router: keys.Router}, false, nil
-	}
-	return StrikeMessage{Router: keys.Router, Strikes: keys.Strikes, Successes: keys.Successes}, true, nil
+	var message StrikeMessage
+	err := msgpack.Unmarshal(datagram, &message)
+	return KeyMessage{Router: message.Router, Strikes: message.Strikes, Successes: message.Successes, Kind: requestKey}, err
 }
--- a/gossip/strikes_test.go
+++ b/gossip/strikes_test.go
@@ -60,7 +60,9 @@
 		conn.cut.Store(false)
 	}
 	for _, member := range members {
-		refused := func() bool { return member.strikes.Allowed(time.Now(), strike.Request{Fingerprint: 1}) == strike.Refused }
+		refused := func() bool {
+			return member.strikes.Allowed(time.Now(), strike.Request{Fingerprint: 1}) == strike.Refused
+		}
 		for end := time.Now().Add(8 * time.Second); !refused() && time.Now().Before(end); {
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -69,3 +71,25 @@
 		}
 	}
 }
+
+// TestTrialReachesOtherRouters guards against two routers that let a request run alone at
+// the same time.
+func TestTrialReachesOtherRouters(t *testing.T) {
+	first, second := newMember("router-1", listen(t)), newMember("router-2", listen(t))
+	first.start(t)
+	second.start(t)
+	second.gossip.Add(first.gossip.Address)
+	eventually(t, "message from both routers", func() bool {
+		return len(first.gossip.Addresses()) == 2 && len(second.gossip.Addresses()) == 2
+	})
+	request := strike.Request{Fingerprint: 1}
+	for n := range 2 {
+		now := time.Now()
+		first.strikes.Broken(now, request, strike.Strike{Upstream: ident.UpstreamID(fmt.Sprint("e", n)), Incarnation: 1, SentAt: now, At: now})
+	}
+	first.strikes.BeginTrial(time.Now().Add(time.Second), request, "e2", 1)
+	eventually(t, "trial at the other router", func() bool {
+		standing := second.strikes.Standing(time.Now(), request)
+		return standing.Allowance == strike.Alone && standing.NotBefore.After(time.Now().Add(3*time.Second))
+	})
+}
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -40,10 +40,13 @@
 	single int
 }
 
+// part reports whether the key is that of a part.
+func (evidence *evidence) part() bool { return len(evidence.crashes) > 0 && evidence.crashes[0].part }
+
 // thresholds returns the strikes from which a request with the key runs alone, and from
 // which it is refused.
 func (evidence *evidence) thresholds() (alone, never int) {
-	if len(evidence.crashes) > 0 && evidence.crashes[0].part {
+	if evidence.part() {
 		return partAloneStrikes, partNeverStrikes
 	}
 	return aloneStrikes, neverStrikes
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -82,7 +82,10 @@
 	// each success.
 	unsentStrikes   []unsent[Strike]
 	unsentSuccesses []unsent[Success]
-	unsaved         Unsaved
+	unsentTrials    []unsent[Strike]
+	// trials holds when the last run alone of each key began.
+	trials  map[ident.Fingerprint]time.Time
+	unsaved Unsaved
 	// saved holds the strikes that this process wrote to the store or read from
 	// it.
 	saved map[rowKey]struct{}
@@ -116,6 +119,8 @@
 type run struct {
 	strike  Strike
 	request Request
+	// waiting is set if the run may still be answered.
+	waiting bool
 }
 
 // strikes returns a strike for each key of the request.
@@ -141,8 +146,8 @@
 }
 
 // Standing is how a request stands: how it may run, how many crashes its most suspected
-// key is blamed for, and, if it may run alone only, the time before which it may not, and
-// how long it waits for the turn of this router.
+// key is blamed for, and, if it may run alone only, the time before which it may not at
+// this router, and how long it waits for the turn of this router after it has arrived.
 type Standing struct {
 	Allowance Allowance
 	Crashes   int
@@ -159,10 +164,18 @@
 	defer guard.mu.Unlock()
 	verdict := guard.judge(now, request.keys())
 	standing := Standing{Allowance: verdict.allowance, Crashes: len(verdict.worst.crashes)}
-	if standing.Allowance == Alone {
-		standing.NotBefore = verdict.worst.lastAt().Add(settleTime)
-		standing.Turn = guard.turn(verdict.worst.key)
+	if standing.Allowance != Alone {
+		return standing
 	}
+	standing.NotBefore = verdict.worst.lastAt().Add(settleTime)
+	if verdict.worst.part() {
+		return standing
+	}
+	if until := guard.trialUntil(&verdict.worst); until.After(standing.NotBefore) {
+		standing.NotBefore = until
+	}
+	standing.Turn = guard.turn(verdict.worst.key)
+	standing.NotBefore = standing.NotBefore.Add(standing.Turn)
 	return standing
 }
 
@@ -280,8 +293,18 @@
 }
 
 // Unanswered records that an upstream took the request and gave no answer while
-// its caller waited. It counts as a strike if Ended follows soon.
+// its caller waited. It counts as a strike if Ended or Ejected follows soon.
 func (guard *Guard) Unanswered(request Request, strike Strike) {
+	guard.addUnanswered(run{strike: strike, request: request})
+}
+
+// Waiting records that an upstream took the request and has given no answer for long. It
+// counts as a strike if Ended follows soon.
+func (guard *Guard) Waiting(request Request, strike Strike) {
+	guard.addUnanswered(run{strike: strike, request: request, waiting: true})
+}
+
+func (guard *Guard) addUnanswered(added run) {
 	if guard == nil {
 		return
 	}
@@ -290,12 +313,24 @@
 	if len(guard.unanswered) >= maxUnanswered {
 		guard.unanswered = guard.unanswered[1:]
 	}
-	guard.unanswered = append(guard.unanswered, run{strike: strike, request: request})
+	guard.unanswered = append(guard.unanswered, added)
 }
 
-// Ended records that an upstream no longer runs, or no longer answers, as any
-// incarnation but the given one; zero means not at all.
+// Ended records that an upstream no longer runs, or can't be reached, as any incarnation
+// but the given one; zero means not at all.
 func (guard *Guard) Ended(now time.Time, upstream ident.UpstreamID, incarnation registry.Incarnation) {
+	guard.countUnanswered(now, func(run run) bool {
+		return run.strike.Upstream == upstream && run.strike.Incarnation != incarnation
+	})
+}
+
+// Ejected records that an upstream is ejected, since it gives no answers.
+func (guard *Guard) Ejected(now time.Time, upstream ident.UpstreamID) {
+	guard.countUnanswered(now, func(run run) bool { return run.strike.Upstream == upstream && !run.waiting })
+}
+
+// countUnanswered counts the unanswered runs that crashed their upstreams.
+func (guard *Guard) countUnanswered(now time.Time, crashed func(run run) bool) {
 	if guard == nil {
 		return
 	}
@@ -304,7 +339,7 @@
 	remaining := guard.unanswered[:0]
 	for _, run := range guard.unanswered {
 		switch {
-		case run.strike.Upstream != upstream || run.strike.Incarnation == incarnation:
+		case !crashed(run):
 			remaining = append(remaining, run)
 		case now.Sub(run.strike.At) <= unansweredLifetime:
 			guard.countOwn(now, run)
@@ -358,7 +393,7 @@
 
 // Apply applies what another router, or the store, says.
 func (guard *Guard) Apply(now time.Time, report Report) {
-	if guard == nil || len(report.Strikes)+len(report.Successes) == 0 {
+	if guard == nil || len(report.Strikes)+len(report.Successes)+len(report.Trials) == 0 {
 		return
 	}
 	guard.mu.Lock()
@@ -374,6 +409,9 @@
 	for _, success := range report.Successes {
 		guard.clear(now, success)
 	}
+	for _, trial := range report.Trials {
+		guard.recordTrial(trial)
+	}
 }
 
 // countOwn adds the strikes of a run that this process saw. The caller holds mu.
@@ -443,6 +481,7 @@
 	guard.tracker.Expire(now)
 	guard.removeStale()
 	guard.pruneRunning()
+	guard.pruneTrials(now)
 	guard.requests.Store(int64(guard.tracker.Len()))
 	remaining := guard.unanswered[:0]
 	for _, run := range guard.unanswered {
--- a/strike/report.go
+++ b/strike/report.go
@@ -25,11 +25,12 @@
 	At          time.Time
 }
 
-// Report is what routers tell each other about strikes. Saved says that the
-// strikes are rows of the store.
+// Report is what routers exchange about strikes. Trials are the runs alone that have
+// begun. Saved says that the strikes are rows of the store.
 type Report struct {
 	Strikes   []Strike
 	Successes []Success
+	Trials    []Strike
 	Saved     bool
 }
 
@@ -46,7 +47,7 @@
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	return len(guard.unsentStrikes)+len(guard.unsentSuccesses) > 0
+	return len(guard.unsentStrikes)+len(guard.unsentSuccesses)+len(guard.unsentTrials) > 0
 }
 
 // TakeReport returns what the next message to the other routers has to say. With
@@ -61,6 +62,7 @@
 	var report Report
 	report.Strikes, guard.unsentStrikes = take(guard.unsentStrikes)
 	report.Successes, guard.unsentSuccesses = take(guard.unsentSuccesses)
+	report.Trials, guard.unsentTrials = take(guard.unsentTrials)
 	if repeat {
 		report.Strikes = append(report.Strikes, guard.repeated(now)...)
 	}
--- /dev/null
+++ b/strike/trial_test.go
@@ -0,0 +1,83 @@
+package strike_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/strike"
+)
+
+// twoCrashes returns two routers that know of two crashes of request 1.
+func twoCrashes() (first, second *strike.Guard) {
+	first, second = new(strike.Guard), new(strike.Guard)
+	for n := range 2 {
+		first.Broken(crashOf(n).At, requestOf(crashOf(n)), crashOf(n))
+	}
+	second.Apply(crashOf(1).At, first.TakeReport(crashOf(1).At, false))
+	return first, second
+}
+
+// TestTrialKeepsOthersFromRunning guards against a second crash by a request that runs alone
+// at one router while another one does not know yet that it crashed its upstream.
+func TestTrialKeepsOthersFromRunning(t *testing.T) {
+	request := strike.Request{Fingerprint: 1}
+	began := crashOf(1).At.Add(time.Second)
+	tests := []struct {
+		name string
+		end  func(guard *strike.Guard)
+		want strike.Allowance
+		wait bool
+	}{
+		{"no result yet", func(*strike.Guard) {}, strike.Alone, true},
+		{"has not run", func(guard *strike.Guard) { guard.EndTrial(began, request) }, strike.Alone, false},
+		{"succeeded", func(guard *strike.Guard) { guard.Succeeded(began, request, "e9", 1) }, strike.Free, false},
+		{"crashed", func(guard *strike.Guard) {
+			run := crashOf(2)
+			run.Upstream = "e9"
+			guard.Broken(run.At, request, run)
+		}, strike.Refused, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := twoCrashes()
+			first.BeginTrial(began, request, "e9", 1)
+			second.Apply(began, first.TakeReport(began, false))
+			test.end(first)
+			now := began.Add(500 * time.Millisecond)
+			second.Apply(now, first.TakeReport(now, false))
+			standing := second.Standing(now, request)
+			if waits := standing.NotBefore.After(now); standing.Allowance != test.want || waits != test.wait {
+				t.Errorf("got %v that waits: %t, want %v and %t", standing.Allowance, waits, test.want, test.wait)
+			}
+			if later := began.Add(5 * time.Second); second.Standing(later, request).NotBefore.After(later) {
+				t.Error("got a request that waits 5 s after the trial began, want none")
+			}
+		})
+	}
+}
+
+// TestUnreachableUpstreamCountsRunsThatWait guards against a request whose upstreams fall
+// silent, so that the crash would count only once the row of the upstream has expired.
+func TestUnreachableUpstreamCountsRunsThatWait(t *testing.T) {
+	var guard strike.Guard
+	run := crashOf(1)
+	guard.Waiting(requestOf(run), run)
+	count := func() int { return len(guard.TakeReport(run.At, false).Strikes) }
+	guard.Ejected(run.At, run.Upstream)
+	if got := count(); got != 0 {
+		t.Errorf("got %d strikes for a run that waits at an ejected upstream, want none", got)
+	}
+	guard.Ended(run.At, run.Upstream, 0)
+	if got := count(); got != 1 {
+		t.Errorf("got %d strikes for a run that waits at an upstream that can't be reached, want one", got)
+	}
+	guard.Succeeded(run.At.Add(time.Second), requestOf(run), run.Upstream, run.Incarnation)
+	if got := guard.Standing(run.At.Add(time.Second), requestOf(run)).Crashes; got != 0 {
+		t.Errorf("got %d crashes after the answer came, want none", got)
+	}
+	var other ident.Fingerprint = 2
+	if got := guard.Allowed(run.At, strike.Request{Fingerprint: other}); got != strike.Free {
+		t.Errorf("got allowance %v for another request, want %v", got, strike.Free)
+	}
+}
