strike, forward: runs alone are proposed first, and half of a service is kept from them

Several requests that crash upstreams at once, or one that comes 30 times a second, still took all upstreams of a small service: the routers that let it run alone heard of each other only after the crash (4 to 6 late arrivals in simulated services of one to three upstreams, 3 are allowed), and runs of different requests were alone at different upstreams at the same time.

A router proposes a run alone 100 ms before it begins; of several proposals the same one wins at all routers. A run alone is postponed (HH2013, with Retry-After) unless half of the service, rounded down, goes on serving if it crashes its upstream; an upstream with a run alone doesn't count as one that goes on. An upstream that keeps its ID may have more than three strikes, as the fourth and later ones were dropped and so didn't prolong the refusal: 14 crashes of a service of one upstream in a minute.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -156,6 +156,7 @@
 	}
 	daemon.strikes.WroteAfter = daemon.registry.WroteAfter
 	daemon.strikes.OnEvent = daemon.logStrike
+	daemon.strikes.Router = strconv.FormatUint(rand.Uint64(), routerIDBase)
 	dialer := forward.Dialer()
 	daemon.handler = &forward.Handler{
 		Routes:      &daemon.routes,
@@ -223,7 +224,6 @@
 	exchange := daemon.newGossip(socket)
 	daemon.gossip = exchange
 	daemon.handler.RegisteredRouters = exchange.Count
-	daemon.strikes.SetRouters(exchange.Address, []string{exchange.Address})
 	daemon.warmup = newWarmup(daemon, exchange)
 	daemon.handler.Warm = daemon.warmup.allDone
 	daemon.scheduler.Self = exchange.Address
@@ -255,7 +255,7 @@
 // newGossip returns the gossip with other routers over socket.
 func (daemon *Daemon) newGossip(socket net.PacketConn) *gossip.Gossip {
 	return &gossip.Gossip{
-		Router:     balance.RouterID(strconv.FormatUint(rand.Uint64(), routerIDBase)),
+		Router:     balance.RouterID(daemon.strikes.Router),
 		Started:    time.Now(),
 		Address:    socket.LocalAddr().String(),
 		Conn:       socket,
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -31,9 +31,7 @@
 	listed := daemon.registry.Upstreams()
 	daemon.handler.Connections.Retain(listed)
 	daemon.quota.Retain(now, listed)
-	routers := daemon.gossip.Live(now)
-	daemon.quota.SetRouters(now, daemon.gossip.Address, routers)
-	daemon.strikes.SetRouters(daemon.gossip.Address, routers)
+	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -97,6 +97,13 @@
 // The code is OK, or says whether the request may have run there. A non-empty
 // lastEvent asks for the rest of a stream after that event.
 func (exchange *exchange) attempt(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
+	answer, code := exchange.send(upstream, lastEvent)
+	exchange.endTrial(code)
+	return answer, code
+}
+
+// send does the work of attempt.
+func (exchange *exchange) send(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
 	conn, err := exchange.connect(upstream)
 	if err != nil {
 		exchange.setCause(err)
@@ -123,11 +130,9 @@
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
 	}
 	exchange.sentAt, exchange.connectedAt = time.Now(), conn.OpenedAt
-	exchange.beginTrial(upstream)
 	code := exchange.roundTrip(answer, remaining, lastEvent)
 	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
-		exchange.endTrial(code)
 		exchange.recordFailure(upstream, code)
 		answer.fail(exchange.broke)
 		return nil, code
--- a/forward/crashing.go
+++ b/forward/crashing.go
@@ -49,15 +49,12 @@
 	return exchange.handler.Strikes.Standing(time.Now(), exchange.suspect())
 }
 
-// minServing is the least number of upstreams that have to serve a service with several
-// for one of them to run a request that may crash it.
-const minServing = 2
-
-// hasSpare reports whether the service would go on being served if the request crashed an
-// upstream. A service with a single upstream has none to spare, and runs it all the same.
+// hasSpare reports whether half of the upstreams of the service, rounded down, would go on
+// serving it if the request crashed one. A service with a single upstream has none to spare, and runs the
+// request all the same.
 func (exchange *exchange) hasSpare() bool {
 	pool := exchange.handler.Registry.Pool(exchange.service)
-	if pool == nil || len(pool.Upstreams) < minServing {
+	if pool == nil || len(pool.Upstreams) <= 1 {
 		return true
 	}
 	now := time.Now()
@@ -70,11 +67,11 @@
 			if back.IsZero() || awayUntil.Before(back) {
 				back = awayUntil
 			}
-		case !exchange.handler.Health.Ejected(now, upstream.ID):
+		case !exchange.handler.Health.Ejected(now, upstream.ID) && !exchange.handler.Strikes.OnTrial(now, upstream.ID):
 			serving++
 		}
 	}
-	if serving >= minServing {
+	if serving-1 >= len(pool.Upstreams)/2 {
 		return true
 	}
 	exchange.postponedUntil = back
@@ -82,8 +79,7 @@
 }
 
 // awaitTurn returns how the request may run. If that is alone only, it waits until every
-// router has heard of the last crash, no other run alone is under way and it is this
-// router's turn. It returns false if that takes longer than maxTurnWait or than the request
+// router has heard of the last crash and no other run alone is under way. It returns false if that takes longer than maxTurnWait or than the request
 // may wait.
 func (exchange *exchange) awaitTurn() (strike.Standing, bool) {
 	var giveUpAt time.Time
@@ -96,9 +92,6 @@
 		if giveUpAt.IsZero() {
 			giveUpAt = now.Add(maxTurnWait)
 		}
-		if exchange.aloneNotBefore.IsZero() {
-			exchange.aloneNotBefore = now.Add(standing.Turn)
-		}
 		notBefore := exchange.aloneNotBefore
 		if standing.NotBefore.After(notBefore) {
 			notBefore = standing.NotBefore
@@ -148,21 +141,26 @@
 	return balance.Choice{Upstream: pool.Upstreams[index], Reason: balance.Designated}, true
 }
 
-// beginTrial records that the request begins to run alone, if it does.
-func (exchange *exchange) beginTrial(upstream registry.Upstream) {
-	if exchange.choice.Reason != balance.Designated {
-		return
+// proposeTrial proposes to run the request alone at its chosen upstream, and reports whether
+// this router may do so after the other routers had time to object.
+func (exchange *exchange) proposeTrial() bool {
+	strikes, upstream := exchange.handler.Strikes, exchange.choice.Upstream
+	trial, proposed := strikes.ProposeTrial(time.Now(), exchange.suspect(), upstream.ID, upstream.Incarnation)
+	if !proposed || !wait.Sleep(exchange.request.Context(), strike.ProposalTime) || !strikes.MayBegin(trial) {
+		return false
 	}
+	exchange.trial = trial
 	exchange.handler.Metrics.CountEvent("strike.trial")
 	exchange.handler.Logger.Warn("Request runs alone.", "Attempt", exchange.head.Attempt, "Upstream", upstream.ID, "Fingerprint", exchange.fingerprint().String(), "Parts", exchange.partIDs())
-	exchange.handler.Strikes.BeginTrial(exchange.sentAt, exchange.suspect(), upstream.ID, upstream.Incarnation)
+	return true
 }
 
 // endTrial records that a request that was to run alone has not run.
 func (exchange *exchange) endTrial(code result.Code) {
-	if exchange.choice.Reason == balance.Designated && code.Outcome() == result.NotRun {
-		exchange.handler.Strikes.EndTrial(time.Now(), exchange.suspect())
+	if exchange.trial.Fingerprint != 0 && code.Outcome() == result.NotRun {
+		exchange.handler.Strikes.EndTrial(time.Now(), exchange.trial)
 	}
+	exchange.trial = strike.Trial{}
 }
 
 // recordRun records what the end of an attempt that was sent says about the
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,9 +33,11 @@
 	fingerprinted    bool
 	// knownPartKeys is what partKeys returned.
 	knownPartKeys []ident.Fingerprint
-	// aloneNotBefore is the time before which the request doesn't run alone. postponed is set if it may run alone only and had to be refused for now,
+	// aloneNotBefore is the time before which the request doesn't run alone, and trial its
+	// run alone. postponed is set if it may run alone only and had to be refused for now,
 	// and postponedUntil when more upstreams may serve, or zero if that is not known.
 	aloneNotBefore time.Time
+	trial          strike.Trial
 	postponed      bool
 	postponedUntil time.Time
 	// prefixIDs identify the prompt parts that other requests share, the
@@ -154,13 +156,17 @@
 		if !found {
 			return false
 		}
+		exchange.choice = choice
+		if choice.Reason == balance.Designated && !exchange.proposeTrial() {
+			continue
+		}
 		// Another request may have taken the last one that the upstream's limit
 		// leaves.
 		if exchange.handler.Quota.Take(time.Now(), choice.Upstream) {
-			exchange.choice = choice
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
 			return true
 		}
+		exchange.endTrial(result.UpstreamsAtLimit)
 	}
 	return false
 }
--- a/gossip/strike_message.go
+++ b/gossip/strike_message.go
@@ -49,8 +49,8 @@
 	requestKey KeyKind = 0
 	// PartKey is the key of a part of a prompt.
 	PartKey KeyKind = 1
-	// TrialKey is the key of a request that has begun to run alone. The strikes of such a
-	// message are these runs.
+	// TrialKey is the key of a request that runs alone. The strikes of such a message are
+	// its trials, which the sending router proposes.
 	TrialKey KeyKind = 2
 )
 
@@ -113,7 +113,12 @@
 	}
 	var trials []StrikeItem
 	for _, trial := range report.Trials {
-		trials = append(trials, newStrikeItem(now, trial))
+		trials = append(trials, StrikeItem{
+			Fingerprint: trial.Fingerprint,
+			Upstream:    trial.Upstream,
+			Incarnation: trial.Incarnation,
+			Age:         ident.Milliseconds(now.Sub(trial.At).Milliseconds()),
+		})
 	}
 	if len(trials) > 0 {
 		messages = append(messages, KeyMessage{Router: router, Strikes: trials, Kind: TrialKey})
@@ -148,7 +153,13 @@
 			decoded.Part = true
 			report.Strikes = append(report.Strikes, decoded)
 		case TrialKey:
-			report.Trials = append(report.Trials, decoded)
+			report.Trials = append(report.Trials, strike.Trial{
+				Fingerprint: item.Fingerprint,
+				Router:      string(message.Router),
+				Upstream:    item.Upstream,
+				Incarnation: item.Incarnation,
+				At:          decoded.At,
+			})
 		}
 	}
 	for _, item := range message.Successes {
--- a/strike/crashes.go
+++ b/strike/crashes.go
@@ -43,7 +43,7 @@
 }
 
 // crashes holds the crashes of each upstream while it ran one request, up to
-// neverStrikes per upstream and maxCrashesPerRequest in all.
+// maxCrashesPerRequest in all.
 type crashes map[ident.UpstreamID][]crash
 
 // all yields each crash with its upstream, in no particular order.
@@ -68,7 +68,7 @@
 			return false
 		}
 	}
-	if len(known) >= neverStrikes || crashes.len() >= maxCrashesPerRequest && !crashes.dropOldest(strike.At) {
+	if crashes.len() >= maxCrashesPerRequest && !crashes.dropOldest(strike.At) {
 		return false
 	}
 	added := crash{incarnation: strike.Incarnation, sentAt: strike.SentAt, at: strike.At, own: strike.Own, part: strike.Part}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -61,15 +61,14 @@
 	// OnUnsaved, if set, is called when there is something to write to the store. It
 	// must not call the Guard.
 	OnUnsaved func()
+	// Router identifies the router among all that run.
+	Router string
 
 	// requests is the number of keys that have strikes.
 	requests atomic.Int64
 
 	mu      sync.Mutex
 	tracker Tracker
-	// router identifies this router among routers, which are all that run.
-	router  string
-	routers []string
 	// running holds the keys that were running at each crash, also some whose
 	// strikes no longer count.
 	running          map[incarnationKey][]ident.Fingerprint
@@ -82,9 +81,9 @@
 	// each success.
 	unsentStrikes   []unsent[Strike]
 	unsentSuccesses []unsent[Success]
-	unsentTrials    []unsent[Strike]
-	// trials holds when the last run alone of each key began.
-	trials  map[ident.Fingerprint]time.Time
+	unsentTrials    []unsent[Trial]
+	// trials holds the last run alone of each key.
+	trials  map[ident.Fingerprint]Trial
 	unsaved Unsaved
 	// saved holds the strikes that this process wrote to the store or read from
 	// it.
@@ -146,13 +145,11 @@
 }
 
 // Standing is how a request stands: how it may run, how many crashes its most suspected
-// key is blamed for, and, if it may run alone only, the time before which it may not at
-// this router, and how long it waits for the turn of this router after it has arrived.
+// key is blamed for, and the time before which it may not run alone.
 type Standing struct {
 	Allowance Allowance
 	Crashes   int
 	NotBefore time.Time
-	Turn      time.Duration
 }
 
 // Standing returns how a request stands at the time now.
@@ -171,11 +168,10 @@
 	if verdict.worst.part() {
 		return standing
 	}
-	if until := guard.trialUntil(&verdict.worst); until.After(standing.NotBefore) {
+	trial := guard.openTrial(now, verdict.worst.key)
+	if until := trial.At.Add(trialTime); trial.open(now) && until.After(standing.NotBefore) {
 		standing.NotBefore = until
 	}
-	standing.Turn = guard.turn(verdict.worst.key)
-	standing.NotBefore = standing.NotBefore.Add(standing.Turn)
 	return standing
 }
 
@@ -410,7 +406,7 @@
 		guard.clear(now, success)
 	}
 	for _, trial := range report.Trials {
-		guard.recordTrial(trial)
+		guard.applyTrial(now, trial)
 	}
 }
 
--- a/strike/report.go
+++ b/strike/report.go
@@ -25,12 +25,12 @@
 	At          time.Time
 }
 
-// Report is what routers exchange about strikes. Trials are the runs alone that have
-// begun. Saved says that the strikes are rows of the store.
+// Report is what routers exchange about strikes. Trials are the runs alone that are
+// proposed or have ended. Saved says that the strikes are rows of the store.
 type Report struct {
 	Strikes   []Strike
 	Successes []Success
-	Trials    []Strike
+	Trials    []Trial
 	Saved     bool
 }
 
