forward: only the rest of a stream is joined to it

Reported by other operators: a stream had begun and broke off, the next upstream answered with something else, and callers found that in the middle of their stream, or a stream that ended as if it were whole. It shows here where the next answer has status 200: JSON, text, HTML, no type at all, events without IDs, from the first on, again or with one left out, a response head among events; an empty JSON answer or an empty one that ends with its connection completed the stream. 4xx, 5xx, 204, 302 and unsigned answers held.

A rest of a stream is a signed 200 of text/event-stream whose events have IDs that rise, the first no further behind the last event than the stream's events were apart. It may be empty, if the answer has a length or chunks: the last event may have been the last of the stream. Anything else is a failed attempt: another upstream is asked as far as the route and the retry budget allow, or the caller's connection is broken. The same holds for what callers take up with Last-Event-Id, where only the last ID is known, and for a first answer whose events come twice, out of order, without an ID among others with one, or with a response head among them. A success on a stream route that is no event stream is relayed whole, as any other answer.

The stream of the test of unframed answers had the same ID twice; its events rise now.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -32,12 +32,38 @@
 // relay writes an answer to the caller. If it returns a code other than OK and
 // has not started the caller's answer, the request may be sent again.
 func (exchange *exchange) relay(answer *answer) result.Code {
-	if exchange.route.Kind == routing.Stream && answer.response.StatusCode < http.StatusMultipleChoices {
+	success := answer.response.StatusCode < http.StatusMultipleChoices
+	switch {
+	case exchange.route.Kind != routing.Stream || !success:
+		return exchange.relayPlain(answer)
+	case exchange.mayBeStream(answer):
 		return exchange.relayStream(answer)
+	case exchange.head.TakesUp():
+		return exchange.rejectAnswer(answer, errNoStream)
 	}
 	return exchange.relayPlain(answer)
 }
 
+// mayBeStream reports whether a successful answer on a stream route is a stream. A first
+// answer may leave its type out.
+func (exchange *exchange) mayBeStream(answer *answer) bool {
+	if isEventStream(answer.response) {
+		return true
+	}
+	untyped := answer.response.StatusCode == http.StatusOK && answer.response.Header.Get("Content-Type") == ""
+	return untyped && !exchange.head.TakesUp()
+}
+
+// rejectAnswer gives up an answer that is not what the request asked for. The request has
+// run there.
+func (exchange *exchange) rejectAnswer(answer *answer, reason error) result.Code {
+	exchange.setCause(reason)
+	exchange.handler.Metrics.CountEvent("stream.rejected")
+	exchange.handler.recordOutcome(answer.upstream, health.ServerError)
+	answer.discard()
+	return result.OutcomeUnknown
+}
+
 // relayPlain relays an answer that is no event stream. It reads the answer
 // completely before it writes any of it, unless the answer is too long.
 func (exchange *exchange) relayPlain(answer *answer) result.Code {
@@ -201,14 +227,17 @@
 type stream struct {
 	// pending holds the bytes after the last complete event.
 	pending []byte
-	// lastEvent is the ID of the last event that was written to the caller.
-	lastEvent string
+	// sequence is that of the events that were written to the caller.
+	sequence eventSequence
 }
 
 // relayStream relays complete events as they arrive. If the stream breaks,
 // another upstream continues it where the route allows that.
 func (exchange *exchange) relayStream(answer *answer) result.Code {
 	var stream stream
+	if exchange.head.TakesUp() {
+		stream.sequence.resume(exchange.head.LastEvent)
+	}
 	first := answer
 	controller := http.NewResponseController(exchange.writer)
 	for {
@@ -233,12 +262,13 @@
 		if !exchange.started {
 			return code
 		}
-		next := exchange.resume(code, stream.lastEvent)
+		next := exchange.resume(code, stream.sequence.lastID)
 		if next == nil {
 			exchange.aborted = true
 			return result.AnswerCut
 		}
 		stream.pending = stream.pending[:0]
+		stream.sequence.resume(stream.sequence.lastID)
 		answer = next
 	}
 }
@@ -274,7 +304,7 @@
 }
 
 // checkEnd returns an error if a stream that has ended is not complete: if it ended
-// inside an event, or with its connection before the first one.
+// inside an event, or with its connection before the first one of its answer.
 func (exchange *exchange) checkEnd(answer *answer, stream *stream) error {
 	inEvent := len(bytes.TrimSpace(stream.pending)) > 0
 	switch {
@@ -282,32 +312,53 @@
 		return errBrokenEvent
 	case inEvent:
 		return errPartialEvent
-	case !exchange.started && answer.endsWithConnection():
+	case answer.endsWithConnection() && (!exchange.started || stream.sequence.resumed):
 		return errNoEvent
 	}
 	return nil
 }
 
-// writeEvents writes the first length bytes of the pending events, which are
-// complete events, to the caller.
+// writeEvents writes the first length bytes of the pending events, which are complete
+// events, to the caller, up to the first that is not the next of the stream.
 func (exchange *exchange) writeEvents(first *answer, stream *stream, length int, controller *http.ResponseController) error {
+	good, checkErr := stream.check(length)
+	if checkErr != nil {
+		exchange.handler.Metrics.CountEvent("stream.rejected")
+	}
+	if good == 0 {
+		return checkErr
+	}
 	if !exchange.started {
 		exchange.recordOrigin(first)
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
 	}
-	if id, found := lastEventID(stream.pending[:length]); found {
-		stream.lastEvent = id
-	}
-	if _, err := (callerWriter{exchange}).Write(stream.pending[:length]); err != nil {
+	if _, err := (callerWriter{exchange}).Write(stream.pending[:good]); err != nil {
 		return err
 	}
 	if err := controller.Flush(); err != nil {
 		exchange.callerFailed = true
 		return err
 	}
-	stream.pending = append(stream.pending[:0], stream.pending[length:]...)
-	return nil
+	stream.pending = append(stream.pending[:0], stream.pending[good:]...)
+	return checkErr
+}
+
+// check returns how many of the first length bytes are events that follow those before, and
+// an error if not all of them are.
+func (stream *stream) check(length int) (int, error) {
+	good := 0
+	for good < length {
+		end := bytes.Index(stream.pending[good:length], []byte(eventEnd))
+		if end < 0 {
+			break
+		}
+		if err := stream.sequence.add(stream.pending[good : good+end]); err != nil {
+			return good, err
+		}
+		good += end + len(eventEnd)
+	}
+	return good, nil
 }
 
 // eventEnd ends an event.
@@ -326,23 +377,6 @@
 	return searched + end + len(eventEnd)
 }
 
-// lastEventID returns the ID of the last event in data that has one.
-func lastEventID(data []byte) (string, bool) {
-	const field = "id:"
-	for len(data) > 0 {
-		start := bytes.LastIndexByte(data, '\n')
-		line := data[start+1:]
-		if bytes.HasPrefix(line, []byte(field)) {
-			return string(bytes.TrimSpace(line[len(field):])), true
-		}
-		if start < 0 {
-			break
-		}
-		data = data[:start]
-	}
-	return "", false
-}
-
 // resume asks other upstreams for the rest of a stream. It returns nil if the
 // route does not allow that or no upstream can continue the stream.
 func (exchange *exchange) resume(code result.Code, lastEvent string) *answer {
@@ -357,13 +391,12 @@
 		}
 		var answer *answer
 		answer, code = exchange.attempt(exchange.choice.Upstream, lastEvent)
-		if code == result.OK && answer.response.StatusCode == http.StatusOK {
+		if code == result.OK && isEventStream(answer.response) {
 			exchange.logResumed(answer, lastEvent)
 			return answer
 		}
 		if code == result.OK {
-			answer.discard()
-			return nil
+			code = exchange.rejectAnswer(answer, errNoStream)
 		}
 		exchange.logAttempt(code)
 	}
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -14,7 +14,7 @@
 // TestAnswersThatEndWithTheirConnection guards against a cut answer that looks
 // complete, and against a crash that is taken for the end of an answer.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
-	const event = "id: 1\ndata: a\n\n"
+	const event, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 	tests := []struct {
 		name string
 		path string
@@ -29,7 +29,7 @@
 		{"plain", "/once/", "answer", false, 200, "answer", false, false},
 		{"plain, empty", "/once/", "", false, 200, "", false, false},
 		{"plain, reset", "/once/", "answ", true, 502, "", false, true},
-		{"stream", "/stream/", event + event, false, 200, event + event, false, false},
+		{"stream", "/stream/", event + second, false, 200, event + second, false, false},
 		{"stream, reset behind an event", "/stream/", event, true, 200, event, true, true},
 		{"stream, ended inside an event", "/stream/", event + "id: 2\nda", false, 200, event, true, true},
 		{"stream, ended inside the first event", "/stream/", "id: 1\nda", false, 502, "", false, true},
