--- a/gossip/limit_message.go
+++ b/gossip/limit_message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -81,7 +80,7 @@
 // is malformed, if the router is missing or if a limit is invalid.
 func decodeLimits(datagram []byte) (LimitMessage, error) {
 	var message LimitMessage
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := unmarshal(datagram, &message); err != nil {
 		return LimitMessage{}, err
 	}
 	if message.Router == "" {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -78,7 +78,7 @@
 // is malformed, if the router is missing or if a count is invalid.
 func Decode(datagram []byte) (Message, error) {
 	var message Message
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := unmarshal(datagram, &message); err != nil {
 		return Message{}, err
 	}
 	if message.Router == "" {
--- a/gossip/strike_message.go
+++ b/gossip/strike_message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -203,10 +202,10 @@
 func decodeStrikeMessage(datagram []byte) (KeyMessage, error) {
 	if datagram[0] == keyMessageStart {
 		var message KeyMessage
-		err := msgpack.Unmarshal(datagram, &message)
+		err := unmarshal(datagram, &message)
 		return message, err
 	}
 	var message StrikeMessage
-	err := msgpack.Unmarshal(datagram, &message)
+	err := unmarshal(datagram, &message)
 	return KeyMessage{Router: message.Router, Strikes: message.Strikes, Successes: message.Successes, Kind: requestKey}, err
 }
--- a/gossip/version_message.go
+++ b/gossip/version_message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -120,7 +119,7 @@
 // is malformed, or if the router or its address is missing.
 func decodeVersions(datagram []byte) (VersionMessage, error) {
 	var message VersionMessage
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := unmarshal(datagram, &message); err != nil {
 		return VersionMessage{}, err
 	}
 	if message.Router == "" || message.Address == "" {
