oncehttp, forward: a refusal that is written once more answers no other request

Reported by other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran.

On the platform's path it does not happen. A connection that brought a refusal is not kept, an answer counts under its own attempt ID alone, and one without an ID is proof only on a connection that carried nothing else. Tried besides what the developers had: copies with and without an ID, of 503, 429 and 421, before, between and behind interim answers (18 ways), and while the router asks which process runs behind a kept connection: there an unnamed copy was read as the report, and the report as the answer, so that the caller got 502 for a request that ran; such a connection is given up before the request is sent now. net/rpc between our own processes numbers its answers.

A connection on which a call got 408, 421, 429 or 503 carries no further one. A success that is written twice there would still be taken for the next reply.

--- a/forward/identity.go
+++ b/forward/identity.go
@@ -79,7 +79,7 @@
 	}
 	head := platform.DecodeResponse(response)
 	exchange.recordAnnouncement(upstream, response.StatusCode, head)
-	if head.Attempt != "" {
+	if head.Attempt != "" || head.NotRun {
 		return 0, false, errStrayAnswer
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -41,6 +41,10 @@
 	// DialTimeout limits the time to open a connection; zero means
 	// DefaultDialTimeout.
 	DialTimeout time.Duration
+	// CloseAfterRefusal gives up a connection that brought a response which says that its
+	// request has not run: a faulty server may send that once more, and it would be taken
+	// for the response to the next request.
+	CloseAfterRefusal bool
 
 	once      sync.Once
 	transport *http.Transport
@@ -163,9 +167,33 @@
 	if err != nil {
 		return nil, &SendError{Sent: attempt.sent(), Err: err}
 	}
+	if attempt.client.CloseAfterRefusal && refuses(response.StatusCode) && attempt.conn != nil {
+		attempt.conn.blockWrites()
+		response.Body = &lastBody{ReadCloser: response.Body, conn: attempt.conn}
+	}
 	return response, nil
 }
 
+// refuses reports whether a status says that the request has not run.
+func refuses(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// lastBody is the body of the last response of a connection.
+type lastBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Close closes the body and the connection.
+func (lastBody *lastBody) Close() error {
+	return errors.CombineErrors(lastBody.ReadCloser.Close(), lastBody.conn.Close())
+}
+
 func (attempt *attempt) gotConn(info httptrace.GotConnInfo) {
 	if attempt.conn != nil && attempt.conn.writeCount() > attempt.writesBefore {
 		attempt.wroteEarlier = true
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -59,7 +59,7 @@
 	remote := &remote{
 		address:       address,
 		maxReplyBytes: options.MaxReplyBytes,
-		work:          &oncehttp.Client{MaxIdle: options.MaxIdle},
+		work:          &oncehttp.Client{MaxIdle: options.MaxIdle, CloseAfterRefusal: true},
 		control:       &oncehttp.Client{Dial: options.Control.DialContext},
 	}
 	return &Client{
