--- a/explain/explain.go
+++ b/explain/explain.go
@@ -180,8 +180,8 @@
 		return fmt.Sprintf("strike of %s %s withdrawn: upstream %s ran on, %d left", kindOf(line), line.Fingerprint, line.Upstream, line.Strikes)
 	case strikeCleared:
 		return fmt.Sprintf("strike of %s %s at upstream %s cleared: the request succeeded", kindOf(line), line.Fingerprint, line.Upstream)
-	case retrialStarted:
-		return "refused so far, runs once more, alone"
+	case trialStarted:
+		return fmt.Sprintf("runs alone at upstream %s, as upstreams crashed while they ran it", line.Upstream)
 	case limitNamed:
 		return fmt.Sprintf("upstream %s named a limit of %.2f requests a second", line.Upstream, line.PerSecond)
 	case restAsked:
@@ -225,29 +225,30 @@
 
 // causes explains the result code of a finished request.
 var causes = map[string]string{
-	"OK":                  "none, the request was served",
-	"NotReady":            "the router had no configuration yet",
-	"UnknownRoute":        "no route of the configuration in force matches the host and path",
-	"UnknownKey":          "no workspace of the configuration in force holds the API key",
-	"AmbiguousFraming":    "the framing of the caller's request is ambiguous",
-	"InvalidHeader":       "a header of the caller's request is invalid",
-	"HeadTooLarge":        "the caller's headers are longer than the configuration allows",
-	"BodyTooLarge":        "the caller's body is longer than the configuration allows",
-	"MalformedBody":       "the caller's body did not arrive completely",
-	"CrashingRequest":     "three upstreams or more broke off while they ran this request, so it is refused and did not run",
-	"UpstreamsAtLimit":    "every upstream of the service is at the limit that it names",
-	"UpstreamsResting":    "every upstream of the service had asked this router for rest",
-	"OriginUnknown":       "the router could not tell which software version began the stream, and did not guess; it did not run",
-	"VersionGone":         "no upstream of the software version that began the stream takes requests; it did not run",
-	"NoUpstream":          "no upstream of the service is listed or left to try",
-	"QueueFull":           "the upstreams refused the request before they ran it",
-	"UpstreamUnreachable": "no connection to an upstream could be opened",
-	"DeadlineUnmeetable":  "too little time was left to send the request",
-	"OutcomeUnknown":      "the connection to the upstream ended without a whole answer",
-	"AnswerCut":           "the upstream's stream ended early and could not be resumed",
-	"UpstreamFailed":      "the upstream answered that it failed",
-	"CallerLeft":          "the caller disconnected before the answer was complete",
-	"DeadlineExpired":     "the upstream had not completed its answer by the deadline",
+	"OK":                   "none, the request was served",
+	"NotReady":             "the router had no configuration yet",
+	"UnknownRoute":         "no route of the configuration in force matches the host and path",
+	"UnknownKey":           "no workspace of the configuration in force holds the API key",
+	"AmbiguousFraming":     "the framing of the caller's request is ambiguous",
+	"InvalidHeader":        "a header of the caller's request is invalid",
+	"HeadTooLarge":         "the caller's headers are longer than the configuration allows",
+	"BodyTooLarge":         "the caller's body is longer than the configuration allows",
+	"MalformedBody":        "the caller's body did not arrive completely",
+	"CrashingRequest":      "three upstreams or more broke off while they ran this request, so it is refused and did not run",
+	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
+	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
+	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
+	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
+	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
+	"NoUpstream":           "no upstream of the service is listed or left to try",
+	"QueueFull":            "the upstreams refused the request before they ran it",
+	"UpstreamUnreachable":  "no connection to an upstream could be opened",
+	"DeadlineUnmeetable":   "too little time was left to send the request",
+	"OutcomeUnknown":       "the connection to the upstream ended without a whole answer",
+	"AnswerCut":            "the upstream's stream ended early and could not be resumed",
+	"UpstreamFailed":       "the upstream answered that it failed",
+	"CallerLeft":           "the caller disconnected before the answer was complete",
+	"DeadlineExpired":      "the upstream had not completed its answer by the deadline",
 }
 
 // Cause returns the likely cause of how the request of line, which is a
--- a/explain/line.go
+++ b/explain/line.go
@@ -92,7 +92,7 @@
 	strikeCounted    = "strike: Strike counted, the upstream broke off while it ran the request."
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
 	strikeCleared    = "strike: Strike cleared, the request succeeded."
-	retrialStarted   = "forward: Refused request runs once more, alone."
+	trialStarted     = "forward: Request runs alone."
 	limitNamed       = "forward: Upstream named a limit."
 	limitLifted      = "forward: Upstream names no limit any more."
 	restAsked        = "forward: Upstream asks for rest."
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,10 +33,12 @@
 	fingerprinted    bool
 	// knownPartKeys is what partKeys returned.
 	knownPartKeys []ident.Fingerprint
-	// aloneNotBefore is the time before which the request doesn't run alone, and trial its
-	// run alone. postponed is set if it may run alone only and had to be refused for now,
-	// and postponedUntil when more upstreams may serve, or zero if that is not known.
+	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
+	// until when it waits for that, and trial its run alone. postponed is set if it may run
+	// alone only and is refused for now, and postponedUntil when more upstreams may serve,
+	// or zero if that is not known.
 	aloneNotBefore time.Time
+	turnDeadline   time.Time
 	trial          strike.Trial
 	postponed      bool
 	postponedUntil time.Time
@@ -166,7 +168,7 @@
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
 			return true
 		}
-		exchange.endTrial(result.UpstreamsAtLimit)
+		exchange.cancelTrial()
 	}
 	return false
 }
