strike, forward: runs alone of two requests are at different upstreams

A run alone is not proposed at an upstream with another one, and of two that are proposed there at once the same one takes place at all routers. TestTrialsOfTwoRequestsAreAtDifferentUpstreams fails without it.

--- a/forward/alone.go
+++ b/forward/alone.go
@@ -108,7 +108,7 @@
 		}
 		untried = append(untried, upstream.ID)
 		away := !exchange.handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero()
-		if !away && !exchange.handler.Health.Ejected(now, upstream.ID) {
+		if !away && !exchange.handler.Health.Ejected(now, upstream.ID) && !exchange.handler.Strikes.OnTrial(now, upstream.ID) {
 			trusted = append(trusted, upstream.ID)
 		}
 	}
@@ -138,7 +138,8 @@
 		exchange.cancelTrial()
 		return false
 	}
-	if !strikes.MayBegin(trial) {
+	if !strikes.MayBegin(time.Now(), trial) {
+		exchange.cancelTrial()
 		return false
 	}
 	exchange.handler.Metrics.CountEvent("strike.trial")
