--- a/strike/doc.go
+++ b/strike/doc.go
@@ -6,13 +6,12 @@
 // request with three is refused, and a success clears its strikes.
 //
 // Tracker does that for a sidecar, which sees its upstream crash, by the request
-// alone. Guard does it for an entry router, which sees connections that break. It
-// counts by two kinds of keys, the request as a whole and each part of its prompt,
-// and refuses the key that explains the crashes: a crash is blamed on a key only if no
-// other key that was running there was at as many crashes, and less so if a younger
-// request was running. More crashes are needed after a success of the key and among
-// unexplained ones. A refused key may run once more at some time, which clears it if it
-// is sound. Guard also withdraws the strikes of upstreams
-// that run on, and holds what has to be told to other routers and written to the
-// store. Both keep a bounded number of strikes for a bounded time.
+// alone. Guard does it for an entry router, which sees connections that break, and by
+// two kinds of keys: the request as a whole, and each part of its prompt, which takes
+// four and five strikes. A crash is blamed on the key with the most strikes that was
+// running there. A refusal ends a while after the last crash, longer for each strike
+// more; the request runs alone then, which clears it if it is sound. Routers propose
+// runs alone to each other, so that one takes place at a time. Guard also withdraws the
+// strikes of upstreams that run on, and holds what has to be sent to other routers and
+// written to the store. Both keep a bounded number of strikes for a bounded time.
 package strike
