--- a/affinity/plan.go
+++ b/affinity/plan.go
@@ -42,7 +42,7 @@
 	return plan
 }
 
-// Next returns the next upstream to try, and false if none is left. Loads,
+// Next returns the next upstream to try, and false if none remains. Loads,
 // which may be nil, decides after the first try between the next two upstreams
 // by rank and excludes leaving ones.
 func (plan *Plan) Next(now time.Time, loads *Loads) (Target, bool) {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -37,7 +37,7 @@
 	Spillover Reason = "spill"
 	// LeastLoaded means that the upstream has the fewest requests in flight.
 	LeastLoaded Reason = "least-loaded"
-	// LastResort means that no healthy upstream is left: the chosen one is on
+	// LastResort means that no healthy upstream remains: the chosen one is on
 	// probation or ejected.
 	LastResort Reason = "distrusted"
 	// Designated means that upstreams crashed while they ran the request, which
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -227,7 +227,7 @@
 }
 
 // TestProbationAllowsOnlyRetryableRequests checks that an upstream on probation
-// gets retryable requests, and others only if no healthy upstream is left.
+// gets retryable requests, and others only if no healthy upstream remains.
 func TestProbationAllowsOnlyRetryableRequests(t *testing.T) {
 	tests := []struct {
 		name        string
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -22,7 +22,7 @@
 	// releasing: the request did not reach the upstream and never will; the
 	// claim is being released.
 	releasing
-	// settled: no work is left.
+	// settled: no work remains.
 	settled
 )
 
--- a/claimtable/attempt.go
+++ b/claimtable/attempt.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// run carries out the machine's actions until no work is left or the claimer is
+// run carries out the machine's actions until no work remains or the claimer is
 // stopped.
 func (attempt *attempt) run() {
 	defer attempt.claimer.markSettled(attempt)
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -66,7 +66,7 @@
 	runners []*standin.Runner
 	started int
 	// upstreams is how many upstreams the fleet began with, and replaced how many have
-	// come back under a new ID.
+	// return under a new ID.
 	upstreams int
 	replaced  int
 	lives     []lifetime
@@ -249,7 +249,7 @@
 	}
 }
 
-// nextID returns the ID under which an upstream that has crashed comes back.
+// nextID returns the ID under which an upstream that has crashed returns.
 func (fleet *crashFleet) nextID(id ident.UpstreamID) ident.UpstreamID {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestStoreFromAnOlderCopy guards against routers that believe versions of a store which
-// has come back from an older copy: they would ignore new upstreams, send work to
+// was restored from an older copy: they would ignore new upstreams, send work to
 // upstreams that are gone or leaving, and lose what they had written.
 func TestStoreFromAnOlderCopy(t *testing.T) {
 	// rewriteTime is within which all is to be written again, and learnt.
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -14,7 +14,7 @@
 
 const (
 	// namedLimit is the limit in requests a second, limitedTime how long it is named,
-	// and liftedTime how long requests go on without it.
+	// and liftedTime how long requests continue without it.
 	namedLimit  = 2
 	limitedTime = 9 * time.Second
 	liftedTime  = 4 * time.Second
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -29,7 +29,7 @@
 }
 
 // run retries until the router is registered, and then adds the other
-// registered routers to the gossip. Whenever the store has come back from an older copy,
+// registered routers to the gossip. Whenever the store was restored from an older copy,
 // in which rows of routers may be missing, it registers all that are known to run.
 func (membership *membership) run(ctx context.Context) {
 	if !membership.register(ctx, membership.gossip.Address) {
--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// restore writes the rows again that the store lost when it came back from an older
+// restore writes the rows again that the store lost when it was restored from an older
 // copy, and reads those of other routers. Routers do so at different times.
 func (strikeStore *strikeStore) restore(ctx context.Context) {
 	strikeStore.metrics.CountEvent("strike.store.restored")
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -429,7 +429,7 @@
 	return known
 }
 
-// restore writes the splits again that the store lost when it came back from an older
+// restore writes the splits again that the store lost when it was restored from an older
 // copy, unless another router has. Some router may have written another split under the
 // same revision meanwhile, so they get higher ones, and no cell is settled.
 func (versions *versions) restore(ctx context.Context, now time.Time) {
--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -18,7 +18,7 @@
 	// streamPath is a path of the route whose streams may be taken up.
 	streamPath = "/resume/stream/x"
 	// certainTime is how long after the start of a fleet any router knows the origin of
-	// a stream without having been told: the longest time that a stream may last, and
+	// a stream without having been notified: the longest time that a stream may last, and
 	// what it takes until all routers have the split.
 	certainTime = 15 * time.Second
 )
@@ -85,7 +85,7 @@
 }
 
 // takeUp takes each stream up at the router after the one that began it, and returns how
-// many went on. It fails the test if one went on at another version.
+// many continued. It fails the test if one continued at another version.
 func (fleet *versionFleet) takeUp(name string) int {
 	fleet.t.Helper()
 	wentOn := 0
@@ -118,7 +118,7 @@
 		waits time.Duration
 		// between happens between the begin of the streams and their take-up.
 		between func(fleet *versionFleet)
-		// want is how many streams have to go on, at least.
+		// want is how many streams have to continue, at least.
 		want int
 	}{
 		{"at another router", 0, func(fleet *versionFleet) { fleet.leave(0, 2) }, takeUpStreams},
@@ -160,7 +160,7 @@
 }
 
 // TestSplitSurvivesAnOlderCopyOfTheStore guards against routers that disagree on the split
-// after the store came back from a copy made before it changed.
+// after the store was restored from a copy made before it changed.
 func TestSplitSurvivesAnOlderCopyOfTheStore(t *testing.T) {
 	t.Parallel()
 	fleet := newVersionFleet(t, "v1", "v1", "v2", "v2")
--- a/explain/line.go
+++ b/explain/line.go
@@ -67,7 +67,7 @@
 	TakesUp       string
 	Cell          int
 	Versions      map[string]int
-	// Software and BeganSoftware are the versions of the upstream that goes on with a
+	// Software and BeganSoftware are the versions of the upstream that continues a
 	// stream and of Began, which began it.
 	Software      string
 	Began         string
--- a/forward/alone.go
+++ b/forward/alone.go
@@ -53,7 +53,7 @@
 }
 
 // awaitTurn returns how the request may run. If that is alone only, it waits until every
-// router has heard of the last crash and no other run alone is under way. It returns false
+// router has received the last crash and no other run alone is under way. It returns false
 // if that takes longer than maxTurnWait, or than the request may wait.
 func (exchange *exchange) awaitTurn() (strike.Standing, bool) {
 	for {
--- a/forward/announce_test.go
+++ b/forward/announce_test.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// TestAllUpstreamsRestingIsRefusedAtOnce guards against callers that wait, or are told to
-// come back too early, while no upstream takes requests.
+// TestAllUpstreamsRestingIsRefusedAtOnce guards against callers that wait, or are asked to
+// return too early, while no upstream takes requests.
 func TestAllUpstreamsRestingIsRefusedAtOnce(t *testing.T) {
 	upstreams := []*fakeUpstream{startUpstream(t, announce{status: 503, header: "Retry-After: 3\r\n"}.answer), startUpstream(t, announce{status: 503, header: "Retry-After: 9\r\n"}.answer)}
 	router := startRouter(t, upstreams...)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -260,7 +260,7 @@
 
 // awaitFirstByte waits for the first byte of a response until the deadline. An
 // upstream that takes longer than the no-response timeout gets a failure
-// recorded at once; the wait goes on unless the request switches to another
+// recorded at once; the wait continues unless the request switches to another
 // upstream.
 func (exchange *exchange) awaitFirstByte(answer *answer) result.Code {
 	noResponseTimeout := max(noResponseTargetFactor*exchange.route.Target.Duration(), minNoResponseTimeout)
--- a/forward/events.go
+++ b/forward/events.go
@@ -38,12 +38,12 @@
 	numeric bool
 	step    int64
 	steps   int
-	// resumed is set from the beginning of an answer that has to go on behind lastID until
+	// resumed is set from the beginning of an answer that has to continue behind lastID until
 	// its first event.
 	resumed bool
 }
 
-// resume says that the next event comes from another answer, and goes on behind lastID. If
+// resume says that the next event comes from another answer, and continues behind lastID. If
 // only that is known of the events before, the next one may be any distance from it.
 func (sequence *eventSequence) resume(lastID string) {
 	if sequence.lastID != lastID {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -60,7 +60,7 @@
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
 	// RegisteredRouters returns the number of routers that share the retry slack,
-	// this one included: also those that are not heard of, since they may serve
+	// this one included: also those that are silent, since they may serve
 	// callers behind a partition. With nil it is that of Routers.
 	RegisteredRouters func() int
 	Metrics           *metrics.Set
@@ -98,7 +98,7 @@
 // first request.
 func (handler *Handler) Tune(tuning Tuning) { handler.tuning.Store(&tuning) }
 
-// choose returns an upstream of pool for request, or false if none is left.
+// choose returns an upstream of pool for request, or false if none remains.
 func (handler *Handler) choose(pool *registry.Pool, request balance.Request) (balance.Choice, bool) {
 	return handler.tuning.Load().Chooser.Choose(time.Now(), pool, request)
 }
@@ -121,7 +121,7 @@
 }
 
 // reportPanic logs and counts a panic that does not break the caller's connection on
-// purpose, and goes on with it: net/http closes the connection without an answer.
+// purpose, and raises it again: net/http closes the connection without an answer.
 func (handler *Handler) reportPanic(exchange *exchange) {
 	cause := recover()
 	if cause == nil {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -33,7 +33,7 @@
 const (
 	// fromSplit means that all routers began the stream's cell at that version.
 	fromSplit originSource = "split"
-	// fromRouter means that this router began the stream or was told of it.
+	// fromRouter means that this router began the stream or was notified of it.
 	fromRouter originSource = "router"
 	// fromAnswer means that the stream began within the same answer.
 	fromAnswer originSource = "answer"
@@ -67,7 +67,7 @@
 	return exchange.head.Attempt
 }
 
-// resumable reports whether the answer is a stream that may go on at another upstream.
+// resumable reports whether the answer is a stream that may continue at another upstream.
 func (exchange *exchange) resumable() bool {
 	return exchange.route.Kind == routing.Stream && exchange.route.Resumable
 }
@@ -175,7 +175,7 @@
 }
 
 // recordOrigin records, before the first event of a stream is written to the caller, the
-// version that it comes from. Other routers are told if their split doesn't say so.
+// version that it comes from. Other routers are notified if their split doesn't say so.
 func (exchange *exchange) recordOrigin(first *answer) {
 	exchange.began = first
 	if !exchange.resumable() {
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -48,7 +48,7 @@
 }
 
 // TestTakeUp takes streams up at a router with one upstream of v1, i-0, and one of v2,
-// i-1. A take-up must go on at the version that began its stream, or be refused with 503
+// i-1. A take-up must continue at the version that began its stream, or be refused with 503
 // and not run.
 func TestTakeUp(t *testing.T) {
 	origin := func(attempt ident.AttemptID, version ident.SoftwareVersion, workspace ident.WorkspaceID) split.Origin {
@@ -119,7 +119,7 @@
 }
 
 // TestSecondTakeUpIsBoundByTheFirstAttempt guards against a stream that is taken up twice
-// and goes on the second time where the router would begin it now.
+// and continues the second time where the router would begin it now.
 func TestSecondTakeUpIsBoundByTheFirstAttempt(t *testing.T) {
 	old, current := startUpstream(t, wholeStream), startUpstream(t, wholeStream)
 	router := startRouter(t, old, current)
@@ -173,7 +173,7 @@
 	return wholeStream(ctx, conn, n, request)
 }
 
-// TestStreamAtARestartedUpstream guards against a stream that goes on, or begins, at a
+// TestStreamAtARestartedUpstream guards against a stream that continues, or begins, at a
 // process of another version than the upstream's row still names: the process has
 // restarted under its ID.
 func TestStreamAtARestartedUpstream(t *testing.T) {
@@ -252,7 +252,7 @@
 	}
 }
 
-// TestTakeUpStaysAtTheServiceThatBeganTheStream guards against a stream that goes on at
+// TestTakeUpStaysAtTheServiceThatBeganTheStream guards against a stream that continues at
 // another service of a route that splits its traffic.
 func TestTakeUpStaysAtTheServiceThatBeganTheStream(t *testing.T) {
 	upstreams := map[ident.ServiceName]*fakeUpstream{"pool": startUpstream(t, wholeStream), "other": startUpstream(t, wholeStream)}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -67,7 +67,7 @@
 	case code == result.CrashingRequestAlone:
 		retryAfter = spreadAfter(exchange.postponement())
 	case code == result.VersionGone:
-		// The version is not known to come back.
+		// The version is not known to return.
 	case code == result.OriginUnknown:
 		retryAfter = max(time.Until(exchange.certainAt), 0)
 	case code == result.UpstreamsResting:
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -143,7 +143,7 @@
 	exchange.unanswered = true
 }
 
-// logResumed logs that another upstream goes on with a stream behind its last event.
+// logResumed logs that another upstream continues a stream behind its last event.
 func (exchange *exchange) logResumed(answer *answer, lastEvent string) {
 	exchange.handler.Metrics.CountEvent("stream.resumed")
 	exchange.handler.Logger.Info("Stream resumed at another upstream.",
--- a/gossip/compat_test.go
+++ b/gossip/compat_test.go
@@ -10,7 +10,7 @@
 )
 
 // messageBefore is the datagram of a Message as routers sent it before strikes
-// were told.
+// were notified.
 const messageBefore = "dc0010a179cf0000000000000008a0d30000000000000000c0c2c0d30000000000000000d30000000000000000cf0000000000000000cf0000000000000000c0a0c0c3c2"
 
 // TestMessagesOfEarlierRouters guards against a rolling upgrade in which routers of
--- a/gossip/limit_test.go
+++ b/gossip/limit_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestLimitMessage checks that a limit is received as it was sent, and that its
-// datagram is told from others.
+// datagram is distinguished from others.
 func TestLimitMessage(t *testing.T) {
 	now := time.Now()
 	want := quota.Limit{Upstream: "i-1", Incarnation: 17, PerSecond: 2.7, SeenAt: now.Add(-300 * time.Millisecond)}
--- a/ident/era.go
+++ b/ident/era.go
@@ -1,6 +1,6 @@
 package ident
 
-// Era counts how often the platform's store came back from an older copy of itself. What
+// Era counts how often the platform's store was restored from an older copy of itself. What
 // was written after that copy is gone, and versions are given out again.
 type Era uint64
 
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -8,7 +8,7 @@
 // seen, and no order at all before it knows the current number. Clocks need not
 // show the same time: a daemon that wants the lease waits for the lifetime in
 // the row, on its own clock, from when it first saw the row's revision. All that
-// holds also if the store comes back from an older copy: a daemon that sees a new era
+// holds also if the store is restored from an older copy: a daemon that sees a new era
 // waits for a whole lifetime before it acquires the lease, a holder writes its record
 // again, and fencing numbers are then above all revisions of the row.
 package lease
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -61,7 +61,7 @@
 	Name Name
 	VM   ident.VMID
 	// Lifetime is how long the lease remains valid without a renewal. All daemons have
-	// the same one if the store may come back from an older copy.
+	// the same one if the store may be restored from an older copy.
 	Lifetime time.Duration
 	// NewWrite returns a value for Record.Write that was never used before.
 	NewWrite func() string
@@ -210,7 +210,7 @@
 	holder.lastEra = era
 }
 
-// observeRestored processes the row of a store that has come back from an older copy.
+// observeRestored processes the row of a store that was restored from an older copy.
 // Another daemon may hold a lease of which that knows nothing; if this one does, it
 // writes its record again.
 func (holder *Holder) observeRestored(now time.Time, record Record) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -44,7 +44,7 @@
 	now      time.Time
 	row      *platform.Row
 	revision ident.Revision
-	// era counts how often the store came back from copy, an older state of it.
+	// era counts how often the store was restored from copy, an older state of it.
 	era     ident.Era
 	copy    savedRow
 	daemons []*daemon
@@ -80,7 +80,7 @@
 }
 
 // newSimulation returns three daemons, whose leases have the same lifetime if the store
-// may come back from an older copy.
+// may be restored from an older copy.
 func newSimulation(t *rapid.T, sameLifetime bool) *simulation {
 	simulation := &simulation{now: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}
 	writes := 0
@@ -299,7 +299,7 @@
 }
 
 // TestLeaseAcrossOlderCopies guards against two holders at one time, and fencing numbers
-// that are given out again, when the store comes back from an older copy.
+// that are given out again, when the store is restored from an older copy.
 func TestLeaseAcrossOlderCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newSimulation(t, true)
--- a/peer/era_test.go
+++ b/peer/era_test.go
@@ -11,7 +11,7 @@
 	"github.com/hickoryhead/hickoryhead/settings"
 )
 
-// TestSettingsThatTheStoreLostAreWrittenAgain guards against a store that has come back
+// TestSettingsThatTheStoreLostAreWrittenAgain guards against a store that was restored
 // from an older copy and keeps the older settings of a team.
 func TestSettingsThatTheStoreLostAreWrittenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -9,5 +9,5 @@
 // an upstream.
 //
 // An upstream that asks a router for rest gets nothing from that router until the rest is
-// over. Others have not been asked: they go on.
+// over. Others have not been asked: they continue.
 package quota
--- a/quota/report.go
+++ b/quota/report.go
@@ -10,7 +10,7 @@
 	sendsPerChange = 2
 	// maxPerMessage limits the limits in one message.
 	maxPerMessage = 500
-	// liftedLifetime is how long routers that missed it are told that a limit is gone.
+	// liftedLifetime is how long routers that missed it are notified that a limit is gone.
 	liftedLifetime = time.Minute
 )
 
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -313,7 +313,7 @@
 	return next
 }
 
-// Retain forgets the limits of incarnations that are not listed and were not heard of
+// Retain forgets the limits of incarnations that are not listed and were not reported
 // for a while: a row may be missing for a moment.
 func (tracker *Tracker) Retain(now time.Time, listed []registry.Upstream) {
 	tracker.mu.Lock()
--- a/quota/tracker_test.go
+++ b/quota/tracker_test.go
@@ -51,7 +51,7 @@
 	return fleet
 }
 
-// observe has all routers hear of a limit that the first one sees.
+// observe has all routers receive a limit that the first one sees.
 func (fleet *fleet) observe(now time.Time, limit *float64) {
 	fleet.trackers[0].Observe(now, upstream.ID, upstream.Incarnation, limit, now)
 	for _, tracker := range fleet.trackers[1:] {
--- a/registry/era.go
+++ b/registry/era.go
@@ -28,7 +28,7 @@
 	registry.era = era
 }
 
-// restored reports whether the store came back from an older copy less than the given
+// restored reports whether the store was restored from an older copy less than the given
 // time ago. The caller holds mu.
 func (registry *Registry) restored(now time.Time, within time.Duration) bool {
 	return !registry.restoredAt.IsZero() && now.Before(registry.restoredAt.Add(within))
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -16,7 +16,7 @@
 	return listed
 }
 
-// TestOlderCopyOfTheStore has the store come back from a copy that was made before
+// TestOlderCopyOfTheStore has the store restored from a copy that was made before
 // upstream b began to leave, c was removed and d started. Upstream a is in all copies.
 func TestOlderCopyOfTheStore(t *testing.T) {
 	leaving := versioned("b", 0, 60)
--- a/settingstable/archive.go
+++ b/settingstable/archive.go
@@ -104,7 +104,7 @@
 	for len(deletes) > 0 {
 		count := min(maxDeletesPerCommit, len(deletes))
 		// If the answer is lost, it does not matter whether the rows were
-		// deleted: the next run deletes those that are left.
+		// deleted: the next run deletes those that remain.
 		if _, err := store.Client.Commit(ctx, platform.Transaction{Writes: deletes[:count]}); err != nil {
 			return storeError(err)
 		}
--- a/settingstable/era_test.go
+++ b/settingstable/era_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestChangeAfterAnOlderCopyComesIntoForce guards against a change that daemons ignore
-// because the store has come back from an older copy, in which its revision is lower.
+// because the store was restored from an older copy, in which its revision is lower.
 func TestChangeAfterAnOlderCopyComesIntoForce(t *testing.T) {
 	fake := new(standin.Platform)
 	server := httptest.NewServer(fake)
--- a/settingstable/settings.go
+++ b/settingstable/settings.go
@@ -227,7 +227,7 @@
 }
 
 // WriteAgain writes settings that are in force if the table holds older ones of the
-// team, as it does once the platform's store has come back from an older copy. The
+// team, as it does once the platform's store was restored from an older copy. The
 // history entries and change IDs that the store has lost with them stay lost. Any number
 // of daemons may do so for the same settings.
 func (store *Store) WriteAgain(ctx context.Context, subtree *settings.Subtree) error {
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -150,7 +150,7 @@
 // connection is kept for reuse.
 func (frames *Frames) Close() error {
 	if frames.ended {
-		// Only the end of the response body is left. The connection can be
+		// Only the end of the response body remains. The connection can be
 		// reused once that has been read.
 		frames.readTimer.Reset(bodyEndTimeout)
 		_, _ = io.Copy(io.Discard, frames.buffer)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -34,7 +34,7 @@
 	// Token is the bearer token that clients have to send; empty disables the
 	// check.
 	Token string
-	// OnDrained is called by Finish when no admitted request is left. It may be
+	// OnDrained is called by Finish when no admitted request remains. It may be
 	// nil.
 	OnDrained func(ctx context.Context)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -144,7 +144,7 @@
 	sidecar.mu.Unlock()
 }
 
-// Drained waits until no admitted request is left or ctx ends, and returns the
+// Drained waits until no admitted request remains or ctx ends, and returns the
 // error of ctx in the latter case.
 func (sidecar *Sidecar) Drained(ctx context.Context) error {
 	ticker := time.NewTicker(10 * time.Millisecond)
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -86,7 +86,7 @@
 }
 
 // checkRegistered checks that the store has the rows of all routers again that run, if
-// it came back from an older copy.
+// it was restored from an older copy.
 func (soak *Soak) checkRegistered() {
 	soak.mu.Lock()
 	restoredAt := soak.restoredAt
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,7 +79,7 @@
 	configValue   []byte
 	acceptedAt    time.Time
 	// copies are the latest copies of the store, the oldest first, and restoredAt is
-	// when it last came back from one.
+	// when it was last restored from one.
 	copies     []standin.PlatformCopy
 	restoredAt time.Time
 	// disturbances holds the spans in which faults were active. The span of an
@@ -87,7 +87,7 @@
 	disturbances []span
 	// restarts are the upstreams that a request ended.
 	restarts sync.WaitGroup
-	// takeUps counts the take-ups that had to go on, and senders holds the router of
+	// takeUps counts the take-ups that had to continue, and senders holds the router of
 	// each attempt.
 	takeUps takeUps
 	senders map[ident.AttemptID]sender
--- a/soak/takeup.go
+++ b/soak/takeup.go
@@ -20,13 +20,13 @@
 	maxTakeUps = 3
 	// takeUpPause is the pause before a caller takes a stream up.
 	takeUpPause = 150 * time.Millisecond
-	// minTakeUps is the number of take-ups from which on the share of those that go on
+	// minTakeUps is the number of take-ups from which on the share of those that continue
 	// is checked, and minTakeUpShare that share (LOST).
 	minTakeUps     = 12
 	minTakeUpShare = 0.5
 )
 
-// takeUps counts the take-ups that had to go on.
+// takeUps counts the take-ups that had to continue.
 type takeUps struct {
 	sent   int
 	wentOn int
@@ -110,7 +110,7 @@
 	return call.reply.Err != nil && whole && len(events) > 0
 }
 
-// countTakeUp counts a take-up, also among those that had to go on: no fault was active
+// countTakeUp counts a take-up, also among those that had to continue: no fault was active
 // around it, and two upstreams of its version served.
 func (soak *Soak) countTakeUp(call *call, software ident.SoftwareVersion) {
 	served := call.reply.Status == http.StatusOK
@@ -139,7 +139,7 @@
 	return count
 }
 
-// checkTakeUps checks that enough of the take-ups went on that had to.
+// checkTakeUps checks that enough of the take-ups continued that had to.
 func (soak *Soak) checkTakeUps() {
 	soak.mu.Lock()
 	takeUps := soak.takeUps
--- a/split/origins.go
+++ b/split/origins.go
@@ -22,7 +22,7 @@
 	BeganAt   time.Time
 }
 
-// Origins holds the origins of recent streams that this router began or was told of.
+// Origins holds the origins of recent streams that this router began or was notified of.
 // The zero value is empty. A nil *Origins stays so. It is safe for concurrent use.
 type Origins struct {
 	mu       sync.Mutex
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -46,7 +46,7 @@
 }
 
 // Restore replaces the rows and objects by those of an earlier copy and begins a new
-// era. Versions go on from that of the copy. The operator and the runners have to write
+// era. Versions continue from that of the copy. The operator and the runners have to write
 // their rows again.
 func (platform *Platform) Restore(earlier PlatformCopy) {
 	platform.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -135,7 +135,7 @@
 }
 
 // Leave marks the row as leaving, so that routers send the runner no new requests,
-// and writes it. The runner goes on answering requests.
+// and writes it. The runner continues answering requests.
 func (runner *Runner) Leave() {
 	runner.mu.Lock()
 	runner.leaving = true
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -376,7 +376,7 @@
 	return guard.requestSuccesses.since(strike.At, strike.Fingerprint)
 }
 
-// clearOwn clears a key that succeeded here, and has other routers told if it had
+// clearOwn clears a key that succeeded here, and has other routers notified if it had
 // strikes. The caller holds mu.
 func (guard *Guard) clearOwn(now time.Time, key ident.Fingerprint) {
 	if !guard.tracker.HasStrikes(now, key) {
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -188,7 +188,7 @@
 	}
 }
 
-// TestRequestIsFoundAmongOtherCrashes guards against a request that goes on crashing
+// TestRequestIsFoundAmongOtherCrashes guards against a request that continues crashing
 // upstreams because many others crash meanwhile that nothing accounts for.
 func TestRequestIsFoundAmongOtherCrashes(t *testing.T) {
 	var guard strike.Guard
@@ -208,7 +208,7 @@
 }
 
 // TestCrashOfARestartedUpstreamCountsBeforeItsRowIsKnown guards against a request that
-// goes on crashing upstreams which restart at once.
+// continues crashing upstreams which restart at once.
 func TestCrashOfARestartedUpstreamCountsBeforeItsRowIsKnown(t *testing.T) {
 	var guard strike.Guard
 	first := crashOf(1)
--- a/strike/successes.go
+++ b/strike/successes.go
@@ -7,7 +7,7 @@
 )
 
 // successSlots is the number of keys whose last success is remembered, so that a strike
-// from before it that is heard of afterwards doesn't count.
+// from before it that is received afterwards doesn't count.
 const successSlots = 4096
 
 // success is the last success of one request.
