strike: a long backoff does not overflow

A request with ten strikes or more would have run alone at once on x86-64: the backoff, thirty times as long for each strike, overflowed a duration there (on arm64 the conversion saturates, so that the test passes here either way). It ends with the strikes' lifetime, an hour.

--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -22,9 +22,10 @@
 	verdictDelay = 500 * time.Millisecond
 	// firstBackoff is how long after its last crash a refused request may run alone again,
 	// which clears it if it is sound, and backoffFactor how many times as long for each
-	// further strike.
+	// further strike, up to maxBackoff.
 	firstBackoff  = time.Second
 	backoffFactor = 30
+	maxBackoff    = defaultLifetime
 	// minSingleCrashes is at how many of its crashes a request has to have been the only
 	// one for its refusal to be beyond doubt, which skips the first backoff.
 	minSingleCrashes = 2
@@ -68,7 +69,7 @@
 // refusedUntil returns when a refused key may run alone again.
 func (evidence *evidence) refusedUntil() time.Time {
 	backoff := float64(firstBackoff) * math.Pow(backoffFactor, float64(evidence.skipped()))
-	return evidence.lastAt().Add(time.Duration(backoff))
+	return evidence.lastAt().Add(time.Duration(min(backoff, float64(maxBackoff))))
 }
 
 // skipped returns how many backoffs a refused key skips: one for each strike more than
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -147,6 +147,21 @@
 	checkAllowed(t, &guard, fourth.Add(30*time.Second), strike.Alone)
 }
 
+// TestManyCrashesRefuseForLong guards against a backoff so long that it overflows, which let a
+// request with ten strikes run at once on some machines.
+func TestManyCrashesRefuseForLong(t *testing.T) {
+	for _, crashes := range []int{6, 10, 16} {
+		var guard strike.Guard
+		for n := range crashes {
+			guard.Broken(crashOf(n).At, requestOf(crashOf(n)), crashOf(n))
+		}
+		last := crashOf(crashes - 1).At
+		for _, after := range []time.Duration{time.Second, 10 * time.Minute} {
+			checkAllowed(t, &guard, last.Add(after), strike.Refused)
+		}
+	}
+}
+
 // TestRefusalBeyondDoubtSkipsTheFirstBackoff guards against one more crash by a request that
 // nothing else can be blamed for.
 func TestRefusalBeyondDoubtSkipsTheFirstBackoff(t *testing.T) {
