soak: count only calls that a router answered; a process that has crashed crashes no other

Callers choose a router in rotation, as the others do. A run that was about to crash its upstream crashed the next process if that had restarted meanwhile, and a crash beside a restart could leave an upstream marked as up whose port was closed.

--- a/soak/small.go
+++ b/soak/small.go
@@ -42,6 +42,8 @@
 	// that were not served.
 	counted int
 	lost    int
+	// lostCalls describes the lost ones.
+	lostCalls []string
 }
 
 func smallServiceName(size int) ident.ServiceName {
@@ -138,16 +140,23 @@
 	}
 }
 
-// anyRouter returns a random router.
+// anyRouter returns a random router, one in rotation if one of a few is.
 func (soak *Soak) anyRouter(random *rand.Rand) *router {
-	return soak.routers[random.IntN(len(soak.routers))]
+	router := soak.routers[random.IntN(len(soak.routers))]
+	for range soak.routers {
+		if router.inRotation() {
+			break
+		}
+		router = soak.routers[random.IntN(len(soak.routers))]
+	}
+	return router
 }
 
-// count counts a call that could have been served: no other fault was active, and an upstream
-// was up all the while, its own one if it has run.
+// count counts a call that could have been served: its router answered, no other fault was
+// active, and an upstream was up all the while, its own one if it has run.
 func (service *smallService) count(call *call) {
 	soak := service.soak
-	if call.earlier || !soak.inTouch(call.sentAt.Add(-standin.ContactTime), call.endedAt) {
+	if call.reply.Status == 0 || call.earlier || !soak.inTouch(call.sentAt.Add(-standin.ContactTime), call.endedAt) {
 		return
 	}
 	runs := soak.runLog.runsOf(call.attempt)
@@ -171,6 +180,7 @@
 	service.counted++
 	if call.reply.Status != http.StatusOK || call.reply.Err != nil {
 		service.lost++
+		service.lostCalls = append(service.lostCalls, fmt.Sprintf("%s at %s: %d", call.attempt, call.sentAt.Format(time.StampMilli), call.reply.Status))
 	}
 }
 
@@ -179,7 +189,7 @@
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	if service.counted >= minSmallCalls && float64(service.lost) > maxSmallLost*float64(service.counted) {
-		service.soak.violate("small service not served", "%d of %d calls of %s were lost while an upstream was up", service.lost, service.counted, service.name)
+		service.soak.violate("small service not served", "%d of %d calls of %s were lost while an upstream was up: %q", service.lost, service.counted, service.name, service.lostCalls)
 	}
 }
 
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -77,6 +77,9 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 
+	// lifecycle is held while the process crashes or restarts.
+	lifecycle sync.Mutex
+
 	mu        sync.Mutex
 	leavingAt time.Time
 	// software is the version of the upstream, and servesFrom since when it has that
@@ -172,6 +175,8 @@
 // crash stops the runner and its heartbeats and resets all connections, until
 // restart.
 func (upstream *upstream) crash() {
+	upstream.lifecycle.Lock()
+	defer upstream.lifecycle.Unlock()
 	upstream.mu.Lock()
 	upstream.servesFrom = time.Time{}
 	upstream.mu.Unlock()
@@ -214,6 +219,8 @@
 // restartAs starts the runner as a new incarnation with the same ID and a software
 // version.
 func (upstream *upstream) restartAs(software ident.SoftwareVersion) {
+	upstream.lifecycle.Lock()
+	defer upstream.lifecycle.Unlock()
 	upstream.mu.Lock()
 	wasServing := !upstream.servesFrom.IsZero()
 	upstream.leavingAt = time.Time{}
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -57,6 +57,10 @@
 	}
 	if runner.isCrashAttempt(forwarded.Attempt) {
 		time.Sleep(workTime / 2)
+		if runner.isDown() || runner.state().incarnation != state.incarnation {
+			// The process that ran the request has crashed meanwhile.
+			panic(http.ErrAbortHandler)
+		}
 		runner.crashNow()
 	}
 	time.Sleep(workTime)
