strike, forward: a run alone that has ended keeps no other from its upstream

Since a proposed run alone gives way to another one at its upstream, but one that had succeeded was taken for one under way until its time was up, as was one whose connection broke without counting as a crash.

--- a/entry/part_crash_test.go
+++ b/entry/part_crash_test.go
@@ -204,7 +204,9 @@
 				reply := fleet.send(fleet.address(n), fmt.Sprint("again-", n), path, fmt.Sprint("sound body ", n))
 				if reply.Status == http.StatusOK {
 					served++
+					continue
 				}
+				t.Logf("body %d: status %d, %s", n, reply.Status, reply.Body)
 			}
 			if served != bodies {
 				t.Errorf("got %d of %d sound requests served %v after the crashes, want all", served, bodies, pause)
--- a/forward/alone.go
+++ b/forward/alone.go
@@ -147,17 +147,19 @@
 	return true
 }
 
-// cancelTrial records that a request that was to run alone has not run.
+// cancelTrial lets other runs alone of the request begin.
 func (exchange *exchange) cancelTrial() {
 	if exchange.trial.Fingerprint != 0 {
 		exchange.handler.Strikes.EndTrial(time.Now(), exchange.trial)
 	}
 }
 
-// endTrial records that an attempt ended with code, which cancels a trial that has not run.
+// endTrial records that a run alone has ended with code, unless its upstream may still be
+// at work on it. A crash ends it by itself.
 func (exchange *exchange) endTrial(code result.Code) {
-	if code.Outcome() == result.NotRun {
-		exchange.cancelTrial()
+	if code == result.OK || exchange.unanswered || exchange.callerLeft() {
+		return
 	}
+	exchange.cancelTrial()
 	exchange.trial = strike.Trial{}
 }
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -15,6 +15,7 @@
 // finish records the metrics and the log line of the request, and breaks the
 // caller's connection if the answer is truncated.
 func (exchange *exchange) finish() {
+	exchange.endTrial(exchange.code)
 	exchange.handler.Metrics.CountAnswer(exchange.code.Outcome())
 	if exchange.route != nil {
 		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
--- a/strike/trial.go
+++ b/strike/trial.go
@@ -77,7 +77,8 @@
 	return guard.trials[proposed.Fingerprint] == proposed
 }
 
-// EndTrial records that a trial ended without a run, which says nothing about the request.
+// EndTrial records that a trial ended without a crash of its upstream, so that the next one may
+// begin.
 func (guard *Guard) EndTrial(now time.Time, trial Trial) {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
@@ -107,10 +108,11 @@
 }
 
 // openTrial returns the trial that keeps others of its key from running, or the zero value:
-// none does once the key has crashed an upstream since. The caller holds mu.
+// none does once the key has crashed an upstream since, or its strikes are cleared. The caller
+// holds mu.
 func (guard *Guard) openTrial(now time.Time, key ident.Fingerprint) Trial {
 	trial := guard.trials[key]
-	if !trial.open(now) || !guard.tracker.requests[key].latest().Before(trial.At) {
+	if !trial.open(now) || !guard.tracker.HasStrikes(now, key) || !guard.tracker.requests[key].latest().Before(trial.At) {
 		return Trial{}
 	}
 	return trial
@@ -129,7 +131,7 @@
 // onTrial does the work of OnTrial. The caller holds mu.
 func (guard *Guard) onTrial(now time.Time, upstream ident.UpstreamID) bool {
 	for key := range guard.trials {
-		if guard.tracker.HasStrikes(now, key) && guard.openTrial(now, key).Upstream == upstream {
+		if guard.openTrial(now, key).Upstream == upstream {
 			return true
 		}
 	}
--- a/strike/trial_test.go
+++ b/strike/trial_test.go
@@ -127,3 +127,22 @@
 		t.Error("got a second trial proposed at an upstream with one, want none")
 	}
 }
+
+// TestTrialThatSucceededLeavesItsUpstream guards against sound requests that are refused for
+// seconds because others have run alone at their upstream.
+func TestTrialThatSucceededLeavesItsUpstream(t *testing.T) {
+	first, second := twoCrashes()
+	other := strike.Request{Fingerprint: 2}
+	for n := range 2 {
+		second.Broken(crashOf(n).At, other, crashOf(n))
+	}
+	began := crashOf(1).At.Add(time.Second)
+	first.ProposeTrial(began, strike.Request{Fingerprint: 1}, "e9", 1)
+	first.Succeeded(began, strike.Request{Fingerprint: 1}, "e9", 1)
+	second.Apply(began, first.TakeReport(began, false))
+	later := began.Add(time.Second)
+	trial, proposed := second.ProposeTrial(later, other, "e9", 1)
+	if !proposed || !second.MayBegin(later, trial) {
+		t.Errorf("got a trial at an upstream where another one succeeded that is proposed: %t, want one that takes place", proposed)
+	}
+}
