strike, forward: keys, trials and serving upstreams in one place each

- The keys of a request are made once.
The one without the query was a hash of the whole body for each judgement and each answer; three fields of an exchange are one.
- Whether an upstream may run a request alone was written twice, in hasSpare and in designate; the pause between two designated upstreams was strike's settling time under another name.
- openTrial says whether there is a trial, where callers asked it a second time; a proposal and an end are announced by one function.
- Guard.Allowed had no caller but tests, which ask Standing now.
- A sequence of events that is resumed needs no ID of its own.

--- a/forward/alone.go
+++ b/forward/alone.go
@@ -12,10 +12,6 @@
 	"github.com/hickoryhead/hickoryhead/wait"
 )
 
-// designatedPause is the least time between two designated upstreams of a request: other
-// routers say within it whether the request crashed the first.
-const designatedPause = 250 * time.Millisecond
-
 const (
 	// maxTurnWait is how long a request waits until it may run alone, and
 	// turnCheckInterval how often it checks.
@@ -36,12 +32,10 @@
 	var back time.Time
 	for _, upstream := range pool.Upstreams {
 		awayUntil := exchange.handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation)
-		switch {
-		case !awayUntil.IsZero():
-			if back.IsZero() || awayUntil.Before(back) {
-				back = awayUntil
-			}
-		case !exchange.handler.Health.Ejected(now, upstream.ID) && !exchange.handler.Strikes.OnTrial(now, upstream.ID):
+		if !awayUntil.IsZero() && (back.IsZero() || awayUntil.Before(back)) {
+			back = awayUntil
+		}
+		if exchange.handler.mayRunAlone(now, upstream) {
 			serving++
 		}
 	}
@@ -52,6 +46,12 @@
 	return false
 }
 
+// mayRunAlone reports whether an upstream is assumed to serve and no request runs alone there.
+func (handler *Handler) mayRunAlone(now time.Time, upstream registry.Upstream) bool {
+	away := !handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero()
+	return !away && !handler.Health.Ejected(now, upstream.ID) && !handler.Strikes.OnTrial(now, upstream.ID)
+}
+
 // awaitTurn returns how the request may run. If that is alone only, it waits until every
 // router has received the last crash and no other run alone is under way. It returns false
 // if that takes longer than maxTurnWait, or than the request may wait.
@@ -107,8 +107,7 @@
 			continue
 		}
 		untried = append(untried, upstream.ID)
-		away := !exchange.handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero()
-		if !away && !exchange.handler.Health.Ejected(now, upstream.ID) && !exchange.handler.Strikes.OnTrial(now, upstream.ID) {
+		if exchange.handler.mayRunAlone(now, upstream) {
 			trusted = append(trusted, upstream.ID)
 		}
 	}
@@ -121,7 +120,7 @@
 		return balance.Choice{}, false
 	}
 	// If it can't be reached, the request may just have crashed it at another router.
-	exchange.aloneNotBefore = now.Add(designatedPause)
+	exchange.aloneNotBefore = now.Add(strike.SettleTime)
 	return balance.Choice{Upstream: pool.Upstreams[index], Reason: balance.Designated}, true
 }
 
--- a/forward/events.go
+++ b/forward/events.go
@@ -43,14 +43,15 @@
 	resumed bool
 }
 
-// resume says that the next event comes from another answer, and continues behind lastID. If
-// only that is known of the events before, the next one may be any distance from it.
-func (sequence *eventSequence) resume(lastID string) {
-	if sequence.lastID != lastID {
-		*sequence = eventSequence{}
-		sequence.setID(lastID)
-	}
-	sequence.resumed = true
+// resume says that the next event comes from another answer.
+func (sequence *eventSequence) resume() { sequence.resumed = true }
+
+// resumeAfter returns the sequence of a stream of which only the ID of the last event is known.
+// The next one may be any distance from it.
+func resumeAfter(lastID string) eventSequence {
+	sequence := eventSequence{resumed: true}
+	sequence.setID(lastID)
+	return sequence
 }
 
 // add checks one complete event. It returns an error for one that is not the next of the
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -28,11 +28,8 @@
 	head      platform.RequestHead
 	workspace *routing.Workspace
 	body      []byte
-	// knownFingerprint is what fingerprint returned, once fingerprinted is set.
-	knownFingerprint ident.Fingerprint
-	fingerprinted    bool
-	// knownPartKeys is what partKeys returned.
-	knownPartKeys []ident.Fingerprint
+	// knownSuspect is what suspect returned, or nil.
+	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
 	// until when it waits for that, and trial its run alone. postponed is set if it may run
 	// alone only and is refused for now, and postponedUntil when more upstreams may serve,
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -12,13 +12,7 @@
 // fingerprint identifies what the caller asks for: the same caller has the same
 // fingerprint for the same host, decoded path, query and body, whatever the method, the
 // attempt ID and the other headers are. The body must have been read.
-func (exchange *exchange) fingerprint() ident.Fingerprint {
-	if !exchange.fingerprinted {
-		exchange.knownFingerprint = exchange.digest(exchange.request.URL.RawQuery)
-		exchange.fingerprinted = true
-	}
-	return exchange.knownFingerprint
-}
+func (exchange *exchange) fingerprint() ident.Fingerprint { return exchange.suspect().Fingerprint }
 
 // digest returns the fingerprint of the request with another query.
 func (exchange *exchange) digest(query string) ident.Fingerprint {
@@ -34,13 +28,18 @@
 	return ident.Fingerprint(digest.Sum64())
 }
 
-// suspect returns the keys of the request as a possible cause of crashes.
+// suspect returns the keys of the request as a possible cause of crashes. They are made
+// once, as they take a hash of the whole body.
 func (exchange *exchange) suspect() strike.Request {
-	request := strike.Request{Fingerprint: exchange.fingerprint(), Parts: exchange.partKeys()}
-	if exchange.request.URL.RawQuery != "" {
-		request.WithoutQuery = exchange.digest("")
+	if exchange.knownSuspect == nil {
+		query := exchange.request.URL.RawQuery
+		request := strike.Request{Fingerprint: exchange.digest(query), Parts: exchange.partKeys()}
+		if query != "" {
+			request.WithoutQuery = exchange.digest("")
+		}
+		exchange.knownSuspect = &request
 	}
-	return request
+	return *exchange.knownSuspect
 }
 
 // workspaceID returns the workspace of the caller, or an empty ID if the caller
@@ -59,20 +58,18 @@
 // partKeys returns the keys of the parts of the prompt. A part has the same key in
 // the prompts of all callers.
 func (exchange *exchange) partKeys() []ident.Fingerprint {
-	if exchange.knownPartKeys == nil && len(exchange.head.Prompt) > 0 {
-		parts := exchange.head.Prompt[:min(len(exchange.head.Prompt), maxPartKeys)]
-		exchange.knownPartKeys = make([]ident.Fingerprint, len(parts))
-		for i, part := range parts {
-			exchange.knownPartKeys[i] = ident.Fingerprint(xxhash.Sum64String(part.ID))
-		}
+	parts := exchange.head.Prompt[:min(len(exchange.head.Prompt), maxPartKeys)]
+	keys := make([]ident.Fingerprint, len(parts))
+	for i, part := range parts {
+		keys[i] = ident.Fingerprint(xxhash.Sum64String(part.ID))
 	}
-	return exchange.knownPartKeys
+	return keys
 }
 
 // partID returns the ID of the part of the prompt with the given key, or an empty
 // one if none has it.
 func (exchange *exchange) partID(key ident.Fingerprint) string {
-	if index := slices.Index(exchange.partKeys(), key); index >= 0 {
+	if index := slices.Index(exchange.suspect().Parts, key); index >= 0 {
 		return exchange.head.Prompt[index].ID
 	}
 	return ""
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -54,8 +54,8 @@
 	return untyped && !exchange.head.TakesUp()
 }
 
-// rejectAnswer gives up an answer that is not what the request asked for. The request has
-// run there.
+// rejectAnswer discards an answer that is not what the request asked for. The request has run
+// there.
 func (exchange *exchange) rejectAnswer(answer *answer, reason error) result.Code {
 	exchange.setCause(reason)
 	exchange.handler.Metrics.CountEvent("stream.rejected")
@@ -236,7 +236,7 @@
 func (exchange *exchange) relayStream(answer *answer) result.Code {
 	var stream stream
 	if exchange.head.TakesUp() {
-		stream.sequence.resume(exchange.head.LastEvent)
+		stream.sequence = resumeAfter(exchange.head.LastEvent)
 	}
 	first := answer
 	controller := http.NewResponseController(exchange.writer)
@@ -268,7 +268,7 @@
 			return result.AnswerCut
 		}
 		stream.pending = stream.pending[:0]
-		stream.sequence.resume(stream.sequence.lastID)
+		stream.sequence.resume()
 		answer = next
 	}
 }
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -74,8 +74,8 @@
 	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
-	if part := exchange.partID(exchange.refusal.Key); part != "" {
-		attributes = append(attributes, slog.String("Part", part), slog.String("PartFingerprint", exchange.refusal.Key.String()))
+	if exchange.refusal.Key != 0 {
+		attributes = append(attributes, exchange.refusedPartAttributes()...)
 	}
 	if exchange.cause != "" {
 		attributes = append(attributes, slog.String("Cause", exchange.cause))
@@ -86,6 +86,16 @@
 	exchange.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
 }
 
+// refusedPartAttributes describes the part of the prompt for which the request is refused, if
+// it is refused for one.
+func (exchange *exchange) refusedPartAttributes() []slog.Attr {
+	part := exchange.partID(exchange.refusal.Key)
+	if part == "" {
+		return nil
+	}
+	return []slog.Attr{slog.String("Part", part), slog.String("PartFingerprint", exchange.refusal.Key.String())}
+}
+
 // markCallerLeft changes the code to CallerLeft if the answer is incomplete
 // because the caller disconnected.
 func (exchange *exchange) markCallerLeft() {
--- a/gossip/strikes_test.go
+++ b/gossip/strikes_test.go
@@ -61,7 +61,7 @@
 	}
 	for _, member := range members {
 		refused := func() bool {
-			return member.strikes.Allowed(time.Now(), strike.Request{Fingerprint: 1}) == strike.Refused
+			return member.strikes.Standing(time.Now(), strike.Request{Fingerprint: 1}).Allowance == strike.Refused
 		}
 		for end := time.Now().Add(8 * time.Second); !refused() && time.Now().Before(end); {
 			time.Sleep(10 * time.Millisecond)
--- a/strike/bench_test.go
+++ b/strike/bench_test.go
@@ -26,7 +26,7 @@
 					request := strike.Request{Fingerprint: sound, Parts: parts}
 					b.ReportAllocs()
 					for b.Loop() {
-						if guard.Any() && guard.Allowed(now, request) != strike.Free {
+						if guard.Any() && guard.Standing(now, request).Allowance != strike.Free {
 							b.Fatal("got a sound request that is not free")
 						}
 						guard.Succeeded(now, request, "e1", 1)
--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -13,9 +13,9 @@
 	// They are more, since a part is in the prompts of many sound requests.
 	partAloneStrikes = 4
 	partNeverStrikes = 5
-	// settleTime is how long after a crash each router has received it. A request that
+	// SettleTime is how long after a crash each router has received it. A request that
 	// runs alone waits as long.
-	settleTime = 250 * time.Millisecond
+	SettleTime = 250 * time.Millisecond
 	// verdictDelay is how long after the first of the strikes that refuse it a request
 	// may still run alone: upstreams that go down one after the other may all run a
 	// sound request that is sent again in between.
--- a/strike/fleet_test.go
+++ b/strike/fleet_test.go
@@ -397,7 +397,7 @@
 		simulation.play(check)
 		for body := range bodies {
 			guard := simulation.routers[body%2]
-			if allowance := guard.Allowed(simulation.now, strike.Request{Fingerprint: ownPart + ident.Fingerprint(body)}); allowance == strike.Refused {
+			if allowance := guard.Standing(simulation.now, strike.Request{Fingerprint: ownPart + ident.Fingerprint(body)}).Allowance; allowance == strike.Refused {
 				refused++
 				t.Errorf("seed %d: got body %d refused after the crashes, want it allowed", seed, body)
 			}
--- a/strike/guard.go
+++ b/strike/guard.go
@@ -137,13 +137,6 @@
 	return all
 }
 
-// Allowed returns how the request may run at the time now.
-func (guard *Guard) Allowed(now time.Time, request Request) Allowance {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	return guard.judge(now, request.keys()).allowance
-}
-
 // Standing is how a request stands: how it may run, how many crashes its most suspected
 // key is blamed for, and the time before which it may not run alone.
 type Standing struct {
@@ -164,13 +157,13 @@
 	if standing.Allowance != Alone {
 		return standing
 	}
-	standing.NotBefore = verdict.worst.lastAt().Add(settleTime)
+	standing.NotBefore = verdict.worst.lastAt().Add(SettleTime)
 	if verdict.worst.part() {
 		return standing
 	}
-	trial := guard.openTrial(now, verdict.worst.key)
-	if until := trial.At.Add(trialTime); trial.open(now) && until.After(standing.NotBefore) {
-		standing.NotBefore = until
+	if trial, open := guard.openTrial(now, verdict.worst.key); open {
+		// It began after the last crash, and keeps others from running for longer.
+		standing.NotBefore = trial.At.Add(trialTime)
 	}
 	return standing
 }
--- a/strike/guard_test.go
+++ b/strike/guard_test.go
@@ -32,7 +32,7 @@
 	for n := range 3 {
 		run := crashOf(n)
 		guard.Broken(run.At, requestOf(run), run)
-		fmt.Println(guard.Allowed(run.At, requestOf(run)) == strike.Refused)
+		fmt.Println(guard.Standing(run.At, requestOf(run)).Allowance == strike.Refused)
 	}
 	// Output:
 	// false
@@ -43,7 +43,7 @@
 // checkAllowed fails the test unless request 1 is allowed as wanted.
 func checkAllowed(t *testing.T, guard *strike.Guard, now time.Time, want strike.Allowance) {
 	t.Helper()
-	if got := guard.Allowed(now, strike.Request{Fingerprint: 1}); got != want {
+	if got := guard.Standing(now, strike.Request{Fingerprint: 1}).Allowance; got != want {
 		t.Errorf("got allowance %d, want %d", got, want)
 	}
 }
@@ -120,7 +120,7 @@
 		guard.Broken(beside.At, requestOf(beside), beside)
 	}
 	checkAllowed(t, &guard, start.Add(3100*time.Millisecond), strike.Refused)
-	if got := guard.Allowed(start.Add(3100*time.Millisecond), strike.Request{Fingerprint: 100}); got != strike.Free {
+	if got := guard.Standing(start.Add(3100*time.Millisecond), strike.Request{Fingerprint: 100}).Allowance; got != strike.Free {
 		t.Errorf("got allowance %d for a request that ran beside one crash, want %d", got, strike.Free)
 	}
 }
@@ -198,7 +198,7 @@
 		}
 	}
 	now = now.Add(time.Second)
-	if got := guard.Allowed(now, strike.Request{Fingerprint: 999, Parts: []ident.Fingerprint{sound}}); got == strike.Refused {
+	if got := guard.Standing(now, strike.Request{Fingerprint: 999, Parts: []ident.Fingerprint{sound}}).Allowance; got == strike.Refused {
 		t.Errorf("got a request with a sound part refused after %d crashes, want it allowed", crashes)
 	}
 }
--- a/strike/trial.go
+++ b/strike/trial.go
@@ -26,11 +26,6 @@
 	At          time.Time
 }
 
-// open reports whether the trial keeps others from running.
-func (trial Trial) open(now time.Time) bool {
-	return trial.Upstream != "" && now.Before(trial.At.Add(trialTime))
-}
-
 // beats reports whether the trial is the one that takes place if both are proposed: the
 // earlier one, or of those proposed at the same time the first in rendezvous order.
 func (trial Trial) beats(other Trial) bool {
@@ -51,12 +46,11 @@
 	if worst.key == 0 || worst.part() {
 		return Trial{}, true
 	}
-	if guard.openTrial(now, worst.key).open(now) || guard.onTrial(now, upstream) {
+	if _, open := guard.openTrial(now, worst.key); open || guard.onTrial(now, upstream) {
 		return Trial{}, false
 	}
 	trial := Trial{Fingerprint: worst.key, Router: guard.Router, Upstream: upstream, Incarnation: incarnation, At: now}
-	guard.setTrial(trial)
-	guard.unsentTrials = append(guard.unsentTrials, unsent[Trial]{item: trial, sends: sendsPerStrike})
+	guard.announceTrial(trial)
 	return trial, true
 }
 
@@ -69,8 +63,8 @@
 		return true
 	}
 	for key := range guard.trials {
-		other := guard.openTrial(now, key)
-		if other.Upstream == proposed.Upstream && other != proposed && other.beats(proposed) {
+		other, open := guard.openTrial(now, key)
+		if open && other.Upstream == proposed.Upstream && other != proposed && other.beats(proposed) {
 			return false
 		}
 	}
@@ -86,15 +80,21 @@
 		return
 	}
 	trial.Upstream, trial.At = "", now
+	guard.announceTrial(trial)
+}
+
+// announceTrial records a trial of this router, or its end, and has other routers notified.
+// The caller holds mu.
+func (guard *Guard) announceTrial(trial Trial) {
 	guard.setTrial(trial)
 	guard.unsentTrials = append(guard.unsentTrials, unsent[Trial]{item: trial, sends: sendsPerStrike})
 }
 
 // applyTrial records what another router says of a trial. The caller holds mu.
 func (guard *Guard) applyTrial(now time.Time, trial Trial) {
-	known := guard.openTrial(now, trial.Fingerprint)
+	known, open := guard.openTrial(now, trial.Fingerprint)
 	ends := trial.Upstream == ""
-	if ends && known.Router != trial.Router || !ends && known.open(now) && !trial.beats(known) {
+	if ends && known.Router != trial.Router || !ends && open && !trial.beats(known) {
 		return
 	}
 	guard.setTrial(trial)
@@ -107,15 +107,16 @@
 	guard.trials[trial.Fingerprint] = trial
 }
 
-// openTrial returns the trial that keeps others of its key from running, or the zero value:
-// none does once the key has crashed an upstream since, or its strikes are cleared. The caller
-// holds mu.
-func (guard *Guard) openTrial(now time.Time, key ident.Fingerprint) Trial {
+// openTrial returns the trial that keeps others of its key from running, and whether there is
+// one: none does once the key has crashed an upstream since, or its strikes are cleared. The
+// caller holds mu.
+func (guard *Guard) openTrial(now time.Time, key ident.Fingerprint) (Trial, bool) {
 	trial := guard.trials[key]
-	if !trial.open(now) || !guard.tracker.HasStrikes(now, key) || !guard.tracker.requests[key].latest().Before(trial.At) {
-		return Trial{}
+	underway := trial.Upstream != "" && now.Before(trial.At.Add(trialTime))
+	if !underway || !guard.tracker.HasStrikes(now, key) || !guard.tracker.requests[key].latest().Before(trial.At) {
+		return Trial{}, false
 	}
-	return trial
+	return trial, true
 }
 
 // OnTrial reports whether a request runs alone at an upstream.
@@ -131,7 +132,7 @@
 // onTrial does the work of OnTrial. The caller holds mu.
 func (guard *Guard) onTrial(now time.Time, upstream ident.UpstreamID) bool {
 	for key := range guard.trials {
-		if guard.openTrial(now, key).Upstream == upstream {
+		if trial, open := guard.openTrial(now, key); open && trial.Upstream == upstream {
 			return true
 		}
 	}
--- a/strike/trial_test.go
+++ b/strike/trial_test.go
@@ -100,7 +100,7 @@
 		t.Errorf("got %d crashes after the answer came, want none", got)
 	}
 	var other ident.Fingerprint = 2
-	if got := guard.Allowed(run.At, strike.Request{Fingerprint: other}); got != strike.Free {
+	if got := guard.Standing(run.At, strike.Request{Fingerprint: other}).Allowance; got != strike.Free {
 		t.Errorf("got allowance %v for another request, want %v", got, strike.Free)
 	}
 }
