--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -331,7 +331,7 @@
 	case answer.response.StatusCode < http.StatusMultipleChoices && !answer.head.Signed:
 		exchange.setCauseText("answer without a signature")
 		return result.OutcomeUnknown
-	case impliesNotRun(answer.response.StatusCode):
+	case oncehttp.ImpliesNotRun(answer.response.StatusCode):
 		exchange.setCauseText(answer.response.Status + " without proof")
 		return result.OutcomeUnknown
 	}
@@ -344,16 +344,6 @@
 	return answer.head.Attempt == exchange.head.Attempt || answer.conn.Requests == 1
 }
 
-// impliesNotRun reports whether callers take status as proof that their request
-// did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // failureCode returns the code of an attempt that ended with err and stores err
 // as its cause.
 func (exchange *exchange) failureCode(err error) result.Code {
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -41,9 +41,9 @@
 	// DialTimeout limits the time to open a connection; zero means
 	// DefaultDialTimeout.
 	DialTimeout time.Duration
-	// CloseAfterRefusal gives up a connection that brought a response which says that its
-	// request has not run: a faulty server may send that once more, and it would be taken
-	// for the response to the next request.
+	// CloseAfterRefusal closes a connection after a response by which its request has not
+	// run: a faulty server may send that once more, and it would be taken for the response
+	// to the next request.
 	CloseAfterRefusal bool
 
 	once      sync.Once
@@ -167,15 +167,15 @@
 	if err != nil {
 		return nil, &SendError{Sent: attempt.sent(), Err: err}
 	}
-	if attempt.client.CloseAfterRefusal && refuses(response.StatusCode) && attempt.conn != nil {
+	if attempt.client.CloseAfterRefusal && ImpliesNotRun(response.StatusCode) && attempt.conn != nil {
 		attempt.conn.blockWrites()
 		response.Body = &lastBody{ReadCloser: response.Body, conn: attempt.conn}
 	}
 	return response, nil
 }
 
-// refuses reports whether a status says that the request has not run.
-func refuses(status int) bool {
+// ImpliesNotRun reports whether a response with the status proves that its request has not run.
+func ImpliesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
