soak: one choice of a router in rotation, and one of the next request that ends upstreams

Callers of small services chose a router by a loop of their own, beside that of the other callers, and a crasher of small services had its own copy of repeat and check. The number of lost calls is that of their descriptions.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -102,18 +102,26 @@
 // connect chooses a random router that is in rotation. It returns false if there
 // is none.
 func (caller *caller) connect() bool {
+	caller.router = caller.soak.openRouter(caller.random)
+	if caller.router == nil {
+		return false
+	}
+	caller.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	return true
+}
+
+// openRouter returns a random router that is in rotation, or nil if there is none.
+func (soak *Soak) openRouter(random *rand.Rand) *router {
 	var open []*router
-	for _, router := range caller.soak.routers {
+	for _, router := range soak.routers {
 		if router.inRotation() {
 			open = append(open, router)
 		}
 	}
 	if len(open) == 0 {
-		return false
+		return nil
 	}
-	caller.router = open[caller.random.IntN(len(open))]
-	caller.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
-	return true
+	return open[random.IntN(len(open))]
 }
 
 // disconnect closes the connection, so that the next request chooses a router
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -46,25 +46,28 @@
 func (crasher *crasher) run(ctx context.Context) {
 	defer close(crasher.done)
 	for number := 0; ctx.Err() == nil; number++ {
-		if crasher.small != nil {
-			request := crasher.small.newCrashRequest(crasher, number)
-			request.repeat(ctx)
-			request.check()
-			continue
-		}
-		request := &crashRequest{crasher: crasher, kind: kinds[crasher.random.IntN(len(kinds))], name: fmt.Sprint(crashMarker, " ", number), crashes: standin.MaxCrashes}
-		if crasher.parts {
-			request.name, request.crashes = fmt.Sprint(badPartPrefix, number), standin.MaxPartCrashes
-			request.prompt = []string{request.name, sharedPart}
-			if crasher.random.IntN(2) == 0 {
-				slices.Reverse(request.prompt)
-			}
-		}
+		request := crasher.next(number)
 		request.repeat(ctx)
 		request.check()
 	}
 }
 
+// next returns the request with the given number.
+func (crasher *crasher) next(number int) *crashRequest {
+	if crasher.small != nil {
+		return crasher.small.newCrashRequest(crasher, number)
+	}
+	request := &crashRequest{crasher: crasher, kind: kinds[crasher.random.IntN(len(kinds))], name: fmt.Sprint(crashMarker, " ", number), crashes: standin.MaxCrashes}
+	if crasher.parts {
+		request.name, request.crashes = fmt.Sprint(badPartPrefix, number), standin.MaxPartCrashes
+		request.prompt = []string{request.name, sharedPart}
+		if crasher.random.IntN(2) == 0 {
+			slices.Reverse(request.prompt)
+		}
+	}
+	return request
+}
+
 // crashRequest is one request that ends upstreams, or the requests that do so by a part
 // of their prompts.
 type crashRequest struct {
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -31,7 +31,7 @@
 }
 
 // upstreamOddRests has an upstream answer requests for the rest of a stream with something
-// else, and write each of its refusals once more.
+// else.
 func (schedule *schedule) upstreamOddRests(length time.Duration) {
 	upstream := schedule.upstream()
 	kinds := upstream.runner.OddRests()
--- a/soak/small.go
+++ b/soak/small.go
@@ -38,12 +38,10 @@
 	upstreams []*upstream
 
 	mu sync.Mutex
-	// counted are the calls that an upstream could have served, and lost those of them
-	// that were not served.
+	// counted is how many calls an upstream could have served, and lost describes those of
+	// them that were not served.
 	counted int
-	lost    int
-	// lostCalls describes the lost ones.
-	lostCalls []string
+	lost    []string
 }
 
 func smallServiceName(size int) ident.ServiceName {
@@ -99,9 +97,12 @@
 		crasher: crasher, kind: kind, name: fmt.Sprintf("%s %s %d", crashMarker, service.name, number), crashes: standin.MaxCrashes,
 		bare: true, pause: smallPauses[crasher.random.IntN(len(smallPauses))],
 	}
-	before := crasher.random.IntN(maxBefore)
-	for n := range before {
-		call := &call{kind: kind, attempt: ident.AttemptID(fmt.Sprintf("before %s-%d", request.name, n)), router: service.soak.anyRouter(crasher.random)}
+	for n := range crasher.random.IntN(maxBefore) {
+		router := service.soak.openRouter(crasher.random)
+		if router == nil {
+			continue
+		}
+		call := &call{kind: kind, attempt: ident.AttemptID(fmt.Sprintf("before %s-%d", request.name, n)), router: router}
 		call.perform(context.Background(), new(http.Client), 0, "")
 	}
 	return request
@@ -117,39 +118,33 @@
 func (caller *smallCaller) run(ctx context.Context) {
 	defer close(caller.done)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	path := smallPath(caller.service.name)
 	for n := 0; ctx.Err() == nil; n++ {
-		call := &call{
-			kind:    kind{name: string(caller.service.name) + " sound", method: http.MethodPost, path: path + "sound", atMostOnce: true},
-			attempt: ident.AttemptID(fmt.Sprintf("%s-sound-%d", caller.service.name, n)),
-			router:  caller.service.soak.anyRouter(caller.random),
-		}
-		if n%2 == 0 {
-			call.kind = kind{name: string(caller.service.name) + " same", method: http.MethodGet, path: path + "again/same"}
+		if router := caller.service.soak.openRouter(caller.random); router != nil {
+			caller.send(ctx, client, router, n)
 		}
-		call.sentAt = time.Now()
-		body := ""
-		if call.kind.atMostOnce {
-			body = "body of " + string(call.attempt)
-		}
-		call.earlier = call.router.earlier()
-		call.perform(context.WithoutCancel(ctx), client, 0, body)
-		caller.service.soak.check(call)
-		caller.service.count(call)
 		time.Sleep(time.Duration(caller.random.Int64N(int64(callerPause))))
 	}
 }
 
-// anyRouter returns a random router, one in rotation if one of a few is.
-func (soak *Soak) anyRouter(random *rand.Rand) *router {
-	router := soak.routers[random.IntN(len(soak.routers))]
-	for range soak.routers {
-		if router.inRotation() {
-			break
-		}
-		router = soak.routers[random.IntN(len(soak.routers))]
+// send sends the nth request to a router, and checks and counts the answer.
+func (caller *smallCaller) send(ctx context.Context, client *http.Client, router *router, n int) {
+	service := caller.service
+	path := smallPath(service.name)
+	call := &call{
+		kind:    kind{name: string(service.name) + " sound", method: http.MethodPost, path: path + "sound", atMostOnce: true},
+		attempt: ident.AttemptID(fmt.Sprintf("%s-sound-%d", service.name, n)),
+		router:  router,
+		earlier: router.earlier(),
+	}
+	body := "body of " + string(call.attempt)
+	if n%2 == 0 {
+		call.kind = kind{name: string(service.name) + " same", method: http.MethodGet, path: path + "again/same"}
+		body = ""
 	}
-	return router
+	call.sentAt = time.Now()
+	call.perform(context.WithoutCancel(ctx), client, 0, body)
+	service.soak.check(call)
+	service.count(call)
 }
 
 // count counts a call that could have been served: its router answered, no other fault was
@@ -179,8 +174,7 @@
 	defer service.mu.Unlock()
 	service.counted++
 	if call.reply.Status != http.StatusOK || call.reply.Err != nil {
-		service.lost++
-		service.lostCalls = append(service.lostCalls, fmt.Sprintf("%s at %s: %d", call.attempt, call.sentAt.Format(time.StampMilli), call.reply.Status))
+		service.lost = append(service.lost, fmt.Sprintf("%s at %s: %d", call.attempt, call.sentAt.Format(time.StampMilli), call.reply.Status))
 	}
 }
 
@@ -188,8 +182,8 @@
 func (service *smallService) check() {
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	if service.counted >= minSmallCalls && float64(service.lost) > maxSmallLost*float64(service.counted) {
-		service.soak.violate("small service not served", "%d of %d calls of %s were lost while an upstream was up: %q", service.lost, service.counted, service.name, service.lostCalls)
+	if service.counted >= minSmallCalls && float64(len(service.lost)) > maxSmallLost*float64(service.counted) {
+		service.soak.violate("small service not served", "%d of %d calls of %s were lost while an upstream was up: %q", len(service.lost), service.counted, service.name, service.lost)
 	}
 }
 
