review: a stream is joined from runs of two software versions

Cause: a new stream is not checked against the process behind a first connection, so that it is bound to the version that the runner's old entry names.

--- a/review/harness/consumer.go
+++ b/review/harness/consumer.go
@@ -70,17 +70,17 @@
 func (consumers *consumers) send(number int64) {
 	router := consumers.routers[int(number)%len(consumers.routers)]
 	got := answer{sent: time.Now(), attempt: fmt.Sprintf("%s-%06x", consumers.name, number), router: router.name, key: consumers.key}
-	got.status, got.err = consumers.exchange(router, got.attempt)
+	got.status, got.body, got.err = consumers.exchange(router, got.attempt)
 	got.at = time.Now()
 	consumers.journal.answered(got)
 }
 
-func (consumers *consumers) exchange(router *router, attempt string) (int, error) {
+func (consumers *consumers) exchange(router *router, attempt string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), consumers.deadline)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router.front+consumers.path, strings.NewReader("print 12 headers"))
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	request.Host = host
 	request.Header.Set("Hickoryhead-Attempt-Id", attempt)
@@ -90,9 +90,9 @@
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.ReadAll(response.Body)
-	return response.StatusCode, err
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
 }
--- a/review/harness/journal.go
+++ b/review/harness/journal.go
@@ -25,6 +25,7 @@
 	router  string
 	key     string
 	status  int
+	body    string
 	err     error
 }
 
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]play{
 	"removed-runner": {run: removedRunner, times: 4},
 	"old-config":     {run: oldConfig, times: 1},
+	"newer-version":  {run: newerVersion, times: 1},
 }
 
 func main() {
