--- a/review/harness/old_config.go
+++ b/review/harness/old_config.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// changeDelay is the time from the disruption to the change of the configuration.
+const changeDelay = 300 * time.Millisecond
+
 // oldConfig moves a route to another service and withdraws a key, shortly after the open
 // channels to the store went silent, and checks which requests run where.
 func oldConfig(trial *trial) error {
