oncehttp, registry, follow: logs that tell a silent connection from a store that is away

An error of a call now says on which connection it was sent, new or reused, and when that was opened; an upstream that stays listed although its row was removed is logged and counted (upstream.kept) with the outage that is held against it.

--- a/follow/updater.go
+++ b/follow/updater.go
@@ -126,6 +126,14 @@
 	}
 }
 
+// ReportKept counts and logs an upstream that is used on although its row was removed.
+func (updater *Updater) ReportKept(kept registry.Kept) {
+	updater.Metrics.CountEvent("upstream.kept")
+	updater.Logger.Info("Upstream kept, its row may have expired in an outage of the store.",
+		"Upstream", kept.ID, "RowVersion", kept.RemovedIn, "Until", kept.Until,
+		"OutageBegin", kept.OutageBegin, "OutageEnd", kept.OutageEnd, "PeerStoreUpSince", kept.PeerStoreUpSince)
+}
+
 // Expire removes the upstreams whose rows are still missing some time after an
 // outage of the store.
 func (updater *Updater) Expire() {
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -26,6 +26,9 @@
 // one can have sent a byte of it.
 const maxTries = 3
 
+// connectionTimeFormat is how errors write when a connection was opened.
+const connectionTimeFormat = "15:04:05.000"
+
 // Client sends requests over kept-alive connections. The zero value is ready to
 // use. It follows no redirects, stores no cookies and uses no proxy. Set the fields
 // before the first request; the methods are safe for concurrent use.
@@ -54,16 +57,29 @@
 type SendError struct {
 	// Sent reports whether bytes of the request may have left this process.
 	Sent bool
+	// Reused reports whether the last connection had carried an earlier request, and
+	// OpenedAt is when it was opened. It is zero if there was no connection.
+	Reused   bool
+	OpenedAt time.Time
 	// Err is the cause.
 	Err error
 }
 
-// Error returns whether the request was sent, and the text of the cause.
+// Error returns whether the request was sent, on which connection, and the text of the
+// cause.
 func (e *SendError) Error() string {
+	outcome := "request not sent"
 	if e.Sent {
-		return "request sent, no response: " + e.Err.Error()
+		outcome = "request sent, no response"
+	}
+	if !e.OpenedAt.IsZero() {
+		kind := "new"
+		if e.Reused {
+			kind = "reused"
+		}
+		outcome += " on a " + kind + " connection opened at " + e.OpenedAt.Format(connectionTimeFormat)
 	}
-	return "request not sent: " + e.Err.Error()
+	return outcome + ": " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
@@ -142,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened}, nil
+	return &conn{Conn: opened, openedAt: time.Now()}, nil
 }
 
 // attempt is one round trip of the transport. The transport may use several
@@ -165,7 +181,7 @@
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
 	response, err := attempt.client.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return nil, &SendError{Sent: attempt.sent(), Err: err}
+		return nil, attempt.newError(err)
 	}
 	if attempt.client.CloseAfterRefusal && ImpliesNotRun(response.StatusCode) && attempt.conn != nil {
 		attempt.conn.blockWrites()
@@ -174,6 +190,15 @@
 	return response, nil
 }
 
+// newError returns the error of an attempt without a response.
+func (attempt *attempt) newError(err error) *SendError {
+	sendError := &SendError{Sent: attempt.sent(), Err: err}
+	if attempt.conn != nil {
+		sendError.Reused, sendError.OpenedAt = attempt.reused, attempt.conn.openedAt
+	}
+	return sendError
+}
+
 // ImpliesNotRun reports whether a response with the status proves that its request has not run.
 func ImpliesNotRun(status int) bool {
 	switch status {
--- a/oncehttp/conn.go
+++ b/oncehttp/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +14,8 @@
 // started may have sent bytes even if it returned an error.
 type conn struct {
 	net.Conn
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 
 	mu            sync.Mutex
 	startedWrites uint64
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -95,6 +95,10 @@
 // Registry holds the upstreams. The zero value is empty and ready for use. It is
 // safe for concurrent use.
 type Registry struct {
+	// OnKept, unless nil, is called for each upstream that stays listed although its row
+	// was removed. It must not call the registry.
+	OnKept func(kept Kept)
+
 	current atomic.Pointer[snapshot]
 
 	mu sync.Mutex
@@ -126,6 +130,38 @@
 	peerStoreSeenAt  time.Time
 }
 
+// Kept is an upstream that stays listed although its row was removed, since the row may
+// have expired in an outage of the store.
+type Kept struct {
+	ID ident.UpstreamID
+	// RemovedIn is the version of the removal.
+	RemovedIn ident.Revision
+	// Until is when the upstream is removed unless the row is written again, or later if
+	// the outage goes on.
+	Until time.Time
+	// OutageBegin and OutageEnd bound the last outage of this router that has ended;
+	// OutageEnd is before OutageBegin while one goes on.
+	OutageBegin time.Time
+	OutageEnd   time.Time
+	// PeerStoreUpSince is the time since which the store has served another router, or zero.
+	PeerStoreUpSince time.Time
+}
+
+// keep lists an upstream on although its row was removed. The caller holds mu.
+func (registry *Registry) keep(removed Upstream) {
+	if _, missing := registry.missingUntil[removed.ID]; missing {
+		return
+	}
+	until := registry.graceEnd()
+	registry.missingUntil[removed.ID] = until
+	if registry.OnKept != nil {
+		registry.OnKept(Kept{
+			ID: removed.ID, RemovedIn: removed.Version, Until: until,
+			OutageBegin: registry.outageBegin, OutageEnd: registry.outageEnd, PeerStoreUpSince: registry.peerStoreUpSince,
+		})
+	}
+}
+
 // snapshot is an immutable view of the registry for readers.
 type snapshot struct {
 	pools map[ident.ServiceName]*Pool
@@ -319,9 +355,7 @@
 		return false
 	}
 	if registry.mayHaveExpired(now) && !present.Leaving {
-		if _, missing := registry.missingUntil[id]; !missing {
-			registry.missingUntil[id] = registry.graceEnd()
-		}
+		registry.keep(change.Upstream)
 		return false
 	}
 	registry.recordDeparture(present, change.Upstream.Version, true)
