faultproxy: the soak's proxy is a package, and silences connections

Tests of other packages need the same faults of connections as the soak. Silence lets the open connections stay open and deliver nothing more, while new ones work.

--- a/soak/proxy.go
+++ b/faultproxy/proxy.go
@@ -1,6 +1,7 @@
-package soak
+package faultproxy
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -9,18 +10,18 @@
 	"github.com/cockroachdb/errors"
 )
 
-// linkState is the fault that a proxy applies to its connections.
-type linkState struct {
-	// delay is added to each piece of data that is forwarded.
-	delay time.Duration
-	// holdAll holds back the data of both directions, and holdReplies only that
+// State is the fault that a proxy applies to its connections.
+type State struct {
+	// Delay is added to each piece of data that is forwarded.
+	Delay time.Duration
+	// HoldAll holds back the data of both directions, and HoldReplies only that
 	// from the target.
-	holdAll     bool
-	holdReplies bool
+	HoldAll     bool
+	HoldReplies bool
 }
 
-// proxy forwards TCP connections to a target and injects faults into them.
-type proxy struct {
+// Proxy forwards TCP connections to a target and injects faults into them.
+type Proxy struct {
 	target string
 
 	mu sync.Mutex
@@ -29,11 +30,14 @@
 	listener net.Listener
 	listenAt string
 	reserved int
-	state    linkState
+	state    State
+	// silences counts the calls of Silence.
+	silences int
 	conns    map[net.Conn]struct{}
 }
 
-func startProxy(target string) (*proxy, error) {
+// Start starts a proxy on a free port of loopback. It forwards to target, which is IP:port.
+func Start(target string) (*Proxy, error) {
 	listener, err := listenShared("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -42,16 +46,17 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, listener.Close())
 	}
-	proxy := &proxy{target: target, listener: listener, listenAt: listener.Addr().String(), reserved: reserved, conns: make(map[net.Conn]struct{})}
+	proxy := &Proxy{target: target, listener: listener, listenAt: listener.Addr().String(), reserved: reserved, conns: make(map[net.Conn]struct{})}
 	acceptor := &acceptor{proxy: proxy, listener: listener}
 	go acceptor.run()
 	return proxy, nil
 }
 
-func (proxy *proxy) address() string { return proxy.listenAt }
+// Address returns where the proxy listens, as IP:port.
+func (proxy *Proxy) Address() string { return proxy.listenAt }
 
-// refuse refuses connections, as the address of a process that has ended does.
-func (proxy *proxy) refuse() {
+// Refuse refuses connections, as the address of a process that has ended does.
+func (proxy *Proxy) Refuse() {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	if proxy.listener != nil {
@@ -60,8 +65,8 @@
 	}
 }
 
-// accept accepts connections again after refuse.
-func (proxy *proxy) accept() error {
+// Accept accepts connections again after Refuse.
+func (proxy *Proxy) Accept() error {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	if proxy.listener != nil {
@@ -79,7 +84,7 @@
 
 // acceptor accepts the connections of a proxy until its listener is closed.
 type acceptor struct {
-	proxy    *proxy
+	proxy    *Proxy
 	listener net.Listener
 }
 
@@ -89,26 +94,48 @@
 		if err != nil {
 			return
 		}
-		link := &link{proxy: acceptor.proxy, client: client}
+		link := &link{proxy: acceptor.proxy, client: client, silences: acceptor.proxy.silenceCount()}
 		go link.run()
 	}
 }
 
-// set replaces the state. It also applies to open connections.
-func (proxy *proxy) set(state linkState) {
+// Set replaces the state. It also applies to open connections.
+func (proxy *Proxy) Set(state State) {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	proxy.state = state
 }
 
-func (proxy *proxy) currentState() linkState {
+func (proxy *Proxy) currentState() State {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	return proxy.state
 }
 
-// reset closes all open connections with a TCP reset.
-func (proxy *proxy) reset() {
+// Silence lets the open connections stay open and deliver nothing more, in either
+// direction. New connections work.
+func (proxy *Proxy) Silence() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	proxy.silences++
+}
+
+// silenceCount returns how often Silence was called.
+func (proxy *Proxy) silenceCount() int {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return proxy.silences
+}
+
+// Open returns the number of open connections to the proxy.
+func (proxy *Proxy) Open() int {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return len(proxy.conns) / 2
+}
+
+// Reset closes all open connections with a TCP reset.
+func (proxy *Proxy) Reset() {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	for conn := range proxy.conns {
@@ -126,15 +153,16 @@
 	_ = conn.Close()
 }
 
-func (proxy *proxy) close() {
-	proxy.refuse()
-	proxy.reset()
+// Close refuses connections, resets the open ones and releases the port.
+func (proxy *Proxy) Close() {
+	proxy.Refuse()
+	proxy.Reset()
 	// The port is free from now on, whatever Close returns.
 	_ = syscall.Close(proxy.reserved)
 }
 
 // track adds conn to the open connections, or removes it.
-func (proxy *proxy) track(conn net.Conn, open bool) {
+func (proxy *Proxy) track(conn net.Conn, open bool) {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	if open {
@@ -146,10 +174,15 @@
 
 // link is one connection through a proxy.
 type link struct {
-	proxy  *proxy
+	proxy  *Proxy
 	client net.Conn
+	// silences is how often the proxy had been silenced when the connection was opened.
+	silences int
 }
 
+// silent reports whether the connection delivers nothing more.
+func (link *link) silent() bool { return link.proxy.silenceCount() != link.silences }
+
 func (link *link) run() {
 	target, err := net.Dial("tcp", link.proxy.target)
 	if err != nil {
@@ -159,9 +192,9 @@
 	for _, conn := range []net.Conn{link.client, target} {
 		link.proxy.track(conn, true)
 	}
-	replies := &copier{proxy: link.proxy, from: target, to: link.client, fromTarget: true, done: make(chan struct{})}
+	replies := &copier{link: link, from: target, to: link.client, fromTarget: true, done: make(chan struct{})}
 	go replies.run()
-	requests := &copier{proxy: link.proxy, from: link.client, to: target, done: make(chan struct{})}
+	requests := &copier{link: link, from: link.client, to: target, done: make(chan struct{})}
 	requests.run()
 	<-replies.done
 	for _, conn := range []net.Conn{link.client, target} {
@@ -172,7 +205,7 @@
 
 // copier forwards one direction of a connection.
 type copier struct {
-	proxy      *proxy
+	link       *link
 	from       net.Conn
 	to         net.Conn
 	fromTarget bool
@@ -187,8 +220,15 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := copier.from.Read(buffer)
+		copier.delay()
+		if copier.link.silent() {
+			if err != nil {
+				copier.endSilently()
+				return
+			}
+			continue
+		}
 		if count > 0 {
-			copier.delay()
 			if _, err := copier.to.Write(buffer[:count]); err != nil {
 				resetConn(copier.from)
 				return
@@ -196,7 +236,7 @@
 		}
 		if err != nil {
 			// Pass the end on in the same way: an orderly close or a reset.
-			if tcp, ok := copier.to.(*net.TCPConn); ok && err.Error() == "EOF" {
+			if tcp, ok := copier.to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = tcp.CloseWrite()
 			} else {
 				resetConn(copier.to)
@@ -206,12 +246,20 @@
 	}
 }
 
+// endSilently ends the connection to the target once the client's has ended, and hides
+// the end of the target's connection from the client.
+func (copier *copier) endSilently() {
+	if !copier.fromTarget {
+		resetConn(copier.to)
+	}
+}
+
 // delay waits while data is held back, and then for the delay of the state.
 func (copier *copier) delay() {
 	for {
-		state := copier.proxy.currentState()
-		if !state.holdAll && !(state.holdReplies && copier.fromTarget) {
-			time.Sleep(state.delay)
+		state := copier.link.proxy.currentState()
+		if !state.HoldAll && !(state.HoldReplies && copier.fromTarget) {
+			time.Sleep(state.Delay)
 			return
 		}
 		time.Sleep(holdPollInterval)
--- a/soak/reserve.go
+++ b/faultproxy/reserve.go
@@ -1,4 +1,4 @@
-package soak
+package faultproxy
 
 import (
 	"context"
--- a/soak/router.go
+++ b/soak/router.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/faultproxy"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
@@ -39,7 +40,7 @@
 	previous string
 	path     string
 	settings config.Entry
-	store    *proxy
+	store    *faultproxy.Proxy
 	log      *os.File
 
 	mu      sync.Mutex
@@ -58,7 +59,7 @@
 }
 
 func newRouter(name, program, dir, storeAt string, ports *portBlock) (*router, error) {
-	store, err := startProxy(storeAt)
+	store, err := faultproxy.Start(storeAt)
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +69,7 @@
 	}
 	router := &router{name: name, program: program, path: filepath.Join(dir, name+".json"), store: store, log: log}
 	router.settings = config.Entry{
-		VM: ident.VMID(name), Zone: "a", Platform: store.address(),
+		VM: ident.VMID(name), Zone: "a", Platform: store.Address(),
 		MemoryMB: maxRouterMB, StopTimeoutMs: 6000, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 50,
 	}
 	addresses := []*string{&router.settings.CallerListen, &router.settings.ReadyListen, &router.settings.PeerListen, &router.settings.MetricsListen}
@@ -211,6 +212,6 @@
 
 func (router *router) close() {
 	router.end()
-	router.store.close()
+	router.store.Close()
 	_ = router.log.Close()
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/faultproxy"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -280,45 +281,45 @@
 	if !schedule.claim(router.store) {
 		return
 	}
-	state := linkState{holdAll: true}
+	state := faultproxy.State{HoldAll: true}
 	if schedule.random.IntN(2) == 0 {
-		state = linkState{holdReplies: true}
+		state = faultproxy.State{HoldReplies: true}
 	}
-	schedule.injectFor("router cut off from the store", length, func() { router.store.set(state) }, func() {
-		router.store.set(linkState{})
-		router.store.reset()
+	schedule.injectFor("router cut off from the store", length, func() { router.store.Set(state) }, func() {
+		router.store.Set(faultproxy.State{})
+		router.store.Reset()
 		schedule.release(router.store)
 	})
 }
 
 // link applies state to the connections of a random upstream for length.
-func (schedule *schedule) link(name string, length time.Duration, state linkState) {
+func (schedule *schedule) link(name string, length time.Duration, state faultproxy.State) {
 	upstream := schedule.upstream()
 	if !schedule.claim(upstream) {
 		return
 	}
-	schedule.injectFor(name, length, func() { upstream.proxy.set(state) }, func() {
-		upstream.proxy.set(linkState{})
+	schedule.injectFor(name, length, func() { upstream.proxy.Set(state) }, func() {
+		upstream.proxy.Set(faultproxy.State{})
 		schedule.release(upstream)
 	})
 }
 
 func (schedule *schedule) upstreamDelayed(length time.Duration) {
-	schedule.link("upstream delayed", length, linkState{delay: 150 * time.Millisecond})
+	schedule.link("upstream delayed", length, faultproxy.State{Delay: 150 * time.Millisecond})
 }
 
 func (schedule *schedule) upstreamUnresponsive(length time.Duration) {
-	schedule.link("upstream silent", length, linkState{holdAll: true})
+	schedule.link("upstream silent", length, faultproxy.State{HoldAll: true})
 }
 
 func (schedule *schedule) upstreamPartitionedOneWay(length time.Duration) {
-	schedule.link("upstream cut one way", length, linkState{holdReplies: true})
+	schedule.link("upstream cut one way", length, faultproxy.State{HoldReplies: true})
 }
 
 func (schedule *schedule) upstreamReset(time.Duration) {
 	upstream := schedule.upstream()
 	heal := schedule.soak.beginDisturbance("upstream connections reset")
-	upstream.proxy.reset()
+	upstream.proxy.Reset()
 	heal()
 }
 
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -19,6 +19,9 @@
 	done     chan struct{}
 }
 
+// claimPollInterval is the time between two checks whether a router is free of faults.
+const claimPollInterval = 20 * time.Millisecond
+
 func (upgrade *upgrade) run(ctx context.Context) {
 	defer close(upgrade.done)
 	soak := upgrade.schedule.soak
@@ -28,7 +31,7 @@
 	time.Sleep(upgradeBegin)
 	for _, router := range soak.routers {
 		for !upgrade.schedule.claim(router) {
-			time.Sleep(holdPollInterval)
+			time.Sleep(claimPollInterval)
 		}
 		upgrade.replace(ctx, router)
 		time.Sleep(upgradePause)
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/faultproxy"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/standin"
@@ -70,7 +71,7 @@
 	soak   *Soak
 	runner *standin.Runner
 	store  *standin.Platform
-	proxy  *proxy
+	proxy  *faultproxy.Proxy
 
 	server   *http.Server
 	listener net.Listener
@@ -99,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	proxy, err := startProxy(listener.Addr().String())
+	proxy, err := faultproxy.Start(listener.Addr().String())
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +110,7 @@
 		ID:       id,
 		Service:  service,
 		Software: software,
-		Address:  proxy.address(),
+		Address:  proxy.Address(),
 		Write:    upstream.write,
 		OnArrive: upstream.recordArrival,
 		OnRefuse: upstream.recordRefusal,
@@ -181,8 +182,8 @@
 	upstream.servesFrom = time.Time{}
 	upstream.mu.Unlock()
 	upstream.runner.Crash()
-	upstream.proxy.refuse()
-	upstream.proxy.reset()
+	upstream.proxy.Refuse()
+	upstream.proxy.Reset()
 }
 
 // beginRestart records that a request ended the process, and reports false if another one
@@ -230,9 +231,9 @@
 		heal := upstream.soak.beginBreak("upstream restarted while it served")
 		defer heal()
 	}
-	upstream.proxy.reset()
+	upstream.proxy.Reset()
 	upstream.runner.RestartAs(software)
-	if err := upstream.proxy.accept(); err != nil {
+	if err := upstream.proxy.Accept(); err != nil {
 		upstream.soak.violate("soak failed", "%s does not listen again: %v", upstream.runner.ID, err)
 	}
 }
@@ -249,5 +250,5 @@
 	upstream.cancel()
 	<-upstream.done
 	_ = upstream.server.Close()
-	upstream.proxy.close()
+	upstream.proxy.Close()
 }
