--- /dev/null
+++ b/registry/pool.go
@@ -0,0 +1,117 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/affinity"
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// Pool is an immutable set of upstreams that serve one service. Upstreams and
+// Ranking have the same indexes.
+type Pool struct {
+	Upstreams []Upstream
+	Ranking   *affinity.Pool
+}
+
+// snapshot is an immutable view of the registry for readers.
+type snapshot struct {
+	pools map[ident.ServiceName]*Pool
+	// versions holds the upstreams of each pool by their software versions.
+	versions  map[ident.ServiceName]map[ident.SoftwareVersion]*Pool
+	upstreams map[ident.UpstreamID]Upstream
+	digest    uint64
+}
+
+// Pool returns the upstreams of a service that accept new requests, or nil if
+// there are none.
+func (registry *Registry) Pool(service ident.ServiceName) *Pool {
+	snapshot := registry.current.Load()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.pools[service]
+}
+
+// VersionPool returns the upstreams of a service that have the given software version
+// and accept new requests, or nil if there are none. No upstream has the empty version.
+func (registry *Registry) VersionPool(service ident.ServiceName, version ident.SoftwareVersion) *Pool {
+	snapshot := registry.current.Load()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.versions[service][version]
+}
+
+// Versions returns how many upstreams of each software version accept new requests of a
+// service.
+func (registry *Registry) Versions(service ident.ServiceName) map[ident.SoftwareVersion]int {
+	counts := make(map[ident.SoftwareVersion]int)
+	if snapshot := registry.current.Load(); snapshot != nil {
+		for version, pool := range snapshot.versions[service] {
+			counts[version] = len(pool.Upstreams)
+		}
+	}
+	return counts
+}
+
+// rebuild replaces the current snapshot. The caller holds mu.
+func (registry *Registry) rebuild() {
+	members := make(map[ident.ServiceName][]Upstream)
+	for _, upstream := range registry.listed {
+		if !upstream.Leaving {
+			members[upstream.Service] = append(members[upstream.Service], upstream)
+		}
+	}
+	pools := make(map[ident.ServiceName]*Pool, len(members))
+	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
+	for service, upstreams := range members {
+		pools[service] = newPool(upstreams)
+		versions[service] = versionPools(pools[service])
+	}
+	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
+}
+
+// digest returns a hash that does not depend on the order of the map: routers
+// compare it. The caller holds mu.
+func (registry *Registry) digest() uint64 {
+	var digest uint64
+	for _, upstream := range registry.listed {
+		upstream.Version = 0
+		digest ^= xxhash.Sum64String(fmt.Sprint(upstream))
+	}
+	return digest
+}
+
+// versionPools returns the upstreams of a pool by their software versions.
+func versionPools(pool *Pool) map[ident.SoftwareVersion]*Pool {
+	members := make(map[ident.SoftwareVersion][]Upstream)
+	for _, upstream := range pool.Upstreams {
+		if upstream.Software != "" {
+			members[upstream.Software] = append(members[upstream.Software], upstream)
+		}
+	}
+	pools := make(map[ident.SoftwareVersion]*Pool, len(members))
+	for version, upstreams := range members {
+		if len(upstreams) == len(pool.Upstreams) {
+			pools[version] = pool
+			continue
+		}
+		pools[version] = newPool(upstreams)
+	}
+	return pools
+}
+
+// newPool returns the pool of upstreams, which it sorts by ID.
+func newPool(upstreams []Upstream) *Pool {
+	slices.SortFunc(upstreams, byID)
+	candidates := make([]affinity.Candidate, len(upstreams))
+	for i, upstream := range upstreams {
+		candidates[i] = affinity.Candidate{Upstream: upstream.ID}
+	}
+	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates)}
+}
