platform, oncehttp: a silent connection is not taken for a store that is away

Cause: a call that got no response for 1.2 s was followed by the next one on the next idle connection of the same pool, which was as silent; the readers reached the store after 3.4 s, the others after 6 s, and all took that for an outage, in which a removed row may have expired.

Evidence: with the logs of every failed call is on a reused connection opened at the start of the process, and none on a new one; a store that is away would fail new ones, too.

A read whose response does not begin in time is sent again on a new connection. After any request without a response before its deadline the idle connections are closed, for every client of oncehttp, so that a write is lost at most once.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -232,6 +232,7 @@
 	daemon.updater.Relay = exchange.Relay
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
+	store.OnSilent = daemon.logSilentStore
 	source := &configSource{daemon: daemon, store: store}
 	server := &configServer{rpc: configrpc.Server{Service: &source.service, Listener: listener}, daemon: daemon}
 	go server.run()
@@ -254,6 +255,11 @@
 	return nil
 }
 
+// logSilentStore logs that a connection to the store is silent, while new ones work.
+func (daemon *Daemon) logSilentStore(openedAt time.Time) {
+	daemon.Logger.Warn("Connection to the store is silent, a new one is used.", "OpenedAt", openedAt)
+}
+
 // newGossip returns the gossip with other routers over socket.
 func (daemon *Daemon) newGossip(socket net.PacketConn) *gossip.Gossip {
 	return &gossip.Gossip{
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -49,8 +49,19 @@
 	// to the next request.
 	CloseAfterRefusal bool
 
+	// OnSilent, unless nil, is called when a connection, opened at the given time, has given
+	// no response to a hedged request while a new connection gave one.
+	OnSilent func(openedAt time.Time)
+
 	once      sync.Once
 	transport *http.Transport
+
+	mu sync.Mutex
+	// hedges holds the hedges of the requests that wait for their response.
+	hedges map[*hedge]struct{}
+	// retiredBefore is the time before which connections were opened that must not carry a
+	// further request.
+	retiredBefore time.Time
 }
 
 // SendError is the error for a request that received no response.
@@ -109,6 +120,10 @@
 		if err == nil {
 			return response, nil
 		}
+		if errors.Is(context.Cause(request.Context()), context.DeadlineExceeded) {
+			// The connection may be silent, and the idle ones with it.
+			client.Retire(time.Now())
+		}
 		if Sent(err) || !attempt.reused || tries == maxTries || request.Context().Err() != nil {
 			return nil, err
 		}
@@ -227,6 +242,9 @@
 	attempt.reused = info.Reused
 	if attempt.conn != nil {
 		attempt.writesBefore = attempt.conn.writeCount()
+		if attempt.reused && attempt.client.retired(attempt.conn) {
+			attempt.conn.blockWrites()
+		}
 	}
 }
 
--- a/oncehttp/doc.go
+++ b/oncehttp/doc.go
@@ -4,4 +4,9 @@
 // connection, and an error reports whether any byte of the request may have left
 // this process. net/http guarantees neither: when a kept-alive connection breaks,
 // it resends a request that has an Idempotency-Key header.
+//
+// A connection may stay open and deliver nothing more. After a request that got no response
+// before its deadline, connections that are as old carry no further request. DoHedged sends
+// a read again on a new connection, which tells a silent connection from a server that is
+// slow or away.
 package oncehttp
