registry: a row that was just written has not expired, whatever calls failed

Any failed call, a 429 among them, counted as an outage in which a removed row may have expired.

A row expires three heartbeats after its last write. A router that read its last write later than that ago knows that it was removed.

registry TestRemovalOfAWrittenRowIsNoExpiry fails on the code before ('written all along', 'last read before the failed call').

--- a/config/entry.go
+++ b/config/entry.go
@@ -30,6 +30,8 @@
 	// number of retries in ten seconds on top of it.
 	RetryShare float64 `validate:"gte=0,lte=10"`
 	RetrySlack float64 `validate:"gte=0,lte=100000"`
+	// HeartbeatMs is how often a live upstream writes its row; zero means unknown.
+	HeartbeatMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; zero means unknown.
 	LinkMbps float64 `json:",omitempty" validate:"gte=0,lte=10000000"`
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -183,6 +183,7 @@
 		Metrics:          set,
 		Logger:           logging.Component(daemon.Logger, "follow"),
 	}
+	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
 	return nil
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -75,6 +75,9 @@
 	// OnKept, unless nil, is called for each upstream that stays listed although its row
 	// was removed. It must not call the registry.
 	OnKept func(kept Kept)
+	// Heartbeat is how often a live upstream writes its row, or zero if that is not known.
+	// It is set before use.
+	Heartbeat time.Duration
 
 	current atomic.Pointer[snapshot]
 
@@ -213,7 +216,7 @@
 	if !known {
 		return false
 	}
-	if registry.mayHaveExpired(now) && !present.Leaving {
+	if registry.mayHaveExpired(now) && !present.Leaving && !registry.wroteLately(now, id) {
 		registry.keep(change.Upstream)
 		return false
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -131,3 +131,47 @@
 		}
 	}
 }
+
+// TestRemovalOfAWrittenRowIsNoExpiry guards against an upstream that is used on for seconds
+// after it left, because a call to the store had failed just before (review case 1, DRAIN): a
+// row that was written less than three heartbeats ago can't have expired. One that was
+// written earlier can.
+func TestRemovalOfAWrittenRowIsNoExpiry(t *testing.T) {
+	const heartbeat, failed = 1200 * time.Millisecond, 20 * time.Second
+	tests := []struct {
+		name      string
+		heartbeat time.Duration
+		// writtenAt are the times at which a new version of the row was read.
+		writtenAt []time.Duration
+		removedAt time.Duration
+		want      bool
+	}{
+		{"written all along", heartbeat, []time.Duration{18 * time.Second, 19200 * time.Millisecond, 20400 * time.Millisecond}, 21 * time.Second, false},
+		{"last read before the failed call", heartbeat, []time.Duration{18 * time.Second, 19200 * time.Millisecond}, 20300 * time.Millisecond, false},
+		{"not written for three heartbeats", heartbeat, []time.Duration{15 * time.Second, 16200 * time.Millisecond}, 20300 * time.Millisecond, true},
+		{"written once only", heartbeat, []time.Duration{20100 * time.Millisecond}, 20300 * time.Millisecond, true},
+		{"heartbeat not known", 0, []time.Duration{18 * time.Second, 19200 * time.Millisecond}, 20300 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reg := registry.Registry{Heartbeat: test.heartbeat}
+			version := ident.Revision(1)
+			reg.Replace(timeAt(0), version, []registry.Upstream{upstream("b")})
+			apply := func(at time.Duration, gone bool) {
+				version++
+				changed := upstream("a")
+				changed.Version = version
+				reg.Apply(timeAt(at), []registry.Change{{Upstream: changed, Gone: gone}})
+			}
+			for _, at := range test.writtenAt {
+				apply(at, false)
+			}
+			reg.SetStoreDown(timeAt(failed), true)
+			reg.SetStoreDown(timeAt(failed+200*time.Millisecond), false)
+			apply(test.removedAt, true)
+			if got := len(members(&reg)) == 2; got != test.want {
+				t.Errorf("got a in the pool: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/registry/renewal.go
+++ b/registry/renewal.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// lapseHeartbeats is after how many heartbeats without a write a row expires.
+const lapseHeartbeats = 3
+
+// wroteLately reports whether the row of an upstream was certainly written so lately that it
+// can't have expired: if it is gone, it was removed. The caller holds mu.
+func (registry *Registry) wroteLately(now time.Time, id ident.UpstreamID) bool {
+	if registry.restored(now, RejoinGracePeriod) {
+		return false
+	}
+	wroteAfter := registry.renewals[id].wroteAfter
+	return !wroteAfter.IsZero() && now.Before(wroteAfter.Add(lapseHeartbeats*registry.Heartbeat))
+}
+
 // RanAt reports whether an incarnation of an upstream certainly ran at a time: its row
 // was read before, and it wrote the row again after.
 func (registry *Registry) RanAt(id ident.UpstreamID, incarnation Incarnation, at time.Time) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -206,6 +206,10 @@
 			return err
 		}
 		router.previous = soak.options.Previous
+		if router.previous == "" {
+			// An earlier program refuses settings that it doesn't know.
+			router.settings.HeartbeatMs = ident.Milliseconds(standin.RunnerHeartbeatInterval.Milliseconds())
+		}
 		if err := router.start(); err != nil {
 			return err
 		}
