--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -36,8 +36,8 @@
 
 const (
 	// maxConfigHold is how long the store may hold a call that waits for a new
-	// configuration. A call that the store accepts and never answers delays the
-	// next one by as much.
+	// configuration. On a connection that has gone silent, a call is repeated after that
+	// and the delay of platform.Store, unless another read finds it out before.
 	maxConfigHold ident.Milliseconds = 2500
 	// loadBoundSlack is how many requests above its multiple of the mean load an
 	// upstream may have. Without it a small mean would leave no room.
