forward, entry: no request is cut at the end of a planned stop

One whose head came slowly was read and closed by net/http, whose Shutdown closes a connection behind the head that it reads.

A router that stops now refuses what it reads later than the balancer sends callers, unless the request's deadline is before the end (503, RouterStopping, not run); forward.Stop is that decision. Deadlines end 0.3 s before the process may; what waits then gets 502, and counts against no upstream. The listener is closed without Shutdown; connections without a request are closed, and the process ends when none is left.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,23 +68,23 @@
 	OnStart func(addresses Addresses)
 
 	// settings holds the settings in force, which are Config until a reload.
-	settings   atomic.Pointer[config.Entry]
-	metrics    *metrics.Set
-	routes     routing.CurrentTable
-	registry   registry.Registry
-	loads      balance.Loads
-	cacheIndex balance.CacheIndex
-	health     health.Tracker
-	strikes    strike.Guard
-	quota      quota.Tracker
-	splits     split.Tracker
-	origins    split.Origins
-	gossip     *gossip.Gossip
-	handler    *forward.Handler
-	updater    *follow.Updater
-	idleConns  forward.IdleConns
-	stop       stopState
-	warmup     *warmup
+	settings    atomic.Pointer[config.Entry]
+	metrics     *metrics.Set
+	routes      routing.CurrentTable
+	registry    registry.Registry
+	loads       balance.Loads
+	cacheIndex  balance.CacheIndex
+	health      health.Tracker
+	strikes     strike.Guard
+	quota       quota.Tracker
+	splits      split.Tracker
+	origins     split.Origins
+	gossip      *gossip.Gossip
+	handler     *forward.Handler
+	updater     *follow.Updater
+	callerConns forward.CallerConns
+	stop        stopState
+	warmup      *warmup
 	// storeUp records since when the store has answered every call.
 	storeUp stateStart
 	// upstreamsReadAt is when the upstreams were last read from the store.
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -35,7 +35,7 @@
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
-		daemon.idleConns.CloseOlder(now.Add(-daemon.idleTimeout()))
+		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -39,7 +39,7 @@
 
 func (service *httpService) run() {
 	err := service.server.Serve(service.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		service.logger.Error("HTTP server failed.", "Error", err)
 	}
 }
@@ -86,6 +86,6 @@
 	callers := services[0]
 	callers.listener = forward.Listener{Listener: callers.listener}
 	callers.server.ConnContext = forward.ConnContext
-	callers.server.ConnState = daemon.idleConns.Track
+	callers.server.ConnState = daemon.callerConns.Track
 	return services, nil
 }
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/forward"
 )
 
 const (
@@ -14,6 +15,12 @@
 	// stopMargin is the part of the platform's stop timeout that is left unused,
 	// so that the process ends before the platform kills it.
 	stopMargin = 400 * time.Millisecond
+	// answerMargin is the time for the last answers to reach their callers.
+	answerMargin = 300 * time.Millisecond
+	// unusedConnTime is how long a new connection may bring no byte during the stop.
+	unusedConnTime = time.Second
+	// callerPollInterval is the time between two checks whether callers are left.
+	callerPollInterval = 10 * time.Millisecond
 )
 
 // stopState records whether a planned stop has begun. It is safe for concurrent
@@ -31,13 +38,24 @@
 	began := time.Now()
 	end := began.Add(daemon.settings.Load().StopTimeoutMs.Duration() - stopMargin)
 	daemon.stop.began.Store(true)
-	daemon.handler.Leave()
+	daemon.handler.Leave(forward.Stop{LateFrom: began.Add(min(balancerDrainTime, end.Sub(began))), AnswerBy: end.Add(-answerMargin)})
 	daemon.Logger.Info("Stopping.", "Until", end)
 	time.Sleep(min(balancerDrainTime, time.Until(end)))
-	// Shutdown closes the listener and idle connections, and waits for requests in
-	// flight. It is called only now, when the balancer sends no more callers.
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	err := callers.server.Shutdown(ctx)
-	daemon.Logger.Info("Stopped.", "After", time.Since(began), "Error", err)
+	// The server itself goes on: it would close the connection of a request whose head it
+	// reads after its Shutdown, without an answer.
+	if err := callers.listener.Close(); err != nil {
+		daemon.Logger.Warn("Closing the callers' listener failed.", "Error", err)
+	}
+	daemon.awaitCallers(end)
+	daemon.Logger.Info("Stopped.", "After", time.Since(began), "CallersLeft", daemon.callerConns.Open())
+}
+
+// awaitCallers closes the callers' connections that have no request, and waits until the
+// others have got their answers, at most until end.
+func (daemon *Daemon) awaitCallers(end time.Time) {
+	for now := time.Now(); daemon.callerConns.Open() > 0 && now.Before(end); now = time.Now() {
+		daemon.callerConns.CloseIdle(now)
+		daemon.callerConns.CloseUnused(now.Add(-unusedConnTime))
+		time.Sleep(callerPollInterval)
+	}
 }
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -149,3 +149,9 @@
 
 // Log returns what the process has written to its standard error so far.
 func (process *Process) Log() string { return process.log.String() }
+
+// StartEntry starts an entry router with the settings file at path.
+func StartEntry(t testing.TB, path string) *Process {
+	t.Helper()
+	return start(t, "router", "hickoryhead", "entry", "--settings", path)
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,7 +50,9 @@
 	// stopWatch ends the watch that closes the connection when the caller
 	// leaves. It returns false if the caller has already left.
 	stopWatch func() bool
-	loads     *balance.Loads
+	// stopEnd ends the watch that closes the connection when the router has to end.
+	stopEnd func() bool
+	loads   *balance.Loads
 	// pendingPrefill is the number of prompt tokens that the upstream has to
 	// prefill before its first byte.
 	pendingPrefill ident.Tokens
@@ -71,7 +73,7 @@
 // end.
 func (answer *answer) release() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
-	if !answer.stopWatch() {
+	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
 		answer.conn.Discard()
 		return
 	}
@@ -90,6 +92,7 @@
 func (answer *answer) discard() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
 	answer.stopWatch()
+	answer.stopEnd()
 	answer.conn.Discard()
 }
 
@@ -124,7 +127,9 @@
 		return nil, result.DeadlineUnmeetable
 	}
 	answer := &answer{upstream: upstream, conn: conn, loads: exchange.handler.Loads, pendingPrefill: exchange.pendingPrefill()}
-	answer.stopWatch = context.AfterFunc(exchange.request.Context(), func() { _ = conn.Close() })
+	closing := func() { _ = conn.Close() }
+	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
+	answer.stopEnd = exchange.handler.closeAtEnd(closing)
 	exchange.handler.Loads.Start(upstream.ID, answer.pendingPrefill)
 	for _, key := range exchange.prefixIDs {
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
@@ -358,7 +363,7 @@
 // caller has left. A refusal counts as a success, since the upstream responded.
 func (exchange *exchange) recordFailure(upstream registry.Upstream, code result.Code) {
 	exchange.recordRun(upstream, code)
-	if exchange.callerLeft() {
+	if exchange.callerLeft() || exchange.handler.ended() {
 		return
 	}
 	switch code {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -89,9 +89,7 @@
 
 // serve reads the request, forwards it and writes the answer.
 func (exchange *exchange) serve() {
-	if exchange.handler.leaving.Load() {
-		exchange.writer.Header().Set("Connection", "close")
-	}
+	exchange.closeIfLeaving(exchange.writer.Header())
 	if code := exchange.prepare(); code != result.OK {
 		exchange.refuse(code)
 		return
@@ -220,7 +218,7 @@
 	if code.Outcome() != result.NotRun {
 		exchange.runs++
 	}
-	if exchange.standing().Allowance == strike.Refused {
+	if exchange.standing().Allowance == strike.Refused || exchange.handler.ended() {
 		return false
 	}
 	candidates := 0
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -75,9 +75,13 @@
 	// upstreams have cached; nil counts as closed.
 	Warm <-chan struct{}
 
-	// leaving is set when the process shuts down. Answers then close their
+	// stop holds the bounds of the planned stop once it has begun. Answers then close their
 	// connections, so that callers reconnect to another router.
-	leaving atomic.Bool
+	stop atomic.Pointer[Stop]
+	// ending ends when requests may wait no longer for their upstreams, by end.
+	endingOnce sync.Once
+	ending     context.Context
+	end        context.CancelFunc
 
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
@@ -103,9 +107,6 @@
 	return handler.tuning.Load().Chooser.Choose(time.Now(), pool, request)
 }
 
-// Leave makes all later answers close their connections.
-func (handler *Handler) Leave() { handler.leaving.Store(true) }
-
 // ServeHTTP forwards one request. If the answer is truncated, it panics with
 // http.ErrAbortHandler to break the caller's connection.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -26,13 +26,13 @@
 // TestConnectionThatGetsARequestIsNotClosed guards against a request that is cut off because
 // it came while other idle connections were being closed.
 func TestConnectionThatGetsARequestIsNotClosed(t *testing.T) {
-	var idleConns forward.IdleConns
+	var callerConns forward.CallerConns
 	first, second := new(closingConn), new(closingConn)
-	first.onClose = func() { idleConns.Track(second, http.StateActive) }
-	second.onClose = func() { idleConns.Track(first, http.StateActive) }
-	idleConns.Track(first, http.StateIdle)
-	idleConns.Track(second, http.StateIdle)
-	idleConns.CloseOlder(time.Now().Add(time.Second))
+	first.onClose = func() { callerConns.Track(second, http.StateActive) }
+	second.onClose = func() { callerConns.Track(first, http.StateActive) }
+	callerConns.Track(first, http.StateIdle)
+	callerConns.Track(second, http.StateIdle)
+	callerConns.CloseIdle(time.Now().Add(time.Second))
 	if first.closed == second.closed {
 		t.Errorf("got connections closed: %t and %t, want the one that was closed first only", first.closed, second.closed)
 	}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -25,6 +25,8 @@
 	net.Conn
 	scanner   framing.Scanner
 	ambiguous atomic.Bool
+	// used is set once a byte was read.
+	used atomic.Bool
 }
 
 // Read reads from the connection. After a request with ambiguous framing it
@@ -34,6 +36,9 @@
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
+	if count > 0 {
+		checkedConn.used.Store(true)
+	}
 	if !checkedConn.scanner.Scan(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
@@ -70,37 +75,66 @@
 	return !checked || !conn.ambiguous.Load()
 }
 
-// IdleConns tracks callers' connections without a request in progress. The zero
-// value is ready to use; Track is the ConnState callback of an http.Server. It
-// is safe for concurrent use.
-type IdleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
+// CallerConns tracks callers' open connections. The zero value is ready to use; Track is the
+// ConnState callback of an http.Server. It is safe for concurrent use.
+type CallerConns struct {
+	mu sync.Mutex
+	// states holds the state of each open connection.
+	states map[net.Conn]connState
+}
+
+// connState is the state of a connection, and since when it has it.
+type connState struct {
+	state http.ConnState
+	since time.Time
 }
 
 // Track records the new state of a connection.
-func (idleConns *IdleConns) Track(conn net.Conn, state http.ConnState) {
-	idleConns.mu.Lock()
-	defer idleConns.mu.Unlock()
-	if state != http.StateIdle {
-		delete(idleConns.since, conn)
+func (callerConns *CallerConns) Track(conn net.Conn, state http.ConnState) {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(callerConns.states, conn)
 		return
 	}
-	if idleConns.since == nil {
-		idleConns.since = make(map[net.Conn]time.Time)
+	if callerConns.states == nil {
+		callerConns.states = make(map[net.Conn]connState)
 	}
-	idleConns.since[conn] = time.Now()
+	callerConns.states[conn] = connState{state: state, since: time.Now()}
+}
+
+// Open returns the number of open connections.
+func (callerConns *CallerConns) Open() int {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	return len(callerConns.states)
+}
+
+// CloseIdle closes the connections that have been without a request in progress since
+// before the given time.
+func (callerConns *CallerConns) CloseIdle(before time.Time) {
+	callerConns.closeIf(func(_ net.Conn, state connState) bool {
+		return state.state == http.StateIdle && state.since.Before(before)
+	})
+}
+
+// CloseUnused closes the connections that were opened before the given time and have
+// brought no byte.
+func (callerConns *CallerConns) CloseUnused(before time.Time) {
+	callerConns.closeIf(func(conn net.Conn, state connState) bool {
+		checked, ok := conn.(*checkedConn)
+		return state.state == http.StateNew && state.since.Before(before) && ok && !checked.used.Load()
+	})
 }
 
-// CloseOlder closes the connections that have been idle since before the given
-// time.
-func (idleConns *IdleConns) CloseOlder(before time.Time) {
-	idleConns.mu.Lock()
-	tracked := slices.Collect(maps.Keys(idleConns.since))
-	idleConns.mu.Unlock()
+// closeIf closes the connections for which condition reports true.
+func (callerConns *CallerConns) closeIf(condition func(conn net.Conn, state connState) bool) {
+	callerConns.mu.Lock()
+	tracked := slices.Collect(maps.Keys(callerConns.states))
+	callerConns.mu.Unlock()
 	for _, conn := range tracked {
 		// It may have got a request while others were closed.
-		if !idleConns.idleSince(conn, before) {
+		if !callerConns.matches(conn, condition) {
 			continue
 		}
 		// The caller sees the close; an error would change nothing.
@@ -108,10 +142,10 @@
 	}
 }
 
-// idleSince reports whether a connection has been idle since before the given time.
-func (idleConns *IdleConns) idleSince(conn net.Conn, before time.Time) bool {
-	idleConns.mu.Lock()
-	defer idleConns.mu.Unlock()
-	since, idle := idleConns.since[conn]
-	return idle && since.Before(before)
+// matches reports whether an open connection meets a condition.
+func (callerConns *CallerConns) matches(conn net.Conn, condition func(conn net.Conn, state connState) bool) bool {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	state, open := callerConns.states[conn]
+	return open && condition(conn, state)
 }
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -60,7 +60,21 @@
 	}
 	exchange.setDeadline()
 	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.firstAttempt())))
-	return exchange.readBody()
+	if code := exchange.readBody(); code != result.OK {
+		return code
+	}
+	return exchange.checkStop()
+}
+
+// checkStop refuses a request that was read late in a planned stop, and bounds the time of
+// any other one by the end of the router.
+func (exchange *exchange) checkStop() result.Code {
+	stop := exchange.handler.currentStop()
+	if !stop.Takes(time.Now(), exchange.deadline) {
+		return result.RouterStopping
+	}
+	exchange.deadline = stop.Deadline(exchange.deadline)
+	return result.OK
 }
 
 // tableWait returns how long the request waits for what a router that has just started
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -61,6 +61,8 @@
 	switch {
 	case code == result.NotReady:
 		retryAfter = notReadyRetryAfter
+	case code == result.RouterStopping:
+		retryAfter = stopRetryAfter
 	case code == result.CrashingRequest:
 		exchange.refusal = exchange.handler.Strikes.Refusal(time.Now(), exchange.suspect())
 		retryAfter = spreadAfter(min(max(time.Until(exchange.refusal.Until), exchange.postponement()), maxCrashingRetryAfter))
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -171,9 +171,10 @@
 			header[name] = nil
 		}
 	}
-	if closing != "" || exchange.handler.leaving.Load() {
+	if closing != "" {
 		header.Set("Connection", "close")
 	}
+	exchange.closeIfLeaving(header)
 }
 
 // start sets the write deadline, writes the status to the caller and records
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -137,8 +137,10 @@
 		return
 	}
 	exchange.setCauseText(errors.UnwrapAll(err).Error())
-	exchange.broke = connectionBroke(err)
-	exchange.unanswered = errors.Is(err, os.ErrDeadlineExceeded)
+	// At its end the router itself closes the connections.
+	ended := exchange.handler.ended()
+	exchange.broke = connectionBroke(err) && !ended
+	exchange.unanswered = errors.Is(err, os.ErrDeadlineExceeded) || ended
 }
 
 // setCauseText stores a cause that is no broken connection.
--- a/result/code.go
+++ b/result/code.go
@@ -58,6 +58,7 @@
 	OriginUnknown        Code = 2015
 	VersionGone          Code = 2016
 	UpstreamsResting     Code = 2017
+	RouterStopping       Code = 2018
 )
 
 // Codes for requests that were run or may have been run.
@@ -135,6 +136,7 @@
 	{OriginUnknown, "OriginUnknown", "The software version that began the stream is unknown", "A stream goes on only at the software version that began it, and this router can't tell which one did. Nothing was run. Another router may know. With Retry-After, this one will by then; without, send the request as a new one.", http.StatusServiceUnavailable, NotRun, false},
 	{VersionGone, "VersionGone", "No upstream of the version that began the stream is left", "A stream goes on only at the software version that began it, and no upstream with that version takes requests. Nothing was run. Send the request as a new one.", http.StatusServiceUnavailable, NotRun, false},
 	{UpstreamsResting, "UpstreamsResting", "Every upstream has asked for rest", "The upstreams of the route have turned requests of this router away and asked it to send none for a time. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{RouterStopping, "RouterStopping", "The router stops", "The request was read so late in a planned stop of the router that its answer might be cut. Nothing was run. Send it again over a new connection, which reaches another router.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
