forward: answers that requests hold share a bound of memory

Operators of other systems reported a faulty runner that sent bytes without end until the caller closed; the machine that had called it kept them all and ran out of memory. Here each request keeps 64 KiB of a head and 1 MiB of a body or an event, which TestEndlessBytesFromAnUpstream checks for one request at a time; but the connection limits allow some hundreds at a time, and nothing bounded them together.

What requests hold beyond 32 KiB each is now taken from one bound, an eighth of the process's memory. An answer that finds none left is relayed while it arrives, and an event is too long.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,8 @@
 	// runtime's soft memory limit, above which the garbage collector works harder.
 	memoryLimitShare = 0.7
 	bytesPerMB       = 1 << 20
+	// bufferLimitShare is the share of it that answers in memory may use.
+	bufferLimitShare = 0.125
 	// routerIDBase is the numeric base in which the random ID of a run is written.
 	// Each message to other routers carries the ID.
 	routerIDBase = 36
@@ -169,6 +171,7 @@
 		Splits:      &daemon.splits,
 		Origins:     &daemon.origins,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
+		Buffers:     forward.Buffers{Limit: ident.Bytes(bufferLimitShare * float64(daemon.Config.MemoryMB) * bytesPerMB)},
 		Zone:        daemon.Config.Zone,
 		Routers:     daemon.routers,
 		Metrics:     set,
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,6 +56,8 @@
 	// that carried it was established.
 	sentAt      time.Time
 	connectedAt time.Time
+	// reserved is how many bytes of Buffers the request holds.
+	reserved int64
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
@@ -89,6 +91,7 @@
 
 // serve reads the request, forwards it and writes the answer.
 func (exchange *exchange) serve() {
+	defer exchange.releaseBuffers()
 	exchange.closeIfLeaving(exchange.writer.Header())
 	if code := exchange.prepare(); code != result.OK {
 		exchange.refuse(code)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -55,6 +55,8 @@
 	// leaves.
 	OnAnnounced func(change registry.Change)
 	Connections *Connections
+	// Buffers bounds what requests hold of their answers.
+	Buffers Buffers
 	Zone        ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -67,8 +67,8 @@
 // relayPlain relays an answer that is no event stream. It reads the answer
 // completely before it writes any of it, unless the answer is too long.
 func (exchange *exchange) relayPlain(answer *answer) result.Code {
-	body, err := io.ReadAll(io.LimitReader(answer.response.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+	body, whole, err := exchange.readHeld(answer.response.Body)
+	if err == nil && !whole {
 		return exchange.relayUnbuffered(answer, body)
 	}
 	if err != nil {
@@ -93,8 +93,8 @@
 	return exchange.writePlain(answer, body)
 }
 
-// relayUnbuffered relays an answer that is longer than maxBufferedBytes while
-// it arrives. beginning holds the bytes that were read already.
+// relayUnbuffered relays an answer that is longer than maxBufferedBytes, or than the
+// request may hold, while it arrives. beginning holds the bytes that were read already.
 func (exchange *exchange) relayUnbuffered(answer *answer, beginning []byte) result.Code {
 	exchange.copyHeader(answer)
 	if answer.response.ContentLength > 0 {
@@ -292,7 +292,7 @@
 				return err
 			}
 		}
-		if len(stream.pending) > maxEventBytes {
+		if len(stream.pending) > maxEventBytes || !exchange.mayHold(2*len(stream.pending)) {
 			return errEventTooLong
 		}
 		switch {
