configrpc, sidecar, hickoryhead: what a peer sends is bounded

A connection for the configuration now brings 32 MiB at most, a request for it 64 KiB, and a sidecar's JSON 4 MiB.

--- a/cmd/hickoryhead/operate.go
+++ b/cmd/hickoryhead/operate.go
@@ -47,14 +47,22 @@
 	if response.StatusCode >= 300 {
 		return responseError(response)
 	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(value), "decode the router's response")
+	return errors.Wrap(decodeBody(response, value), "decode the router's response")
+}
+
+// maxResponseBytes limits a response of a router.
+const maxResponseBytes = 64 << 20
+
+// decodeBody decodes the JSON body of a response, unless it is longer than maxResponseBytes.
+func decodeBody(response *http.Response, value any) error {
+	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxResponseBytes)).Decode(value)
 }
 
 // responseError returns the problem that a response describes, or an error with
 // its status if the body holds none.
 func responseError(response *http.Response) error {
 	var problem result.Problem
-	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil || problem.Number == result.OK {
+	if err := decodeBody(response, &problem); err != nil || problem.Number == result.OK {
 		return errors.Newf("router responded with status %d", response.StatusCode)
 	}
 	return problem.Err(time.Now())
--- a/configrpc/configrpc.go
+++ b/configrpc/configrpc.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return Row{}, errors.Wrap(err, "connect to router for configuration")
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(&limitedConn{Conn: conn, left: maxReplyBytes})
 	defer client.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/configrpc/server.go
+++ b/configrpc/server.go
@@ -54,5 +54,5 @@
 		_ = connection.conn.Close()
 		return
 	}
-	connection.rpcServer.ServeConn(connection.conn)
+	connection.rpcServer.ServeConn(&limitedConn{Conn: connection.conn, left: maxArgsBytes})
 }
--- a/sidecar/client.go
+++ b/sidecar/client.go
@@ -221,7 +221,7 @@
 	}
 	defer response.Body.Close()
 	var abandoned Abandoned
-	err = json.NewDecoder(response.Body).Decode(&abandoned)
+	err = decodeBody(response, &abandoned)
 	return abandoned, state.Incarnation, err
 }
 
@@ -279,7 +279,15 @@
 	if into == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), "decode the sidecar's response")
+	return errors.Wrap(decodeBody(response, into), "decode the sidecar's response")
+}
+
+// maxJSONBytes limits a JSON response of a sidecar.
+const maxJSONBytes = 4 << 20
+
+// decodeBody decodes the JSON body of a response, unless it is longer than maxJSONBytes.
+func decodeBody(response *http.Response, into any) error {
+	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxJSONBytes)).Decode(into)
 }
 
 // do sends request and returns the response and the state in it. A response with
@@ -296,7 +304,7 @@
 	}
 	defer response.Body.Close()
 	var problem result.Problem
-	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil || problem.Number == result.OK {
+	if err := decodeBody(response, &problem); err != nil || problem.Number == result.OK {
 		return nil, state, result.Errorf(result.OutcomeUnknown, "the sidecar answered with status %d and no valid problem", response.StatusCode)
 	}
 	return nil, state, problem.Err(time.Now())
