forward, http1: behind a silent connection to an upstream, the next request uses a new one

After a request that got no answer on a kept connection, the next one took the next idle one, as silent, and was lost with it (504), until the idle time or the kernel's keep-alive ended them. Idle connections that have brought no response since the unanswered request was sent are closed now; those that have are alive, so that a slow upstream keeps its connections.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -139,6 +139,9 @@
 	exchange.handler.Metrics.ObserveAttempt(time.Since(exchange.sentAt))
 	if code != result.OK {
 		exchange.recordFailure(upstream, code)
+		if exchange.unanswered {
+			conn.RecordSilence(exchange.sentAt)
+		}
 		answer.fail(exchange.broke)
 		return nil, code
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -57,7 +57,7 @@
 	Connections *Connections
 	// Buffers bounds what requests hold of their answers.
 	Buffers Buffers
-	Zone        ident.Zone
+	Zone    ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -283,5 +283,14 @@
 // Refute records that the peer is not the process that the pool is for.
 func (conn *Conn) Refute() { conn.pool.refute() }
 
+// RecordSilence records that a request, sent at the given time, got no response on the
+// connection. If it had carried earlier ones, it may be silent, and idle connections that
+// have brought no response since are not used again.
+func (conn *Conn) RecordSilence(sentAt time.Time) {
+	if conn.Requests > 1 && conn.pool != nil {
+		conn.pool.closeIdleSince(sentAt)
+	}
+}
+
 // RecordBreak records that the connection broke, before it is discarded.
 func (conn *Conn) RecordBreak() { conn.pool.recordBreak() }
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -248,6 +248,17 @@
 	}
 }
 
+// closeIdleSince closes the idle connections that have brought no response since the given
+// time.
+func (pool *Pool) closeIdleSince(since time.Time) {
+	pool.mu.Lock()
+	silent := pool.takeIf(func(conn *Conn) bool { return conn.idleSince.Before(since) })
+	pool.mu.Unlock()
+	for _, conn := range silent {
+		conn.Discard()
+	}
+}
+
 // Close closes the idle connections. Connections in use are closed when they
 // are released.
 func (pool *Pool) Close() {
