--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -20,12 +20,19 @@
 	maxGap = 900 * time.Millisecond
 	// maxFaultLength bounds the length of a fault.
 	maxFaultLength = 2500 * time.Millisecond
+	// silenceInterval is to how many faults there is one silence of connections.
+	silenceInterval = 8
+	// silenceStream is the stream of random numbers that draws them.
+	silenceStream = 1 << 40
 )
 
 // schedule draws random faults and injects them. Faults may overlap.
 type schedule struct {
 	soak   *Soak
 	random *rand.Rand
+	// silences draws when connections go silent, apart from random, so that the other
+	// faults of a seed stay the same.
+	silences *rand.Rand
 	// active counts the faults that have not been undone yet.
 	active sync.WaitGroup
 	// busy holds the routers, links and upstreams that a fault is applied to.
@@ -82,6 +89,9 @@
 		if fault.planned || !onlyPlanned {
 			fault.inject(schedule, length)
 		}
+		if !onlyPlanned && schedule.silences.IntN(silenceInterval) == 0 {
+			schedule.silence()
+		}
 		time.Sleep(gap)
 	}
 	schedule.active.Wait()
@@ -323,6 +333,23 @@
 	heal()
 }
 
+// silence lets the connections that all routers have open to the store, or to one upstream,
+// stay open and deliver nothing more.
+func (schedule *schedule) silence() {
+	if schedule.silences.IntN(2) == 0 {
+		heal := schedule.soak.beginDisturbance("connections to the store silent")
+		for _, router := range schedule.soak.routers {
+			router.store.Silence()
+		}
+		heal()
+		return
+	}
+	upstreams := schedule.soak.upstreams
+	heal := schedule.soak.beginDisturbance("connections to an upstream silent")
+	upstreams[schedule.silences.IntN(len(upstreams))].proxy.Silence()
+	heal()
+}
+
 func (schedule *schedule) upstreamCrashed(length time.Duration) {
 	upstream := schedule.upstream()
 	software := randomVersion(schedule.random)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -153,7 +153,7 @@
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
 
-	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), busy: make(map[any]bool)}
+	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), busy: make(map[any]bool)}
 	upgrade := &upgrade{schedule: schedule, done: make(chan struct{})}
 	go upgrade.run(ctx)
 	schedule.play(ctx)
