--- a/explain/explain.go
+++ b/explain/explain.go
@@ -77,9 +77,9 @@
 		}
 		sameUpstream := line.Upstream != "" && line.Upstream == request.Upstream
 		switch {
-		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == leavingSaid),
+		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
-			line.Message == storeUnreachable, line.Message == configInForce:
+			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
 	}
@@ -174,6 +174,10 @@
 		return fmt.Sprintf("upstream %s changed: leaving %v, removed %v, reported by the %s", line.Upstream, line.Leaving, line.Gone, line.Source)
 	case storeUnreachable:
 		return fmt.Sprintf("store unreachable for table %s: %s", line.Table, line.Error)
+	case storeSilent:
+		return fmt.Sprintf("connection to the store silent, opened at %s: a new one is used", line.OpenedAt.Format(time.TimeOnly))
+	case upstreamKept:
+		return fmt.Sprintf("upstream %s kept, its row was removed, but may have expired in an outage of the store since %s", line.Upstream, line.OutageBegin.Format(time.TimeOnly))
 	case strikeCounted:
 		return fmt.Sprintf("strike %d of %s %s: upstream %s broke off while it ran attempt %s", line.Strikes, kindOf(line), line.Fingerprint, line.Upstream, line.Attempt)
 	case strikeWithdrawn:
--- a/explain/line.go
+++ b/explain/line.go
@@ -48,6 +48,10 @@
 	Source  string
 	Table   string
 	Error   string
+	// OpenedAt is when a silent connection was opened, and OutageBegin when the outage
+	// began in which the row of an upstream may have expired.
+	OpenedAt    time.Time
+	OutageBegin time.Time
 	// Strikes is how many upstreams crashed under the request, or the part, so far.
 	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
@@ -88,6 +92,8 @@
 	upstreamEjected  = "forward: Upstream set aside."
 	upstreamChanged  = "follow: Upstream changed."
 	storeUnreachable = "follow: Store not reached."
+	storeSilent      = "Connection to the store is silent, a new one is used."
+	upstreamKept     = "follow: Upstream kept, its row may have expired in an outage of the store."
 	configInForce    = "follow: Configuration in force."
 	strikeCounted    = "strike: Strike counted, the upstream broke off while it ran the request."
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
