forward, entry: a connection on which bytes have come is not closed as idle

A connection is closed as idle, or as unused, only if no byte was read since it is so, and a byte that comes later is not read: decided under one lock. The end of accepting is waited for.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,9 +35,12 @@
 	server   *http.Server
 	listener net.Listener
 	logger   *slog.Logger
+	// done is closed when no more connections are accepted.
+	done chan struct{}
 }
 
 func (service *httpService) run() {
+	defer close(service.done)
 	err := service.server.Serve(service.listener)
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		service.logger.Error("HTTP server failed.", "Error", err)
@@ -76,6 +79,7 @@
 		services = append(services, &httpService{
 			listener: listener,
 			logger:   daemon.Logger,
+			done:     make(chan struct{}),
 			server: &http.Server{
 				Handler:           endpoint.handler,
 				ReadHeaderTimeout: headerTimeout,
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -17,6 +17,9 @@
 	stopMargin = 400 * time.Millisecond
 	// answerMargin is the time for the last answers to reach their callers.
 	answerMargin = 300 * time.Millisecond
+	// idleConnTime is how long a connection must have been idle to be closed during the
+	// stop: its caller may have sent the next request already.
+	idleConnTime = 100 * time.Millisecond
 	// unusedConnTime is how long a new connection may bring no byte during the stop.
 	unusedConnTime = time.Second
 	// callerPollInterval is the time between two checks whether callers are left.
@@ -46,6 +49,7 @@
 	if err := callers.listener.Close(); err != nil {
 		daemon.Logger.Warn("Closing the callers' listener failed.", "Error", err)
 	}
+	<-callers.done
 	daemon.awaitCallers(end)
 	daemon.Logger.Info("Stopped.", "After", time.Since(began), "CallersLeft", daemon.callerConns.Open())
 }
@@ -54,7 +58,7 @@
 // others have got their answers, at most until end.
 func (daemon *Daemon) awaitCallers(end time.Time) {
 	for now := time.Now(); daemon.callerConns.Open() > 0 && now.Before(end); now = time.Now() {
-		daemon.callerConns.CloseIdle(now)
+		daemon.callerConns.CloseIdle(now.Add(-idleConnTime))
 		daemon.callerConns.CloseUnused(now.Add(-unusedConnTime))
 		time.Sleep(callerPollInterval)
 	}
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -37,3 +39,57 @@
 		t.Errorf("got connections closed: %t and %t, want the one that was closed first only", first.closed, second.closed)
 	}
 }
+
+// TestConnectionWithBytesIsNotClosedAsIdle guards against a request that is sent on while its
+// connection is closed as idle, so that its caller gets no answer (LOST): the state of a
+// connection changes only once the head of the request was read. A connection that is closed
+// brings no byte any more.
+func TestConnectionWithBytesIsNotClosedAsIdle(t *testing.T) {
+	for _, state := range []http.ConnState{http.StateIdle, http.StateNew} {
+		for _, sends := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%v, bytes come: %t", state, sends), func(t *testing.T) {
+				inner, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer inner.Close()
+				caller, err := net.Dial("tcp", inner.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer caller.Close()
+				conn, err := forward.Listener{Listener: inner}.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				var callerConns forward.CallerConns
+				callerConns.Track(conn, state)
+				if sends {
+					if _, err := io.WriteString(caller, "GET /"); err != nil {
+						t.Fatal(err)
+					}
+					if _, err := io.ReadFull(conn, make([]byte, 5)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				later := time.Now().Add(time.Second)
+				callerConns.CloseIdle(later)
+				callerConns.CloseUnused(later)
+				_, err = io.WriteString(conn, "open")
+				if open := err == nil; open != sends {
+					t.Errorf("got a connection that is open: %t, want %t", open, sends)
+				}
+				if !sends {
+					if count, err := conn.Read(make([]byte, 1)); err == nil {
+						t.Errorf("got %d bytes from a connection that was closed, want none", count)
+					}
+				}
+				callerConns.Track(conn, http.StateClosed)
+				if got := callerConns.Open(); got != 0 {
+					t.Errorf("got %d open connections, want none", got)
+				}
+			})
+		}
+	}
+}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -25,8 +25,12 @@
 	net.Conn
 	scanner   framing.Scanner
 	ambiguous atomic.Bool
-	// used is set once a byte was read.
-	used atomic.Bool
+
+	mu sync.Mutex
+	// readAt is when bytes were last read, and closing is set once the connection is closed
+	// because there were none.
+	readAt  time.Time
+	closing bool
 }
 
 // Read reads from the connection. After a request with ambiguous framing it
@@ -36,8 +40,8 @@
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
-	if count > 0 {
-		checkedConn.used.Store(true)
+	if count > 0 && !checkedConn.recordRead() {
+		return 0, io.EOF
 	}
 	if !checkedConn.scanner.Scan(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
@@ -45,6 +49,31 @@
 	return count, err
 }
 
+// recordRead records that bytes were read. It returns false if the connection is being
+// closed as unused, so that what they belong to is not served.
+func (checkedConn *checkedConn) recordRead() bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	if checkedConn.closing {
+		return false
+	}
+	checkedConn.readAt = time.Now()
+	return true
+}
+
+// closeUnlessRead closes the connection unless bytes were read since a time. A request is
+// either served or never read.
+func (checkedConn *checkedConn) closeUnlessRead(since time.Time) {
+	checkedConn.mu.Lock()
+	unread := !checkedConn.readAt.After(since)
+	checkedConn.closing = checkedConn.closing || unread
+	checkedConn.mu.Unlock()
+	if unread {
+		// The caller sees the close; an error would change nothing.
+		_ = checkedConn.Close()
+	}
+}
+
 // Listener accepts callers' connections and checks the framing of their
 // requests.
 type Listener struct {
@@ -113,28 +142,29 @@
 // CloseIdle closes the connections that have been without a request in progress since
 // before the given time.
 func (callerConns *CallerConns) CloseIdle(before time.Time) {
-	callerConns.closeIf(func(_ net.Conn, state connState) bool {
-		return state.state == http.StateIdle && state.since.Before(before)
-	})
+	callerConns.closeIf(http.StateIdle, before)
 }
 
 // CloseUnused closes the connections that were opened before the given time and have
 // brought no byte.
 func (callerConns *CallerConns) CloseUnused(before time.Time) {
-	callerConns.closeIf(func(conn net.Conn, state connState) bool {
-		checked, ok := conn.(*checkedConn)
-		return state.state == http.StateNew && state.since.Before(before) && ok && !checked.used.Load()
-	})
+	callerConns.closeIf(http.StateNew, before)
 }
 
-// closeIf closes the connections for which condition reports true.
-func (callerConns *CallerConns) closeIf(condition func(conn net.Conn, state connState) bool) {
+// closeIf closes the connections that have had a state since before a time, unless bytes
+// have come since.
+func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
 	callerConns.mu.Lock()
 	tracked := slices.Collect(maps.Keys(callerConns.states))
 	callerConns.mu.Unlock()
 	for _, conn := range tracked {
 		// It may have got a request while others were closed.
-		if !callerConns.matches(conn, condition) {
+		since, matches := callerConns.since(conn, state)
+		if !matches || !since.Before(before) {
+			continue
+		}
+		if checked, ok := conn.(*checkedConn); ok {
+			checked.closeUnlessRead(since)
 			continue
 		}
 		// The caller sees the close; an error would change nothing.
@@ -142,10 +172,11 @@
 	}
 }
 
-// matches reports whether an open connection meets a condition.
-func (callerConns *CallerConns) matches(conn net.Conn, condition func(conn net.Conn, state connState) bool) bool {
+// since returns since when an open connection has a state, and whether it has it. A new one
+// has it since before it could bring a byte.
+func (callerConns *CallerConns) since(conn net.Conn, state http.ConnState) (time.Time, bool) {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
-	state, open := callerConns.states[conn]
-	return open && condition(conn, state)
+	current, open := callerConns.states[conn]
+	return current.since, open && current.state == state
 }
