forward: a stream does not go on if its upstream turns out to have restarted with another version

An upstream crashed and was back under its ID with another version; a router that had no connection open to it had no reason to ask who it is, and began a stream there under the version of the old row. When the upstream crashed again the stream went on at an upstream of that version.

When a stream breaks at its first upstream, and the row that was read meanwhile names another incarnation with another version, nobody can tell which one made its events: it is cut, and its origin counts as unknown, also for take-ups at routers that are told. A restart with the same version, and a break before the row is read, are as before.

--- a/forward/origin.go
+++ b/forward/origin.go
@@ -122,6 +122,9 @@
 	if exchange.bindRemembered() {
 		return result.OK
 	}
+	if origin, found := exchange.handler.Origins.Get(exchange.head.Resumes); found && origin.Version == "" {
+		return result.OriginUnknown
+	}
 	if exchange.bindCell() {
 		return result.OK
 	}
@@ -194,6 +197,34 @@
 	}
 }
 
+// originRefuted reports whether the first events of a stream, which broke at its first
+// upstream, may come from another software version than the upstream's row named when the
+// stream began: the upstream is listed as another incarnation, with another version, since
+// before the stream broke. A router that had no connection open when the upstream
+// restarted learns that from its row only.
+func (exchange *exchange) originRefuted(broken *answer) bool {
+	if exchange.began != broken || !exchange.resumable() || broken.conn.Verified {
+		return false
+	}
+	listed, found := exchange.handler.Registry.Upstream(broken.upstream.ID)
+	return found && listed.Incarnation != broken.upstream.Incarnation && listed.Software != broken.upstream.Software
+}
+
+// refuteOrigin records, here and at other routers, that the version which began the stream
+// is not known after all: an attempt with two different origins has none.
+func (exchange *exchange) refuteOrigin(broken *answer) {
+	now := time.Now()
+	listed, _ := exchange.handler.Registry.Upstream(broken.upstream.ID)
+	exchange.handler.Metrics.CountEvent("origin.refuted")
+	exchange.handler.Logger.Warn("Stream not resumed, its upstream restarted with another version.",
+		"Attempt", exchange.head.Attempt, "Upstream", broken.upstream.ID, "BeganSoftware", broken.upstream.Software, "Software", listed.Software)
+	origin := split.Origin{Attempt: exchange.head.Attempt, Service: exchange.service, Version: listed.Software, Workspace: exchange.workspaceID(), BeganAt: now}
+	exchange.handler.Origins.Add(now, origin)
+	if exchange.handler.ReplicateOrigin != nil {
+		exchange.handler.ReplicateOrigin(origin, false)
+	}
+}
+
 // observeLifetime records how long the streams of a service may last: as long as a
 // caller waits.
 func (handler *Handler) observeLifetime(exchange *exchange) {
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/split"
 )
@@ -252,6 +254,74 @@
 	}
 }
 
+// TestStreamOfAnUpstreamThatRestartedUnnoticed guards against one answer with events of two
+// software versions (review case 2, ORDER): the upstream restarted under its ID with another
+// version before the router's first connection to it, its row is read while it sends a
+// stream, and it breaks. The stream must not go on at an upstream of the version before; one
+// whose upstream is listed as before, or with the same version, does.
+func TestStreamOfAnUpstreamThatRestartedUnnoticed(t *testing.T) {
+	const first, second = 1_700_000_000_001, 1_700_000_000_002
+	tests := []struct {
+		name        string
+		incarnation registry.Incarnation
+		software    ident.SoftwareVersion
+		wantWhole   bool
+	}{
+		{"another version", second, "v2", false},
+		{"the same version", second, "v1", true},
+		{"not restarted", first, "v1", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			read := make(chan struct{})
+			began := make(chan struct{})
+			breaking := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+				write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+				close(began)
+				<-read
+				return false
+			})
+			router := startRouter(t, breaking)
+			listed := router.handler.Registry.Upstreams()
+			listed[0].Incarnation, listed[0].Version, listed[0].Software = first, 2, "v1"
+			router.handler.Registry.Replace(time.Now(), 2, listed)
+			router.useSplit("v1", time.Minute)
+			done := make(chan outcome, 1)
+			caller := &streamCaller{router: router, done: done}
+			go caller.run(t)
+			<-began
+			rest := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+				write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n")
+				return true
+			})
+			restarted := listed[0]
+			restarted.Incarnation, restarted.Version, restarted.Software = test.incarnation, 3, test.software
+			other := registry.Upstream{ID: "i-rest", Service: "pool", Address: rest.address(), Software: "v1", Version: 3}
+			another := other
+			another.ID = "i-rest-2"
+			router.handler.Registry.Replace(time.Now(), 3, []registry.Upstream{restarted, other, another})
+			close(read)
+			got := <-done
+			if whole := got.err == nil && strings.Contains(got.body, "id: 2"); whole != test.wantWhole {
+				t.Errorf("got body %q and error %v, want a whole stream: %t", got.body, got.err, test.wantWhole)
+			}
+			if !test.wantWhole {
+				router.takeUp(t, "a2", "a1").check(t, http.StatusServiceUnavailable, "")
+			}
+		})
+	}
+}
+
+// streamCaller sends the request for one stream.
+type streamCaller struct {
+	router *router
+	done   chan outcome
+}
+
+func (caller *streamCaller) run(t *testing.T) {
+	caller.done <- caller.router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20")
+}
+
 // TestTakeUpStaysAtTheServiceThatBeganTheStream guards against a stream that continues at
 // another service of a route that splits its traffic.
 func TestTakeUpStaysAtTheServiceThatBeganTheStream(t *testing.T) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -263,6 +263,11 @@
 		if !exchange.started {
 			return code
 		}
+		if exchange.originRefuted(answer) {
+			exchange.refuteOrigin(answer)
+			exchange.aborted = true
+			return result.AnswerCut
+		}
 		next := exchange.resume(code, stream.sequence.lastID)
 		if next == nil {
 			exchange.aborted = true
