--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -44,8 +44,8 @@
 	daemon.handler.Leave(forward.Stop{LateFrom: began.Add(min(balancerDrainTime, end.Sub(began))), AnswerBy: end.Add(-answerMargin)})
 	daemon.Logger.Info("Stopping.", "Until", end)
 	time.Sleep(min(balancerDrainTime, time.Until(end)))
-	// The server itself goes on: it would close the connection of a request whose head it
-	// reads after its Shutdown, without an answer.
+	// The server keeps serving: its Shutdown would close the connection of a request whose head it
+	// reads from then on, without an answer.
 	if err := callers.listener.Close(); err != nil {
 		daemon.Logger.Warn("Closing the callers' listener failed.", "Error", err)
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -190,7 +190,7 @@
 }
 
 // TestRequestAfterSilentConnection explains a request to an upstream that had left by the
-// lines that tell a silent connection from a store that is away.
+// log lines about a silent connection and an upstream that was kept.
 func TestRequestAfterSilentConnection(t *testing.T) {
 	const lines = `{"time":"2026-10-21T04:12:56.100Z","level":"WARN","msg":"Connection to the store is silent, a new one is used.","VM":"edge-1","OpenedAt":"2026-10-21T04:10:00Z"}
 {"time":"2026-10-21T04:12:56.200Z","level":"INFO","msg":"follow: Upstream kept, its row may have expired in an outage of the store.","VM":"edge-1","Upstream":"i-1","OutageBegin":"2026-10-21T04:12:55Z"}
--- a/oncehttp/doc.go
+++ b/oncehttp/doc.go
@@ -7,6 +7,6 @@
 //
 // A connection may stay open and deliver nothing more. After a request that got no response
 // before its deadline, connections that are as old carry no further request. DoHedged sends
-// a read again on a new connection, which tells a silent connection from a server that is
-// slow or away.
+// a read again on a new connection, which distinguishes a silent connection
+// from a server that is slow or away.
 package oncehttp
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -24,11 +24,11 @@
 	ID ident.UpstreamID
 	// RemovedIn is the version of the removal.
 	RemovedIn ident.Revision
-	// Until is when the upstream is removed unless the row is written again, or later if
-	// the outage goes on.
+	// Until is when the upstream is removed unless the row is written again, or later
+	// during an outage.
 	Until time.Time
 	// OutageBegin and OutageEnd bound the last outage of this router that has ended;
-	// OutageEnd is before OutageBegin while one goes on.
+	// OutageEnd is before OutageBegin during one.
 	OutageBegin time.Time
 	OutageEnd   time.Time
 	// PeerStoreUpSince is the time since which the store has served another router, or zero.
