--- a/faultproxy/proxy.go
+++ b/faultproxy/proxy.go
@@ -220,7 +220,9 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := copier.from.Read(buffer)
-		copier.delay()
+		if count > 0 {
+			copier.delay()
+		}
 		if copier.link.silent() {
 			if err != nil {
 				copier.endSilently()
