overload: which requests a router sends to a pool, and which it refuses for lack of room

Routers forwarded each request until upstreams turned it away. In a shortage running requests filled the memory of the remaining engines, shared prompt parts were evicted and prefilled again, and nearly nothing was answered in time.

The package decides, before an upstream is chosen, with the figures that balance has: slots, the memory of running requests (by their mean size), and prefill that ends in time for the target. Each router may add its part of the free room to what it had in flight when the others last heard of it, over the pool and at each upstream. Less urgent requests leave a reserve and get smaller parts. While the pool is short, prompts whose shared parts are cached elsewhere go there, and few are prefilled again. Nothing is decided while the pool has room. balance gives all loads of a pool under one lock, and leaves upstreams out that the request has no room at.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -53,13 +53,19 @@
 	Keys []ident.ChatID
 	// Tried lists the upstreams that the request was offered to before.
 	Tried []ident.UpstreamID
-	Zone  ident.Zone
+	// Full, unless it is nil, says for each upstream of the pool whether it has no room for
+	// the request. These are left out.
+	Full []bool
+	Zone ident.Zone
 	// Target is the time to first byte that the route aims at; zero means none.
 	Target ident.Milliseconds
 	// Retryable is set if the request may run more than once.
 	Retryable bool
 }
 
+// full reports whether the upstream at an index of the pool has no room for the request.
+func (request *Request) full(index int) bool { return index < len(request.Full) && request.Full[index] }
+
 // Choice is the chosen upstream with the figures behind the decision.
 type Choice struct {
 	Upstream registry.Upstream
@@ -143,7 +149,7 @@
 	index  int
 	load   Load
 	health healthState
-	// excluded is set if the upstream was tried already or is at its limit.
+	// excluded is set if the upstream was tried already, is at its limit or has no room.
 	excluded bool
 	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
@@ -187,7 +193,7 @@
 			index:    i,
 			load:     chooser.Loads.Estimate(now, upstream.ID),
 			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: limit == AtLimit || slices.Contains(request.Tried, upstream.ID),
+			excluded: limit == AtLimit || request.full(i) || slices.Contains(request.Tried, upstream.ID),
 			limit:    limit,
 			cached:   slices.Contains(cachedAt, upstream.ID),
 		}
@@ -213,6 +219,12 @@
 	return choice, true
 }
 
+// Usable reports whether the upstream is healthy with regard to the request and below its
+// limit.
+func (chooser *Chooser) Usable(now time.Time, upstream registry.Upstream, retryable bool) bool {
+	return chooser.healthOf(now, upstream.ID, retryable) == healthy && chooser.limitOf(now, upstream) != AtLimit
+}
+
 func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
 	if chooser.Limit == nil {
 		return Unlimited
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 const (
@@ -207,6 +208,21 @@
 func (loads *Loads) Estimate(now time.Time, upstream ident.UpstreamID) Load {
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
+	return loads.estimate(now, upstream)
+}
+
+// EstimateEach calls visit for each of the upstreams, in order, with its estimated load and
+// what this router has in flight there. visit must not call loads.
+func (loads *Loads) EstimateEach(now time.Time, upstreams []registry.Upstream, visit func(index int, estimated, local Load)) {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	for i := range upstreams {
+		visit(i, loads.estimate(now, upstreams[i].ID), loads.local[upstreams[i].ID])
+	}
+}
+
+// estimate returns Estimate. The caller holds mu.
+func (loads *Loads) estimate(now time.Time, upstream ident.UpstreamID) Load {
 	local := loads.local[upstream]
 	if len(loads.peers)+len(loads.sums) > 0 {
 		return local.plus(loads.remote[upstream]).plus(loads.summed[KeyOf(upstream)])
--- /dev/null
+++ b/overload/doc.go
@@ -0,0 +1,17 @@
+// Package overload decides which requests an entry router sends to a pool of upstreams,
+// and which it refuses at once because the pool has no room for them.
+//
+// The room of a model engine is what remains of its slots, of the share of its memory
+// that running requests may take, and of the prefill that ends in time for the target
+// of the request. The room of an instance of a plain service is what remains of its
+// slots and of its queue, whose length is learned from refusals. While less than half of
+// a pool is used, the package does nothing.
+//
+// All routers see the same room, with figures that are up to Pool.Delay old. Each one
+// therefore takes only its part of it: within that time it may add its share of the free
+// room to what it has in flight. It may always replace requests of its own that ended.
+//
+// Less urgent requests leave a reserve to more urgent ones, newcomers leave one to
+// callers that were refused before, and a workspace that sends far more than usual leaves
+// one to the others.
+package overload
--- /dev/null
+++ b/overload/snapshot.go
@@ -0,0 +1,62 @@
+package overload
+
+import (
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// snapshotCount is the number of snapshots that are kept, which are a quarter of the delay
+// apart.
+const (
+	snapshotCount    = 6
+	snapshotsPerTime = 4
+)
+
+// snapshots holds what a router had in flight at each upstream at earlier times.
+type snapshots struct {
+	ring [snapshotCount]snapshot
+	// last is the index of the newest one.
+	last int
+}
+
+type snapshot struct {
+	at     time.Time
+	counts map[ident.UpstreamID]int
+}
+
+// setAdded sets by how much the requests in flight have grown since the other routers last
+// heard of them, and keeps what is in flight now.
+func (snapshots *snapshots) setAdded(now time.Time, pool *Pool) {
+	known := snapshots.before(now.Add(-pool.Delay))
+	for i := range pool.Upstreams {
+		upstream := &pool.Upstreams[i]
+		upstream.added = upstream.Local - known[upstream.ID]
+	}
+	if now.Sub(snapshots.ring[snapshots.last].at) < pool.Delay/snapshotsPerTime {
+		return
+	}
+	snapshots.last = (snapshots.last + 1) % snapshotCount
+	newest := &snapshots.ring[snapshots.last]
+	newest.at = now
+	if newest.counts == nil {
+		newest.counts = make(map[ident.UpstreamID]int)
+	}
+	clear(newest.counts)
+	for i := range pool.Upstreams {
+		if upstream := &pool.Upstreams[i]; upstream.Local > 0 {
+			newest.counts[upstream.ID] = upstream.Local
+		}
+	}
+}
+
+// before returns the newest counts that are not younger than the given time, or nil.
+func (snapshots *snapshots) before(at time.Time) map[ident.UpstreamID]int {
+	var newest snapshot
+	for _, snapshot := range snapshots.ring {
+		if !snapshot.at.After(at) && snapshot.at.After(newest.at) {
+			newest = snapshot
+		}
+	}
+	return newest.counts
+}
