forward, entry: requests without room are refused before an upstream is chosen

The decision of package overload is made once for each request whose service states slots and memory in the configuration, or whose upstreams state slots in their rows, and again before a second attempt after a 503 of an upstream: without known room there is none, and the retry budget stays unspent. Their lines are bounded, one line says when a shortage begins and ends.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -42,6 +43,11 @@
 	// loadBoundSlack is how many requests above its multiple of the mean load an
 	// upstream may have. Without it a small mean would leave no room.
 	loadBoundSlack = 1.5
+	// minLoadDelay is the least time within which the requests of a router are assumed to be
+	// known to all others. Loads are told as soon as they change, and states of the store half
+	// as often.
+	minLoadDelay      = 200 * time.Millisecond
+	stateDelayPerLoad = 2
 	// memoryLimitShare is the share of the configured memory that is set as the
 	// runtime's soft memory limit, above which the garbage collector works harder.
 	memoryLimitShare = 0.7
@@ -70,15 +76,19 @@
 	OnStart func(addresses Addresses)
 
 	// settings holds the settings in force, which are Config until a reload.
-	settings    atomic.Pointer[config.Entry]
-	metrics     *metrics.Set
-	routes      routing.CurrentTable
-	registry    registry.Registry
-	loads       balance.Loads
-	cacheIndex  balance.CacheIndex
-	health      health.Tracker
-	strikes     strike.Guard
-	quota       quota.Tracker
+	settings   atomic.Pointer[config.Entry]
+	metrics    *metrics.Set
+	routes     routing.CurrentTable
+	registry   registry.Registry
+	loads      balance.Loads
+	cacheIndex balance.CacheIndex
+	health     health.Tracker
+	strikes    strike.Guard
+	quota      quota.Tracker
+	overload   overload.Controller
+	// loadDelay is the time within which the requests of a router are known to all others,
+	// in nanoseconds, or zero if that is not known yet.
+	loadDelay   atomic.Int64
 	splits      split.Tracker
 	origins     split.Origins
 	gossip      *gossip.Gossip
@@ -168,6 +178,8 @@
 		Health:      &daemon.health,
 		Strikes:     &daemon.strikes,
 		Quota:       &daemon.quota,
+		Overload:    &daemon.overload,
+		LoadDelay:   daemon.currentLoadDelay,
 		Splits:      &daemon.splits,
 		Origins:     &daemon.origins,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
@@ -195,6 +207,12 @@
 // routers returns the number of routers that are known to run, this one included.
 func (daemon *Daemon) routers() int { return daemon.loads.PeerCount() + 1 }
 
+// currentLoadDelay returns the time within which the requests of a router are known to all
+// others.
+func (daemon *Daemon) currentLoadDelay() time.Duration {
+	return max(time.Duration(daemon.loadDelay.Load()), minLoadDelay)
+}
+
 // setStoreReachable records whether the store answered the last call for
 // upstreams.
 func (daemon *Daemon) setStoreReachable(reachable bool) {
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -33,6 +33,8 @@
 	daemon.quota.Retain(now, listed)
 	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
 	daemon.loads.Expire(now)
+	daemon.loadDelay.Store(int64(daemon.gossip.Delay() / stateDelayPerLoad))
+	daemon.handler.ReportShortages(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
 		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -53,6 +53,8 @@
 	// stopEnd ends the watch that closes the connection when the router has to end.
 	stopEnd func() bool
 	loads   *balance.Loads
+	// countEnd counts the end of the request, and whether it was answered completely.
+	countEnd func(answered bool)
 	// pendingPrefill is the number of prompt tokens that the upstream has to
 	// prefill before its first byte.
 	pendingPrefill ident.Tokens
@@ -73,6 +75,7 @@
 // end.
 func (answer *answer) release() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.countEnd(true)
 	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
 		answer.conn.Discard()
 		return
@@ -91,6 +94,7 @@
 // discard closes the connection, which cancels the work at the upstream.
 func (answer *answer) discard() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.countEnd(false)
 	answer.stopWatch()
 	answer.stopEnd()
 	answer.conn.Discard()
@@ -131,6 +135,7 @@
 	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
 	answer.stopEnd = exchange.handler.closeAtEnd(closing)
 	exchange.handler.Loads.Start(upstream.ID, answer.pendingPrefill)
+	answer.countEnd = exchange.countRoom(upstream, answer.pendingPrefill)
 	for _, key := range exchange.prefixIDs {
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
 	}
@@ -220,7 +225,7 @@
 	forwarding := platform.Forwarding{
 		Upstream:    upstream.ID,
 		Wait:        ident.Milliseconds(max(remaining.Milliseconds(), 1)),
-		Priority:    exchange.route.Priority,
+		Priority:    exchange.priority(),
 		Prioritized: exchange.route.Sticky,
 		LastEvent:   lastEvent,
 	}
@@ -229,9 +234,6 @@
 	}
 	if exchange.workspace != nil {
 		forwarding.Workspace = exchange.workspace.ID
-		if exchange.workspace.Priority != nil {
-			forwarding.Priority = *exchange.workspace.Priority
-		}
 	}
 	return forwarding
 }
@@ -335,6 +337,7 @@
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
 		exchange.setCauseText(answer.response.Status)
+		exchange.recordTurnedAway(answer)
 		return result.QueueFull
 	case answer.response.StatusCode < http.StatusMultipleChoices && !answer.head.Signed:
 		exchange.setCauseText("answer without a signature")
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -61,6 +61,8 @@
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
+	// room is what was last decided about the room for the request.
+	room room
 	// binding restricts the request to one software version, and certainAt is when
 	// the version that began the stream of a refused take-up will be known, or zero.
 	binding   binding
@@ -109,6 +111,10 @@
 	if exchange.route.Sticky {
 		exchange.handler.awaitWarm(exchange.request.Context())
 	}
+	if code := exchange.admit(exchange.pool()); code != result.OK {
+		exchange.refuse(code)
+		return
+	}
 	exchange.tryUpstreams()
 }
 
@@ -174,13 +180,26 @@
 func (exchange *exchange) chooseBy(allowance strike.Allowance, pool *registry.Pool) (balance.Choice, bool) {
 	switch allowance {
 	case strike.Free:
-		return exchange.handler.choose(pool, exchange.choiceRequest())
+		return exchange.chooseWithRoom(pool)
 	case strike.Alone:
 		return exchange.designate(pool)
 	}
 	return balance.Choice{}, false
 }
 
+// chooseWithRoom chooses among the upstreams that have room, or, if none of them remains,
+// among all.
+func (exchange *exchange) chooseWithRoom(pool *registry.Pool) (balance.Choice, bool) {
+	request := exchange.choiceRequest()
+	request.Full = exchange.room.full(pool)
+	choice, found := exchange.handler.choose(pool, request)
+	if found || request.Full == nil {
+		return choice, found
+	}
+	request.Full = nil
+	return exchange.handler.choose(pool, request)
+}
+
 func (exchange *exchange) choiceRequest() balance.Request {
 	return balance.Request{
 		Keys:      exchange.prefixIDs,
@@ -243,6 +262,9 @@
 		return false
 	case !arrived(code):
 		return true
+	case code == result.QueueFull && !exchange.roomElsewhere(pool):
+		exchange.handler.Metrics.CountEvent("retry.room.none")
+		return false
 	}
 	if exchange.retryReserved {
 		exchange.retryReserved = false
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -40,6 +41,11 @@
 	Strikes *strike.Guard
 	// Quota keeps the limits that upstreams name; nil means that they have none.
 	Quota *quota.Tracker
+	// Overload refuses requests for which a pool has no room; nil means that none is refused
+	// for that. LoadDelay returns the time within which the requests of a router are known to
+	// all others; with nil a default applies.
+	Overload  *overload.Controller
+	LoadDelay func() time.Duration
 	// Splits are the software versions that begin streams, and Origins where recent
 	// ones began; nil means that none is known.
 	Splits  *split.Tracker
@@ -87,6 +93,8 @@
 
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
+	// shortages holds the services whose requests are refused for lack of room.
+	shortages map[ident.ServiceName]*shortage
 	// streamLifetimes holds the longest time that a stream of each service may last.
 	streamLifetimes map[ident.ServiceName]time.Duration
 }
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -57,8 +57,9 @@
 	exchange.status = refusalStatus(code)
 	exchange.started = true
 	exchange.handler.Metrics.CountRefusal(code)
-	retryAfter := time.Duration(0)
+	retryAfter := exchange.retryAfterRoom(code)
 	switch {
+	case retryAfter > 0:
 	case code == result.NotReady:
 		retryAfter = notReadyRetryAfter
 	case code == result.RouterStopping:
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -21,6 +21,8 @@
 		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
 	}
 	switch {
+	case refusedForRoom(exchange.code) && len(exchange.tried) == 0 && !exchange.handler.LogLimiter.Allow():
+		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case exchange.code != result.OK || len(exchange.tried) > 1:
 		exchange.log(slog.LevelWarn)
 	case exchange.handler.LogLimiter.Allow():
@@ -74,6 +76,9 @@
 	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
+	if refusedForRoom(exchange.code) {
+		attributes = append(attributes, exchange.roomAttributes()...)
+	}
 	if exchange.refusal.Key != 0 {
 		attributes = append(attributes, exchange.refusedPartAttributes()...)
 	}
