--- /dev/null
+++ b/forward/overload_test.go
@@ -0,0 +1,150 @@
+package forward_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/overload"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+const (
+	testSlots  = 64
+	testMemory = 500_000
+	// undecidedTime is longer than requests may pass without a decision after one that found
+	// ample room.
+	undecidedTime = 50 * time.Millisecond
+)
+
+// startRoomRouter starts a router before engines whose slots and memory are configured.
+func startRoomRouter(t *testing.T, upstreams ...*fakeUpstream) *router {
+	t.Helper()
+	router := startUnconfiguredRouter(t, upstreams...)
+	config := testConfig()
+	config.Services[0].Slots, config.Services[0].CacheTokens = testSlots, testMemory
+	router.handler.Routes.Adopt(routing.New(config))
+	router.handler.Overload = new(overload.Controller)
+	return router
+}
+
+// setLoads sets what another router has in flight at each upstream.
+func (router *router) setLoads(sequence uint64, requests ...int) {
+	counts := make(balance.Counts)
+	for i, count := range requests {
+		counts[ident.UpstreamID(fmt.Sprintf("i-%d", i))] = balance.Load{Requests: count}
+	}
+	router.handler.Loads.ApplyRemote(time.Now(), balance.RemoteCounts{Router: "other", Sequence: sequence, Complete: true, Counts: counts, ExpiresAt: time.Now().Add(time.Minute)})
+}
+
+// TestRequestWithoutRoomIsRefusedAtOnce guards against requests that are sent to engines without
+// room, and against a refusal that is not true, comes late or names no time.
+func TestRequestWithoutRoomIsRefusedAtOnce(t *testing.T) {
+	upstreams := []*fakeUpstream{startUpstream(t, echo), startUpstream(t, echo)}
+	router := startRoomRouter(t, upstreams...)
+	logs := new(bytes.Buffer)
+	logger, err := logging.New(logs, logging.JSON, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	router.handler.Logger = logging.Component(logger, "forward")
+	router.setLoads(1, 20, 20)
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+	router.setLoads(2, testSlots, testSlots+9)
+	time.Sleep(undecidedTime)
+	got := router.send(t, "a2", "POST", "/again/x", "2")
+	got.check(t, 503, "HH2022 The upstreams have no room\n")
+	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if err != nil || retryAfter <= 0 || retryAfter > 0.5 {
+		t.Errorf("got Retry-After %q, want one up to a third of 1.5 s", got.header.Get("Retry-After"))
+	}
+	if got := runs(upstreams); got != 1 {
+		t.Errorf("got %d arrivals, want only the request that found room", got)
+	}
+	for _, want := range []string{"Requests are refused for lack of room.", `"Code":"PoolFull"`, `"Usage":`, `"RetryAfterMs":`} {
+		if !strings.Contains(logs.String(), want) {
+			t.Errorf("got log %s, want %s", logs, want)
+		}
+	}
+	router.setLoads(3, testSlots, 3)
+	for n := range 5 {
+		router.send(t, fmt.Sprint("b", n), "POST", "/again/x", fmt.Sprint(n)).check(t, 200, "")
+	}
+	if got := len(upstreams[0].requestsSoFar()); got > 1 {
+		t.Errorf("got %d arrivals at the full engine, want none after the first request", got)
+	}
+}
+
+// TestNoSecondAttemptWithoutKnownRoom guards against retries that are spent on engines without
+// room, and against none where there is room.
+func TestNoSecondAttemptWithoutKnownRoom(t *testing.T) {
+	refuse := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		write(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id")))
+		return true
+	}
+	for _, test := range []struct {
+		name  string
+		loads []int
+		want  int
+	}{
+		{"the others are full", []int{50, testSlots, testSlots}, 1},
+		{"another one has room", []int{10, 11, testSlots}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
+			router := startRoomRouter(t, upstreams...)
+			router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetryShare: 0, RetrySlack: 1})
+			router.setLoads(1, test.loads...)
+			got := router.send(t, "a1", "POST", "/once/x", "1")
+			got.check(t, 503, "")
+			if got.header.Get("Retry-After") == "" {
+				t.Error("got no Retry-After, want one")
+			}
+			if got := runs(upstreams); got != test.want {
+				t.Errorf("got %d arrivals, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestServicesWithoutStatedRoomAreNotJudged guards against refusals where the configuration and
+// the rows of the upstreams name no slots.
+func TestServicesWithoutStatedRoomAreNotJudged(t *testing.T) {
+	router := startRouter(t, startUpstream(t, echo))
+	router.handler.Overload = new(overload.Controller)
+	router.setLoads(1, 1000)
+	router.send(t, "a1", "POST", "/once/x", "1").check(t, 200, "answer to a1")
+}
+
+// TestPlainServiceRefusesWhatCannotBeAnsweredInTime guards against requests that wait in the
+// queue of a plain service until their deadline, and against refusals while it serves in time.
+func TestPlainServiceRefusesWhatCannotBeAnsweredInTime(t *testing.T) {
+	slow := func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		time.Sleep(50 * time.Millisecond)
+		return echo(ctx, conn, n, request)
+	}
+	upstream := startUpstream(t, slow)
+	router := startRouter(t, upstream)
+	router.handler.Overload = new(overload.Controller)
+	listed := router.handler.Registry.Upstreams()
+	listed[0].Slots, listed[0].Version = 6, 2
+	router.handler.Registry.Replace(time.Now(), 2, listed)
+	router.setLoads(1, 9)
+	for n := range 5 {
+		router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n)).check(t, 200, "")
+	}
+	router.setLoads(2, 600)
+	router.send(t, "b1", "POST", "/once/x", "1").check(t, 503, "HH2023 No answer is possible in time\n")
+	if got := len(upstream.requestsSoFar()); got != 5 {
+		t.Errorf("got %d arrivals, want 5", got)
+	}
+}
--- a/overload/room.go
+++ b/overload/room.go
@@ -13,7 +13,7 @@
 	memoryShare = 0.65
 	// targetShare is the share of its target within which the prefill of a request, and
 	// of those before it, has to end.
-	targetShare = 0.6
+	targetShare = 0.4
 	// defaultTarget applies to routes that have no target.
 	defaultTarget ident.Milliseconds = 1000
 	// urgencyReserve is the share of the room that requests leave free for those that are
