overload: nothing is refused while a pool has room; no flood when a shortage eases

While a pool is not short, nothing is refused now, whatever the part is.

Callers that were refused before are recognized at any router by the time that they have left, compared with what is usual on their route, in place of a fingerprint at one router. A plain service shares what its upstreams answer within the delay.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -47,7 +47,7 @@
 		return result.OK
 	}
 	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
-	if !exchange.handler.Overload.Arrived(exchange.arrived, key, exchange.workspaceID()) {
+	if !exchange.handler.Overload.Arrived(exchange.arrived, key, exchange.arrival()) {
 		return result.OK
 	}
 	return exchange.decide(pool, key, false)
@@ -96,8 +96,7 @@
 		Priority:      exchange.priority(),
 		Target:        exchange.route.Target,
 		Deadline:      exchange.deadline,
-		Workspace:     exchange.workspaceID(),
-		Fingerprint:   uint64(exchange.fingerprint()),
+		Arrival:       exchange.arrival(),
 		Offered:       offered,
 	}
 	if len(exchange.prefixIDs) > 0 {
@@ -116,6 +115,11 @@
 	return result.OK
 }
 
+// arrival describes who sent the request.
+func (exchange *exchange) arrival() overload.Arrival {
+	return overload.Arrival{Workspace: exchange.workspaceID(), Route: exchange.route.Name, Wait: exchange.head.Wait}
+}
+
 // view returns what is known of the upstreams of a pool.
 func (exchange *exchange) view(now time.Time, pool *registry.Pool, key overload.Key) *overload.Pool {
 	handler := exchange.handler
@@ -257,7 +261,7 @@
 	return []slog.Attr{
 		slog.Float64("Usage", decision.Usage),
 		slog.Float64("Room", decision.Room),
-		slog.Float64("Part", decision.Part),
+		slog.Float64("Share", decision.Share),
 		slog.Float64("Level", decision.Level),
 		slog.Int64("WaitMs", decision.Wait.Milliseconds()),
 		slog.Int64("RetryAfterMs", decision.RetryAfter.Milliseconds()),
@@ -296,7 +300,7 @@
 	if first {
 		handler.Metrics.CountEvent("overload.began")
 		handler.Logger.Warn("Requests are refused for lack of room.", "Service", service, "Reason", string(decision.Reason), "Usage", decision.Usage,
-			"Room", decision.Room, "Part", decision.Part, "Routers", handler.slackRouters(), "Heard", handler.Routers())
+			"Room", decision.Room, "Share", decision.Share, "Routers", handler.slackRouters(), "Heard", handler.Routers())
 	}
 }
 
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 }
 
 func small(priority int) overload.Request {
-	return overload.Request{Prefill: 500, CachedPrefill: 500, Memory: 1000, Priority: priority, Target: 800, Deadline: start.Add(10 * time.Second), Fingerprint: 7}
+	return overload.Request{Prefill: 500, CachedPrefill: 500, Memory: 1000, Priority: priority, Target: 800, Deadline: start.Add(10 * time.Second)}
 }
 
 // TestDecide guards against requests that are sent where there is no room, and against refusals
@@ -146,18 +147,26 @@
 func TestRoutersShareTheRoom(t *testing.T) {
 	const routers, engines, used = 42, 13, 50
 	sent := 0
-	for range routers {
-		controller, local := new(overload.Controller), 0
+	for router := range routers {
+		controller, local := new(overload.Controller), make([]int, engines)
+		inFlight := used*(router+1)/routers - used*router/routers
 		for n := range 60 {
-			pool := enginesWith(routers, slicesOf(engines, used)...)
-			pool.Upstreams[0].Requests += local
-			pool.Upstreams[0].Local = local
-			if controller.Decide(start.Add(time.Duration(n)*time.Millisecond), pool, small(0)).Reason == "" {
-				local++
-				controller.Sent(start, "engines", 500, 1000)
+			pool := enginesWith(routers, slices.Repeat([]int{used}, engines)...)
+			for i := range pool.Upstreams {
+				pool.Upstreams[i].Requests += local[i]
+				pool.Upstreams[i].Local = inFlight + local[i]
+			}
+			if n == 0 {
+				controller.Decide(start.Add(-time.Second), pool, small(0))
+				continue
 			}
+			decision := controller.Decide(start.Add(time.Duration(n)*time.Millisecond), pool, small(0))
+			if decision.Reason != "" {
+				continue
+			}
+			local[slices.Index(decision.Full, false)]++
+			sent++
 		}
-		sent += local
 	}
 	room := engines * (engineSlots - used)
 	if sent > room+engines*engineSlots/10 || sent < room/2 {
@@ -165,14 +174,6 @@
 	}
 }
 
-func slicesOf(count, value int) []int {
-	values := make([]int, count)
-	for i := range values {
-		values[i] = value
-	}
-	return values
-}
-
 // TestQueueOfAPlainServiceIsLearned guards against requests that wait in a queue beyond their
 // deadline, or are turned away again and again.
 func TestQueueOfAPlainServiceIsLearned(t *testing.T) {
@@ -203,45 +204,86 @@
 	}
 }
 
+// TestRoutersShareThePlacesOfAPlainService guards against routers that each fill the queue of a
+// plain service, and against ones that leave its upstreams idle.
+func TestRoutersShareThePlacesOfAPlainService(t *testing.T) {
+	const routers, upstreams, taken, steps = 47, 4, 12, 30
+	sent := 0
+	for range routers {
+		controller := new(overload.Controller)
+		for range 20 {
+			controller.Answered("plain", "p-0", 60*time.Millisecond, 6, 5)
+		}
+		controller.TurnedAway(start, "plain", "p-9", 8, time.Second)
+		for n := range steps {
+			pool := plainWith(routers, slices.Repeat([]int{taken}, upstreams)...)
+			pool.Key.Service = "plain"
+			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+			if controller.Decide(now, pool, small(0)).Reason == "" {
+				controller.Sent(now, "plain", 0, 0)
+				sent++
+			}
+		}
+	}
+	// Six slots serve five rounds of 60 ms in the 300 ms; two places are free at the start.
+	if room := upstreams * (6*5 + 2); sent > room*5/4 || sent < room/2 {
+		t.Errorf("got %d requests sent in 300 ms, want about the %d that are served", sent, room)
+	}
+}
+
 // TestCallerThatReturnsGoesFirst guards against a caller that is refused again in favour of a
-// newcomer of the same kind.
+// newcomer of the same kind, also at a router that did not refuse it before.
 func TestCallerThatReturnsGoesFirst(t *testing.T) {
 	controller := new(overload.Controller)
-	if got, want := controller.Decide(start, enginesWith(1, 64), small(0)).Reason, overload.NoRoom; got != want {
-		t.Fatalf("got %q, want %q", got, want)
+	newcomer, returned := small(0), small(0)
+	newcomer.Arrival = overload.Arrival{Route: "chat", Wait: 10_000}
+	returned.Arrival = overload.Arrival{Route: "chat", Wait: 7_000}
+	for range 20 {
+		controller.Arrived(start, enginesKey, newcomer.Arrival)
 	}
-	newcomer := small(0)
-	newcomer.Fingerprint = 8
-	later := start.Add(time.Second)
-	if got, want := controller.Decide(later, enginesWith(1, 62), newcomer).Reason, overload.NoRoom; got != want {
-		t.Errorf("got %q for a newcomer, want %q", got, want)
+	if got, want := controller.Decide(start, enginesWith(1, 62), newcomer), overload.NoRoom; got.Reason != want || got.Returned {
+		t.Errorf("got %q and returned %v for a newcomer, want %q", got.Reason, got.Returned, want)
 	}
-	if got := controller.Decide(later, enginesWith(1, 62), small(0)).Reason; got != "" {
-		t.Errorf("got %q for the caller that returns, want none", got)
+	if got := controller.Decide(start, enginesWith(1, 62), returned); got.Reason != "" || !got.Returned {
+		t.Errorf("got %q and returned %v for the caller that returns, want none", got.Reason, got.Returned)
 	}
 }
 
-// TestTurnsOfRefusedCallers guards against callers that all return at once: more of them return
-// later than fewer.
-func TestTurnsOfRefusedCallers(t *testing.T) {
-	controller := new(overload.Controller)
-	for range 100 {
-		controller.Sent(start, "engines", 500, 1000)
-		controller.Ended(start, "engines", 1000)
-	}
-	deadline := start.Add(30 * time.Second)
-	early, late := time.Duration(0), time.Duration(0)
-	for n := range 400 {
-		after := controller.RetryAfter(start, "engines", deadline)
-		switch {
-		case n < 10:
-			early = max(early, after)
-		case n >= 390:
-			late = max(late, after)
+// TestRetryAfterFollowsTheWorkAhead guards against callers that return into the same shortage,
+// and against ones that wait for long although room is near.
+func TestRetryAfterFollowsTheWorkAhead(t *testing.T) {
+	for _, test := range []struct {
+		refused     int
+		least, most time.Duration
+	}{{10, time.Second, 5 * time.Second}, {1000, 7 * time.Second, 10 * time.Second}} {
+		controller := new(overload.Controller)
+		for range 20 {
+			controller.Sent(start, "engines", 500, 1000)
+			controller.Ended(start, "engines", 1000)
+		}
+		request := small(0)
+		request.Deadline = start.Add(30 * time.Second)
+		for range test.refused {
+			controller.Decide(start, enginesWith(1, 64), request)
+		}
+		if got := controller.RetryAfter(start, "engines", request.Deadline); got < test.least || got > test.most {
+			t.Errorf("got %v after %d refusals, want %v to %v", got, test.refused, test.least, test.most)
 		}
 	}
-	if early >= late || late > 10*time.Second {
-		t.Errorf("got up to %v first and up to %v last, want a rise within a third of 30 s", early, late)
+}
+
+// TestNothingIsRefusedWithRoom guards against routers that refuse requests at a small pool with
+// room, since their part of it is less than one request.
+func TestNothingIsRefusedWithRoom(t *testing.T) {
+	for _, pool := range []*overload.Pool{plainWith(47, 2, 1, 0, 2), plainWith(47, 4, 4, 4, 4), enginesWith(103, 40), enginesWith(620, 44, 44, 44)} {
+		controller := new(overload.Controller)
+		for n := range 30 {
+			pool.Upstreams[0].Local = n / 10
+			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+			if got := controller.Decide(now, pool, small(9)); got.Reason != "" || got.Full != nil {
+				t.Errorf("got %+v, want the request sent and all upstreams eligible", got)
+			}
+		}
 	}
 }
 
@@ -252,7 +294,7 @@
 	now := start
 	arrive := func(workspace string, count int) {
 		for range count {
-			controller.Arrived(now, enginesKey, ident.WorkspaceID(workspace))
+			controller.Arrived(now, enginesKey, overload.Arrival{Workspace: ident.WorkspaceID(workspace)})
 		}
 	}
 	for range 600 {
@@ -266,7 +308,7 @@
 		for workspace, count := range map[string]int{"a": 8, "b": 1} {
 			arrive(workspace, count)
 			request := small(0)
-			request.Workspace, request.Fingerprint = ident.WorkspaceID(workspace), 0
+			request.Arrival.Workspace = ident.WorkspaceID(workspace)
 			request.Deadline = now.Add(10 * time.Second)
 			reason := controller.Decide(now, enginesWith(1, 58), request).Reason
 			if step < 20 {
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -165,6 +165,7 @@
 	fleet.warm()
 	for range fleetRouters {
 		router := &simRouter{loads: new(balance.Loads)}
+		router.controller.Random = fleet.random.Float64
 		router.chooser = &balance.Chooser{Loads: router.loads, CacheIndex: &fleet.index, Ejected: fleet.ejected, Multiple: 2, Slack: 1.5}
 		fleet.routers = append(fleet.routers, router)
 	}
@@ -354,11 +355,14 @@
 	request := overload.Request{
 		Prefill: sharedTokens + ownTokens, CachedPrefill: ownTokens, Memory: job.memory(), Priority: kinds[job.kind].priority,
 		Target: ident.Milliseconds(kinds[job.kind].target.Milliseconds()), Deadline: deadline,
-		Workspace: ident.WorkspaceID(fmt.Sprint("w", job.workspace)), Fingerprint: job.number,
+		Arrival: overload.Arrival{
+			Workspace: ident.WorkspaceID(fmt.Sprint("w", job.workspace)), Route: ident.RouteName(kinds[job.kind].name),
+			Wait: ident.Milliseconds((job.arrived + kinds[job.kind].deadline - fleet.now).Milliseconds()),
+		},
 	}
 	var tried []ident.UpstreamID
 	var full []bool
-	if fleet.admission && router.controller.Arrived(fleet.time(), enginesKey, request.Workspace) {
+	if fleet.admission && router.controller.Arrived(fleet.time(), enginesKey, request.Arrival) {
 		decision := router.controller.Decide(fleet.time(), fleet.view(router, job), request)
 		if decision.Reason != "" {
 			fleet.decisions[decision.Reason]++
@@ -615,11 +619,18 @@
 				t.Errorf("seed %d: got %.2f of %s served, want at most the %.2f of the most urgent kind", seed, got, kind.name, urgent)
 			}
 		}
+		others := 0.0
 		for i, workspace := range after.workspaces {
+			if i > 0 {
+				others += workspace.share() / (fleetWorkspaces - 1)
+			}
 			if got, least := workspace.share(), before.workspaces[i].share(); got < least {
 				t.Errorf("seed %d: got %.2f of workspace %d in time, want at least the %.2f without admission", seed, got, i, least)
 			}
 		}
+		if got := after.workspaces[0].share(); got > others {
+			t.Errorf("seed %d: got %.2f of the loud workspace in time, want at most the %.2f of the others", seed, got, others)
+		}
 	}
 }
 
--- a/overload/flow.go
+++ b/overload/flow.go
@@ -13,17 +13,17 @@
 	flowSlots = 64
 )
 
-// flow counts the requests that were sent and that ended lately.
+// flow counts the requests that were sent, with their prefill, and that ended lately.
 type flow struct {
 	slots [flowSlots]flowCounts
 }
 
-// flowCounts holds the counts of one slot: the requests that were sent, with their prefill,
-// and those that ended.
+// flowCounts holds the counts of one slot.
 type flowCounts struct {
-	number      int64
-	sent, ended int
-	prefill     ident.Tokens
+	number  int64
+	prefill ident.Tokens
+	sent    int
+	ended   int
 }
 
 func (flow *flow) slot(now time.Time) *flowCounts {
--- a/overload/snapshot.go
+++ b/overload/snapshot.go
@@ -28,17 +28,25 @@
 // setAdded sets by how much the requests in flight have grown since the other routers last
 // heard of them, and keeps what is in flight now.
 func (snapshots *snapshots) setAdded(now time.Time, pool *Pool) {
+	if snapshots.ring[snapshots.last].at.IsZero() {
+		// What was in flight before the first call is known to the others.
+		snapshots.keep(now.Add(-pool.Delay), pool)
+	}
 	known := snapshots.before(now.Add(-pool.Delay))
 	for i := range pool.Upstreams {
 		upstream := &pool.Upstreams[i]
 		upstream.added = upstream.Local - known[upstream.ID]
 	}
-	if now.Sub(snapshots.ring[snapshots.last].at) < pool.Delay/snapshotsPerTime {
-		return
+	if now.Sub(snapshots.ring[snapshots.last].at) >= pool.Delay/snapshotsPerTime {
+		snapshots.keep(now, pool)
 	}
+}
+
+// keep keeps what is in flight as of the given time.
+func (snapshots *snapshots) keep(at time.Time, pool *Pool) {
 	snapshots.last = (snapshots.last + 1) % snapshotCount
 	newest := &snapshots.ring[snapshots.last]
-	newest.at = now
+	newest.at = at
 	if newest.counts == nil {
 		newest.counts = make(map[ident.UpstreamID]int)
 	}
