--- a/explain/explain.go
+++ b/explain/explain.go
@@ -79,6 +79,7 @@
 		switch {
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
+			line.Message == shortageBegan, line.Message == shortageEnded,
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
@@ -158,7 +159,7 @@
 	switch line.Message {
 	case requestFinished:
 		if line.Tried == 0 {
-			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line)
+			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line) + describeRoom(line)
 		}
 		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens pending prefill, %d upstreams tried, prompt of %d tokens, first byte after %d ms",
 			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeOrigin(line)
@@ -194,6 +195,10 @@
 		return fmt.Sprintf("upstream %s said that it leaves", line.Upstream)
 	case limitLifted:
 		return fmt.Sprintf("upstream %s names no limit any more", line.Upstream)
+	case shortageBegan:
+		return fmt.Sprintf("requests to service %s are refused for lack of room: %.2f of the pool used", line.Service, line.Usage)
+	case shortageEnded:
+		return fmt.Sprintf("no request to service %s is refused for lack of room any more: %d were in %d ms", line.Service, line.Refused, line.Ms)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -219,6 +224,20 @@
 	return text
 }
 
+// describeRoom returns what was known of the room for a request that was refused for lack of
+// it, or an empty text.
+func describeRoom(line Line) string {
+	if line.Code != "PoolFull" && line.Code != "TooLate" && line.Code != "WorkspaceAboveUsual" {
+		return ""
+	}
+	text := fmt.Sprintf(", %.2f of the pool used, room for %.0f such requests, of which %.4f is this router's, urgency level %.1f, answer to begin after %d ms, told to return after %d ms",
+		line.Usage, line.Room, line.Share, line.Urgency, line.WaitMs, line.RetryAfterMs)
+	if line.Returned {
+		text += ", refused before"
+	}
+	return text
+}
+
 // kindOf returns what a strike is of.
 func kindOf(line Line) string {
 	if line.Kind == "part" {
@@ -242,6 +261,9 @@
 	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
+	"PoolFull":             "the upstreams had no room for the request, or left it to more urgent ones and to other routers; it did not run",
+	"TooLate":              "no upstream could have begun its answer before the deadline; it did not run",
+	"WorkspaceAboveUsual":  "the upstreams were short of room, and the workspace sent more than its usual; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
--- a/explain/line.go
+++ b/explain/line.go
@@ -61,6 +61,19 @@
 	PerSecond float64
 	RestMs    int64
 
+	// Attributes of a request that was refused for lack of room: the share of the pool that was
+	// used, the requests for which it had room, this router's part of that, how many levels less
+	// urgent than the most urgent ones the request was, the time until an answer could have
+	// begun, and when the caller was told to return. Refused counts those of a shortage.
+	Usage        float64
+	Room         float64
+	Share        float64
+	Urgency      float64
+	WaitMs       int64
+	RetryAfterMs int64
+	Returned     bool
+	Refused      int
+
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
 	// stream had begun. TakesUp is the attempt that a take-up named, and Versions are
@@ -103,6 +116,8 @@
 	limitLifted      = "forward: Upstream names no limit any more."
 	restAsked        = "forward: Upstream asks for rest."
 	leavingSaid      = "forward: Upstream says that it leaves."
+	shortageBegan    = "forward: Requests are refused for lack of room."
+	shortageEnded    = "forward: No request is refused for lack of room any more."
 	streamResumed    = "forward: Stream resumed at another upstream."
 	splitAdopted     = "versions: Split adopted."
 )
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -129,13 +129,10 @@
 		Upstreams:    make([]overload.Upstream, len(pool.Upstreams)),
 		Routers:      handler.slackRouters(),
 		Heard:        handler.Routers(),
-		Delay:        defaultLoadDelay,
+		Delay:        handler.loadDelay(),
 		LoadMultiple: chooser.Multiple,
 		LoadSlack:    chooser.Slack,
 	}
-	if handler.LoadDelay != nil {
-		view.Delay = handler.LoadDelay()
-	}
 	var cachedAt []ident.UpstreamID
 	if len(exchange.prefixIDs) > 0 {
 		cachedAt = handler.CacheIndex.Upstreams(now, exchange.prefixIDs[0])
@@ -229,11 +226,15 @@
 	default:
 		waiting = exchange.choice.Load.Requests - slots
 	}
-	delay := defaultLoadDelay
-	if handler.LoadDelay != nil {
-		delay = handler.LoadDelay()
+	handler.Overload.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, max(waiting, -1), handler.loadDelay())
+}
+
+// loadDelay returns the time within which the requests of a router are known to all others.
+func (handler *Handler) loadDelay() time.Duration {
+	if handler.LoadDelay == nil {
+		return defaultLoadDelay
 	}
-	handler.Overload.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, max(waiting, -1), delay)
+	return handler.LoadDelay()
 }
 
 // retryAfterRoom returns when a caller should return whom upstreams have turned away, or zero
@@ -262,7 +263,7 @@
 		slog.Float64("Usage", decision.Usage),
 		slog.Float64("Room", decision.Room),
 		slog.Float64("Share", decision.Share),
-		slog.Float64("Level", decision.Level),
+		slog.Float64("Urgency", decision.Level),
 		slog.Int64("WaitMs", decision.Wait.Milliseconds()),
 		slog.Int64("RetryAfterMs", decision.RetryAfter.Milliseconds()),
 		slog.Bool("Returned", decision.Returned),
@@ -300,7 +301,7 @@
 	if first {
 		handler.Metrics.CountEvent("overload.began")
 		handler.Logger.Warn("Requests are refused for lack of room.", "Service", service, "Reason", string(decision.Reason), "Usage", decision.Usage,
-			"Room", decision.Room, "Share", decision.Share, "Routers", handler.slackRouters(), "Heard", handler.Routers())
+			"Room", decision.Room, "Share", decision.Share, "Routers", handler.slackRouters(), "Heard", handler.Routers(), "DelayMs", handler.loadDelay().Milliseconds())
 	}
 }
 
