overload: a loss makes a pool short only if the rest isn't nearly idle; refusals of upstreams count

A pool of four that loses one is a fifth smaller; at low usage that is no shortage. What upstreams turn away counts like what the router refuses, for Retry-After and for the end of a shortage. Tests seed their draws, and share the requests in flight among routers.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -142,6 +142,7 @@
 	defer controller.mu.Unlock()
 	service := controller.service(name)
 	controller.fullUntil[upstream] = now.Add(max(min(delay, service.serviceTime/2), minFullTime))
+	service.refused.add(now, refusedTime)
 	if waiting >= 0 {
 		service.turnedAway(now, waiting)
 	}
@@ -179,7 +180,7 @@
 	share := view.share(now, pool, sums)
 	decision := Decision{Usage: sums.usage()}
 	full := controller.full(now, pool)
-	decision.Short = view.lostSlots(now, sums.slots) || decision.Usage >= service.shortUsage(now) ||
+	decision.Short = decision.Usage >= service.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
 		float64(full) > maxFullShare*float64(sums.upstreams) || pool.busyPrefilling(&request, learned)
 	service.shortage = decision.Short
 	if !decision.Short {
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -31,6 +32,11 @@
 	return pool
 }
 
+// seededController returns a controller whose draws are the same each time.
+func seededController(seed int) *overload.Controller {
+	return &overload.Controller{Random: rand.New(rand.NewPCG(uint64(seed), 0)).Float64}
+}
+
 func small(priority int) overload.Request {
 	return overload.Request{Prefill: 500, CachedPrefill: 500, Memory: 1000, Priority: priority, Target: 800, Deadline: start.Add(10 * time.Second)}
 }
@@ -148,7 +154,7 @@
 	const routers, engines, used = 42, 13, 50
 	sent := 0
 	for router := range routers {
-		controller, local := new(overload.Controller), make([]int, engines)
+		controller, local := seededController(router), make([]int, engines)
 		inFlight := used*(router+1)/routers - used*router/routers
 		for n := range 60 {
 			pool := enginesWith(routers, slices.Repeat([]int{used}, engines)...)
@@ -209,8 +215,8 @@
 func TestRoutersShareThePlacesOfAPlainService(t *testing.T) {
 	const routers, upstreams, taken, steps = 47, 4, 12, 30
 	sent := 0
-	for range routers {
-		controller := new(overload.Controller)
+	for router := range routers {
+		controller := seededController(router)
 		for range 20 {
 			controller.Answered("plain", "p-0", 60*time.Millisecond, 6, 5)
 		}
@@ -218,6 +224,9 @@
 		for n := range steps {
 			pool := plainWith(routers, slices.Repeat([]int{taken}, upstreams)...)
 			pool.Key.Service = "plain"
+			for i := range pool.Upstreams {
+				pool.Upstreams[i].Local = taken*(router+1)/routers - taken*router/routers
+			}
 			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
 			if controller.Decide(now, pool, small(0)).Reason == "" {
 				controller.Sent(now, "plain", 0, 0)
@@ -290,7 +299,7 @@
 // TestWorkspaceAboveItsUsual guards against a workspace that takes the room of the others by sending
 // eight times its usual.
 func TestWorkspaceAboveItsUsual(t *testing.T) {
-	controller := new(overload.Controller)
+	controller := seededController(0)
 	now := start
 	arrive := func(workspace string, count int) {
 		for range count {
--- a/overload/service.go
+++ b/overload/service.go
@@ -53,7 +53,7 @@
 	queue       float64
 	queueAt     time.Time
 	// decided and refused count the requests that were decided on in a shortage, and those
-	// refused.
+	// refused, here or by upstreams.
 	decided, refused decayingCount
 }
 
--- a/overload/view.go
+++ b/overload/view.go
@@ -14,8 +14,8 @@
 	// idleUsage of the pool used.
 	idleTime  = 20 * time.Millisecond
 	idleUsage = 0.4
-	// A pool that has lost lostShare of the slots that it had within peakTime is about to be
-	// short: what was in flight there comes to the rest.
+	// A pool may be about to be short that has lost lostShare of the slots that it had within
+	// peakTime: what was in flight there comes to the rest.
 	lostShare = 0.2
 	peakTime  = 5 * time.Second
 	// evenShare is the part of the room that routers share evenly; the rest goes by what they
@@ -47,12 +47,16 @@
 	drawnAt time.Time
 }
 
-// lostSlots reports whether many of the slots that the pool had lately are gone.
-func (view *view) lostSlots(now time.Time, slots int) bool {
-	if slots >= view.peakSlots || now.Sub(view.peakAt) > peakTime {
-		view.peakSlots, view.peakAt = slots, now
+// afterLoss returns which share of the pool will be used once what was in flight at slots that
+// are gone has come to the rest, or zero if few are gone.
+func (view *view) afterLoss(now time.Time, sums sums) float64 {
+	if sums.slots >= view.peakSlots || now.Sub(view.peakAt) > peakTime {
+		view.peakSlots, view.peakAt = sums.slots, now
 	}
-	return float64(slots) < (1-lostShare)*float64(view.peakSlots)
+	if float64(sums.slots) >= (1-lostShare)*float64(view.peakSlots) {
+		return 0
+	}
+	return sums.usage() * float64(view.peakSlots) / float64(sums.slots)
 }
 
 // share returns the part of the pool that is this router's. The parts of all routers add up
