overload: upstreams that one request must not use still count in the pool; fairness bites

An upstream that a request was offered to, that is on probation for requests that must not run twice, or that is at its limit, looked like a lost one, and a small pool that is 0.4 used would have counted as short. Such upstreams are excluded for the request only.

A caller that returns isn't exempt from the fairness among workspaces any more, and what a workspace sends beyond its usual counts three levels less urgent.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -219,9 +219,9 @@
 	return choice, true
 }
 
-// Usable reports whether the upstream is healthy with regard to the request and below its
+// Eligible reports whether the upstream is healthy with regard to the request and below its
 // limit.
-func (chooser *Chooser) Usable(now time.Time, upstream registry.Upstream, retryable bool) bool {
+func (chooser *Chooser) Eligible(now time.Time, upstream registry.Upstream, retryable bool) bool {
 	return chooser.healthOf(now, upstream.ID, retryable) == healthy && chooser.limitOf(now, upstream) != AtLimit
 }
 
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -145,7 +145,8 @@
 		known.ID = upstream.ID
 		known.Slots, known.Memory = exchange.capacity(upstream)
 		known.Cached = slices.Contains(cachedAt, upstream.ID)
-		known.Usable = chooser.Usable(now, upstream, exchange.route.Retryable()) && !slices.Contains(exchange.tried, upstream.ID)
+		known.Usable = !chooser.Ejected(now, upstream.ID)
+		known.Excluded = slices.Contains(exchange.tried, upstream.ID) || !chooser.Eligible(now, upstream, exchange.route.Retryable())
 	}
 	return view
 }
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -193,11 +193,14 @@
 	}
 	service.decided.add(now, refusedTime)
 	decision.Returned = service.waits.returned(request.Arrival)
-	excess := !decision.Returned && random() < service.fairness.excess(now, request.Arrival.Workspace)
+	excess := random() < service.fairness.excess(now, request.Arrival.Workspace)
 	decision.Level = request.level(decision.Returned, excess)
 	decision.Share = share * part(decision.Level, service.refusedShare(now))
 	view.draw(now, pool.Delay, random)
-	controller.findRoom(now, view, pool, &request, learned, &decision)
+	if !controller.findRoom(now, view, pool, &request, learned, &decision) {
+		decision.Full = nil
+		return decision
+	}
 	sent := service.flow.since(now, pool.Delay)
 	switch {
 	case request.Prefill > request.CachedPrefill:
@@ -221,16 +224,19 @@
 }
 
 // findRoom sets which upstreams have no room for the request, the room of the others, and the
-// time until the first one would begin its answer. The caller holds mu.
-func (controller *Controller) findRoom(now time.Time, view *view, pool *Pool, request *Request, learned learned, decision *Decision) {
+// time until the first one would begin its answer. It reports whether there is an upstream to
+// which the request may be sent. The caller holds mu.
+func (controller *Controller) findRoom(now time.Time, view *view, pool *Pool, request *Request, learned learned, decision *Decision) bool {
+	found := false
 	decision.Full = controller.fullOf(now, pool)
 	decision.Wait = time.Duration(math.MaxInt64)
 	for i := range pool.Upstreams {
 		upstream := &pool.Upstreams[i]
-		if !upstream.counted() {
+		if !upstream.counted() || upstream.Excluded {
 			decision.Full[i] = true
 			continue
 		}
+		found = true
 		wait := upstream.wait(request, learned)
 		decision.Wait = min(decision.Wait, wait)
 		room := upstream.room(request, learned, reserved(decision.Level))
@@ -245,6 +251,7 @@
 			decision.Room += room
 		}
 	}
+	return found
 }
 
 // preferCached marks upstreams that would prefill the shared parts of the prompt again as full,
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -76,6 +76,14 @@
 				pool.Upstreams[i].Usable = false
 			}
 		}},
+		{name: "upstreams that are excluded for the request", pool: enginesWith(1, 64, 64), request: small(0), change: func(pool *overload.Pool, _ *overload.Request) {
+			for i := range pool.Upstreams {
+				pool.Upstreams[i].Excluded = true
+			}
+		}},
+		{name: "room at an excluded upstream alone", pool: enginesWith(1, 64, 64, 20), request: small(0), want: overload.NoRoom, change: func(pool *overload.Pool, _ *overload.Request) {
+			pool.Upstreams[2].Excluded = true
+		}},
 		{name: "the queue of a plain service", pool: plainWith(1, 9, 9), request: small(3)},
 		{name: "a second attempt at a plain service needs a slot", pool: plainWith(1, 9, 9), request: small(0), want: overload.NoRoom, change: func(_ *overload.Pool, request *overload.Request) {
 			request.Offered = true
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -17,8 +17,10 @@
 // Upstream is what a router knows of one upstream.
 type Upstream struct {
 	ID ident.UpstreamID
-	// Usable is set if the upstream may be chosen for the request.
-	Usable bool
+	// Usable is set if the upstream serves, and Excluded if this request must not be sent
+	// there nevertheless.
+	Usable   bool
+	Excluded bool
 	// Requests counts the requests in flight over all routers, Local those of this
 	// router, and Pending the prompt tokens still to be prefilled.
 	Requests int
@@ -63,7 +65,7 @@
 	busyShare = 0.5
 )
 
-// sums are the figures of the usable upstreams of a pool together.
+// sums are the figures of the upstreams of a pool that serve, together.
 type sums struct {
 	upstreams int
 	slots     int
@@ -80,10 +82,10 @@
 // usage returns the share of the pool that is used.
 func (sums sums) usage() float64 { return sums.used / float64(max(sums.upstreams, 1)) }
 
-// counted reports whether the upstream may be chosen and has known slots.
+// counted reports whether the upstream serves and has known slots.
 func (upstream *Upstream) counted() bool { return upstream.Usable && upstream.Slots > 0 }
 
-// sum adds up the usable upstreams whose slots are known.
+// sum adds up the upstreams that serve and whose slots are known.
 func (pool *Pool) sum(learned learned) sums {
 	var sums sums
 	for i := range pool.Upstreams {
--- a/overload/request.go
+++ b/overload/request.go
@@ -17,7 +17,7 @@
 	levelFactor = 0.5
 	// excessLevels is by how many levels less urgent a request counts that its workspace
 	// sends beyond its usual.
-	excessLevels = 2
+	excessLevels = 3
 	// newcomerLevel is by how many levels less urgent a newcomer counts than a caller that was
 	// refused before.
 	newcomerLevel = 0.5
