--- a/overload/bench_test.go
+++ b/overload/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/overload"
 )
 
@@ -24,3 +26,14 @@
 		}
 	}
 }
+
+// BenchmarkArrived measures what a request costs that needs no decision.
+func BenchmarkArrived(b *testing.B) {
+	controller, n := new(overload.Controller), 0
+	for b.Loop() {
+		n++
+		controller.Arrived(start.Add(time.Duration(n)*time.Millisecond), enginesKey, overload.Arrival{Workspace: workspaces[n%len(workspaces)], Route: "chat", Wait: 10_000})
+	}
+}
+
+var workspaces = []ident.WorkspaceID{"a", "b", "c", "d", "e"}
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -15,8 +15,9 @@
 	// minFullTime is how long an upstream that turned a request away counts as full, at
 	// least, unless an answer of it comes.
 	minFullTime = 20 * time.Millisecond
-	// maxViews limits the pools that are known.
+	// maxViews limits the pools that are known, and maxFull the upstreams that count as full.
 	maxViews = 1024
+	maxFull  = 4096
 )
 
 // Reason says why a request is refused.
@@ -141,6 +142,9 @@
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	service := controller.service(name)
+	if len(controller.fullUntil) >= maxFull {
+		clear(controller.fullUntil)
+	}
 	controller.fullUntil[upstream] = now.Add(max(min(delay, service.serviceTime/2), minFullTime))
 	service.refused.add(now, refusedTime)
 	if waiting >= 0 {
@@ -178,17 +182,17 @@
 		return Decision{}
 	}
 	share := view.share(now, pool, sums)
-	decision := Decision{Usage: sums.usage()}
 	full := controller.full(now, pool)
+	decision := Decision{Usage: sums.usage()}
 	decision.Short = decision.Usage >= service.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
 		float64(full) > maxFullShare*float64(sums.upstreams) || pool.busyPrefilling(&request, learned)
 	service.shortage = decision.Short
+	if !decision.Short && full > 0 {
+		decision.Full = controller.fullOf(now, pool)
+		return decision
+	}
 	if !decision.Short {
-		if full > 0 {
-			decision.Full = controller.fullOf(now, pool)
-		} else if decision.Usage < idleUsage {
-			view.idleUntil = now.Add(idleTime)
-		}
+		view.passIdle(now, decision.Usage)
 		return decision
 	}
 	service.decided.add(now, refusedTime)
--- a/overload/view.go
+++ b/overload/view.go
@@ -47,6 +47,13 @@
 	drawnAt time.Time
 }
 
+// passIdle lets requests pass for a moment without a decision if the pool is nearly idle.
+func (view *view) passIdle(now time.Time, usage float64) {
+	if usage < idleUsage {
+		view.idleUntil = now.Add(idleTime)
+	}
+}
+
 // afterLoss returns which share of the pool will be used once what was in flight at slots that
 // are gone has come to the rest, or zero if few are gone.
 func (view *view) afterLoss(now time.Time, sums sums) float64 {
