--- a/forward/overload.go
+++ b/forward/overload.go
@@ -117,7 +117,7 @@
 
 // arrival describes who sent the request.
 func (exchange *exchange) arrival() overload.Arrival {
-	return overload.Arrival{Workspace: exchange.workspaceID(), Route: exchange.route.Name, Wait: exchange.head.Wait}
+	return overload.Arrival{Workspace: exchange.workspaceID()}
 }
 
 // view returns what is known of the upstreams of a pool.
@@ -215,19 +215,10 @@
 	if handler.Overload == nil || answer.response.StatusCode != http.StatusServiceUnavailable || answer.head.Leaving {
 		return
 	}
-	slots, memory := exchange.capacity(answer.upstream)
-	if slots == 0 {
+	if slots, _ := exchange.capacity(answer.upstream); slots == 0 {
 		return
 	}
-	waiting := -1
-	switch {
-	case memory > 0:
-	case answer.head.Load != nil && answer.head.Load.Slots > 0:
-		waiting = answer.head.Load.Running + answer.head.Load.Waiting - slots
-	default:
-		waiting = exchange.choice.Load.Requests - slots
-	}
-	handler.Overload.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, max(waiting, -1), handler.loadDelay())
+	handler.Overload.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, handler.loadDelay())
 }
 
 // loadDelay returns the time within which the requests of a router are known to all others.
@@ -263,11 +254,10 @@
 	return []slog.Attr{
 		slog.Float64("Usage", decision.Usage),
 		slog.Float64("Room", decision.Room),
-		slog.Float64("Share", decision.Share),
+		slog.Float64("Share", decision.Part),
 		slog.Float64("Urgency", decision.Level),
 		slog.Int64("WaitMs", decision.Wait.Milliseconds()),
 		slog.Int64("RetryAfterMs", decision.RetryAfter.Milliseconds()),
-		slog.Bool("Returned", decision.Returned),
 	}
 }
 
@@ -302,7 +292,7 @@
 	if first {
 		handler.Metrics.CountEvent("overload.began")
 		handler.Logger.Warn("Requests are refused for lack of room.", "Service", service, "Reason", string(decision.Reason), "Usage", decision.Usage,
-			"Room", decision.Room, "Share", decision.Share, "Routers", handler.slackRouters(), "Heard", handler.Routers(), "DelayMs", handler.loadDelay().Milliseconds())
+			"Room", decision.Room, "Share", decision.Part, "Routers", handler.slackRouters(), "Heard", handler.Routers(), "DelayMs", handler.loadDelay().Milliseconds())
 	}
 }
 
--- a/overload/flow.go
+++ b/overload/flow.go
@@ -13,17 +13,17 @@
 	flowSlots = 64
 )
 
-// flow counts the requests that were sent, with their prefill, and that ended lately.
+// flow counts the requests that were sent and that ended lately.
 type flow struct {
 	slots [flowSlots]flowCounts
 }
 
-// flowCounts holds the counts of one slot.
+// flowCounts holds the counts of one slot: the requests that were sent, with their prefill,
+// and those that ended.
 type flowCounts struct {
-	number  int64
-	prefill ident.Tokens
-	sent    int
-	ended   int
+	number      int64
+	sent, ended int
+	prefill     ident.Tokens
 }
 
 func (flow *flow) slot(now time.Time) *flowCounts {
--- /dev/null
+++ b/overload/sums.go
@@ -0,0 +1,127 @@
+package overload
+
+import "github.com/hickoryhead/hickoryhead/ident"
+
+// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
+// up for the others: those may have ended.
+const maxUnheardFactor = 2
+
+// busyShare is the share of the upstreams that have no time for more prefill from which
+// on a pool counts as busy.
+const busyShare = 0.5
+
+// sums are the figures of the usable upstreams of a pool together.
+type sums struct {
+	usable   int
+	requests int
+	local    int
+	// added is by how much local has grown since the other routers last heard of it.
+	added int
+	slots int
+	// share is the part of the pool that is this router's. The parts of all routers add up
+	// to one.
+	share    float64
+	capacity float64
+	used     float64
+	// room is how many more requests of mean size there is room for.
+	room float64
+}
+
+// usage returns the share of the pool that is used.
+func (sums sums) usage() float64 {
+	if sums.usable == 0 {
+		return 0
+	}
+	return sums.used / float64(sums.usable)
+}
+
+// localShare returns the part of the requests in flight that were this router's when the
+// others last heard of it.
+func (sums sums) localShare(pool *Pool) float64 {
+	local, requests := max(sums.local-sums.added, 0), sums.requests-sums.added
+	if requests <= 0 || local > requests {
+		return 1 / float64(max(pool.Routers, 1))
+	}
+	return float64(local) / float64(requests)
+}
+
+// sum adds up the usable upstreams whose slots are known.
+func (pool *Pool) sum(estimates estimates) sums {
+	var sums sums
+	for i := range pool.Upstreams {
+		upstream := &pool.Upstreams[i]
+		if !upstream.Usable || upstream.Slots <= 0 {
+			continue
+		}
+		sums.usable++
+		sums.requests += upstream.Requests
+		sums.local += upstream.Local
+		sums.added += upstream.added
+		sums.slots += upstream.Slots
+		sums.capacity += upstream.limit(estimates)
+		usage := upstream.usage(estimates)
+		sums.used += min(usage, 1)
+		sums.room += max(upstream.limit(estimates)-float64(upstream.Requests), 0)
+	}
+	return sums
+}
+
+// addUnheard adds to each upstream its part of what routers that were not heard from
+// lately are assumed to have in flight: as much as those that were.
+func (pool *Pool) addUnheard() {
+	if pool.Heard >= pool.Routers || pool.Heard <= 0 {
+		return
+	}
+	factor := float64(pool.Routers) / float64(pool.Heard)
+	if pool.Heard > 1 {
+		factor = min(factor, maxUnheardFactor)
+	}
+	requests, pending, count := 0, ident.Tokens(0), 0
+	for i := range pool.Upstreams {
+		if !pool.Upstreams[i].Usable {
+			continue
+		}
+		known := pool.Upstreams[i].Requests
+		if pool.Heard == 1 {
+			known = pool.Upstreams[i].Local
+		}
+		requests += known
+		pending += pool.Upstreams[i].Pending
+		count++
+	}
+	if count == 0 {
+		return
+	}
+	extraRequests := int((factor - 1) * float64(requests) / float64(count))
+	extraPending := ident.Tokens((factor - 1) * float64(pending) / float64(count))
+	for i := range pool.Upstreams {
+		upstream := &pool.Upstreams[i]
+		if pool.Heard == 1 {
+			// The upstream's own report may have counted the requests of the others.
+			upstream.Requests = max(upstream.Requests, upstream.Local+extraRequests)
+		} else {
+			upstream.Requests += extraRequests
+		}
+		upstream.Pending += extraPending
+	}
+}
+
+// busyPrefilling reports whether many upstreams have so much prefill pending that the
+// request would miss its target there.
+func (pool *Pool) busyPrefilling(request *Request, estimates estimates) bool {
+	if request.Prefill == 0 {
+		return false
+	}
+	usable, busy := 0, 0
+	for i := range pool.Upstreams {
+		upstream := &pool.Upstreams[i]
+		if !upstream.Usable || upstream.Memory == 0 {
+			continue
+		}
+		usable++
+		if float64(upstream.Pending) > targetShare*float64(request.target())*estimates.prefillRate(upstream.ID) {
+			busy++
+		}
+	}
+	return usable > 0 && float64(busy) > busyShare*float64(usable)
+}
