--- a/explain/explain.go
+++ b/explain/explain.go
@@ -230,12 +230,8 @@
 	if line.Code != "PoolFull" && line.Code != "TooLate" && line.Code != "WorkspaceAboveUsual" {
 		return ""
 	}
-	text := fmt.Sprintf(", %.2f of the pool used, room for %.0f such requests, of which %.4f is this router's, urgency level %.1f, answer to begin after %d ms, told to return after %d ms",
-		line.Usage, line.Room, line.Share, line.Urgency, line.WaitMs, line.RetryAfterMs)
-	if line.Returned {
-		text += ", refused before"
-	}
-	return text
+	return fmt.Sprintf(", %.2f of the pool used and %.2f open to the request, room for %.0f such requests, of which %.2f is this router's, answer to begin after %d ms, told to return after %d ms",
+		line.Usage, line.MayUse, line.Room, line.RoomPart, line.WaitMs, line.RetryAfterMs)
 }
 
 // kindOf returns what a strike is of.
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -91,7 +91,7 @@
 {"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-2","Upstream":"i-3","Attempt":"a7","RestMs":3000}
 {"time":"2026-10-21T04:00:31Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a8","Status":503,"Code":"UpstreamsResting"}
 {"time":"2026-10-21T04:00:40Z","msg":"forward: Requests are refused for lack of room.","VM":"edge-3","Service":"chat","Usage":0.93}
-{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-3","Attempt":"a9","Status":503,"Code":"PoolFull","Usage":0.95,"Room":2,"Share":0.01,"Urgency":1.5,"WaitMs":40,"RetryAfterMs":2800,"Returned":true}`
+{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-3","Attempt":"a9","Status":503,"Code":"PoolFull","Usage":0.95,"Room":2,"RoomPart":0.05,"MayUse":0.96,"WaitMs":40,"RetryAfterMs":2800}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
 		log.Add([]byte(text))
@@ -111,7 +111,7 @@
 `,
 	}
 	tests["a9"] = `2026-10-21T04:00:40Z edge-3 requests to service chat are refused for lack of room: 0.93 of the pool used
-2026-10-21T04:00:41Z edge-3 finished with status 503 (PoolFull) after 0 ms: route , configuration 0, offered to no upstream, 0.95 of the pool used, room for 2 such requests, of which 0.0100 is this router's, urgency level 1.5, answer to begin after 40 ms, told to return after 2800 ms, refused before
+2026-10-21T04:00:41Z edge-3 finished with status 503 (PoolFull) after 0 ms: route , configuration 0, offered to no upstream, 0.95 of the pool used and 0.96 open to the request, room for 2 such requests, of which 0.05 is this router's, answer to begin after 40 ms, told to return after 2800 ms
 cause: the upstreams had no room for the request, or left it to more urgent ones and to other routers; it did not run
 `
 	for attempt, want := range tests {
--- a/explain/line.go
+++ b/explain/line.go
@@ -62,16 +62,15 @@
 	RestMs    int64
 
 	// Attributes of a request that was refused for lack of room: the share of the pool that was
-	// used, the requests for which it had room, this router's part of that, how many levels less
-	// urgent than the most urgent ones the request was, the time until an answer could have
-	// begun, and when the caller was told to return. Refused counts those of a shortage.
+	// used, the requests for which it had room, this router's part of that, the share of the pool
+	// that the request could use, the time until an answer could have begun, and when the caller
+	// was told to return. Refused counts those of a shortage.
 	Usage        float64
 	Room         float64
-	Share        float64
-	Urgency      float64
+	RoomPart     float64
+	MayUse       float64
 	WaitMs       int64
 	RetryAfterMs int64
-	Returned     bool
 	Refused      int
 
 	// Attributes of streams. Version is the software version to which a request was
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -254,8 +254,8 @@
 	return []slog.Attr{
 		slog.Float64("Usage", decision.Usage),
 		slog.Float64("Room", decision.Room),
-		slog.Float64("Share", decision.Part),
-		slog.Float64("Urgency", decision.Level),
+		slog.Float64("RoomPart", decision.Part),
+		slog.Float64("MayUse", decision.Level),
 		slog.Int64("WaitMs", decision.Wait.Milliseconds()),
 		slog.Int64("RetryAfterMs", decision.RetryAfter.Milliseconds()),
 	}
@@ -292,7 +292,7 @@
 	if first {
 		handler.Metrics.CountEvent("overload.began")
 		handler.Logger.Warn("Requests are refused for lack of room.", "Service", service, "Reason", string(decision.Reason), "Usage", decision.Usage,
-			"Room", decision.Room, "Share", decision.Part, "Routers", handler.slackRouters(), "Heard", handler.Routers(), "DelayMs", handler.loadDelay().Milliseconds())
+			"Room", decision.Room, "RoomPart", decision.Part, "Routers", handler.slackRouters(), "Heard", handler.Routers(), "DelayMs", handler.loadDelay().Milliseconds())
 	}
 }
 
--- a/overload/sums.go
+++ b/overload/pool.go
@@ -1,14 +1,67 @@
 package overload
 
-import "github.com/hickoryhead/hickoryhead/ident"
+import (
+	"time"
 
-// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
-// up for the others: those may have ended.
-const maxUnheardFactor = 2
+	"github.com/hickoryhead/hickoryhead/ident"
+)
 
-// busyShare is the share of the upstreams that have no time for more prefill from which
-// on a pool counts as busy.
-const busyShare = 0.5
+const (
+	// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
+	// up for the others: those may have ended.
+	maxUnheardFactor = 2
+	// busyShare is the share of the upstreams that have no time for more prefill from which
+	// on a pool counts as busy.
+	busyShare = 0.5
+)
+
+// Upstream is what a router knows of one upstream.
+type Upstream struct {
+	ID ident.UpstreamID
+	// Usable is set if the upstream serves.
+	Usable bool
+	// Excluded is set if this request must not be sent there nevertheless.
+	Excluded bool
+	// Requests counts the requests in flight over all routers, Local those of this
+	// router, and Pending the prompt tokens still to be prefilled.
+	Requests int
+	Local    int
+	Pending  ident.Tokens
+	// Slots is how many requests the upstream runs at once, or zero if that is not known.
+	Slots int
+	// Memory is the memory of an engine in tokens, or zero for a plain service.
+	Memory ident.Tokens
+	// Cached is set if the upstream has the shared prefix of the request cached.
+	Cached bool
+
+	// added is by how much Local has grown since the other routers last heard of it.
+	added int
+}
+
+// Key identifies a pool: the upstreams of a service, or those of them with one software
+// version.
+type Key struct {
+	Service ident.ServiceName
+	// Version is empty for all versions.
+	Version ident.SoftwareVersion
+}
+
+// Pool is what a router knows of the upstreams of a service.
+type Pool struct {
+	Key       Key
+	Upstreams []Upstream
+	// Routers is the number of routers that share the pool, this one included: also those
+	// that were not heard from lately. Heard is the number of those that were.
+	Routers int
+	Heard   int
+	// Delay is the time within which the requests of a router are known to all others.
+	Delay time.Duration
+	// LoadMultiple times the mean number of requests in flight, plus LoadSlack, is the
+	// bound up to which an upstream gets requests whose prefix it has cached. Zero values
+	// mean no bound.
+	LoadMultiple float64
+	LoadSlack    float64
+}
 
 // sums are the figures of the usable upstreams of a pool together.
 type sums struct {
--- /dev/null
+++ b/overload/service.go
@@ -0,0 +1,119 @@
+package overload
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+const (
+	// A pool is short of room from shortUsage on, and until stillShortUsage while requests are
+	// refused.
+	shortUsage      = 0.7
+	stillShortUsage = 0.4
+	// maxReturnShare is the part of their remaining time up to which callers honour
+	// Retry-After. Within minReturnShare a shortage rarely ends, and callers return once.
+	maxReturnShare = 0.3
+	minReturnShare = 0.15
+	// returnJitter is the part by which Retry-After varies.
+	returnJitter = 0.2
+	// pressureTime is the time constant of the share of requests that are refused.
+	pressureTime = time.Second
+	// rateTime is the time over which the rate of requests that end is taken.
+	rateTime = 2 * time.Second
+	// maxTurns limits how far ahead the turns of refused callers are planned.
+	maxTurns = 10 * time.Second
+	// smoothing is the weight of a new sample of what is learned.
+	smoothing = 0.1
+	// memoryWeight is the number of requests in flight at which the mean of these counts
+	// as much as the mean of all that were sent.
+	memoryWeight = 4
+	// defaultPrefillRate is the assumed prefill rate in tokens per millisecond, as in
+	// package balance.
+	defaultPrefillRate = 45
+)
+
+// service is what is known of the requests of one service.
+type service struct {
+	flow     flow
+	fairness fairness
+	// shortage is set while a pool of the service is short of room.
+	shortage bool
+	// inFlight and memory are the requests of this router in flight and their memory,
+	// and meanMemory is the mean of those that were sent.
+	inFlight   int
+	memory     ident.Tokens
+	meanMemory float64
+	// serviceTime is how long a request takes a slot.
+	serviceTime time.Duration
+	// nextTurn is when the next caller that is refused should return.
+	nextTurn time.Time
+	// decided and refused count the requests that were decided on, and those refused.
+	decided, refused decayingCount
+}
+
+// shortUsage returns the share of a pool that is used from which on it is short of room. It is
+// lower while requests are refused: without that, all that are refused now would be sent as soon
+// as there is some room, before the routers know of each other's.
+func (service *service) shortUsage(now time.Time) float64 {
+	if service.refused.get(now, pressureTime) >= 1 {
+		return stillShortUsage
+	}
+	return shortUsage
+}
+
+// refusedShare returns the share of the requests decided on lately that were refused.
+func (service *service) refusedShare(now time.Time) float64 {
+	decided := service.decided.get(now, pressureTime)
+	if decided < 1 {
+		return 0
+	}
+	return service.refused.get(now, pressureTime) / decided
+}
+
+// estimates returns what is known of the requests of a service. The caller holds mu.
+func (controller *Controller) estimates(state *service) estimates {
+	known := estimates{prefillRate: controller.prefillRate, serviceTime: state.serviceTime}
+	known.memory = (float64(state.memory) + memoryWeight*state.meanMemory) / float64(state.inFlight+memoryWeight)
+	return known
+}
+
+// retryAfter gives each refused caller a turn when a request of this router is expected to
+// end, within the time for which callers wait.
+func (service *service) retryAfter(now, deadline time.Time, random func() float64) time.Duration {
+	remaining := max(deadline.Sub(now), 0)
+	latest := time.Duration(maxReturnShare * float64(remaining))
+	earliest := time.Duration(minReturnShare * float64(remaining))
+	after := latest
+	if ended := service.flow.since(now, rateTime).ended; ended > 0 {
+		turn := now
+		if service.nextTurn.After(now) {
+			turn = service.nextTurn
+		}
+		service.nextTurn = turn.Add(rateTime / time.Duration(ended))
+		if limit := now.Add(maxTurns); service.nextTurn.After(limit) {
+			service.nextTurn = limit
+		}
+		after = min(max(service.nextTurn.Sub(now), earliest), latest)
+	}
+	return time.Duration(float64(after) * (1 - returnJitter*random()))
+}
+
+// randomOf returns random, or the default source of random numbers from 0 to 1.
+func randomOf(random func() float64) func() float64 {
+	if random == nil {
+		return rand.Float64
+	}
+	return random
+}
+
+// estimates are what a router has learned about the requests of a service.
+type estimates struct {
+	// prefillRate is the prefill rate of each upstream in tokens per millisecond.
+	prefillRate func(upstream ident.UpstreamID) float64
+	// memory is the mean memory of a request in flight.
+	memory float64
+	// serviceTime is how long a slot is taken by a request, or zero if that is not known.
+	serviceTime time.Duration
+}
--- /dev/null
+++ b/overload/view.go
@@ -0,0 +1,95 @@
+package overload
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+const (
+	// idleTime is how long requests pass without a decision after one that found less than
+	// idleUsage of the pool used.
+	idleTime  = 20 * time.Millisecond
+	idleUsage = 0.4
+	// A pool may be about to be short that has lost lostShare of the slots that it had within
+	// peakTime: what was in flight there comes to the rest.
+	lostShare = 0.2
+	peakTime  = 5 * time.Second
+	// evenShare is the part of the free room that routers share evenly; the rest goes by
+	// what they have in flight.
+	evenShare = 0.5
+	// shareTime is the time constant of the mean of what a router has in flight.
+	shareTime = 5 * time.Second
+)
+
+// view is what is known of one pool.
+type view struct {
+	// idleUntil is until when requests pass without a decision.
+	idleUntil time.Time
+	// peakSlots is the most slots that the pool had lately, at peakAt.
+	peakSlots int
+	peakAt    time.Time
+	// localShare is the mean part of the requests in flight that are this router's, as of
+	// sharedAt.
+	localShare float64
+	sharedAt   time.Time
+	// earlier is what the router had in flight before.
+	earlier snapshots
+	// seed draws the least parts with which requests are sent, since drawnAt.
+	seed    uint64
+	drawnAt time.Time
+}
+
+// passIdle lets requests pass for a moment without a decision if the pool is nearly idle.
+func (view *view) passIdle(now time.Time, usage float64) {
+	if usage < idleUsage {
+		view.idleUntil = now.Add(idleTime)
+	}
+}
+
+// share returns the part of the pool that is this router's: in part an even one, in part by
+// what it had in flight lately.
+func (view *view) share(now time.Time, pool *Pool, sums sums) float64 {
+	current := sums.localShare(pool)
+	if view.sharedAt.IsZero() {
+		view.localShare = current
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(view.sharedAt))/float64(shareTime))
+	view.localShare += max(weight, 0) * (current - view.localShare)
+	view.sharedAt = now
+	return evenShare/float64(max(pool.Routers, 1)) + (1-evenShare)*view.localShare
+}
+
+// afterLoss returns which share of the pool will be used once what was in flight at slots that
+// are gone has come to the rest, or zero if few are gone.
+func (view *view) afterLoss(now time.Time, sums sums) float64 {
+	if sums.slots >= view.peakSlots || now.Sub(view.peakAt) > peakTime {
+		view.peakSlots, view.peakAt = sums.slots, now
+	}
+	if float64(sums.slots) >= (1-lostShare)*float64(view.peakSlots) {
+		return 0
+	}
+	return sums.usage() * float64(view.peakSlots) / float64(sums.slots)
+}
+
+// draw draws the least parts anew once the other routers know what was sent with the last.
+func (view *view) draw(now time.Time, delay time.Duration, random func() float64) {
+	if now.Sub(view.drawnAt) >= delay {
+		view.drawnAt = now
+		view.seed = math.Float64bits(random())
+	}
+}
+
+// least returns the least part with which a request is sent, between zero and one. It differs
+// between routers, so that parts below one add up to the room. It is that of the pool for an
+// empty ID.
+func (view *view) least(upstream ident.UpstreamID) float64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(view.seed)
+	// A digest's writes return no error.
+	_, _ = digest.WriteString(string(upstream))
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
