--- a/strike/doc.go
+++ b/strike/doc.go
@@ -14,4 +14,11 @@
 // runs alone to each other, so that one takes place at a time. Guard also withdraws the
 // strikes of upstreams that run on, and holds what has to be sent to other routers and
 // written to the store. Both keep a bounded number of strikes for a bounded time.
+//
+// The files, from the facts to the decisions: strike.go and crashes.go hold strikes and
+// the crashes behind them, tracker.go the strikes of all keys, breaks.go when upstreams
+// broke off, unanswered.go runs that may still turn out to have crashed theirs,
+// successes.go what succeeded. evidence.go judges a request by these, designate.go and
+// trial.go arrange runs alone, guard.go combines them, and report.go and rows.go
+// hold what is sent to other routers and written to the store.
 package strike
