--- a/cmd/hickoryhead/daemons.go
+++ b/cmd/hickoryhead/daemons.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -14,51 +12,9 @@
 	"github.com/hickoryhead/hickoryhead/command"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/daemon"
-	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/daemoncommand"
 )
 
-// daemonFlags holds the values of the flags that all daemon commands share.
-type daemonFlags struct {
-	settings string
-	format   string
-	level    string
-}
-
-func (flags *daemonFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&flags.settings, "settings", "", "settings file (JSON)")
-	cmd.Flags().StringVar(&flags.format, "log-format", string(logging.Text), "log format: text or json")
-	cmd.Flags().StringVar(&flags.level, "log-level", "info", "log level: debug, info, warn or error")
-}
-
-// logger returns a logger that writes to out with the format and level of the
-// flags. An unknown format or level is a usage error.
-func (flags *daemonFlags) logger(out io.Writer) (*slog.Logger, error) {
-	logger, err := logging.New(out, logging.Format(flags.format), flags.level)
-	if err != nil {
-		return nil, command.Usage(err)
-	}
-	return logger, nil
-}
-
-// loadSettings reads and validates the settings file of a daemon. All errors
-// are usage errors.
-func loadSettings[T config.Router | config.Sidecar | config.Entry](name string) (T, error) {
-	if name == "" {
-		var none T
-		return none, command.Usage(errors.New("--settings FILE is required"))
-	}
-	loaded, err := config.Load[T](name)
-	if err != nil {
-		return loaded, command.Usage(err)
-	}
-	return loaded, nil
-}
-
-// untilStopped returns a context that is canceled on SIGTERM or SIGINT.
-func untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-}
-
 // printAddresses returns a callback that prints the addresses on which the
 // daemon listens. Other programs parse this line.
 func printAddresses(out io.Writer) func(daemon.Addresses) {
@@ -86,26 +42,26 @@
 
 // newDaemon returns the command that runs a daemon until SIGTERM or SIGINT.
 func newDaemon[T config.Router | config.Sidecar | config.Entry](role, short string, run func(ctx context.Context, loaded T, logger *slog.Logger, started func(daemon.Addresses)) error) *cobra.Command {
-	var flags daemonFlags
+	var flags daemoncommand.Flags
 	cmd := &cobra.Command{
 		Use:   role + " --settings FILE",
 		Short: short,
 		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := loadSettings[T](flags.settings)
+			loaded, err := daemoncommand.LoadSettings[T](flags.Settings)
 			if err != nil {
 				return err
 			}
-			logger, err := flags.logger(cmd.ErrOrStderr())
+			logger, err := flags.Logger(cmd.ErrOrStderr())
 			if err != nil {
 				return err
 			}
-			ctx, stop := untilStopped(cmd.Context())
+			ctx, stop := daemoncommand.UntilStopped(cmd.Context())
 			defer stop()
 			return run(ctx, loaded, logger, printAddresses(cmd.OutOrStdout()))
 		},
 	}
-	flags.add(cmd)
+	flags.Add(cmd)
 	return cmd
 }
 
@@ -130,11 +86,11 @@
 	var err error
 	switch role {
 	case "router":
-		_, err = loadSettings[config.Router](name)
+		_, err = daemoncommand.LoadSettings[config.Router](name)
 	case "sidecar":
-		_, err = loadSettings[config.Sidecar](name)
+		_, err = daemoncommand.LoadSettings[config.Sidecar](name)
 	case "entry":
-		_, err = loadSettings[config.Entry](name)
+		_, err = daemoncommand.LoadSettings[config.Entry](name)
 	default:
 		return command.Usage(errors.Newf("role %q: want router, sidecar or entry", role))
 	}
--- a/cmd/hickoryhead/demo.go
+++ b/cmd/hickoryhead/demo.go
@@ -4,6 +4,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hickoryhead/hickoryhead/command"
+	"github.com/hickoryhead/hickoryhead/daemoncommand"
 	"github.com/hickoryhead/hickoryhead/demo"
 	"github.com/hickoryhead/hickoryhead/logging"
 )
@@ -16,12 +17,12 @@
 		Short: "Run a small fleet on loopback in one process and send requests through it",
 		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			flags := daemonFlags{format: string(logging.Text), level: level}
-			logger, err := flags.logger(cmd.ErrOrStderr())
+			flags := daemoncommand.Flags{Format: string(logging.Text), Level: level}
+			logger, err := flags.Logger(cmd.ErrOrStderr())
 			if err != nil {
 				return err
 			}
-			ctx, stop := untilStopped(cmd.Context())
+			ctx, stop := daemoncommand.UntilStopped(cmd.Context())
 			defer stop()
 			options.Out = cmd.OutOrStdout()
 			options.Logger = logger
--- a/cmd/hickoryhead/load.go
+++ b/cmd/hickoryhead/load.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hickoryhead/hickoryhead/command"
+	"github.com/hickoryhead/hickoryhead/daemoncommand"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/load"
 )
@@ -68,7 +69,7 @@
 // runLoad runs the load, prints its report as JSON and returns an error if an
 // answer violated a guarantee.
 func runLoad(cmd *cobra.Command, runner *load.Runner) error {
-	ctx, stop := untilStopped(cmd.Context())
+	ctx, stop := daemoncommand.UntilStopped(cmd.Context())
 	defer stop()
 	report, err := runner.Run(ctx)
 	if err != nil {
--- a/cmd/hickoryhead/entry.go
+++ b/daemoncommand/entry.go
@@ -1,4 +1,4 @@
-package main
+package daemoncommand
 
 import (
 	"context"
@@ -46,40 +46,40 @@
 	}
 }
 
-// newEntry returns the command that runs a router on an entry VM of the
+// NewEntry returns the command that runs a router on an entry VM of the
 // platform. It logs JSON to standard output by default.
-func newEntry() *cobra.Command {
-	var flags daemonFlags
+func NewEntry() *cobra.Command {
+	var flags Flags
 	cmd := &cobra.Command{
 		Use:   "entry [--settings FILE]",
 		Short: "Run a router on an entry VM of the platform",
 		Args:  command.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if flags.settings == "" {
-				flags.settings = platform.SettingsPath()
+			if flags.Settings == "" {
+				flags.Settings = platform.SettingsPath()
 			}
-			loaded, err := loadSettings[config.Entry](flags.settings)
+			loaded, err := LoadSettings[config.Entry](flags.Settings)
 			if err != nil {
 				return err
 			}
 			writer := &logWriter{async: logging.NewAsync(cmd.OutOrStdout()), done: make(chan struct{})}
-			logger, err := flags.logger(writer.async)
+			logger, err := flags.Logger(writer.async)
 			if err != nil {
 				return err
 			}
 			defer writer.finish(writer.start())
-			ctx, stop := untilStopped(cmd.Context())
+			ctx, stop := UntilStopped(cmd.Context())
 			defer stop()
 			daemon := &entry.Daemon{
 				Config:       loaded,
-				Reload:       func() (config.Entry, error) { return loadSettings[config.Entry](flags.settings) },
+				Reload:       func() (config.Entry, error) { return LoadSettings[config.Entry](flags.Settings) },
 				Logger:       logger.With("VM", loaded.VM),
 				LinesDropped: writer.async.Dropped,
 			}
 			return daemon.Run(ctx)
 		},
 	}
-	flags.add(cmd)
+	flags.Add(cmd)
 	if err := cmd.Flags().Set("log-format", string(logging.JSON)); err != nil {
 		panic(err)
 	}
