--- /dev/null
+++ b/registry/evacuation.go
@@ -0,0 +1,51 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// SetEvacuated replaces the evacuated zones. Their upstreams stay listed, but are in no pool.
+func (registry *Registry) SetEvacuated(zones []ident.Zone) {
+	evacuated := make(map[ident.Zone]struct{}, len(zones))
+	for _, zone := range zones {
+		evacuated[zone] = struct{}{}
+	}
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	registry.evacuated.Store(&evacuated)
+	if registry.Loaded() {
+		registry.rebuild()
+	}
+}
+
+// Evacuated reports whether a zone is evacuated, so that its upstreams get no new requests.
+func (registry *Registry) Evacuated(zone ident.Zone) bool {
+	zones := registry.evacuated.Load()
+	if zones == nil {
+		return false
+	}
+	_, found := (*zones)[zone]
+	return found
+}
+
+// Withheld returns the upstreams of a service that accept new requests, but get none because
+// their zones are evacuated. The slice must not be changed.
+func (registry *Registry) Withheld(service ident.ServiceName) []Upstream {
+	snapshot := registry.current.Load()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.withheld[service]
+}
+
+// InZone returns the listed upstreams of a zone, sorted by ID.
+func (registry *Registry) InZone(zone ident.Zone) []Upstream {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	inZone := slices.DeleteFunc(slices.Collect(maps.Values(registry.listed)), func(upstream Upstream) bool { return upstream.Zone != zone })
+	slices.SortFunc(inZone, byID)
+	return inZone
+}
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -25,6 +25,9 @@
 	versions  map[ident.ServiceName]map[ident.SoftwareVersion]*Pool
 	upstreams map[ident.UpstreamID]Upstream
 	digest    uint64
+	// withheld holds the upstreams of each service that accept new requests but are in an
+	// evacuated zone.
+	withheld map[ident.ServiceName][]Upstream
 }
 
 // Pool returns the upstreams of a service that accept new requests, or nil if
@@ -61,9 +64,13 @@
 
 // rebuild replaces the current snapshot. The caller holds mu.
 func (registry *Registry) rebuild() {
-	members := make(map[ident.ServiceName][]Upstream)
+	members, withheld := make(map[ident.ServiceName][]Upstream), make(map[ident.ServiceName][]Upstream)
 	for _, upstream := range registry.listed {
-		if !upstream.Leaving {
+		switch {
+		case upstream.Leaving:
+		case registry.Evacuated(upstream.Zone):
+			withheld[upstream.Service] = append(withheld[upstream.Service], upstream)
+		default:
 			members[upstream.Service] = append(members[upstream.Service], upstream)
 		}
 	}
@@ -73,11 +80,12 @@
 		pools[service] = newPool(upstreams)
 		versions[service] = versionPools(pools[service])
 	}
-	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
+	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
 }
 
 // digest returns a hash that does not depend on the order of the map: routers
-// compare it. The caller holds mu.
+// compare it. It doesn't depend on evacuations either, which routers learn of in another
+// way. The caller holds mu.
 func (registry *Registry) digest() uint64 {
 	var digest uint64
 	for _, upstream := range registry.listed {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -80,6 +80,8 @@
 	Heartbeat time.Duration
 
 	current atomic.Pointer[snapshot]
+	// evacuated holds the evacuated zones. The map is replaced, never changed.
+	evacuated atomic.Pointer[map[ident.Zone]struct{}]
 
 	mu sync.Mutex
 	// listed holds the upstreams. missingUntil has those of them whose row may
