configrpc: a router says how far it has read the operators' table, and which zones are evacuated

A router that took the configuration's row from another one took its version for the position in the feed of the whole table, and so would skip rows of evacuations from before it. The reply now holds the version up to which the sender has read the table and all evacuated zones as of it. Routers of the earlier program leave both out.

go test -race ./configrpc: ok.

--- a/configrpc/configrpc.go
+++ b/configrpc/configrpc.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
@@ -36,6 +37,11 @@
 type Row struct {
 	Value   []byte
 	Version ident.Revision
+	// ReadAt is the version of the store up to which the router that gave the row has read
+	// the table: none of up to there is newer. Evacuated are all zones that were evacuated
+	// at ReadAt. It is zero if the router doesn't say so.
+	Evacuated []evacuation.State
+	ReadAt    ident.Revision
 }
 
 // Args is the request for a row with a version higher than After.
@@ -48,13 +54,22 @@
 type Reply struct {
 	Packed  []byte
 	Version ident.Revision
+	// Evacuated and ReadAt are as in Row. A router of an earlier program leaves them out.
+	Evacuated []evacuation.State
+	ReadAt    ident.Revision
 }
 
 // Service serves the configuration row that a router has in force. The zero value
 // has no row. It is safe for concurrent use.
 type Service struct {
+	// Evacuations returns the evacuated zones as of the version of SetReadAt, or of a later
+	// one. It is set before use.
+	Evacuations func() []evacuation.State
+
 	mu  sync.Mutex
 	row Row
+	// readAt is the version of the store up to which the table was read.
+	readAt ident.Revision
 	// compressed is the compressed value of row, or nil until a router requests it.
 	compressed []byte
 }
@@ -69,6 +84,14 @@
 	}
 }
 
+// SetReadAt records that the table was read up to version: what Set and Evacuations say
+// covers it.
+func (service *Service) SetReadAt(version ident.Revision) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.readAt = max(service.readAt, version)
+}
+
 // Row is the net/rpc method that other routers call. It compresses the value on
 // the first call for a row.
 func (service *Service) Row(args Args, reply *Reply) error {
@@ -85,6 +108,9 @@
 		service.compressed = compressed
 	}
 	*reply = Reply{Packed: service.compressed, Version: service.row.Version}
+	if service.readAt > 0 && service.Evacuations != nil {
+		reply.Evacuated, reply.ReadAt = service.Evacuations(), service.readAt
+	}
 	return nil
 }
 
@@ -142,5 +168,5 @@
 	if err != nil {
 		return Row{}, errors.Wrapf(err, "decompress configuration from router %s", address)
 	}
-	return Row{Value: value, Version: reply.Version}, nil
+	return Row{Value: value, Version: reply.Version, Evacuated: reply.Evacuated, ReadAt: reply.ReadAt}, nil
 }
--- a/configrpc/configrpc_test.go
+++ b/configrpc/configrpc_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/gob"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/evacuation"
+	"github.com/hickoryhead/hickoryhead/ident"
 )
 
 // testServer is a configrpc.Server on a loopback address.
@@ -75,3 +79,47 @@
 		t.Error("got no error from a router that does not respond, want one")
 	}
 }
+
+// TestFetchWithEvacuations guards against a router that learns a configuration from another
+// one, but not the evacuations of the same table.
+func TestFetchWithEvacuations(t *testing.T) {
+	want := []evacuation.State{{Zone: "a", Revision: 5, Evacuated: true}}
+	service := &configrpc.Service{Evacuations: func() []evacuation.State { return want }}
+	address := startServer(t, service)
+	service.Set(configrpc.Row{Value: []byte("{}"), Version: 7})
+	if got, err := configrpc.Fetch(t.Context(), address, 6); err != nil || got.ReadAt != 0 {
+		t.Errorf("got a row as of %d and error %v from a router that doesn't know how far it has read, want 0", got.ReadAt, err)
+	}
+	service.SetReadAt(9)
+	got, err := configrpc.Fetch(t.Context(), address, 6)
+	if err != nil || !slices.Equal(got.Evacuated, want) || got.ReadAt != 9 || got.Version != 7 {
+		t.Errorf("got %+v and error %v, want version 7 with %+v as of 9", got, err, want)
+	}
+}
+
+// earlierReply is a Reply of the program before evacuations.
+type earlierReply struct {
+	Packed  []byte
+	Version ident.Revision
+}
+
+// TestReplyOfAnEarlierProgram guards against a rolling change of the routers in which those
+// of one program can't read the replies of the other.
+func TestReplyOfAnEarlierProgram(t *testing.T) {
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(earlierReply{Packed: []byte("x"), Version: 7}); err != nil {
+		t.Fatal(err)
+	}
+	var reply configrpc.Reply
+	if err := gob.NewDecoder(&encoded).Decode(&reply); err != nil || reply.Version != 7 || reply.ReadAt != 0 {
+		t.Errorf("got %+v and error %v from an earlier program, want version 7 without evacuations", reply, err)
+	}
+	encoded.Reset()
+	if err := gob.NewEncoder(&encoded).Encode(configrpc.Reply{Packed: []byte("x"), Version: 8, ReadAt: 9, Evacuated: []evacuation.State{{Zone: "a"}}}); err != nil {
+		t.Fatal(err)
+	}
+	var earlier earlierReply
+	if err := gob.NewDecoder(&encoded).Decode(&earlier); err != nil || earlier.Version != 8 {
+		t.Errorf("got %+v and error %v at an earlier program, want version 8", earlier, err)
+	}
+}
