gossip: a datagram on evacuated zones

A router that learns of a change sends it to its partners at once, and so do they, so that it reaches all groups in two hops; it is repeated at most once a second, within 500 B/s. A sender with outdated states gets the newer ones. Earlier routers drop the datagram.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -72,6 +73,8 @@
 	// sent the last VersionMessage.
 	runSince    time.Time
 	versionsRun balance.RouterID
+	// correctedAt is when the router was last sent newer states of evacuations than it had.
+	correctedAt time.Time
 }
 
 // Gossip exchanges messages with the other routers. Its exported fields have to
@@ -95,6 +98,11 @@
 	Strikes *strike.Guard
 	// Quota has the limits of upstreams that are exchanged, unless nil.
 	Quota *quota.Tracker
+	// Evacuations has the evacuated zones that other routers are told, unless nil.
+	// OnEvacuations, if set, is called with those that another router at address knows, and
+	// returns the newer states that it lacks.
+	Evacuations   *evacuation.Tracker
+	OnEvacuations func(states []evacuation.State, address string) []evacuation.State
 	// Fill sets the fields of an outgoing message that describe the store and the
 	// router's zone. It is called with a lock held and must not call methods of
 	// Gossip.
@@ -133,6 +141,8 @@
 	relay  relay
 	// stateRequests is how many routers were asked for their state.
 	stateRequests int
+	// evacuationsAt is when the evacuations are repeated.
+	evacuationsAt time.Time
 }
 
 // Add adds the router at address, an IP:port, to the peers and immediately greets it. It
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -20,13 +21,14 @@
 
 // member is a router that exchanges messages over the loopback interface.
 type member struct {
-	gossip     *gossip.Gossip
-	loads      balance.Loads
-	cacheIndex balance.CacheIndex
-	health     health.Tracker
-	strikes    strike.Guard
-	done       chan struct{}
-	cancel     context.CancelFunc
+	gossip      *gossip.Gossip
+	loads       balance.Loads
+	cacheIndex  balance.CacheIndex
+	health      health.Tracker
+	strikes     strike.Guard
+	evacuations evacuation.Tracker
+	done        chan struct{}
+	cancel      context.CancelFunc
 
 	mu      sync.Mutex
 	changes []registry.Change
@@ -60,15 +62,16 @@
 func newMember(name balance.RouterID, conn net.PacketConn) *member {
 	member := &member{done: make(chan struct{})}
 	member.gossip = &gossip.Gossip{
-		Router:     name,
-		Started:    time.Now(),
-		Address:    conn.LocalAddr().String(),
-		Conn:       conn,
-		Loads:      &member.loads,
-		CacheIndex: &member.cacheIndex,
-		Health:     &member.health,
-		Strikes:    &member.strikes,
-		Fill:       func(time.Time, *gossip.Message) {},
+		Router:      name,
+		Started:     time.Now(),
+		Address:     conn.LocalAddr().String(),
+		Conn:        conn,
+		Loads:       &member.loads,
+		CacheIndex:  &member.cacheIndex,
+		Health:      &member.health,
+		Strikes:     &member.strikes,
+		Evacuations: &member.evacuations,
+		Fill:        func(time.Time, *gossip.Message) {},
 		OnMessage: func(_ time.Time, message gossip.Message) {
 			member.mu.Lock()
 			defer member.mu.Unlock()
@@ -76,6 +79,13 @@
 		},
 		Logger: logging.Component(nil, "gossip"),
 	}
+	member.gossip.OnEvacuations = func(states []evacuation.State, _ string) []evacuation.State {
+		result := member.evacuations.Apply(time.Now(), states)
+		if len(result.Changed) > 0 {
+			member.gossip.SendEvacuations()
+		}
+		return result.Outdated
+	}
 	return member
 }
 
--- a/gossip/network_test.go
+++ b/gossip/network_test.go
@@ -13,6 +13,8 @@
 const (
 	helloStart   = 0x97
 	summaryStart = 0x9e
+	// evacuationStart is that of datagrams on evacuations.
+	evacuationStart = 0x95
 )
 
 // network delivers the datagrams of a simulated fleet at once, unless they are lost.
@@ -28,6 +30,8 @@
 	earlier map[string]bool
 	// recorder, unless nil, keeps datagrams.
 	recorder *recorder
+	// evacuationCount counts the datagrams on evacuations.
+	evacuationCount int
 }
 
 // simConn is the socket of a router in a network.
@@ -72,6 +76,9 @@
 	if network.recorder != nil {
 		network.recorder.record(datagram, to)
 	}
+	if datagram[0] == evacuationStart {
+		network.evacuationCount++
+	}
 	if (network.earlier[from] || network.earlier[to]) && (datagram[0] == helloStart || datagram[0] == summaryStart) {
 		return nil
 	}
@@ -147,6 +154,13 @@
 	}
 }
 
+// evacuations returns how many datagrams on evacuations were sent.
+func (network *network) evacuations() int {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return network.evacuationCount
+}
+
 // setCut cuts a router off, or ends that.
 func (network *network) setCut(address string, cut bool) {
 	network.mu.Lock()
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -44,6 +44,8 @@
 		return gossip.receiveStrikes(now, datagram)
 	case isVersionMessage(datagram):
 		return gossip.receiveVersions(datagram)
+	case isEvacuationMessage(datagram):
+		return gossip.receiveEvacuations(now, datagram)
 	case isHelloMessage(datagram):
 		return gossip.receiveHello(now, datagram)
 	case isSummaryMessage(datagram):
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -36,6 +36,9 @@
 	if !leaving && gossip.summaryDue(now) {
 		gossip.sendSummary(now)
 	}
+	if !leaving && gossip.evacuationsDue(now) {
+		gossip.sendEvacuations(now)
+	}
 }
 
 // messageDue reports whether changes of upstreams are pending or the last message is long
@@ -149,9 +152,12 @@
 	return before < stateSenders
 }
 
-// sendFullState sends all limits, splits, requests in flight and cached prefixes
+// sendFullState sends all evacuations, limits, splits, requests in flight and cached prefixes
 // that this router knows directly to a peer that has just started. The caller holds mu.
 func (gossip *Gossip) sendFullState(now time.Time, peer *peer) {
+	if states := gossip.Evacuations.Report(now); len(states) > 0 {
+		gossip.send(gossip.encode(newEvacuationMessage(gossip.Router, gossip.Address, states)), peer)
+	}
 	if limits := gossip.Quota.All(now); len(limits) > 0 {
 		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
 	}
