forward: no request reaches a zone that is evacuated

Before a request is sent the zone of its upstream is looked at again, after the connection was opened and after the upstream was asked who it is; if it was evacuated meanwhile another upstream is chosen, outside the retry budget. An upstream outside doesn't fetch prompts from one inside.

go test -race -run 'Evacuat|LastUpstream|ServerError' ./forward: ok.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -58,6 +58,9 @@
 	Target ident.Milliseconds
 	// Retryable is set if the request may run more than once.
 	Retryable bool
+	// MayFetch, unless nil, reports whether the chosen upstream may fetch a cached prefix
+	// from another one.
+	MayFetch func(upstream ident.UpstreamID) bool
 }
 
 // Choice is the chosen upstream with the figures behind the decision.
@@ -208,7 +211,7 @@
 	}
 	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean}
 	if !chosen.cached {
-		choice.Source = chooser.source(now, request.Keys, choice.Upstream.ID)
+		choice.Source = chooser.source(now, request, choice.Upstream.ID)
 	}
 	return choice, true
 }
@@ -231,13 +234,16 @@
 }
 
 // source returns an upstream that has a longer prefix of the prompt cached than
-// chosen, or an empty ID. It prefers one that is not ejected.
-func (chooser *Chooser) source(now time.Time, keys []ident.ChatID, chosen ident.UpstreamID) ident.UpstreamID {
-	for _, key := range keys {
+// chosen and may be asked for it, or an empty ID. It prefers one that is not ejected.
+func (chooser *Chooser) source(now time.Time, request Request, chosen ident.UpstreamID) ident.UpstreamID {
+	for _, key := range request.Keys {
 		cachedAt := chooser.CacheIndex.Upstreams(now, key)
 		if slices.Contains(cachedAt, chosen) {
 			return ""
 		}
+		if request.MayFetch != nil {
+			cachedAt = slices.DeleteFunc(cachedAt, func(upstream ident.UpstreamID) bool { return !request.MayFetch(upstream) })
+		}
 		for _, upstream := range slices.Backward(cachedAt) {
 			if !chooser.Ejected(now, upstream) {
 				return upstream
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -96,13 +96,19 @@
 	answer.conn.Discard()
 }
 
-// attempt sends the request to one upstream and reads the head of the answer.
+// attempt sends the request to the chosen upstream and reads the head of the answer.
 // The code is OK, or says whether the request may have run there. A non-empty
-// lastEvent asks for the rest of a stream after that event.
-func (exchange *exchange) attempt(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
-	answer, code := exchange.send(upstream, lastEvent)
-	exchange.endTrial(code)
-	return answer, code
+// lastEvent asks for the rest of a stream after that event. If the zone of the upstream was
+// evacuated since the choice, another one is chosen.
+func (exchange *exchange) attempt(lastEvent string) (*answer, result.Code) {
+	for {
+		answer, code := exchange.send(exchange.choice.Upstream, lastEvent)
+		exchange.endTrial(code)
+		if code != result.ZonesEvacuated || !exchange.chooseNext(exchange.pool()) {
+			return answer, code
+		}
+		exchange.handler.Metrics.CountEvent("evacuation.rechosen")
+	}
 }
 
 // send does the work of attempt.
@@ -115,6 +121,9 @@
 		}
 		return nil, result.UpstreamUnreachable
 	}
+	if exchange.handler.Registry.Evacuated(upstream.Zone) {
+		return nil, exchange.withdraw(conn)
+	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
 		exchange.setCause(err)
 		conn.RecordBreak()
@@ -126,6 +135,9 @@
 		conn.Discard()
 		return nil, result.DeadlineUnmeetable
 	}
+	if exchange.handler.Registry.Evacuated(upstream.Zone) {
+		return nil, exchange.withdraw(conn)
+	}
 	answer := &answer{upstream: upstream, conn: conn, loads: exchange.handler.Loads, pendingPrefill: exchange.pendingPrefill()}
 	closing := func() { _ = conn.Close() }
 	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
@@ -148,6 +160,14 @@
 	return answer, result.OK
 }
 
+// withdraw gives up an attempt before anything of the request was sent, since the zone of the
+// upstream is evacuated.
+func (exchange *exchange) withdraw(conn *http1.Conn) result.Code {
+	exchange.setCauseText("zone evacuated since the choice")
+	conn.Discard()
+	return result.ZonesEvacuated
+}
+
 // pendingPrefill returns how many prompt tokens the chosen upstream has to
 // prefill: only the request's own part if the upstream has the shared prefix
 // cached or fetches it from another one.
@@ -224,7 +244,7 @@
 		Prioritized: exchange.route.Sticky,
 		LastEvent:   lastEvent,
 	}
-	if source, listed := exchange.handler.Registry.Upstream(exchange.choice.Source); listed {
+	if source, listed := exchange.handler.Registry.Upstream(exchange.choice.Source); listed && exchange.mayFetch(source.ID) {
 		forwarding.FetchFrom = source.Address
 	}
 	if exchange.workspace != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -121,7 +121,7 @@
 			exchange.abandon(exchange.noChoiceCode(pool))
 			return
 		}
-		answer, code := exchange.attempt(exchange.choice.Upstream, "")
+		answer, code := exchange.attempt("")
 		if code == result.OK {
 			code = exchange.relay(answer)
 		}
@@ -188,9 +188,16 @@
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
+		MayFetch:  exchange.mayFetch,
 	}
 }
 
+// mayFetch reports whether the chosen upstream may fetch a cached prefix from another one.
+func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
+	upstream, listed := exchange.handler.Registry.Upstream(id)
+	return !listed || !exchange.handler.Registry.Evacuated(upstream.Zone)
+}
+
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
 // share, the deepest first. It leaves out the last part, which is the request's
 // own, unless that is the only one.
@@ -211,7 +218,7 @@
 // one that the upstream refused: retry.Unbudgeted holds for the project's own
 // interface only.
 func arrived(code result.Code) bool {
-	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable
+	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable && code != result.ZonesEvacuated
 }
 
 // shouldRetry reports whether the request is sent again after an attempt that
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -36,12 +37,22 @@
 		}
 		return result.UpstreamsAtLimit
 	}
+	if pool == nil && exchange.withheld() {
+		return result.ZonesEvacuated
+	}
 	if exchange.takesUp() && pool == nil {
 		return result.VersionGone
 	}
 	return result.NoUpstream
 }
 
+// withheld reports whether upstreams could run the request if their zones were not evacuated.
+func (exchange *exchange) withheld() bool {
+	return slices.ContainsFunc(exchange.handler.Registry.Withheld(exchange.service), func(upstream registry.Upstream) bool {
+		return !exchange.binding.bound() || upstream.Software == exchange.binding.version
+	})
+}
+
 // abandon refuses a request that no upstream served. If an earlier attempt may
 // have run, the code does not claim that the request did not run.
 func (exchange *exchange) abandon(code result.Code) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -123,7 +123,7 @@
 	if !exchange.chooseNext(pool) {
 		return exchange.writePlain(failed, body)
 	}
-	answer, code := exchange.attempt(exchange.choice.Upstream, "")
+	answer, code := exchange.attempt("")
 	if code == result.OK {
 		code = exchange.relay(answer)
 	}
@@ -396,7 +396,7 @@
 			return nil
 		}
 		var answer *answer
-		answer, code = exchange.attempt(exchange.choice.Upstream, lastEvent)
+		answer, code = exchange.attempt(lastEvent)
 		if code == result.OK && isEventStream(answer.response) {
 			exchange.logResumed(answer, lastEvent)
 			return answer
