entry: evacuations from the store and from other routers

The feed of table op applies the rows evacuate/ZONE beside the configuration. What another router gives together with a configuration is complete as of a version, to which the position in the feed moves; without such a version it stays. A router that starts serves only once it knows the evacuations. Each change leaves a log line, and a function field is called with the upstreams of a zone whose evacuation has ended.

--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/wait"
@@ -52,6 +53,20 @@
 	err     error
 }
 
+// adopt passes rows of the operators' table, which are complete up to version, to apply,
+// and then offers what they say to other routers.
+func (source *configSource) adopt(records []platform.Record, version ident.Revision, apply func(records []platform.Record, version ident.Revision)) {
+	source.publish(records)
+	apply(records, version)
+	source.service.SetReadAt(version)
+}
+
+// evacuated returns the evacuated zones, for other routers.
+func (source *configSource) evacuated() []evacuation.State {
+	evacuated, _ := source.daemon.evacuations.Evacuated()
+	return evacuated
+}
+
 // readAll reads the row from the store and from other routers concurrently and
 // returns the first result. Behind a slow link it tries the routers first.
 func (source *configSource) readAll(ctx context.Context, table platform.TableName, part platform.Part) (platform.Records, error) {
@@ -141,16 +156,43 @@
 			continue
 		}
 		daemon.metrics.CountEvent("config.router.read")
-		daemon.Logger.Info("Configuration read from a router.", "Address", address, "RowVersion", row.Version)
-		record := platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: row.Value, Version: row.Version}
-		return platform.Records{Records: []platform.Record{record}, Version: row.Version}, nil
+		daemon.Logger.Info("Configuration read from a router.", "Address", address, "RowVersion", row.Version, "ReadAt", row.ReadAt, "Evacuated", len(row.Evacuated))
+		return source.recordsOf(row, address, after)
 	}
 	return platform.Records{}, errNoNewerConfig
 }
 
+// recordsOf returns the rows that the router at address gave. Their version is the one up to
+// which it has read the table, and not that of the configuration's row: changes of the
+// table's other rows from before it would never be read. A router of an earlier program
+// doesn't say how far it has read: after, the version that this one has read to, then stays,
+// and a router that has not read the table waits for the store, since it knows no evacuations.
+func (source *configSource) recordsOf(row configrpc.Row, address string, after ident.Revision) (platform.Records, error) {
+	if after == 0 && row.ReadAt == 0 {
+		return platform.Records{}, errNoEvacuations
+	}
+	records := platform.Records{
+		Records: []platform.Record{{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: row.Value, Version: row.Version}},
+		Version: max(after, row.ReadAt),
+	}
+	for _, state := range row.Evacuated {
+		records.Records = append(records.Records, platform.EncodeEvacuation(state))
+	}
+	if row.ReadAt > 0 {
+		// The zones that are not listed are not evacuated, which the rows alone don't say
+		// if they are taken for changes.
+		source.daemon.updater.ReplaceEvacuations(row.Evacuated, row.ReadAt, address)
+	}
+	return records, nil
+}
+
 // errNoNewerConfig means that no other router provided a newer configuration.
 var errNoNewerConfig = errors.New("no other router provided a newer configuration")
 
+// errNoEvacuations means that another router provided a configuration without the
+// evacuations of the same table.
+var errNoEvacuations = errors.New("the other router does not say which zones are evacuated")
+
 // asyncRead is a read in its own goroutine.
 type asyncRead struct {
 	read   func(ctx context.Context) (platform.Records, error)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/gossip"
@@ -74,6 +75,7 @@
 	metrics     *metrics.Set
 	routes      routing.CurrentTable
 	registry    registry.Registry
+	evacuations evacuation.Tracker
 	loads       balance.Loads
 	cacheIndex  balance.CacheIndex
 	health      health.Tracker
@@ -156,6 +158,9 @@
 			return err
 		}
 	}
+	if err := set.Gauge("hickoryhead_zones_evacuated", "Availability zones that are evacuated, as far as the router knows.", daemon.evacuatedZones); err != nil {
+		return err
+	}
 	daemon.strikes.WroteAfter = daemon.registry.WroteAfter
 	daemon.strikes.OnEvent = daemon.logStrike
 	daemon.strikes.Router = strconv.FormatUint(rand.Uint64(), routerIDBase)
@@ -183,6 +188,7 @@
 		Routes:           &daemon.routes,
 		Registry:         &daemon.registry,
 		OnUpstreamChange: daemon.forgetUpstream,
+		Evacuations:      &daemon.evacuations,
 		Metrics:          set,
 		Logger:           logging.Component(daemon.Logger, "follow"),
 	}
@@ -192,6 +198,19 @@
 	return nil
 }
 
+// evacuatedZones returns the number of evacuated zones.
+func (daemon *Daemon) evacuatedZones() int64 {
+	evacuated, _ := daemon.evacuations.Evacuated()
+	return int64(len(evacuated))
+}
+
+// evacuationsRead reports whether the rows of evacuations were read, here or by the router
+// that gave the first configuration.
+func (daemon *Daemon) evacuationsRead() bool {
+	_, readAt := daemon.evacuations.Evacuated()
+	return readAt > 0
+}
+
 // routers returns the number of routers that are known to run, this one included.
 func (daemon *Daemon) routers() int { return daemon.loads.PeerCount() + 1 }
 
@@ -234,10 +253,12 @@
 	daemon.scheduler.Self = exchange.Address
 	daemon.scheduler.Delay = exchange.Delay
 	daemon.updater.Relay = exchange.Relay
+	daemon.updater.RelayEvacuations = exchange.SendEvacuations
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
 	store.OnSilent = daemon.logSilentStore
 	source := &configSource{daemon: daemon, store: store}
+	source.service.Evacuations = source.evacuated
 	server := &configServer{rpc: configrpc.Server{Service: &source.service, Listener: listener}, daemon: daemon}
 	go server.run()
 	context.AfterFunc(ctx, server.close)
@@ -267,20 +288,22 @@
 // newGossip returns the gossip with other routers over socket.
 func (daemon *Daemon) newGossip(socket net.PacketConn) *gossip.Gossip {
 	return &gossip.Gossip{
-		Router:     balance.RouterID(daemon.strikes.Router),
-		Started:    time.Now(),
-		Address:    socket.LocalAddr().String(),
-		Zone:       daemon.Config.Zone,
-		Conn:       socket,
-		Loads:      &daemon.loads,
-		CacheIndex: &daemon.cacheIndex,
-		Health:     &daemon.health,
-		Strikes:    &daemon.strikes,
-		Quota:      &daemon.quota,
-		Fill:       daemon.fillMessage,
-		OnMessage:  daemon.applyMessage,
-		OnSummary:  daemon.applySummary,
-		Metrics:    daemon.metrics,
-		Logger:     logging.Component(daemon.Logger, "gossip"),
+		Router:        balance.RouterID(daemon.strikes.Router),
+		Started:       time.Now(),
+		Address:       socket.LocalAddr().String(),
+		Zone:          daemon.Config.Zone,
+		Conn:          socket,
+		Loads:         &daemon.loads,
+		CacheIndex:    &daemon.cacheIndex,
+		Health:        &daemon.health,
+		Strikes:       &daemon.strikes,
+		Quota:         &daemon.quota,
+		Evacuations:   &daemon.evacuations,
+		OnEvacuations: daemon.updater.ApplyRemoteEvacuations,
+		Fill:          daemon.fillMessage,
+		OnMessage:     daemon.applyMessage,
+		OnSummary:     daemon.applySummary,
+		Metrics:       daemon.metrics,
+		Logger:        logging.Component(daemon.Logger, "gossip"),
 	}
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -14,21 +14,21 @@
 	upstreamPollInterval ident.Milliseconds = 500
 )
 
-// newConfigTable returns a table that follows the configuration.
+// newConfigTable returns a table that follows the configuration and the evacuations.
 func (daemon *Daemon) newConfigTable(source *configSource) *follow.Table {
-	adopt := func(records []platform.Record, version ident.Revision) {
-		source.publish(records)
-		daemon.updater.ApplyConfig(records, version)
-	}
 	return &follow.Table{
-		Name:        platform.OperatorTable,
-		Wait:        daemon.configHold,
-		Due:         daemon.configDue,
-		Spare:       daemon.scheduler.Spare,
-		ReadAll:     source.readAll,
-		Changes:     source.changes,
-		OnReplace:   adopt,
-		OnChange:    adopt,
+		Name:    platform.OperatorTable,
+		Wait:    daemon.configHold,
+		Due:     daemon.configDue,
+		Spare:   daemon.scheduler.Spare,
+		ReadAll: source.readAll,
+		Changes: source.changes,
+		OnReplace: func(records []platform.Record, version ident.Revision) {
+			source.adopt(records, version, daemon.updater.ReplaceConfig)
+		},
+		OnChange: func(records []platform.Record, version ident.Revision) {
+			source.adopt(records, version, daemon.updater.ApplyConfig)
+		},
 		OnStoreCall: func(bool) {},
 		Metrics:     daemon.metrics,
 		Logger:      logging.Component(daemon.Logger, "follow"),
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -109,7 +109,7 @@
 func (warmup *warmup) fillCacheIndex(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, warmupTimeout)
 	defer cancel()
-	for !warmup.daemon.registry.Loaded() {
+	for !warmup.daemon.registry.Loaded() || !warmup.daemon.evacuationsRead() {
 		if !wait.Sleep(bounded, warmupPollInterval) {
 			// Without the store no engine is known yet.
 			return
@@ -144,6 +144,9 @@
 		if !upstream.Engine || assignedRouter(upstream.ID, routers) != warmup.gossip.Address {
 			continue
 		}
+		if warmup.daemon.registry.Evacuated(upstream.Zone) {
+			continue
+		}
 		engines++
 		group.Go(func() error { return warmup.listEngine(ctx, upstream) })
 	}
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -22,14 +24,41 @@
 	// OnUpstreamChange is called with each upstream that was added, changed or
 	// removed.
 	OnUpstreamChange func(upstream registry.Upstream)
-	Metrics          *metrics.Set
-	Logger           *slog.Logger
+	// Evacuations holds the evacuated zones, as far as this router knows.
+	Evacuations *evacuation.Tracker
+	// RelayEvacuations is called when the evacuation of a zone began or ended, to tell the
+	// other routers.
+	RelayEvacuations func()
+	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
+	// evacuation has ended.
+	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
+	Metrics         *metrics.Set
+	Logger          *slog.Logger
+
+	// evacuationMu is held while a change of Evacuations is passed to Registry.
+	evacuationMu sync.Mutex
+}
+
+// ReplaceConfig applies the complete rows of the operators' table at version: those of
+// evacuations, and the configuration as ApplyConfig does.
+func (updater *Updater) ReplaceConfig(records []platform.Record, version ident.Revision) {
+	updater.ReplaceEvacuations(evacuationsOf(records), version, sourceStore)
+	updater.applyConfig(records)
+}
+
+// ApplyConfig applies the rows of the operators' table that changed up to version: those of
+// evacuations, and the configuration. It ignores a configuration that is older than the
+// current one or can't be decoded.
+func (updater *Updater) ApplyConfig(records []platform.Record, version ident.Revision) {
+	updater.applyEvacuations(sourceStore, func(now time.Time) evacuation.Result {
+		return updater.Evacuations.Follow(now, version, evacuationsOf(records))
+	})
+	updater.applyConfig(records)
 }
 
-// ApplyConfig puts the configuration in force that is among the rows of the
-// operators' table. It ignores a configuration that is older than the current
-// one or can't be decoded.
-func (updater *Updater) ApplyConfig(records []platform.Record, _ ident.Revision) {
+// applyConfig puts the configuration in force that is among the rows. The evacuations are
+// applied before, so that a router which starts knows them when it begins to serve.
+func (updater *Updater) applyConfig(records []platform.Record) {
 	for _, record := range records {
 		if record.Key != platform.ConfigKey || record.Deleted {
 			continue
@@ -61,7 +90,7 @@
 		changes = append(changes, registry.Change{Upstream: upstream, Gone: !usable})
 	}
 	applied := updater.Registry.Apply(time.Now(), changes)
-	updater.reportChanges(applied, "store")
+	updater.reportChanges(applied, sourceStore)
 	updater.Relay(applied)
 }
 
@@ -92,7 +121,7 @@
 		}
 	}
 	applied := updater.Registry.Replace(time.Now(), version, upstreams)
-	updater.reportChanges(applied, "store")
+	updater.reportChanges(applied, sourceStore)
 	updater.Relay(applied)
 }
 
