--- a/explain/explain.go
+++ b/explain/explain.go
@@ -56,6 +56,7 @@
 			log.writeContext(out, line)
 			log.writeStrikes(out, line)
 			log.writeLimits(out, line)
+			log.writeEvacuations(out, line)
 			log.writeOrigin(out, line)
 		}
 		writeLine(out, line)
@@ -132,6 +133,29 @@
 	}
 }
 
+// writeEvacuations writes, for a request that was refused because of evacuations, which zones
+// its router took to be evacuated.
+func (log *Log) writeEvacuations(out io.Writer, request Line) {
+	if request.Code != "ZonesEvacuated" {
+		return
+	}
+	evacuated := make(map[string]Line)
+	for _, line := range log.lines {
+		switch {
+		case line.Time.After(request.Time) || line.VM != request.VM:
+		case line.Message == zoneEvacuated:
+			evacuated[line.Zone] = line
+		case line.Message == evacuationEnded:
+			delete(evacuated, line.Zone)
+		case line.Message == routerStarted:
+			clear(evacuated)
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(evacuated)) {
+		writeLine(out, evacuated[zone])
+	}
+}
+
 // writeOrigin writes, for a take-up, the end of the attempt that it named, and, if it was
 // refused, the splits that its router had adopted by then.
 func (log *Log) writeOrigin(out io.Writer, request Line) {
@@ -194,6 +218,10 @@
 		return fmt.Sprintf("upstream %s said that it leaves", line.Upstream)
 	case limitLifted:
 		return fmt.Sprintf("upstream %s names no limit any more", line.Upstream)
+	case zoneEvacuated:
+		return fmt.Sprintf("zone %s evacuated at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
+	case evacuationEnded:
+		return fmt.Sprintf("evacuation of zone %s ended at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -242,6 +270,7 @@
 	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
+	"ZonesEvacuated":       "operators have evacuated the availability zones of all upstreams that could run the request; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -209,3 +209,31 @@
 		}
 	}
 }
+
+// TestRefusedBecauseOfEvacuations guards against a refusal for which the report doesn't name
+// the zones that the router took to be evacuated, or names others.
+func TestRefusedBecauseOfEvacuations(t *testing.T) {
+	const lines = `{"time":"2026-10-21T04:00:00Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"old","Revision":3,"Upstreams":9,"Source":"store"}
+{"time":"2026-10-21T04:00:01Z","msg":"Started.","VM":"edge-1"}
+{"time":"2026-10-21T04:00:02Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"a","Revision":7,"Upstreams":4,"Source":"store"}
+{"time":"2026-10-21T04:00:03Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"b","Revision":8,"Upstreams":5,"Source":"10.0.0.2:7340"}
+{"time":"2026-10-21T04:00:04Z","msg":"follow: Evacuation of a zone ended.","VM":"edge-1","Zone":"a","Revision":9,"Upstreams":4,"Source":"store"}
+{"time":"2026-10-21T04:00:04Z","msg":"follow: Zone evacuated.","VM":"edge-2","Zone":"c","Revision":10,"Upstreams":5,"Source":"store"}
+{"time":"2026-10-21T04:01:05Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"ZonesEvacuated"}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(lines, "\n") {
+		log.Add([]byte(text))
+	}
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	for _, want := range []string{"zone b evacuated at revision 8, with 5 upstreams, reported by 10.0.0.2:7340", "cause: operators have evacuated"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("got %q, want %q in it", out.String(), want)
+		}
+	}
+	for _, other := range []string{"zone a", "zone c", "zone old"} {
+		if strings.Contains(out.String(), other) {
+			t.Errorf("got %q, want nothing of %s", out.String(), other)
+		}
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -76,6 +76,10 @@
 	Software      string
 	Began         string
 	BeganSoftware string
+	// Zone is one whose evacuation began or ended at Revision of the store, with so many
+	// Upstreams.
+	Zone      string
+	Upstreams int
 	// Service, Revision, Settled and Cells describe a split.
 	Service  string
 	Revision uint64
@@ -105,6 +109,8 @@
 	leavingSaid      = "forward: Upstream says that it leaves."
 	streamResumed    = "forward: Stream resumed at another upstream."
 	splitAdopted     = "versions: Split adopted."
+	zoneEvacuated    = "follow: Zone evacuated."
+	evacuationEnded  = "follow: Evacuation of a zone ended."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
