--- a/registry/pool.go
+++ b/registry/pool.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +17,12 @@
 type Pool struct {
 	Upstreams []Upstream
 	Ranking   *affinity.Pool
+
+	// zoneRegions holds the region of each zone, and regions those of the upstreams, sorted
+	// and without the empty one. within holds the pools that Within has made.
+	zoneRegions map[ident.Zone]ident.Region
+	regions     []ident.Region
+	within      sync.Map
 }
 
 // snapshot is an immutable view of the registry for readers.
@@ -74,10 +81,11 @@
 			members[upstream.Service] = append(members[upstream.Service], upstream)
 		}
 	}
+	zoneRegions := registry.zoneRegions()
 	pools := make(map[ident.ServiceName]*Pool, len(members))
 	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
 	for service, upstreams := range members {
-		pools[service] = newPool(upstreams)
+		pools[service] = newPool(upstreams, zoneRegions)
 		versions[service] = versionPools(pools[service])
 	}
 	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
@@ -109,17 +117,18 @@
 			pools[version] = pool
 			continue
 		}
-		pools[version] = newPool(upstreams)
+		pools[version] = newPool(upstreams, pool.zoneRegions)
 	}
 	return pools
 }
 
-// newPool returns the pool of upstreams, which it sorts by ID.
-func newPool(upstreams []Upstream) *Pool {
+// newPool returns the pool of upstreams, which it sorts by ID. zoneRegions holds the region
+// of each zone.
+func newPool(upstreams []Upstream, zoneRegions map[ident.Zone]ident.Region) *Pool {
 	slices.SortFunc(upstreams, byID)
 	candidates := make([]affinity.Candidate, len(upstreams))
 	for i, upstream := range upstreams {
 		candidates[i] = affinity.Candidate{Upstream: upstream.ID}
 	}
-	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates)}
+	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates), zoneRegions: zoneRegions, regions: regionsOf(upstreams, zoneRegions)}
 }
--- /dev/null
+++ b/registry/region.go
@@ -0,0 +1,81 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+// SetRegions sets the region of each zone. The map must not be changed afterwards.
+func (registry *Registry) SetRegions(regions map[ident.Zone]ident.Region) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	registry.regions.Store(&regions)
+	if registry.Loaded() {
+		registry.rebuild()
+	}
+}
+
+// zoneRegions returns the region of each zone.
+func (registry *Registry) zoneRegions() map[ident.Zone]ident.Region {
+	if regions := registry.regions.Load(); regions != nil {
+		return *regions
+	}
+	return nil
+}
+
+// Region returns the region of a zone, or an empty one if it has none.
+func (registry *Registry) Region(zone ident.Zone) ident.Region { return registry.zoneRegions()[zone] }
+
+// InRegions reports whether a request that is restricted to allowed regions may run in a
+// region. A nil list allows any, and no list allows an empty region.
+func InRegions(region ident.Region, allowed []ident.Region) bool {
+	return allowed == nil || region != "" && slices.Contains(allowed, region)
+}
+
+// regionSeparator joins the names of regions in the keys of Pool.within.
+const regionSeparator = "\x00"
+
+// Within returns the pool of those upstreams that are in allowed regions, or nil if there are
+// none. A nil list allows any. The pool may be nil. Lists that leave the same upstreams give
+// the same pool.
+func (pool *Pool) Within(allowed []ident.Region) *Pool {
+	if pool == nil || allowed == nil {
+		return pool
+	}
+	var present []string
+	for _, region := range pool.regions {
+		if InRegions(region, allowed) {
+			present = append(present, string(region))
+		}
+	}
+	if len(present) == 0 {
+		return nil
+	}
+	key := strings.Join(present, regionSeparator)
+	if known, found := pool.within.Load(key); found {
+		return known.(*Pool)
+	}
+	upstreams := slices.DeleteFunc(slices.Clone(pool.Upstreams), func(upstream Upstream) bool {
+		return !InRegions(pool.zoneRegions[upstream.Zone], allowed)
+	})
+	restricted := pool
+	if len(upstreams) < len(pool.Upstreams) {
+		restricted = newPool(upstreams, pool.zoneRegions)
+	}
+	known, _ := pool.within.LoadOrStore(key, restricted)
+	return known.(*Pool)
+}
+
+// regionsOf returns the regions of upstreams, sorted and without the empty one.
+func regionsOf(upstreams []Upstream, zoneRegions map[ident.Zone]ident.Region) []ident.Region {
+	var regions []ident.Region
+	for _, upstream := range upstreams {
+		if region := zoneRegions[upstream.Zone]; region != "" && !slices.Contains(regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -82,6 +82,8 @@
 	current atomic.Pointer[snapshot]
 	// evacuated holds the evacuated zones. The map is replaced, never changed.
 	evacuated atomic.Pointer[map[ident.Zone]struct{}]
+	// regions holds the region of each zone. The map is replaced, never changed.
+	regions atomic.Pointer[map[ident.Zone]ident.Region]
 
 	mu sync.Mutex
 	// listed holds the upstreams. missingUntil has those of them whose row may
--- a/routing/config.go
+++ b/routing/config.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/hickoryhead/hickoryhead/ident"
+import (
+	"slices"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
 
 // Version is the version of a configuration. A higher version is newer.
 type Version uint64
@@ -64,6 +68,8 @@
 	Public bool
 	// Sticky says that the requests carry prompts that upstreams cache.
 	Sticky bool
+	// AllowedRegions are the only regions in which requests may run; nil means any.
+	AllowedRegions []ident.Region
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -71,6 +77,21 @@
 	return route.Kind == Idempotent || route.Kind == Stream && route.Resumable
 }
 
+// Regions returns the only regions in which a request of the route and a workspace may run:
+// if both have a list, those that are in both. The workspace may be nil. A nil result means
+// any region, an empty one none.
+func (route *Route) Regions(workspace *Workspace) []ident.Region {
+	if workspace == nil || workspace.AllowedRegions == nil {
+		return route.AllowedRegions
+	}
+	if route.AllowedRegions == nil {
+		return workspace.AllowedRegions
+	}
+	return slices.DeleteFunc(slices.Clone(route.AllowedRegions), func(region ident.Region) bool {
+		return !slices.Contains(workspace.AllowedRegions, region)
+	})
+}
+
 // Service returns the service for a request, in proportion to the weights if
 // hash is uniformly distributed. It is the first service if no weight is above
 // zero, and empty for a route without shares.
@@ -114,6 +135,8 @@
 	Keys []string
 	// Priority overrides the priority of the route, unless it is nil.
 	Priority *int
+	// AllowedRegions are the only regions in which its requests may run; nil means any.
+	AllowedRegions []ident.Region
 }
 
 // Limits restrict the size of a request and the time that a caller may take to
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -83,3 +84,31 @@
 		t.Error("got NeedsKeys true without workspaces or false with one, want the opposite")
 	}
 }
+
+// TestRegionsOfRouteAndWorkspace guards against a list that is passed over because there is
+// another one, and against a missing list that is taken for an empty one.
+func TestRegionsOfRouteAndWorkspace(t *testing.T) {
+	east, both, none := []ident.Region{"east"}, []ident.Region{"east", "west"}, []ident.Region{}
+	tests := []struct {
+		name             string
+		route, workspace []ident.Region
+		want             []ident.Region
+	}{
+		{"no list", nil, nil, nil},
+		{"route alone", both, nil, both},
+		{"workspace alone", nil, east, east},
+		{"both", both, east, east},
+		{"nothing in common", []ident.Region{"west"}, east, none},
+		{"empty list of the workspace", both, none, none},
+		{"empty list of the route", none, nil, none},
+	}
+	for _, test := range tests {
+		route, workspace := &routing.Route{AllowedRegions: test.route}, &routing.Workspace{AllowedRegions: test.workspace}
+		if got := route.Regions(workspace); !slices.Equal(got, test.want) || (got == nil) != (test.want == nil) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+		if got := route.Regions(nil); !slices.Equal(got, test.route) {
+			t.Errorf("%s: got %v without a workspace, want %v", test.name, got, test.route)
+		}
+	}
+}
