forward, entry: requests stay in allowed regions

An upstream outside the allowed regions is in no pool of a restricted request, and no prompt is fetched from one. The regions of zones come from the settings key Zones, which a reload changes. A restricted stream may begin at another software version than that of its cell, so its take-ups go by a known origin only.

go test -race -run 'Region|Evacuat|TakeUp|Origin' ./forward, -run 'Region|Reload' ./entry, -run 'Forbidden|Ejected' ./balance, ./config ./explain: ok. With the check of the origin, of the source or of the zone before sending taken out, a test of each fails.

--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -283,3 +283,26 @@
 		t.Errorf("got upstream %q and source %q, want chosen and healthy", choice.Upstream.ID, choice.Source)
 	}
 }
+
+// TestForbiddenUpstreamIsNoSource guards against a prompt that is fetched from an upstream
+// that the request must not reach, such as one of an evacuated zone.
+func TestForbiddenUpstreamIsNoSource(t *testing.T) {
+	now := time.Now()
+	index := new(balance.CacheIndex)
+	for _, upstream := range []ident.UpstreamID{"allowed", "forbidden"} {
+		index.RecordLocal(now, balance.CacheUpdate{Key: "p", Upstream: upstream})
+	}
+	chooser := &balance.Chooser{Loads: new(balance.Loads), CacheIndex: index, Ejected: func(time.Time, ident.UpstreamID) bool { return false }, Multiple: 2, Slack: 1}
+	var members registry.Registry
+	members.Replace(now, 1, []registry.Upstream{{ID: "chosen", Service: "pool"}})
+	for _, test := range []struct {
+		forbidden []ident.UpstreamID
+		want      ident.UpstreamID
+	}{{nil, "forbidden"}, {[]ident.UpstreamID{"forbidden"}, "allowed"}, {[]ident.UpstreamID{"forbidden", "allowed"}, ""}} {
+		request := balance.Request{Keys: []ident.ChatID{"p"}, MayFetch: func(upstream ident.UpstreamID) bool { return !slices.Contains(test.forbidden, upstream) }}
+		choice, found := chooser.Choose(now, members.Pool("pool"), request)
+		if !found || choice.Upstream.ID != "chosen" || choice.Source != test.want {
+			t.Errorf("got upstream %q and source %q with %v forbidden, want chosen and %q", choice.Upstream.ID, choice.Source, test.forbidden, test.want)
+		}
+	}
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -11,6 +11,21 @@
 "Secret":"0123456789abcdef0123456789abcdef","HopListen":"127.0.0.1:3",
 "Upstream":{"ID":"e1","Address":"127.0.0.1:4","Model":"planogram-7b@3"}}`
 
+// TestZonesOfAnEntryRouter guards against a settings file that is refused because it has, or
+// lacks, the regions of zones.
+func TestZonesOfAnEntryRouter(t *testing.T) {
+	const settings = `{"VM":"vm1","Zone":"a","Platform":"127.0.0.1:1","CallerListen":"127.0.0.1:2","ReadyListen":"127.0.0.1:3","PeerListen":"127.0.0.1:4","StopTimeoutMs":8000,"LoadMultiple":2}`
+	for _, zones := range []string{"", `"Zones":null,`, `"Zones":{},`, `"Zones":{"a":"east","b":"west"},`} {
+		var entry config.Entry
+		if err := config.Parse([]byte(strings.Replace(settings, `"VM"`, zones+`"VM"`, 1)), &entry); err != nil {
+			t.Errorf("got error %v with %q, want none", err, zones)
+		}
+		if strings.Contains(zones, "east") && entry.Zones["a"] != "east" {
+			t.Errorf("got regions %v from %q, want a in east", entry.Zones, zones)
+		}
+	}
+}
+
 func TestParse(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -28,11 +28,13 @@
 	storeAddress string
 	upstreams    map[string]*upstream
 	config       config.Entry
-	log          fleettest.Buffer
-	daemon       *entry.Daemon
-	addresses    entry.Addresses
-	cancel       context.CancelFunc
-	done         chan struct{}
+	// reload, unless nil, reads the settings again.
+	reload    func() (config.Entry, error)
+	log       fleettest.Buffer
+	daemon    *entry.Daemon
+	addresses entry.Addresses
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 // upstream answers each request with its own ID, after a delay.
@@ -104,7 +106,7 @@
 
 // start runs a router until the test ends and waits until it listens.
 func (fixture *fixture) start() {
-	fixture.daemon = &entry.Daemon{Config: fixture.config, Logger: slog.New(slog.NewJSONHandler(&fixture.log, nil))}
+	fixture.daemon = &entry.Daemon{Config: fixture.config, Reload: fixture.reload, Logger: slog.New(slog.NewJSONHandler(&fixture.log, nil))}
 	ctx, cancel := context.WithCancel(context.Background())
 	fixture.cancel, fixture.done = cancel, make(chan struct{})
 	runner := &daemonRunner{daemon: fixture.daemon, done: fixture.done, t: fixture.t}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
@@ -19,6 +20,7 @@
 // applyTuning passes the settings that may change at run time to the handler.
 func (daemon *Daemon) applyTuning() {
 	settings := daemon.settings.Load()
+	daemon.registry.SetRegions(settings.Zones)
 	daemon.handler.Tune(forward.Tuning{
 		Chooser: &balance.Chooser{
 			Loads:       &daemon.loads,
@@ -80,13 +82,13 @@
 		return
 	}
 	current := *daemon.settings.Load()
-	if loaded == current {
+	if reflect.DeepEqual(loaded, current) {
 		if reason == "signal" {
 			daemon.Logger.Info("Settings reloaded.", "Reason", reason, "Changed", false)
 		}
 		return
 	}
-	restart := restartSettings(loaded) != restartSettings(current)
+	restart := !reflect.DeepEqual(restartSettings(loaded), restartSettings(current))
 	settings := withTunableSettings(current, loaded)
 	daemon.settings.Store(&settings)
 	daemon.applyTuning()
@@ -107,5 +109,6 @@
 	settings.RetryShare = loaded.RetryShare
 	settings.RetrySlack = loaded.RetrySlack
 	settings.StopTimeoutMs = loaded.StopTimeoutMs
+	settings.Zones = loaded.Zones
 	return settings
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -271,6 +271,7 @@
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
 	"ZonesEvacuated":       "operators have evacuated the availability zones of all upstreams that could run the request; it did not run",
+	"RegionNotAllowed":     "no upstream of the service is in a region that both the route and the workspace allow; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
@@ -294,6 +295,9 @@
 	if !known {
 		cause = "code " + line.Code
 	}
+	if line.Code == "RegionNotAllowed" {
+		cause += fmt.Sprintf(", allowed are %q", line.AllowedRegions)
+	}
 	if line.Part != "" {
 		cause = fmt.Sprintf("upstreams broke off while they ran requests with part %s in their prompts, so it is refused and did not run", line.Part)
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -237,3 +237,15 @@
 		}
 	}
 }
+
+// TestRefusedBecauseOfRegions guards against a refusal whose cause doesn't say to which
+// regions the request was restricted.
+func TestRefusedBecauseOfRegions(t *testing.T) {
+	log := new(explain.Log)
+	log.Add([]byte(`{"time":"2026-10-21T04:01:05Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"RegionNotAllowed","AllowedRegions":["east"]}`))
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	if want := `both the route and the workspace allow; it did not run, allowed are ["east"]`; !strings.Contains(out.String(), want) {
+		t.Errorf("got %q, want %q in it", out.String(), want)
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -76,6 +76,8 @@
 	Software      string
 	Began         string
 	BeganSoftware string
+	// AllowedRegions are those to which a refused request was restricted.
+	AllowedRegions []string
 	// Zone is one whose evacuation began or ended at Revision of the store, with so many
 	// Upstreams.
 	Zone      string
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -27,7 +27,9 @@
 	service   ident.ServiceName
 	head      platform.RequestHead
 	workspace *routing.Workspace
-	body      []byte
+	// allowed are the only regions in which the request may run; nil means any.
+	allowed []ident.Region
+	body    []byte
 	// knownSuspect is what suspect returned, or nil.
 	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
@@ -192,10 +194,12 @@
 	}
 }
 
-// mayFetch reports whether the chosen upstream may fetch a cached prefix from another one.
+// mayFetch reports whether the chosen upstream may fetch a cached prefix from another one: not
+// from a zone that is evacuated, or where the request may not run.
 func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
-	upstream, listed := exchange.handler.Registry.Upstream(id)
-	return !listed || !exchange.handler.Registry.Evacuated(upstream.Zone)
+	known := exchange.handler.Registry
+	upstream, listed := known.Upstream(id)
+	return !listed || !known.Evacuated(upstream.Zone) && registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
 }
 
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -73,7 +73,11 @@
 }
 
 // pool returns the upstreams at which the request may run, or nil if there are none.
-func (exchange *exchange) pool() *registry.Pool {
+func (exchange *exchange) pool() *registry.Pool { return exchange.anyRegion().Within(exchange.allowed) }
+
+// anyRegion returns the upstreams at which the request might run if it were not restricted to
+// regions, or nil if there are none.
+func (exchange *exchange) anyRegion() *registry.Pool {
 	if exchange.binding.bound() {
 		return exchange.handler.Registry.VersionPool(exchange.service, exchange.binding.version)
 	}
@@ -95,12 +99,21 @@
 	if exchange.head.TakesUp() {
 		return exchange.bindOrigin()
 	}
-	if state == split.Assigned {
+	if state == split.Assigned && !exchange.onlyElsewhere(version) {
 		exchange.binding = binding{version: version, source: newStream}
 	}
 	return result.OK
 }
 
+// onlyElsewhere reports whether a software version has no upstream in the regions to which the
+// request is restricted, but another version has. The split counts the upstreams of all
+// regions.
+func (exchange *exchange) onlyElsewhere(version ident.SoftwareVersion) bool {
+	known := exchange.handler.Registry
+	return exchange.allowed != nil && known.VersionPool(exchange.service, version).Within(exchange.allowed) == nil &&
+		known.Pool(exchange.service).Within(exchange.allowed) != nil
+}
+
 // awaitVersion returns the version that begins streams of the request's cell. While the
 // splits were not read it waits, as long as awaitTable would.
 func (exchange *exchange) awaitVersion() (ident.SoftwareVersion, split.State) {
@@ -138,11 +151,12 @@
 }
 
 // bindCell restricts a take-up to the version of its cell if all routers certainly began
-// the stream there, and reports whether they did. That takes a read of the splits: others
+// the stream there, and reports whether they did. One that is restricted to regions may have
+// begun elsewhere than its cell says. That takes a read of the splits: others
 // may have adopted a newer one than this router knows.
 func (exchange *exchange) bindCell() bool {
 	handler := exchange.handler
-	if handler.RefreshSplits == nil || !handler.RefreshSplits(exchange.request.Context()) {
+	if exchange.allowed != nil || handler.RefreshSplits == nil || !handler.RefreshSplits(exchange.request.Context()) {
 		return false
 	}
 	version, certainAt, certain := handler.Splits.Began(time.Now(), exchange.service, exchange.streamKey(), handler.streamLifetime(exchange.service))
@@ -193,7 +207,7 @@
 	exchange.handler.Origins.Add(now, origin)
 	known, _, certain := exchange.handler.Splits.Began(now, exchange.service, exchange.streamKey(), exchange.handler.streamLifetime(exchange.service))
 	if exchange.handler.ReplicateOrigin != nil {
-		exchange.handler.ReplicateOrigin(origin, certain && known == version)
+		exchange.handler.ReplicateOrigin(origin, certain && known == version && exchange.allowed == nil)
 	}
 }
 
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -55,6 +55,7 @@
 	if code := exchange.authenticate(); code != result.OK {
 		return code
 	}
+	exchange.allowed = exchange.route.Regions(exchange.workspace)
 	if exchange.route.Sticky {
 		exchange.prefixIDs = sharedPrefixIDs(exchange.head.Prompt)
 	}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -37,8 +37,10 @@
 		}
 		return result.UpstreamsAtLimit
 	}
-	if pool == nil && exchange.withheld() {
-		return result.ZonesEvacuated
+	if pool == nil {
+		if code := exchange.noPoolCode(); code != result.OK {
+			return code
+		}
 	}
 	if exchange.takesUp() && pool == nil {
 		return result.VersionGone
@@ -46,11 +48,23 @@
 	return result.NoUpstream
 }
 
-// withheld reports whether upstreams could run the request if their zones were not evacuated.
-func (exchange *exchange) withheld() bool {
-	return slices.ContainsFunc(exchange.handler.Registry.Withheld(exchange.service), func(upstream registry.Upstream) bool {
-		return !exchange.binding.bound() || upstream.Software == exchange.binding.version
+// noPoolCode returns the code of a request for which the pool is empty because of evacuated
+// zones or of the regions to which it is restricted, and OK if neither is the reason.
+func (exchange *exchange) noPoolCode() result.Code {
+	known := exchange.handler.Registry
+	withheld := slices.DeleteFunc(slices.Clone(known.Withheld(exchange.service)), func(upstream registry.Upstream) bool {
+		return exchange.binding.bound() && upstream.Software != exchange.binding.version
 	})
+	inRegions := func(upstream registry.Upstream) bool {
+		return registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+	}
+	switch {
+	case slices.ContainsFunc(withheld, inRegions):
+		return result.ZonesEvacuated
+	case len(withheld) > 0 || exchange.anyRegion() != nil:
+		return result.RegionNotAllowed
+	}
+	return result.OK
 }
 
 // abandon refuses a request that no upstream served. If an earlier attempt may
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -74,6 +74,9 @@
 	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
+	if exchange.code == result.RegionNotAllowed {
+		attributes = append(attributes, slog.Any("AllowedRegions", exchange.allowed))
+	}
 	if exchange.refusal.Key != 0 {
 		attributes = append(attributes, exchange.refusedPartAttributes()...)
 	}
