soak: a zone is evacuated

One in three upstreams of the pool is in a zone of its own, which an operator evacuates now and then for 9 s; no request may run there later than 5 s after the row was written, unless a fault other than those of upstreams was active in the 5 s before. The draws are apart, so that the other faults of a seed stay the same. Tests of forward cover streams, take-ups and runs alone.

go test -race -run Evacuated ./forward: ok.

--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,3 +117,58 @@
 		t.Errorf("got %d second attempts in an evacuated zone, want none", got-before)
 	}
 }
+
+// TestRestOfAStreamStaysOutsideAnEvacuatedZone guards against a stream that broke, or that a
+// caller takes up, and that continues in a zone which was evacuated meanwhile; and against a
+// take-up that is refused as if its software version had left.
+func TestRestOfAStreamStaysOutsideAnEvacuatedZone(t *testing.T) {
+	var known atomic.Pointer[router]
+	breaking := startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		known.Load().handler.Registry.SetEvacuated([]ident.Zone{"b"})
+		write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+		return false
+	})
+	inB, inC := startUpstream(t, wholeStream), startUpstream(t, wholeStream)
+	router := startRouter(t, breaking, inB, inC)
+	router.setZones("a", "b", "c")
+	router.setSoftware("v1", "v1", "v1")
+	router.handler.Registry.SetEvacuated([]ident.Zone{"b", "c"})
+	router.useSplit("v1", time.Minute)
+	known.Store(router)
+	got := router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20")
+	if got.status != 200 || len(inC.requestsSoFar()) != 1 {
+		t.Errorf("got status %d and %d requests for the rest outside the zone, want 200 and 1", got.status, len(inC.requestsSoFar()))
+	}
+	router.handler.Registry.SetEvacuated([]ident.Zone{"a", "b", "c"})
+	if got := router.takeUp(t, "a2", "a1"); got.status != 503 || !strings.HasPrefix(got.body, "HH2019 ") || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d %q for a take-up while all zones are evacuated, want 503 HH2019 with a time", got.status, got.body)
+	}
+	if got := len(inB.requestsSoFar()); got != 0 {
+		t.Errorf("got %d requests in the evacuated zone, want none", got)
+	}
+}
+
+// TestRunAloneStaysOutsideAnEvacuatedZone guards against a request that crashed upstreams and
+// runs alone in an evacuated zone, since one of its upstreams is designated.
+func TestRunAloneStaysOutsideAnEvacuatedZone(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for range 8 {
+		upstreams = append(upstreams, startUpstream(t, crashOn("crash")))
+	}
+	router := startRouter(t, upstreams...)
+	router.setZones("a", "a", "b", "b", "b", "b", "b", "b")
+	router.handler.Registry.SetEvacuated([]ident.Zone{"b"})
+	for n := range 4 {
+		time.Sleep(300 * time.Millisecond)
+		router.send(t, fmt.Sprint("crash-", n), "POST", "/once/x", "crash")
+		if n == 1 {
+			router.handler.Registry.SetEvacuated([]ident.Zone{"a"})
+		}
+	}
+	if got := runs(upstreams[:2]); got != 2 {
+		t.Errorf("got %d runs in zone a, want the 2 from before its evacuation", got)
+	}
+	if got := runs(upstreams[2:]); got != 1 {
+		t.Errorf("got %d runs in zone b, want the run alone only", got)
+	}
+}
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -64,6 +64,7 @@
 		setOutage(false)
 		soak.store.Restore(soak.oldestCopy())
 		soak.rewriteConfig()
+		soak.writeEvacuation()
 		soak.recordRestore()
 		schedule.release(soak.store)
 	})
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -33,6 +33,8 @@
 	// silences draws when connections go silent, apart from random, so that the other
 	// faults of a seed stay the same.
 	silences *rand.Rand
+	// evacuations draws, likewise apart, when a zone is evacuated.
+	evacuations *rand.Rand
 	// active counts the faults that have not been undone yet.
 	active sync.WaitGroup
 	// busy holds the routers, links and upstreams that a fault is applied to.
@@ -92,6 +94,9 @@
 		if !onlyPlanned && schedule.silences.IntN(silenceInterval) == 0 {
 			schedule.silence()
 		}
+		if schedule.evacuations.IntN(evacuationInterval) == 0 {
+			schedule.evacuateZone()
+		}
 		time.Sleep(gap)
 	}
 	schedule.active.Wait()
--- a/soak/small.go
+++ b/soak/small.go
@@ -69,7 +69,7 @@
 	for size := range maxSmallService {
 		service := &smallService{soak: soak, name: smallServiceName(size + 1)}
 		for n := range size + 1 {
-			upstream, err := startUpstream(ident.UpstreamID(fmt.Sprintf("%s-%d", service.name, n)), service.name, softwareVersions[0], soak)
+			upstream, err := startUpstream(ident.UpstreamID(fmt.Sprintf("%s-%d", service.name, n)), service.name, "", softwareVersions[0], soak)
 			if err != nil {
 				return err
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,8 @@
 	takeUps takeUps
 	senders map[ident.AttemptID]sender
 	endless []endlessSpan
+	// evacuated is set while evacuatedZone is evacuated.
+	evacuated bool
 }
 
 // span is a time span. While it lasts, until is zero.
@@ -153,7 +155,7 @@
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
 
-	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), busy: make(map[any]bool)}
+	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), evacuations: rand.New(rand.NewPCG(options.Seed, evacuationStream)), busy: make(map[any]bool)}
 	upgrade := &upgrade{schedule: schedule, done: make(chan struct{})}
 	go upgrade.run(ctx)
 	schedule.play(ctx)
@@ -183,7 +185,7 @@
 	storeAt := strings.TrimPrefix(soak.server.URL, "http://")
 	soak.configure()
 	for i := range soak.options.Upstreams {
-		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), poolService, softwareVersions[i%2], soak)
+		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), poolService, zoneOf(i), softwareVersions[i%2], soak)
 		if err != nil {
 			return err
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -87,6 +87,8 @@
 	// and neither leaves nor is away, or zero.
 	software   ident.SoftwareVersion
 	servesFrom time.Time
+	// evacuated is set while the zone of the upstream is evacuated.
+	evacuated bool
 	// restarting is set from the end of the process by a request until it starts again.
 	restarting bool
 	// arrivals, rests and notices are what the checks of announcements need.
@@ -95,7 +97,7 @@
 	notices  []leavingNotice
 }
 
-func startUpstream(id ident.UpstreamID, service ident.ServiceName, software ident.SoftwareVersion, soak *Soak) (*upstream, error) {
+func startUpstream(id ident.UpstreamID, service ident.ServiceName, zone ident.Zone, software ident.SoftwareVersion, soak *Soak) (*upstream, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -109,6 +111,7 @@
 	upstream.runner = &standin.Runner{
 		ID:       id,
 		Service:  service,
+		Zone:     zone,
 		Software: software,
 		Address:  proxy.Address(),
 		Write:    upstream.write,
@@ -166,11 +169,11 @@
 }
 
 // servesSince reports whether the upstream has had a version, and neither left nor been
-// away, since a time.
+// away nor in an evacuated zone, since a time.
 func (upstream *upstream) servesSince(software ident.SoftwareVersion, since time.Time) bool {
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
-	return upstream.software == software && !upstream.servesFrom.IsZero() && upstream.servesFrom.Before(since)
+	return upstream.software == software && !upstream.evacuated && !upstream.servesFrom.IsZero() && upstream.servesFrom.Before(since)
 }
 
 // crash stops the runner and its heartbeats and resets all connections, until
