--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -27,7 +27,9 @@
 	service   ident.ServiceName
 	head      platform.RequestHead
 	workspace *routing.Workspace
-	body      []byte
+	// allowed are the only regions in which the request may run; nil means any.
+	allowed []ident.Region
+	body    []byte
 	// knownSuspect is what suspect returned, or nil.
 	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
@@ -121,7 +123,7 @@
 			exchange.abandon(exchange.noChoiceCode(pool))
 			return
 		}
-		answer, code := exchange.attempt(exchange.choice.Upstream, "")
+		answer, code := exchange.attempt("")
 		if code == result.OK {
 			code = exchange.relay(answer)
 		}
@@ -188,9 +190,18 @@
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
+		MayFetch:  exchange.mayFetch,
 	}
 }
 
+// mayFetch reports whether the chosen upstream may fetch a cached prefix from another one: not
+// from a zone that is evacuated, or where the request may not run.
+func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
+	known := exchange.handler.Registry
+	upstream, listed := known.Upstream(id)
+	return !listed || !known.Evacuated(upstream.Zone) && registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+}
+
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
 // share, the deepest first. It leaves out the last part, which is the request's
 // own, unless that is the only one.
@@ -211,7 +222,7 @@
 // one that the upstream refused: retry.Unbudgeted holds for the project's own
 // interface only.
 func arrived(code result.Code) bool {
-	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable
+	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable && code != result.ZonesEvacuated
 }
 
 // shouldRetry reports whether the request is sent again after an attempt that
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -36,12 +37,36 @@
 		}
 		return result.UpstreamsAtLimit
 	}
+	if pool == nil {
+		if code := exchange.noPoolCode(); code != result.OK {
+			return code
+		}
+	}
 	if exchange.takesUp() && pool == nil {
 		return result.VersionGone
 	}
 	return result.NoUpstream
 }
 
+// noPoolCode returns the code of a request for which the pool is empty because of evacuated
+// zones or of the regions to which it is restricted, and OK if neither is the reason.
+func (exchange *exchange) noPoolCode() result.Code {
+	known := exchange.handler.Registry
+	withheld := slices.DeleteFunc(slices.Clone(known.Withheld(exchange.service)), func(upstream registry.Upstream) bool {
+		return exchange.binding.bound() && upstream.Software != exchange.binding.version
+	})
+	inRegions := func(upstream registry.Upstream) bool {
+		return registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+	}
+	switch {
+	case slices.ContainsFunc(withheld, inRegions):
+		return result.ZonesEvacuated
+	case len(withheld) > 0 || exchange.anyRegion() != nil:
+		return result.RegionNotAllowed
+	}
+	return result.OK
+}
+
 // abandon refuses a request that no upstream served. If an earlier attempt may
 // have run, the code does not claim that the request did not run.
 func (exchange *exchange) abandon(code result.Code) {
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +17,12 @@
 type Pool struct {
 	Upstreams []Upstream
 	Ranking   *affinity.Pool
+
+	// zoneRegions holds the region of each zone, and regions those of the upstreams, sorted
+	// and without the empty one. within holds the pools that Within has made.
+	zoneRegions map[ident.Zone]ident.Region
+	regions     []ident.Region
+	within      sync.Map
 }
 
 // snapshot is an immutable view of the registry for readers.
@@ -25,6 +32,9 @@
 	versions  map[ident.ServiceName]map[ident.SoftwareVersion]*Pool
 	upstreams map[ident.UpstreamID]Upstream
 	digest    uint64
+	// withheld holds the upstreams of each service that accept new requests but are in an
+	// evacuated zone.
+	withheld map[ident.ServiceName][]Upstream
 }
 
 // Pool returns the upstreams of a service that accept new requests, or nil if
@@ -61,23 +71,29 @@
 
 // rebuild replaces the current snapshot. The caller holds mu.
 func (registry *Registry) rebuild() {
-	members := make(map[ident.ServiceName][]Upstream)
+	members, withheld := make(map[ident.ServiceName][]Upstream), make(map[ident.ServiceName][]Upstream)
 	for _, upstream := range registry.listed {
-		if !upstream.Leaving {
+		switch {
+		case upstream.Leaving:
+		case registry.Evacuated(upstream.Zone):
+			withheld[upstream.Service] = append(withheld[upstream.Service], upstream)
+		default:
 			members[upstream.Service] = append(members[upstream.Service], upstream)
 		}
 	}
+	zoneRegions := registry.zoneRegions()
 	pools := make(map[ident.ServiceName]*Pool, len(members))
 	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
 	for service, upstreams := range members {
-		pools[service] = newPool(upstreams)
+		pools[service] = newPool(upstreams, zoneRegions)
 		versions[service] = versionPools(pools[service])
 	}
-	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest()})
+	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
 }
 
 // digest returns a hash that does not depend on the order of the map: routers
-// compare it. The caller holds mu.
+// compare it. It doesn't depend on evacuations either, which routers learn of in another
+// way. The caller holds mu.
 func (registry *Registry) digest() uint64 {
 	var digest uint64
 	for _, upstream := range registry.listed {
@@ -101,17 +117,18 @@
 			pools[version] = pool
 			continue
 		}
-		pools[version] = newPool(upstreams)
+		pools[version] = newPool(upstreams, pool.zoneRegions)
 	}
 	return pools
 }
 
-// newPool returns the pool of upstreams, which it sorts by ID.
-func newPool(upstreams []Upstream) *Pool {
+// newPool returns the pool of upstreams, which it sorts by ID. zoneRegions holds the region
+// of each zone.
+func newPool(upstreams []Upstream, zoneRegions map[ident.Zone]ident.Region) *Pool {
 	slices.SortFunc(upstreams, byID)
 	candidates := make([]affinity.Candidate, len(upstreams))
 	for i, upstream := range upstreams {
 		candidates[i] = affinity.Candidate{Upstream: upstream.ID}
 	}
-	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates)}
+	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates), zoneRegions: zoneRegions, regions: regionsOf(upstreams, zoneRegions)}
 }
