--- a/balance/choose.go
+++ b/balance/choose.go
@@ -170,6 +170,10 @@
 	// mean is the mean number of requests in flight at the upstreams of the pool that
 	// name no limit: the others' share of the load is theirs.
 	mean float64
+	// bound is the number of requests in flight from which on an upstream is at the load
+	// bound. It is a multiple of the mean that includes the withheld upstreams: a zone that
+	// is evacuated must not raise the bound of the others.
+	bound float64
 }
 
 // Choose returns an upstream of pool for request, and false if there is none
@@ -202,6 +206,11 @@
 		counted++
 	}
 	selection.mean = float64(total) / float64(max(counted, 1))
+	for _, upstream := range pool.Withheld {
+		total += chooser.Loads.Estimate(now, upstream.ID).Requests
+		counted++
+	}
+	selection.bound = chooser.Multiple*float64(total)/float64(max(counted, 1)) + chooser.Slack
 	chosen, reason, found := selection.pick(len(cachedAt) > 0)
 	if !found {
 		return Choice{}, false
@@ -285,11 +294,10 @@
 // bestCached returns the upstream that answers soonest among those below the
 // bound that have the prefix cached.
 func (selection *selection) bestCached() (candidate, bool) {
-	bound := selection.chooser.Multiple*selection.mean + selection.chooser.Slack
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if !candidate.cached || !candidate.usable(bound) {
+		if !candidate.cached || !candidate.usable(selection.bound) {
 			continue
 		}
 		if !found || answersSooner(candidate.load, best.load) {
@@ -326,11 +334,12 @@
 	if selection.limited > 0 {
 		order = make([]int, maxRankedCandidates+min(selection.limited, maxSkippedCandidates))
 	}
+	bound := min(selection.mean+uncachedSlack, selection.bound)
 	var best candidate
 	found := false
 	for _, index := range selection.pool.Ranking.Rank(selection.request.Keys[0], "", order) {
 		candidate := selection.candidates[index]
-		if !candidate.usable(selection.mean + uncachedSlack) {
+		if !candidate.usable(bound) {
 			continue
 		}
 		if !found || candidate.load.prefillTime() < best.load.prefillTime() {
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -17,9 +17,13 @@
 
 func id(i int) ident.UpstreamID { return ident.UpstreamID(fmt.Sprintf("i-%d", i)) }
 
-// poolOf returns a pool of count upstreams.
-func poolOf(count int) *registry.Pool {
+// poolOf returns a pool of count upstreams, in three zones in turn.
+func poolOf(count int) *registry.Pool { return poolWithout(count) }
+
+// poolWithout returns a pool of count upstreams of which some zones are evacuated.
+func poolWithout(count int, evacuated ...ident.Zone) *registry.Pool {
 	var members registry.Registry
+	members.SetEvacuated(evacuated)
 	var upstreams []registry.Upstream
 	for i := range count {
 		zone := ident.Zone(fmt.Sprintf("zone-%d", i%3))
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -17,6 +17,9 @@
 type Pool struct {
 	Upstreams []Upstream
 	Ranking   *affinity.Pool
+	// Withheld holds those that accept new requests, but get none because their zone is
+	// evacuated.
+	Withheld []Upstream
 
 	// zoneRegions holds the region of each zone, and regions those of the upstreams, sorted
 	// and without the empty one. within holds the pools that Within has made.
@@ -86,6 +89,7 @@
 	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
 	for service, upstreams := range members {
 		pools[service] = newPool(upstreams, zoneRegions)
+		pools[service].Withheld = withheld[service]
 		versions[service] = versionPools(pools[service])
 	}
 	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
@@ -118,6 +122,7 @@
 			continue
 		}
 		pools[version] = newPool(upstreams, pool.zoneRegions)
+		pools[version].Withheld = slices.DeleteFunc(slices.Clone(pool.Withheld), func(upstream Upstream) bool { return upstream.Software != version })
 	}
 	return pools
 }
--- a/registry/region.go
+++ b/registry/region.go
@@ -57,12 +57,12 @@
 	if known, found := pool.within.Load(key); found {
 		return known.(*Pool)
 	}
-	upstreams := slices.DeleteFunc(slices.Clone(pool.Upstreams), func(upstream Upstream) bool {
-		return !InRegions(pool.zoneRegions[upstream.Zone], allowed)
-	})
+	elsewhere := func(upstream Upstream) bool { return !InRegions(pool.zoneRegions[upstream.Zone], allowed) }
+	upstreams := slices.DeleteFunc(slices.Clone(pool.Upstreams), elsewhere)
 	restricted := pool
 	if len(upstreams) < len(pool.Upstreams) {
 		restricted = newPool(upstreams, pool.zoneRegions)
+		restricted.Withheld = slices.DeleteFunc(slices.Clone(pool.Withheld), elsewhere)
 	}
 	known, _ := pool.within.LoadOrStore(key, restricted)
 	return known.(*Pool)
