entry: a router that stood still catches up before it sends

A router whose VM is paused while a zone is evacuated goes on with the requests that wait there before it has read what came meanwhile, and so could send to the zone later than the bound.

Not tried with a process that is stopped.

--- a/config/entry.go
+++ b/config/entry.go
@@ -37,6 +37,10 @@
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
 	// of the Go runtime is set to a share of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
+	// EvacuateMs is the time from the request to evacuate a zone within which that has to be
+	// in force; zero means unknown. A router that stood still for half of it reads what came
+	// meanwhile before it sends requests.
+	EvacuateMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
 	// Zones holds the region of each availability zone. The upstreams of a zone without one
 	// get only requests that are not restricted to regions.
 	Zones map[ident.Zone]ident.Region `json:",omitempty"`
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -88,6 +88,7 @@
 	updater     *follow.Updater
 	callerConns forward.CallerConns
 	stop        stopState
+	stall       stallGuard
 	warmup      *warmup
 	// storeUp records since when the store has answered every call.
 	storeUp stateStart
@@ -195,6 +196,11 @@
 	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
+	daemon.stall.longest = time.Duration(stallShare * float64(daemon.Config.EvacuateMs.Duration()))
+	daemon.stall.metrics, daemon.stall.logger = set, daemon.Logger
+	if daemon.stall.longest > 0 {
+		daemon.handler.AwaitCurrent = daemon.stall.await
+	}
 	return nil
 }
 
@@ -275,6 +281,7 @@
 	gossiper := &gossiper{gossip: exchange}
 	go gossiper.run(ctx)
 	go daemon.warmup.run(ctx)
+	go daemon.stall.run(ctx)
 	maintenance := &maintenance{daemon: daemon}
 	go maintenance.run(ctx)
 	return nil
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -121,7 +121,7 @@
 		}
 		return nil, result.UpstreamUnreachable
 	}
-	if exchange.handler.Registry.Evacuated(upstream.Zone) {
+	if exchange.evacuated(upstream) {
 		return nil, exchange.withdraw(conn)
 	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
@@ -130,14 +130,14 @@
 		conn.Discard()
 		return nil, result.UpstreamUnreachable
 	}
+	if exchange.evacuated(upstream) {
+		return nil, exchange.withdraw(conn)
+	}
 	remaining := time.Until(exchange.deadline)
 	if remaining < minAttemptTime {
 		conn.Discard()
 		return nil, result.DeadlineUnmeetable
 	}
-	if exchange.handler.Registry.Evacuated(upstream.Zone) {
-		return nil, exchange.withdraw(conn)
-	}
 	answer := &answer{upstream: upstream, conn: conn, loads: exchange.handler.Loads, pendingPrefill: exchange.pendingPrefill()}
 	closing := func() { _ = conn.Close() }
 	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
@@ -160,6 +160,14 @@
 	return answer, result.OK
 }
 
+// evacuated reports whether the zone of an upstream is evacuated, by what the router knows now.
+func (exchange *exchange) evacuated(upstream registry.Upstream) bool {
+	if exchange.handler.AwaitCurrent != nil {
+		exchange.handler.AwaitCurrent(exchange.request.Context())
+	}
+	return exchange.handler.Registry.Evacuated(upstream.Zone)
+}
+
 // withdraw gives up an attempt before anything of the request was sent, since the zone of the
 // upstream is evacuated.
 func (exchange *exchange) withdraw(conn *http1.Conn) result.Code {
--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -172,3 +172,16 @@
 		t.Errorf("got %d runs in zone b, want the run alone only", got)
 	}
 }
+
+// TestRequestWaitsForACurrentRouter guards against a request that is sent to an evacuated zone
+// by a router that learns of the evacuation only while it catches up.
+func TestRequestWaitsForACurrentRouter(t *testing.T) {
+	var inA, inB atomic.Int64
+	router := startRouter(t, startCounting(t, &inA), startCounting(t, &inB))
+	router.setZones("a", "b")
+	router.handler.Registry.SetEvacuated([]ident.Zone{"b"})
+	router.handler.AwaitCurrent = func(context.Context) { router.handler.Registry.SetEvacuated([]ident.Zone{"a"}) }
+	if got := router.send(t, "a1", "POST", "/once/x", ""); got.status != 200 || inA.Load() != 0 || inB.Load() != 1 {
+		t.Errorf("got status %d, %d requests in the zone evacuated meanwhile and %d outside, want 200, 0 and 1", got.status, inA.Load(), inB.Load())
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -54,7 +54,10 @@
 	// OnAnnounced, if set, is called with the change when an upstream says that it
 	// leaves.
 	OnAnnounced func(change registry.Change)
-	Connections *Connections
+	// AwaitCurrent, if set, waits before a request is sent until what the router knows of
+	// evacuated zones is not older than it should be.
+	AwaitCurrent func(ctx context.Context)
+	Connections  *Connections
 	// Buffers bounds what requests hold of their answers.
 	Buffers Buffers
 	Zone    ident.Zone
