quota, entry: cold upstreams get what their service allows from all routers together

Upstreams that come back together after an outage got more requests a second than they take while cold, and crashed again. quota.Tracker now holds for each incarnation whether it is cold, from its row, a start, a failure and the answer after it, the header Hickoryhead-Cold-Ms or the end of an evacuation. The rate is shared by as many registered routers as stay within two thirds of what is allowed in a second; silent ones keep their share, and a router that has just started has none for 1.5 s. Changes travel in a datagram of their own (0x98). Off without ColdOverage in the settings or cold-per-s in the configuration.

quota's simulations (1 to 60 routers; outage of a zone, rolling replacement, late rows, partitions, restarts of routers) pass; with failures ignored 60 and more requests in a second come where 16 are allowed.

--- a/config/entry.go
+++ b/config/entry.go
@@ -30,6 +30,11 @@
 	// number of retries in ten seconds on top of it.
 	RetryShare float64 `validate:"gte=0,lte=10"`
 	RetrySlack float64 `validate:"gte=0,lte=100000"`
+	// ColdOverage and ColdSlack bound the requests of the whole fleet to a cold upstream:
+	// in a second it gets at most its service's rate times ColdOverage, plus ColdSlack.
+	// Without ColdOverage, upstreams are never treated as cold.
+	ColdOverage float64 `json:",omitempty" validate:"gte=0,lte=1000"`
+	ColdSlack   float64 `json:",omitempty" validate:"gte=0,lte=100000"`
 	// HeartbeatMs is how often a live upstream writes its row; zero means unknown.
 	HeartbeatMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; zero means unknown.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -189,7 +189,7 @@
 	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
-	return nil
+	return daemon.prepareCold()
 }
 
 // routers returns the number of routers that are known to run, this one included.
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -32,6 +32,9 @@
 	daemon.handler.Connections.Retain(listed)
 	daemon.quota.Retain(now, listed)
 	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
+	if daemon.warmup.isRegistered() {
+		daemon.quota.SetFleet(now, daemon.gossip.Address, daemon.gossip.Addresses(), daemon.gossip.Live(now))
+	}
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
 	if !daemon.stop.stopping() {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -106,6 +106,8 @@
 	settings.LoadMultiple = loaded.LoadMultiple
 	settings.RetryShare = loaded.RetryShare
 	settings.RetrySlack = loaded.RetrySlack
+	settings.ColdOverage = loaded.ColdOverage
+	settings.ColdSlack = loaded.ColdSlack
 	settings.StopTimeoutMs = loaded.StopTimeoutMs
 	return settings
 }
--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// isRegistered reports whether registered is closed.
+func (warmup *warmup) isRegistered() bool {
+	select {
+	case <-warmup.registered:
+		return true
+	default:
+		return false
+	}
+}
+
 // isLocalDone reports whether localDone is closed.
 func (warmup *warmup) isLocalDone() bool {
 	select {
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -22,8 +22,11 @@
 	// OnUpstreamChange is called with each upstream that was added, changed or
 	// removed.
 	OnUpstreamChange func(upstream registry.Upstream)
-	Metrics          *metrics.Set
-	Logger           *slog.Logger
+	// OnRow, unless nil, is called with each row of an upstream read from the store, before
+	// it is applied.
+	OnRow   func(upstream registry.Upstream, value []byte)
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 }
 
 // ApplyConfig puts the configuration in force that is among the rows of the
@@ -110,6 +113,9 @@
 		return registry.Upstream{ID: id, Version: record.Version}, false
 	}
 	upstream.Version = record.Version
+	if updater.OnRow != nil {
+		updater.OnRow(upstream, record.Value)
+	}
 	return upstream, true
 }
 
--- a/forward/announce.go
+++ b/forward/announce.go
@@ -21,6 +21,9 @@
 		exchange.handler.Logger.Warn("Upstream says that it leaves.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt)
 		exchange.handler.AnnounceLeaving(upstream.ID, upstream.Incarnation)
 	}
+	if head.Cold != nil {
+		exchange.handler.Quota.Answered(time.Now(), upstream, exchange.sentAt, head.Cold)
+	}
 	if head.Rest > 0 {
 		exchange.handler.Metrics.CountEvent("answer.rest")
 		exchange.handler.Logger.Warn("Upstream asks for rest.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Attempt", exchange.head.Attempt, "RestMs", int64(head.Rest))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -107,15 +107,18 @@
 
 // send does the work of attempt.
 func (exchange *exchange) send(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
+	connectingAt := time.Now()
 	conn, err := exchange.connect(upstream)
 	if err != nil {
 		exchange.setCause(err)
 		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
+			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
 	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
+		exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 		exchange.setCause(err)
 		conn.RecordBreak()
 		conn.Discard()
@@ -331,6 +334,9 @@
 	}
 	if answer.response.StatusCode != http.StatusMisdirectedRequest && exchange.matchesRequest(answer) {
 		exchange.recordLimit(answer)
+		if answer.head.Cold == nil {
+			exchange.handler.Quota.Answered(time.Now(), answer.upstream, exchange.sentAt, nil)
+		}
 	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
@@ -369,6 +375,9 @@
 	if exchange.callerLeft() || exchange.handler.ended() {
 		return
 	}
+	if exchange.broke || code == result.UpstreamUnreachable {
+		exchange.handler.Quota.Failed(time.Now(), upstream, exchange.sentAt)
+	}
 	switch code {
 	case result.UpstreamUnreachable:
 		exchange.handler.recordOutcome(upstream, health.Broken)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
+	"github.com/hickoryhead/hickoryhead/result"
 )
 
 // recordLimit records the limit that an answer of the upstream names. Only a signed
@@ -40,11 +41,11 @@
 }
 
 // limitedUntil returns when the first of the upstreams that were not tried and are at
-// their limit, or rest, takes a request again, and whether that one rests. It returns the
-// zero time if there are none.
-func (exchange *exchange) limitedUntil(pool *registry.Pool) (earliest time.Time, rests bool) {
+// their limit, rest, or are cold, takes a request again, and the code that says which of
+// these it is. It returns the zero time if there are none.
+func (exchange *exchange) limitedUntil(pool *registry.Pool) (earliest time.Time, code result.Code) {
 	if pool == nil {
-		return time.Time{}, false
+		return time.Time{}, result.NoUpstream
 	}
 	now := time.Now()
 	for _, upstream := range pool.Upstreams {
@@ -54,8 +55,19 @@
 		}
 		if earliest.IsZero() || at.Before(earliest) {
 			earliest = at
-			rests = !exchange.handler.Quota.RestsUntil(now, upstream).IsZero()
+			code = exchange.limitCode(now, upstream)
 		}
 	}
-	return earliest, rests
+	return earliest, code
+}
+
+// limitCode returns why an upstream takes no request now.
+func (exchange *exchange) limitCode(now time.Time, upstream registry.Upstream) result.Code {
+	if !exchange.handler.Quota.RestsUntil(now, upstream).IsZero() {
+		return result.UpstreamsResting
+	}
+	if _, cold := exchange.handler.Quota.ColdUntil(now, upstream); cold {
+		return result.UpstreamsCold
+	}
+	return result.UpstreamsAtLimit
 }
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -29,12 +30,9 @@
 	if exchange.standing().Allowance == strike.Refused {
 		return result.CrashingRequest
 	}
-	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
+	if until, code := exchange.limitedUntil(pool); !until.IsZero() {
 		exchange.limitedAt = until
-		if rests {
-			return result.UpstreamsResting
-		}
-		return result.UpstreamsAtLimit
+		return code
 	}
 	if exchange.takesUp() && pool == nil {
 		return result.VersionGone
@@ -74,6 +72,10 @@
 		retryAfter = max(time.Until(exchange.certainAt), 0)
 	case code == result.UpstreamsResting:
 		retryAfter = spreadAfter(time.Until(exchange.limitedAt))
+	case code == result.UpstreamsCold:
+		// Not earlier than the next request is possible, and not all at once.
+		retryAfter = max(time.Until(exchange.limitedAt), minRetryAfter)
+		retryAfter += rand.N(retryAfter)
 	case code == result.UpstreamsAtLimit:
 		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
--- /dev/null
+++ b/gossip/cold_message.go
@@ -0,0 +1,118 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/quota"
+	"github.com/hickoryhead/hickoryhead/registry"
+)
+
+// ColdMessage is what a router sends to the others about upstreams that are cold, or no
+// longer are, in a datagram of its own, as a StrikeMessage is. Its fields after the first are
+// lists of equal length, with one element for each upstream.
+type ColdMessage struct {
+	//lint:ignore U1000 msgpack reads its tag: a message is written as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Router identifies the run of the sending router.
+	Router       balance.RouterID
+	Upstreams    []ident.UpstreamID
+	Incarnations []registry.Incarnation
+	// Remaining are how much longer the upstreams are cold, zero for one that is not.
+	Remaining []ident.Milliseconds
+	// Failed says which could not be reached, or broke off, and have not answered since.
+	Failed   []bool
+	Sources  []quota.ColdSource
+	Versions []ident.Revision
+	// Ages are in place of times, since the clocks of routers differ.
+	Ages []ident.Milliseconds
+}
+
+const (
+	// coldMessageStart is the first byte of the datagram of a ColdMessage, which in msgpack
+	// says: an array of eight fields.
+	coldMessageStart = 0x98
+	// maxColdRemaining limits for how long a message may say that an upstream is cold.
+	maxColdRemaining = ident.Milliseconds(time.Hour / time.Millisecond)
+)
+
+// newColdMessage returns the message of a router with what is known of upstreams, as of now.
+func newColdMessage(now time.Time, router balance.RouterID, colds []quota.Cold) ColdMessage {
+	message := ColdMessage{Router: router}
+	for _, cold := range colds {
+		message.Upstreams = append(message.Upstreams, cold.Upstream)
+		message.Incarnations = append(message.Incarnations, cold.Incarnation)
+		message.Remaining = append(message.Remaining, ident.Milliseconds(max(cold.Until.Sub(now), 0).Milliseconds()))
+		message.Failed = append(message.Failed, cold.Failed)
+		message.Sources = append(message.Sources, cold.Source)
+		message.Versions = append(message.Versions, cold.Version)
+		message.Ages = append(message.Ages, ident.Milliseconds(max(now.Sub(cold.SeenAt), 0).Milliseconds()))
+	}
+	return message
+}
+
+// colds returns what a message says that was received now.
+func (message *ColdMessage) colds(now time.Time) []quota.Cold {
+	colds := make([]quota.Cold, 0, len(message.Upstreams))
+	for i, upstream := range message.Upstreams {
+		cold := quota.Cold{
+			Upstream:    upstream,
+			Incarnation: message.Incarnations[i],
+			Failed:      message.Failed[i],
+			Source:      message.Sources[i],
+			Version:     message.Versions[i],
+			SeenAt:      now.Add(-message.Ages[i].Duration()),
+		}
+		if message.Remaining[i] > 0 {
+			cold.Until = now.Add(message.Remaining[i].Duration())
+		}
+		colds = append(colds, cold)
+	}
+	return colds
+}
+
+// isColdMessage reports whether a datagram holds a ColdMessage.
+func isColdMessage(datagram []byte) bool {
+	return len(datagram) > 0 && datagram[0] == coldMessageStart
+}
+
+// decodeColds returns the message in a datagram. It returns an error if the datagram is
+// malformed, if the router is missing, or if the lists are not of equal length or have
+// invalid elements.
+func decodeColds(datagram []byte) (ColdMessage, error) {
+	var message ColdMessage
+	if err := unmarshal(datagram, &message); err != nil {
+		return ColdMessage{}, err
+	}
+	if message.Router == "" {
+		return ColdMessage{}, errors.New("gossip message: missing router")
+	}
+	count := len(message.Upstreams)
+	for _, length := range []int{len(message.Incarnations), len(message.Remaining), len(message.Failed), len(message.Sources), len(message.Versions), len(message.Ages)} {
+		if length != count {
+			return ColdMessage{}, errors.Newf("gossip message: got lists of %d and %d elements, want equal ones", count, length)
+		}
+	}
+	for i, upstream := range message.Upstreams {
+		if upstream == "" || message.Remaining[i] < 0 || message.Remaining[i] > maxColdRemaining || message.Ages[i] < 0 {
+			return ColdMessage{}, errors.Newf("gossip message: invalid cold upstream %q: remaining %d, age %d", upstream, message.Remaining[i], message.Ages[i])
+		}
+	}
+	return message, nil
+}
+
+// receiveColds applies the ColdMessage in a datagram. What is new in it is relayed.
+func (gossip *Gossip) receiveColds(now time.Time, datagram []byte) error {
+	message, err := decodeColds(datagram)
+	if err != nil || message.Router == gossip.Router {
+		return err
+	}
+	if gossip.Quota.ApplyColds(now, message.colds(now)) {
+		gossip.relayNews(message.Router, datagram)
+	}
+	return nil
+}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -48,6 +48,8 @@
 		return gossip.receiveHello(now, datagram)
 	case isSummaryMessage(datagram):
 		return gossip.receiveSummary(now, datagram)
+	case isColdMessage(datagram):
+		return gossip.receiveColds(now, datagram)
 	case isLimitMessage(datagram):
 		message, err := decodeLimits(datagram)
 		if err == nil && message.Router != gossip.Router {
@@ -72,16 +74,22 @@
 	if !gossip.Strikes.Apply(now, report) {
 		return nil
 	}
+	gossip.relayNews(router, datagram)
+	return nil
+}
+
+// relayNews sends a datagram with something new to the receivers of this router's
+// summaries, at once and with the next summary, if it comes from a router of the group.
+func (gossip *Gossip) relayNews(router balance.RouterID, datagram []byte) {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
 	if !slices.Contains(gossip.memberRuns(), router) {
-		return nil
+		return
 	}
 	for _, receiver := range gossip.topology.receivers {
 		gossip.send(datagram, receiver)
 	}
 	gossip.relay.datagrams = append(gossip.relay.datagrams, datagram)
-	return nil
 }
 
 // handle applies a message from another router.
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -59,6 +59,9 @@
 	if limits := gossip.Quota.TakeReport(now, complete); len(limits) > 0 {
 		extra = append(extra, newLimitMessage(now, gossip.Router, limits))
 	}
+	if colds := gossip.Quota.TakeColds(); len(colds) > 0 {
+		extra = append(extra, newColdMessage(now, gossip.Router, colds))
+	}
 	changed := leaving || complete || len(extra) > 0 || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.sentAt.Add(gossip.idlePause(now))) {
 		return
@@ -149,12 +152,15 @@
 	return before < stateSenders
 }
 
-// sendFullState sends all limits, splits, requests in flight and cached prefixes
+// sendFullState sends all limits, cold upstreams, splits, requests in flight and cached prefixes
 // that this router knows directly to a peer that has just started. The caller holds mu.
 func (gossip *Gossip) sendFullState(now time.Time, peer *peer) {
 	if limits := gossip.Quota.All(now); len(limits) > 0 {
 		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
 	}
+	if colds := gossip.Quota.AllColds(now); len(colds) > 0 {
+		gossip.send(gossip.encode(newColdMessage(now, gossip.Router, colds)), peer)
+	}
 	if gossip.Splits != nil {
 		// Without splits the message says that this router knows of them.
 		gossip.sendSplits(gossip.Splits(), peer)
@@ -178,7 +184,7 @@
 }
 
 // broadcast sends message to the peers that receive this router's messages, and the extra
-// messages on strikes and limits also to the receivers of its summaries. One that is
+// messages on strikes, limits and cold upstreams also to the receivers of its summaries. One that is
 // leaving goes to all peers. Unresponsive ones that are not due yet are left out, and those
 // removed that sent nothing for removeAfter. The caller holds mu.
 func (gossip *Gossip) broadcast(now time.Time, message Message, extra []any) {
--- /dev/null
+++ b/quota/fleet.go
@@ -0,0 +1,144 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+const (
+	// fleetSettleTime is how long a router that joins sends nothing to cold upstreams, and
+	// how long the others leave the share of one that has left: in that time all learn of
+	// it, and a second passes in which the former shares were used.
+	fleetSettleTime = 1500 * time.Millisecond
+	// sharedAllowance is the part of what a cold upstream may get in a second that routers
+	// which agree use at most. Half as many again may share by an outdated view.
+	sharedAllowance = 2.0 / 3
+	// arrivalStretch is by how much longer than a second the requests of one second at an
+	// upstream may have been sent in.
+	arrivalStretch = 1.1
+)
+
+// coldFleet is the fleet that shares the rates of cold upstreams: all routers that are
+// registered, also those that are silent. The zero value is a router that doesn't know the
+// fleet, and has no share.
+type coldFleet struct {
+	self string
+	// routers are the routers that count, sorted, and removedAt those of them that have
+	// left, with the time of that.
+	routers   []string
+	removedAt map[string]time.Time
+	// settledAt is when this router may send its share.
+	settledAt time.Time
+	// live are the routers that ran lately, sorted.
+	live []string
+	// revision grows with each change of the shares.
+	revision uint64
+}
+
+// SetFleet sets the address of this router, those of all routers that are known, and those
+// of them that are known to run. A router that is no longer known keeps its share for a
+// moment if it ran until lately, since it has said that it leaves. One that was silent
+// before keeps it unless more than half of the fleet runs as far as this router knows:
+// otherwise this router may be the one that is cut off.
+func (tracker *Tracker) SetFleet(now time.Time, self string, known, live []string) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	fleet := &tracker.fleet
+	if fleet.self == "" {
+		fleet.self, fleet.settledAt = self, now.Add(fleetSettleTime)
+		fleet.removedAt = make(map[string]time.Time)
+		fleet.revision++
+	}
+	majority := 2*len(live) > len(fleet.routers)-len(fleet.removedAt)
+	next := slices.Compact(slices.Sorted(slices.Values(append(known, self))))
+	for _, former := range fleet.routers {
+		if _, found := slices.BinarySearch(next, former); found {
+			delete(fleet.removedAt, former)
+			continue
+		}
+		_, ran := slices.BinarySearch(fleet.live, former)
+		if _, removed := fleet.removedAt[former]; !removed && (majority || ran) {
+			fleet.removedAt[former] = now
+		}
+	}
+	for _, former := range fleet.routers {
+		if _, found := slices.BinarySearch(next, former); !found {
+			next = append(next, former)
+		}
+	}
+	slices.Sort(next)
+	fleet.live = slices.Sorted(slices.Values(live))
+	if !slices.Equal(next, fleet.routers) {
+		fleet.routers = next
+		fleet.revision++
+	}
+	tracker.settleFleet(now)
+}
+
+// settleFleet ends the shares of routers that have left, and begins that of this router,
+// once all know of it. The caller holds mu.
+func (tracker *Tracker) settleFleet(now time.Time) {
+	fleet := &tracker.fleet
+	if !fleet.settledAt.IsZero() && !now.Before(fleet.settledAt) {
+		fleet.settledAt = time.Time{}
+		fleet.revision++
+	}
+	for router, at := range fleet.removedAt {
+		if now.Before(at.Add(fleetSettleTime)) {
+			continue
+		}
+		delete(fleet.removedAt, router)
+		fleet.routers = slices.DeleteFunc(slices.Clone(fleet.routers), func(other string) bool { return other == router })
+		fleet.revision++
+	}
+}
+
+// part returns this router's part of the rate of a cold upstream. One without a share keeps
+// less than a request of what it had saved up.
+func (fleet *coldFleet) part(upstream ident.UpstreamID, rule ColdRule) coldDivision {
+	division := divideCold(rule, len(fleet.routers))
+	if fleet.self == "" || !fleet.settledAt.IsZero() || rankOf(upstream, fleet.self, fleet.routers) >= division.sharing {
+		division.perSecond, division.saved = 0, 1-roundingMargin
+	}
+	return division
+}
+
+// turn returns how much of a request this router has saved up when an upstream becomes
+// cold, less than one. Routers that agree on the fleet have different parts.
+func (fleet *coldFleet) turn(upstream ident.UpstreamID, rule ColdRule) float64 {
+	sharing := divideCold(rule, len(fleet.routers)).sharing
+	return (float64(rankOf(upstream, fleet.self, fleet.routers)%sharing) + 0.5) / float64(sharing)
+}
+
+// maxSaved limits how many requests a router may save up.
+const maxSaved = 2
+
+// coldDivision is how routers share the rate of a cold upstream: sharing of them may each
+// send perSecond requests a second, and save up to saved, one at least.
+type coldDivision struct {
+	sharing   int
+	perSecond float64
+	saved     float64
+}
+
+// divideCold returns how a number of routers share the rate of a cold upstream: as many as
+// can each send all that they may in a second, saved requests included, within
+// sharedAllowance.
+func divideCold(rule ColdRule, routers int) coldDivision {
+	allowance := sharedAllowance * (rule.PerSecond*rule.Overage + rule.Slack)
+	for sharing := int(min(float64(routers), math.Floor(allowance))); sharing >= 1; sharing-- {
+		share := rule.PerSecond / float64(sharing)
+		// A router with s saved sends at most s plus its share of the time, rounded down.
+		most := math.Floor(allowance / float64(sharing))
+		if saved := most + 1 - share*arrivalStretch - roundingMargin; saved >= 1 {
+			return coldDivision{sharing: sharing, perSecond: share, saved: min(saved, maxSaved)}
+		}
+	}
+	return coldDivision{sharing: 1, perSecond: max(min(rule.PerSecond, (allowance-1)/arrivalStretch), minPerSecond), saved: 1}
+}
+
+// roundingMargin keeps what a router may send below the next whole request.
+const roundingMargin = 0.01
--- a/quota/report.go
+++ b/quota/report.go
@@ -26,6 +26,11 @@
 			return true
 		}
 	}
+	for _, state := range tracker.colds {
+		if state.sends > 0 {
+			return true
+		}
+	}
 	return false
 }
 
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -67,6 +67,12 @@
 // router without others, and a nil *Tracker limits nothing. It is safe for concurrent
 // use.
 type Tracker struct {
+	// ColdRule returns how upstreams of a service are cold, and OnCold is called with each
+	// change of that. Both are set before use, and must not call the tracker. With a nil
+	// ColdRule no upstream is ever cold.
+	ColdRule func(service ident.ServiceName) ColdRule
+	OnCold   func(now time.Time, cold Cold)
+
 	mu sync.Mutex
 	// self is the address of this router, and routers the sorted addresses of all
 	// routers that share limits.
@@ -76,6 +82,12 @@
 	// restUntil holds until when incarnations of upstreams want no request from this
 	// router.
 	restUntil map[key]time.Time
+	// fleet shares the rates of cold upstreams. colds holds which are, contacts the last
+	// requests to upstreams that may become cold, and rows the reads of their rows.
+	fleet    coldFleet
+	colds    map[key]*coldState
+	contacts map[ident.UpstreamID]*contact
+	rows     map[ident.UpstreamID]readRow
 }
 
 // SetRouters sets the address of this router and of all routers that are known to
@@ -190,10 +202,16 @@
 // rank returns how many routers come before this one in the rendezvous order of an
 // upstream. The caller holds mu.
 func (tracker *Tracker) rank(upstream ident.UpstreamID) int {
-	own := score(upstream, tracker.self)
+	return rankOf(upstream, tracker.self, tracker.routers)
+}
+
+// rankOf returns how many of the routers come before self in the rendezvous order of an
+// upstream.
+func rankOf(upstream ident.UpstreamID, self string, routers []string) int {
+	own := score(upstream, self)
 	before := 0
-	for _, router := range tracker.routers {
-		if other := score(upstream, router); other > own || other == own && router < tracker.self {
+	for _, router := range routers {
+		if other := score(upstream, router); other > own || other == own && router < self {
 			before++
 		}
 	}
@@ -237,7 +255,7 @@
 
 // The states.
 const (
-	// Unlimited means that the upstream names no limit.
+	// Unlimited means that the upstream names no limit and is not cold.
 	Unlimited State = iota
 	// Below means that the limit leaves this router a request now.
 	Below
@@ -245,8 +263,8 @@
 	Reached
 )
 
-// State returns how the upstream stands to its limit at the time now. One that rests has
-// reached it.
+// State returns how the upstream stands to its limit, or to the rate of a cold upstream, at
+// the time now. One that rests has reached it.
 func (tracker *Tracker) State(now time.Time, upstream registry.Upstream) State {
 	if tracker == nil {
 		return Unlimited
@@ -256,18 +274,18 @@
 	if !tracker.restsUntil(now, upstream).IsZero() {
 		return Reached
 	}
-	bucket := tracker.limiting(now, upstream)
+	bucket, cold := tracker.limiting(now, upstream), tracker.cold(now, upstream)
 	switch {
-	case bucket == nil:
+	case bucket == nil && cold == nil:
 		return Unlimited
-	case bucket.tokens < 1:
+	case bucket != nil && bucket.tokens < 1, cold != nil && !cold.allows(now):
 		return Reached
 	}
 	return Below
 }
 
-// Take counts a request to the upstream and reports whether its limit allows it, and
-// whether it does not rest.
+// Take counts a request to the upstream and reports whether its limit, and its rate while it
+// is cold, allow it, and whether it does not rest.
 func (tracker *Tracker) Take(now time.Time, upstream registry.Upstream) bool {
 	if tracker == nil {
 		return true
@@ -277,14 +295,19 @@
 	if !tracker.restsUntil(now, upstream).IsZero() {
 		return false
 	}
-	bucket := tracker.limiting(now, upstream)
-	switch {
-	case bucket == nil:
-		return true
-	case bucket.tokens < 1:
+	bucket, cold := tracker.limiting(now, upstream), tracker.cold(now, upstream)
+	if bucket != nil && bucket.tokens < 1 || cold != nil && !cold.allows(now) {
 		return false
 	}
-	bucket.tokens -= 1 - costJitter + 2*costJitter*rand.Float64()
+	if bucket != nil {
+		bucket.tokens -= 1 - costJitter + 2*costJitter*rand.Float64()
+	}
+	if cold != nil {
+		cold.take(now)
+	}
+	if _, found := tracker.coldRule(upstream.Service); found {
+		tracker.contact(upstream.ID).sentAt = now
+	}
 	return true
 }
 
@@ -297,20 +320,26 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	restsUntil := tracker.restsUntil(now, upstream)
+	next := tracker.restsUntil(now, upstream)
+	if cold := tracker.cold(now, upstream); cold != nil && !cold.allows(now) {
+		next = later(next, cold.nextAt(now))
+	}
 	bucket := tracker.limiting(now, upstream)
 	if bucket == nil || bucket.tokens >= 1 {
-		return restsUntil
+		return next
 	}
 	rate, missing := bucket.share, 1-bucket.tokens
 	if rate == 0 {
 		rate, missing = usedShare*bucket.rate(), 1
 	}
-	next := now.Add(time.Duration(missing / rate * float64(time.Second)))
-	if restsUntil.After(next) {
-		return restsUntil
+	return later(next, now.Add(time.Duration(missing/rate*float64(time.Second))))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return next
+	return b
 }
 
 // Retain forgets the limits of incarnations that are not listed and were not reported
@@ -319,13 +348,14 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	tracker.endRests(now)
-	if len(tracker.buckets) == 0 {
+	if len(tracker.buckets)+len(tracker.colds)+len(tracker.contacts)+len(tracker.rows) == 0 {
 		return
 	}
 	present := make(map[key]struct{}, len(listed))
 	for _, upstream := range listed {
 		present[key{upstream: upstream.ID, incarnation: upstream.Incarnation}] = struct{}{}
 	}
+	tracker.retainColds(now, present)
 	for identity, bucket := range tracker.buckets {
 		if _, found := present[identity]; !found && now.Sub(bucket.SeenAt) > unlistedLifetime {
 			delete(tracker.buckets, identity)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -75,6 +75,10 @@
 	// OnKept, unless nil, is called for each upstream that stays listed although its row
 	// was removed. It must not call the registry.
 	OnKept func(kept Kept)
+	// OnStart, unless nil, is called for each upstream, before it is in a pool, that was not
+	// listed or had another incarnation. It is not called for those of the first complete
+	// list, and must not call the registry.
+	OnStart func(now time.Time, upstream Upstream)
 	// Heartbeat is how often a live upstream writes its row, or zero if that is not known.
 	// It is set before use.
 	Heartbeat time.Duration
@@ -208,6 +212,9 @@
 			// A router of a program that doesn't read the version relayed the row.
 			change.Upstream.Software = present.Software
 		}
+		if started := !known || present.Incarnation != change.Upstream.Incarnation; started && registry.OnStart != nil && registry.Loaded() {
+			registry.OnStart(now, change.Upstream)
+		}
 		registry.recordRenewal(now, change.Upstream)
 		delete(registry.missingUntil, id)
 		registry.listed[id] = change.Upstream
--- a/routing/config.go
+++ b/routing/config.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/hickoryhead/hickoryhead/ident"
+import (
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
 
 // Version is the version of a configuration. A higher version is newer.
 type Version uint64
@@ -106,6 +110,10 @@
 	Slots int
 	// CacheTokens is the cache capacity of a model engine.
 	CacheTokens ident.Tokens
+	// ColdStart is how long an upstream is cold after it has started, and ColdPerSecond
+	// how many requests a second it takes meanwhile; zero means never, or any number.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Workspace is a customer with its API keys.
