quota, gossip, entry: tests of cold upstreams

TestColdSources has a row for each source; quota's simulations, a fleet of real routers with upstreams that restart together (entry), and the exchange at 3 to 103 routers (gossip). SetFleet no longer writes into the caller's slice, which TestShareOfASilentRouterIsKept found.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
@@ -55,6 +56,8 @@
 	software func(n int) ident.SoftwareVersion
 	// onRun, if set, is called when an upstream begins to run an attempt.
 	onRun func(runner *standin.Runner, attempt ident.AttemptID)
+	// cold is how upstreams are cold, unless nil.
+	cold *quota.ColdRule
 	// runTime is how much longer than usual a run takes.
 	runTime time.Duration
 	routers []*fixture
@@ -122,6 +125,10 @@
 // writeConfig writes a configuration with a route of each kind.
 func (fleet *crashFleet) writeConfig() {
 	shares := []routing.Share{{Service: "pool", Weight: 1}}
+	service := routing.Service{Name: "pool", MaxConnections: 400}
+	if fleet.cold != nil {
+		service.ColdStart, service.ColdPerSecond = fleet.cold.Start, fleet.cold.PerSecond
+	}
 	value, err := platform.EncodeConfig(routing.Config{
 		Version: 1,
 		Routes: []routing.Route{
@@ -130,7 +137,7 @@
 			{Name: "stream", Host: "a.example", Prefix: "/stream/", Kind: routing.Stream, Timeout: 2000, Target: 300, MaxAttempts: 1, Sticky: true, Shares: shares},
 			{Name: "resume", Host: "a.example", Prefix: "/resume/", Kind: routing.Stream, Resumable: true, Timeout: 2000, Target: 300, MaxAttempts: 2, Sticky: true, Shares: shares},
 		},
-		Services:   []routing.Service{{Name: "pool", MaxConnections: 400}},
+		Services:   []routing.Service{service},
 		Workspaces: []routing.Workspace{{ID: "t", Keys: []string{"key-1"}}},
 		Limits:     routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 15000},
 	})
@@ -328,6 +335,9 @@
 	router.config.Platform = router.storeAddress
 	router.config.CallerListen, router.config.ReadyListen, router.config.PeerListen = anyPort, anyPort, anyPort
 	router.config.StopTimeoutMs, router.config.LoadMultiple, router.config.RetryShare, router.config.RetrySlack = 1000, 2, 0.2, 20
+	if fleet.cold != nil {
+		router.config.ColdOverage, router.config.ColdSlack = fleet.cold.Overage, fleet.cold.Slack
+	}
 	fleet.routers = append(fleet.routers, router)
 	fleet.run(len(fleet.routers) - 1)
 	return router
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
@@ -25,6 +26,7 @@
 	cacheIndex balance.CacheIndex
 	health     health.Tracker
 	strikes    strike.Guard
+	quota      quota.Tracker
 	done       chan struct{}
 	cancel     context.CancelFunc
 
@@ -59,6 +61,9 @@
 // started.
 func newMember(name balance.RouterID, conn net.PacketConn) *member {
 	member := &member{done: make(chan struct{})}
+	member.quota.ColdRule = func(ident.ServiceName) quota.ColdRule {
+		return quota.ColdRule{Start: 3 * time.Second, PerSecond: 7.8, Overage: 1.5, Slack: 5}
+	}
 	member.gossip = &gossip.Gossip{
 		Router:     name,
 		Started:    time.Now(),
@@ -68,6 +73,7 @@
 		CacheIndex: &member.cacheIndex,
 		Health:     &member.health,
 		Strikes:    &member.strikes,
+		Quota:      &member.quota,
 		Fill:       func(time.Time, *gossip.Message) {},
 		OnMessage: func(_ time.Time, message gossip.Message) {
 			member.mu.Lock()
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -53,7 +53,7 @@
 		fleet.revision++
 	}
 	majority := 2*len(live) > len(fleet.routers)-len(fleet.removedAt)
-	next := slices.Compact(slices.Sorted(slices.Values(append(known, self))))
+	next := slices.Compact(slices.Sorted(slices.Values(slices.Concat(known, []string{self}))))
 	for _, former := range fleet.routers {
 		if _, found := slices.BinarySearch(next, former); found {
 			delete(fleet.removedAt, former)
