--- a/entry/cold.go
+++ b/entry/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -63,7 +64,7 @@
 		event, message = "cold.began", "Upstream is cold."
 	}
 	daemon.metrics.CountEvent(event)
-	daemon.Logger.Info(message,
+	logging.Component(daemon.Logger, "quota").Info(message,
 		"Upstream", cold.Upstream, "Incarnation", cold.Incarnation, "Source", cold.Source.String(), "RemainingMs", max(cold.Until.Sub(now), 0).Milliseconds(),
 		"RowVersion", cold.Version, "AgeMs", now.Sub(cold.SeenAt).Milliseconds())
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -79,12 +79,17 @@
 		switch {
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
+			(sameUpstream || request.Code == "UpstreamsCold") && isCold(line),
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
 	}
 }
 
+func isCold(line Line) bool {
+	return line.Message == coldBegan || line.Message == coldExpected || line.Message == coldEnded
+}
+
 func isStrike(line Line) bool {
 	return line.Message == strikeCounted || line.Message == strikeWithdrawn || line.Message == strikeCleared
 }
@@ -188,6 +193,12 @@
 		return fmt.Sprintf("runs alone at upstream %s, as upstreams crashed while they ran it", line.Upstream)
 	case limitNamed:
 		return fmt.Sprintf("upstream %s named a limit of %.2f requests a second", line.Upstream, line.PerSecond)
+	case coldBegan:
+		return fmt.Sprintf("upstream %s is cold for %d ms, by the %s", line.Upstream, line.RemainingMs, line.Source)
+	case coldExpected:
+		return fmt.Sprintf("upstream %s failed, it is cold once it answers", line.Upstream)
+	case coldEnded:
+		return fmt.Sprintf("upstream %s is not cold any more, by the %s", line.Upstream, line.Source)
 	case restAsked:
 		return fmt.Sprintf("upstream %s asked this router for %d ms of rest", line.Upstream, line.RestMs)
 	case leavingSaid:
@@ -241,6 +252,7 @@
 	"CrashingRequest":      "three upstreams or more broke off while they ran this request, so it is refused and did not run",
 	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
+	"UpstreamsCold":        "every upstream of the service has just started, or came back, and takes few requests a second for a while",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -209,3 +209,28 @@
 		}
 	}
 }
+
+// TestUpstreamsCold explains a refusal by the upstreams that were cold as far as its router
+// knew, and leaves out those of other routers.
+func TestUpstreamsCold(t *testing.T) {
+	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"quota: Upstream failed, it is cold once it answers.","VM":"edge-1","Upstream":"i-1","Source":"failure"}
+{"time":"2026-10-21T04:00:02Z","msg":"quota: Upstream is cold.","VM":"edge-1","Upstream":"i-1","Source":"return","RemainingMs":3000}
+{"time":"2026-10-21T04:00:02Z","msg":"quota: Upstream is cold.","VM":"edge-2","Upstream":"i-3","Source":"start","RemainingMs":3000}
+{"time":"2026-10-21T04:00:02.1Z","msg":"quota: Upstream is not cold any more.","VM":"edge-1","Upstream":"i-2","Source":"row"}
+{"time":"2026-10-21T04:00:03Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"UpstreamsCold"}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(lines, "\n") {
+		log.Add([]byte(text))
+	}
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	const want = `2026-10-21T04:00:01Z edge-1 upstream i-1 failed, it is cold once it answers
+2026-10-21T04:00:02Z edge-1 upstream i-1 is cold for 3000 ms, by the return
+2026-10-21T04:00:02.1Z edge-1 upstream i-2 is not cold any more, by the row
+2026-10-21T04:00:03Z edge-1 finished with status 503 (UpstreamsCold) after 0 ms: route , configuration 0, offered to no upstream
+cause: every upstream of the service has just started, or came back, and takes few requests a second for a while
+`
+	if got := out.String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -56,10 +56,11 @@
 	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
 	Kind    string
-	// PerSecond is the limit that an upstream named, and RestMs the rest that one asked
-	// for.
-	PerSecond float64
-	RestMs    int64
+	// PerSecond is the limit that an upstream named, RestMs the rest that one asked for, and
+	// RemainingMs how much longer one is cold.
+	PerSecond   float64
+	RestMs      int64
+	RemainingMs int64
 
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
@@ -99,6 +100,9 @@
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
 	strikeCleared    = "strike: Strike cleared, the request succeeded."
 	trialStarted     = "forward: Request runs alone."
+	coldBegan        = "quota: Upstream is cold."
+	coldExpected     = "quota: Upstream failed, it is cold once it answers."
+	coldEnded        = "quota: Upstream is not cold any more."
 	limitNamed       = "forward: Upstream named a limit."
 	limitLifted      = "forward: Upstream names no limit any more."
 	restAsked        = "forward: Upstream asks for rest."
--- /dev/null
+++ b/forward/cold_test.go
@@ -0,0 +1,122 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/quota"
+)
+
+// coldTracker returns a tracker of a router without others, whose upstreams are cold for
+// start.
+func coldTracker(start time.Duration) *quota.Tracker {
+	tracker := &quota.Tracker{ColdRule: func(ident.ServiceName) quota.ColdRule {
+		return quota.ColdRule{Start: start, PerSecond: 4, Overage: 1.5, Slack: 5}
+	}}
+	self := []string{"router-0"}
+	tracker.SetFleet(time.Now().Add(-time.Minute), self[0], self, self)
+	return tracker
+}
+
+// TestColdUpstreamsRefuseAtOnce guards against callers that wait where all upstreams are cold,
+// or return when nothing is possible yet, and against a cold upstream beside which another one
+// is not used.
+func TestColdUpstreamsRefuseAtOnce(t *testing.T) {
+	for _, allCold := range []bool{true, false} {
+		t.Run(fmt.Sprintf("all cold %t", allCold), func(t *testing.T) {
+			upstreams := []*fakeUpstream{startUpstream(t, echo), startUpstream(t, echo)}
+			router := startRouter(t, upstreams...)
+			router.handler.Quota = coldTracker(time.Minute)
+			listed := router.handler.Registry.Upstreams()
+			if !allCold {
+				listed = listed[:1]
+			}
+			router.handler.Quota.MarkCold(time.Now(), listed)
+			refused := 0
+			for n := range 40 {
+				sent := time.Now()
+				got := router.send(t, fmt.Sprint("a", n), "POST", "/once/", "")
+				if got.status == 200 {
+					continue
+				}
+				refused++
+				retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				if got.status != 503 || got.body != "HH2021 Every upstream is cold\n" || time.Since(sent) > 500*time.Millisecond || err != nil || retryAfter <= 0 || retryAfter > 1 {
+					t.Errorf("got status %d (%q) after %v with Retry-After %q, want UpstreamsCold at once with at most 1 s", got.status, got.body, time.Since(sent), got.header.Get("Retry-After"))
+				}
+			}
+			if (refused > 0) != allCold {
+				t.Errorf("got %d requests refused, want some: %t", refused, allCold)
+			}
+		})
+	}
+}
+
+// TestUpstreamThatBrokeOffIsColdOnceItAnswers guards against an upstream that gets requests at
+// the full rate when it comes back: by the failure and the answer after it, and by the header
+// of an answer, also of a refusal, but not by a 421, which may be of another process.
+func TestUpstreamThatBrokeOffIsColdOnceItAnswers(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\n%sContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name   string
+		status string
+		header string
+		broken bool
+		want   bool
+	}{
+		{"answer", "200 OK", "", false, false},
+		{"broken connection, then an answer", "200 OK", "", true, true},
+		{"header", "200 OK", "Hickoryhead-Cold-Ms: 2500\r\n", false, true},
+		{"header of a refusal", "503 Service Unavailable", "Hickoryhead-Not-Executed: 1\r\nHickoryhead-Cold-Ms: 2500\r\n", false, true},
+		{"broken connection, then a header that says no", "200 OK", "Hickoryhead-Cold-Ms: 0\r\n", true, false},
+		{"header of another process", "421 Misdirected Request", "Hickoryhead-Cold-Ms: 2500\r\n", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := startUpstream(t, func(_ context.Context, conn net.Conn, n int, request receivedRequest) bool {
+				if test.broken && n == 0 {
+					return false
+				}
+				write(conn, fmt.Sprintf(head, test.status, request.header.Get("Hickoryhead-Attempt-Id"), test.header))
+				return true
+			})
+			router := startRouter(t, upstream)
+			router.handler.Quota = coldTracker(3 * time.Second)
+			listed := router.handler.Registry.Upstreams()[0]
+			if test.broken {
+				router.send(t, "a0", "POST", "/once/", "")
+				if until, cold := router.handler.Quota.ColdUntil(time.Now(), listed); !cold || !until.IsZero() {
+					t.Errorf("got cold %t until %v after the broken connection, want cold without a deadline", cold, until)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			router.send(t, "a1", "POST", "/once/", "")
+			if _, got := router.handler.Quota.ColdUntil(time.Now(), listed); got != test.want {
+				t.Errorf("got cold %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// TestUnreachableUpstreamIsColdOnceItAnswers guards against an upstream whose listener was gone
+// and that is not known to be cold when package health lets a request through again.
+func TestUnreachableUpstreamIsColdOnceItAnswers(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	router := startRouter(t, upstream)
+	router.handler.Quota = coldTracker(3 * time.Second)
+	_ = upstream.listener.Close()
+	router.send(t, "a0", "POST", "/once/", "").check(t, 503, "")
+	listed := router.handler.Registry.Upstreams()[0]
+	now := time.Now()
+	if _, cold := router.handler.Quota.ColdUntil(now.Add(time.Hour), listed); !cold {
+		t.Error("got an unreachable upstream that is not cold, want it cold until it answers")
+	}
+	if !router.handler.Health.Ejected(now, listed.ID) {
+		t.Error("got no ejection, want one")
+	}
+}
