--- a/entry/cold.go
+++ b/entry/cold.go
@@ -16,6 +16,7 @@
 	daemon.quota.OnCold = daemon.logCold
 	daemon.registry.OnStart = daemon.quota.Started
 	daemon.updater.OnRow = daemon.observeColdRow
+	daemon.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { daemon.quota.Closed(time.Now(), upstream) }
 	return daemon.metrics.Gauge("hickoryhead_cold_upstreams", "Upstreams that are cold.", func() int64 { return daemon.quota.CountCold(time.Now()) })
 }
 
@@ -47,9 +48,9 @@
 	}
 }
 
-// markCold has upstreams be cold as if they had started now. It is called when an
+// MarkCold has upstreams be cold as if they had started now. It is called when an
 // evacuation of their zone has ended, by each router for itself.
-func (daemon *Daemon) markCold(upstreams []registry.Upstream) {
+func (daemon *Daemon) MarkCold(upstreams []registry.Upstream) {
 	daemon.quota.MarkCold(time.Now(), upstreams)
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -124,6 +124,13 @@
 		conn.Discard()
 		return nil, result.UpstreamUnreachable
 	}
+	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
+		// It was found to have ended while the connection was opened.
+		exchange.limitedAt = exchange.handler.Quota.NextAt(time.Now(), upstream)
+		exchange.setCauseText("the upstream became cold")
+		conn.Discard()
+		return nil, result.UpstreamsCold
+	}
 	remaining := time.Until(exchange.deadline)
 	if remaining < minAttemptTime {
 		conn.Discard()
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/quota"
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 // coldTracker returns a tracker of a router without others, whose upstreams are cold for
@@ -120,3 +121,61 @@
 		t.Error("got no ejection, want one")
 	}
 }
+
+// TestUpstreamThatClosesAllConnectionsHasEnded guards against routers without a request in the
+// time in which an upstream restarted, and which send at the full rate then. It also guards
+// against an upstream that is taken for ended while a request runs there.
+func TestUpstreamThatClosesAllConnectionsHasEnded(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		t.Run(fmt.Sprintf("request running %t", running), func(t *testing.T) {
+			started, release := make(chan struct{}), make(chan struct{})
+			upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+				if request.header.Get("Hickoryhead-Attempt-Id") == "long" {
+					close(started)
+					<-release
+				}
+				echo(ctx, conn, n, request)
+				return false
+			})
+			router := startRouter(t, upstream)
+			tracker := coldTracker(3 * time.Second)
+			router.handler.Quota = tracker
+			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { tracker.Closed(time.Now(), upstream) }
+			listed := router.handler.Registry.Upstreams()
+			ended := make(chan struct{})
+			if running {
+				long := &longRequest{router: router, t: t, ended: ended}
+				go long.run()
+				<-started
+			} else {
+				close(ended)
+			}
+			router.send(t, "a1", "POST", "/once/", "").check(t, 200, "")
+			got := false
+			for until := time.Now().Add(300 * time.Millisecond); !got && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+				router.handler.Connections.Retain(listed)
+				_, got = tracker.ColdUntil(time.Now(), listed[0])
+			}
+			if got == running {
+				t.Errorf("got cold %t, want %t", got, !running)
+			}
+			if len(tracker.TakeColds()) > 0 {
+				t.Error("got a message for other routers, want none: it may have closed them for another reason")
+			}
+			close(release)
+			<-ended
+		})
+	}
+}
+
+// longRequest is a request that waits for its answer.
+type longRequest struct {
+	router *router
+	t      *testing.T
+	ended  chan struct{}
+}
+
+func (request *longRequest) run() {
+	defer close(request.ended)
+	request.router.send(request.t, "long", "POST", "/once/", "").check(request.t, 200, "")
+}
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -62,6 +62,9 @@
 type Connections struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnAllClosed, unless nil, is called when an upstream has closed all its connections,
+	// none of which was in use or had been idle for long. It must not call Connections.
+	OnAllClosed func(upstream registry.Upstream)
 
 	mu    sync.Mutex
 	pools map[incarnationKey]*http1.Pool
@@ -86,6 +89,9 @@
 	pool = &http1.Pool{Dial: func(ctx context.Context) (net.Conn, error) {
 		return connections.Dial(ctx, "tcp", upstream.Address)
 	}}
+	if connections.OnAllClosed != nil {
+		pool.OnAllClosed = func() { connections.OnAllClosed(upstream) }
+	}
 	connections.pools[key] = pool
 	return pool
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -60,7 +60,9 @@
 	reserved int64
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
-	choice        balance.Choice
+	// takenAt is when the limit of the chosen upstream allowed the request.
+	takenAt time.Time
+	choice  balance.Choice
 	// binding restricts the request to one software version, and certainAt is when
 	// the version that began the stream of a refused take-up will be known, or zero.
 	binding   binding
@@ -162,7 +164,8 @@
 		}
 		// Another request may have taken the last one that the upstream's limit
 		// leaves.
-		if exchange.handler.Quota.Take(time.Now(), choice.Upstream) {
+		exchange.takenAt = time.Now()
+		if exchange.handler.Quota.Take(exchange.takenAt, choice.Upstream) {
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
 			return true
 		}
@@ -211,7 +214,7 @@
 // one that the upstream refused: retry.Unbudgeted holds for the project's own
 // interface only.
 func arrived(code result.Code) bool {
-	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable
+	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable && code != result.UpstreamsCold
 }
 
 // shouldRetry reports whether the request is sent again after an attempt that
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -32,6 +32,9 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
+	// OnAllClosed, unless nil, is called when the peer has closed all connections, none of
+	// which was in use or idle for as long as it may be: its process has probably ended.
+	OnAllClosed func()
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -127,7 +130,24 @@
 		if !open {
 			pool.recordBreak()
 		}
+		ended := !open && now.Before(conn.expiresAt) && pool.isLast()
 		conn.Discard()
+		if ended {
+			pool.reportAllClosed()
+		}
+	}
+}
+
+// isLast reports whether a connection that was taken from the pool is its last one.
+func (pool *Pool) isLast() bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return pool.open == 1
+}
+
+func (pool *Pool) reportAllClosed() {
+	if pool.OnAllClosed != nil {
+		pool.OnAllClosed()
 	}
 }
 
@@ -235,17 +255,25 @@
 func (pool *Pool) CloseUnusable() {
 	now := pool.now()
 	pool.mu.Lock()
+	closedEarly := 0
 	unusable := pool.takeIf(func(conn *Conn) bool {
 		open := conn.openAndIdle()
 		if !open {
 			pool.brokenAt = now
 		}
+		if !open && now.Before(conn.expiresAt) {
+			closedEarly++
+		}
 		return !open || !now.Before(conn.expiresAt)
 	})
+	ended := closedEarly > 0 && closedEarly == pool.open
 	pool.mu.Unlock()
 	for _, conn := range unusable {
 		conn.Discard()
 	}
+	if ended {
+		pool.reportAllClosed()
+	}
 }
 
 // closeIdleSince closes the idle connections that have brought no response since the given
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -306,11 +306,30 @@
 		cold.take(now)
 	}
 	if _, found := tracker.coldRule(upstream.Service); found {
-		tracker.contact(upstream.ID).sentAt = now
+		tracker.contact(upstream).sentAt = now
 	}
 	return true
 }
 
+// MaySend reports whether a request that Take allowed at takenAt may still be sent: if the
+// upstream has become cold since, it is counted once more.
+func (tracker *Tracker) MaySend(now time.Time, upstream registry.Upstream, takenAt time.Time) bool {
+	if tracker == nil {
+		return true
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	cold := tracker.cold(now, upstream)
+	if cold == nil || !cold.becameAt.After(takenAt) {
+		return true
+	}
+	if !cold.allows(now) {
+		return false
+	}
+	cold.take(now)
+	return true
+}
+
 // NextAt returns when an upstream that has reached its limit, or rests, takes the next
 // request from this router, or, if it has no share, from another one. It returns the zero
 // time for any other upstream.
