--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -195,13 +195,14 @@
 	}
 	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
+	daemon.updater.OnEvacuationEnd = daemon.markCold
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
 	daemon.stall.longest = time.Duration(stallShare * float64(daemon.Config.EvacuateMs.Duration()))
 	daemon.stall.metrics, daemon.stall.logger = set, daemon.Logger
 	if daemon.stall.longest > 0 {
 		daemon.handler.AwaitCurrent = daemon.stall.await
 	}
-	return nil
+	return daemon.prepareCold()
 }
 
 // evacuatedZones returns the number of evacuated zones.
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -32,8 +32,11 @@
 	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
 	// evacuation has ended.
 	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
-	Metrics         *metrics.Set
-	Logger          *slog.Logger
+	// OnRow, unless nil, is called with each row of an upstream read from the store, before
+	// it is applied.
+	OnRow   func(upstream registry.Upstream, value []byte)
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 
 	// evacuationMu is held while a change of Evacuations is passed to Registry.
 	evacuationMu sync.Mutex
@@ -139,6 +142,9 @@
 		return registry.Upstream{ID: id, Version: record.Version}, false
 	}
 	upstream.Version = record.Version
+	if updater.OnRow != nil {
+		updater.OnRow(upstream, record.Value)
+	}
 	return upstream, true
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -113,10 +113,12 @@
 
 // send does the work of attempt.
 func (exchange *exchange) send(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
+	connectingAt := time.Now()
 	conn, err := exchange.connect(upstream)
 	if err != nil {
 		exchange.setCause(err)
 		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
+			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
@@ -125,6 +127,7 @@
 		return nil, exchange.withdraw(conn)
 	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
+		exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 		exchange.setCause(err)
 		conn.RecordBreak()
 		conn.Discard()
@@ -133,6 +136,13 @@
 	if exchange.evacuated(upstream) {
 		return nil, exchange.withdraw(conn)
 	}
+	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
+		// It was found to have ended while the connection was opened.
+		exchange.limitedAt = exchange.handler.Quota.NextAt(time.Now(), upstream)
+		exchange.setCauseText("the upstream became cold")
+		conn.Discard()
+		return nil, result.UpstreamsCold
+	}
 	remaining := time.Until(exchange.deadline)
 	if remaining < minAttemptTime {
 		conn.Discard()
@@ -359,6 +369,9 @@
 	}
 	if answer.response.StatusCode != http.StatusMisdirectedRequest && exchange.matchesRequest(answer) {
 		exchange.recordLimit(answer)
+		if answer.head.Cold == nil {
+			exchange.handler.Quota.Answered(time.Now(), answer.upstream, exchange.sentAt, nil)
+		}
 	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
@@ -397,6 +410,9 @@
 	if exchange.callerLeft() || exchange.handler.ended() {
 		return
 	}
+	if exchange.broke || code == result.UpstreamUnreachable {
+		exchange.handler.Quota.Failed(time.Now(), upstream, exchange.sentAt)
+	}
 	switch code {
 	case result.UpstreamUnreachable:
 		exchange.handler.recordOutcome(upstream, health.Broken)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -62,7 +62,9 @@
 	reserved int64
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
-	choice        balance.Choice
+	// takenAt is when the limit of the chosen upstream allowed the request.
+	takenAt time.Time
+	choice  balance.Choice
 	// binding restricts the request to one software version, and certainAt is when
 	// the version that began the stream of a refused take-up will be known, or zero.
 	binding   binding
@@ -164,7 +166,8 @@
 		}
 		// Another request may have taken the last one that the upstream's limit
 		// leaves.
-		if exchange.handler.Quota.Take(time.Now(), choice.Upstream) {
+		exchange.takenAt = time.Now()
+		if exchange.handler.Quota.Take(exchange.takenAt, choice.Upstream) {
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
 			return true
 		}
@@ -222,7 +225,11 @@
 // one that the upstream refused: retry.Unbudgeted holds for the project's own
 // interface only.
 func arrived(code result.Code) bool {
-	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable && code != result.ZonesEvacuated
+	switch code {
+	case result.UpstreamUnreachable, result.DeadlineUnmeetable, result.ZonesEvacuated, result.UpstreamsCold:
+		return false
+	}
+	return true
 }
 
 // shouldRetry reports whether the request is sent again after an attempt that
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
@@ -27,6 +28,7 @@
 	health      health.Tracker
 	strikes     strike.Guard
 	evacuations evacuation.Tracker
+	quota       quota.Tracker
 	done        chan struct{}
 	cancel      context.CancelFunc
 
@@ -61,6 +63,9 @@
 // started.
 func newMember(name balance.RouterID, conn net.PacketConn) *member {
 	member := &member{done: make(chan struct{})}
+	member.quota.ColdRule = func(ident.ServiceName) quota.ColdRule {
+		return quota.ColdRule{Start: 3 * time.Second, PerSecond: 7.8, Overage: 1.5, Slack: 5}
+	}
 	member.gossip = &gossip.Gossip{
 		Router:      name,
 		Started:     time.Now(),
@@ -71,6 +76,7 @@
 		Health:      &member.health,
 		Strikes:     &member.strikes,
 		Evacuations: &member.evacuations,
+		Quota:       &member.quota,
 		Fill:        func(time.Time, *gossip.Message) {},
 		OnMessage: func(_ time.Time, message gossip.Message) {
 			member.mu.Lock()
--- a/result/code.go
+++ b/result/code.go
@@ -61,6 +61,7 @@
 	RouterStopping       Code = 2018
 	ZonesEvacuated       Code = 2019
 	RegionNotAllowed     Code = 2020
+	UpstreamsCold        Code = 2021
 )
 
 // Codes for requests that were run or may have been run.
@@ -141,6 +142,7 @@
 	{RouterStopping, "RouterStopping", "The router stops", "The request was read so late in a planned stop of the router that its answer might be cut. Nothing was run. Send it again over a new connection, which reaches another router.", http.StatusServiceUnavailable, NotRun, true},
 	{ZonesEvacuated, "ZonesEvacuated", "Every upstream is in an evacuated zone", "Operators have evacuated the availability zones of all upstreams that could run the request, so it was sent to none. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 	{RegionNotAllowed, "RegionNotAllowed", "No upstream is in an allowed region", "The configuration restricts the route, the workspace or both to regions in which no upstream takes requests. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, false},
+	{UpstreamsCold, "UpstreamsCold", "Every upstream is cold", "The upstreams of the route have just started and take few requests a second for a while. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
--- a/routing/config.go
+++ b/routing/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
 )
@@ -127,6 +128,10 @@
 	Slots int
 	// CacheTokens is the cache capacity of a model engine.
 	CacheTokens ident.Tokens
+	// ColdStart is how long an upstream is cold after it has started, and ColdPerSecond
+	// how many requests a second it takes meanwhile; zero means never, or any number.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Workspace is a customer with its API keys.
