balance, quota: a cold upstream counts in the mean of its service

One that names a limit doesn't: the others have its part of the load. A cold one has that within seconds, and left out it would raise the bound of the others above that of the service. balance TestColdUpstreamCountsInTheMean.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -85,8 +85,18 @@
 	BelowLimit
 	// AtLimit means that it leaves none.
 	AtLimit
+	// BelowColdRate and AtColdRate mean the same of the rate of a cold upstream. It counts
+	// in the mean of its pool, since it takes its part of the load within seconds.
+	BelowColdRate
+	AtColdRate
 )
 
+// leavesNone reports whether the upstream takes no request now.
+func (state LimitState) leavesNone() bool { return state == AtLimit || state == AtColdRate }
+
+// leavesSome reports whether the upstream takes a request now, but has a limit or is cold.
+func (state LimitState) leavesSome() bool { return state == BelowLimit || state == BelowColdRate }
+
 // Chooser chooses upstreams. Its fields must be set before use.
 type Chooser struct {
 	Loads      *Loads
@@ -96,8 +106,8 @@
 	// OnProbation reports whether an upstream should get retryable requests only.
 	// If it is nil, no upstream is on probation.
 	OnProbation func(now time.Time, upstream ident.UpstreamID) bool
-	// Limit returns how an upstream stands to the limit that it names. If it is nil,
-	// no upstream names one.
+	// Limit returns how an upstream stands to the limit that it names, or to its rate while
+	// it is cold. If it is nil, no upstream names one and none is cold.
 	Limit func(now time.Time, upstream registry.Upstream) LimitState
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
@@ -162,7 +172,7 @@
 	pool       *registry.Pool
 	request    Request
 	candidates []candidate
-	// limited is how many of the candidates name limits.
+	// limited is how many of the candidates name limits or are cold.
 	limited int
 	// mean is the mean number of requests in flight at the upstreams of the pool that
 	// name no limit: the others' share of the load is theirs.
@@ -187,12 +197,14 @@
 			index:    i,
 			load:     chooser.Loads.Estimate(now, upstream.ID),
 			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: limit == AtLimit || slices.Contains(request.Tried, upstream.ID),
+			excluded: limit.leavesNone() || slices.Contains(request.Tried, upstream.ID),
 			limit:    limit,
 			cached:   slices.Contains(cachedAt, upstream.ID),
 		}
 		if limit != Unlimited {
 			selection.limited++
+		}
+		if limit == BelowLimit || limit == AtLimit {
 			continue
 		}
 		total += selection.candidates[i].load.Requests
@@ -335,7 +347,7 @@
 	return best, found
 }
 
-// spare returns an upstream below its limit that is far less loaded than the chosen
+// spare returns an upstream below its limit, or its rate while cold, that is far less loaded than the chosen
 // one, preferably one that has the prefix cached, and whether there is one.
 func (selection *selection) spare(chosen candidate) (candidate, bool) {
 	if selection.limited == 0 || chosen.limit != Unlimited {
@@ -344,7 +356,7 @@
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if candidate.limit != BelowLimit || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
+		if !candidate.limit.leavesSome() || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
 			continue
 		}
 		if !found || candidate.cached && !best.cached || candidate.cached == best.cached && answersSooner(candidate.load, best.load) {
--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -47,3 +48,49 @@
 		})
 	}
 }
+
+// TestColdUpstreamCountsInTheMean guards against upstreams above the load bound of their
+// service because the cold ones are left out of its mean, against a request beyond the rate of
+// a cold upstream, and against what that leaves going unused while others are full.
+func TestColdUpstreamCountsInTheMean(t *testing.T) {
+	const warm, below, at = balance.Unlimited, balance.BelowColdRate, balance.AtColdRate
+	tests := []struct {
+		name   string
+		loads  []int
+		limits []balance.LimitState
+		// cached is the upstream that has the prompt cached.
+		cached, want int
+		mean         float64
+		found        bool
+	}{
+		{"holder above the bound of all", []int{14, 9, 9, 0, 0, 0}, []balance.LimitState{warm, warm, warm, at, at, at}, 0, -1, 32.0 / 6, true},
+		{"holder below it", []int{9, 9, 9, 0, 0, 0}, []balance.LimitState{warm, warm, warm, at, at, at}, 0, 0, 27.0 / 6, true},
+		{"holder far more loaded than a cold one", []int{9, 9, 9, 9, 9, 1}, []balance.LimitState{warm, warm, warm, warm, warm, below}, 0, 5, 46.0 / 6, true},
+		{"all cold, some below their rates", []int{1, 1, 1, 1, 1, 1}, []balance.LimitState{at, at, at, at, below, at}, 0, 4, 1, true},
+		{"all at their rates", []int{0, 0}, []balance.LimitState{at, at}, 0, 0, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			chooser := chooserWith(test.loads, nil)
+			chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(test.cached)})
+			chooser.Limit = func(_ time.Time, upstream registry.Upstream) balance.LimitState {
+				for i, limit := range test.limits {
+					if upstream.ID == id(i) {
+						return limit
+					}
+				}
+				return balance.Unlimited
+			}
+			got, found := chooser.Choose(start, poolOf(len(test.loads)), balance.Request{Keys: []ident.ChatID{"prompt"}})
+			if found != test.found || found && math.Abs(got.Mean-test.mean) > 1e-9 {
+				t.Fatalf("got mean %v and found %t, want %v and %t", got.Mean, found, test.mean, test.found)
+			}
+			if found && test.want >= 0 && got.Upstream.ID != id(test.want) {
+				t.Errorf("got %s (%s), want %s", got.Upstream.ID, got.Reason, id(test.want))
+			}
+			if found && test.want < 0 && got.Upstream.ID == id(test.cached) {
+				t.Errorf("got %s above the bound, want another one", got.Upstream.ID)
+			}
+		})
+	}
+}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -34,13 +34,18 @@
 	})
 }
 
-// limitState returns how an upstream stands to the limit that it names.
+// limitState returns how an upstream stands to the limit that it names, or to its rate while
+// it is cold.
 func (daemon *Daemon) limitState(now time.Time, upstream registry.Upstream) balance.LimitState {
 	switch daemon.quota.State(now, upstream) {
 	case quota.Below:
 		return balance.BelowLimit
 	case quota.Reached:
 		return balance.AtLimit
+	case quota.BelowColdRate:
+		return balance.BelowColdRate
+	case quota.ColdRateReached:
+		return balance.AtColdRate
 	}
 	return balance.Unlimited
 }
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
 )
@@ -36,7 +35,7 @@
 func (exchange *exchange) belowLimit(upstreams []registry.Upstream) []registry.Upstream {
 	now := time.Now()
 	return slices.DeleteFunc(slices.Clone(upstreams), func(upstream registry.Upstream) bool {
-		return exchange.handler.Quota.State(now, upstream) == quota.Reached
+		return exchange.handler.Quota.State(now, upstream).LeavesNone()
 	})
 }
 
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -321,7 +321,7 @@
 			if !next.After(at(3.1)) || next.After(at(5)) {
 				t.Errorf("got the next request after %v, want it within 2 s", next.Sub(at(3.1)))
 			}
-			if got := tracker.State(next.Add(time.Millisecond), row(1)); routers == 1 && got != quota.Below {
+			if got := tracker.State(next.Add(time.Millisecond), row(1)); routers == 1 && got != quota.BelowColdRate {
 				t.Error("got no request possible then, want one")
 			}
 		}
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -261,8 +261,15 @@
 	Below
 	// Reached means that it leaves none.
 	Reached
+	// BelowColdRate and ColdRateReached mean the same of the rate of an upstream that is cold
+	// and names no limit.
+	BelowColdRate
+	ColdRateReached
 )
 
+// LeavesNone reports whether this router may send the upstream no request now.
+func (state State) LeavesNone() bool { return state == Reached || state == ColdRateReached }
+
 // State returns how the upstream stands to its limit, or to the rate of a cold upstream, at
 // the time now. One that rests has reached it.
 func (tracker *Tracker) State(now time.Time, upstream registry.Upstream) State {
@@ -278,10 +285,14 @@
 	switch {
 	case bucket == nil && cold == nil:
 		return Unlimited
-	case bucket != nil && bucket.tokens < 1, cold != nil && !cold.allows(now):
+	case bucket != nil && (bucket.tokens < 1 || cold != nil && !cold.allows(now)):
 		return Reached
+	case bucket != nil:
+		return Below
+	case !cold.allows(now):
+		return ColdRateReached
 	}
-	return Below
+	return BelowColdRate
 }
 
 // Take counts a request to the upstream and reports whether its limit, and its rate while it
