--- /dev/null
+++ b/entry/stall_process_test.go
@@ -0,0 +1,114 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/entry"
+)
+
+// freePort returns an address on the loopback interface that was free just now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startProcess starts a router as a process of its own, with the settings of the fixture, and
+// waits until it is ready.
+func (fixture *fixture) startProcess() *os.Process {
+	t := fixture.t
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "hickoryhead")
+	if output, err := exec.Command("go", "build", "-o", program, "github.com/hickoryhead/hickoryhead/cmd/hickoryhead").CombinedOutput(); err != nil {
+		t.Fatalf("got %v, want a successful build: %s", err, output)
+	}
+	settings := fixture.config
+	settings.CallerListen, settings.ReadyListen, settings.PeerListen = freePort(t), freePort(t), freePort(t)
+	fixture.addresses = entry.Addresses{Callers: settings.CallerListen, Ready: settings.ReadyListen, Peers: settings.PeerListen}
+	content, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "entry.json")
+	if err := os.WriteFile(name, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(program, "entry", "--settings", name)
+	command.Stdout, command.Stderr = &fixture.log, &fixture.log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	fixture.waitFor(5*time.Second, "readiness of the process", fixture.ready)
+	return command.Process
+}
+
+// TestRequestsOfARouterThatStoodStill guards against a router whose process stood still while
+// a zone was evacuated, and that sends the requests which came meanwhile to that zone as soon
+// as it goes on. The other router of the fleet learns of the evacuation at once.
+func TestRequestsOfARouterThatStoodStill(t *testing.T) {
+	first := newZoneFixture(t)
+	stopped := newRouterBeside(first, "vm-2")
+	stopped.config.EvacuateMs = 5000
+	first.start()
+	first.waitFor(3*time.Second, "readiness", first.ready)
+	process := stopped.startProcess()
+	if status, _, _ := stopped.get("/first/x"); status != http.StatusOK {
+		t.Fatalf("got status %d before the process stood still, want 200", status)
+	}
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	first.evacuate("a", true)
+	first.waitFor(evacuateTime, "evacuation at the other router", func() bool { return first.servedBy("i-b") })
+	time.Sleep(evacuateTime)
+	before := first.upstreams["i-a"].served.Load()
+	var waiting sync.WaitGroup
+	answers := make(chan string, 300)
+	for range cap(answers) {
+		waiting.Go(func() {
+			status, body, _ := stopped.get("/first/x")
+			answers <- fmt.Sprint(status, " ", body)
+		})
+	}
+	// The requests wait in the sockets of the process.
+	time.Sleep(500 * time.Millisecond)
+	if err := process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	waiting.Wait()
+	close(answers)
+	served := 0
+	for answer := range answers {
+		switch {
+		case strings.HasPrefix(answer, "200 i-b"):
+			served++
+		case strings.HasPrefix(answer, "200"):
+			t.Errorf("got %q from the router that stood still, want no answer of another zone", answer)
+		}
+	}
+	if served == 0 {
+		t.Error("got no answer from the router that stood still, want some: others may exceed the connections of the upstream")
+	}
+	if got := first.upstreams["i-a"].served.Load(); got != before {
+		t.Errorf("got %d requests in the evacuated zone, want none", got-before)
+	}
+}
