soak: upstreams of the pool are cold after a restart, and get no more than they take

New promise: too much for a cold upstream, in any second after each restart, whatever fault is active.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -171,6 +171,7 @@
 	soak.checkRegistered()
 	soak.checkPanics()
 	soak.checkTakeUps()
+	soak.checkCold()
 	for _, service := range soak.small {
 		service.check()
 	}
@@ -208,7 +209,11 @@
 		router.previous = soak.options.Previous
 		if router.previous == "" {
 			// An earlier program refuses settings that it doesn't know.
+			router.settings.ColdOverage, router.settings.ColdSlack = coldRule.Overage, coldRule.Slack
 			router.settings.HeartbeatMs = ident.Milliseconds(standin.RunnerHeartbeatInterval.Milliseconds())
+			if err := router.writeSettings(); err != nil {
+				return err
+			}
 		}
 		if err := router.start(); err != nil {
 			return err
@@ -283,7 +288,7 @@
 		route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, maxAttempts),
 		route("stream", "/stream/", routing.Stream, 1), resume, probe,
 	}
-	services := []routing.Service{{Name: poolService, MaxConnections: 400}}
+	services := []routing.Service{{Name: poolService, MaxConnections: 400, ColdStart: coldRule.Start, ColdPerSecond: coldRule.PerSecond}}
 	for size := range maxSmallService {
 		services = append(services, routing.Service{Name: smallServiceName(size + 1), MaxConnections: 100})
 	}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -93,6 +93,8 @@
 	arrivals []arrival
 	rests    []rest
 	notices  []leavingNotice
+	// restartedAt are the times of its restarts.
+	restartedAt []time.Time
 }
 
 func startUpstream(id ident.UpstreamID, service ident.ServiceName, software ident.SoftwareVersion, soak *Soak) (*upstream, error) {
@@ -232,6 +234,7 @@
 		defer heal()
 	}
 	upstream.proxy.Reset()
+	upstream.recordRestart()
 	upstream.runner.RestartAs(software)
 	if err := upstream.proxy.Accept(); err != nil {
 		upstream.soak.violate("soak failed", "%s does not listen again: %v", upstream.runner.ID, err)
