crowdtest: crowds of clients that use up a router's memory or descriptors

Clients outside our control ended routers by memory: large bodies that stop short of their end, endless heads, silent connections, answers that are not read. These tests play small crowds of them against router processes with MemoryMB 136, the limits of the configuration (bodies of 4 MiB) and 400 descriptors, and check that the process lives, that its peak of resident memory stays at most 136 MB (139,264 KB) and its open descriptors at most 350, and that an ordinary request is answered beside the crowd and after it.

They stay as guards

--- /dev/null
+++ b/crowdtest/upstream_test.go
@@ -0,0 +1,95 @@
+package crowdtest_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Paths behind the prefix of a route, which say how the upstream answers.
+const (
+	// slowPath is that of requests whose bodies the upstream leaves unread for
+	// slowToAccept.
+	slowPath = "slow"
+	// longPath is that of long answers.
+	longPath = "long"
+
+	slowToAccept = 4 * time.Second
+	// longAnswerBytes is more than the sockets on the way hold.
+	longAnswerBytes = 64 << 20
+)
+
+// upstream answers ordinary requests with the length of their bodies.
+type upstream struct {
+	server *httptest.Server
+	served atomic.Int64
+}
+
+func startUpstream(t *testing.T) *upstream {
+	upstream := new(upstream)
+	upstream.server = httptest.NewServer(upstream)
+	t.Cleanup(upstream.close)
+	return upstream
+}
+
+// close ends the answers that are not read, too.
+func (upstream *upstream) close() {
+	upstream.server.CloseClientConnections()
+	upstream.server.Close()
+}
+
+func (upstream *upstream) address() string {
+	return strings.TrimPrefix(upstream.server.URL, "http://")
+}
+
+// ServeHTTP answers one request.
+func (upstream *upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	upstream.served.Add(1)
+	if strings.HasSuffix(request.URL.Path, slowPath) {
+		time.Sleep(slowToAccept)
+	}
+	length, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return
+	}
+	header := writer.Header()
+	header.Set("Hickoryhead-Attempt-Id", request.Header.Get("Hickoryhead-Attempt-Id"))
+	header.Set("Hickoryhead-Response-Signature", "s")
+	streaming := strings.HasPrefix(request.URL.Path, "/stream/")
+	switch {
+	case strings.HasSuffix(request.URL.Path, longPath) && streaming:
+		header.Set("Content-Type", "text/event-stream")
+		filler := strings.Repeat("x", 64<<10)
+		for sent := 0; sent < longAnswerBytes; sent += len(filler) {
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", sent/len(filler), filler); err != nil {
+				return
+			}
+		}
+	case strings.HasSuffix(request.URL.Path, longPath):
+		filler := make([]byte, 64<<10)
+		for sent := 0; sent < longAnswerBytes; sent += len(filler) {
+			if _, err := writer.Write(filler); err != nil {
+				return
+			}
+		}
+	default:
+		_, _ = fmt.Fprintf(writer, "%d", length)
+	}
+}
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
