memory: an account of what a router holds for others

Nothing bounded the sum of the bodies that a router reads; forward.Buffers bounded answers only. The account holds both, and long heads.

--- /dev/null
+++ b/memory/account.go
@@ -0,0 +1,215 @@
+package memory
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/ident"
+)
+
+const (
+	// DefaultLimit is the limit of an account that has none set.
+	DefaultLimit ident.Bytes = 256 << 20
+	// MaxSmallBytes is the size of the largest small holding: a request of 72 KB in chunks
+	// takes as much, with its last part unfilled.
+	MaxSmallBytes = 128 << 10
+	// reservedShare is the part of the limit that is left to small holdings.
+	reservedShare = 1.0 / 3
+	// progressStep is the number of bytes by which progress is measured, and slowStep how
+	// long they take at a tenth of the slowest link that callers have, 10 Mbit/s.
+	progressStep = 64 << 10
+	slowStep     = 500 * time.Millisecond
+)
+
+// Account bounds the bytes of all its holdings. The zero value is ready to use. It is safe
+// for concurrent use.
+type Account struct {
+	// Limit is the most that the holdings take together; zero means DefaultLimit. It is set
+	// before use.
+	Limit ident.Bytes
+
+	mu sync.Mutex
+	// held is the sum of all holdings, and large that of those above MaxSmallBytes.
+	held, large int64
+	// unfinished are the holdings that may be given up.
+	unfinished map[*Holding]struct{}
+}
+
+// Holding is what one request or connection holds in an account, whose mutex guards the
+// fields. The zero value holds nothing. It belongs to one account.
+type Holding struct {
+	bytes int64
+	// giveUp is called, while the account is locked, if the holding is given up.
+	giveUp  func()
+	givenUp bool
+	// moved counts the bytes since stepAt, and lastStep is how long the last progressStep
+	// bytes took.
+	moved    int64
+	stepAt   time.Time
+	lastStep time.Duration
+}
+
+// Held returns the bytes of all holdings.
+func (account *Account) Held() ident.Bytes {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	return ident.Bytes(account.held)
+}
+
+// Unfinished returns the number of holdings that may be given up.
+func (account *Account) Unfinished() int {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	return len(account.unfinished)
+}
+
+func (account *Account) limit() int64 {
+	if account.Limit <= 0 {
+		return int64(DefaultLimit)
+	}
+	return int64(account.Limit)
+}
+
+// Grow adds count bytes to the holding and reports whether there was room. It gives other
+// holdings up for that, the largest and slowest first, but none that makes better progress
+// than this one. It returns false also if the holding itself has been given up.
+func (account *Account) Grow(now time.Time, holding *Holding, count int64) bool {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	if holding.givenUp {
+		return false
+	}
+	for !account.fits(holding, count) {
+		victim := account.victim(now, holding, count)
+		if victim == nil {
+			return false
+		}
+		account.giveUp(victim)
+	}
+	account.add(holding, count)
+	return true
+}
+
+// fits reports whether the holding may grow by count bytes. A large one always may while
+// there is no other large one, so that the largest request is served however small the
+// account is; what it takes beyond the part of large ones does not count against others.
+func (account *Account) fits(holding *Holding, count int64) bool {
+	grown := holding.bytes + count
+	shared := account.limit() - int64(reservedShare*float64(account.limit()))
+	if grown <= MaxSmallBytes {
+		return account.held-account.large+min(account.large, shared)+count <= account.limit()
+	}
+	others := account.large
+	if holding.large() {
+		others -= holding.bytes
+	}
+	return others == 0 || others+grown <= shared && account.held+count <= account.limit()
+}
+
+func (holding *Holding) large() bool { return holding.bytes > MaxSmallBytes }
+
+// add changes the size of a holding.
+func (account *Account) add(holding *Holding, count int64) {
+	if holding.large() {
+		account.large -= holding.bytes
+	}
+	holding.bytes += count
+	account.held += count
+	if holding.large() {
+		account.large += holding.bytes
+	}
+}
+
+// victim returns the holding that is given up so that another one can grow by count bytes,
+// or nil. Large ones go first: for a small holding any that is unfinished, for a large one
+// only those that are slow.
+func (account *Account) victim(now time.Time, growing *Holding, count int64) *Holding {
+	small := growing.bytes+count <= MaxSmallBytes
+	var worst *Holding
+	var worstLarge bool
+	var worstRank float64
+	if !small {
+		worstRank, worstLarge = growing.rank(now), true
+	}
+	for holding := range account.unfinished {
+		if holding == growing || holding.pace(now) < slowStep && !(small && holding.large()) {
+			continue
+		}
+		rank := holding.rank(now)
+		if holding.large() == worstLarge && rank > worstRank || holding.large() && !worstLarge {
+			worst, worstLarge, worstRank = holding, holding.large(), rank
+		}
+	}
+	return worst
+}
+
+// pace returns how long the holding takes for progressStep bytes.
+func (holding *Holding) pace(now time.Time) time.Duration {
+	return max(now.Sub(holding.stepAt), holding.lastStep)
+}
+
+// rank orders the holdings that are given up: the largest and slowest is the highest.
+func (holding *Holding) rank(now time.Time) float64 {
+	return holding.pace(now).Seconds() * float64(holding.bytes)
+}
+
+// giveUp frees what a holding has and tells its owner.
+func (account *Account) giveUp(holding *Holding) {
+	delete(account.unfinished, holding)
+	account.add(holding, -holding.bytes)
+	holding.givenUp = true
+	holding.giveUp()
+}
+
+// Watch says that the holding is unfinished from now on: it may be given up, by a call of
+// giveUp. That must not block or use the account. The owner reports its progress.
+func (account *Account) Watch(now time.Time, holding *Holding, giveUp func()) {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	if holding.givenUp {
+		return
+	}
+	holding.giveUp = giveUp
+	holding.moved, holding.stepAt, holding.lastStep = 0, now, 0
+	if account.unfinished == nil {
+		account.unfinished = make(map[*Holding]struct{})
+	}
+	account.unfinished[holding] = struct{}{}
+}
+
+// Progress records that count bytes of an unfinished holding have arrived or left.
+func (account *Account) Progress(now time.Time, holding *Holding, count int) {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	holding.moved += int64(count)
+	if steps := holding.moved / progressStep; steps > 0 {
+		holding.lastStep = now.Sub(holding.stepAt) / time.Duration(steps)
+		holding.stepAt = now
+		holding.moved %= progressStep
+	}
+}
+
+// Keep says that the holding is finished, and is not given up any more. It returns false if
+// it has been given up before.
+func (account *Account) Keep(holding *Holding) bool {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	delete(account.unfinished, holding)
+	return !holding.givenUp
+}
+
+// GivenUp reports whether the holding has been given up.
+func (account *Account) GivenUp(holding *Holding) bool {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	return holding.givenUp
+}
+
+// Release returns what the holding has. It can be used again afterwards, unless it has been
+// given up.
+func (account *Account) Release(holding *Holding) {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	delete(account.unfinished, holding)
+	account.add(holding, -holding.bytes)
+}
