--- a/config/entry.go
+++ b/config/entry.go
@@ -35,6 +35,10 @@
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; zero means unknown.
 	LinkMbps float64 `json:",omitempty" validate:"gte=0,lte=10000000"`
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
-	// of the Go runtime is set to a share of it; zero sets no limit.
+	// of the Go runtime, the memory for bodies and answers and the number of callers'
+	// connections are set to shares of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
+	// MaxDescriptors is how many files and sockets the process may open; zero means the
+	// limit of the system. Callers' connections are bounded by a share of it.
+	MaxDescriptors int `json:",omitempty" validate:"gte=0,lte=100000000"`
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/quota"
@@ -42,12 +43,6 @@
 	// loadBoundSlack is how many requests above its multiple of the mean load an
 	// upstream may have. Without it a small mean would leave no room.
 	loadBoundSlack = 1.5
-	// memoryLimitShare is the share of the configured memory that is set as the
-	// runtime's soft memory limit, above which the garbage collector works harder.
-	memoryLimitShare = 0.7
-	bytesPerMB       = 1 << 20
-	// bufferLimitShare is the share of it that answers in memory may use.
-	bufferLimitShare = 0.125
 	// routerIDBase is the numeric base in which the random ID of a run is written.
 	// Each message to other routers carries the ID.
 	routerIDBase = 36
@@ -171,13 +166,16 @@
 		Splits:      &daemon.splits,
 		Origins:     &daemon.origins,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
-		Buffers:     forward.Buffers{Limit: ident.Bytes(bufferLimitShare * float64(daemon.Config.MemoryMB) * bytesPerMB)},
+		Memory:      memory.Account{Limit: memoryFor(daemon.Config)},
 		Zone:        daemon.Config.Zone,
 		Routers:     daemon.routers,
 		Metrics:     set,
 		Logger:      logging.Component(daemon.Logger, "forward"),
 		LogLimiter:  rate.NewLimiter(requestLogLinesPerSecond, requestLogLinesPerSecond),
 	}
+	if err := daemon.registerGauges(); err != nil {
+		return err
+	}
 	daemon.applyTuning()
 	daemon.updater = &follow.Updater{
 		Routes:           &daemon.routes,
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -34,6 +34,7 @@
 	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
+	daemon.callerConns.CloseHalfRead(now.Add(-headerTimeout))
 	if !daemon.stop.stopping() {
 		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/hickoryhead/hickoryhead/forward"
 )
 
 const (
@@ -60,12 +58,12 @@
 // for callers first.
 func (daemon *Daemon) listen() ([]*httpService, error) {
 	endpoints := []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
 	}{
-		{daemon.Config.CallerListen, daemon.handler},
-		{daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
-		{daemon.Config.MetricsListen, daemon.metrics.Handler()},
+		{"callers", daemon.Config.CallerListen, daemon.handler},
+		{"readiness", daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
+		{"metrics", daemon.Config.MetricsListen, daemon.metrics.Handler()},
 	}
 	var services []*httpService
 	for _, endpoint := range endpoints {
@@ -76,7 +74,7 @@
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrap(err, "open HTTP listener"), closeListeners(services))
 		}
-		services = append(services, &httpService{
+		service := &httpService{
 			listener: listener,
 			logger:   daemon.Logger,
 			done:     make(chan struct{}),
@@ -85,11 +83,13 @@
 				ReadHeaderTimeout: headerTimeout,
 				ErrorLog:          slog.NewLogLogger(daemon.Logger.Handler(), slog.LevelDebug),
 			},
-		})
+		}
+		if len(services) == 0 {
+			daemon.boundCallers(service)
+		} else {
+			daemon.boundAuxiliary(service, endpoint.name)
+		}
+		services = append(services, service)
 	}
-	callers := services[0]
-	callers.listener = forward.Listener{Listener: callers.listener}
-	callers.server.ConnContext = forward.ConnContext
-	callers.server.ConnState = daemon.callerConns.Track
 	return services, nil
 }
--- /dev/null
+++ b/forward/body.go
@@ -0,0 +1,247 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/result"
+)
+
+const (
+	// defaultMaxBodyBytes limits a request body if the configuration does not.
+	defaultMaxBodyBytes = 4 << 20
+	// minPartBytes and maxPartBytes are the sizes of the parts in which a body is kept. The
+	// first part is small and the others grow as the body arrives, so that an announced
+	// length alone takes no memory; no part is copied to make room. The first part is not
+	// counted in the memory account, but with its connection.
+	minPartBytes = 2 << 10
+	maxPartBytes = 64 << 10
+	// deadlineStep is the least by which the deadline for the next byte of a body, or the
+	// next write of an answer, is moved.
+	deadlineStep = time.Second
+	// maxLinger is how long a refused caller may go on sending its body before its
+	// connection is closed: closing it at once would destroy the answer.
+	maxLinger = time.Second
+)
+
+var errNoRoom = errors.New("no memory left for the body")
+
+// bodyReader reads the body of a request into parts.
+type bodyReader struct {
+	exchange   *exchange
+	controller *http.ResponseController
+	startedAt  time.Time
+	// deadline is when the next byte has to arrive.
+	deadline time.Time
+	// announced is the length of the body, or -1.
+	announced int64
+	limit     int64
+	read      int64
+}
+
+func (exchange *exchange) readBody() result.Code {
+	limit := int64(exchange.table.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if exchange.request.ContentLength > limit {
+		return result.BodyTooLarge
+	}
+	if exchange.request.ContentLength == 0 {
+		return result.OK
+	}
+	reader := &bodyReader{
+		exchange:   exchange,
+		controller: http.NewResponseController(exchange.writer),
+		startedAt:  time.Now(),
+		announced:  exchange.request.ContentLength,
+		limit:      limit,
+	}
+	exchange.conn.waitForCaller(reader.startedAt)
+	code := reader.readAll()
+	exchange.conn.endWait()
+	if reader.exchange.bodyHeld && !exchange.handler.Memory.Keep(&exchange.bodyHolding) {
+		code = result.MemoryFull
+	}
+	if code != result.OK {
+		return code
+	}
+	if err := reader.controller.SetReadDeadline(time.Time{}); err != nil {
+		exchange.handler.Logger.Debug("Could not clear the read deadline.", "Error", err)
+	}
+	return result.OK
+}
+
+// readAll reads the body to its end.
+func (reader *bodyReader) readAll() result.Code {
+	exchange := reader.exchange
+	reader.moveDeadline()
+	for {
+		part, hasRoom := reader.newPart()
+		if !hasRoom {
+			exchange.setCause(errNoRoom)
+			return result.MemoryFull
+		}
+		count, err := reader.fill(part)
+		if count > 0 {
+			exchange.body = append(exchange.body, part[:count])
+		}
+		switch {
+		case reader.read > reader.limit:
+			return result.BodyTooLarge
+		case errors.Is(err, io.EOF):
+			return result.OK
+		case err != nil:
+			return reader.failureCode(err)
+		}
+	}
+}
+
+// newPart returns an empty part for the next bytes, and whether there is room for it. All
+// but the first are held in the memory account, and may be given up from then on.
+func (reader *bodyReader) newPart() ([]byte, bool) {
+	// A byte more than the limit shows that the body is too large.
+	size := min(max(reader.read, minPartBytes), maxPartBytes, reader.limit+1-reader.read)
+	if reader.announced >= 0 {
+		size = min(size, reader.announced-reader.read)
+	}
+	if reader.read == 0 {
+		return make([]byte, size), true
+	}
+	account, holding := &reader.exchange.handler.Memory, &reader.exchange.bodyHolding
+	now := time.Now()
+	if !reader.exchange.bodyHeld {
+		reader.exchange.bodyHeld = true
+		account.Watch(now, holding, reader.interrupt)
+	}
+	if !account.Grow(now, holding, size) {
+		return nil, false
+	}
+	return make([]byte, size), true
+}
+
+// interrupt ends the reading of a body that is given up.
+func (reader *bodyReader) interrupt() { _ = reader.controller.SetReadDeadline(time.Unix(1, 0)) }
+
+// fill reads until the part is full or the body ends.
+func (reader *bodyReader) fill(part []byte) (int, error) {
+	filled := 0
+	for filled < len(part) {
+		count, err := reader.exchange.request.Body.Read(part[filled:])
+		filled += count
+		reader.read += int64(count)
+		if err != nil {
+			return filled, err
+		}
+		if reader.read == reader.announced {
+			// The end of the body is known without another read.
+			return filled, io.EOF
+		}
+		now := time.Now()
+		reader.moveDeadline()
+		if reader.exchange.bodyHeld {
+			reader.exchange.handler.Memory.Progress(now, &reader.exchange.bodyHolding, count)
+		}
+		reader.exchange.conn.recordProgress(now, count)
+	}
+	return filled, nil
+}
+
+// moveDeadline sets by when the next byte has to arrive.
+func (reader *bodyReader) moveDeadline() {
+	deadline := earlier(reader.startedAt.Add(memory.BodyTime(reader.read)), reader.exchange.deadline)
+	if deadline.Sub(reader.deadline) < deadlineStep {
+		return
+	}
+	reader.deadline = deadline
+	if err := reader.controller.SetReadDeadline(deadline); err != nil {
+		reader.exchange.handler.Logger.Debug("Could not set the read deadline.", "Error", err)
+	}
+	// The body may have been given up while the deadline was moved.
+	if reader.exchange.bodyHeld && reader.exchange.handler.Memory.GivenUp(&reader.exchange.bodyHolding) {
+		reader.interrupt()
+	}
+}
+
+// failureCode returns the code of a request whose body could not be read to its end.
+func (reader *bodyReader) failureCode(err error) result.Code {
+	exchange := reader.exchange
+	exchange.setCauseText(err.Error())
+	now := time.Now()
+	if reader.exchange.bodyHeld && exchange.handler.Memory.GivenUp(&exchange.bodyHolding) {
+		exchange.setCause(errNoRoom)
+		return result.MemoryFull
+	}
+	if now.Before(exchange.deadline) && !now.Before(reader.deadline) {
+		return result.BodyTooSlow
+	}
+	return result.MalformedBody
+}
+
+// boundRefusal bounds how long the caller of a refused request may take to read its answer,
+// and to send a body that was not read: net/http reads some of it to keep the connection.
+func (exchange *exchange) boundRefusal() {
+	controller := http.NewResponseController(exchange.writer)
+	until := time.Now().Add(memory.MaxStall)
+	err := controller.SetWriteDeadline(until)
+	if err == nil && exchange.request.ContentLength != 0 && exchange.body == nil {
+		err = controller.SetReadDeadline(until)
+	}
+	if err != nil {
+		exchange.handler.Logger.Debug("Could not bound the time of a refusal.", "Error", err)
+	}
+}
+
+// lingers reports whether the caller of a request that was refused with code may still be
+// sending its body.
+func lingers(code result.Code) bool {
+	return code == result.MemoryFull || code == result.BodyTooSlow || code == result.BodyTooLarge
+}
+
+// prepareToLinger makes the answer of a refused request the last on its connection, and
+// leaves the rest of its body unread for now.
+func (exchange *exchange) prepareToLinger() {
+	exchange.body = nil
+	exchange.releaseMemory()
+	exchange.writer.Header().Set("Connection", "close")
+	if err := http.NewResponseController(exchange.writer).EnableFullDuplex(); err != nil {
+		exchange.handler.Logger.Debug("Could not answer before the end of the body.", "Error", err)
+	}
+}
+
+// linger sends the answer of a refused request, and reads and drops what its caller still
+// sends, for a short time: unread bytes would reset the connection, and the answer might get
+// lost.
+func (exchange *exchange) linger() {
+	controller := http.NewResponseController(exchange.writer)
+	now := time.Now()
+	if controller.SetReadDeadline(now.Add(maxLinger)) != nil || controller.SetWriteDeadline(now.Add(maxLinger)) != nil || controller.Flush() != nil {
+		return
+	}
+	exchange.conn.closeWrite()
+	// The caller sees the close; an error would change nothing.
+	_, _ = io.Copy(io.Discard, exchange.request.Body)
+}
+
+// fullLogInterval is the least time between two log lines about memory that is full.
+const fullLogInterval = time.Second
+
+// reportFull logs, at most once each fullLogInterval, that requests are refused because the
+// memory account is full.
+func (handler *Handler) reportFull(now time.Time) {
+	handler.fullMu.Lock()
+	handler.fullRefusals++
+	refusals := handler.fullRefusals
+	due := now.Sub(handler.fullLoggedAt) >= fullLogInterval
+	if due {
+		handler.fullLoggedAt, handler.fullRefusals = now, 0
+	}
+	handler.fullMu.Unlock()
+	if due {
+		handler.Logger.Warn("Memory for bodies and answers is full.", "Held", handler.Memory.Held(), "Limit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "Refused", refusals)
+	}
+}
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -2,52 +2,21 @@
 
 import (
 	"io"
-	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 )
 
 const (
-	// defaultBufferBytes limits the Buffers whose Limit is zero.
-	defaultBufferBytes ident.Bytes = 64 << 20
-	// ownBufferBytes is how much of an answer each request may hold on its own: nearly all
-	// answers and events are shorter.
-	ownBufferBytes = 32 << 10
+	// ownBufferBytes is how much of an answer each request may hold without a holding in the
+	// memory account: nearly all answers and events are shorter.
+	ownBufferBytes = 8 << 10
 	// reserveStep is the least by which a request reserves more.
-	reserveStep = 64 << 10
+	reserveStep = 16 << 10
 )
 
-// Buffers bounds the bytes of answers that all requests together hold in memory, so that
-// upstreams which send without end can't use up what the process has. The zero value is
-// ready to use. It is safe for concurrent use.
-type Buffers struct {
-	// Limit is the most that requests hold beyond ownBufferBytes each; zero means
-	// defaultBufferBytes. It is set before use.
-	Limit ident.Bytes
-
-	held atomic.Int64
-}
-
-// reserve reserves bytes and reports whether there were as many left.
-func (buffers *Buffers) reserve(count int64) bool {
-	limit := buffers.Limit
-	if limit == 0 {
-		limit = defaultBufferBytes
-	}
-	if buffers.held.Add(count) > int64(limit) {
-		buffers.held.Add(-count)
-		return false
-	}
-	return true
-}
-
-func (buffers *Buffers) release(count int64) { buffers.held.Add(-count) }
-
-// Held returns the bytes that are reserved.
-func (buffers *Buffers) Held() ident.Bytes { return ident.Bytes(buffers.held.Load()) }
-
 // mayHold reports whether the request may hold count bytes of an answer. What it reserves
 // for that is released at the end of the request.
 func (exchange *exchange) mayHold(count int) bool {
@@ -56,7 +25,7 @@
 		return true
 	}
 	missing = max(missing, reserveStep)
-	if !exchange.handler.Buffers.reserve(missing) {
+	if !exchange.handler.Memory.Grow(time.Now(), &exchange.answerHolding, missing) {
 		exchange.handler.Metrics.CountEvent("answer.buffer.full")
 		return false
 	}
@@ -64,10 +33,32 @@
 	return true
 }
 
-// releaseBuffers releases what the request has reserved.
-func (exchange *exchange) releaseBuffers() {
-	exchange.handler.Buffers.release(exchange.reserved)
-	exchange.reserved = 0
+// releaseMemory releases what the request holds.
+func (exchange *exchange) releaseMemory() {
+	if exchange.bodyHeld {
+		exchange.bodyHeld = false
+		exchange.handler.Memory.Release(&exchange.bodyHolding)
+	}
+	exchange.releaseAnswer()
+}
+
+// releaseBody releases the body of a request that is not sent again.
+func (exchange *exchange) releaseBody() {
+	// The fingerprint is that of the body, and goes into the log.
+	exchange.suspect()
+	exchange.body = nil
+	if exchange.bodyHeld {
+		exchange.bodyHeld = false
+		exchange.handler.Memory.Release(&exchange.bodyHolding)
+	}
+}
+
+// releaseAnswer releases what the request holds of its answer.
+func (exchange *exchange) releaseAnswer() {
+	if exchange.reserved > 0 {
+		exchange.reserved = 0
+		exchange.handler.Memory.Release(&exchange.answerHolding)
+	}
 }
 
 // readHeld reads an answer's body to its end, as far as the request may hold it. It reports
@@ -91,3 +82,81 @@
 	}
 	return read, false, nil
 }
+
+const (
+	// writePieceBytes is the most that is written to a caller at a time, so that its
+	// progress shows.
+	writePieceBytes = 64 << 10
+	// copyBufferBytes is the size of the buffer of an answer that is relayed while it
+	// arrives.
+	copyBufferBytes = 16 << 10
+)
+
+// callerWriter writes the body of the answer to the caller, and records a failure
+// as the caller's: its error looks like that of a connection to an upstream.
+type callerWriter struct {
+	exchange *exchange
+}
+
+// Write writes data to the caller. It fails if the caller reads nothing for memory.MaxStall,
+// or if what the request holds for it has been given up.
+func (callerWriter callerWriter) Write(data []byte) (int, error) {
+	exchange := callerWriter.exchange
+	if exchange.reserved > 0 {
+		exchange.watchAnswer()
+		defer exchange.keepAnswer()
+	}
+	exchange.conn.waitForCaller(time.Now())
+	defer exchange.conn.endWait()
+	written := 0
+	for {
+		piece := data[written:min(len(data), written+writePieceBytes)]
+		exchange.moveWriteDeadline(time.Now())
+		count, err := exchange.writer.Write(piece)
+		written += count
+		if err != nil {
+			exchange.callerFailed = true
+			return written, err
+		}
+		if written == len(data) {
+			return written, nil
+		}
+		now := time.Now()
+		exchange.conn.recordProgress(now, count)
+		if exchange.answerWatched {
+			exchange.handler.Memory.Progress(now, &exchange.answerHolding, count)
+		}
+	}
+}
+
+// watchAnswer says that the caller has to read what the request holds of its answer: it may
+// be given up from now on, which fails the write.
+func (exchange *exchange) watchAnswer() {
+	exchange.answerWatched = true
+	exchange.handler.Memory.Watch(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
+}
+
+// keepAnswer ends what watchAnswer began.
+func (exchange *exchange) keepAnswer() {
+	exchange.answerWatched = false
+	exchange.handler.Memory.Keep(&exchange.answerHolding)
+}
+
+// interruptWrite ends the write of an answer that is given up.
+func (exchange *exchange) interruptWrite() {
+	exchange.setWriteDeadline(time.Unix(1, 0))
+}
+
+// moveWriteDeadline sets by when the next bytes have to be written to the caller.
+func (exchange *exchange) moveWriteDeadline(now time.Time) {
+	deadline := earlier(exchange.deadline.Add(writeGrace), now.Add(memory.MaxStall))
+	if deadline.Sub(exchange.writeDeadline) < deadlineStep {
+		return
+	}
+	exchange.writeDeadline = deadline
+	exchange.setWriteDeadline(deadline)
+	// The answer may have been given up while the deadline was moved.
+	if exchange.answerWatched && exchange.handler.Memory.GivenUp(&exchange.answerHolding) {
+		exchange.interruptWrite()
+	}
+}
--- a/forward/buffers_test.go
+++ b/forward/buffers_test.go
@@ -56,7 +56,7 @@
 				upstreams = append(upstreams, startUpstream(t, (&endless{begin: head, unit: test.unit}).answer))
 			}
 			router := startRouter(t, upstreams...)
-			router.handler.Buffers.Limit = manyBuffers
+			router.handler.Memory.Limit = manyBuffers
 			defer debug.SetGCPercent(debug.SetGCPercent(20))
 			runtime.GC()
 			var before runtime.MemStats
@@ -80,10 +80,10 @@
 			} else {
 				t.Logf("heap grew by %d MiB", grown>>20)
 			}
-			for end := time.Now().Add(5 * time.Second); router.handler.Buffers.Held() > 0 && time.Now().Before(end); {
+			for end := time.Now().Add(5 * time.Second); router.handler.Memory.Held() > 0 && time.Now().Before(end); {
 				time.Sleep(10 * time.Millisecond)
 			}
-			if got := router.handler.Buffers.Held(); got != 0 {
+			if got := router.handler.Memory.Held(); got != 0 {
 				t.Errorf("got %d bytes reserved after the last request, want none", got)
 			}
 		})
--- /dev/null
+++ b/forward/caller_conns.go
@@ -0,0 +1,209 @@
+package forward
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// minStall is how long a caller must have neither sent nor read for its connection to be
+	// closed because of the bound, if it has a request.
+	minStall = time.Second
+	// maxVictims limits how many connections are tried to make room for one.
+	maxVictims = 4
+)
+
+// CallerConns tracks the open connections of a listener, and bounds them. The zero value is
+// ready to use, without a bound; Track is the ConnState callback of an http.Server. It is safe
+// for concurrent use.
+type CallerConns struct {
+	// Max is the most connections that are open; zero means no bound. It is set before use.
+	Max int
+	// OnBound, if set, is called when a connection is closed because there are Max, with the
+	// reason. It must not block.
+	OnBound func(reason BoundReason)
+
+	mu sync.Mutex
+	// states holds the state of each open connection.
+	states map[net.Conn]connState
+}
+
+// connState is the state of a connection, and since when it has it.
+type connState struct {
+	state http.ConnState
+	since time.Time
+}
+
+// BoundReason says why a connection was closed at the bound.
+type BoundReason string
+
+// The connections that are closed at the bound, in this order.
+const (
+	// BoundIdle is a connection without a request, the one that has been idle longest.
+	BoundIdle BoundReason = "idle"
+	// BoundHead is a connection whose head has not ended.
+	BoundHead BoundReason = "head"
+	// BoundStalled is a connection whose caller neither sends its body nor reads its answer.
+	BoundStalled BoundReason = "stalled"
+	// BoundNew is the newest one, as all others have requests that make progress.
+	BoundNew BoundReason = "new"
+)
+
+// Track records the new state of a connection. A new one beyond Max takes the place of
+// another.
+func (callerConns *CallerConns) Track(conn net.Conn, state http.ConnState) {
+	if callerConns.record(conn, state) {
+		callerConns.makeRoom(time.Now(), conn)
+	}
+}
+
+// record records the new state of a connection, and reports whether there are too many.
+func (callerConns *CallerConns) record(conn net.Conn, state http.ConnState) bool {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(callerConns.states, conn)
+		return false
+	}
+	if callerConns.states == nil {
+		callerConns.states = make(map[net.Conn]connState)
+	}
+	callerConns.states[conn] = connState{state: state, since: time.Now()}
+	return state == http.StateNew && callerConns.Max > 0 && len(callerConns.states) > callerConns.Max
+}
+
+// makeRoom closes a connection to make room for added, or added itself.
+func (callerConns *CallerConns) makeRoom(now time.Time, added net.Conn) {
+	for range maxVictims {
+		victim, since, reason := callerConns.victim(now, added)
+		if callerConns.closeAtBound(victim, since, reason) {
+			callerConns.mu.Lock()
+			delete(callerConns.states, victim)
+			callerConns.mu.Unlock()
+			if callerConns.OnBound != nil {
+				callerConns.OnBound(reason)
+			}
+			return
+		}
+	}
+}
+
+// closeAtBound closes a connection, unless it is idle and has brought bytes after since.
+func (callerConns *CallerConns) closeAtBound(victim net.Conn, since time.Time, reason BoundReason) bool {
+	checked, isChecked := victim.(*checkedConn)
+	switch {
+	case isChecked && reason == BoundIdle:
+		return checked.closeUnlessRead(since)
+	case isChecked:
+		checked.closeNow()
+	default:
+		// The caller sees the close; an error would change nothing.
+		_ = victim.Close()
+	}
+	return true
+}
+
+// victim returns the connection that is closed to make room for added, since when it has its
+// state, and the reason.
+func (callerConns *CallerConns) victim(now time.Time, added net.Conn) (net.Conn, time.Time, BoundReason) {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	var idle, head, stalled net.Conn
+	var idleSince, headSince time.Time
+	longest := minStall
+	for conn, current := range callerConns.states {
+		checked, isChecked := conn.(*checkedConn)
+		switch {
+		case conn == added:
+		case current.state == http.StateActive:
+			if isChecked && checked.stalledFor(now) > longest {
+				stalled, longest = conn, checked.stalledFor(now)
+			}
+		case !isChecked || !checked.hasReadSince(current.since):
+			if idle == nil || current.since.Before(idleSince) {
+				idle, idleSince = conn, current.since
+			}
+		case now.Sub(current.since) > minStall && (head == nil || current.since.Before(headSince)):
+			head, headSince = conn, current.since
+		}
+	}
+	switch {
+	case idle != nil:
+		return idle, idleSince, BoundIdle
+	case head != nil:
+		return head, headSince, BoundHead
+	case stalled != nil:
+		return stalled, now, BoundStalled
+	}
+	return added, now, BoundNew
+}
+
+// Open returns the number of open connections.
+func (callerConns *CallerConns) Open() int {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	return len(callerConns.states)
+}
+
+// CloseIdle closes the connections that have been without a request in progress since
+// before the given time.
+func (callerConns *CallerConns) CloseIdle(before time.Time) {
+	callerConns.closeIf(http.StateIdle, before)
+}
+
+// CloseUnused closes the connections that were opened before the given time and have
+// brought no byte.
+func (callerConns *CallerConns) CloseUnused(before time.Time) {
+	callerConns.closeIf(http.StateNew, before)
+}
+
+// CloseHalfRead closes the connections whose next request has begun, but has brought no byte
+// since the given time: net/http waits for the first bytes of it without a bound.
+func (callerConns *CallerConns) CloseHalfRead(before time.Time) {
+	callerConns.mu.Lock()
+	var halfRead []*checkedConn
+	for conn, current := range callerConns.states {
+		checked, ok := conn.(*checkedConn)
+		if ok && current.state == http.StateIdle && checked.hasReadSince(current.since) && !checked.hasReadSince(before) {
+			halfRead = append(halfRead, checked)
+		}
+	}
+	callerConns.mu.Unlock()
+	for _, checked := range halfRead {
+		checked.closeNow()
+	}
+}
+
+// closeIf closes the connections that have had a state since before a time, unless bytes
+// have come since.
+func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
+	callerConns.mu.Lock()
+	tracked := slices.Collect(maps.Keys(callerConns.states))
+	callerConns.mu.Unlock()
+	for _, conn := range tracked {
+		// It may have got a request while others were closed.
+		since, matches := callerConns.since(conn, state)
+		if !matches || !since.Before(before) {
+			continue
+		}
+		if checked, ok := conn.(*checkedConn); ok {
+			checked.closeUnlessRead(since)
+			continue
+		}
+		// The caller sees the close; an error would change nothing.
+		_ = conn.Close()
+	}
+}
+
+// since returns since when an open connection has a state, and whether it has it. A new one
+// has it since before it could bring a byte.
+func (callerConns *CallerConns) since(conn net.Conn, state http.ConnState) (time.Time, bool) {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	current, open := callerConns.states[conn]
+	return current.since, open && current.state == state
+}
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -62,6 +62,9 @@
 type Connections struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Max is how many connections may be open before one that is idle is closed for each
+	// new one; zero means no bound. It is set before use.
+	Max int
 
 	mu    sync.Mutex
 	pools map[incarnationKey]*http1.Pool
@@ -84,12 +87,47 @@
 		connections.pools = make(map[incarnationKey]*http1.Pool)
 	}
 	pool = &http1.Pool{Dial: func(ctx context.Context) (net.Conn, error) {
+		connections.makeRoom()
 		return connections.Dial(ctx, "tcp", upstream.Address)
 	}}
 	connections.pools[key] = pool
 	return pool
 }
 
+// makeRoom closes the connection that has been idle longest if there are more than Max. Those
+// in use are bounded by the requests of callers.
+func (connections *Connections) makeRoom() {
+	if connections.Max <= 0 {
+		return
+	}
+	connections.mu.Lock()
+	defer connections.mu.Unlock()
+	open := 0
+	var oldest *http1.Pool
+	var oldestSince time.Time
+	for _, pool := range connections.pools {
+		open += pool.Open()
+		since, idle := pool.IdleSince()
+		if idle && (oldest == nil || since.Before(oldestSince)) {
+			oldest, oldestSince = pool, since
+		}
+	}
+	if open > connections.Max && oldest != nil {
+		oldest.CloseOldest()
+	}
+}
+
+// Open returns the number of open connections to all upstreams.
+func (connections *Connections) Open() int {
+	connections.mu.Lock()
+	defer connections.mu.Unlock()
+	open := 0
+	for _, pool := range connections.pools {
+		open += pool.Open()
+	}
+	return open
+}
+
 // Retain closes the pools of upstreams that are not in listed, and the unusable
 // idle connections of the others. Connections in use close after their request.
 func (connections *Connections) Retain(listed []registry.Upstream) {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -27,7 +28,13 @@
 	service   ident.ServiceName
 	head      platform.RequestHead
 	workspace *routing.Workspace
-	body      []byte
+	// conn is the caller's connection, or nil if no Listener accepted it.
+	conn *checkedConn
+	// body is the complete body in parts, bodyHolding what it takes in the memory account,
+	// and bodyHeld set if it takes anything there.
+	body        [][]byte
+	bodyHolding memory.Holding
+	bodyHeld    bool
 	// knownSuspect is what suspect returned, or nil.
 	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
@@ -56,8 +63,12 @@
 	// that carried it was established.
 	sentAt      time.Time
 	connectedAt time.Time
-	// reserved is how many bytes of Buffers the request holds.
-	reserved int64
+	// answerHolding is what the answer takes, reserved its size, and answerWatched set while
+	// it may be given up. writeDeadline is by when the next bytes have to be written.
+	answerHolding memory.Holding
+	reserved      int64
+	answerWatched bool
+	writeDeadline time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	choice        balance.Choice
@@ -91,7 +102,7 @@
 
 // serve reads the request, forwards it and writes the answer.
 func (exchange *exchange) serve() {
-	defer exchange.releaseBuffers()
+	defer exchange.releaseMemory()
 	exchange.closeIfLeaving(exchange.writer.Header())
 	if code := exchange.prepare(); code != result.OK {
 		exchange.refuse(code)
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -24,7 +24,9 @@
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(exchange.body)
+	for _, part := range exchange.body {
+		_, _ = digest.Write(part)
+	}
 	return ident.Fingerprint(digest.Sum64())
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -55,9 +56,9 @@
 	// leaves.
 	OnAnnounced func(change registry.Change)
 	Connections *Connections
-	// Buffers bounds what requests hold of their answers.
-	Buffers Buffers
-	Zone    ident.Zone
+	// Memory bounds what requests hold of their bodies and answers.
+	Memory memory.Account
+	Zone   ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
@@ -85,6 +86,11 @@
 	ending     context.Context
 	end        context.CancelFunc
 
+	// fullMu guards when memory was last logged as full, and the refusals since then.
+	fullMu       sync.Mutex
+	fullLoggedAt time.Time
+	fullRefusals int
+
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
 	// streamLifetimes holds the longest time that a stream of each service may last.
@@ -118,6 +124,8 @@
 		request: request,
 		arrived: time.Now(),
 	}
+	exchange.conn, _ = request.Context().Value(connContextKey).(*checkedConn)
+	exchange.conn.endWait()
 	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net"
-	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/framing"
+	"github.com/hickoryhead/hickoryhead/memory"
 )
 
 // contextKey is the type of the context keys of this package.
@@ -19,13 +17,41 @@
 
 const connContextKey contextKey = 0
 
+const (
+	// defaultMaxHeadBytes is the longest head that is read while the configuration allows
+	// none longer: more than it allows, so that most callers get the code HeadTooLarge.
+	defaultMaxHeadBytes = 32 << 10
+	// freeHeadBytes is how much of a head is counted with its connection. What is beyond
+	// takes headFactor times its size in the memory account: a header of a few bytes takes
+	// an entry of a map, its name and a list of values.
+	freeHeadBytes = 4 << 10
+	headFactor    = 12
+	// headTooLongAnswer is sent instead of an answer to a head that is too long to be read.
+	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// refusalTimeout bounds the write of that answer.
+	refusalTimeout = 100 * time.Millisecond
+)
+
 // checkedConn is a caller's connection whose bytes are scanned for requests
-// with ambiguous framing.
+// with ambiguous framing, and for heads that are too long.
 type checkedConn struct {
 	net.Conn
+	listener  *Listener
 	scanner   framing.Scanner
 	ambiguous atomic.Bool
 
+	// waitingSince is since when the caller has neither sent nor read progressBytes of a
+	// body, in nanoseconds; zero while the router does not wait for it. progress counts
+	// bytes since then.
+	waitingSince atomic.Int64
+	progress     int
+
+	// headHolding is what a long head takes, heldHeadBytes the part of it that is counted
+	// there, and headEnded set once it is complete.
+	headHolding   memory.Holding
+	heldHeadBytes int
+	headEnded     bool
+
 	mu sync.Mutex
 	// readAt is when bytes were last read, and closing is set once the connection is closed
 	// because there were none.
@@ -33,8 +59,11 @@
 	closing bool
 }
 
-// Read reads from the connection. After a request with ambiguous framing it
-// reads nothing more and returns io.EOF.
+// progressBytes is how much a caller has to send or read to count as making progress.
+const progressBytes = 16 << 10
+
+// Read reads from the connection. After a request with ambiguous framing, or with a head
+// that is too long or for which there is no memory, it reads nothing more and returns io.EOF.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
 	if checkedConn.ambiguous.Load() {
 		return 0, io.EOF
@@ -46,9 +75,123 @@
 	if !checkedConn.scanner.Scan(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
+	if !checkedConn.holdHead() {
+		return 0, io.EOF
+	}
 	return count, err
 }
 
+// holdHead counts a long head in the memory account until the next one begins. It returns
+// false if the head is too long, or if there is no room for it.
+func (checkedConn *checkedConn) holdHead() bool {
+	headBytes := checkedConn.scanner.HeadBytes()
+	listener := checkedConn.listener
+	if listener.Memory == nil {
+		return true
+	}
+	if headBytes == 0 {
+		if checkedConn.heldHeadBytes == 0 || checkedConn.headEnded {
+			return true
+		}
+		// It is needed until the end of its request.
+		checkedConn.headEnded = true
+		return listener.Memory.Keep(&checkedConn.headHolding)
+	}
+	if checkedConn.headEnded {
+		listener.Memory.Release(&checkedConn.headHolding)
+		checkedConn.headEnded, checkedConn.heldHeadBytes = false, 0
+	}
+	if headBytes <= freeHeadBytes {
+		return true
+	}
+	if headBytes > listener.maxHeadBytes() {
+		checkedConn.refuseHead()
+		return false
+	}
+	now := time.Now()
+	if checkedConn.heldHeadBytes == 0 {
+		listener.Memory.Watch(now, &checkedConn.headHolding, checkedConn.closeNow)
+	}
+	added := int64(headBytes - checkedConn.heldHeadBytes)
+	checkedConn.heldHeadBytes = headBytes
+	return listener.Memory.Grow(now, &checkedConn.headHolding, headFactor*added)
+}
+
+// refuseHead answers a head that is too long. The rest of it is not read, so that the answer
+// may get lost.
+func (checkedConn *checkedConn) refuseHead() {
+	if checkedConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) != nil {
+		return
+	}
+	if _, err := io.WriteString(checkedConn.Conn, headTooLongAnswer); err == nil {
+		checkedConn.closeWrite()
+	}
+}
+
+// closeWrite says to the caller that no more bytes follow.
+func (checkedConn *checkedConn) closeWrite() {
+	if checkedConn == nil {
+		return
+	}
+	if conn, ok := checkedConn.Conn.(interface{ CloseWrite() error }); ok {
+		// An error means that the caller has disconnected.
+		_ = conn.CloseWrite()
+	}
+}
+
+// closeNow closes the connection, whose goroutine then finds it closed. The caller sees the
+// close; an error would change nothing.
+func (checkedConn *checkedConn) closeNow() { _ = checkedConn.Conn.Close() }
+
+// Close closes the connection.
+func (checkedConn *checkedConn) Close() error {
+	if account := checkedConn.listener.Memory; account != nil {
+		account.Release(&checkedConn.headHolding)
+	}
+	return checkedConn.Conn.Close()
+}
+
+// waitForCaller records that the router waits for the caller to send or to read.
+func (checkedConn *checkedConn) waitForCaller(now time.Time) {
+	if checkedConn != nil {
+		checkedConn.progress = 0
+		checkedConn.waitingSince.Store(now.UnixNano())
+	}
+}
+
+// recordProgress records that the caller has sent or read count bytes.
+func (checkedConn *checkedConn) recordProgress(now time.Time, count int) {
+	if checkedConn == nil {
+		return
+	}
+	if checkedConn.progress += count; checkedConn.progress >= progressBytes {
+		checkedConn.waitForCaller(now)
+	}
+}
+
+// endWait records that the router does not wait for the caller any more.
+func (checkedConn *checkedConn) endWait() {
+	if checkedConn != nil {
+		checkedConn.waitingSince.Store(0)
+	}
+}
+
+// stalledFor returns for how long the router has waited for the caller without progress.
+func (checkedConn *checkedConn) stalledFor(now time.Time) time.Duration {
+	since := checkedConn.waitingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
+// hasReadSince reports whether bytes were read after a time.
+func (checkedConn *checkedConn) hasReadSince(since time.Time) bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.readAt.After(since)
+}
+
 // recordRead records that bytes were read. It returns false if the connection is being
 // closed as unused, so that what they belong to is not served.
 func (checkedConn *checkedConn) recordRead() bool {
@@ -61,23 +204,39 @@
 	return true
 }
 
-// closeUnlessRead closes the connection unless bytes were read since a time. A request is
-// either served or never read.
-func (checkedConn *checkedConn) closeUnlessRead(since time.Time) {
+// closeUnlessRead closes the connection unless bytes were read since a time, and reports
+// whether it did. A request is either served or never read.
+func (checkedConn *checkedConn) closeUnlessRead(since time.Time) bool {
 	checkedConn.mu.Lock()
 	unread := !checkedConn.readAt.After(since)
 	checkedConn.closing = checkedConn.closing || unread
 	checkedConn.mu.Unlock()
 	if unread {
 		// The caller sees the close; an error would change nothing.
-		_ = checkedConn.Close()
+		_ = checkedConn.Conn.Close()
 	}
+	return unread
 }
 
 // Listener accepts callers' connections and checks the framing of their
 // requests.
 type Listener struct {
 	net.Listener
+	// Memory is the account in which long heads are held; with nil they are not bounded
+	// here.
+	Memory *memory.Account
+	// MaxHeadBytes returns the longest head that the configuration allows, or zero. With nil
+	// there is no configuration.
+	MaxHeadBytes func() int
+}
+
+// maxHeadBytes returns the longest head that is read. It is twice as much as the
+// configuration allows, so that most callers get the code HeadTooLarge.
+func (listener *Listener) maxHeadBytes() int {
+	if listener.MaxHeadBytes == nil {
+		return defaultMaxHeadBytes
+	}
+	return max(2*listener.MaxHeadBytes(), defaultMaxHeadBytes)
 }
 
 // Accept returns the next connection. Its requests can be checked with
@@ -87,7 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{Conn: conn}, nil
+	return &checkedConn{Conn: conn, listener: &listener}, nil
 }
 
 // ConnContext is the ConnContext callback of an http.Server. It stores conn in
@@ -103,80 +262,3 @@
 	conn, checked := ctx.Value(connContextKey).(*checkedConn)
 	return !checked || !conn.ambiguous.Load()
 }
-
-// CallerConns tracks callers' open connections. The zero value is ready to use; Track is the
-// ConnState callback of an http.Server. It is safe for concurrent use.
-type CallerConns struct {
-	mu sync.Mutex
-	// states holds the state of each open connection.
-	states map[net.Conn]connState
-}
-
-// connState is the state of a connection, and since when it has it.
-type connState struct {
-	state http.ConnState
-	since time.Time
-}
-
-// Track records the new state of a connection.
-func (callerConns *CallerConns) Track(conn net.Conn, state http.ConnState) {
-	callerConns.mu.Lock()
-	defer callerConns.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(callerConns.states, conn)
-		return
-	}
-	if callerConns.states == nil {
-		callerConns.states = make(map[net.Conn]connState)
-	}
-	callerConns.states[conn] = connState{state: state, since: time.Now()}
-}
-
-// Open returns the number of open connections.
-func (callerConns *CallerConns) Open() int {
-	callerConns.mu.Lock()
-	defer callerConns.mu.Unlock()
-	return len(callerConns.states)
-}
-
-// CloseIdle closes the connections that have been without a request in progress since
-// before the given time.
-func (callerConns *CallerConns) CloseIdle(before time.Time) {
-	callerConns.closeIf(http.StateIdle, before)
-}
-
-// CloseUnused closes the connections that were opened before the given time and have
-// brought no byte.
-func (callerConns *CallerConns) CloseUnused(before time.Time) {
-	callerConns.closeIf(http.StateNew, before)
-}
-
-// closeIf closes the connections that have had a state since before a time, unless bytes
-// have come since.
-func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
-	callerConns.mu.Lock()
-	tracked := slices.Collect(maps.Keys(callerConns.states))
-	callerConns.mu.Unlock()
-	for _, conn := range tracked {
-		// It may have got a request while others were closed.
-		since, matches := callerConns.since(conn, state)
-		if !matches || !since.Before(before) {
-			continue
-		}
-		if checked, ok := conn.(*checkedConn); ok {
-			checked.closeUnlessRead(since)
-			continue
-		}
-		// The caller sees the close; an error would change nothing.
-		_ = conn.Close()
-	}
-}
-
-// since returns since when an open connection has a state, and whether it has it. A new one
-// has it since before it could bring a byte.
-func (callerConns *CallerConns) since(conn net.Conn, state http.ConnState) (time.Time, bool) {
-	callerConns.mu.Lock()
-	defer callerConns.mu.Unlock()
-	current, open := callerConns.states[conn]
-	return current.since, open && current.state == state
-}
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -144,33 +143,3 @@
 		exchange.deadline = exchange.callerDeadline
 	}
 }
-
-func (exchange *exchange) readBody() result.Code {
-	controller := http.NewResponseController(exchange.writer)
-	if err := controller.SetReadDeadline(exchange.deadline); err != nil {
-		exchange.handler.Logger.Debug("Could not set the read deadline.", "Error", err)
-	}
-	limit := int64(exchange.table.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if exchange.request.ContentLength > limit {
-		return result.BodyTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limit+1))
-	if err != nil {
-		exchange.setCauseText(err.Error())
-		return result.MalformedBody
-	}
-	if int64(len(body)) > limit {
-		return result.BodyTooLarge
-	}
-	exchange.body = body
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		exchange.handler.Logger.Debug("Could not clear the read deadline.", "Error", err)
-	}
-	return result.OK
-}
-
-// defaultMaxBodyBytes limits a request body if the configuration does not.
-const defaultMaxBodyBytes = 4 << 20
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -79,7 +79,17 @@
 	case code.Status() == http.StatusServiceUnavailable:
 		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
 	}
+	exchange.boundRefusal()
+	if !lingers(code) {
+		exchange.handler.writeCode(exchange.writer, code, retryAfter)
+		return
+	}
+	if code == result.MemoryFull {
+		exchange.handler.reportFull(time.Now())
+	}
+	exchange.prepareToLinger()
 	exchange.handler.writeCode(exchange.writer, code, retryAfter)
+	exchange.linger()
 }
 
 // postponement returns how long a request that may run alone only has to wait at least.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -101,7 +101,12 @@
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
 	}
 	exchange.start(answer.response.StatusCode)
-	_, err := io.Copy(callerWriter{exchange}, io.MultiReader(bytes.NewReader(beginning), answer.response.Body))
+	exchange.releaseBody()
+	_, err := callerWriter{exchange}.Write(beginning)
+	exchange.releaseAnswer()
+	if err == nil {
+		_, err = io.CopyBuffer(callerWriter{exchange}, answer.response.Body, make([]byte, copyBufferBytes))
+	}
 	if err != nil {
 		exchange.setCause(err)
 		exchange.recordFailure(answer.upstream, exchange.truncationCode())
@@ -145,6 +150,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	exchange.start(answer.response.StatusCode)
+	exchange.releaseBody()
 	if _, err := (callerWriter{exchange}).Write(body); err != nil {
 		exchange.setCause(err)
 	}
@@ -184,7 +190,7 @@
 	exchange.status = status
 	exchange.firstByte = time.Now()
 	exchange.handler.Metrics.ObserveFirstByte(exchange.route.Kind.String(), exchange.firstByte.Sub(exchange.arrived))
-	exchange.setWriteDeadline(exchange.deadline.Add(writeGrace))
+	exchange.moveWriteDeadline(exchange.firstByte)
 	exchange.writer.WriteHeader(status)
 }
 
@@ -201,21 +207,6 @@
 	return exchange.callerFailed || exchange.request.Context().Err() != nil
 }
 
-// callerWriter writes the body of the answer to the caller, and records a failure
-// as the caller's: its error looks like that of a connection to an upstream.
-type callerWriter struct {
-	exchange *exchange
-}
-
-// Write writes data to the caller.
-func (callerWriter callerWriter) Write(data []byte) (int, error) {
-	count, err := callerWriter.exchange.writer.Write(data)
-	if err != nil {
-		callerWriter.exchange.callerFailed = true
-	}
-	return count, err
-}
-
 // truncationCode returns the code of a request whose answer was truncated.
 func (exchange *exchange) truncationCode() result.Code {
 	if !time.Now().Before(exchange.deadline) {
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -20,7 +20,11 @@
 	if exchange.route != nil {
 		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
 	}
+	// net/http still has to write the end of the answer.
+	exchange.conn.waitForCaller(time.Now())
 	switch {
+	case (exchange.code == result.MemoryFull || exchange.code == result.BodyTooSlow) && !exchange.handler.LogLimiter.Allow():
+		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case exchange.code != result.OK || len(exchange.tried) > 1:
 		exchange.log(slog.LevelWarn)
 	case exchange.handler.LogLimiter.Allow():
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -33,8 +33,14 @@
 	length        int64
 	chunked       bool
 	ambiguous     bool
+	// headBytes counts the bytes of a head that has not ended.
+	headBytes int
 }
 
+// HeadBytes returns how many bytes of a head have been scanned that has not ended yet, and
+// zero outside of heads.
+func (scanner *Scanner) HeadBytes() int { return scanner.headBytes }
+
 // Scan processes the next bytes and reports whether all messages so far were
 // unambiguous. Once false, it stays false.
 func (scanner *Scanner) Scan(data []byte) bool {
@@ -80,6 +86,9 @@
 	if end >= 0 {
 		part, rest = data[:end], data[end+1:]
 	}
+	if scanner.state == inHead {
+		scanner.headBytes += len(data) - len(rest)
+	}
 	capacity := max(maxLineBytes-len(scanner.line), 0)
 	scanner.line = append(scanner.line, part[:min(capacity, len(part))]...)
 	if end < 0 {
@@ -148,6 +157,7 @@
 
 // startBody selects what follows the head: a body, chunks or the next message.
 func (scanner *Scanner) startBody() {
+	scanner.headBytes = 0
 	switch {
 	case scanner.chunked && scanner.lengthCount > 0:
 		scanner.ambiguous = true
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -41,7 +41,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the complete body in parts. They are not changed.
+	Body [][]byte
 }
 
 // Conn is a connection to an upstream that carries one request at a time. Only
@@ -105,32 +106,28 @@
 // requestWriter writes the rest of a long request while its response is read.
 type requestWriter struct {
 	conn net.Conn
-	rest []byte
+	rest net.Buffers
 	done chan struct{}
 	err  error
 }
 
 func (requestWriter *requestWriter) run() {
 	defer close(requestWriter.done)
-	_, requestWriter.err = requestWriter.conn.Write(requestWriter.rest)
+	_, requestWriter.err = requestWriter.rest.WriteTo(requestWriter.conn)
 }
 
 // Send writes request. A long request may still be being written when Send
 // returns. The error is a *oncehttp.SendError.
 func (conn *Conn) Send(request *Request) error {
 	conn.Requests++
-	raw := request.encode()
-	first := raw
-	if len(raw) > maxInlineBytes {
-		first = raw[:maxInlineBytes]
-	}
+	first, rest := request.encode()
 	count, err := conn.Write(first)
 	if err != nil {
 		conn.notReusable = true
 		return &oncehttp.SendError{Sent: count > 0, Err: err}
 	}
-	if len(raw) > len(first) {
-		conn.writer = &requestWriter{conn: conn.Conn, rest: raw[len(first):], done: make(chan struct{})}
+	if len(rest) > 0 {
+		conn.writer = &requestWriter{conn: conn.Conn, rest: rest, done: make(chan struct{})}
 		go conn.writer.run()
 	}
 	return nil
@@ -218,27 +215,38 @@
 	return readErr == nil && idle
 }
 
-// encode returns the request in wire format. It is framed by Content-Length,
-// which GET and HEAD requests without a body omit.
-func (request *Request) encode() []byte {
+// encode returns the request in wire format: its beginning, of at most maxInlineBytes unless
+// the head is longer, and the rest, which shares the memory of the body. It is framed by
+// Content-Length, which GET and HEAD requests without a body omit.
+func (request *Request) encode() (first []byte, rest net.Buffers) {
+	length := 0
+	for _, part := range request.Body {
+		length += len(part)
+	}
 	var raw bytes.Buffer
-	raw.Grow(512 + len(request.Body))
+	raw.Grow(512 + min(length, maxInlineBytes))
 	raw.WriteString(request.Method)
 	raw.WriteByte(' ')
 	raw.WriteString(request.Target)
 	raw.WriteString(" HTTP/1.1\r\nHost: ")
 	raw.WriteString(request.Host)
 	raw.WriteString("\r\n")
-	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
+	if length > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
 		raw.WriteString("Content-Length: ")
-		raw.WriteString(strconv.Itoa(len(request.Body)))
+		raw.WriteString(strconv.Itoa(length))
 		raw.WriteString("\r\n")
 	}
 	// A write to a bytes.Buffer returns no error.
 	_ = request.Header.Write(&raw)
 	raw.WriteString("\r\n")
-	raw.Write(request.Body)
-	return raw.Bytes()
+	for _, part := range request.Body {
+		inline := part[:min(len(part), max(maxInlineBytes-raw.Len(), 0))]
+		raw.Write(inline)
+		if len(inline) < len(part) {
+			rest = append(rest, part[len(inline):])
+		}
+	}
+	return raw.Bytes(), rest
 }
 
 // KeepAlive returns the idle timeout in a response's Keep-Alive header, or zero
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -199,7 +199,7 @@
 	const length = 8 << 20
 	peer := startPeer(t)
 	conn, peerConn := peer.open()
-	if err := conn.Send(&http1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("b", length))}); err != nil {
+	if err := conn.Send(&http1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte(strings.Repeat("b", length))}}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := io.WriteString(peerConn, emptyResponse); err != nil {
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -259,6 +259,32 @@
 	}
 }
 
+// IdleSince returns since when the connection is idle that has been so longest, and whether
+// there is one.
+func (pool *Pool) IdleSince() (time.Time, bool) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if len(pool.idle) == 0 {
+		return time.Time{}, false
+	}
+	// Connections are appended when they become idle.
+	return pool.idle[0].idleSince, true
+}
+
+// CloseOldest closes the connection that has been idle longest.
+func (pool *Pool) CloseOldest() {
+	pool.mu.Lock()
+	var oldest *Conn
+	if len(pool.idle) > 0 {
+		oldest = pool.idle[0]
+		pool.idle = pool.idle[1:]
+	}
+	pool.mu.Unlock()
+	if oldest != nil {
+		oldest.Discard()
+	}
+}
+
 // Close closes the idle connections. Connections in use are closed when they
 // are released.
 func (pool *Pool) Close() {
--- a/result/code.go
+++ b/result/code.go
@@ -59,6 +59,8 @@
 	VersionGone          Code = 2016
 	UpstreamsResting     Code = 2017
 	RouterStopping       Code = 2018
+	MemoryFull           Code = 2025
+	BodyTooSlow          Code = 2026
 )
 
 // Codes for requests that were run or may have been run.
@@ -137,6 +139,8 @@
 	{VersionGone, "VersionGone", "No upstream of the version that began the stream is left", "A stream goes on only at the software version that began it, and no upstream with that version takes requests. Nothing was run. Send the request as a new one.", http.StatusServiceUnavailable, NotRun, false},
 	{UpstreamsResting, "UpstreamsResting", "Every upstream has asked for rest", "The upstreams of the route have turned requests of this router away and asked it to send none for a time. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 	{RouterStopping, "RouterStopping", "The router stops", "The request was read so late in a planned stop of the router that its answer might be cut. Nothing was run. Send it again over a new connection, which reaches another router.", http.StatusServiceUnavailable, NotRun, true},
+	{MemoryFull, "MemoryFull", "No memory is left for the body", "The router holds as many bodies and answers as its memory allows, and this body was the largest and slowest, or made too little progress. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{BodyTooSlow, "BodyTooSlow", "The body arrives too slowly", "The body arrived at less than the minimum rate, which callers on the slowest supported links exceed many times over. Nothing was run. Send it again.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
