daemon, caller, sidecar, peer: bodies and connections of the own interface are bounded

Bodies of the own interface were read by io.ReadAll without a bound over all connections, and its listeners took any number of connections. Package bodylimit counts the bodies of a listener in a memory account and keeps them to the minimum rate; the callers' listener may take three eighths of the system's descriptors, that of operators an eighth, the hop half, with heads of 256 KiB. Connections of peers that have not proved the shared key are bounded to 1,024. configrpc (four connections, 2 s, bounded bytes) and gossip (a fixed buffer for datagrams) need no change.

In forward, answers give up no body any more (Account.TryGrow), bodies are released once no attempt can follow, a refused caller may go on sending for 5 s, and the log lines of refused bodies are bounded to 20 a second.

--- a/caller/request.go
+++ b/caller/request.go
@@ -12,10 +12,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
 
+	"github.com/hickoryhead/hickoryhead/bodylimit"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/settings"
 	"github.com/hickoryhead/hickoryhead/upstream"
+	"github.com/hickoryhead/hickoryhead/wait"
 )
 
 // The HTTP headers of the interface for callers.
@@ -85,6 +87,12 @@
 	}
 	accepted.deadline = now.Add(timeout)
 	accepted.body, err = readBody(writer, request, route)
+	if errors.Is(err, bodylimit.ErrNoRoom) {
+		return nil, &result.Error{Code: result.MemoryFull, RetryAt: server.now().Add(wait.Jitter(defaultRetryAfter))}
+	}
+	if errors.Is(err, bodylimit.ErrTooSlow) {
+		return nil, &result.Error{Code: result.BodyTooSlow, RetryAt: server.now().Add(wait.Jitter(defaultRetryAfter))}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -184,6 +192,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, result.Errorf(result.BodyTooLarge, "the route allows %d bytes", limit)
 	}
+	if errors.Is(err, bodylimit.ErrNoRoom) || errors.Is(err, bodylimit.ErrTooSlow) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, result.Errorf(result.MalformedBody, "read the body: %v", err)
 	}
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	router.callerService, err = newHTTPService(router.Config.CallerListen, handler, router.base.logger)
+	router.callerService, err = newHTTPService(router.Config.CallerListen, handler, router.base.logger, callerDescriptorShare)
 	if err != nil {
 		return errors.Wrap(err, "start HTTP server for callers")
 	}
@@ -112,7 +112,7 @@
 		return err
 	}
 	handler = router.operatorHandler(settings)
-	router.operatorService, err = newHTTPService(router.Config.OperatorListen, handler, router.base.logger)
+	router.operatorService, err = newHTTPService(router.Config.OperatorListen, handler, router.base.logger, operatorDescriptorShare)
 	return errors.Wrap(err, "start HTTP server for operators")
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -68,7 +68,7 @@
 	}
 	daemon.core = daemon.newCore()
 	server := &sidecar.Server{Sidecar: daemon.core, Token: base.hopToken()}
-	hop, err := newHTTPService(daemon.Config.HopListen, server.Handler(), base.logger)
+	hop, err := newHTTPService(daemon.Config.HopListen, server.Handler(), base.logger, hopDescriptorShare)
 	if err != nil {
 		return errors.Wrap(err, "start HTTP server for the hop")
 	}
--- a/forward/body.go
+++ b/forward/body.go
@@ -24,8 +24,14 @@
 	// next write of an answer, is moved.
 	deadlineStep = time.Second
 	// maxLinger is how long a refused caller may go on sending its body before its
-	// connection is closed: closing it at once would destroy the answer.
-	maxLinger = time.Second
+	// connection is closed, and lingerStall how long it may pause: closing it at once would
+	// destroy the answer. The largest body takes 3.4 s on a link of 10 Mbit/s. What is beyond
+	// maxLingerBytes belongs to no request of a legal size.
+	maxLinger      = 5 * time.Second
+	lingerStall    = time.Second
+	maxLingerBytes = 16 << 20
+	// lingerBufferBytes is the size of the buffer into which such bytes are read.
+	lingerBufferBytes = 16 << 10
 )
 
 var errNoRoom = errors.New("no memory left for the body")
@@ -218,17 +224,54 @@
 // lost.
 func (exchange *exchange) linger() {
 	controller := http.NewResponseController(exchange.writer)
-	now := time.Now()
-	if controller.SetReadDeadline(now.Add(maxLinger)) != nil || controller.SetWriteDeadline(now.Add(maxLinger)) != nil || controller.Flush() != nil {
+	if controller.SetWriteDeadline(time.Now().Add(lingerStall)) != nil || controller.Flush() != nil {
 		return
 	}
 	exchange.conn.closeWrite()
-	// The caller sees the close; an error would change nothing.
-	_, _ = io.Copy(io.Discard, exchange.request.Body)
+	buffer := make([]byte, lingerBufferBytes)
+	end := time.Now().Add(maxLinger)
+	for dropped := 0; dropped < maxLingerBytes; {
+		now := time.Now()
+		if !now.Before(end) || controller.SetReadDeadline(earlier(end, now.Add(lingerStall))) != nil {
+			return
+		}
+		count, err := exchange.request.Body.Read(buffer)
+		if err != nil {
+			return
+		}
+		dropped += count
+	}
 }
 
-// fullLogInterval is the least time between two log lines about memory that is full.
-const fullLogInterval = time.Second
+const (
+	// fullLogInterval is the least time between two log lines about memory that is full.
+	fullLogInterval = time.Second
+	// bodyLogLinesPerSecond bounds the log lines of requests that were refused because of
+	// their bodies or heads.
+	bodyLogLinesPerSecond = 20
+)
+
+// isBodyRefusal reports whether a request was refused with code because of its body or its
+// head, as crowds of clients bring it about.
+func isBodyRefusal(code result.Code) bool {
+	switch code {
+	case result.MemoryFull, result.BodyTooSlow, result.BodyTooLarge, result.MalformedBody, result.HeadTooLarge:
+		return true
+	}
+	return false
+}
+
+// allowBodyLog reports whether one more request that was refused because of its body may be
+// logged in this second.
+func (handler *Handler) allowBodyLog(now time.Time) bool {
+	handler.fullMu.Lock()
+	defer handler.fullMu.Unlock()
+	if now.Sub(handler.bodyLogFrom) >= time.Second {
+		handler.bodyLogFrom, handler.bodyLogLines = now, 0
+	}
+	handler.bodyLogLines++
+	return handler.bodyLogLines <= bodyLogLinesPerSecond
+}
 
 // reportFull logs, at most once each fullLogInterval, that requests are refused because the
 // memory account is full.
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -18,14 +18,15 @@
 )
 
 // mayHold reports whether the request may hold count bytes of an answer. What it reserves
-// for that is released at the end of the request.
+// for that is released at the end of the request. No body is given up for it: an answer
+// that may not be held is relayed while it arrives.
 func (exchange *exchange) mayHold(count int) bool {
 	missing := int64(count) - ownBufferBytes - exchange.reserved
 	if missing <= 0 {
 		return true
 	}
 	missing = max(missing, reserveStep)
-	if !exchange.handler.Memory.Grow(time.Now(), &exchange.answerHolding, missing) {
+	if !exchange.handler.Memory.TryGrow(&exchange.answerHolding, missing) {
 		exchange.handler.Metrics.CountEvent("answer.buffer.full")
 		return false
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -86,10 +86,13 @@
 	ending     context.Context
 	end        context.CancelFunc
 
-	// fullMu guards when memory was last logged as full, and the refusals since then.
+	// fullMu guards when memory was last logged as full, the refusals since then, and the
+	// log lines of refused bodies in the second that began at bodyLogFrom.
 	fullMu       sync.Mutex
 	fullLoggedAt time.Time
 	fullRefusals int
+	bodyLogFrom  time.Time
+	bodyLogLines int
 
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -329,6 +329,9 @@
 		exchange.recordOrigin(first)
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
+		if !exchange.route.Resumable {
+			exchange.releaseBody()
+		}
 	}
 	if _, err := (callerWriter{exchange}).Write(stream.pending[:good]); err != nil {
 		return err
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -23,7 +23,7 @@
 	// net/http still has to write the end of the answer.
 	exchange.conn.waitForCaller(time.Now())
 	switch {
-	case (exchange.code == result.MemoryFull || exchange.code == result.BodyTooSlow) && !exchange.handler.LogLimiter.Allow():
+	case isBodyRefusal(exchange.code) && !exchange.handler.allowBodyLog(time.Now()):
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case exchange.code != result.OK || len(exchange.tried) > 1:
 		exchange.log(slog.LevelWarn)
--- a/memory/account.go
+++ b/memory/account.go
@@ -90,6 +90,18 @@
 	return true
 }
 
+// TryGrow adds count bytes to the holding and reports whether there was room. It gives up no
+// other holding.
+func (account *Account) TryGrow(holding *Holding, count int64) bool {
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	if holding.givenUp || !account.fits(holding, count) {
+		return false
+	}
+	account.add(holding, count)
+	return true
+}
+
 // fits reports whether the holding may grow by count bytes. A large one always may while
 // there is no other large one, so that the largest request is served however small the
 // account is; what it takes beyond the part of large ones does not count against others.
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,13 @@
 	// acceptRetryDelay is the delay after a failed accept, for example when the
 	// process is out of file descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
+	// maxHandshakes bounds the connections that have not proved the shared key yet. All
+	// routers of the largest fleet may connect at a time.
+	maxHandshakes = 1024
 )
 
+var errTooManyHandshakes = errors.New("too many peer handshakes")
+
 // Events that the server counts.
 const (
 	eventAccepted = "peer.connection.accepted"
@@ -44,6 +50,8 @@
 	rpc   rpc.Server
 	conns connSet
 	tasks sync.WaitGroup
+	// handshakes counts the connections that are being secured.
+	handshakes atomic.Int64
 }
 
 // Register makes the exported methods of receiver callable as name.Method.
@@ -85,7 +93,11 @@
 		return
 	}
 	defer server.conns.remove(conn)
-	secured, err := server.secure(ctx, conn)
+	secured, err := server.secureBounded(ctx, conn)
+	if errors.Is(err, errTooManyHandshakes) {
+		server.Metrics.CountEvent(eventRefused)
+		return
+	}
 	if err != nil {
 		server.Metrics.CountEvent(eventRefused)
 		server.logger().Warn("Peer connection refused.", "from", conn.RemoteAddr().String(), "error", err)
@@ -99,6 +111,16 @@
 	return logging.Component(server.Logger, "peer")
 }
 
+// secureBounded secures a connection, unless maxHandshakes others are being secured: clients
+// that are no peers must not use up the descriptors.
+func (server *Server) secureBounded(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	defer server.handshakes.Add(-1)
+	if server.handshakes.Add(1) > maxHandshakes {
+		return nil, errTooManyHandshakes
+	}
+	return server.secure(ctx, conn)
+}
+
 func (server *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if server.Identity == nil {
 		return nil, ErrUnauthenticated
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/answer"
+	"github.com/hickoryhead/hickoryhead/bodylimit"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
 )
@@ -134,7 +135,12 @@
 		return call, nil, "", result.Errorf(result.InvalidHeader, "%s: invalid request or attempt ID", HeaderCall)
 	}
 	content, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxHopBytes))
-	if err != nil {
+	switch {
+	case errors.Is(err, bodylimit.ErrNoRoom):
+		return call, nil, "", &result.Error{Code: result.MemoryFull}
+	case errors.Is(err, bodylimit.ErrTooSlow):
+		return call, nil, "", &result.Error{Code: result.BodyTooSlow}
+	case err != nil:
 		return call, nil, "", result.Errorf(result.MalformedBody, "%v", err)
 	}
 	if call.BodyBytes < 0 || call.BodyBytes > len(content) {
