--- a/entry/resources.go
+++ b/entry/resources.go
@@ -98,7 +98,7 @@
 	}
 	boundLog.mu.Unlock()
 	if due {
-		boundLog.daemon.Logger.Warn("Connections are at their bound.", "Listener", boundLog.listener, "Limit", boundLog.limit, "Last", reason, "Closed", closed)
+		boundLog.daemon.Logger.Warn("Connections are at their bound.", "Listener", boundLog.listener, "ConnLimit", boundLog.limit, "LastReason", reason, "ClosedCount", closed)
 	}
 }
 
@@ -112,7 +112,7 @@
 	callers.server.ConnContext = forward.ConnContext
 	callers.server.ConnState = daemon.callerConns.Track
 	daemon.Logger.Info("Limits of memory and connections.",
-		"MemoryMB", daemon.Config.MemoryMB, "HeldBytes", daemon.handler.Memory.Limit, "Descriptors", descriptors, "CallerConns", daemon.callerConns.Max, "UpstreamConns", daemon.handler.Connections.Max)
+		"MemoryMB", daemon.Config.MemoryMB, "HeldLimit", daemon.handler.Memory.Limit, "Descriptors", descriptors, "CallerConns", daemon.callerConns.Max, "UpstreamConns", daemon.handler.Connections.Max)
 }
 
 // boundAuxiliary sets what bounds the connections of the listeners for readiness and metrics.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -79,6 +79,8 @@
 		switch {
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
+			request.Code == "MemoryFull" && line.Message == memoryFull,
+			request.Tried == 0 && line.Message == connsAtBound,
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
@@ -194,6 +196,10 @@
 		return fmt.Sprintf("upstream %s said that it leaves", line.Upstream)
 	case limitLifted:
 		return fmt.Sprintf("upstream %s names no limit any more", line.Upstream)
+	case memoryFull:
+		return fmt.Sprintf("memory full: %d bytes of bodies and answers held of at most %d, %d requests refused since the last such line", line.HeldBytes, line.HeldLimit, line.RefusedCount)
+	case connsAtBound:
+		return fmt.Sprintf("connections of %s at the bound of %d: %d closed since the last such line, the last as %s", line.Listener, line.ConnLimit, line.ClosedCount, line.LastReason)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -242,6 +248,8 @@
 	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
+	"MemoryFull":           "the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run",
+	"BodyTooSlow":          "the caller's body arrived at less than the minimum rate; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -77,8 +77,8 @@
 }
 
 // TestRefusalNamesItsReason explains a request that was refused for a part of its prompt
-// by the strikes of that part, and one for which all upstreams were at their limits by
-// the limits in force.
+// by the strikes of that part, one for which all upstreams were at their limits by the limits
+// in force, and one for which there was no memory by what was held.
 func TestRefusalNamesItsReason(t *testing.T) {
 	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"strike: Strike counted, the upstream broke off while it ran the request.","VM":"edge-1","Fingerprint":"0a","Kind":"part","Attempt":"a1","Upstream":"i-1","Strikes":3,"Source":"own"}
 {"time":"2026-10-21T04:00:01Z","msg":"strike: Strike counted, the upstream broke off while it ran the request.","VM":"edge-1","Fingerprint":"0f","Kind":"request","Attempt":"a1","Upstream":"i-1","Strikes":1,"Source":"own"}
@@ -89,7 +89,10 @@
 {"time":"2026-10-21T04:00:20Z","msg":"forward: Request finished.","VM":"edge-2","Attempt":"a5","Status":503,"Code":"UpstreamsAtLimit"}
 {"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-1","Upstream":"i-2","Attempt":"a6","RestMs":3000}
 {"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-2","Upstream":"i-3","Attempt":"a7","RestMs":3000}
-{"time":"2026-10-21T04:00:31Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a8","Status":503,"Code":"UpstreamsResting"}`
+{"time":"2026-10-21T04:00:31Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a8","Status":503,"Code":"UpstreamsResting"}
+{"time":"2026-10-21T04:00:40Z","msg":"forward: Memory for bodies and answers is full.","VM":"edge-1","HeldBytes":35000000,"HeldLimit":35651584,"Unfinished":7,"RefusedCount":3}
+{"time":"2026-10-21T04:00:40Z","msg":"Connections are at their bound.","VM":"edge-1","Listener":"callers","ConnLimit":384,"LastReason":"idle","ClosedCount":2}
+{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a9","Status":503,"Code":"MemoryFull"}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
 		log.Add([]byte(text))
@@ -102,6 +105,11 @@
 		"a8": `2026-10-21T04:00:30Z edge-1 upstream i-2 asked this router for 3000 ms of rest
 2026-10-21T04:00:31Z edge-1 finished with status 503 (UpstreamsResting) after 0 ms: route , configuration 0, offered to no upstream
 cause: every upstream of the service had asked this router for rest
+`,
+		"a9": `2026-10-21T04:00:40Z edge-1 memory full: 35000000 bytes of bodies and answers held of at most 35651584, 3 requests refused since the last such line
+2026-10-21T04:00:40Z edge-1 connections of callers at the bound of 384: 2 closed since the last such line, the last as idle
+2026-10-21T04:00:41Z edge-1 finished with status 503 (MemoryFull) after 0 ms: route , configuration 0, offered to no upstream
+cause: the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run
 `,
 		"a5": `2026-10-21T04:00:05Z edge-1 upstream i-2 named a limit of 1.50 requests a second
 2026-10-21T04:00:20Z edge-2 finished with status 503 (UpstreamsAtLimit) after 0 ms: route , configuration 0, offered to no upstream
--- a/explain/line.go
+++ b/explain/line.go
@@ -60,6 +60,16 @@
 	// for.
 	PerSecond float64
 	RestMs    int64
+	// HeldBytes is what a router held of bodies and answers, of at most HeldLimit, when it
+	// refused RefusedCount requests for want of memory. ClosedCount connections of Listener
+	// were closed as it had ConnLimit, the last for LastReason.
+	HeldBytes    int64
+	HeldLimit    int64
+	RefusedCount int
+	Listener     string
+	ConnLimit    int
+	ClosedCount  int
+	LastReason   string
 
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
@@ -105,6 +115,8 @@
 	leavingSaid      = "forward: Upstream says that it leaves."
 	streamResumed    = "forward: Stream resumed at another upstream."
 	splitAdopted     = "versions: Split adopted."
+	memoryFull       = "forward: Memory for bodies and answers is full."
+	connsAtBound     = "Connections are at their bound."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
--- a/forward/body.go
+++ b/forward/body.go
@@ -285,6 +285,6 @@
 	}
 	handler.fullMu.Unlock()
 	if due {
-		handler.Logger.Warn("Memory for bodies and answers is full.", "Held", handler.Memory.Held(), "Limit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "Refused", refusals)
+		handler.Logger.Warn("Memory for bodies and answers is full.", "HeldBytes", handler.Memory.Held(), "HeldLimit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "RefusedCount", refusals)
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -149,7 +149,7 @@
 }
 
 // add returns the peer at address, which it adds if necessary. It returns nil
-// for the router's own address and for an invalid one. The caller holds mu.
+// for the router's own address, for an invalid one, and beyond maxPeers. The caller holds mu.
 func (gossip *Gossip) add(now time.Time, address string) *peer {
 	if address == gossip.Address {
 		return nil
@@ -162,6 +162,10 @@
 		gossip.Logger.Debug("Invalid address of a router.", "Address", address, "Error", err)
 		return nil
 	}
+	if len(gossip.peers) >= maxPeers {
+		gossip.Metrics.CountEvent("gossip.peers.full")
+		return nil
+	}
 	if gossip.peers == nil {
 		gossip.peers = make(map[string]*peer)
 	}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -14,6 +14,8 @@
 	// the runs that have announced that they stop.
 	maxEarlierRuns = 4
 	maxLeft        = 4096
+	// maxPeers limits the routers that are known: datagrams may name any address.
+	maxPeers = 4096
 )
 
 // receiver reads messages until the socket is closed.
