memory, forward: what is given up counts until it is released

Now at most a quarter of the limit is given up and not yet released for large holdings, and progress is recorded for each 4 KiB.

memory and the body tests of forward pass.

--- a/forward/body.go
+++ b/forward/body.go
@@ -23,6 +23,11 @@
 	// deadlineStep is the least by which the deadline for the next byte of a body, or the
 	// next write of an answer, is moved.
 	deadlineStep = time.Second
+	// progressBytes is how many bytes a caller has to send or read to count as making
+	// progress, and checkBytes how many are read between two checks of the progress: a chunk
+	// may bring as little as a byte.
+	progressBytes = 16 << 10
+	checkBytes    = 4 << 10
 	// maxLinger is how long a refused caller may go on sending its body before its
 	// connection is closed, and lingerStall how long it may pause: closing it at once would
 	// destroy the answer. The largest body takes 3.4 s on a link of 10 Mbit/s. What is beyond
@@ -47,6 +52,8 @@
 	announced int64
 	limit     int64
 	read      int64
+	// unchecked counts the bytes since the last check of the progress.
+	unchecked int
 }
 
 func (exchange *exchange) readBody() result.Code {
@@ -147,16 +154,24 @@
 			// The end of the body is known without another read.
 			return filled, io.EOF
 		}
-		now := time.Now()
-		reader.moveDeadline()
-		if reader.exchange.bodyHeld {
-			reader.exchange.handler.Memory.Progress(now, &reader.exchange.bodyHolding, count)
+		if reader.unchecked += count; reader.unchecked >= checkBytes {
+			reader.checkProgress()
 		}
-		reader.exchange.conn.recordProgress(now, count)
 	}
 	return filled, nil
 }
 
+// checkProgress records the bytes since the last check.
+func (reader *bodyReader) checkProgress() {
+	now := time.Now()
+	reader.moveDeadline()
+	if reader.exchange.bodyHeld {
+		reader.exchange.handler.Memory.Progress(now, &reader.exchange.bodyHolding, reader.unchecked)
+	}
+	reader.exchange.conn.recordProgress(now, reader.unchecked)
+	reader.unchecked = 0
+}
+
 // moveDeadline sets by when the next byte has to arrive.
 func (reader *bodyReader) moveDeadline() {
 	deadline := earlier(reader.startedAt.Add(memory.BodyTime(reader.read)), reader.exchange.deadline)
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -59,9 +59,6 @@
 	closing bool
 }
 
-// progressBytes is how much a caller has to send or read to count as making progress.
-const progressBytes = 16 << 10
-
 // Read reads from the connection. After a request with ambiguous framing, or with a head
 // that is too long or for which there is no memory, it reads nothing more and returns io.EOF.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
--- a/memory/account.go
+++ b/memory/account.go
@@ -19,6 +19,9 @@
 	// long they take at a tenth of the slowest link that callers have, 10 Mbit/s.
 	progressStep = 64 << 10
 	slowStep     = 500 * time.Millisecond
+	// leavingShare is how much of the limit may be given up and not yet released for the sake
+	// of large holdings: a busy process takes time to release it, and would hold both.
+	leavingShare = 0.25
 )
 
 // Account bounds the bytes of all its holdings. The zero value is ready to use. It is safe
@@ -31,6 +34,8 @@
 	mu sync.Mutex
 	// held is the sum of all holdings, and large that of those above MaxSmallBytes.
 	held, large int64
+	// leaving is the sum of what was given up and is not released yet.
+	leaving int64
 	// unfinished are the holdings that may be given up.
 	unfinished map[*Holding]struct{}
 }
@@ -42,6 +47,8 @@
 	// giveUp is called, while the account is locked, if the holding is given up.
 	giveUp  func()
 	givenUp bool
+	// leaving is what the holding had when it was given up.
+	leaving int64
 	// moved counts the bytes since stepAt, and lastStep is how long the last progressStep
 	// bytes took.
 	moved    int64
@@ -81,7 +88,7 @@
 	}
 	for !account.fits(holding, count) {
 		victim := account.victim(now, holding, count)
-		if victim == nil {
+		if victim == nil || !account.mayLeave(victim, holding.bytes+count) {
 			return false
 		}
 		account.giveUp(victim)
@@ -155,6 +162,11 @@
 	return worst
 }
 
+// mayLeave reports whether a holding may be given up for one that grows to grown bytes.
+func (account *Account) mayLeave(victim *Holding, grown int64) bool {
+	return grown <= MaxSmallBytes || account.leaving == 0 || float64(account.leaving+victim.bytes) <= leavingShare*float64(account.limit())
+}
+
 // pace returns how long the holding takes for progressStep bytes.
 func (holding *Holding) pace(now time.Time) time.Duration {
 	return max(now.Sub(holding.stepAt), holding.lastStep)
@@ -168,6 +180,8 @@
 // giveUp frees what a holding has and tells its owner.
 func (account *Account) giveUp(holding *Holding) {
 	delete(account.unfinished, holding)
+	holding.leaving = holding.bytes
+	account.leaving += holding.leaving
 	account.add(holding, -holding.bytes)
 	holding.givenUp = true
 	holding.giveUp()
@@ -224,4 +238,6 @@
 	defer account.mu.Unlock()
 	delete(account.unfinished, holding)
 	account.add(holding, -holding.bytes)
+	account.leaving -= holding.leaving
+	holding.leaving = 0
 }
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -56,6 +56,24 @@
 	}
 }
 
+// TestGivenUpCountsUntilItIsReleased guards against a busy process that gives up more than it
+// gets to release, and holds both what was given up and what took its place.
+func TestGivenUpCountsUntilItIsReleased(t *testing.T) {
+	account := &memory.Account{Limit: limit}
+	now := time.Unix(1000, 0)
+	first, second := start(t, account, now, 4<<20), start(t, account, now, 3<<20)
+	now = now.Add(time.Second)
+	growing := start(t, account, now, 4<<20)
+	late := start(t, account, now, memory.MaxSmallBytes)
+	if account.Grow(now, &late.holding, 3<<20) || second.givenUp {
+		t.Error("got a second holding given up before the first was released, want none")
+	}
+	account.Release(&first.holding)
+	if !account.Grow(now, &late.holding, 3<<20) || !second.givenUp || growing.givenUp {
+		t.Error("got no room after the release, want that of the slow holding")
+	}
+}
+
 // TestProgressIsKept guards against bodies that give each other up in turn, so that none
 // gets to its end: those that make progress stay, and the new one is refused.
 func TestProgressIsKept(t *testing.T) {
