--- a/forward/body.go
+++ b/forward/body.go
@@ -243,6 +243,7 @@
 		return
 	}
 	exchange.conn.closeWrite()
+	exchange.conn.waitForCaller(time.Now())
 	buffer := make([]byte, lingerBufferBytes)
 	end := time.Now().Add(maxLinger)
 	for dropped := 0; dropped < maxLingerBytes; {
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -56,6 +56,9 @@
 // Track records the new state of a connection. A new one beyond Max takes the place of
 // another.
 func (callerConns *CallerConns) Track(conn net.Conn, state http.ConnState) {
+	if checked, ok := conn.(*checkedConn); ok && state == http.StateIdle {
+		checked.endRequest()
+	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
 	}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -78,7 +78,7 @@
 	return count, err
 }
 
-// holdHead counts a long head in the memory account until the next one begins. It returns
+// holdHead counts a long head in the memory account until its request has been answered. It returns
 // false if the head is too long, or if there is no room for it.
 func (checkedConn *checkedConn) holdHead() bool {
 	headBytes := checkedConn.scanner.HeadBytes()
@@ -94,10 +94,7 @@
 		checkedConn.headEnded = true
 		return listener.Memory.Keep(&checkedConn.headHolding)
 	}
-	if checkedConn.headEnded {
-		listener.Memory.Release(&checkedConn.headHolding)
-		checkedConn.headEnded, checkedConn.heldHeadBytes = false, 0
-	}
+	checkedConn.endRequest()
 	if headBytes <= freeHeadBytes {
 		return true
 	}
@@ -114,6 +111,15 @@
 	return listener.Memory.Grow(now, &checkedConn.headHolding, headFactor*added)
 }
 
+// endRequest releases the head of a request that has been answered. It is called by the
+// goroutine of the connection.
+func (checkedConn *checkedConn) endRequest() {
+	if checkedConn.headEnded {
+		checkedConn.listener.Memory.Release(&checkedConn.headHolding)
+		checkedConn.headEnded, checkedConn.heldHeadBytes = false, 0
+	}
+}
+
 // refuseHead answers a head that is too long. The rest of it is not read, so that the answer
 // may get lost.
 func (checkedConn *checkedConn) refuseHead() {
