soak: crowds of clients that complete no request

Every two seconds twenty connections at one router send a body short of a byte, a chunk without an end, a body over the limit, a head without an end, or nothing, and stay open for a second.

TestShortSoak was not run yet.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -149,6 +149,9 @@
 	copier := &storeCopier{soak: soak, done: make(chan struct{})}
 	done = append(done, copier.done)
 	go copier.run(callerCtx)
+	crowds := newCrowds(soak)
+	done = append(done, crowds.done)
+	go crowds.run(callerCtx)
 	prober := &prober{soak: soak, done: make(chan struct{}), served: make(map[string]int)}
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
