--- a/entry/resources.go
+++ b/entry/resources.go
@@ -20,7 +20,7 @@
 	// accountShare is the share of it that bodies, long heads and answers may take. The rest
 	// of the soft limit is for the state of the fleet, connections, and what the garbage
 	// collector has not freed yet.
-	accountShare = 0.25
+	accountShare = 0.2
 	// connMemoryShare is the share of it that callers' connections may take, and
 	// bytesPerConn what one takes: its buffers, the stacks of its goroutines and the first
 	// part of a body.
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -21,7 +21,7 @@
 // for that is released at the end of the request. No body is given up for it: an answer
 // that may not be held is relayed while it arrives.
 func (exchange *exchange) mayHold(count int) bool {
-	missing := int64(count) - ownBufferBytes - exchange.reserved
+	missing := int64(count) - ownBufferBytes - (exchange.reserved - exchange.earlier)
 	if missing <= 0 {
 		return true
 	}
@@ -57,7 +57,7 @@
 // releaseAnswer releases what the request holds of its answer.
 func (exchange *exchange) releaseAnswer() {
 	if exchange.reserved > 0 {
-		exchange.reserved = 0
+		exchange.reserved, exchange.earlier = 0, 0
 		exchange.handler.Memory.Release(&exchange.answerHolding)
 	}
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -63,10 +63,12 @@
 	// that carried it was established.
 	sentAt      time.Time
 	connectedAt time.Time
-	// answerHolding is what the answer takes, reserved its size, and answerWatched set while
-	// it may be given up. writeDeadline is by when the next bytes have to be written.
+	// answerHolding is what answers take, reserved its size, earlier the part of it that a
+	// kept answer of an earlier attempt takes, and answerWatched set while it may be given
+	// up. writeDeadline is by when the next bytes have to be written.
 	answerHolding memory.Holding
 	reserved      int64
+	earlier       int64
 	answerWatched bool
 	writeDeadline time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -128,6 +128,7 @@
 	if !exchange.chooseNext(pool) {
 		return exchange.writePlain(failed, body)
 	}
+	exchange.earlier = exchange.reserved
 	answer, code := exchange.attempt(exchange.choice.Upstream, "")
 	if code == result.OK {
 		code = exchange.relay(answer)
