--- a/config/entry.go
+++ b/config/entry.go
@@ -40,7 +40,8 @@
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; zero means unknown.
 	LinkMbps float64 `json:",omitempty" validate:"gte=0,lte=10000000"`
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
-	// of the Go runtime is set to a share of it; zero sets no limit.
+	// of the Go runtime, the memory for bodies and answers and the number of callers'
+	// connections are set to shares of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
 	// EvacuateMs is the time from the request to evacuate a zone within which that has to be
 	// in force; zero means unknown. A router that stood still for half of it reads what came
@@ -49,4 +50,7 @@
 	// Zones holds the region of each availability zone. The upstreams of a zone without one
 	// get only requests that are not restricted to regions.
 	Zones map[ident.Zone]ident.Region `json:",omitempty"`
+	// MaxDescriptors is how many files and sockets the process may open; zero means the
+	// limit of the system. Callers' connections are bounded by a share of it.
+	MaxDescriptors int `json:",omitempty" validate:"gte=0,lte=100000000"`
 }
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -37,6 +37,7 @@
 	}
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
+	daemon.callerConns.CloseHalfRead(now.Add(-headerTimeout))
 	if !daemon.stop.stopping() {
 		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -81,6 +81,8 @@
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
 			(sameUpstream || request.Code == "UpstreamsCold") && isCold(line),
+			request.Code == "MemoryFull" && line.Message == memoryFull,
+			request.Tried == 0 && line.Message == connsAtBound,
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
@@ -233,6 +235,10 @@
 		return fmt.Sprintf("zone %s evacuated at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
 	case evacuationEnded:
 		return fmt.Sprintf("evacuation of zone %s ended at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
+	case memoryFull:
+		return fmt.Sprintf("memory full: %d bytes of bodies and answers held of at most %d, %d requests refused since the last such line", line.HeldBytes, line.HeldLimit, line.RefusedCount)
+	case connsAtBound:
+		return fmt.Sprintf("connections of %s at the bound of %d: %d closed since the last such line, the last as %s", line.Listener, line.ConnLimit, line.ClosedCount, line.LastReason)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -284,6 +290,8 @@
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
 	"ZonesEvacuated":       "operators have evacuated the availability zones of all upstreams that could run the request; it did not run",
 	"RegionNotAllowed":     "no upstream of the service is in a region that both the route and the workspace allow; it did not run",
+	"MemoryFull":           "the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run",
+	"BodyTooSlow":          "the caller's body arrived at less than the minimum rate; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
--- a/explain/line.go
+++ b/explain/line.go
@@ -61,6 +61,16 @@
 	PerSecond   float64
 	RestMs      int64
 	RemainingMs int64
+	// HeldBytes is what a router held of bodies and answers, of at most HeldLimit, when it
+	// refused RefusedCount requests for want of memory. ClosedCount connections of Listener
+	// were closed as it had ConnLimit, the last for LastReason.
+	HeldBytes    int64
+	HeldLimit    int64
+	RefusedCount int
+	Listener     string
+	ConnLimit    int
+	ClosedCount  int
+	LastReason   string
 
 	// Attributes of streams. Version is the software version to which a request was
 	// bound, VersionSource how it was known, and VersionAgeMs how long before the
@@ -117,6 +127,8 @@
 	splitAdopted     = "versions: Split adopted."
 	zoneEvacuated    = "follow: Zone evacuated."
 	evacuationEnded  = "follow: Evacuation of a zone ended."
+	memoryFull       = "forward: Memory for bodies and answers is full."
+	connsAtBound     = "Connections are at their bound."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -29,7 +30,13 @@
 	workspace *routing.Workspace
 	// allowed are the only regions in which the request may run; nil means any.
 	allowed []ident.Region
-	body    []byte
+	// conn is the caller's connection, or nil if no Listener accepted it.
+	conn *checkedConn
+	// body is the complete body in parts, bodyHolding what it takes in the memory account,
+	// and bodyHeld set if it takes anything there.
+	body        [][]byte
+	bodyHolding memory.Holding
+	bodyHeld    bool
 	// knownSuspect is what suspect returned, or nil.
 	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
@@ -58,8 +65,14 @@
 	// that carried it was established.
 	sentAt      time.Time
 	connectedAt time.Time
-	// reserved is how many bytes of Buffers the request holds.
-	reserved int64
+	// answerHolding is what answers take, reserved its size, earlier the part of it that a
+	// kept answer of an earlier attempt takes, and answerWatched set while it may be given
+	// up. writeDeadline is by when the next bytes have to be written.
+	answerHolding memory.Holding
+	reserved      int64
+	earlier       int64
+	answerWatched bool
+	writeDeadline time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
 	// takenAt is when the limit of the chosen upstream allowed the request.
@@ -95,7 +108,7 @@
 
 // serve reads the request, forwards it and writes the answer.
 func (exchange *exchange) serve() {
-	defer exchange.releaseBuffers()
+	defer exchange.releaseMemory()
 	exchange.closeIfLeaving(exchange.writer.Header())
 	if code := exchange.prepare(); code != result.OK {
 		exchange.refuse(code)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -58,9 +59,9 @@
 	// evacuated zones is not older than it should be.
 	AwaitCurrent func(ctx context.Context)
 	Connections  *Connections
-	// Buffers bounds what requests hold of their answers.
-	Buffers Buffers
-	Zone    ident.Zone
+	// Memory bounds what requests hold of their bodies and answers.
+	Memory memory.Account
+	Zone   ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
@@ -88,6 +89,14 @@
 	ending     context.Context
 	end        context.CancelFunc
 
+	// fullMu guards when memory was last logged as full, the refusals since then, and the
+	// log lines of refused bodies in the second that began at bodyLogFrom.
+	fullMu       sync.Mutex
+	fullLoggedAt time.Time
+	fullRefusals int
+	bodyLogFrom  time.Time
+	bodyLogLines int
+
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
 	// streamLifetimes holds the longest time that a stream of each service may last.
@@ -121,6 +130,8 @@
 		request: request,
 		arrived: time.Now(),
 	}
+	exchange.conn, _ = request.Context().Value(connContextKey).(*checkedConn)
+	exchange.conn.endWait()
 	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
--- a/result/code.go
+++ b/result/code.go
@@ -62,6 +62,8 @@
 	ZonesEvacuated       Code = 2019
 	RegionNotAllowed     Code = 2020
 	UpstreamsCold        Code = 2021
+	MemoryFull           Code = 2025
+	BodyTooSlow          Code = 2026
 )
 
 // Codes for requests that were run or may have been run.
@@ -143,6 +145,8 @@
 	{ZonesEvacuated, "ZonesEvacuated", "Every upstream is in an evacuated zone", "Operators have evacuated the availability zones of all upstreams that could run the request, so it was sent to none. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 	{RegionNotAllowed, "RegionNotAllowed", "No upstream is in an allowed region", "The configuration restricts the route, the workspace or both to regions in which no upstream takes requests. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, false},
 	{UpstreamsCold, "UpstreamsCold", "Every upstream is cold", "The upstreams of the route have just started and take few requests a second for a while. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{MemoryFull, "MemoryFull", "No memory is left for the body", "The router holds as many bodies and answers as its memory allows, and this body was the largest and slowest, or made too little progress. Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
+	{BodyTooSlow, "BodyTooSlow", "The body arrives too slowly", "The body arrived at less than the minimum rate, which callers on the slowest supported links exceed many times over. Nothing was run. Send it again.", http.StatusServiceUnavailable, NotRun, true},
 
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown", "The upstream may or may not have run the request, and this cannot be determined. See docs/OUTCOMES.md.", http.StatusBadGateway, Unknown, false},
 	{AnswerCut, "AnswerCut", "The answer was cut", "The upstream stopped in the middle of the answer, and the answer could not be continued. The part that was received is incomplete.", http.StatusBadGateway, Failed, false},
