--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -118,6 +118,7 @@
 		OnRefuse: upstream.recordRefusal,
 		OnStart:  func(attempt ident.AttemptID) { soak.runLog.add(attempt, run{upstream: id, at: time.Now()}) },
 
+		ColdTime:       coldRule.Start,
 		RepeatRefusals: true,
 		CrashMarker:    crashMarker,
 		CrashAttempt:   func(attempt ident.AttemptID) bool { return strings.HasPrefix(string(attempt), crashMarker) },
