forward: TestFinishedBodiesStay holds its upstream instead of waiting two seconds

On a busy machine the second request might have come after the first had ended, and been served. It passes five times with the race detector beside other tests, with the others of the file.

--- a/forward/body_test.go
+++ b/forward/body_test.go
@@ -192,8 +192,9 @@
 // TestFinishedBodiesStay guards against finished bodies that are given up while they run, and
 // checks that a new large one is refused and an ordinary one served.
 func TestFinishedBodiesStay(t *testing.T) {
+	release := make(chan struct{})
 	upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
-		time.Sleep(2 * time.Second)
+		<-release
 		return echo(ctx, conn, n, request)
 	})
 	router := startLargeBodyRouter(t, upstream)
@@ -210,6 +211,10 @@
 	ordinary := router.dial(t)
 	ordinary.begin("ordinary", fmt.Sprintf("Content-Length: %d", 72<<10))
 	ordinary.send(bytes.Repeat([]byte("x"), 72<<10))
+	for end := time.Now().Add(5 * time.Second); len(upstream.requestsSoFar()) < 2 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(release)
 	running.check(http.StatusOK)
 	ordinary.check(http.StatusOK)
 	router.awaitNothingHeld(t)
