balance: the choice by predicted times to the first event

The wait at an upstream was its pending prefill at 45 tokens a ms, on every engine. With Chooser.FirstEvent it is a prediction that also knows the rate of the service, how slow the upstream is and the pace of its VM; without it, and where nothing is predicted, the choice is as before. Bound, cache hits and rendezvous order stay: an upstream later in the order has to be expected to answer 2 ms and 5 in 100 sooner. Of several that have the prefix and are expected to answer as soon, the less loaded of two random ones is taken: with words 1 s old, all routers took the same least loaded one.

Loads counts what this router's requests are expected to be sent yet; it breaks ties, and is in no message.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -58,6 +58,10 @@
 	Target ident.Milliseconds
 	// Retryable is set if the request may run more than once.
 	Retryable bool
+	// Own is the length of the request's own part of the prompt, and Prompt that of the
+	// whole prompt.
+	Own    ident.Tokens
+	Prompt ident.Tokens
 }
 
 // Choice is the chosen upstream with the figures behind the decision.
@@ -68,11 +72,25 @@
 	// requests in flight at the upstreams of the pool that name no limit.
 	Load Load
 	Mean float64
+	// Local is the part of the pending prefill that is of this router's requests, and
+	// Expected the predicted time to the first event. They are zero without FirstEvent,
+	// and Expected also where it predicts nothing.
+	Local    ident.Tokens
+	Expected time.Duration
 	// Source is an upstream that has a longer prefix of the prompt cached than the
 	// chosen one. It is empty if there is none.
 	Source ident.UpstreamID
 }
 
+// Work is the prefill until the first event of a request at an upstream, in tokens.
+type Work struct {
+	// Prefill is that of the request itself, and Pending that of the requests before it,
+	// of which Local are of this router.
+	Prefill ident.Tokens
+	Pending ident.Tokens
+	Local   ident.Tokens
+}
+
 // LimitState is how an upstream stands to the limit of requests that it names.
 type LimitState int
 
@@ -99,6 +117,13 @@
 	// Limit returns how an upstream stands to the limit that it names. If it is nil,
 	// no upstream names one.
 	Limit func(now time.Time, upstream registry.Upstream) LimitState
+	// FirstEvent returns the predicted time to the first event of a request that finds
+	// the given work at an upstream, and false if too little is known of its service. An
+	// upstream without an ID stands for the mean of its service. If it is nil, or returns
+	// false, the wait is that for the pending prefill at an assumed rate.
+	FirstEvent func(now time.Time, upstream registry.Upstream, work Work) (time.Duration, bool)
+	// Random returns a random number from 0 to n-1; with nil it is that of math/rand.
+	Random func(n int) int
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -119,6 +144,12 @@
 	// there has to be shorter.
 	maxWaitShare = 0.3
 	minGainShare = 0.2
+	// minGain and minRelativeGain are by how much sooner an upstream has to be expected
+	// to answer than one that comes before it in the rendezvous order. Differences below
+	// are within the error of predictions, and routers that disagree on them would
+	// prefill the same prefix in several places.
+	minGain         = 2 * time.Millisecond
+	minRelativeGain = 0.05
 )
 
 // prefillTime returns the time that the pending prefill of an upstream takes.
@@ -148,6 +179,8 @@
 	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
+	// expected is the predicted time to the first event, if the selection predicts.
+	expected time.Duration
 }
 
 // usable reports whether the upstream is healthy, not excluded and has fewer than
@@ -167,6 +200,11 @@
 	// mean is the mean number of requests in flight at the upstreams of the pool that
 	// name no limit: the others' share of the load is theirs.
 	mean float64
+	// predicts is set if the times to the first event are predicted. usual is the one at
+	// an idle upstream that is like the mean of its service and has the prefix cached.
+	now      time.Time
+	predicts bool
+	usual    time.Duration
 }
 
 // Choose returns an upstream of pool for request, and false if there is none
@@ -179,7 +217,7 @@
 	if len(request.Keys) > 0 {
 		cachedAt = chooser.CacheIndex.Upstreams(now, request.Keys[0])
 	}
-	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
+	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams)), now: now}
 	total, counted := 0, 0
 	for i, upstream := range pool.Upstreams {
 		limit := chooser.limitOf(now, upstream)
@@ -199,6 +237,7 @@
 		counted++
 	}
 	selection.mean = float64(total) / float64(max(counted, 1))
+	selection.startPredicting()
 	chosen, reason, found := selection.pick(len(cachedAt) > 0)
 	if !found {
 		return Choice{}, false
@@ -206,13 +245,23 @@
 	if spare, better := selection.spare(chosen); better {
 		chosen, reason = spare, Spillover
 	}
-	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean}
+	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean, Expected: chosen.expected}
+	if chooser.FirstEvent != nil {
+		choice.Local = min(chooser.Loads.LocalPrefill(choice.Upstream.ID), choice.Load.PendingPrefill)
+	}
 	if !chosen.cached {
 		choice.Source = chooser.source(now, request.Keys, choice.Upstream.ID)
 	}
 	return choice, true
 }
 
+func (selection *selection) random(n int) int {
+	if selection.chooser.Random == nil {
+		return rand.IntN(n)
+	}
+	return selection.chooser.Random(n)
+}
+
 func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
 	if chooser.Limit == nil {
 		return Unlimited
@@ -255,7 +304,7 @@
 func (selection *selection) pick(prefixCached bool) (candidate, Reason, bool) {
 	if len(selection.request.Keys) > 0 {
 		cached, hit := selection.bestCached()
-		ranked, found := selection.bestRanked()
+		ranked, found := selection.bestRanked(prefixCached)
 		if hit && !(found && selection.worthSpilling(cached, ranked)) {
 			return cached, CacheHit, true
 		}
@@ -280,6 +329,9 @@
 // bound that have the prefix cached.
 func (selection *selection) bestCached() (candidate, bool) {
 	bound := selection.chooser.Multiple*selection.mean + selection.chooser.Slack
+	if selection.predicts {
+		return selection.soonestCached(bound)
+	}
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
@@ -294,6 +346,95 @@
 	return best, found
 }
 
+// startPredicting finds out whether the times to the first event can be predicted.
+func (selection *selection) startPredicting() {
+	if selection.chooser.FirstEvent == nil || len(selection.request.Keys) == 0 || len(selection.pool.Upstreams) == 0 {
+		return
+	}
+	mean := registry.Upstream{Service: selection.pool.Upstreams[0].Service}
+	selection.usual, selection.predicts = selection.chooser.FirstEvent(selection.now, mean, Work{Prefill: selection.request.Own})
+}
+
+// predict sets the expected time to the first event if the request has to prefill so
+// many tokens at a candidate.
+func (selection *selection) predict(candidate *candidate, prefill ident.Tokens) {
+	if !selection.predicts {
+		return
+	}
+	upstream := selection.pool.Upstreams[candidate.index]
+	work := Work{Prefill: prefill, Pending: candidate.load.PendingPrefill}
+	if work.Pending > 0 {
+		work.Local = min(selection.chooser.Loads.LocalPrefill(upstream.ID), work.Pending)
+	}
+	expected, known := selection.chooser.FirstEvent(selection.now, upstream, work)
+	if !known {
+		expected = selection.usual
+	}
+	candidate.expected = expected
+}
+
+// soonestCached returns the upstream that is expected to answer first among those below
+// the bound that have the prefix cached. Of those that are expected to answer as soon, it
+// draws two and takes the less loaded: if all routers took the least loaded one by the
+// same late figures, they would overload it together.
+func (selection *selection) soonestCached(bound float64) (candidate, bool) {
+	var space [maxUpstreamsPerPrefix]candidate
+	usable := space[:0]
+	var soonest time.Duration
+	for _, candidate := range selection.candidates {
+		if !candidate.cached || !candidate.usable(bound) {
+			continue
+		}
+		selection.predict(&candidate, selection.request.Own)
+		if len(usable) == 0 || candidate.expected < soonest {
+			soonest = candidate.expected
+		}
+		usable = append(usable, candidate)
+	}
+	latest := soonest + gainOver(soonest)
+	usable = slices.DeleteFunc(usable, func(candidate candidate) bool { return candidate.expected > latest })
+	switch len(usable) {
+	case 0:
+		return candidate{}, false
+	case 1:
+		return usable[0], true
+	}
+	first := selection.random(len(usable))
+	second := selection.random(len(usable) - 1)
+	if second >= first {
+		second++
+	}
+	if selection.lessWork(usable[second], usable[first]) {
+		first = second
+	}
+	return usable[first], true
+}
+
+// lessWork reports whether a has fewer requests in flight than b, or as many of which this
+// router's are to generate less.
+func (selection *selection) lessWork(a, b candidate) bool {
+	if a.load.Requests != b.load.Requests {
+		return a.load.Requests < b.load.Requests
+	}
+	loads, upstreams := selection.chooser.Loads, selection.pool.Upstreams
+	return loads.Generation(upstreams[a.index].ID) < loads.Generation(upstreams[b.index].ID)
+}
+
+// gainOver returns by how much sooner than the expected time an answer has to be expected
+// to make a difference.
+func gainOver(expected time.Duration) time.Duration {
+	return max(minGain, time.Duration(minRelativeGain*float64(expected)))
+}
+
+// soonerRanked reports whether a, which comes after b in the rendezvous order, is expected
+// to answer so much sooner that it is preferred.
+func (selection *selection) soonerRanked(a, b candidate) bool {
+	if !selection.predicts {
+		return a.load.prefillTime() < b.load.prefillTime()
+	}
+	return b.expected-a.expected > gainOver(b.expected)
+}
+
 // answersSooner reports whether an upstream with load a is expected to answer
 // sooner than one with load b.
 func answersSooner(a, b Load) bool {
@@ -306,15 +447,25 @@
 // worthSpilling reports whether the request should go to ranked, which has to
 // fetch the prefix, rather than wait for the pending prefill at cached.
 func (selection *selection) worthSpilling(cached, ranked candidate) bool {
+	if selection.predicts {
+		target := float64(selection.request.Target.Duration())
+		return target > 0 && float64(cached.expected-selection.usual) > maxWaitShare*target &&
+			float64(cached.expected-ranked.expected) > minGainShare*target
+	}
 	target := float64(selection.request.Target)
 	wait := float64(cached.load.prefillTime())
 	return target > 0 && wait > maxWaitShare*target && wait-float64(ranked.load.prefillTime()) > minGainShare*target
 }
 
-// bestRanked returns the upstream with the least pending prefill among the first
-// of the rendezvous order that are at most slightly more loaded than the mean.
-// All routers with the same view choose the same one.
-func (selection *selection) bestRanked() (candidate, bool) {
+// bestRanked returns the upstream with the least pending prefill, or the one that is
+// expected to answer first, among the first of the rendezvous order that are at most
+// slightly more loaded than the mean. All routers with the same view choose the same
+// one. prefixCached says whether the prefix can be fetched.
+func (selection *selection) bestRanked(prefixCached bool) (candidate, bool) {
+	prefill := selection.request.Prompt
+	if prefixCached {
+		prefill = selection.request.Own
+	}
 	var space [maxRankedCandidates]int
 	order := space[:]
 	if selection.limited > 0 {
@@ -327,7 +478,8 @@
 		if !candidate.usable(selection.mean + uncachedSlack) {
 			continue
 		}
-		if !found || candidate.load.prefillTime() < best.load.prefillTime() {
+		selection.predict(&candidate, prefill)
+		if !found || selection.soonerRanked(candidate, best) {
 			best = candidate
 			found = true
 		}
@@ -372,7 +524,7 @@
 		case selection.preferred(best, candidate):
 		default:
 			equals++
-			if rand.IntN(equals) == 0 {
+			if selection.random(equals) == 0 {
 				best = candidate
 			}
 		}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -70,7 +70,10 @@
 	local   Counts
 	remote  totals[ident.UpstreamID]
 	reports map[ident.UpstreamID]report
-	peers   map[RouterID]peerCounts
+	// generation is how many tokens this router's requests are expected to be sent yet.
+	// It is no part of Load, which other routers decode field by field.
+	generation map[ident.UpstreamID]ident.Tokens
+	peers      map[RouterID]peerCounts
 	// sums holds the loads of groups of routers, and summed their total.
 	sums   map[GroupID]groupSum
 	summed totals[UpstreamKey]
@@ -81,6 +84,7 @@
 		loads.local = make(Counts)
 		loads.remote = make(totals[ident.UpstreamID])
 		loads.reports = make(map[ident.UpstreamID]report)
+		loads.generation = make(map[ident.UpstreamID]ident.Tokens)
 		loads.peers = make(map[RouterID]peerCounts)
 		loads.sums = make(map[GroupID]groupSum)
 		loads.summed = make(totals[UpstreamKey])
@@ -111,6 +115,35 @@
 	loads.subtractLocal(upstream, Load{Requests: 1, PendingPrefill: pendingPrefill})
 }
 
+// AddGeneration adds tokens that upstream is expected to generate for a request of this
+// router, or subtracts them if the number is negative.
+func (loads *Loads) AddGeneration(upstream ident.UpstreamID, tokens ident.Tokens) {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	loads.initMaps()
+	remaining := loads.generation[upstream] + tokens
+	if remaining <= 0 {
+		delete(loads.generation, upstream)
+		return
+	}
+	loads.generation[upstream] = remaining
+}
+
+// LocalPrefill returns the pending prefill of this router's own requests at upstream.
+func (loads *Loads) LocalPrefill(upstream ident.UpstreamID) ident.Tokens {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	return loads.local[upstream].PendingPrefill
+}
+
+// Generation returns how many tokens upstream is expected to generate yet for the
+// requests of this router.
+func (loads *Loads) Generation(upstream ident.UpstreamID) ident.Tokens {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	return loads.generation[upstream]
+}
+
 // subtractLocal subtracts load from what this router has in flight at upstream.
 // The caller holds mu.
 func (loads *Loads) subtractLocal(upstream ident.UpstreamID, load Load) {
