forward, entry: learn what requests cost, and choose by it where ExpectedCost is set

A relayed answer tells the model of package cost the time to the first event, the gaps between events (not behind a caller that reads slowly, nor while prompts are pending at the upstream), the length of a whole stream, the pace in the load report and the time of a plain request. Broken, resumed and taken-up streams teach no length. The generation that is expected of a running request is counted down with its events.

The setting ExpectedCost (off by default, reloaded without a restart) turns on the model and the choice by its predictions. A log line of a request then has ExpectedMs, which explain prints, and the histogram hickoryhead.prediction.ratio has the prediction error.

--- a/config/entry.go
+++ b/config/entry.go
@@ -37,4 +37,7 @@
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
 	// of the Go runtime is set to a share of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
+	// ExpectedCost turns on the choice of upstreams by the predicted time to the first
+	// event, which is learned from answers.
+	ExpectedCost bool `json:",omitempty"`
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/gossip"
@@ -77,6 +78,7 @@
 	loads       balance.Loads
 	cacheIndex  balance.CacheIndex
 	health      health.Tracker
+	costs       cost.Model
 	strikes     strike.Guard
 	quota       quota.Tracker
 	splits      split.Tracker
@@ -216,6 +218,7 @@
 	listed, _ := daemon.registry.Upstream(upstream.ID)
 	daemon.strikes.Ended(time.Now(), upstream.ID, listed.Incarnation)
 	daemon.health.Forget(upstream.ID)
+	daemon.costs.Forget(upstream.ID)
 	daemon.cacheIndex.Forget(upstream.ID)
 }
 
--- /dev/null
+++ b/entry/expected_cost_test.go
@@ -0,0 +1,69 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/platform"
+)
+
+// serveStream answers each request with a stream of three events.
+func serveStream(writer http.ResponseWriter, request *http.Request) {
+	header := writer.Header()
+	header.Set("Hickoryhead-Attempt-Id", request.Header.Get("Hickoryhead-Attempt-Id"))
+	header.Set("Hickoryhead-Response-Signature", "s")
+	header.Set("Hickoryhead-Runner-Load", "1,0,64,100")
+	header.Set("Content-Type", "text/event-stream")
+	for n := range 3 {
+		fmt.Fprintf(writer, "id: %d\ndata: x\n\n", 10*n+10)
+	}
+}
+
+// TestExpectedCostIsUsedWhereItIsSet guards against a setting that changes nothing, and
+// against predictions on a deployment that doesn't have it.
+func TestExpectedCostIsUsedWhereItIsSet(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		t.Run(fmt.Sprint(on), func(t *testing.T) {
+			fixture := newFixture(t, "i-1", "i-2")
+			for id, upstream := range fixture.upstreams {
+				upstream.server = httptest.NewServer(http.HandlerFunc(serveStream))
+				t.Cleanup(upstream.server.Close)
+				fixture.writeUpstream(id, "ready")
+			}
+			value := `{"version":2,"routes":[{"name":"r","host":"a.example","prefix":"/first/","route-type":"streaming","timeout-ms":6000,"target-latency-ms":300,"service":"pool","public":true,"sticky-sessions":true}],"services":[{"name":"pool"}]}`
+			fixture.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: []byte(value)})
+			fixture.config.ExpectedCost = on
+			fixture.start()
+			fixture.waitFor(3*time.Second, "readiness", fixture.ready)
+			for range 30 {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+fixture.addresses.Callers+"/first/x", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				request.Host = "a.example"
+				request.Header.Set("Hickoryhead-Attempt-Id", "a1")
+				request.Header.Set("Hickoryhead-Prompt-Prefix", "house:400,own:100")
+				response, err := client.Do(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if err != nil || response.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), "id: 30\ndata: x\n\n") {
+					t.Fatalf("got status %d, body %q and error %v, want three events", response.StatusCode, body, err)
+				}
+			}
+			logged := func() bool { return strings.Contains(fixture.log.String(), `"ExpectedMs":`) }
+			if on {
+				fixture.waitFor(time.Second, "log line with an expected time", logged)
+			} else if logged() {
+				t.Error("got a log line with an expected time without the setting, want none")
+			}
+		})
+	}
+}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -19,7 +20,7 @@
 // applyTuning passes the settings that may change at run time to the handler.
 func (daemon *Daemon) applyTuning() {
 	settings := daemon.settings.Load()
-	daemon.handler.Tune(forward.Tuning{
+	tuning := forward.Tuning{
 		Chooser: &balance.Chooser{
 			Loads:       &daemon.loads,
 			CacheIndex:  &daemon.cacheIndex,
@@ -31,7 +32,18 @@
 		},
 		RetryShare: settings.RetryShare,
 		RetrySlack: settings.RetrySlack,
-	})
+	}
+	if settings.ExpectedCost {
+		tuning.Costs = &daemon.costs
+		tuning.Chooser.FirstEvent = daemon.firstEvent
+	}
+	daemon.handler.Tune(tuning)
+}
+
+// firstEvent returns the predicted time to the first event of a request that finds the
+// given work at an upstream, and false if too little is known of its service.
+func (daemon *Daemon) firstEvent(now time.Time, upstream registry.Upstream, work balance.Work) (time.Duration, bool) {
+	return daemon.costs.FirstEvent(now, upstream, cost.Work{Prefill: work.Prefill, Local: work.Local, Remote: work.Pending - work.Local})
 }
 
 // limitState returns how an upstream stands to the limit that it names.
@@ -107,5 +119,6 @@
 	settings.RetryShare = loaded.RetryShare
 	settings.RetrySlack = loaded.RetrySlack
 	settings.StopTimeoutMs = loaded.StopTimeoutMs
+	settings.ExpectedCost = loaded.ExpectedCost
 	return settings
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -153,6 +153,14 @@
 	fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
 }
 
+// describeExpected returns the time to the first event that was predicted, if one was.
+func describeExpected(line Line) string {
+	if line.ExpectedMs == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%d ms expected from the upstream)", line.ExpectedMs)
+}
+
 // describe returns the event of a log line in words.
 func describe(line Line) string {
 	switch line.Message {
@@ -161,7 +169,7 @@
 			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line)
 		}
 		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens pending prefill, %d upstreams tried, prompt of %d tokens, first byte after %d ms",
-			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeOrigin(line)
+			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeExpected(line) + describeOrigin(line)
 	case streamResumed:
 		return fmt.Sprintf("stream begun at upstream %s (%s) goes on at %s (%s)", line.Began, line.BeganSoftware, line.Upstream, line.Software)
 	case splitAdopted:
--- a/explain/line.go
+++ b/explain/line.go
@@ -30,9 +30,11 @@
 	MeanLoad      float64
 	Tried         int
 	FirstMs       int64
-	Prompt        int
-	Started       bool
-	CallerLeft    bool
+	// ExpectedMs is the predicted time to the first event, or zero if there was none.
+	ExpectedMs int64
+	Prompt     int
+	Started    bool
+	CallerLeft bool
 	// Fingerprint is the same for all attempts of one request.
 	Fingerprint string
 	// Part is the ID of the part of the prompt for which the request was refused, and
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,6 +56,8 @@
 	// pendingPrefill is the number of prompt tokens that the upstream has to
 	// prefill before its first byte.
 	pendingPrefill ident.Tokens
+	// progress is what costs are learned from, or nil.
+	progress *progress
 }
 
 // prefillDone records that the upstream has prefilled the prompt.
@@ -72,7 +74,7 @@
 // release returns the connection to its pool after the body was read to its
 // end.
 func (answer *answer) release() {
-	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.endLoad()
 	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
 		answer.conn.Discard()
 		return
@@ -80,6 +82,12 @@
 	answer.conn.Release(answer.response.Body, http1.KeepAlive(answer.response.Header))
 }
 
+// endLoad records that the upstream no longer has the request.
+func (answer *answer) endLoad() {
+	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.progress.end()
+}
+
 // fail closes the connection, which broke or not.
 func (answer *answer) fail(broke bool) {
 	if broke {
@@ -90,7 +98,7 @@
 
 // discard closes the connection, which cancels the work at the upstream.
 func (answer *answer) discard() {
-	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.endLoad()
 	answer.stopWatch()
 	answer.stopEnd()
 	answer.conn.Discard()
@@ -130,6 +138,7 @@
 	closing := func() { _ = conn.Close() }
 	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
 	answer.stopEnd = exchange.handler.closeAtEnd(closing)
+	answer.progress = exchange.newProgress(answer, lastEvent)
 	exchange.handler.Loads.Start(upstream.ID, answer.pendingPrefill)
 	for _, key := range exchange.prefixIDs {
 		exchange.handler.CacheIndex.RecordLocal(time.Now(), balance.CacheUpdate{Key: key, Upstream: upstream.ID})
@@ -155,13 +164,21 @@
 	if len(exchange.head.Prompt) == 0 {
 		return 0
 	}
-	own := exchange.head.Prompt[len(exchange.head.Prompt)-1].Tokens
+	own := ownTokens(exchange.head.Prompt)
 	if exchange.choice.Reason == balance.CacheHit || exchange.choice.Source != "" {
 		return own
 	}
 	return promptTokens(exchange.head.Prompt)
 }
 
+// ownTokens returns the length of the last part of a prompt, which is the request's own.
+func ownTokens(parts []platform.PromptPart) ident.Tokens {
+	if len(parts) == 0 {
+		return 0
+	}
+	return parts[len(parts)-1].Tokens
+}
+
 // promptTokens returns the length of a prompt in tokens.
 func promptTokens(parts []platform.PromptPart) ident.Tokens {
 	var tokens ident.Tokens
@@ -327,6 +344,7 @@
 // relayed.
 func (exchange *exchange) classify(answer *answer) result.Code {
 	if answer.head.Load != nil {
+		answer.progress.observePace(answer.head.Load.Pace)
 		exchange.handler.Loads.RecordReport(time.Now(), answer.upstream.ID, answer.head.Load.Running+answer.head.Load.Waiting)
 	}
 	if answer.response.StatusCode != http.StatusMisdirectedRequest && exchange.matchesRequest(answer) {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -188,6 +188,8 @@
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
+		Own:       ownTokens(exchange.head.Prompt),
+		Prompt:    promptTokens(exchange.head.Prompt),
 	}
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -98,6 +99,8 @@
 	// to a fraction of its requests, plus a number per retry.Window.
 	RetryShare float64
 	RetrySlack float64
+	// Costs learns from answers what requests cost; nil means that nothing is learned.
+	Costs *cost.Model
 }
 
 // Tune applies tuning to all later requests. Call it at least once before the
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -79,6 +79,7 @@
 		return code
 	}
 	status := answer.response.StatusCode
+	answer.progress.observePlain(status)
 	answer.release()
 	exchange.recordSurvival(answer)
 	if status >= http.StatusInternalServerError {
@@ -246,6 +247,7 @@
 		if err == nil {
 			exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
 			exchange.recordSurvival(answer)
+			answer.progress.observeOutput()
 			answer.release()
 			if !exchange.started {
 				exchange.copyHeader(first)
@@ -293,9 +295,11 @@
 	for {
 		count, err := answer.response.Body.Read(buffer)
 		if length := stream.add(buffer[:count]); length > 0 {
+			readAt, events := time.Now(), bytes.Count(stream.pending[:length], []byte(eventEnd))
 			if err := exchange.writeEvents(first, stream, length, controller); err != nil {
 				return err
 			}
+			answer.progress.observeEvents(readAt, events, &stream.sequence)
 		}
 		if len(stream.pending) > maxEventBytes || !exchange.mayHold(2*len(stream.pending)) {
 			return errEventTooLong
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -71,6 +71,9 @@
 			slog.Int("Tried", len(exchange.tried)),
 			slog.Bool("Started", exchange.started))
 	}
+	if exchange.choice.Expected > 0 {
+		attributes = append(attributes, slog.Int64("ExpectedMs", exchange.choice.Expected.Milliseconds()))
+	}
 	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -59,6 +59,7 @@
 	requestSeconds   metric.Float64Histogram
 	attemptSeconds   metric.Float64Histogram
 	storeCallSeconds metric.Float64Histogram
+	predictionRatio  metric.Float64Histogram
 }
 
 // New returns the instruments of a daemon with the given role, such as
@@ -120,9 +121,26 @@
 		}
 		*spec.histogram = histogram
 	}
+	histogram, err := set.meter.Float64Histogram("hickoryhead.prediction.ratio",
+		metric.WithDescription("Time to the first event of a stream as a multiple of the one that was expected."), metric.WithExplicitBucketBoundaries(ratioBounds...))
+	if err != nil {
+		return errors.Wrap(err, "metric hickoryhead.prediction.ratio")
+	}
+	set.predictionRatio = histogram
 	return nil
 }
 
+// ratioBounds are the upper bounds of the histogram buckets of ratios.
+var ratioBounds = []float64{0.1, 0.25, 0.5, 0.8, 1.25, 2, 4, 8}
+
+// ObservePrediction records the time to the first event of a stream beside the one that
+// was expected.
+func (set *Set) ObservePrediction(took, expected time.Duration) {
+	if set != nil && expected > 0 {
+		set.predictionRatio.Record(context.Background(), took.Seconds()/expected.Seconds())
+	}
+}
+
 // ObserveFirstByte records the time from a request's arrival to the first byte
 // of its answer, on a route of the given kind.
 func (set *Set) ObserveFirstByte(kind string, duration time.Duration) {
