where: a command that asks a running router where a request would go

hickoryhead where sends the host, the target and the headers of a request to the internal address of an entry router (MetricsListen, path /where), and prints the upstream that would be chosen now, why, and the loads and predicted times of all that it was chosen among. balance.Inspect makes the choice by the code of Choose; forward.Handler.Where selects route and service by the code that serves requests. Nothing is sent and nothing recorded. The body is not known, and a request for the rest of a stream is placed like a new one.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -213,6 +213,13 @@
 	if pool == nil {
 		return Choice{}, false
 	}
+	selection, prefixCached := chooser.newSelection(now, pool, request)
+	return selection.choose(prefixCached)
+}
+
+// newSelection returns the state of a call of Choose, and whether any upstream is known to
+// have the longest prefix of the request cached.
+func (chooser *Chooser) newSelection(now time.Time, pool *registry.Pool, request Request) (*selection, bool) {
 	var cachedAt []ident.UpstreamID
 	if len(request.Keys) > 0 {
 		cachedAt = chooser.CacheIndex.Upstreams(now, request.Keys[0])
@@ -238,7 +245,13 @@
 	}
 	selection.mean = float64(total) / float64(max(counted, 1))
 	selection.startPredicting()
-	chosen, reason, found := selection.pick(len(cachedAt) > 0)
+	return selection, len(cachedAt) > 0
+}
+
+// choose does the work of Choose.
+func (selection *selection) choose(prefixCached bool) (Choice, bool) {
+	chooser, pool := selection.chooser, selection.pool
+	chosen, reason, found := selection.pick(prefixCached)
 	if !found {
 		return Choice{}, false
 	}
@@ -250,7 +263,7 @@
 		choice.Local = min(chooser.Loads.LocalPrefill(choice.Upstream.ID), choice.Load.PendingPrefill)
 	}
 	if !chosen.cached {
-		choice.Source = chooser.source(now, request.Keys, choice.Upstream.ID)
+		choice.Source = chooser.source(selection.now, selection.request.Keys, choice.Upstream.ID)
 	}
 	return choice, true
 }
--- a/balance/expected_test.go
+++ b/balance/expected_test.go
@@ -157,3 +157,27 @@
 		t.Errorf("got %d tokens after 10 more, want 10", got)
 	}
 }
+
+// TestInspectMakesTheSameChoice guards against an explanation of another choice than the one
+// that is made.
+func TestInspectMakesTheSameChoice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.IntRange(0, 9), 2, 12).Draw(t, "loads")
+		chooser := chooserWith(loads, map[ident.UpstreamID]bool{id(1): rapid.Bool().Draw(t, "ejected")})
+		chooser.Random = func(int) int { return 0 }
+		for i := range loads {
+			if rapid.Bool().Draw(t, "cached") {
+				chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(i)})
+			}
+		}
+		if rapid.Bool().Draw(t, "predicts") {
+			chooser.FirstEvent = predictedBy(map[ident.UpstreamID]time.Duration{id(0): 80 * time.Millisecond})
+		}
+		request := balance.Request{Keys: []ident.ChatID{"prompt"}, Own: 100, Prompt: 5000, Target: 500}
+		want, _ := chooser.Choose(start, poolOf(len(loads)), request)
+		got, candidates, found := chooser.Inspect(start, poolOf(len(loads)), request)
+		if got != want || !found || len(candidates) != len(loads) {
+			t.Fatalf("got %+v among %d, want %+v among %d", got, len(candidates), want, len(loads))
+		}
+	})
+}
--- a/cmd/hickoryhead/root.go
+++ b/cmd/hickoryhead/root.go
@@ -10,7 +10,7 @@
 // run executes the command line args and returns the exit status.
 func run(args []string, out, errOut io.Writer) int {
 	root := command.Root("hickoryhead", "A router fleet in front of model engines and plain services",
-		newRouter(), newSidecar(), newEntry(), newExplain(), newCheck(), newSettings(), newStatus(), newDrain(),
+		newRouter(), newSidecar(), newEntry(), newExplain(), newWhere(), newCheck(), newSettings(), newStatus(), newDrain(),
 		newDemo(), newLoad(), newReference(), newVersion())
 	return command.Run(context.Background(), root, args, out, errOut)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -102,6 +102,8 @@
 	Ready   string
 	// Peers is the address for other routers, over UDP and TCP.
 	Peers string
+	// Internal is the address of metrics, or empty if there is none.
+	Internal string
 }
 
 // Run serves until ctx ends and then performs a planned stop. It returns an
@@ -130,7 +132,11 @@
 	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
 	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
 	if daemon.OnStart != nil {
-		daemon.OnStart(Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self})
+		addresses := Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self}
+		if daemon.Config.MetricsListen != "" {
+			addresses.Internal = servers[2].listener.Addr().String()
+		}
+		daemon.OnStart(addresses)
 	}
 	go reloader.run(loopCtx)
 	<-ctx.Done()
--- a/entry/expected_cost_test.go
+++ b/entry/expected_cost_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/platform"
 )
 
@@ -38,6 +42,7 @@
 			value := `{"version":2,"routes":[{"name":"r","host":"a.example","prefix":"/first/","route-type":"streaming","timeout-ms":6000,"target-latency-ms":300,"service":"pool","public":true,"sticky-sessions":true}],"services":[{"name":"pool"}]}`
 			fixture.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: []byte(value)})
 			fixture.config.ExpectedCost = on
+			fixture.config.MetricsListen = anyPort
 			fixture.start()
 			fixture.waitFor(3*time.Second, "readiness", fixture.ready)
 			for range 30 {
@@ -58,6 +63,10 @@
 					t.Fatalf("got status %d, body %q and error %v, want three events", response.StatusCode, body, err)
 				}
 			}
+			placement := askWhere(t, fixture)
+			if placement.Code != "OK" || placement.Reason != "holder" || len(placement.Candidates) != 2 || (placement.ExpectedOutput > 0) != on {
+				t.Errorf("got placement %+v, want a holder among 2, and an expected output: %v", placement, on)
+			}
 			logged := func() bool { return strings.Contains(fixture.log.String(), `"ExpectedMs":`) }
 			if on {
 				fixture.waitFor(time.Second, "log line with an expected time", logged)
@@ -67,3 +76,38 @@
 		})
 	}
 }
+
+// askWhere asks the router of the fixture where a request would go, and for its metrics at
+// the same address.
+func askWhere(t *testing.T, fixture *fixture) forward.Placement {
+	t.Helper()
+	var placement forward.Placement
+	for path, check := range map[string]func(body []byte) error{
+		"/where?host=a.example&target=/first/x": func(body []byte) error { return json.Unmarshal(body, &placement) },
+		"/metrics": func(body []byte) error {
+			if !strings.Contains(string(body), "hickoryhead_") {
+				return errors.New("no metrics")
+			}
+			return nil
+		},
+	} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+fixture.addresses.Internal+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Hickoryhead-Prompt-Prefix", "house:400,own:100")
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err == nil {
+			err = check(body)
+		}
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("%s: got status %d and error %v, want an answer", path, response.StatusCode, err)
+		}
+	}
+	return placement
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -65,7 +65,7 @@
 	}{
 		{daemon.Config.CallerListen, daemon.handler},
 		{daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
-		{daemon.Config.MetricsListen, daemon.metrics.Handler()},
+		{daemon.Config.MetricsListen, daemon.internalHandler()},
 	}
 	var services []*httpService
 	for _, endpoint := range endpoints {
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -31,6 +31,17 @@
 		exchange.writer.Header().Set("Connection", "close")
 		return result.AmbiguousFraming
 	}
+	if code := exchange.identify(); code != result.OK {
+		return code
+	}
+	if code := exchange.readBody(); code != result.OK {
+		return code
+	}
+	return exchange.checkStop()
+}
+
+// identify reads the head of the request, and selects its route and service.
+func (exchange *exchange) identify() result.Code {
 	head, err := platform.DecodeRequest(exchange.request.Header)
 	exchange.head = head
 	exchange.table = exchange.handler.Routes.Table()
@@ -60,10 +71,7 @@
 	}
 	exchange.setDeadline()
 	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.firstAttempt())))
-	if code := exchange.readBody(); code != result.OK {
-		return code
-	}
-	return exchange.checkStop()
+	return result.OK
 }
 
 // checkStop refuses a request that was read late in a planned stop, and bounds the time of
