--- a/cost/output.go
+++ b/cost/output.go
@@ -28,8 +28,10 @@
 	histogramWindows = 3
 	// minQuantileCount is how many values a quantile needs.
 	minQuantileCount = 20
-	highPercentile   = 90
-	tailPercentile   = 95
+	// percentileInterval is after how many values percentiles are computed again.
+	percentileInterval = 16
+	highPercentile     = 90
+	tailPercentile     = 95
 )
 
 // Request describes a request before it is sent.
@@ -93,13 +95,17 @@
 type rotating struct {
 	windowed  *hdrhistogram.WindowedHistogram
 	rotatedAt time.Time
+	// added counts the values of all windows ever.
+	added int
 }
 
 func newRotating() rotating {
 	return rotating{windowed: hdrhistogram.NewWindowed(histogramWindows, 1, maxOutput, 1)}
 }
 
-func (rotating *rotating) add(now time.Time, value int64) {
+// add adds a value and reports whether percentiles are due to be computed again, which takes
+// longer than to add a value: after each of the first ones, and then from time to time.
+func (rotating *rotating) add(now time.Time, value int64) bool {
 	if rotating.rotatedAt.IsZero() {
 		rotating.rotatedAt = now
 	}
@@ -115,6 +121,8 @@
 	}
 	// The histogram only refuses values out of its range.
 	_ = rotating.windowed.Current.RecordValue(min(max(value, 1), maxOutput))
+	rotating.added++
+	return rotating.added <= 2*minQuantileCount || rotating.added%percentileInterval == 0
 }
 
 // percentile returns the value at a percentile, and false without minQuantileCount values.
@@ -160,21 +168,30 @@
 	defer model.mu.Unlock()
 	route := entry(&model.outputs, maxRoutes, request.Route, newRouteOutput)
 	if request.Hint > 0 {
-		route.units.add(now, int64(unitScale*float64(request.Hint)/float64(counted)))
-		if ratio, known := route.units.percentile(50); known {
-			route.unit = 1
-			if unit := float64(ratio) / unitScale; unit >= minSeveral {
-				route.unit = min(unit, maxUnit)
-			}
+		if route.units.add(now, int64(unitScale*float64(request.Hint)/float64(counted))) {
+			route.updateUnit()
 		}
 	}
-	route.lengths.add(now, int64(counted))
-	route.high, _ = route.lengths.percentile(highPercentile)
+	if route.lengths.add(now, int64(counted)) {
+		route.high, _ = route.lengths.percentile(highPercentile)
+	}
 	for _, key := range request.keys() {
 		entry(&model.lengths, maxLengths, key, func() *decayingMean { return new(decayingMean) }).add(now, float64(counted))
 	}
 }
 
+// updateUnit computes the tokens for each counted event.
+func (route *routeOutput) updateUnit() {
+	ratio, known := route.units.percentile(50)
+	if !known {
+		return
+	}
+	route.unit = 1
+	if unit := float64(ratio) / unitScale; unit >= minSeveral {
+		route.unit = min(unit, maxUnit)
+	}
+}
+
 // Output returns the expected length of the answer to a request.
 func (model *Model) Output(request Request) Output {
 	model.mu.Lock()
@@ -232,8 +249,9 @@
 	defer model.mu.Unlock()
 	times := entry(&model.plain, maxRoutes, route, func() *plainTimes { return &plainTimes{times: newRotating()} })
 	times.mean.add(now, milliseconds(took))
-	times.times.add(now, took.Milliseconds())
-	times.tail, _ = times.times.percentile(tailPercentile)
+	if times.times.add(now, took.Milliseconds()) {
+		times.tail, _ = times.times.percentile(tailPercentile)
+	}
 }
 
 // PlainTime returns the mean time of plain requests of a route and one that 95 in 100
