--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -33,6 +33,8 @@
 	addresses    entry.Addresses
 	cancel       context.CancelFunc
 	done         chan struct{}
+	// reload reads the settings again; nil means that they never change.
+	reload func() (config.Entry, error)
 }
 
 // upstream answers each request with its own ID, after a delay.
@@ -104,7 +106,7 @@
 
 // start runs a router until the test ends and waits until it listens.
 func (fixture *fixture) start() {
-	fixture.daemon = &entry.Daemon{Config: fixture.config, Logger: slog.New(slog.NewJSONHandler(&fixture.log, nil))}
+	fixture.daemon = &entry.Daemon{Config: fixture.config, Logger: slog.New(slog.NewJSONHandler(&fixture.log, nil)), Reload: fixture.reload}
 	ctx, cancel := context.WithCancel(context.Background())
 	fixture.cancel, fixture.done = cancel, make(chan struct{})
 	runner := &daemonRunner{daemon: fixture.daemon, done: fixture.done, t: fixture.t}
