--- a/balance/choose.go
+++ b/balance/choose.go
@@ -61,6 +61,10 @@
 	// MayFetch, unless nil, reports whether the chosen upstream may fetch a cached prefix
 	// from another one.
 	MayFetch func(upstream ident.UpstreamID) bool
+	// Own is the length of the request's own part of the prompt, and Prompt that of the
+	// whole prompt.
+	Own    ident.Tokens
+	Prompt ident.Tokens
 }
 
 // Choice is the chosen upstream with the figures behind the decision.
@@ -71,6 +75,11 @@
 	// requests in flight at the upstreams of the pool that name no limit.
 	Load Load
 	Mean float64
+	// Local is the part of the pending prefill that is of this router's requests, and
+	// Expected the predicted time to the first event. They are zero without FirstEvent,
+	// and Expected also where it predicts nothing.
+	Local    ident.Tokens
+	Expected time.Duration
 	// Source is an upstream that has a longer prefix of the prompt cached than the
 	// chosen one. It is empty if there is none.
 	Source ident.UpstreamID
@@ -112,6 +121,13 @@
 	// Limit returns how an upstream stands to the limit that it names, or to its rate while
 	// it is cold. If it is nil, no upstream names one and none is cold.
 	Limit func(now time.Time, upstream registry.Upstream) LimitState
+	// FirstEvent returns the predicted time to the first event of a request that finds
+	// the given work at an upstream, and false if too little is known of its service. An
+	// upstream without an ID stands for the mean of its service. If it is nil, or returns
+	// false, the wait is that for the pending prefill at an assumed rate.
+	FirstEvent func(now time.Time, upstream registry.Upstream, work Work) (time.Duration, bool)
+	// Random returns a random number from 0 to n-1; with nil it is that of math/rand.
+	Random func(n int) int
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -161,6 +177,8 @@
 	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
+	// expected is the predicted time to the first event, if the selection predicts.
+	expected time.Duration
 }
 
 // usable reports whether the upstream is healthy, not excluded and has fewer than
@@ -184,6 +202,11 @@
 	// bound. It is a multiple of the mean that includes the withheld upstreams: a zone that
 	// is evacuated must not raise the bound of the others.
 	bound float64
+	// predicts is set if the times to the first event are predicted. usual is the one at
+	// an idle upstream that is like the mean of its service and has the prefix cached.
+	now      time.Time
+	predicts bool
+	usual    time.Duration
 }
 
 // Choose returns an upstream of pool for request, and false if there is none
@@ -192,11 +215,18 @@
 	if pool == nil {
 		return Choice{}, false
 	}
+	selection, prefixCached := chooser.newSelection(now, pool, request)
+	return selection.choose(prefixCached)
+}
+
+// newSelection returns the state of a call of Choose, and whether any upstream is known to
+// have the longest prefix of the request cached.
+func (chooser *Chooser) newSelection(now time.Time, pool *registry.Pool, request Request) (*selection, bool) {
 	var cachedAt []ident.UpstreamID
 	if len(request.Keys) > 0 {
 		cachedAt = chooser.CacheIndex.Upstreams(now, request.Keys[0])
 	}
-	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
+	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams)), now: now}
 	total, counted := 0, 0
 	for i, upstream := range pool.Upstreams {
 		limit := chooser.limitOf(now, upstream)
@@ -223,20 +253,37 @@
 		counted++
 	}
 	selection.bound = chooser.Multiple*float64(total)/float64(max(counted, 1)) + chooser.Slack
-	chosen, reason, found := selection.pick(len(cachedAt) > 0)
+	selection.startPredicting()
+	return selection, len(cachedAt) > 0
+}
+
+// choose does the work of Choose.
+func (selection *selection) choose(prefixCached bool) (Choice, bool) {
+	chooser, pool := selection.chooser, selection.pool
+	chosen, reason, found := selection.pick(prefixCached)
 	if !found {
 		return Choice{}, false
 	}
 	if spare, better := selection.spare(chosen); better {
 		chosen, reason = spare, Spillover
 	}
-	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean}
+	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean, Expected: chosen.expected}
+	if chooser.FirstEvent != nil {
+		choice.Local = min(chooser.Loads.LocalPrefill(choice.Upstream.ID), choice.Load.PendingPrefill)
+	}
 	if !chosen.cached {
-		choice.Source = chooser.source(now, request, choice.Upstream.ID)
+		choice.Source = chooser.source(selection.now, selection.request, choice.Upstream.ID)
 	}
 	return choice, true
 }
 
+func (selection *selection) random(n int) int {
+	if selection.chooser.Random == nil {
+		return rand.IntN(n)
+	}
+	return selection.chooser.Random(n)
+}
+
 func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
 	if chooser.Limit == nil {
 		return Unlimited
@@ -282,7 +329,7 @@
 func (selection *selection) pick(prefixCached bool) (candidate, Reason, bool) {
 	if len(selection.request.Keys) > 0 {
 		cached, hit := selection.bestCached()
-		ranked, found := selection.bestRanked()
+		ranked, found := selection.bestRanked(prefixCached)
 		if hit && !(found && selection.worthSpilling(cached, ranked)) {
 			return cached, CacheHit, true
 		}
@@ -306,6 +353,9 @@
 // bestCached returns the upstream that answers soonest among those below the
 // bound that have the prefix cached.
 func (selection *selection) bestCached() (candidate, bool) {
+	if selection.predicts {
+		return selection.soonestCached(selection.bound)
+	}
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
@@ -332,15 +382,25 @@
 // worthSpilling reports whether the request should go to ranked, which has to
 // fetch the prefix, rather than wait for the pending prefill at cached.
 func (selection *selection) worthSpilling(cached, ranked candidate) bool {
+	if selection.predicts {
+		target := float64(selection.request.Target.Duration())
+		return target > 0 && float64(cached.expected-selection.usual) > maxWaitShare*target &&
+			float64(cached.expected-ranked.expected) > minGainShare*target
+	}
 	target := float64(selection.request.Target)
 	wait := float64(cached.load.prefillTime())
 	return target > 0 && wait > maxWaitShare*target && wait-float64(ranked.load.prefillTime()) > minGainShare*target
 }
 
-// bestRanked returns the upstream with the least pending prefill among the first
-// of the rendezvous order that are at most slightly more loaded than the mean.
-// All routers with the same view choose the same one.
-func (selection *selection) bestRanked() (candidate, bool) {
+// bestRanked returns the upstream with the least pending prefill, or the one that is
+// expected to answer first, among the first of the rendezvous order that are at most
+// slightly more loaded than the mean. All routers with the same view choose the same
+// one. prefixCached says whether the prefix can be fetched.
+func (selection *selection) bestRanked(prefixCached bool) (candidate, bool) {
+	prefill := selection.request.Prompt
+	if prefixCached {
+		prefill = selection.request.Own
+	}
 	var space [maxRankedCandidates]int
 	order := space[:]
 	if selection.limited > 0 {
@@ -354,7 +414,8 @@
 		if !candidate.usable(bound) {
 			continue
 		}
-		if !found || candidate.load.prefillTime() < best.load.prefillTime() {
+		selection.predict(&candidate, prefill)
+		if !found || selection.soonerRanked(candidate, best) {
 			best = candidate
 			found = true
 		}
@@ -399,7 +460,7 @@
 		case selection.preferred(best, candidate):
 		default:
 			equals++
-			if rand.IntN(equals) == 0 {
+			if selection.random(equals) == 0 {
 				best = candidate
 			}
 		}
--- a/config/entry.go
+++ b/config/entry.go
@@ -53,4 +53,7 @@
 	// MaxDescriptors is how many files and sockets the process may open; zero means the
 	// limit of the system. Callers' connections are bounded by a share of it.
 	MaxDescriptors int `json:",omitempty" validate:"gte=0,lte=100000000"`
+	// ExpectedCost turns on the choice of upstreams by the predicted time to the first
+	// event, which is learned from answers.
+	ExpectedCost bool `json:",omitempty"`
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
@@ -74,6 +75,7 @@
 	loads       balance.Loads
 	cacheIndex  balance.CacheIndex
 	health      health.Tracker
+	costs       cost.Model
 	strikes     strike.Guard
 	quota       quota.Tracker
 	splits      split.Tracker
@@ -98,6 +100,8 @@
 	Ready   string
 	// Peers is the address for other routers, over UDP and TCP.
 	Peers string
+	// Internal is the address of metrics, or empty if there is none.
+	Internal string
 }
 
 // Run serves until ctx ends and then performs a planned stop. It returns an
@@ -126,7 +130,11 @@
 	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
 	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
 	if daemon.OnStart != nil {
-		daemon.OnStart(Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self})
+		addresses := Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self}
+		if daemon.Config.MetricsListen != "" {
+			addresses.Internal = servers[2].listener.Addr().String()
+		}
+		daemon.OnStart(addresses)
 	}
 	go reloader.run(loopCtx)
 	<-ctx.Done()
@@ -240,6 +248,7 @@
 	listed, _ := daemon.registry.Upstream(upstream.ID)
 	daemon.strikes.Ended(time.Now(), upstream.ID, listed.Incarnation)
 	daemon.health.Forget(upstream.ID)
+	daemon.costs.Forget(upstream.ID)
 	daemon.cacheIndex.Forget(upstream.ID)
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -63,7 +63,7 @@
 	}{
 		{"callers", daemon.Config.CallerListen, daemon.handler},
 		{"readiness", daemon.Config.ReadyListen, http.HandlerFunc(daemon.serveReady)},
-		{"metrics", daemon.Config.MetricsListen, daemon.metrics.Handler()},
+		{"metrics", daemon.Config.MetricsListen, daemon.internalHandler()},
 	}
 	var services []*httpService
 	for _, endpoint := range endpoints {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -207,6 +207,8 @@
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
 		MayFetch:  exchange.mayFetch,
+		Own:       ownTokens(exchange.head.Prompt),
+		Prompt:    promptTokens(exchange.head.Prompt),
 	}
 }
 
