--- a/balance/choose.go
+++ b/balance/choose.go
@@ -61,6 +61,13 @@
 	Target ident.Milliseconds
 	// Retryable is set if the request may run more than once.
 	Retryable bool
+	// MayFetch, unless nil, reports whether the chosen upstream may fetch a cached prefix
+	// from another one.
+	MayFetch func(upstream ident.UpstreamID) bool
+	// Own is the length of the request's own part of the prompt, and Prompt that of the
+	// whole prompt.
+	Own    ident.Tokens
+	Prompt ident.Tokens
 }
 
 // full reports whether the upstream at an index of the pool has no room for the request.
@@ -74,6 +81,11 @@
 	// requests in flight at the upstreams of the pool that name no limit.
 	Load Load
 	Mean float64
+	// Local is the part of the pending prefill that is of this router's requests, and
+	// Expected the predicted time to the first event. They are zero without FirstEvent,
+	// and Expected also where it predicts nothing.
+	Local    ident.Tokens
+	Expected time.Duration
 	// Source is an upstream that has a longer prefix of the prompt cached than the
 	// chosen one. It is empty if there is none.
 	Source ident.UpstreamID
@@ -91,8 +103,18 @@
 	BelowLimit
 	// AtLimit means that it leaves none.
 	AtLimit
+	// BelowColdRate and AtColdRate mean the same of the rate of a cold upstream. It counts
+	// in the mean of its pool, since it takes its part of the load within seconds.
+	BelowColdRate
+	AtColdRate
 )
 
+// leavesNone reports whether the upstream takes no request now.
+func (state LimitState) leavesNone() bool { return state == AtLimit || state == AtColdRate }
+
+// leavesSome reports whether the upstream takes a request now, but has a limit or is cold.
+func (state LimitState) leavesSome() bool { return state == BelowLimit || state == BelowColdRate }
+
 // Chooser chooses upstreams. Its fields must be set before use.
 type Chooser struct {
 	Loads      *Loads
@@ -102,9 +124,16 @@
 	// OnProbation reports whether an upstream should get retryable requests only.
 	// If it is nil, no upstream is on probation.
 	OnProbation func(now time.Time, upstream ident.UpstreamID) bool
-	// Limit returns how an upstream stands to the limit that it names. If it is nil,
-	// no upstream names one.
+	// Limit returns how an upstream stands to the limit that it names, or to its rate while
+	// it is cold. If it is nil, no upstream names one and none is cold.
 	Limit func(now time.Time, upstream registry.Upstream) LimitState
+	// FirstEvent returns the predicted time to the first event of a request that finds
+	// the given work at an upstream, and false if too little is known of its service. An
+	// upstream without an ID stands for the mean of its service. If it is nil, or returns
+	// false, the wait is that for the pending prefill at an assumed rate.
+	FirstEvent func(now time.Time, upstream registry.Upstream, work Work) (time.Duration, bool)
+	// Random returns a random number from 0 to n-1; with nil it is that of math/rand.
+	Random func(n int) int
 	// An upstream that has the prefix cached takes another request while it has
 	// fewer than Multiple times the mean of its pool plus Slack in flight.
 	Multiple float64
@@ -154,6 +183,8 @@
 	limit    LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
+	// expected is the predicted time to the first event, if the selection predicts.
+	expected time.Duration
 }
 
 // usable reports whether the upstream is healthy, not excluded and has fewer than
@@ -168,11 +199,20 @@
 	pool       *registry.Pool
 	request    Request
 	candidates []candidate
-	// limited is how many of the candidates name limits.
+	// limited is how many of the candidates name limits or are cold.
 	limited int
 	// mean is the mean number of requests in flight at the upstreams of the pool that
 	// name no limit: the others' share of the load is theirs.
 	mean float64
+	// bound is the number of requests in flight from which on an upstream is at the load
+	// bound. It is a multiple of the mean that includes the withheld upstreams: a zone that
+	// is evacuated must not raise the bound of the others.
+	bound float64
+	// predicts is set if the times to the first event are predicted. usual is the one at
+	// an idle upstream that is like the mean of its service and has the prefix cached.
+	now      time.Time
+	predicts bool
+	usual    time.Duration
 }
 
 // Choose returns an upstream of pool for request, and false if there is none
@@ -181,11 +221,18 @@
 	if pool == nil {
 		return Choice{}, false
 	}
+	selection, prefixCached := chooser.newSelection(now, pool, request)
+	return selection.choose(prefixCached)
+}
+
+// newSelection returns the state of a call of Choose, and whether any upstream is known to
+// have the longest prefix of the request cached.
+func (chooser *Chooser) newSelection(now time.Time, pool *registry.Pool, request Request) (*selection, bool) {
 	var cachedAt []ident.UpstreamID
 	if len(request.Keys) > 0 {
 		cachedAt = chooser.CacheIndex.Upstreams(now, request.Keys[0])
 	}
-	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams))}
+	selection := &selection{chooser: chooser, pool: pool, request: request, candidates: make([]candidate, len(pool.Upstreams)), now: now}
 	total, counted := 0, 0
 	for i, upstream := range pool.Upstreams {
 		limit := chooser.limitOf(now, upstream)
@@ -193,28 +240,45 @@
 			index:    i,
 			load:     chooser.Loads.Estimate(now, upstream.ID),
 			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: limit == AtLimit || request.full(i) || slices.Contains(request.Tried, upstream.ID),
+			excluded: limit.leavesNone() || request.full(i) || slices.Contains(request.Tried, upstream.ID),
 			limit:    limit,
 			cached:   slices.Contains(cachedAt, upstream.ID),
 		}
 		if limit != Unlimited {
 			selection.limited++
+		}
+		if limit == BelowLimit || limit == AtLimit {
 			continue
 		}
 		total += selection.candidates[i].load.Requests
 		counted++
 	}
 	selection.mean = float64(total) / float64(max(counted, 1))
-	chosen, reason, found := selection.pick(len(cachedAt) > 0)
+	for _, upstream := range pool.Withheld {
+		total += chooser.Loads.Estimate(now, upstream.ID).Requests
+		counted++
+	}
+	selection.bound = chooser.Multiple*float64(total)/float64(max(counted, 1)) + chooser.Slack
+	selection.startPredicting()
+	return selection, len(cachedAt) > 0
+}
+
+// choose does the work of Choose.
+func (selection *selection) choose(prefixCached bool) (Choice, bool) {
+	chooser, pool := selection.chooser, selection.pool
+	chosen, reason, found := selection.pick(prefixCached)
 	if !found {
 		return Choice{}, false
 	}
 	if spare, better := selection.spare(chosen); better {
 		chosen, reason = spare, Spillover
 	}
-	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean}
+	choice := Choice{Upstream: pool.Upstreams[chosen.index], Reason: reason, Load: chosen.load, Mean: selection.mean, Expected: chosen.expected}
+	if chooser.FirstEvent != nil {
+		choice.Local = min(chooser.Loads.LocalPrefill(choice.Upstream.ID), choice.Load.PendingPrefill)
+	}
 	if !chosen.cached {
-		choice.Source = chooser.source(now, request.Keys, choice.Upstream.ID)
+		choice.Source = chooser.source(selection.now, selection.request, choice.Upstream.ID)
 	}
 	return choice, true
 }
@@ -222,7 +286,14 @@
 // Eligible reports whether the upstream is healthy with regard to the request and below its
 // limit.
 func (chooser *Chooser) Eligible(now time.Time, upstream registry.Upstream, retryable bool) bool {
-	return chooser.healthOf(now, upstream.ID, retryable) == healthy && chooser.limitOf(now, upstream) != AtLimit
+	return chooser.healthOf(now, upstream.ID, retryable) == healthy && !chooser.limitOf(now, upstream).leavesNone()
+}
+
+func (selection *selection) random(n int) int {
+	if selection.chooser.Random == nil {
+		return rand.IntN(n)
+	}
+	return selection.chooser.Random(n)
 }
 
 func (chooser *Chooser) limitOf(now time.Time, upstream registry.Upstream) LimitState {
@@ -243,13 +314,16 @@
 }
 
 // source returns an upstream that has a longer prefix of the prompt cached than
-// chosen, or an empty ID. It prefers one that is not ejected.
-func (chooser *Chooser) source(now time.Time, keys []ident.ChatID, chosen ident.UpstreamID) ident.UpstreamID {
-	for _, key := range keys {
+// chosen and may be asked for it, or an empty ID. It prefers one that is not ejected.
+func (chooser *Chooser) source(now time.Time, request Request, chosen ident.UpstreamID) ident.UpstreamID {
+	for _, key := range request.Keys {
 		cachedAt := chooser.CacheIndex.Upstreams(now, key)
 		if slices.Contains(cachedAt, chosen) {
 			return ""
 		}
+		if request.MayFetch != nil {
+			cachedAt = slices.DeleteFunc(cachedAt, func(upstream ident.UpstreamID) bool { return !request.MayFetch(upstream) })
+		}
 		for _, upstream := range slices.Backward(cachedAt) {
 			if !chooser.Ejected(now, upstream) {
 				return upstream
@@ -267,7 +341,7 @@
 func (selection *selection) pick(prefixCached bool) (candidate, Reason, bool) {
 	if len(selection.request.Keys) > 0 {
 		cached, hit := selection.bestCached()
-		ranked, found := selection.bestRanked()
+		ranked, found := selection.bestRanked(prefixCached)
 		if hit && !(found && selection.worthSpilling(cached, ranked)) {
 			return cached, CacheHit, true
 		}
@@ -291,11 +365,13 @@
 // bestCached returns the upstream that answers soonest among those below the
 // bound that have the prefix cached.
 func (selection *selection) bestCached() (candidate, bool) {
-	bound := selection.chooser.Multiple*selection.mean + selection.chooser.Slack
+	if selection.predicts {
+		return selection.soonestCached(selection.bound)
+	}
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if !candidate.cached || !candidate.usable(bound) {
+		if !candidate.cached || !candidate.usable(selection.bound) {
 			continue
 		}
 		if !found || answersSooner(candidate.load, best.load) {
@@ -318,28 +394,40 @@
 // worthSpilling reports whether the request should go to ranked, which has to
 // fetch the prefix, rather than wait for the pending prefill at cached.
 func (selection *selection) worthSpilling(cached, ranked candidate) bool {
+	if selection.predicts {
+		target := float64(selection.request.Target.Duration())
+		return target > 0 && float64(cached.expected-selection.usual) > maxWaitShare*target &&
+			float64(cached.expected-ranked.expected) > minGainShare*target
+	}
 	target := float64(selection.request.Target)
 	wait := float64(cached.load.prefillTime())
 	return target > 0 && wait > maxWaitShare*target && wait-float64(ranked.load.prefillTime()) > minGainShare*target
 }
 
-// bestRanked returns the upstream with the least pending prefill among the first
-// of the rendezvous order that are at most slightly more loaded than the mean.
-// All routers with the same view choose the same one.
-func (selection *selection) bestRanked() (candidate, bool) {
+// bestRanked returns the upstream with the least pending prefill, or the one that is
+// expected to answer first, among the first of the rendezvous order that are at most
+// slightly more loaded than the mean. All routers with the same view choose the same
+// one. prefixCached says whether the prefix can be fetched.
+func (selection *selection) bestRanked(prefixCached bool) (candidate, bool) {
+	prefill := selection.request.Prompt
+	if prefixCached {
+		prefill = selection.request.Own
+	}
 	var space [maxRankedCandidates]int
 	order := space[:]
 	if selection.limited > 0 {
 		order = make([]int, maxRankedCandidates+min(selection.limited, maxSkippedCandidates))
 	}
+	bound := min(selection.mean+uncachedSlack, selection.bound)
 	var best candidate
 	found := false
 	for _, index := range selection.pool.Ranking.Rank(selection.request.Keys[0], "", order) {
 		candidate := selection.candidates[index]
-		if !candidate.usable(selection.mean + uncachedSlack) {
+		if !candidate.usable(bound) {
 			continue
 		}
-		if !found || candidate.load.prefillTime() < best.load.prefillTime() {
+		selection.predict(&candidate, prefill)
+		if !found || selection.soonerRanked(candidate, best) {
 			best = candidate
 			found = true
 		}
@@ -347,7 +435,7 @@
 	return best, found
 }
 
-// spare returns an upstream below its limit that is far less loaded than the chosen
+// spare returns an upstream below its limit, or its rate while cold, that is far less loaded than the chosen
 // one, preferably one that has the prefix cached, and whether there is one.
 func (selection *selection) spare(chosen candidate) (candidate, bool) {
 	if selection.limited == 0 || chosen.limit != Unlimited {
@@ -356,7 +444,7 @@
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if candidate.limit != BelowLimit || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
+		if !candidate.limit.leavesSome() || !candidate.usable(float64(chosen.load.Requests)/spareLoadDivisor) {
 			continue
 		}
 		if !found || candidate.cached && !best.cached || candidate.cached == best.cached && answersSooner(candidate.load, best.load) {
@@ -384,7 +472,7 @@
 		case selection.preferred(best, candidate):
 		default:
 			equals++
-			if rand.IntN(equals) == 0 {
+			if selection.random(equals) == 0 {
 				best = candidate
 			}
 		}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -17,9 +17,13 @@
 
 func id(i int) ident.UpstreamID { return ident.UpstreamID(fmt.Sprintf("i-%d", i)) }
 
-// poolOf returns a pool of count upstreams.
-func poolOf(count int) *registry.Pool {
+// poolOf returns a pool of count upstreams, in three zones in turn.
+func poolOf(count int) *registry.Pool { return poolWithout(count) }
+
+// poolWithout returns a pool of count upstreams of which some zones are evacuated.
+func poolWithout(count int, evacuated ...ident.Zone) *registry.Pool {
 	var members registry.Registry
+	members.SetEvacuated(evacuated)
 	var upstreams []registry.Upstream
 	for i := range count {
 		zone := ident.Zone(fmt.Sprintf("zone-%d", i%3))
@@ -283,3 +287,26 @@
 		t.Errorf("got upstream %q and source %q, want chosen and healthy", choice.Upstream.ID, choice.Source)
 	}
 }
+
+// TestForbiddenUpstreamIsNoSource guards against a prompt that is fetched from an upstream
+// that the request must not reach, such as one of an evacuated zone.
+func TestForbiddenUpstreamIsNoSource(t *testing.T) {
+	now := time.Now()
+	index := new(balance.CacheIndex)
+	for _, upstream := range []ident.UpstreamID{"allowed", "forbidden"} {
+		index.RecordLocal(now, balance.CacheUpdate{Key: "p", Upstream: upstream})
+	}
+	chooser := &balance.Chooser{Loads: new(balance.Loads), CacheIndex: index, Ejected: func(time.Time, ident.UpstreamID) bool { return false }, Multiple: 2, Slack: 1}
+	var members registry.Registry
+	members.Replace(now, 1, []registry.Upstream{{ID: "chosen", Service: "pool"}})
+	for _, test := range []struct {
+		forbidden []ident.UpstreamID
+		want      ident.UpstreamID
+	}{{nil, "forbidden"}, {[]ident.UpstreamID{"forbidden"}, "allowed"}, {[]ident.UpstreamID{"forbidden", "allowed"}, ""}} {
+		request := balance.Request{Keys: []ident.ChatID{"p"}, MayFetch: func(upstream ident.UpstreamID) bool { return !slices.Contains(test.forbidden, upstream) }}
+		choice, found := chooser.Choose(now, members.Pool("pool"), request)
+		if !found || choice.Upstream.ID != "chosen" || choice.Source != test.want {
+			t.Errorf("got upstream %q and source %q with %v forbidden, want chosen and %q", choice.Upstream.ID, choice.Source, test.forbidden, test.want)
+		}
+	}
+}
--- a/config/entry.go
+++ b/config/entry.go
@@ -30,11 +30,33 @@
 	// number of retries in ten seconds on top of it.
 	RetryShare float64 `validate:"gte=0,lte=10"`
 	RetrySlack float64 `validate:"gte=0,lte=100000"`
+	// ColdOverage and ColdSlack bound the requests of the whole fleet to a cold upstream:
+	// in a second it gets at most its service's rate times ColdOverage, plus ColdSlack.
+	// Without ColdOverage, upstreams are never treated as cold.
+	ColdOverage float64 `json:",omitempty" validate:"gte=0,lte=1000"`
+	ColdSlack   float64 `json:",omitempty" validate:"gte=0,lte=100000"`
 	// HeartbeatMs is how often a live upstream writes its row; zero means unknown.
 	HeartbeatMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; zero means unknown.
 	LinkMbps float64 `json:",omitempty" validate:"gte=0,lte=10000000"`
 	// MemoryMB is the memory that the process may use, in MB. The soft memory limit
-	// of the Go runtime is set to a share of it; zero sets no limit.
+	// of the Go runtime, the memory for bodies and answers and the number of callers'
+	// connections are set to shares of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
+	// EvacuateMs is the time from the request to evacuate a zone within which that has to be
+	// in force; zero means unknown. A router that stood still for half of it reads what came
+	// meanwhile before it sends requests.
+	EvacuateMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
+	// Zones holds the region of each availability zone. The upstreams of a zone without one
+	// get only requests that are not restricted to regions.
+	Zones map[ident.Zone]ident.Region `json:",omitempty"`
+	// MaxDescriptors is how many files and sockets the process may open; zero means the
+	// limit of the system. Callers' connections are bounded by a share of it.
+	MaxDescriptors int `json:",omitempty" validate:"gte=0,lte=100000000"`
+	// ExpectedCost turns on the choice of upstreams by the predicted time to the first
+	// event, which is learned from answers.
+	ExpectedCost bool `json:",omitempty"`
+	// AdmissionControl turns on the refusal of requests for which the upstreams of a service
+	// have no room.
+	AdmissionControl bool `json:",omitempty"`
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,12 +19,15 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/configrpc"
+	"github.com/hickoryhead/hickoryhead/cost"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/follow"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/platform"
@@ -48,12 +51,6 @@
 	// as often.
 	minLoadDelay      = 200 * time.Millisecond
 	stateDelayPerLoad = 2
-	// memoryLimitShare is the share of the configured memory that is set as the
-	// runtime's soft memory limit, above which the garbage collector works harder.
-	memoryLimitShare = 0.7
-	bytesPerMB       = 1 << 20
-	// bufferLimitShare is the share of it that answers in memory may use.
-	bufferLimitShare = 0.125
 	// routerIDBase is the numeric base in which the random ID of a run is written.
 	// Each message to other routers carries the ID.
 	routerIDBase = 36
@@ -76,16 +73,18 @@
 	OnStart func(addresses Addresses)
 
 	// settings holds the settings in force, which are Config until a reload.
-	settings   atomic.Pointer[config.Entry]
-	metrics    *metrics.Set
-	routes     routing.CurrentTable
-	registry   registry.Registry
-	loads      balance.Loads
-	cacheIndex balance.CacheIndex
-	health     health.Tracker
-	strikes    strike.Guard
-	quota      quota.Tracker
-	overload   overload.Controller
+	settings    atomic.Pointer[config.Entry]
+	metrics     *metrics.Set
+	routes      routing.CurrentTable
+	registry    registry.Registry
+	evacuations evacuation.Tracker
+	loads       balance.Loads
+	cacheIndex  balance.CacheIndex
+	health      health.Tracker
+	costs       cost.Model
+	strikes     strike.Guard
+	quota       quota.Tracker
+	overload    overload.Controller
 	// loadDelay is the time within which the requests of a router are known to all others,
 	// in nanoseconds, or zero if that is not known yet.
 	loadDelay   atomic.Int64
@@ -96,6 +95,7 @@
 	updater     *follow.Updater
 	callerConns forward.CallerConns
 	stop        stopState
+	stall       stallGuard
 	warmup      *warmup
 	// storeUp records since when the store has answered every call.
 	storeUp stateStart
@@ -110,6 +110,8 @@
 	Ready   string
 	// Peers is the address for other routers, over UDP and TCP.
 	Peers string
+	// Internal is the address of metrics, or empty if there is none.
+	Internal string
 }
 
 // Run serves until ctx ends and then performs a planned stop. It returns an
@@ -138,7 +140,11 @@
 	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
 	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
 	if daemon.OnStart != nil {
-		daemon.OnStart(Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self})
+		addresses := Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self}
+		if daemon.Config.MetricsListen != "" {
+			addresses.Internal = servers[2].listener.Addr().String()
+		}
+		daemon.OnStart(addresses)
 	}
 	go reloader.run(loopCtx)
 	<-ctx.Done()
@@ -166,6 +172,9 @@
 			return err
 		}
 	}
+	if err := set.Gauge("hickoryhead_zones_evacuated", "Availability zones that are evacuated, as far as the router knows.", daemon.evacuatedZones); err != nil {
+		return err
+	}
 	daemon.strikes.WroteAfter = daemon.registry.WroteAfter
 	daemon.strikes.OnEvent = daemon.logStrike
 	daemon.strikes.Router = strconv.FormatUint(rand.Uint64(), routerIDBase)
@@ -178,30 +187,52 @@
 		Health:      &daemon.health,
 		Strikes:     &daemon.strikes,
 		Quota:       &daemon.quota,
-		Overload:    &daemon.overload,
 		LoadDelay:   daemon.currentLoadDelay,
 		Splits:      &daemon.splits,
 		Origins:     &daemon.origins,
 		Connections: &forward.Connections{Dial: dialer.DialContext},
-		Buffers:     forward.Buffers{Limit: ident.Bytes(bufferLimitShare * float64(daemon.Config.MemoryMB) * bytesPerMB)},
+		Memory:      memory.Account{Limit: memoryFor(daemon.Config)},
 		Zone:        daemon.Config.Zone,
 		Routers:     daemon.routers,
 		Metrics:     set,
 		Logger:      logging.Component(daemon.Logger, "forward"),
 		LogLimiter:  rate.NewLimiter(requestLogLinesPerSecond, requestLogLinesPerSecond),
 	}
+	if err := daemon.registerGauges(); err != nil {
+		return err
+	}
 	daemon.applyTuning()
 	daemon.updater = &follow.Updater{
 		Routes:           &daemon.routes,
 		Registry:         &daemon.registry,
 		OnUpstreamChange: daemon.forgetUpstream,
+		Evacuations:      &daemon.evacuations,
 		Metrics:          set,
 		Logger:           logging.Component(daemon.Logger, "follow"),
 	}
 	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
+	daemon.updater.OnEvacuationEnd = daemon.markCold
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
-	return nil
+	daemon.stall.longest = time.Duration(stallShare * float64(daemon.Config.EvacuateMs.Duration()))
+	daemon.stall.metrics, daemon.stall.logger = set, daemon.Logger
+	if daemon.stall.longest > 0 {
+		daemon.handler.AwaitCurrent = daemon.stall.await
+	}
+	return daemon.prepareCold()
+}
+
+// evacuatedZones returns the number of evacuated zones.
+func (daemon *Daemon) evacuatedZones() int64 {
+	evacuated, _ := daemon.evacuations.Evacuated()
+	return int64(len(evacuated))
+}
+
+// evacuationsRead reports whether the rows of evacuations were read, here or by the router
+// that gave the first configuration.
+func (daemon *Daemon) evacuationsRead() bool {
+	_, readAt := daemon.evacuations.Evacuated()
+	return readAt > 0
 }
 
 // routers returns the number of routers that are known to run, this one included.
@@ -234,6 +265,7 @@
 	listed, _ := daemon.registry.Upstream(upstream.ID)
 	daemon.strikes.Ended(time.Now(), upstream.ID, listed.Incarnation)
 	daemon.health.Forget(upstream.ID)
+	daemon.costs.Forget(upstream.ID)
 	daemon.cacheIndex.Forget(upstream.ID)
 }
 
@@ -252,10 +284,12 @@
 	daemon.scheduler.Self = exchange.Address
 	daemon.scheduler.Delay = exchange.Delay
 	daemon.updater.Relay = exchange.Relay
+	daemon.updater.RelayEvacuations = exchange.SendEvacuations
 	traffic := &metrics.Traffic{Set: daemon.metrics, Peer: metrics.PeerPlatform}
 	store := platform.NewStore(daemon.Config.Platform, traffic)
 	store.OnSilent = daemon.logSilentStore
 	source := &configSource{daemon: daemon, store: store}
+	source.service.Evacuations = source.evacuated
 	server := &configServer{rpc: configrpc.Server{Service: &source.service, Listener: listener}, daemon: daemon}
 	go server.run()
 	context.AfterFunc(ctx, server.close)
@@ -272,6 +306,7 @@
 	gossiper := &gossiper{gossip: exchange}
 	go gossiper.run(ctx)
 	go daemon.warmup.run(ctx)
+	go daemon.stall.run(ctx)
 	maintenance := &maintenance{daemon: daemon}
 	go maintenance.run(ctx)
 	return nil
@@ -285,20 +320,22 @@
 // newGossip returns the gossip with other routers over socket.
 func (daemon *Daemon) newGossip(socket net.PacketConn) *gossip.Gossip {
 	return &gossip.Gossip{
-		Router:     balance.RouterID(daemon.strikes.Router),
-		Started:    time.Now(),
-		Address:    socket.LocalAddr().String(),
-		Zone:       daemon.Config.Zone,
-		Conn:       socket,
-		Loads:      &daemon.loads,
-		CacheIndex: &daemon.cacheIndex,
-		Health:     &daemon.health,
-		Strikes:    &daemon.strikes,
-		Quota:      &daemon.quota,
-		Fill:       daemon.fillMessage,
-		OnMessage:  daemon.applyMessage,
-		OnSummary:  daemon.applySummary,
-		Metrics:    daemon.metrics,
-		Logger:     logging.Component(daemon.Logger, "gossip"),
+		Router:        balance.RouterID(daemon.strikes.Router),
+		Started:       time.Now(),
+		Address:       socket.LocalAddr().String(),
+		Zone:          daemon.Config.Zone,
+		Conn:          socket,
+		Loads:         &daemon.loads,
+		CacheIndex:    &daemon.cacheIndex,
+		Health:        &daemon.health,
+		Strikes:       &daemon.strikes,
+		Quota:         &daemon.quota,
+		Evacuations:   &daemon.evacuations,
+		OnEvacuations: daemon.updater.ApplyRemoteEvacuations,
+		Fill:          daemon.fillMessage,
+		OnMessage:     daemon.applyMessage,
+		OnSummary:     daemon.applySummary,
+		Metrics:       daemon.metrics,
+		Logger:        logging.Component(daemon.Logger, "gossip"),
 	}
 }
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -32,10 +32,14 @@
 	daemon.handler.Connections.Retain(listed)
 	daemon.quota.Retain(now, listed)
 	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
+	if daemon.warmup.isRegistered() {
+		daemon.quota.SetFleet(now, daemon.gossip.Address, daemon.gossip.Addresses(), daemon.gossip.Live(now))
+	}
 	daemon.loads.Expire(now)
 	daemon.loadDelay.Store(int64(daemon.gossip.Delay() / stateDelayPerLoad))
 	daemon.handler.ReportShortages(now)
 	daemon.strikes.Maintain(now)
+	daemon.callerConns.CloseHalfRead(now.Add(-headerTimeout))
 	if !daemon.stop.stopping() {
 		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
 	}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -19,7 +21,8 @@
 // applyTuning passes the settings that may change at run time to the handler.
 func (daemon *Daemon) applyTuning() {
 	settings := daemon.settings.Load()
-	daemon.handler.Tune(forward.Tuning{
+	daemon.registry.SetRegions(settings.Zones)
+	tuning := forward.Tuning{
 		Chooser: &balance.Chooser{
 			Loads:       &daemon.loads,
 			CacheIndex:  &daemon.cacheIndex,
@@ -31,16 +34,35 @@
 		},
 		RetryShare: settings.RetryShare,
 		RetrySlack: settings.RetrySlack,
-	})
+	}
+	if settings.ExpectedCost {
+		tuning.Costs = &daemon.costs
+		tuning.Chooser.FirstEvent = daemon.firstEvent
+	}
+	if settings.AdmissionControl {
+		tuning.Overload = &daemon.overload
+	}
+	daemon.handler.Tune(tuning)
+}
+
+// firstEvent returns the predicted time to the first event of a request that finds the
+// given work at an upstream, and false if too little is known of its service.
+func (daemon *Daemon) firstEvent(now time.Time, upstream registry.Upstream, work balance.Work) (time.Duration, bool) {
+	return daemon.costs.FirstEvent(now, upstream, cost.Work{Prefill: work.Prefill, Local: work.Local, Remote: work.Pending - work.Local})
 }
 
-// limitState returns how an upstream stands to the limit that it names.
+// limitState returns how an upstream stands to the limit that it names, or to its rate while
+// it is cold.
 func (daemon *Daemon) limitState(now time.Time, upstream registry.Upstream) balance.LimitState {
 	switch daemon.quota.State(now, upstream) {
 	case quota.Below:
 		return balance.BelowLimit
 	case quota.Reached:
 		return balance.AtLimit
+	case quota.BelowColdRate:
+		return balance.BelowColdRate
+	case quota.ColdRateReached:
+		return balance.AtColdRate
 	}
 	return balance.Unlimited
 }
@@ -80,13 +102,13 @@
 		return
 	}
 	current := *daemon.settings.Load()
-	if loaded == current {
+	if reflect.DeepEqual(loaded, current) {
 		if reason == "signal" {
 			daemon.Logger.Info("Settings reloaded.", "Reason", reason, "Changed", false)
 		}
 		return
 	}
-	restart := restartSettings(loaded) != restartSettings(current)
+	restart := !reflect.DeepEqual(restartSettings(loaded), restartSettings(current))
 	settings := withTunableSettings(current, loaded)
 	daemon.settings.Store(&settings)
 	daemon.applyTuning()
@@ -106,6 +128,11 @@
 	settings.LoadMultiple = loaded.LoadMultiple
 	settings.RetryShare = loaded.RetryShare
 	settings.RetrySlack = loaded.RetrySlack
+	settings.ColdOverage = loaded.ColdOverage
+	settings.ColdSlack = loaded.ColdSlack
 	settings.StopTimeoutMs = loaded.StopTimeoutMs
+	settings.Zones = loaded.Zones
+	settings.ExpectedCost = loaded.ExpectedCost
+	settings.AdmissionControl = loaded.AdmissionControl
 	return settings
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -56,6 +56,7 @@
 			log.writeContext(out, line)
 			log.writeStrikes(out, line)
 			log.writeLimits(out, line)
+			log.writeEvacuations(out, line)
 			log.writeOrigin(out, line)
 		}
 		writeLine(out, line)
@@ -80,12 +81,19 @@
 		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
 			line.Message == shortageBegan, line.Message == shortageEnded,
+			(sameUpstream || request.Code == "UpstreamsCold") && isCold(line),
+			request.Code == "MemoryFull" && line.Message == memoryFull,
+			request.Tried == 0 && line.Message == connsAtBound,
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
 	}
 }
 
+func isCold(line Line) bool {
+	return line.Message == coldBegan || line.Message == coldExpected || line.Message == coldEnded
+}
+
 func isStrike(line Line) bool {
 	return line.Message == strikeCounted || line.Message == strikeWithdrawn || line.Message == strikeCleared
 }
@@ -133,6 +141,29 @@
 	}
 }
 
+// writeEvacuations writes, for a request that was refused because of evacuations, which zones
+// its router took to be evacuated.
+func (log *Log) writeEvacuations(out io.Writer, request Line) {
+	if request.Code != "ZonesEvacuated" {
+		return
+	}
+	evacuated := make(map[string]Line)
+	for _, line := range log.lines {
+		switch {
+		case line.Time.After(request.Time) || line.VM != request.VM:
+		case line.Message == zoneEvacuated:
+			evacuated[line.Zone] = line
+		case line.Message == evacuationEnded:
+			delete(evacuated, line.Zone)
+		case line.Message == routerStarted:
+			clear(evacuated)
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(evacuated)) {
+		writeLine(out, evacuated[zone])
+	}
+}
+
 // writeOrigin writes, for a take-up, the end of the attempt that it named, and, if it was
 // refused, the splits that its router had adopted by then.
 func (log *Log) writeOrigin(out io.Writer, request Line) {
@@ -154,6 +185,14 @@
 	fmt.Fprintf(out, "%s %s %s\n", line.Time.Format(time.RFC3339Nano), line.VM, describe(line))
 }
 
+// describeExpected returns the time to the first event that was predicted, if one was.
+func describeExpected(line Line) string {
+	if line.ExpectedMs == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%d ms expected from the upstream)", line.ExpectedMs)
+}
+
 // describe returns the event of a log line in words.
 func describe(line Line) string {
 	switch line.Message {
@@ -162,7 +201,7 @@
 			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line) + describeRoom(line)
 		}
 		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens pending prefill, %d upstreams tried, prompt of %d tokens, first byte after %d ms",
-			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeOrigin(line)
+			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeExpected(line) + describeOrigin(line)
 	case streamResumed:
 		return fmt.Sprintf("stream begun at upstream %s (%s) goes on at %s (%s)", line.Began, line.BeganSoftware, line.Upstream, line.Software)
 	case splitAdopted:
@@ -189,6 +228,12 @@
 		return fmt.Sprintf("runs alone at upstream %s, as upstreams crashed while they ran it", line.Upstream)
 	case limitNamed:
 		return fmt.Sprintf("upstream %s named a limit of %.2f requests a second", line.Upstream, line.PerSecond)
+	case coldBegan:
+		return fmt.Sprintf("upstream %s is cold for %d ms, by the %s", line.Upstream, line.RemainingMs, line.Source)
+	case coldExpected:
+		return fmt.Sprintf("upstream %s failed, it is cold once it answers", line.Upstream)
+	case coldEnded:
+		return fmt.Sprintf("upstream %s is not cold any more, by the %s", line.Upstream, line.Source)
 	case restAsked:
 		return fmt.Sprintf("upstream %s asked this router for %d ms of rest", line.Upstream, line.RestMs)
 	case leavingSaid:
@@ -199,6 +244,14 @@
 		return fmt.Sprintf("requests to service %s are refused for lack of room: %.2f of the pool used", line.Service, line.Usage)
 	case shortageEnded:
 		return fmt.Sprintf("no request to service %s is refused for lack of room any more: %d were in %d ms", line.Service, line.Refused, line.Ms)
+	case zoneEvacuated:
+		return fmt.Sprintf("zone %s evacuated at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
+	case evacuationEnded:
+		return fmt.Sprintf("evacuation of zone %s ended at revision %d, with %d upstreams, reported by %s", line.Zone, line.Revision, line.Upstreams, line.Source)
+	case memoryFull:
+		return fmt.Sprintf("memory full: %d bytes of bodies and answers held of at most %d, %d requests refused since the last such line", line.HeldBytes, line.HeldLimit, line.RefusedCount)
+	case connsAtBound:
+		return fmt.Sprintf("connections of %s at the bound of %d: %d closed since the last such line, the last as %s", line.Listener, line.ConnLimit, line.ClosedCount, line.LastReason)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -256,10 +309,15 @@
 	"CrashingRequest":      "three upstreams or more broke off while they ran this request, so it is refused and did not run",
 	"CrashingRequestAlone": "upstreams broke off while they ran this request, so it runs alone only: half of the service's upstreams have to go on serving beside it, and no other run alone of it may be under way; it did not run",
 	"UpstreamsAtLimit":     "every upstream of the service is at the limit that it names",
+	"UpstreamsCold":        "every upstream of the service has just started, or came back, and takes few requests a second for a while",
 	"UpstreamsResting":     "every upstream of the service had asked this router for rest",
 	"PoolFull":             "the upstreams had no room for the request, or left it to more urgent ones and to other routers; it did not run",
 	"TooLate":              "no upstream could have begun its answer before the deadline; it did not run",
 	"WorkspaceAboveUsual":  "the upstreams were short of room, and the workspace sent more than its usual; it did not run",
+	"ZonesEvacuated":       "operators have evacuated the availability zones of all upstreams that could run the request; it did not run",
+	"RegionNotAllowed":     "no upstream of the service is in a region that both the route and the workspace allow; it did not run",
+	"MemoryFull":           "the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run",
+	"BodyTooSlow":          "the caller's body arrived at less than the minimum rate; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
@@ -283,6 +341,9 @@
 	if !known {
 		cause = "code " + line.Code
 	}
+	if line.Code == "RegionNotAllowed" {
+		cause += fmt.Sprintf(", allowed are %q", line.AllowedRegions)
+	}
 	if line.Part != "" {
 		cause = fmt.Sprintf("upstreams broke off while they ran requests with part %s in their prompts, so it is refused and did not run", line.Part)
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -77,8 +77,8 @@
 }
 
 // TestRefusalNamesItsReason explains a request that was refused for a part of its prompt
-// by the strikes of that part, and one for which all upstreams were at their limits by
-// the limits in force.
+// by the strikes of that part, one for which all upstreams were at their limits by the limits
+// in force, and one for which there was no memory by what was held.
 func TestRefusalNamesItsReason(t *testing.T) {
 	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"strike: Strike counted, the upstream broke off while it ran the request.","VM":"edge-1","Fingerprint":"0a","Kind":"part","Attempt":"a1","Upstream":"i-1","Strikes":3,"Source":"own"}
 {"time":"2026-10-21T04:00:01Z","msg":"strike: Strike counted, the upstream broke off while it ran the request.","VM":"edge-1","Fingerprint":"0f","Kind":"request","Attempt":"a1","Upstream":"i-1","Strikes":1,"Source":"own"}
@@ -91,7 +91,10 @@
 {"time":"2026-10-21T04:00:30Z","msg":"forward: Upstream asks for rest.","VM":"edge-2","Upstream":"i-3","Attempt":"a7","RestMs":3000}
 {"time":"2026-10-21T04:00:31Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a8","Status":503,"Code":"UpstreamsResting"}
 {"time":"2026-10-21T04:00:40Z","msg":"forward: Requests are refused for lack of room.","VM":"edge-3","Service":"chat","Usage":0.93}
-{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-3","Attempt":"a9","Status":503,"Code":"PoolFull","Usage":0.95,"Room":2,"RoomPart":0.05,"MayUse":0.96,"WaitMs":40,"RetryAfterMs":2800}`
+{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-3","Attempt":"a10","Status":503,"Code":"PoolFull","Usage":0.95,"Room":2,"RoomPart":0.05,"MayUse":0.96,"WaitMs":40,"RetryAfterMs":2800}
+{"time":"2026-10-21T04:00:40Z","msg":"forward: Memory for bodies and answers is full.","VM":"edge-1","HeldBytes":35000000,"HeldLimit":35651584,"Unfinished":7,"RefusedCount":3}
+{"time":"2026-10-21T04:00:40Z","msg":"Connections are at their bound.","VM":"edge-1","Listener":"callers","ConnLimit":384,"LastReason":"idle","ClosedCount":2}
+{"time":"2026-10-21T04:00:41Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a9","Status":503,"Code":"MemoryFull"}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
 		log.Add([]byte(text))
@@ -104,13 +107,18 @@
 		"a8": `2026-10-21T04:00:30Z edge-1 upstream i-2 asked this router for 3000 ms of rest
 2026-10-21T04:00:31Z edge-1 finished with status 503 (UpstreamsResting) after 0 ms: route , configuration 0, offered to no upstream
 cause: every upstream of the service had asked this router for rest
+`,
+		"a9": `2026-10-21T04:00:40Z edge-1 memory full: 35000000 bytes of bodies and answers held of at most 35651584, 3 requests refused since the last such line
+2026-10-21T04:00:40Z edge-1 connections of callers at the bound of 384: 2 closed since the last such line, the last as idle
+2026-10-21T04:00:41Z edge-1 finished with status 503 (MemoryFull) after 0 ms: route , configuration 0, offered to no upstream
+cause: the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run
 `,
 		"a5": `2026-10-21T04:00:05Z edge-1 upstream i-2 named a limit of 1.50 requests a second
 2026-10-21T04:00:20Z edge-2 finished with status 503 (UpstreamsAtLimit) after 0 ms: route , configuration 0, offered to no upstream
 cause: every upstream of the service is at the limit that it names
 `,
 	}
-	tests["a9"] = `2026-10-21T04:00:40Z edge-3 requests to service chat are refused for lack of room: 0.93 of the pool used
+	tests["a10"] = `2026-10-21T04:00:40Z edge-3 requests to service chat are refused for lack of room: 0.93 of the pool used
 2026-10-21T04:00:41Z edge-3 finished with status 503 (PoolFull) after 0 ms: route , configuration 0, offered to no upstream, 0.95 of the pool used and 0.96 open to the request, room for 2 such requests, of which 0.05 is this router's, answer to begin after 40 ms, told to return after 2800 ms
 cause: the upstreams had no room for the request, or left it to more urgent ones and to other routers; it did not run
 `
@@ -215,3 +223,68 @@
 		}
 	}
 }
+
+// TestRefusedBecauseOfEvacuations guards against a refusal for which the report doesn't name
+// the zones that the router took to be evacuated, or names others.
+func TestRefusedBecauseOfEvacuations(t *testing.T) {
+	const lines = `{"time":"2026-10-21T04:00:00Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"old","Revision":3,"Upstreams":9,"Source":"store"}
+{"time":"2026-10-21T04:00:01Z","msg":"Started.","VM":"edge-1"}
+{"time":"2026-10-21T04:00:02Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"a","Revision":7,"Upstreams":4,"Source":"store"}
+{"time":"2026-10-21T04:00:03Z","msg":"follow: Zone evacuated.","VM":"edge-1","Zone":"b","Revision":8,"Upstreams":5,"Source":"10.0.0.2:7340"}
+{"time":"2026-10-21T04:00:04Z","msg":"follow: Evacuation of a zone ended.","VM":"edge-1","Zone":"a","Revision":9,"Upstreams":4,"Source":"store"}
+{"time":"2026-10-21T04:00:04Z","msg":"follow: Zone evacuated.","VM":"edge-2","Zone":"c","Revision":10,"Upstreams":5,"Source":"store"}
+{"time":"2026-10-21T04:01:05Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"ZonesEvacuated"}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(lines, "\n") {
+		log.Add([]byte(text))
+	}
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	for _, want := range []string{"zone b evacuated at revision 8, with 5 upstreams, reported by 10.0.0.2:7340", "cause: operators have evacuated"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("got %q, want %q in it", out.String(), want)
+		}
+	}
+	for _, other := range []string{"zone a", "zone c", "zone old"} {
+		if strings.Contains(out.String(), other) {
+			t.Errorf("got %q, want nothing of %s", out.String(), other)
+		}
+	}
+}
+
+// TestRefusedBecauseOfRegions guards against a refusal whose cause doesn't say to which
+// regions the request was restricted.
+func TestRefusedBecauseOfRegions(t *testing.T) {
+	log := new(explain.Log)
+	log.Add([]byte(`{"time":"2026-10-21T04:01:05Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"RegionNotAllowed","AllowedRegions":["east"]}`))
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	if want := `both the route and the workspace allow; it did not run, allowed are ["east"]`; !strings.Contains(out.String(), want) {
+		t.Errorf("got %q, want %q in it", out.String(), want)
+	}
+}
+
+// TestUpstreamsCold explains a refusal by the upstreams that were cold as far as its router
+// knew, and leaves out those of other routers.
+func TestUpstreamsCold(t *testing.T) {
+	const lines = `{"time":"2026-10-21T04:00:01Z","msg":"quota: Upstream failed, it is cold once it answers.","VM":"edge-1","Upstream":"i-1","Source":"failure"}
+{"time":"2026-10-21T04:00:02Z","msg":"quota: Upstream is cold.","VM":"edge-1","Upstream":"i-1","Source":"return","RemainingMs":3000}
+{"time":"2026-10-21T04:00:02Z","msg":"quota: Upstream is cold.","VM":"edge-2","Upstream":"i-3","Source":"start","RemainingMs":3000}
+{"time":"2026-10-21T04:00:02.1Z","msg":"quota: Upstream is not cold any more.","VM":"edge-1","Upstream":"i-2","Source":"row"}
+{"time":"2026-10-21T04:00:03Z","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":503,"Code":"UpstreamsCold"}`
+	log := new(explain.Log)
+	for text := range strings.SplitSeq(lines, "\n") {
+		log.Add([]byte(text))
+	}
+	var out strings.Builder
+	log.WriteRequest(&out, "a1")
+	const want = `2026-10-21T04:00:01Z edge-1 upstream i-1 failed, it is cold once it answers
+2026-10-21T04:00:02Z edge-1 upstream i-1 is cold for 3000 ms, by the return
+2026-10-21T04:00:02.1Z edge-1 upstream i-2 is not cold any more, by the row
+2026-10-21T04:00:03Z edge-1 finished with status 503 (UpstreamsCold) after 0 ms: route , configuration 0, offered to no upstream
+cause: every upstream of the service has just started, or came back, and takes few requests a second for a while
+`
+	if got := out.String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -30,9 +30,11 @@
 	MeanLoad      float64
 	Tried         int
 	FirstMs       int64
-	Prompt        int
-	Started       bool
-	CallerLeft    bool
+	// ExpectedMs is the predicted time to the first event, or zero if there was none.
+	ExpectedMs int64
+	Prompt     int
+	Started    bool
+	CallerLeft bool
 	// Fingerprint is the same for all attempts of one request.
 	Fingerprint string
 	// Part is the ID of the part of the prompt for which the request was refused, and
@@ -56,10 +58,21 @@
 	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
 	Kind    string
-	// PerSecond is the limit that an upstream named, and RestMs the rest that one asked
-	// for.
-	PerSecond float64
-	RestMs    int64
+	// PerSecond is the limit that an upstream named, RestMs the rest that one asked for, and
+	// RemainingMs how much longer one is cold.
+	PerSecond   float64
+	RestMs      int64
+	RemainingMs int64
+	// HeldBytes is what a router held of bodies and answers, of at most HeldLimit, when it
+	// refused RefusedCount requests for want of memory. ClosedCount connections of Listener
+	// were closed as it had ConnLimit, the last for LastReason.
+	HeldBytes    int64
+	HeldLimit    int64
+	RefusedCount int
+	Listener     string
+	ConnLimit    int
+	ClosedCount  int
+	LastReason   string
 
 	// Attributes of a request that was refused for lack of room: the share of the pool that was
 	// used, the requests for which it had room, this router's part of that, the share of the pool
@@ -88,6 +101,12 @@
 	Software      string
 	Began         string
 	BeganSoftware string
+	// AllowedRegions are those to which a refused request was restricted.
+	AllowedRegions []string
+	// Zone is one whose evacuation began or ended at Revision of the store, with so many
+	// Upstreams.
+	Zone      string
+	Upstreams int
 	// Service, Revision, Settled and Cells describe a split.
 	Service  string
 	Revision uint64
@@ -111,6 +130,9 @@
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
 	strikeCleared    = "strike: Strike cleared, the request succeeded."
 	trialStarted     = "forward: Request runs alone."
+	coldBegan        = "quota: Upstream is cold."
+	coldExpected     = "quota: Upstream failed, it is cold once it answers."
+	coldEnded        = "quota: Upstream is not cold any more."
 	limitNamed       = "forward: Upstream named a limit."
 	limitLifted      = "forward: Upstream names no limit any more."
 	restAsked        = "forward: Upstream asks for rest."
@@ -119,6 +141,10 @@
 	shortageEnded    = "forward: No request is refused for lack of room any more."
 	streamResumed    = "forward: Stream resumed at another upstream."
 	splitAdopted     = "versions: Split adopted."
+	zoneEvacuated    = "follow: Zone evacuated."
+	evacuationEnded  = "follow: Evacuation of a zone ended."
+	memoryFull       = "forward: Memory for bodies and answers is full."
+	connsAtBound     = "Connections are at their bound."
 )
 
 // Parse returns the log line in text, and false if text contains none. Text
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -58,6 +58,8 @@
 	// pendingPrefill is the number of prompt tokens that the upstream has to
 	// prefill before its first byte.
 	pendingPrefill ident.Tokens
+	// progress is what costs are learned from, or nil.
+	progress *progress
 }
 
 // prefillDone records that the upstream has prefilled the prompt.
@@ -74,7 +76,7 @@
 // release returns the connection to its pool after the body was read to its
 // end.
 func (answer *answer) release() {
-	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.endLoad()
 	answer.countEnd(true)
 	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
 		answer.conn.Discard()
@@ -83,6 +85,12 @@
 	answer.conn.Release(answer.response.Body, http1.KeepAlive(answer.response.Header))
 }
 
+// endLoad records that the upstream no longer has the request.
+func (answer *answer) endLoad() {
+	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.progress.end()
+}
+
 // fail closes the connection, which broke or not.
 func (answer *answer) fail(broke bool) {
 	if broke {
@@ -93,38 +101,60 @@
 
 // discard closes the connection, which cancels the work at the upstream.
 func (answer *answer) discard() {
-	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
+	answer.endLoad()
 	answer.countEnd(false)
 	answer.stopWatch()
 	answer.stopEnd()
 	answer.conn.Discard()
 }
 
-// attempt sends the request to one upstream and reads the head of the answer.
+// attempt sends the request to the chosen upstream and reads the head of the answer.
 // The code is OK, or says whether the request may have run there. A non-empty
-// lastEvent asks for the rest of a stream after that event.
-func (exchange *exchange) attempt(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
-	answer, code := exchange.send(upstream, lastEvent)
-	exchange.endTrial(code)
-	return answer, code
+// lastEvent asks for the rest of a stream after that event. If the zone of the upstream was
+// evacuated since the choice, another one is chosen.
+func (exchange *exchange) attempt(lastEvent string) (*answer, result.Code) {
+	for {
+		answer, code := exchange.send(exchange.choice.Upstream, lastEvent)
+		exchange.endTrial(code)
+		if code != result.ZonesEvacuated || !exchange.chooseNext(exchange.pool()) {
+			return answer, code
+		}
+		exchange.handler.Metrics.CountEvent("evacuation.rechosen")
+	}
 }
 
 // send does the work of attempt.
 func (exchange *exchange) send(upstream registry.Upstream, lastEvent string) (*answer, result.Code) {
+	connectingAt := time.Now()
 	conn, err := exchange.connect(upstream)
 	if err != nil {
 		exchange.setCause(err)
 		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
+			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
 	}
+	if exchange.evacuated(upstream) {
+		return nil, exchange.withdraw(conn)
+	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
+		exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 		exchange.setCause(err)
 		conn.RecordBreak()
 		conn.Discard()
 		return nil, result.UpstreamUnreachable
 	}
+	if exchange.evacuated(upstream) {
+		return nil, exchange.withdraw(conn)
+	}
+	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
+		// It was found to have ended while the connection was opened.
+		exchange.limitedAt = exchange.handler.Quota.NextAt(time.Now(), upstream)
+		exchange.setCauseText("the upstream became cold")
+		conn.Discard()
+		return nil, result.UpstreamsCold
+	}
 	remaining := time.Until(exchange.deadline)
 	if remaining < minAttemptTime {
 		conn.Discard()
@@ -134,6 +164,7 @@
 	closing := func() { _ = conn.Close() }
 	answer.stopWatch = context.AfterFunc(exchange.request.Context(), closing)
 	answer.stopEnd = exchange.handler.closeAtEnd(closing)
+	answer.progress = exchange.newProgress(answer, lastEvent)
 	exchange.handler.Loads.Start(upstream.ID, answer.pendingPrefill)
 	answer.countEnd = exchange.countRoom(upstream, answer.pendingPrefill)
 	for _, key := range exchange.prefixIDs {
@@ -153,6 +184,22 @@
 	return answer, result.OK
 }
 
+// evacuated reports whether the zone of an upstream is evacuated, by what the router knows now.
+func (exchange *exchange) evacuated(upstream registry.Upstream) bool {
+	if exchange.handler.AwaitCurrent != nil {
+		exchange.handler.AwaitCurrent(exchange.request.Context())
+	}
+	return exchange.handler.Registry.Evacuated(upstream.Zone)
+}
+
+// withdraw gives up an attempt before anything of the request was sent, since the zone of the
+// upstream is evacuated.
+func (exchange *exchange) withdraw(conn *http1.Conn) result.Code {
+	exchange.setCauseText("zone evacuated since the choice")
+	conn.Discard()
+	return result.ZonesEvacuated
+}
+
 // pendingPrefill returns how many prompt tokens the chosen upstream has to
 // prefill: only the request's own part if the upstream has the shared prefix
 // cached or fetches it from another one.
@@ -160,13 +207,21 @@
 	if len(exchange.head.Prompt) == 0 {
 		return 0
 	}
-	own := exchange.head.Prompt[len(exchange.head.Prompt)-1].Tokens
+	own := ownTokens(exchange.head.Prompt)
 	if exchange.choice.Reason == balance.CacheHit || exchange.choice.Source != "" {
 		return own
 	}
 	return promptTokens(exchange.head.Prompt)
 }
 
+// ownTokens returns the length of the last part of a prompt, which is the request's own.
+func ownTokens(parts []platform.PromptPart) ident.Tokens {
+	if len(parts) == 0 {
+		return 0
+	}
+	return parts[len(parts)-1].Tokens
+}
+
 // promptTokens returns the length of a prompt in tokens.
 func promptTokens(parts []platform.PromptPart) ident.Tokens {
 	var tokens ident.Tokens
@@ -229,7 +284,7 @@
 		Prioritized: exchange.route.Sticky,
 		LastEvent:   lastEvent,
 	}
-	if source, listed := exchange.handler.Registry.Upstream(exchange.choice.Source); listed {
+	if source, listed := exchange.handler.Registry.Upstream(exchange.choice.Source); listed && exchange.mayFetch(source.ID) {
 		forwarding.FetchFrom = source.Address
 	}
 	if exchange.workspace != nil {
@@ -329,10 +384,14 @@
 // relayed.
 func (exchange *exchange) classify(answer *answer) result.Code {
 	if answer.head.Load != nil {
+		answer.progress.observePace(answer.head.Load.Pace)
 		exchange.handler.Loads.RecordReport(time.Now(), answer.upstream.ID, answer.head.Load.Running+answer.head.Load.Waiting)
 	}
 	if answer.response.StatusCode != http.StatusMisdirectedRequest && exchange.matchesRequest(answer) {
 		exchange.recordLimit(answer)
+		if answer.head.Cold == nil {
+			exchange.handler.Quota.Answered(time.Now(), answer.upstream, exchange.sentAt, nil)
+		}
 	}
 	switch {
 	case answer.head.NotRun && exchange.matchesRequest(answer):
@@ -372,6 +431,9 @@
 	if exchange.callerLeft() || exchange.handler.ended() {
 		return
 	}
+	if exchange.broke || code == result.UpstreamUnreachable {
+		exchange.handler.Quota.Failed(time.Now(), upstream, exchange.sentAt)
+	}
 	switch code {
 	case result.UpstreamUnreachable:
 		exchange.handler.recordOutcome(upstream, health.Broken)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -27,7 +28,15 @@
 	service   ident.ServiceName
 	head      platform.RequestHead
 	workspace *routing.Workspace
-	body      []byte
+	// allowed are the only regions in which the request may run; nil means any.
+	allowed []ident.Region
+	// conn is the caller's connection, or nil if no Listener accepted it.
+	conn *checkedConn
+	// body is the complete body in parts, bodyHolding what it takes in the memory account,
+	// and bodyHeld set if it takes anything there.
+	body        [][]byte
+	bodyHolding memory.Holding
+	bodyHeld    bool
 	// knownSuspect is what suspect returned, or nil.
 	knownSuspect *strike.Request
 	// aloneNotBefore is the time before which the request doesn't run alone, turnDeadline
@@ -56,11 +65,19 @@
 	// that carried it was established.
 	sentAt      time.Time
 	connectedAt time.Time
-	// reserved is how many bytes of Buffers the request holds.
-	reserved int64
+	// answerHolding is what answers take, reserved its size, earlier the part of it that a
+	// kept answer of an earlier attempt takes, and answerWatched set while it may be given
+	// up. writeDeadline is by when the next bytes have to be written.
+	answerHolding memory.Holding
+	reserved      int64
+	earlier       int64
+	answerWatched bool
+	writeDeadline time.Time
 	// retryReserved is set if the next retry was already taken from the budget.
 	retryReserved bool
-	choice        balance.Choice
+	// takenAt is when the limit of the chosen upstream allowed the request.
+	takenAt time.Time
+	choice  balance.Choice
 	// room is what was last decided about the room for the request.
 	room room
 	// binding restricts the request to one software version, and certainAt is when
@@ -93,7 +110,7 @@
 
 // serve reads the request, forwards it and writes the answer.
 func (exchange *exchange) serve() {
-	defer exchange.releaseBuffers()
+	defer exchange.releaseMemory()
 	exchange.closeIfLeaving(exchange.writer.Header())
 	if code := exchange.prepare(); code != result.OK {
 		exchange.refuse(code)
@@ -127,7 +144,7 @@
 			exchange.abandon(exchange.noChoiceCode(pool))
 			return
 		}
-		answer, code := exchange.attempt(exchange.choice.Upstream, "")
+		answer, code := exchange.attempt("")
 		if code == result.OK {
 			code = exchange.relay(answer)
 		}
@@ -168,7 +185,8 @@
 		}
 		// Another request may have taken the last one that the upstream's limit
 		// leaves.
-		if exchange.handler.Quota.Take(time.Now(), choice.Upstream) {
+		exchange.takenAt = time.Now()
+		if exchange.handler.Quota.Take(exchange.takenAt, choice.Upstream) {
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
 			return true
 		}
@@ -207,9 +225,20 @@
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
+		MayFetch:  exchange.mayFetch,
+		Own:       ownTokens(exchange.head.Prompt),
+		Prompt:    promptTokens(exchange.head.Prompt),
 	}
 }
 
+// mayFetch reports whether the chosen upstream may fetch a cached prefix from another one: not
+// from a zone that is evacuated, or where the request may not run.
+func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
+	known := exchange.handler.Registry
+	upstream, listed := known.Upstream(id)
+	return !listed || !known.Evacuated(upstream.Zone) && registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+}
+
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
 // share, the deepest first. It leaves out the last part, which is the request's
 // own, unless that is the only one.
@@ -230,7 +259,11 @@
 // one that the upstream refused: retry.Unbudgeted holds for the project's own
 // interface only.
 func arrived(code result.Code) bool {
-	return code != result.UpstreamUnreachable && code != result.DeadlineUnmeetable
+	switch code {
+	case result.UpstreamUnreachable, result.DeadlineUnmeetable, result.ZonesEvacuated, result.UpstreamsCold:
+		return false
+	}
+	return true
 }
 
 // shouldRetry reports whether the request is sent again after an attempt that
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -15,8 +15,10 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/quota"
@@ -41,10 +43,8 @@
 	Strikes *strike.Guard
 	// Quota keeps the limits that upstreams name; nil means that they have none.
 	Quota *quota.Tracker
-	// Overload refuses requests for which a pool has no room; nil means that none is refused
-	// for that. LoadDelay returns the time within which the requests of a router are known to
-	// all others; with nil a default applies.
-	Overload  *overload.Controller
+	// LoadDelay returns the time within which the requests of a router are known to all others;
+	// with nil a default applies.
 	LoadDelay func() time.Duration
 	// Splits are the software versions that begin streams, and Origins where recent
 	// ones began; nil means that none is known.
@@ -60,10 +60,13 @@
 	// OnAnnounced, if set, is called with the change when an upstream says that it
 	// leaves.
 	OnAnnounced func(change registry.Change)
-	Connections *Connections
-	// Buffers bounds what requests hold of their answers.
-	Buffers Buffers
-	Zone    ident.Zone
+	// AwaitCurrent, if set, waits before a request is sent until what the router knows of
+	// evacuated zones is not older than it should be.
+	AwaitCurrent func(ctx context.Context)
+	Connections  *Connections
+	// Memory bounds what requests hold of their bodies and answers.
+	Memory memory.Account
+	Zone   ident.Zone
 	// Routers returns the number of routers that share the connections to
 	// upstreams, this one included: those that are known to run.
 	Routers func() int
@@ -91,6 +94,14 @@
 	ending     context.Context
 	end        context.CancelFunc
 
+	// fullMu guards when memory was last logged as full, the refusals since then, and the
+	// log lines of refused bodies in the second that began at bodyLogFrom.
+	fullMu       sync.Mutex
+	fullLoggedAt time.Time
+	fullRefusals int
+	bodyLogFrom  time.Time
+	bodyLogLines int
+
 	mu      sync.Mutex
 	budgets map[ident.ServiceName]*retry.Budget
 	// shortages holds the services whose requests are refused for lack of room.
@@ -106,12 +117,20 @@
 	// to a fraction of its requests, plus a number per retry.Window.
 	RetryShare float64
 	RetrySlack float64
+	// Costs learns from answers what requests cost; nil means that nothing is learned.
+	Costs *cost.Model
+	// Overload refuses requests for which a pool has no room; nil means that none is refused
+	// for that.
+	Overload *overload.Controller
 }
 
 // Tune applies tuning to all later requests. Call it at least once before the
 // first request.
 func (handler *Handler) Tune(tuning Tuning) { handler.tuning.Store(&tuning) }
 
+// overload returns what decides on the room of pools, or nil.
+func (handler *Handler) overload() *overload.Controller { return handler.tuning.Load().Overload }
+
 // choose returns an upstream of pool for request, or false if none remains.
 func (handler *Handler) choose(pool *registry.Pool, request balance.Request) (balance.Choice, bool) {
 	return handler.tuning.Load().Chooser.Choose(time.Now(), pool, request)
@@ -126,6 +145,8 @@
 		request: request,
 		arrived: time.Now(),
 	}
+	exchange.conn, _ = request.Context().Value(connContextKey).(*checkedConn)
+	exchange.conn.endWait()
 	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -33,10 +33,15 @@
 	config := testConfig()
 	config.Services[0].Slots, config.Services[0].CacheTokens = testSlots, testMemory
 	router.handler.Routes.Adopt(routing.New(config))
-	router.handler.Overload = new(overload.Controller)
+	router.tuneRoom(50)
 	return router
 }
 
+// tuneRoom turns the decision on room on, with so many retries.
+func (router *router) tuneRoom(retries float64) {
+	router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetrySlack: retries, Overload: new(overload.Controller)})
+}
+
 // setLoads sets what another router has in flight at each upstream.
 func (router *router) setLoads(sequence uint64, requests ...int) {
 	counts := make(balance.Counts)
@@ -102,7 +107,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
 			router := startRoomRouter(t, upstreams...)
-			router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetryShare: 0, RetrySlack: 1})
+			router.tuneRoom(1)
 			router.setLoads(1, test.loads...)
 			got := router.send(t, "a1", "POST", "/once/x", "1")
 			got.check(t, 503, "")
@@ -116,11 +121,21 @@
 	}
 }
 
+// TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
+// turned them on.
+func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	router := startRoomRouter(t, upstream)
+	router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler)})
+	router.setLoads(1, 10*testSlots)
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+}
+
 // TestServicesWithoutStatedRoomAreNotJudged guards against refusals where the configuration and
 // the rows of the upstreams name no slots.
 func TestServicesWithoutStatedRoomAreNotJudged(t *testing.T) {
 	router := startRouter(t, startUpstream(t, echo))
-	router.handler.Overload = new(overload.Controller)
+	router.tuneRoom(50)
 	router.setLoads(1, 1000)
 	router.send(t, "a1", "POST", "/once/x", "1").check(t, 200, "answer to a1")
 }
@@ -134,7 +149,7 @@
 	}
 	upstream := startUpstream(t, slow)
 	router := startRouter(t, upstream)
-	router.handler.Overload = new(overload.Controller)
+	router.tuneRoom(50)
 	listed := router.handler.Registry.Upstreams()
 	listed[0].Slots, listed[0].Version = 6, 2
 	router.handler.Registry.Replace(time.Now(), 2, listed)
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -31,6 +30,17 @@
 		exchange.writer.Header().Set("Connection", "close")
 		return result.AmbiguousFraming
 	}
+	if code := exchange.identify(); code != result.OK {
+		return code
+	}
+	if code := exchange.readBody(); code != result.OK {
+		return code
+	}
+	return exchange.checkStop()
+}
+
+// identify reads the head of the request, and selects its route and service.
+func (exchange *exchange) identify() result.Code {
 	head, err := platform.DecodeRequest(exchange.request.Header)
 	exchange.head = head
 	exchange.table = exchange.handler.Routes.Table()
@@ -55,15 +65,13 @@
 	if code := exchange.authenticate(); code != result.OK {
 		return code
 	}
+	exchange.allowed = exchange.route.Regions(exchange.workspace)
 	if exchange.route.Sticky {
 		exchange.prefixIDs = sharedPrefixIDs(exchange.head.Prompt)
 	}
 	exchange.setDeadline()
 	exchange.service = exchange.route.Service(xxhash.Sum64String(string(exchange.firstAttempt())))
-	if code := exchange.readBody(); code != result.OK {
-		return code
-	}
-	return exchange.checkStop()
+	return result.OK
 }
 
 // checkStop refuses a request that was read late in a planned stop, and bounds the time of
@@ -144,33 +152,3 @@
 		exchange.deadline = exchange.callerDeadline
 	}
 }
-
-func (exchange *exchange) readBody() result.Code {
-	controller := http.NewResponseController(exchange.writer)
-	if err := controller.SetReadDeadline(exchange.deadline); err != nil {
-		exchange.handler.Logger.Debug("Could not set the read deadline.", "Error", err)
-	}
-	limit := int64(exchange.table.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if exchange.request.ContentLength > limit {
-		return result.BodyTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limit+1))
-	if err != nil {
-		exchange.setCauseText(err.Error())
-		return result.MalformedBody
-	}
-	if int64(len(body)) > limit {
-		return result.BodyTooLarge
-	}
-	exchange.body = body
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		exchange.handler.Logger.Debug("Could not clear the read deadline.", "Error", err)
-	}
-	return result.OK
-}
-
-// defaultMaxBodyBytes limits a request body if the configuration does not.
-const defaultMaxBodyBytes = 4 << 20
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -29,12 +31,14 @@
 	if exchange.standing().Allowance == strike.Refused {
 		return result.CrashingRequest
 	}
-	if until, rests := exchange.limitedUntil(pool); !until.IsZero() {
+	if until, code := exchange.limitedUntil(pool); !until.IsZero() {
 		exchange.limitedAt = until
-		if rests {
-			return result.UpstreamsResting
+		return code
+	}
+	if pool == nil {
+		if code := exchange.noPoolCode(); code != result.OK {
+			return code
 		}
-		return result.UpstreamsAtLimit
 	}
 	if exchange.takesUp() && pool == nil {
 		return result.VersionGone
@@ -42,6 +46,25 @@
 	return result.NoUpstream
 }
 
+// noPoolCode returns the code of a request for which the pool is empty because of evacuated
+// zones or of the regions to which it is restricted, and OK if neither is the reason.
+func (exchange *exchange) noPoolCode() result.Code {
+	known := exchange.handler.Registry
+	withheld := slices.DeleteFunc(slices.Clone(known.Withheld(exchange.service)), func(upstream registry.Upstream) bool {
+		return exchange.binding.bound() && upstream.Software != exchange.binding.version
+	})
+	inRegions := func(upstream registry.Upstream) bool {
+		return registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+	}
+	switch {
+	case slices.ContainsFunc(withheld, inRegions):
+		return result.ZonesEvacuated
+	case len(withheld) > 0 || exchange.anyRegion() != nil:
+		return result.RegionNotAllowed
+	}
+	return result.OK
+}
+
 // abandon refuses a request that no upstream served. If an earlier attempt may
 // have run, the code does not claim that the request did not run.
 func (exchange *exchange) abandon(code result.Code) {
@@ -75,12 +98,26 @@
 		retryAfter = max(time.Until(exchange.certainAt), 0)
 	case code == result.UpstreamsResting:
 		retryAfter = spreadAfter(time.Until(exchange.limitedAt))
+	case code == result.UpstreamsCold:
+		// Not earlier than the next request is possible, and not all at once.
+		retryAfter = max(time.Until(exchange.limitedAt), minRetryAfter)
+		retryAfter += rand.N(retryAfter)
 	case code == result.UpstreamsAtLimit:
 		retryAfter = max(wait.Jitter(time.Until(exchange.limitedAt)), minRetryAfter)
 	case code.Status() == http.StatusServiceUnavailable:
 		retryAfter = jitteredRetryAfter(time.Until(exchange.callerDeadline))
 	}
+	exchange.boundRefusal()
+	if !lingers(code) {
+		exchange.handler.writeCode(exchange.writer, code, retryAfter)
+		return
+	}
+	if code == result.MemoryFull {
+		exchange.handler.reportFull(time.Now())
+	}
+	exchange.prepareToLinger()
 	exchange.handler.writeCode(exchange.writer, code, retryAfter)
+	exchange.linger()
 }
 
 // postponement returns how long a request that may run alone only has to wait at least.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -79,6 +79,7 @@
 		return code
 	}
 	status := answer.response.StatusCode
+	answer.progress.observePlain(status)
 	answer.release()
 	exchange.recordSurvival(answer)
 	if status >= http.StatusInternalServerError {
@@ -101,7 +102,12 @@
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
 	}
 	exchange.start(answer.response.StatusCode)
-	_, err := io.Copy(callerWriter{exchange}, io.MultiReader(bytes.NewReader(beginning), answer.response.Body))
+	exchange.releaseBody()
+	_, err := callerWriter{exchange}.Write(beginning)
+	exchange.releaseAnswer()
+	if err == nil {
+		_, err = io.CopyBuffer(callerWriter{exchange}, answer.response.Body, make([]byte, copyBufferBytes))
+	}
 	if err != nil {
 		exchange.setCause(err)
 		exchange.recordFailure(answer.upstream, exchange.truncationCode())
@@ -123,7 +129,8 @@
 	if !exchange.chooseNext(pool) {
 		return exchange.writePlain(failed, body)
 	}
-	answer, code := exchange.attempt(exchange.choice.Upstream, "")
+	exchange.earlier = exchange.reserved
+	answer, code := exchange.attempt("")
 	if code == result.OK {
 		code = exchange.relay(answer)
 	}
@@ -145,6 +152,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	exchange.start(answer.response.StatusCode)
+	exchange.releaseBody()
 	if _, err := (callerWriter{exchange}).Write(body); err != nil {
 		exchange.setCause(err)
 	}
@@ -184,7 +192,7 @@
 	exchange.status = status
 	exchange.firstByte = time.Now()
 	exchange.handler.Metrics.ObserveFirstByte(exchange.route.Kind.String(), exchange.firstByte.Sub(exchange.arrived))
-	exchange.setWriteDeadline(exchange.deadline.Add(writeGrace))
+	exchange.moveWriteDeadline(exchange.firstByte)
 	exchange.writer.WriteHeader(status)
 }
 
@@ -201,21 +209,6 @@
 	return exchange.callerFailed || exchange.request.Context().Err() != nil
 }
 
-// callerWriter writes the body of the answer to the caller, and records a failure
-// as the caller's: its error looks like that of a connection to an upstream.
-type callerWriter struct {
-	exchange *exchange
-}
-
-// Write writes data to the caller.
-func (callerWriter callerWriter) Write(data []byte) (int, error) {
-	count, err := callerWriter.exchange.writer.Write(data)
-	if err != nil {
-		callerWriter.exchange.callerFailed = true
-	}
-	return count, err
-}
-
 // truncationCode returns the code of a request whose answer was truncated.
 func (exchange *exchange) truncationCode() result.Code {
 	if !time.Now().Before(exchange.deadline) {
@@ -246,6 +239,7 @@
 		if err == nil {
 			exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
 			exchange.recordSurvival(answer)
+			answer.progress.observeOutput()
 			answer.release()
 			if !exchange.started {
 				exchange.copyHeader(first)
@@ -293,9 +287,11 @@
 	for {
 		count, err := answer.response.Body.Read(buffer)
 		if length := stream.add(buffer[:count]); length > 0 {
+			readAt, events := time.Now(), bytes.Count(stream.pending[:length], []byte(eventEnd))
 			if err := exchange.writeEvents(first, stream, length, controller); err != nil {
 				return err
 			}
+			answer.progress.observeEvents(readAt, events, &stream.sequence)
 		}
 		if len(stream.pending) > maxEventBytes || !exchange.mayHold(2*len(stream.pending)) {
 			return errEventTooLong
@@ -338,6 +334,9 @@
 		exchange.recordOrigin(first)
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
+		if !exchange.route.Resumable {
+			exchange.releaseBody()
+		}
 	}
 	if _, err := (callerWriter{exchange}).Write(stream.pending[:good]); err != nil {
 		return err
@@ -396,7 +395,7 @@
 			return nil
 		}
 		var answer *answer
-		answer, code = exchange.attempt(exchange.choice.Upstream, lastEvent)
+		answer, code = exchange.attempt(lastEvent)
 		if code == result.OK && isEventStream(answer.response) {
 			exchange.logResumed(answer, lastEvent)
 			return answer
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -20,9 +20,13 @@
 	if exchange.route != nil {
 		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
 	}
+	// net/http still has to write the end of the answer.
+	exchange.conn.waitForCaller(time.Now())
 	switch {
 	case refusedForRoom(exchange.code) && len(exchange.tried) == 0 && !exchange.handler.LogLimiter.Allow():
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
+	case isBodyRefusal(exchange.code) && !exchange.handler.allowBodyLog(time.Now()):
+		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case exchange.code != result.OK || len(exchange.tried) > 1:
 		exchange.log(slog.LevelWarn)
 	case exchange.handler.LogLimiter.Allow():
@@ -73,12 +77,18 @@
 			slog.Int("Tried", len(exchange.tried)),
 			slog.Bool("Started", exchange.started))
 	}
+	if exchange.choice.Expected > 0 {
+		attributes = append(attributes, slog.Int64("ExpectedMs", exchange.choice.Expected.Milliseconds()))
+	}
 	if exchange.code == result.CrashingRequest || exchange.code == result.CrashingRequestAlone || len(exchange.tried) > 0 && exchange.code != result.OK {
 		attributes = append(attributes, slog.String("Fingerprint", exchange.fingerprint().String()), slog.Any("Parts", exchange.partIDs()))
 	}
 	if refusedForRoom(exchange.code) {
 		attributes = append(attributes, exchange.roomAttributes()...)
 	}
+	if exchange.code == result.RegionNotAllowed {
+		attributes = append(attributes, slog.Any("AllowedRegions", exchange.allowed))
+	}
 	if exchange.refusal.Key != 0 {
 		attributes = append(attributes, exchange.refusedPartAttributes()...)
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -10,23 +10,27 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
+	"github.com/hickoryhead/hickoryhead/evacuation"
 	"github.com/hickoryhead/hickoryhead/gossip"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // member is a router that exchanges messages over the loopback interface.
 type member struct {
-	gossip     *gossip.Gossip
-	loads      balance.Loads
-	cacheIndex balance.CacheIndex
-	health     health.Tracker
-	strikes    strike.Guard
-	done       chan struct{}
-	cancel     context.CancelFunc
+	gossip      *gossip.Gossip
+	loads       balance.Loads
+	cacheIndex  balance.CacheIndex
+	health      health.Tracker
+	strikes     strike.Guard
+	evacuations evacuation.Tracker
+	quota       quota.Tracker
+	done        chan struct{}
+	cancel      context.CancelFunc
 
 	mu      sync.Mutex
 	changes []registry.Change
@@ -59,16 +63,21 @@
 // started.
 func newMember(name balance.RouterID, conn net.PacketConn) *member {
 	member := &member{done: make(chan struct{})}
+	member.quota.ColdRule = func(ident.ServiceName) quota.ColdRule {
+		return quota.ColdRule{Start: 3 * time.Second, PerSecond: 7.8, Overage: 1.5, Slack: 5}
+	}
 	member.gossip = &gossip.Gossip{
-		Router:     name,
-		Started:    time.Now(),
-		Address:    conn.LocalAddr().String(),
-		Conn:       conn,
-		Loads:      &member.loads,
-		CacheIndex: &member.cacheIndex,
-		Health:     &member.health,
-		Strikes:    &member.strikes,
-		Fill:       func(time.Time, *gossip.Message) {},
+		Router:      name,
+		Started:     time.Now(),
+		Address:     conn.LocalAddr().String(),
+		Conn:        conn,
+		Loads:       &member.loads,
+		CacheIndex:  &member.cacheIndex,
+		Health:      &member.health,
+		Strikes:     &member.strikes,
+		Evacuations: &member.evacuations,
+		Quota:       &member.quota,
+		Fill:        func(time.Time, *gossip.Message) {},
 		OnMessage: func(_ time.Time, message gossip.Message) {
 			member.mu.Lock()
 			defer member.mu.Unlock()
@@ -76,6 +85,13 @@
 		},
 		Logger: logging.Component(nil, "gossip"),
 	}
+	member.gossip.OnEvacuations = func(states []evacuation.State, _ string) []evacuation.State {
+		result := member.evacuations.Apply(time.Now(), states)
+		if len(result.Changed) > 0 {
+			member.gossip.SendEvacuations()
+		}
+		return result.Outdated
+	}
 	return member
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -75,11 +75,19 @@
 	// OnKept, unless nil, is called for each upstream that stays listed although its row
 	// was removed. It must not call the registry.
 	OnKept func(kept Kept)
+	// OnStart, unless nil, is called for each upstream, before it is in a pool, that was not
+	// listed or had another incarnation. It is not called for those of the first complete
+	// list, and must not call the registry.
+	OnStart func(now time.Time, upstream Upstream)
 	// Heartbeat is how often a live upstream writes its row, or zero if that is not known.
 	// It is set before use.
 	Heartbeat time.Duration
 
 	current atomic.Pointer[snapshot]
+	// evacuated holds the evacuated zones. The map is replaced, never changed.
+	evacuated atomic.Pointer[map[ident.Zone]struct{}]
+	// regions holds the region of each zone. The map is replaced, never changed.
+	regions atomic.Pointer[map[ident.Zone]ident.Region]
 
 	mu sync.Mutex
 	// listed holds the upstreams. missingUntil has those of them whose row may
@@ -208,6 +216,9 @@
 			// A router of a program that doesn't read the version relayed the row.
 			change.Upstream.Software = present.Software
 		}
+		if started := !known || present.Incarnation != change.Upstream.Incarnation; started && registry.OnStart != nil && registry.Loaded() {
+			registry.OnStart(now, change.Upstream)
+		}
 		registry.recordRenewal(now, change.Upstream)
 		delete(registry.missingUntil, id)
 		registry.listed[id] = change.Upstream
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,8 @@
 	takeUps takeUps
 	senders map[ident.AttemptID]sender
 	endless []endlessSpan
+	// evacuated is set while evacuatedZone is evacuated.
+	evacuated bool
 }
 
 // span is a time span. While it lasts, until is zero.
@@ -149,11 +151,14 @@
 	copier := &storeCopier{soak: soak, done: make(chan struct{})}
 	done = append(done, copier.done)
 	go copier.run(callerCtx)
+	crowds := newCrowds(soak)
+	done = append(done, crowds.done)
+	go crowds.run(callerCtx)
 	prober := &prober{soak: soak, done: make(chan struct{}), served: make(map[string]int)}
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
 
-	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), busy: make(map[any]bool)}
+	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), evacuations: rand.New(rand.NewPCG(options.Seed, evacuationStream)), busy: make(map[any]bool)}
 	upgrade := &upgrade{schedule: schedule, done: make(chan struct{})}
 	go upgrade.run(ctx)
 	schedule.play(ctx)
@@ -171,6 +176,7 @@
 	soak.checkRegistered()
 	soak.checkPanics()
 	soak.checkTakeUps()
+	soak.checkCold()
 	for _, service := range soak.small {
 		service.check()
 	}
@@ -183,7 +189,7 @@
 	storeAt := strings.TrimPrefix(soak.server.URL, "http://")
 	soak.configure()
 	for i := range soak.options.Upstreams {
-		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), poolService, softwareVersions[i%2], soak)
+		upstream, err := startUpstream(ident.UpstreamID(fmt.Sprint("i-", i)), poolService, zoneOf(i), softwareVersions[i%2], soak)
 		if err != nil {
 			return err
 		}
@@ -208,7 +214,11 @@
 		router.previous = soak.options.Previous
 		if router.previous == "" {
 			// An earlier program refuses settings that it doesn't know.
+			router.settings.ColdOverage, router.settings.ColdSlack = coldRule.Overage, coldRule.Slack
 			router.settings.HeartbeatMs = ident.Milliseconds(standin.RunnerHeartbeatInterval.Milliseconds())
+			if err := router.writeSettings(); err != nil {
+				return err
+			}
 		}
 		if err := router.start(); err != nil {
 			return err
@@ -283,7 +293,7 @@
 		route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, maxAttempts),
 		route("stream", "/stream/", routing.Stream, 1), resume, probe,
 	}
-	services := []routing.Service{{Name: poolService, MaxConnections: 400}}
+	services := []routing.Service{{Name: poolService, MaxConnections: 400, ColdStart: coldRule.Start, ColdPerSecond: coldRule.PerSecond}}
 	for size := range maxSmallService {
 		services = append(services, routing.Service{Name: smallServiceName(size + 1), MaxConnections: 100})
 	}
