follow: a zone is usable again only once its upstreams are known to be cold

SetEvacuated put the upstreams of a zone whose evacuation ended in the pool; OnEvacuationEnd, which treats them as cold, was called after that, behind the relay and the log line. Until then they took requests at any rate. Reports of two changes applied at the same time could also be logged in the wrong order.

OnEvacuationEnd is called before SetEvacuated, and changes are put in force and reported under evacuationMu.

--- a/follow/evacuations.go
+++ b/follow/evacuations.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/evacuation"
@@ -39,41 +41,52 @@
 }
 
 // applyEvacuations applies a reading, puts what it changed in force and tells the other
-// routers.
+// routers. The end of an evacuation is passed to OnEvacuationEnd before the zone is usable
+// again, so that no request reaches an upstream of it that is not yet known to be cold.
 func (updater *Updater) applyEvacuations(source string, apply func(now time.Time) evacuation.Result) evacuation.Result {
-	updater.evacuationMu.Lock()
-	result := apply(time.Now())
+	result := updater.enforceEvacuations(source, apply)
 	if len(result.Changed) > 0 {
-		evacuated, _ := updater.Evacuations.Evacuated()
-		zones := make([]ident.Zone, len(evacuated))
-		for i, state := range evacuated {
-			zones[i] = state.Zone
-		}
-		updater.Registry.SetEvacuated(zones)
+		updater.RelayEvacuations()
 	}
-	updater.evacuationMu.Unlock()
+	return result
+}
+
+// enforceEvacuations applies a reading, puts what it changed in force and reports it. All of
+// that is done under evacuationMu, so that changes are reported in the order in which they
+// come into force.
+func (updater *Updater) enforceEvacuations(source string, apply func(now time.Time) evacuation.Result) evacuation.Result {
+	updater.evacuationMu.Lock()
+	defer updater.evacuationMu.Unlock()
+	result := apply(time.Now())
 	if len(result.Changed) == 0 {
 		return result
 	}
-	updater.RelayEvacuations()
+	evacuated, _ := updater.Evacuations.Evacuated()
+	zones := make([]ident.Zone, len(evacuated))
+	for i, state := range evacuated {
+		zones[i] = state.Zone
+	}
+	if updater.OnEvacuationEnd != nil {
+		for _, state := range result.Changed {
+			if !state.Evacuated {
+				updater.OnEvacuationEnd(state.Zone, updater.Registry.InZone(state.Zone))
+			}
+		}
+	}
+	updater.Registry.SetEvacuated(zones)
 	for _, state := range result.Changed {
 		updater.reportEvacuation(state, source)
 	}
 	return result
 }
 
-// reportEvacuation counts and logs that the evacuation of a zone began or ended, and calls
-// OnEvacuationEnd.
+// reportEvacuation counts and logs that the evacuation of a zone began or ended.
 func (updater *Updater) reportEvacuation(state evacuation.State, source string) {
-	upstreams := updater.Registry.InZone(state.Zone)
+	upstreams := len(updater.Registry.InZone(state.Zone))
+	event, message, level := "evacuation.ended", "Evacuation of a zone ended.", slog.LevelInfo
 	if state.Evacuated {
-		updater.Metrics.CountEvent("evacuation.began")
-		updater.Logger.Warn("Zone evacuated.", "Zone", state.Zone, "Revision", state.Revision, "Upstreams", len(upstreams), "Source", source)
-		return
-	}
-	updater.Metrics.CountEvent("evacuation.ended")
-	updater.Logger.Info("Evacuation of a zone ended.", "Zone", state.Zone, "Revision", state.Revision, "Upstreams", len(upstreams), "Source", source)
-	if updater.OnEvacuationEnd != nil {
-		updater.OnEvacuationEnd(state.Zone, upstreams)
+		event, message, level = "evacuation.began", "Zone evacuated.", slog.LevelWarn
 	}
+	updater.Metrics.CountEvent(event)
+	updater.Logger.Log(context.Background(), level, message, "Zone", state.Zone, "Revision", state.Revision, "Upstreams", upstreams, "Source", source)
 }
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -30,7 +30,7 @@
 	// other routers.
 	RelayEvacuations func()
 	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
-	// evacuation has ended.
+	// evacuation ends, before they are usable again. It must not apply evacuations.
 	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
 	// OnRow, unless nil, is called with each row of an upstream read from the store, before
 	// it is applied.
@@ -38,7 +38,8 @@
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
-	// evacuationMu is held while a change of Evacuations is passed to Registry.
+	// evacuationMu is held while a change of Evacuations is passed to OnEvacuationEnd and
+	// Registry, and logged.
 	evacuationMu sync.Mutex
 }
 
