registry: withheld upstreams of a restricted pool don't depend on who asked first

The key of Pool.Within was made from the regions of usable upstreams, but the withheld ones, which count in the load bound, were filtered by the list of the first caller. A list that left all usable upstreams kept all withheld ones, too.

The key names the allowed regions of usable and withheld upstreams, and a pool is taken as it is only if both lists are whole.

--- a/registry/pool.go
+++ b/registry/pool.go
@@ -21,8 +21,8 @@
 	// evacuated.
 	Withheld []Upstream
 
-	// zoneRegions holds the region of each zone, and regions those of the upstreams, sorted
-	// and without the empty one. within holds the pools that Within has made.
+	// zoneRegions holds the region of each zone, and regions those of Upstreams and Withheld,
+	// sorted and without the empty one. within holds the pools that Within has made.
 	zoneRegions map[ident.Zone]ident.Region
 	regions     []ident.Region
 	within      sync.Map
@@ -88,8 +88,7 @@
 	pools := make(map[ident.ServiceName]*Pool, len(members))
 	versions := make(map[ident.ServiceName]map[ident.SoftwareVersion]*Pool, len(members))
 	for service, upstreams := range members {
-		pools[service] = newPool(upstreams, zoneRegions)
-		pools[service].Withheld = withheld[service]
+		pools[service] = newPool(upstreams, withheld[service], zoneRegions)
 		versions[service] = versionPools(pools[service])
 	}
 	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
@@ -121,19 +120,25 @@
 			pools[version] = pool
 			continue
 		}
-		pools[version] = newPool(upstreams, pool.zoneRegions)
-		pools[version].Withheld = slices.DeleteFunc(slices.Clone(pool.Withheld), func(upstream Upstream) bool { return upstream.Software != version })
+		withheld := slices.DeleteFunc(slices.Clone(pool.Withheld), func(upstream Upstream) bool { return upstream.Software != version })
+		pools[version] = newPool(upstreams, withheld, pool.zoneRegions)
 	}
 	return pools
 }
 
-// newPool returns the pool of upstreams, which it sorts by ID. zoneRegions holds the region
-// of each zone.
-func newPool(upstreams []Upstream, zoneRegions map[ident.Zone]ident.Region) *Pool {
+// newPool returns the pool of upstreams, which it sorts by ID, and withheld ones. zoneRegions
+// holds the region of each zone.
+func newPool(upstreams, withheld []Upstream, zoneRegions map[ident.Zone]ident.Region) *Pool {
 	slices.SortFunc(upstreams, byID)
 	candidates := make([]affinity.Candidate, len(upstreams))
 	for i, upstream := range upstreams {
 		candidates[i] = affinity.Candidate{Upstream: upstream.ID}
 	}
-	return &Pool{Upstreams: upstreams, Ranking: affinity.NewPool(candidates), zoneRegions: zoneRegions, regions: regionsOf(upstreams, zoneRegions)}
+	return &Pool{
+		Upstreams:   upstreams,
+		Ranking:     affinity.NewPool(candidates),
+		Withheld:    withheld,
+		zoneRegions: zoneRegions,
+		regions:     regionsOf(upstreams, withheld, zoneRegions),
+	}
 }
--- a/registry/region.go
+++ b/registry/region.go
@@ -37,9 +37,9 @@
 // regionSeparator joins the names of regions in the keys of Pool.within.
 const regionSeparator = "\x00"
 
-// Within returns the pool of those upstreams that are in allowed regions, or nil if there are
-// none. A nil list allows any. The pool may be nil. Lists that leave the same upstreams give
-// the same pool.
+// Within returns the pool of those upstreams that are in allowed regions, with the withheld
+// ones of these regions, or nil if no usable one is there. A nil list allows any. The pool may
+// be nil. Lists that leave the same upstreams give the same pool.
 func (pool *Pool) Within(allowed []ident.Region) *Pool {
 	if pool == nil || allowed == nil {
 		return pool
@@ -57,21 +57,28 @@
 	if known, found := pool.within.Load(key); found {
 		return known.(*Pool)
 	}
+	known, _ := pool.within.LoadOrStore(key, pool.restrict(allowed))
+	return known.(*Pool)
+}
+
+// restrict does the work of Within, without its cache.
+func (pool *Pool) restrict(allowed []ident.Region) *Pool {
 	elsewhere := func(upstream Upstream) bool { return !InRegions(pool.zoneRegions[upstream.Zone], allowed) }
 	upstreams := slices.DeleteFunc(slices.Clone(pool.Upstreams), elsewhere)
-	restricted := pool
-	if len(upstreams) < len(pool.Upstreams) {
-		restricted = newPool(upstreams, pool.zoneRegions)
-		restricted.Withheld = slices.DeleteFunc(slices.Clone(pool.Withheld), elsewhere)
+	withheld := slices.DeleteFunc(slices.Clone(pool.Withheld), elsewhere)
+	switch {
+	case len(upstreams) == 0:
+		return nil
+	case len(upstreams) == len(pool.Upstreams) && len(withheld) == len(pool.Withheld):
+		return pool
 	}
-	known, _ := pool.within.LoadOrStore(key, restricted)
-	return known.(*Pool)
+	return newPool(upstreams, withheld, pool.zoneRegions)
 }
 
-// regionsOf returns the regions of upstreams, sorted and without the empty one.
-func regionsOf(upstreams []Upstream, zoneRegions map[ident.Zone]ident.Region) []ident.Region {
+// regionsOf returns the regions of usable and withheld upstreams, sorted and without the empty one.
+func regionsOf(upstreams, withheld []Upstream, zoneRegions map[ident.Zone]ident.Region) []ident.Region {
 	var regions []ident.Region
-	for _, upstream := range upstreams {
+	for _, upstream := range slices.Concat(upstreams, withheld) {
 		if region := zoneRegions[upstream.Zone]; region != "" && !slices.Contains(regions, region) {
 			regions = append(regions, region)
 		}
--- a/registry/region_test.go
+++ b/registry/region_test.go
@@ -65,3 +65,53 @@
 		t.Errorf("got %+v after the regions of zones changed, want i-4 alone", got)
 	}
 }
+
+// TestWithheldWithinRegions guards against a restricted pool whose withheld upstreams, which
+// count in the load bound, are those of the regions that an earlier request was allowed.
+func TestWithheldWithinRegions(t *testing.T) {
+	tests := []struct {
+		name           string
+		allowed        []ident.Region
+		usable         int
+		withheld       []ident.UpstreamID
+		samePoolAsEast bool
+	}{
+		{"only the region that is not evacuated", []ident.Region{"east"}, 1, nil, true},
+		{"an unknown region beside", []ident.Region{"south", "east"}, 1, nil, true},
+		{"the evacuated region beside", []ident.Region{"east", "west"}, 1, []ident.UpstreamID{"i-2"}, false},
+		{"all regions", []ident.Region{"north", "west", "east"}, 1, []ident.UpstreamID{"i-2", "i-3"}, false},
+		{"evacuated regions alone", []ident.Region{"west", "north"}, 0, nil, false},
+	}
+	for first := range tests {
+		known := new(registry.Registry)
+		known.SetRegions(map[ident.Zone]ident.Region{"east-1": "east", "west-1": "west", "north-1": "north"})
+		known.SetEvacuated([]ident.Zone{"west-1", "north-1"})
+		known.Replace(time.Now(), 1, []registry.Upstream{
+			{ID: "i-1", Service: "pool", Zone: "east-1"}, {ID: "i-2", Service: "pool", Zone: "west-1"}, {ID: "i-3", Service: "pool", Zone: "north-1"},
+		})
+		pool := known.Pool("pool")
+		pool.Within(tests[first].allowed)
+		for _, test := range tests {
+			t.Run(tests[first].name+" first, then "+test.name, func(t *testing.T) {
+				got := pool.Within(test.allowed)
+				if test.usable == 0 {
+					if got != nil {
+						t.Errorf("got upstreams %v, want no pool", got.Upstreams)
+					}
+					return
+				}
+				var withheld []ident.UpstreamID
+				for _, upstream := range got.Withheld {
+					withheld = append(withheld, upstream.ID)
+				}
+				slices.Sort(withheld)
+				if len(got.Upstreams) != test.usable || !slices.Equal(withheld, test.withheld) {
+					t.Errorf("got %d upstreams and %v withheld, want %d and %v", len(got.Upstreams), withheld, test.usable, test.withheld)
+				}
+				if (got == pool.Within([]ident.Region{"east"})) != test.samePoolAsEast {
+					t.Errorf("got the pool of east alone %t, want %t", !test.samePoolAsEast, test.samePoolAsEast)
+				}
+			})
+		}
+	}
+}
