entry: ask the second router for the configuration if the first doesn't tell evacuations

A row without the evacuations, as a router of an earlier program gives it, ended the loop in fetchFromRouters, so that a router which started waited for the store although another router had all it needed.

go test -race ./entry -run TestSecondRouter: failed before with errNoEvacuations, passes.

--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -155,9 +155,14 @@
 			daemon.Logger.Debug("Reading the configuration from a router failed.", "Address", address, "Error", err)
 			continue
 		}
+		records, err := source.recordsOf(row, address, after)
+		if err != nil {
+			daemon.Logger.Debug("Configuration of a router not used.", "Address", address, "RowVersion", row.Version, "Error", err)
+			continue
+		}
 		daemon.metrics.CountEvent("config.router.read")
 		daemon.Logger.Info("Configuration read from a router.", "Address", address, "RowVersion", row.Version, "ReadAt", row.ReadAt, "Evacuated", len(row.Evacuated))
-		return source.recordsOf(row, address, after)
+		return records, nil
 	}
 	return platform.Records{}, errNoNewerConfig
 }
--- a/entry/config_source_test.go
+++ b/entry/config_source_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"context"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/configrpc"
 	"github.com/hickoryhead/hickoryhead/evacuation"
@@ -60,3 +63,32 @@
 		})
 	}
 }
+
+// TestSecondRouterIsAskedForEvacuations guards against a router that starts and waits for the
+// store, because the first of two routers that it asks for the configuration runs an earlier
+// program, which doesn't say which zones are evacuated.
+func TestSecondRouterIsAskedForEvacuations(t *testing.T) {
+	daemon := &Daemon{Logger: logging.Component(nil, "entry")}
+	daemon.scheduler.Self = "10.0.0.1:1"
+	daemon.updater = &follow.Updater{Registry: &daemon.registry, Evacuations: &daemon.evacuations, RelayEvacuations: func() {}, Logger: logging.Component(nil, "follow")}
+	for _, readAt := range []ident.Revision{0, 12} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		service := &configrpc.Service{Evacuations: func() []evacuation.State { return nil }}
+		service.Set(configrpc.Row{Value: []byte("{}"), Version: 9})
+		service.SetReadAt(readAt)
+		go func() { _ = (&configrpc.Server{Service: service, Listener: listener}).Run() }()
+		daemon.scheduler.ObservePeer(time.Now(), listener.Addr().String(), follow.PeerState{ConfigVersion: 3})
+	}
+	// The routers are asked in random order.
+	const reads = 10
+	source := &configSource{daemon: daemon}
+	for range reads {
+		if records, err := source.fetchFromRouters(context.Background(), 0); err != nil || records.Version != 12 {
+			t.Fatalf("got rows as of version %d and error %v, want those of the router that has read the table up to 12", records.Version, err)
+		}
+	}
+}
