entry: the warm-up checks for an evacuation when it calls an engine

The check was made when the calls were queued; at most four run at a time, so that a call could reach an engine whose zone had been evacuated meanwhile.

go test -race ./entry -run TestWarmupCalls: got a call before, passes.

--- a/entry/warmup.go
+++ b/entry/warmup.go
@@ -164,8 +164,12 @@
 	warmup.daemon.Logger.Info("Cache index read from engines.", "Engines", engines, "Routers", len(routers), "Error", err)
 }
 
-// listEngine records the longest prompt parts that upstream has cached.
+// listEngine records the longest prompt parts that upstream has cached, unless its zone was
+// evacuated while the call waited for others.
 func (warmup *warmup) listEngine(ctx context.Context, upstream registry.Upstream) error {
+	if warmup.daemon.registry.Evacuated(upstream.Zone) {
+		return nil
+	}
 	bounded, cancel := context.WithTimeout(ctx, engineListTimeout)
 	defer cancel()
 	parts, head, err := warmup.engines.Cached(bounded, upstream.Address)
