--- a/entry/stall.go
+++ b/entry/stall.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -11,31 +11,36 @@
 )
 
 const (
-	// stallCheckInterval is the time between two checks of whether the process stood still.
+	// stallCheckInterval is the time between two checks of whether the process was paused.
 	stallCheckInterval = 50 * time.Millisecond
-	// catchUpTime is how long after that the datagrams that came meanwhile are read, and the
-	// store is asked again.
+	// catchUpTime is how long after a pause the process reads the datagrams that arrived
+	// meanwhile and asks the store again.
 	catchUpTime = 200 * time.Millisecond
-	// maxCatchUpWait bounds how long a request waits for that.
+	// maxCatchUpWait bounds how long a request waits until the process has caught up.
 	maxCatchUpWait = 2 * catchUpTime
 	// catchUpPollInterval is the time between two checks of a waiting request.
 	catchUpPollInterval = 10 * time.Millisecond
-	// stallShare is the share of the time in which an evacuation has to be in force for
-	// which a process may stand still without missing that.
+	// stallShare is the share of the time within which an evacuation has to be in force for
+	// which the process may be paused.
 	stallShare = 0.5
 )
 
-// stallGuard notices that the process stood still, as when its VM was paused: what it knew
-// before may be outdated when it goes on, and callers' requests are there at once. The zero
-// value notices nothing. It is safe for concurrent use.
+// stallGuard detects that the process was paused, as when its VM was: what it knew before may
+// be outdated when it resumes, and callers' requests are there at once. The zero value detects
+// nothing. It is safe for concurrent use, but for tick, which has a single caller.
 type stallGuard struct {
-	// longest is how long the process may stand still, or zero for any time. It is set
-	// before use, as metrics and logger are.
+	// longest is how long the process may be paused, or zero for any time. It is set before
+	// use, as metrics and logger are.
 	longest time.Duration
 	metrics *metrics.Set
 	logger  *slog.Logger
 
-	mu sync.Mutex
+	// state is nil before the first tick. Each attempt to send a request reads it.
+	state atomic.Pointer[stallState]
+}
+
+// stallState is what a tick has recorded.
+type stallState struct {
 	// tickedAt is when the process was last known to run, and currentFrom from when on it
 	// has caught up.
 	tickedAt    time.Time
@@ -52,21 +57,22 @@
 
 // tick records that the process runs.
 func (guard *stallGuard) tick(now time.Time) {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	if stood := now.Sub(guard.tickedAt); !guard.tickedAt.IsZero() && stood > guard.longest {
-		guard.currentFrom = now.Add(catchUpTime)
-		guard.metrics.CountEvent("router.stalled")
-		guard.logger.Warn("The process stood still, requests wait until it has caught up.", "Ms", stood.Milliseconds())
+	next := &stallState{tickedAt: now}
+	if last := guard.state.Load(); last != nil {
+		next.currentFrom = last.currentFrom
+		if paused := now.Sub(last.tickedAt); paused > guard.longest {
+			next.currentFrom = now.Add(catchUpTime)
+			guard.metrics.CountEvent("router.stalled")
+			guard.logger.Warn("The process was paused, requests wait until it has caught up.", "Ms", paused.Milliseconds())
+		}
 	}
-	guard.tickedAt = now
+	guard.state.Store(next)
 }
 
-// current reports whether the process has not stood still lately.
+// current reports whether the process has not been paused lately.
 func (guard *stallGuard) current(now time.Time) bool {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	return guard.tickedAt.IsZero() || now.Sub(guard.tickedAt) <= guard.longest && !now.Before(guard.currentFrom)
+	state := guard.state.Load()
+	return state == nil || now.Sub(state.tickedAt) <= guard.longest && !now.Before(state.currentFrom)
 }
 
 // await waits until the process has caught up, at most for maxCatchUpWait or until ctx ends.
