balance: Inspect shows the bound that the choice uses

balance.Inspect computed the load bound by itself: without the withheld upstreams of evacuated zones, which the choice counts, and without the lower one of two bounds for a prompt that is not cached.

selection.boundOf gives the bound to the choice and to Inspect. Candidates say why they are excluded (exclusionOf, which the choice uses) and their health.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -155,6 +155,29 @@
 	return ident.Milliseconds(load.PendingPrefill / prefillTokensPerMs)
 }
 
+// Exclusion is why an upstream of the pool gets no request, whatever its load and health.
+type Exclusion string
+
+// The reasons of an exclusion.
+const (
+	// Tried means that the request was offered to the upstream before.
+	Tried Exclusion = "tried"
+	// LimitReached means that its limit, or its rate while it is cold, leaves this router no
+	// request now.
+	LimitReached Exclusion = "at its limit"
+)
+
+// exclusionOf returns why an upstream gets no request, or an empty string if it may.
+func exclusionOf(request Request, upstream ident.UpstreamID, limit LimitState) Exclusion {
+	switch {
+	case slices.Contains(request.Tried, upstream):
+		return Tried
+	case limit.leavesNone():
+		return LimitReached
+	}
+	return ""
+}
+
 // healthState is the health of an upstream with regard to one request.
 type healthState int
 
@@ -166,15 +189,26 @@
 	ejected
 )
 
+// String returns the health as it is printed.
+func (health healthState) String() string {
+	switch health {
+	case probation:
+		return "on probation"
+	case ejected:
+		return "ejected"
+	}
+	return "healthy"
+}
+
 // candidate is an upstream with its load.
 type candidate struct {
 	// index is the position of the upstream in its pool.
 	index  int
 	load   Load
 	health healthState
-	// excluded is set if the upstream was tried already or is at its limit.
-	excluded bool
-	limit    LimitState
+	// exclusion is why the upstream gets no request, or empty if it may.
+	exclusion Exclusion
+	limit     LimitState
 	// cached is set if the upstream has the longest prefix of the request cached.
 	cached bool
 	// expected is the predicted time to the first event, if the selection predicts.
@@ -184,9 +218,12 @@
 // usable reports whether the upstream is healthy, not excluded and has fewer than
 // bound requests in flight.
 func (candidate candidate) usable(bound float64) bool {
-	return !candidate.excluded && candidate.health == healthy && float64(candidate.load.Requests) < bound
+	return candidate.exclusion == "" && candidate.health == healthy && candidate.below(bound)
 }
 
+// below reports whether the upstream has fewer than bound requests in flight.
+func (candidate candidate) below(bound float64) bool { return float64(candidate.load.Requests) < bound }
+
 // selection is the state of one call of Choose.
 type selection struct {
 	chooser    *Chooser
@@ -231,12 +268,12 @@
 	for i, upstream := range pool.Upstreams {
 		limit := chooser.limitOf(now, upstream)
 		selection.candidates[i] = candidate{
-			index:    i,
-			load:     chooser.Loads.Estimate(now, upstream.ID),
-			health:   chooser.healthOf(now, upstream.ID, request.Retryable),
-			excluded: limit.leavesNone() || slices.Contains(request.Tried, upstream.ID),
-			limit:    limit,
-			cached:   slices.Contains(cachedAt, upstream.ID),
+			index:     i,
+			load:      chooser.Loads.Estimate(now, upstream.ID),
+			health:    chooser.healthOf(now, upstream.ID, request.Retryable),
+			exclusion: exclusionOf(request, upstream.ID, limit),
+			limit:     limit,
+			cached:    slices.Contains(cachedAt, upstream.ID),
 		}
 		if limit != Unlimited {
 			selection.limited++
@@ -257,6 +294,15 @@
 	return selection, len(cachedAt) > 0
 }
 
+// boundOf returns the number of requests in flight from which on an upstream gets no request
+// whose prefix it has cached, or, with cached false, whose prefix it hasn't.
+func (selection *selection) boundOf(cached bool) float64 {
+	if cached {
+		return selection.bound
+	}
+	return min(selection.mean+uncachedSlack, selection.bound)
+}
+
 // choose does the work of Choose.
 func (selection *selection) choose(prefixCached bool) (Choice, bool) {
 	chooser, pool := selection.chooser, selection.pool
@@ -354,12 +400,12 @@
 // bound that have the prefix cached.
 func (selection *selection) bestCached() (candidate, bool) {
 	if selection.predicts {
-		return selection.soonestCached(selection.bound)
+		return selection.soonestCached(selection.boundOf(true))
 	}
 	var best candidate
 	found := false
 	for _, candidate := range selection.candidates {
-		if !candidate.cached || !candidate.usable(selection.bound) {
+		if !candidate.cached || !candidate.usable(selection.boundOf(true)) {
 			continue
 		}
 		if !found || answersSooner(candidate.load, best.load) {
@@ -406,7 +452,7 @@
 	if selection.limited > 0 {
 		order = make([]int, maxRankedCandidates+min(selection.limited, maxSkippedCandidates))
 	}
-	bound := min(selection.mean+uncachedSlack, selection.bound)
+	bound := selection.boundOf(false)
 	var best candidate
 	found := false
 	for _, index := range selection.pool.Ranking.Rank(selection.request.Keys[0], "", order) {
@@ -450,7 +496,7 @@
 	var best candidate
 	equals := 0
 	for _, candidate := range selection.candidates {
-		if candidate.excluded || candidate.health != health {
+		if candidate.exclusion != "" || candidate.health != health {
 			continue
 		}
 		switch {
--- a/balance/inspect.go
+++ b/balance/inspect.go
@@ -11,12 +11,13 @@
 type Candidate struct {
 	Upstream ident.UpstreamID
 	Load     Load
-	// Cached is set if the upstream has the longest prefix of the request cached, Healthy
-	// if it is neither ejected nor on probation for the request, and Excluded if it is at
-	// its limit.
-	Cached   bool
-	Healthy  bool
-	Excluded bool
+	// Cached is set if the upstream has the longest prefix of the request cached, and
+	// Healthy if it is neither ejected nor on probation for the request. Health says which.
+	Cached  bool
+	Healthy bool
+	Health  string
+	// Exclusion is why it gets no request, or empty if it may.
+	Exclusion Exclusion
 	// AtBound is set if it has too many requests in flight for one whose prefix it has
 	// cached, or else for one whose prefix it hasn't.
 	AtBound bool
@@ -34,23 +35,20 @@
 	choice, found := selection.choose(prefixCached)
 	candidates := make([]Candidate, 0, len(selection.candidates))
 	for _, candidate := range selection.candidates {
-		bound := selection.mean + uncachedSlack
-		if candidate.cached {
-			bound = chooser.Multiple*selection.mean + chooser.Slack
-		}
 		prefill := request.Prompt
 		if prefixCached {
 			prefill = request.Own
 		}
 		selection.predict(&candidate, prefill)
 		candidates = append(candidates, Candidate{
-			Upstream: pool.Upstreams[candidate.index].ID,
-			Load:     candidate.load,
-			Cached:   candidate.cached,
-			Healthy:  candidate.health == healthy,
-			Excluded: candidate.excluded,
-			AtBound:  float64(candidate.load.Requests) >= bound,
-			Expected: candidate.expected,
+			Upstream:  pool.Upstreams[candidate.index].ID,
+			Load:      candidate.load,
+			Cached:    candidate.cached,
+			Healthy:   candidate.health == healthy,
+			Health:    candidate.health.String(),
+			Exclusion: candidate.exclusion,
+			AtBound:   !candidate.below(selection.boundOf(candidate.cached)),
+			Expected:  candidate.expected,
 		})
 	}
 	return choice, candidates, found
