forward: where shows why an upstream is excluded

hickoryhead where listed the upstreams of the pool alone, and those at their limits, cold, resting and tried alike as 'at its limit'. It also placed a request that runs alone as any other, and a restricted stream whose version is in another region at that version.

go test -race ./forward -run 'Where|Region|Evacuat|Alone|Crash|Limit|Cold', ./cmd/hickoryhead -run Where, ./entry -run 'Where|ExpectedCost': pass.

--- a/cmd/hickoryhead/where.go
+++ b/cmd/hickoryhead/where.go
@@ -22,11 +22,11 @@
 // newWhere returns the command that asks an entry router where a request would go.
 func newWhere() *cobra.Command {
 	var router, host string
-	var headers []string
+	var headers, tried []string
 	cmd := &cobra.Command{
-		Use:   "where [--router ADDRESS] --host HOST [--header 'NAME: VALUE']... TARGET",
+		Use:   "where [--router ADDRESS] --host HOST [--header 'NAME: VALUE']... [--tried UPSTREAM]... TARGET",
 		Short: "Ask an entry router where a request would go now, and why, without sending it",
-		Long:  "Asks the entry router whose metrics are served at ADDRESS (MetricsListen) where a request for TARGET (a path and query) with the given host and headers would go at the moment. The answer comes from the function that decides. The body is not known: a request that has crashed upstreams may go elsewhere.",
+		Long:  "Asks the entry router whose metrics are served at ADDRESS (MetricsListen) where a request for TARGET (a path and query) with the given host and headers would go at the moment. The answer comes from the function that decides; upstreams that can't get the request are listed with the reason. The body is not known: a request that has crashed upstreams may go elsewhere.",
 		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			header := make(http.Header)
@@ -37,7 +37,7 @@
 				}
 				header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
 			}
-			placement, err := askWhere(cmd.Context(), router, host, args[0], header)
+			placement, err := askWhere(cmd.Context(), router, url.Values{"host": {host}, "target": {args[0]}, "tried": tried}, header)
 			if err != nil {
 				return err
 			}
@@ -47,14 +47,15 @@
 	cmd.Flags().StringVar(&router, "router", defaultInternalAddress, "the router's address for metrics")
 	cmd.Flags().StringVar(&host, "host", "", "the host of the request")
 	cmd.Flags().StringArrayVar(&headers, "header", nil, "a header of the request, such as 'Hickoryhead-Prompt-Prefix: a:400,b:100'")
+	cmd.Flags().StringArrayVar(&tried, "tried", nil, "an upstream to which the request was offered before")
 	return cmd
 }
 
-func askWhere(ctx context.Context, router, host, target string, header http.Header) (forward.Placement, error) {
+// askWhere asks a router where the request that query and header describe would go.
+func askWhere(ctx context.Context, router string, query url.Values, header http.Header) (forward.Placement, error) {
 	var placement forward.Placement
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	query := url.Values{"host": {host}, "target": {target}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+router+"/where?"+query.Encode(), nil)
 	if err != nil {
 		return placement, command.Usage(err)
@@ -92,7 +93,7 @@
 		fmt.Fprintf(out, "%d tokens expected\n", placement.ExpectedOutput)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	if len(placement.Candidates) > 0 {
+	if len(placement.Candidates)+len(placement.OutOfPool) > 0 {
 		fmt.Fprintln(table, "UPSTREAM\tLOAD\tUNREAD\tEXPECTED MS\tNOTES")
 	}
 	for _, candidate := range placement.Candidates {
@@ -103,9 +104,9 @@
 		}{
 			{candidate.Upstream == placement.Upstream, "chosen"},
 			{candidate.Cached, "has the prefix cached"},
-			{!candidate.Healthy, "not healthy"},
-			{candidate.AtLimit, "at its limit"},
+			{!candidate.Healthy && len(candidate.Excluded) == 0, "not healthy"},
 			{candidate.AtBound, "at the load bound"},
+			{len(candidate.Excluded) > 0, "excluded: " + strings.Join(candidate.Excluded, ", ")},
 		} {
 			if note.applies {
 				notes = append(notes, note.text)
@@ -113,5 +114,8 @@
 		}
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\n", candidate.Upstream, candidate.Load, candidate.Unread, candidate.ExpectedMs, strings.Join(notes, ", "))
 	}
+	for _, upstream := range placement.OutOfPool {
+		fmt.Fprintf(table, "%s\t-\t-\t-\texcluded: %s\n", upstream.Upstream, strings.Join(upstream.Excluded, ", "))
+	}
 	return table.Flush()
 }
--- a/cmd/hickoryhead/where_test.go
+++ b/cmd/hickoryhead/where_test.go
@@ -35,3 +35,27 @@
 		t.Errorf("got status %d for a request that the router refuses, want 1", status)
 	}
 }
+
+// TestWherePrintsExcludedUpstreams guards against an upstream that can't get the request and is
+// left out, or printed without its reason, and against tried upstreams that are not passed on.
+func TestWherePrintsExcludedUpstreams(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if got := strings.Join(request.URL.Query()["tried"], " "); got != "i-1 i-2" {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = writer.Write([]byte(`{"Code":"OK","Route":"r","Service":"s","Upstream":"i-3","Reason":"home","Candidates":[{"Upstream":"i-1","Excluded":["tried","ejected"]},{"Upstream":"i-3","Healthy":true}],"OutOfPool":[{"Upstream":"i-4","Excluded":["evacuated zone"]}]}`))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	var out, errOut bytes.Buffer
+	status := run([]string{"where", "--router", address, "--host", "a.example", "--tried", "i-1", "--tried", "i-2", "/x"}, &out, &errOut)
+	for _, want := range []string{"among 2 of service s", "excluded: tried, ejected\n", "excluded: evacuated zone\n"} {
+		if status != 0 || !strings.Contains(out.String(), want) {
+			t.Errorf("got status %d, output %q and error %q, want it to hold %q", status, out.String(), errOut.String(), want)
+		}
+	}
+	if strings.Contains(out.String(), "not healthy") {
+		t.Errorf("got output %q, want the reason alone of an ejected upstream", out.String())
+	}
+}
--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -54,9 +54,9 @@
 	})
 }
 
-// TestStallsAreOfNoAccountWithoutEvacuations guards against waits on a deployment whose
+// TestStallsAreIgnoredWithoutEvacuateMs guards against waits on a deployment whose
 // settings don't say within which time an evacuation has to be in force.
-func TestStallsAreOfNoAccountWithoutEvacuations(t *testing.T) {
+func TestStallsAreIgnoredWithoutEvacuateMs(t *testing.T) {
 	guard := new(stallGuard)
 	guard.run(context.Background())
 	if !guard.current(time.Now().Add(time.Hour)) {
--- a/forward/alone.go
+++ b/forward/alone.go
@@ -48,8 +48,21 @@
 
 // mayRunAlone reports whether an upstream is assumed to serve and no request runs alone there.
 func (handler *Handler) mayRunAlone(now time.Time, upstream registry.Upstream) bool {
-	away := !handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero()
-	return !away && !handler.Health.Ejected(now, upstream.ID) && !handler.Strikes.OnTrial(now, upstream.ID)
+	return handler.aloneExclusion(now, upstream) == ""
+}
+
+// aloneExclusion returns why no request may run alone at an upstream, or an empty string if one
+// may.
+func (handler *Handler) aloneExclusion(now time.Time, upstream registry.Upstream) string {
+	switch {
+	case !handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero():
+		return "strikes: broke off lately"
+	case handler.Health.Ejected(now, upstream.ID):
+		return "ejected"
+	case handler.Strikes.OnTrial(now, upstream.ID):
+		return "strikes: another request runs alone there"
+	}
+	return ""
 }
 
 // awaitTurn returns how the request may run. If that is alone only, it waits until every
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -220,7 +220,7 @@
 func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
 	known := exchange.handler.Registry
 	upstream, listed := known.Upstream(id)
-	return !listed || !known.Evacuated(upstream.Zone) && registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+	return !listed || !known.Evacuated(upstream.Zone) && exchange.inRegions(upstream)
 }
 
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -53,6 +53,11 @@
 // bound reports whether the request may run at upstreams of the version only.
 func (binding binding) bound() bool { return binding.source != "" }
 
+// allows reports whether the request may run at an upstream by its software version.
+func (binding binding) allows(upstream registry.Upstream) bool {
+	return !binding.bound() || upstream.Software == binding.version
+}
+
 // takesUp reports whether the request asks for the rest of a stream that another attempt
 // began.
 func (exchange *exchange) takesUp() bool { return exchange.resumable() && exchange.head.TakesUp() }
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -51,13 +51,10 @@
 func (exchange *exchange) noPoolCode() result.Code {
 	known := exchange.handler.Registry
 	withheld := slices.DeleteFunc(slices.Clone(known.Withheld(exchange.service)), func(upstream registry.Upstream) bool {
-		return exchange.binding.bound() && upstream.Software != exchange.binding.version
+		return !exchange.binding.allows(upstream)
 	})
-	inRegions := func(upstream registry.Upstream) bool {
-		return registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
-	}
 	switch {
-	case slices.ContainsFunc(withheld, inRegions):
+	case slices.ContainsFunc(withheld, exchange.inRegions):
 		return result.ZonesEvacuated
 	case len(withheld) > 0 || exchange.anyRegion() != nil:
 		return result.RegionNotAllowed
@@ -65,6 +62,11 @@
 	return result.OK
 }
 
+// inRegions reports whether an upstream is in the regions to which the request is restricted.
+func (exchange *exchange) inRegions(upstream registry.Upstream) bool {
+	return registry.InRegions(exchange.handler.Registry.Region(upstream.Zone), exchange.allowed)
+}
+
 // abandon refuses a request that no upstream served. If an earlier attempt may
 // have run, the code does not claim that the request did not run.
 func (exchange *exchange) abandon(code result.Code) {
--- a/forward/where.go
+++ b/forward/where.go
@@ -6,10 +6,13 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/split"
+	"github.com/hickoryhead/hickoryhead/strike"
 )
 
 // Placement says where a request would go at the moment, and why.
@@ -30,10 +33,13 @@
 	// of tokens that are expected to be generated. They are zero if none is predicted.
 	ExpectedMs     int64
 	ExpectedOutput ident.Tokens
-	Candidates     []PlacementCandidate
+	// Candidates are the upstreams of the pool, and OutOfPool the others of the service,
+	// without figures.
+	Candidates []PlacementCandidate
+	OutOfPool  []PlacementCandidate
 }
 
-// PlacementCandidate is an upstream that a placement was chosen among.
+// PlacementCandidate is an upstream of the service of a placement.
 type PlacementCandidate struct {
 	Upstream   ident.UpstreamID
 	Load       int
@@ -41,28 +47,43 @@
 	ExpectedMs int64
 	Cached     bool
 	Healthy    bool
-	AtLimit    bool
 	AtBound    bool
+	// Excluded are the reasons for which it gets no request, but for its load. One that is
+	// excluded for its health alone gets one if no other is left.
+	Excluded []string
 }
 
-// Where returns where a request with the given host, target and headers would go at the
-// moment. It sends nothing and changes nothing. The body of the request is not known, and
-// neither is, thus, whether it has crashed upstreams. Requests for the rest of a stream are
-// placed like new ones.
-func (handler *Handler) Where(request *http.Request) Placement {
-	exchange := &exchange{handler: handler, request: request, arrived: time.Now()}
+// The reasons in PlacementCandidate.Excluded, beside those of registry.Exclusion,
+// balance.Exclusion and aloneExclusion.
+const (
+	excludedRegion  = "region not allowed"
+	excludedVersion = "another software version"
+	excludedCold    = "cold"
+	excludedResting = "resting"
+)
+
+// Where returns where a request with the given host, target and headers, which was offered to
+// the tried upstreams before, would go at the moment. It sends nothing and changes nothing. The
+// body of the request is not known: it counts as empty where requests that have crashed
+// upstreams are told apart. Requests for the rest of a stream are placed like new ones.
+func (handler *Handler) Where(request *http.Request, tried []ident.UpstreamID) Placement {
+	exchange := &exchange{handler: handler, request: request, arrived: time.Now(), tried: tried}
 	if code := exchange.identify(); code != result.OK {
 		return Placement{Code: code.Name()}
 	}
 	// Without a prompt the cell depends on the body.
 	if exchange.resumable() && len(exchange.head.Prompt) > 0 {
-		if version, state := handler.Splits.Version(exchange.service, exchange.streamKey()); state == split.Assigned {
+		if version, state := handler.Splits.Version(exchange.service, exchange.streamKey()); state == split.Assigned && !exchange.onlyElsewhere(version) {
 			exchange.binding = binding{version: version, source: newStream}
 		}
 	}
 	placement := Placement{Code: result.OK.Name(), Route: exchange.route.Name, Service: exchange.service, Version: exchange.binding.version}
-	tuning, now := handler.tuning.Load(), time.Now()
-	choice, candidates, found := tuning.Chooser.Inspect(now, exchange.pool(), exchange.choiceRequest())
+	tuning, now, pool := handler.tuning.Load(), time.Now(), exchange.pool()
+	allowance := exchange.standing().Allowance
+	choice, candidates, found := tuning.Chooser.Inspect(now, pool, exchange.choiceRequest())
+	if allowance != strike.Free {
+		choice, found = exchange.chooseBy(allowance, pool)
+	}
 	for _, candidate := range candidates {
 		placement.Candidates = append(placement.Candidates, PlacementCandidate{
 			Upstream:   candidate.Upstream,
@@ -71,13 +92,20 @@
 			ExpectedMs: candidate.Expected.Milliseconds(),
 			Cached:     candidate.Cached,
 			Healthy:    candidate.Healthy,
-			AtLimit:    candidate.Excluded,
 			AtBound:    candidate.AtBound,
+			Excluded:   exchange.exclusions(now, candidate, allowance),
 		})
 	}
-	slices.SortFunc(placement.Candidates, func(a, b PlacementCandidate) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	byUpstream := func(a, b PlacementCandidate) int { return cmp.Compare(a.Upstream, b.Upstream) }
+	slices.SortFunc(placement.Candidates, byUpstream)
+	for _, upstream := range handler.Registry.Upstreams() {
+		_, inPool := slices.BinarySearchFunc(placement.Candidates, PlacementCandidate{Upstream: upstream.ID}, byUpstream)
+		if upstream.Service == exchange.service && !inPool {
+			placement.OutOfPool = append(placement.OutOfPool, PlacementCandidate{Upstream: upstream.ID, Excluded: exchange.poolExclusions(upstream)})
+		}
+	}
 	if !found {
-		placement.Code = exchange.noChoiceCode(exchange.pool()).Name()
+		placement.Code = exchange.noChoiceCode(pool).Name()
 		return placement
 	}
 	placement.Upstream, placement.Reason, placement.Source = choice.Upstream.ID, string(choice.Reason), choice.Source
@@ -91,3 +119,47 @@
 	}
 	return placement
 }
+
+// exclusions returns why a candidate of the pool gets no request with the given allowance.
+func (exchange *exchange) exclusions(now time.Time, candidate balance.Candidate, allowance strike.Allowance) []string {
+	var reasons []string
+	upstream, listed := exchange.handler.Registry.Upstream(candidate.Upstream)
+	switch {
+	case candidate.Exclusion == balance.LimitReached && listed:
+		switch exchange.limitCode(now, upstream) {
+		case result.UpstreamsResting:
+			reasons = append(reasons, excludedResting)
+		case result.UpstreamsCold:
+			reasons = append(reasons, excludedCold)
+		default:
+			reasons = append(reasons, string(balance.LimitReached))
+		}
+	case candidate.Exclusion != "":
+		reasons = append(reasons, string(candidate.Exclusion))
+	}
+	if !candidate.Healthy {
+		reasons = append(reasons, candidate.Health)
+	}
+	if allowance == strike.Alone && listed {
+		if reason := exchange.handler.aloneExclusion(now, upstream); reason != "" && !slices.Contains(reasons, reason) {
+			reasons = append(reasons, reason)
+		}
+	}
+	return reasons
+}
+
+// poolExclusions returns why a listed upstream of the service is not in the pool of the
+// request.
+func (exchange *exchange) poolExclusions(upstream registry.Upstream) []string {
+	var reasons []string
+	if reason := exchange.handler.Registry.Exclusion(upstream); reason != "" {
+		reasons = append(reasons, string(reason))
+	}
+	if !exchange.inRegions(upstream) {
+		reasons = append(reasons, excludedRegion)
+	}
+	if !exchange.binding.allows(upstream) {
+		reasons = append(reasons, excludedVersion)
+	}
+	return reasons
+}
--- a/forward/where_test.go
+++ b/forward/where_test.go
@@ -17,7 +17,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	placement := router.handler.Where(request)
+	placement := router.handler.Where(request, nil)
 	return string(placement.Upstream), placement.Code, placement.Reason
 }
 
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -31,6 +31,28 @@
 	return found
 }
 
+// Exclusion is why a listed upstream is in no pool.
+type Exclusion string
+
+// The reasons of an exclusion.
+const (
+	// Draining means that the upstream accepts no new requests.
+	Draining Exclusion = "draining"
+	// ZoneEvacuated means that the availability zone of the upstream is evacuated.
+	ZoneEvacuated Exclusion = "evacuated zone"
+)
+
+// Exclusion returns why a listed upstream is in no pool, or an empty string if it is in one.
+func (registry *Registry) Exclusion(upstream Upstream) Exclusion {
+	switch {
+	case upstream.Leaving:
+		return Draining
+	case registry.Evacuated(upstream.Zone):
+		return ZoneEvacuated
+	}
+	return ""
+}
+
 // AnyEvacuated reports whether a zone is evacuated.
 func (registry *Registry) AnyEvacuated() bool {
 	zones := registry.evacuated.Load()
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -76,9 +76,9 @@
 func (registry *Registry) rebuild() {
 	members, withheld := make(map[ident.ServiceName][]Upstream), make(map[ident.ServiceName][]Upstream)
 	for _, upstream := range registry.listed {
-		switch {
-		case upstream.Leaving:
-		case registry.Evacuated(upstream.Zone):
+		switch registry.Exclusion(upstream) {
+		case Draining:
+		case ZoneEvacuated:
 			withheld[upstream.Service] = append(withheld[upstream.Service], upstream)
 		default:
 			members[upstream.Service] = append(members[upstream.Service], upstream)
