--- a/config/entry.go
+++ b/config/entry.go
@@ -44,8 +44,8 @@
 	// connections are set to shares of it; zero sets no limit.
 	MemoryMB int `json:",omitempty" validate:"gte=0,lte=1048576"`
 	// EvacuateMs is the time from the request to evacuate a zone within which that has to be
-	// in force; zero means unknown. A router that stood still for half of it reads what came
-	// meanwhile before it sends requests.
+	// in force; zero means unknown. A router that was paused for half of it reads what
+	// arrived meanwhile before it sends requests.
 	EvacuateMs ident.Milliseconds `json:",omitempty" validate:"gte=0,lte=3600000"`
 	// Zones holds the region of each availability zone. The upstreams of a zone without one
 	// get only requests that are not restricted to regions.
--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -171,7 +171,7 @@
 // which it has read the table, and not that of the configuration's row: changes of the
 // table's other rows from before it would never be read. A router of an earlier program
 // doesn't say how far it has read: after, the version that this one has read to, then stays,
-// and a router that has not read the table waits for the store, since it knows no evacuations.
+// and a router that has not read the table waits for the store, since it has no evacuations.
 func (source *configSource) recordsOf(row configrpc.Row, address string, after ident.Revision) (platform.Records, error) {
 	if after == 0 && row.ReadAt == 0 {
 		return platform.Records{}, errNoEvacuations
@@ -185,7 +185,7 @@
 	}
 	if row.ReadAt > 0 {
 		// The zones that are not listed are not evacuated, which the rows alone don't say
-		// if they are taken for changes.
+		// if they are treated as changes.
 		source.daemon.updater.ReplaceEvacuations(row.Evacuated, row.ReadAt, address)
 	}
 	return records, nil
--- a/entry/config_source_test.go
+++ b/entry/config_source_test.go
@@ -14,8 +14,8 @@
 	"github.com/hickoryhead/hickoryhead/platform"
 )
 
-// TestRowOfAnotherRouterSkipsNoEvacuation guards against a router that takes the version of
-// the configuration's row, which another router gave it, for how far it has read the table:
+// TestRowOfAnotherRouterSkipsNoEvacuation guards against a router that uses the version of
+// the configuration's row, received from another router, as its position in the table:
 // an evacuation or its end from before that version would never be read. A router that starts
 // must not serve with a configuration alone, which is all that an earlier program gives.
 func TestRowOfAnotherRouterSkipsNoEvacuation(t *testing.T) {
@@ -41,7 +41,7 @@
 			daemon.updater = &follow.Updater{Registry: &daemon.registry, Evacuations: &daemon.evacuations, RelayEvacuations: func() {}, Logger: logging.Component(nil, "follow")}
 			version := test.after
 			if version == 0 {
-				// Another router has told this one of zone a.
+				// Another router has reported zone a.
 				daemon.updater.ApplyRemoteEvacuations([]evacuation.State{{Zone: "a", Revision: 4, Evacuated: true}}, "x")
 			} else {
 				daemon.updater.ReplaceEvacuations([]evacuation.State{{Zone: "a", Revision: 4}}, version, "store")
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -73,7 +73,7 @@
 	return status == 503 && strings.HasPrefix(body, "HH2019") && header.Get("Retry-After") != ""
 }
 
-// TestEvacuationIsInForceAtAllRouters guards against a router that goes on sending to an
+// TestEvacuationIsInForceAtAllRouters guards against a router that continues to send to an
 // evacuated zone, that refuses nothing where no other zone is left, or that doesn't return to
 // a zone: with two zones that are evacuated in turn.
 func TestEvacuationIsInForceAtAllRouters(t *testing.T) {
@@ -201,7 +201,7 @@
 
 // TestEvacuationWithAnUnstableStore guards against an evacuation that doesn't reach a router
 // because the store is slow, refuses that router or has dropped its history, and against one
-// that ends because the store is away.
+// that ends because the store is unavailable.
 func TestEvacuationWithAnUnstableStore(t *testing.T) {
 	type stage struct {
 		name string
@@ -251,7 +251,7 @@
 }
 
 // TestEvacuationAtARouterThatHearsNoOther guards against a router that waits for others to
-// tell it of an evacuation although it hears none.
+// report an evacuation although it receives no messages.
 func TestEvacuationAtARouterThatHearsNoOther(t *testing.T) {
 	first := newZoneFixture(t)
 	lonely := newRouterBeside(first, "vm-2")
@@ -266,7 +266,7 @@
 }
 
 // TestEvacuationInAnOlderCopyOfTheStore guards against a router that keeps to an evacuation,
-// or to its end, of which the store knows nothing since it came back from an older copy.
+// or to its end, that the store has lost since it came back from an older copy.
 func TestEvacuationInAnOlderCopyOfTheStore(t *testing.T) {
 	first := newZoneFixture(t)
 	first.start()
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -69,7 +69,7 @@
 	guard.state.Store(next)
 }
 
-// current reports whether the process has not been paused lately.
+// current reports whether the process has not been paused recently.
 func (guard *stallGuard) current(now time.Time) bool {
 	state := guard.state.Load()
 	return state == nil || now.Sub(state.tickedAt) <= guard.longest && !now.Before(state.currentFrom)
--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -61,10 +61,10 @@
 	return command.Process
 }
 
-// TestRequestsOfARouterThatStoodStill guards against a router whose process stood still while
-// a zone was evacuated, and that sends the requests which came meanwhile to that zone as soon
-// as it goes on. The other router of the fleet learns of the evacuation at once.
-func TestRequestsOfARouterThatStoodStill(t *testing.T) {
+// TestRequestsOfAPausedRouter guards against a router whose process was paused while a zone
+// was evacuated, and that sends the requests which arrived meanwhile to that zone as soon as
+// it resumes. The other router of the fleet learns of the evacuation at once.
+func TestRequestsOfAPausedRouter(t *testing.T) {
 	first := newZoneFixture(t)
 	stopped := newRouterBeside(first, "vm-2")
 	stopped.config.EvacuateMs = 5000
@@ -72,7 +72,7 @@
 	first.waitFor(3*time.Second, "readiness", first.ready)
 	process := stopped.startProcess()
 	if status, _, _ := stopped.get("/first/x"); status != http.StatusOK {
-		t.Fatalf("got status %d before the process stood still, want 200", status)
+		t.Fatalf("got status %d before the process was paused, want 200", status)
 	}
 	if err := process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
@@ -102,11 +102,11 @@
 		case strings.HasPrefix(answer, "200 i-b"):
 			served++
 		case strings.HasPrefix(answer, "200"):
-			t.Errorf("got %q from the router that stood still, want no answer of another zone", answer)
+			t.Errorf("got %q from the paused router, want no answer of another zone", answer)
 		}
 	}
 	if served == 0 {
-		t.Error("got no answer from the router that stood still, want some: others may exceed the connections of the upstream")
+		t.Error("got no answer from the paused router, want some: others may exceed the connections of the upstream")
 	}
 	if got := first.upstreams["i-a"].served.Load(); got != before {
 		t.Errorf("got %d requests in the evacuated zone, want none", got-before)
--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -9,10 +9,10 @@
 	"github.com/hickoryhead/hickoryhead/logging"
 )
 
-// TestRouterThatStoodStillCatchesUpFirst guards against a router whose VM was paused while a
+// TestPausedRouterCatchesUpFirst guards against a router whose VM was paused while a
 // zone was evacuated, and that sends the requests which wait for it to that zone before it has
 // read what came meanwhile; and against requests that wait without such a pause, or for long.
-func TestRouterThatStoodStillCatchesUpFirst(t *testing.T) {
+func TestPausedRouterCatchesUpFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		guard := &stallGuard{longest: 2500 * time.Millisecond, logger: logging.Component(nil, "entry")}
 		waited := func() time.Duration {
--- a/evacuation/tracker.go
+++ b/evacuation/tracker.go
@@ -10,7 +10,7 @@
 )
 
 // ReportTime is how long after its end an evacuation is still reported to other routers. A
-// router that was cut off for longer reports what it knows itself, and is corrected.
+// router that was cut off for longer reports its outdated state itself, and is corrected.
 const ReportTime = time.Minute
 
 // State says whether a zone is evacuated at a revision of the store.
@@ -29,7 +29,7 @@
 	Outdated []State
 }
 
-// Tracker holds the newest known state of each zone. The zero value knows of no evacuation.
+// Tracker holds the newest known state of each zone. The zero value has no evacuated zone.
 // It is safe for concurrent use. A nil Tracker has no zones.
 type Tracker struct {
 	mu sync.Mutex
@@ -80,7 +80,7 @@
 	return result
 }
 
-// Apply applies what another router knows.
+// Apply applies states received from another router.
 func (tracker *Tracker) Apply(now time.Time, states []State) Result {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -133,8 +133,8 @@
 	return slices.DeleteFunc(tracker.sorted(), func(state State) bool { return !state.Evacuated }), tracker.readAt
 }
 
-// Report returns what other routers are told: the zones that are evacuated, or were within
-// ReportTime. It forgets the others that the reads of the store cover.
+// Report returns the states to send to other routers: the zones that are evacuated, or were
+// within ReportTime. It removes the others that the reads of the store cover.
 func (tracker *Tracker) Report(now time.Time) []State {
 	if tracker == nil {
 		return nil
--- a/evacuation/tracker_test.go
+++ b/evacuation/tracker_test.go
@@ -149,7 +149,7 @@
 
 // TestRoutersAgreeOnTheNewestState guards against routers that end with different states:
 // some read the store, now and then and with full reads, datagrams of all go to others and
-// are lost, late or doubled. None may ever believe less than it has read, and all that get
+// are lost, late or doubled. None may ever have an older state than it has read, and all that get
 // the newest datagrams know the newest state.
 func TestRoutersAgreeOnTheNewestState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -182,7 +182,7 @@
 		last := length - 1
 		trackers[0].Follow(now, ident.Revision(last), history.changes(read[0], last))
 		for n := 1; n < routers; n++ {
-			// A datagram of the newest state, and the correction of what it knows wrongly.
+			// A datagram of the newest state, and the correction of its outdated state.
 			trackers[n].Apply(now, trackers[0].Report(now))
 			trackers[n].Apply(now, trackers[0].Apply(now, trackers[n].Report(now)).Outdated)
 		}
--- a/follow/evacuations.go
+++ b/follow/evacuations.go
@@ -13,7 +13,7 @@
 // sourceStore is the source of what this router read from the store itself, in log lines.
 const sourceStore = "store"
 
-// evacuationsOf returns what the rows of the operators' table say about evacuations.
+// evacuationsOf returns the states of evacuations in rows of the operators' table.
 func evacuationsOf(records []platform.Record) []evacuation.State {
 	var states []evacuation.State
 	for _, record := range records {
@@ -32,15 +32,15 @@
 	})
 }
 
-// ApplyRemoteEvacuations applies what another router at address knows of evacuations, and
-// returns the newer states that it lacks.
+// ApplyRemoteEvacuations applies the states received from the router at address, and returns
+// the newer states that it lacks.
 func (updater *Updater) ApplyRemoteEvacuations(states []evacuation.State, address string) []evacuation.State {
 	return updater.applyEvacuations(address, func(now time.Time) evacuation.Result {
 		return updater.Evacuations.Apply(now, states)
 	}).Outdated
 }
 
-// applyEvacuations applies a reading, puts what it changed in force and tells the other
+// applyEvacuations applies a reading, enforces what it changed and notifies the other
 // routers. The end of an evacuation is passed to OnEvacuationEnd before the zone is usable
 // again, so that no request reaches an upstream of it that is not yet known to be cold.
 func (updater *Updater) applyEvacuations(source string, apply func(now time.Time) evacuation.Result) evacuation.Result {
@@ -51,7 +51,7 @@
 	return result
 }
 
-// enforceEvacuations applies a reading, puts what it changed in force and reports it. All of
+// enforceEvacuations applies a reading, enforces what it changed and reports it. All of
 // that is done under evacuationMu, so that changes are reported in the order in which they
 // come into force.
 func (updater *Updater) enforceEvacuations(source string, apply func(now time.Time) evacuation.Result) evacuation.Result {
--- a/follow/evacuations_test.go
+++ b/follow/evacuations_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// TestUpdaterAppliesEvacuations guards against rows of evacuations that are passed over
-// beside, or without, a configuration, against other routers that are not told of a change at
+// TestUpdaterAppliesEvacuations guards against rows of evacuations that are skipped
+// beside, or without, a configuration, against other routers that are not notified of a change at
 // once, and against an end of which the code that treats the zone's upstreams as cold does
 // not learn, or learns only once requests reach them.
 func TestUpdaterAppliesEvacuations(t *testing.T) {
--- a/follow/read_scheduler_test.go
+++ b/follow/read_scheduler_test.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// TestFewReadersAtAnySize guards against a large fleet in which each router takes the
-// readers for dead, because their word takes longer there, and reads the store itself.
+// TestFewReadersAtAnySize guards against a large fleet in which each router treats the
+// readers as stopped, because their messages take longer there, and reads the store itself.
 func TestFewReadersAtAnySize(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -122,7 +122,7 @@
 			for now.Before(start.Add(9 * time.Second)) {
 				if now.Sub(start)%test.delay.Truncate(step) == 0 {
 					for _, reader := range []string{"a", "b"} {
-						// The word is as old as it may be, and the read half a second older.
+						// The message is as old as it may be, and the read half a second older.
 						scheduler.ObservePeer(now, reader, follow.PeerState{StoreReachable: true, ReadAt: now.Add(-500 * time.Millisecond), Digest: 7, ConfigVersion: 3})
 					}
 				}
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -24,9 +24,9 @@
 	// OnUpstreamChange is called with each upstream that was added, changed or
 	// removed.
 	OnUpstreamChange func(upstream registry.Upstream)
-	// Evacuations holds the evacuated zones, as far as this router knows.
+	// Evacuations holds the evacuated zones known to this router.
 	Evacuations *evacuation.Tracker
-	// RelayEvacuations is called when the evacuation of a zone began or ended, to tell the
+	// RelayEvacuations is called when the evacuation of a zone began or ended, to notify the
 	// other routers.
 	RelayEvacuations func()
 	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
@@ -100,7 +100,7 @@
 
 // ApplyRemote applies changes of upstreams that another router read. It ignores
 // them until this router has read all rows, since some of the rows must not be
-// taken for the complete list.
+// treated as the complete list.
 func (updater *Updater) ApplyRemote(changes []registry.Change) {
 	if !updater.Registry.Loaded() {
 		return
--- a/gossip/evacuation_message.go
+++ b/gossip/evacuation_message.go
@@ -10,8 +10,9 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
-// EvacuationMessage is what a router sends to others about evacuated zones, in a datagram of
-// its own, as a StrikeMessage is. Zones, Revisions and Evacuated have the same indexes.
+// EvacuationMessage carries the states of evacuated zones to other routers, in a datagram of
+// its own, as a StrikeMessage does for strikes. Zones, Revisions and Evacuated have the same
+// indexes.
 type EvacuationMessage struct {
 	//lint:ignore U1000 msgpack reads its tag: a message is written as an array
 	_msgpack struct{} `msgpack:",as_array"`
@@ -35,8 +36,8 @@
 	// evacuationRepeatInterval is the least time between two repetitions of a router's
 	// EvacuationMessage.
 	evacuationRepeatInterval = time.Second
-	// evacuationBytesPerSecond limits what the repetitions take: a tenth of what a router
-	// may send for control.
+	// evacuationBytesPerSecond limits the bytes of the repetitions: a tenth of the control
+	// budget of a router.
 	evacuationBytesPerSecond = 500
 )
 
@@ -88,7 +89,7 @@
 }
 
 // receiveEvacuations applies the EvacuationMessage in a datagram. A sender that lacks newer
-// states gets them, at most once in evacuationRepeatInterval.
+// states receives them, at most once in evacuationRepeatInterval.
 func (gossip *Gossip) receiveEvacuations(now time.Time, datagram []byte) error {
 	message, err := decodeEvacuations(datagram)
 	if err != nil || message.Router == gossip.Router || gossip.OnEvacuations == nil {
@@ -110,7 +111,7 @@
 }
 
 // SendEvacuations sends which zones are evacuated to all partners at once. Each router that
-// learns of a change does so, and thereby passes it on to all groups.
+// receives a change does so, which propagates it to all groups.
 func (gossip *Gossip) SendEvacuations() {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
@@ -123,7 +124,7 @@
 // holds mu.
 func (gossip *Gossip) evacuationsDue(now time.Time) bool { return !now.Before(gossip.evacuationsAt) }
 
-// sendEvacuations sends which zones are evacuated, or were lately, to the routers of the
+// sendEvacuations sends which zones are evacuated, or were recently, to the routers of the
 // group and to the receivers of its summaries. It sends nothing if there are none. The caller
 // holds mu.
 func (gossip *Gossip) sendEvacuations(now time.Time) {
--- a/registry/era.go
+++ b/registry/era.go
@@ -45,7 +45,7 @@
 
 // withDeparture returns what a row of an upstream says once it is known that its
 // incarnation had been leaving or was removed, and whether it is to be used. The row of
-// an older copy knows nothing of that; a removed upstream is listed again once it has
+// an older copy lacks that; a removed upstream is listed again once it has
 // written its row. The caller holds mu.
 func (registry *Registry) withDeparture(upstream Upstream) (Upstream, bool) {
 	known, found := registry.departures[upstream.ID]
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -95,8 +95,7 @@
 }
 
 // digest returns a hash that does not depend on the order of the map: routers
-// compare it. It doesn't depend on evacuations either, which routers learn of in another
-// way. The caller holds mu.
+// compare it. It doesn't depend on evacuations, which are propagated separately. The caller holds mu.
 func (registry *Registry) digest() uint64 {
 	var digest uint64
 	for _, upstream := range registry.listed {
--- a/registry/start_test.go
+++ b/registry/start_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestStartIsReportedBeforeTheUpstreamIsUsed guards against requests to an upstream that has
-// just started before it is known to be cold, and against upstreams that are taken for
+// just started before it is known to be cold, and against upstreams that are treated as
 // started because this router has.
 func TestStartIsReportedBeforeTheUpstreamIsUsed(t *testing.T) {
 	var reg registry.Registry
