--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -9,10 +9,10 @@
 	"github.com/hickoryhead/hickoryhead/logging"
 )
 
-// TestRouterThatStoodStillCatchesUpFirst guards against a router whose VM was paused while a
+// TestPausedRouterCatchesUpFirst guards against a router whose VM was paused while a
 // zone was evacuated, and that sends the requests which wait for it to that zone before it has
 // read what came meanwhile; and against requests that wait without such a pause, or for long.
-func TestRouterThatStoodStillCatchesUpFirst(t *testing.T) {
+func TestPausedRouterCatchesUpFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		guard := &stallGuard{longest: 2500 * time.Millisecond, logger: logging.Component(nil, "entry")}
 		waited := func() time.Duration {
@@ -54,9 +54,9 @@
 	})
 }
 
-// TestStallsAreOfNoAccountWithoutEvacuations guards against waits on a deployment whose
+// TestStallsAreIgnoredWithoutEvacuateMs guards against waits on a deployment whose
 // settings don't say within which time an evacuation has to be in force.
-func TestStallsAreOfNoAccountWithoutEvacuations(t *testing.T) {
+func TestStallsAreIgnoredWithoutEvacuateMs(t *testing.T) {
 	guard := new(stallGuard)
 	guard.run(context.Background())
 	if !guard.current(time.Now().Add(time.Hour)) {
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -24,13 +24,13 @@
 	// OnUpstreamChange is called with each upstream that was added, changed or
 	// removed.
 	OnUpstreamChange func(upstream registry.Upstream)
-	// Evacuations holds the evacuated zones, as far as this router knows.
+	// Evacuations holds the evacuated zones known to this router.
 	Evacuations *evacuation.Tracker
-	// RelayEvacuations is called when the evacuation of a zone began or ended, to tell the
+	// RelayEvacuations is called when the evacuation of a zone began or ended, to notify the
 	// other routers.
 	RelayEvacuations func()
 	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
-	// evacuation has ended.
+	// evacuation ends, before they are usable again. It must not apply evacuations.
 	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
 	// OnRow, unless nil, is called with each row of an upstream read from the store, before
 	// it is applied.
@@ -38,7 +38,8 @@
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
-	// evacuationMu is held while a change of Evacuations is passed to Registry.
+	// evacuationMu is held while a change of Evacuations is passed to OnEvacuationEnd and
+	// Registry, and logged.
 	evacuationMu sync.Mutex
 }
 
@@ -99,7 +100,7 @@
 
 // ApplyRemote applies changes of upstreams that another router read. It ignores
 // them until this router has read all rows, since some of the rows must not be
-// taken for the complete list.
+// treated as the complete list.
 func (updater *Updater) ApplyRemote(changes []registry.Change) {
 	if !updater.Registry.Loaded() {
 		return
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -219,16 +219,19 @@
 }
 
 func (exchange *exchange) choiceRequest() balance.Request {
-	return balance.Request{
+	request := balance.Request{
 		Keys:      exchange.prefixIDs,
 		Tried:     exchange.tried,
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
-		MayFetch:  exchange.mayFetch,
 		Own:       ownTokens(exchange.head.Prompt),
 		Prompt:    promptTokens(exchange.head.Prompt),
 	}
+	if exchange.allowed != nil || exchange.handler.Registry.AnyEvacuated() {
+		request.MayFetch = exchange.mayFetch
+	}
+	return request
 }
 
 // mayFetch reports whether the chosen upstream may fetch a cached prefix from another one: not
@@ -236,7 +239,7 @@
 func (exchange *exchange) mayFetch(id ident.UpstreamID) bool {
 	known := exchange.handler.Registry
 	upstream, listed := known.Upstream(id)
-	return !listed || !known.Evacuated(upstream.Zone) && registry.InRegions(known.Region(upstream.Zone), exchange.allowed)
+	return !listed || !known.Evacuated(upstream.Zone) && exchange.inRegions(upstream)
 }
 
 // sharedPrefixIDs returns the IDs of the prompt parts that other requests
