forward: extend the write deadline before the end of an answer

net/http writes the last chunk after the handler has returned, with the deadline of the last write. A stream, or an answer that is relayed while it arrives, that ended more than 15 s after its last bytes was cut although it was complete.

relayStream and relayUnbuffered set the deadline anew when the answer has ended. TestStreamEndsAfterPause and TestLongAnswerEndsAfterPause failed before ("unexpected EOF") and pass now, with -race.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -161,3 +161,11 @@
 		exchange.interruptWrite()
 	}
 }
+
+// extendWriteDeadline gives the caller time to read the end of its answer: net/http writes the
+// last bytes after the handler has returned, and the upstream may have paused before the end
+// for longer than the last deadline allowed.
+func (exchange *exchange) extendWriteDeadline() {
+	exchange.writeDeadline = time.Time{}
+	exchange.moveWriteDeadline(time.Now())
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -118,6 +118,7 @@
 	exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
 	exchange.recordSurvival(answer)
 	answer.release()
+	exchange.extendWriteDeadline()
 	return result.OK
 }
 
@@ -245,6 +246,7 @@
 				exchange.copyHeader(first)
 				exchange.start(first.response.StatusCode)
 			}
+			exchange.extendWriteDeadline()
 			return result.OK
 		}
 		exchange.setCause(err)
