forward: keep the held head of a request until its answer

The first byte of a pipelined request, read by net/http in the background, released the head of the running request. If it came in the same read as the end of that head, the holding stayed unfinished, and the connection could be closed while its request ran.

framing.Scanner counts the heads that have ended. A held head is finished when that count advances, and is released when its request has been answered (StateIdle), not by the bytes of the next one.

--- a/forward/listener.go
+++ b/forward/listener.go
@@ -46,11 +46,14 @@
 	waitingSince atomic.Int64
 	progress     int
 
-	// headHolding is what a long head takes, heldHeadBytes the part of it that is counted
-	// there, and headEnded set once it is complete.
-	headHolding   memory.Holding
-	heldHeadBytes int
-	headEnded     bool
+	// headHolding is what a long head takes until its request has been answered, and
+	// heldHeadBytes the part of the unfinished head that is counted there. headsRead and
+	// headsAnswered count the heads that have ended and those whose requests have been
+	// answered; heldHead is the number of the finished head that is held, or zero.
+	headHolding              memory.Holding
+	heldHeadBytes            int
+	headsRead, headsAnswered int
+	heldHead                 int
 
 	mu sync.Mutex
 	// readAt is when bytes were last read, and closing is set once the connection is closed
@@ -81,20 +84,14 @@
 // holdHead counts a long head in the memory account until its request has been answered. It returns
 // false if the head is too long, or if there is no room for it.
 func (checkedConn *checkedConn) holdHead() bool {
-	headBytes := checkedConn.scanner.HeadBytes()
 	listener := checkedConn.listener
 	if listener.Memory == nil {
 		return true
 	}
-	if headBytes == 0 {
-		if checkedConn.heldHeadBytes == 0 || checkedConn.headEnded {
-			return true
-		}
-		// It is needed until the end of its request.
-		checkedConn.headEnded = true
-		return listener.Memory.Keep(&checkedConn.headHolding)
+	if !checkedConn.keepHead() {
+		return false
 	}
-	checkedConn.endRequest()
+	headBytes := checkedConn.scanner.HeadBytes()
 	if headBytes <= freeHeadBytes {
 		return true
 	}
@@ -111,12 +108,30 @@
 	return listener.Memory.Grow(now, &checkedConn.headHolding, headFactor*added)
 }
 
+// keepHead says that the held head has ended, if it has, so that it is not given up any more.
+// It returns false if it was given up before. The bytes after it may belong to the next head
+// already, whose bytes beyond freeHeadBytes are read only after the answer.
+func (checkedConn *checkedConn) keepHead() bool {
+	ended := checkedConn.scanner.Heads()
+	if ended == checkedConn.headsRead {
+		return true
+	}
+	number := checkedConn.headsRead + 1
+	checkedConn.headsRead = ended
+	if checkedConn.heldHeadBytes == 0 {
+		return true
+	}
+	checkedConn.heldHead, checkedConn.heldHeadBytes = number, 0
+	return checkedConn.listener.Memory.Keep(&checkedConn.headHolding)
+}
+
 // endRequest releases the head of a request that has been answered. It is called by the
-// goroutine of the connection.
+// goroutine of the connection, between requests, while no other one reads.
 func (checkedConn *checkedConn) endRequest() {
-	if checkedConn.headEnded {
+	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.headsRead)
+	if checkedConn.heldHead > 0 && checkedConn.heldHead <= checkedConn.headsAnswered {
 		checkedConn.listener.Memory.Release(&checkedConn.headHolding)
-		checkedConn.headEnded, checkedConn.heldHeadBytes = false, 0
+		checkedConn.heldHead = 0
 	}
 }
 
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -33,10 +33,14 @@
 	length        int64
 	chunked       bool
 	ambiguous     bool
-	// headBytes counts the bytes of a head that has not ended.
+	// headBytes counts the bytes of a head that has not ended, and heads those that have.
 	headBytes int
+	heads     int
 }
 
+// Heads returns how many heads have ended.
+func (scanner *Scanner) Heads() int { return scanner.heads }
+
 // HeadBytes returns how many bytes of a head have been scanned that has not ended yet, and
 // zero outside of heads.
 func (scanner *Scanner) HeadBytes() int { return scanner.headBytes }
@@ -75,7 +79,7 @@
 
 // reset prepares the scanner for the head of the next message.
 func (scanner *Scanner) reset() {
-	*scanner = Scanner{line: scanner.line[:0], ambiguous: scanner.ambiguous}
+	*scanner = Scanner{line: scanner.line[:0], ambiguous: scanner.ambiguous, heads: scanner.heads}
 }
 
 // readLine collects bytes up to the end of a line, parses the line and returns
@@ -158,6 +162,7 @@
 // startBody selects what follows the head: a body, chunks or the next message.
 func (scanner *Scanner) startBody() {
 	scanner.headBytes = 0
+	scanner.heads++
 	switch {
 	case scanner.chunked && scanner.lengthCount > 0:
 		scanner.ambiguous = true
--- a/framing/scanner_test.go
+++ b/framing/scanner_test.go
@@ -63,3 +63,25 @@
 		}
 	})
 }
+
+// TestHeads guards against a head that is taken for unfinished, or for the end of the one
+// before, when a read brings the end of one head and the beginning of the next.
+func TestHeads(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	var scanner framing.Scanner
+	for _, step := range []struct {
+		data         string
+		heads, bytes int
+	}{
+		{head[:10], 0, 10},
+		{head[10:] + "G", 1, 1},
+		{head[1:] + head, 3, 0},
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", 4, 0},
+		{"b" + head[:3], 4, 3},
+	} {
+		scanner.Scan([]byte(step.data))
+		if scanner.Heads() != step.heads || scanner.HeadBytes() != step.bytes {
+			t.Errorf("after %q: got %d heads and %d bytes, want %d and %d", step.data, scanner.Heads(), scanner.HeadBytes(), step.heads, step.bytes)
+		}
+	}
+}
