forward: read on after a refused chunked body

The chunked reader of net/http repeats its first error, here that of the deadline by which a body is given up. The reading after a refusal ended at once, and closing with unread bytes reset the connection, so that the caller could lose its 503.

After such an error the bytes are read from the connection itself. TestGivenUpChunkedCallerMaySend failed before ("broken pipe") and passes now.

--- a/forward/body.go
+++ b/forward/body.go
@@ -246,16 +246,23 @@
 	exchange.conn.waitForCaller(time.Now())
 	buffer := make([]byte, lingerBufferBytes)
 	end := time.Now().Add(maxLinger)
+	var source io.Reader = exchange.request.Body
 	for dropped := 0; dropped < maxLingerBytes; {
 		now := time.Now()
 		if !now.Before(end) || controller.SetReadDeadline(earlier(end, now.Add(lingerStall))) != nil {
 			return
 		}
-		count, err := exchange.request.Body.Read(buffer)
-		if err != nil {
+		count, err := source.Read(buffer)
+		dropped += count
+		switch {
+		case err == nil:
+		case dropped == 0 && !errors.Is(err, io.EOF) && exchange.conn != nil && source != exchange.conn.Conn:
+			// A chunked body repeats the error that ended its reading, although the caller
+			// still sends. The framing of what follows does not matter.
+			source = exchange.conn.Conn
+		default:
 			return
 		}
-		dropped += count
 	}
 }
 
