forward: refuse a head without room with 503, and charge it what it takes

A legal head that found no room in the memory account got 400 from net/http, which a caller takes as final, and one that was given up got no answer. Any head was charged twelve times its bytes: 300 heads with one header of 15 KiB did not fit in the account of a VM of 136 MB.

A head of more than 4 KiB is charged twice its bytes and 160 bytes for each header (a trial with http.ReadRequest gave 70 to 170 bytes of live heap for each header; 512, which the review proposed, would refuse heads that fit). Without room, or when it is given up, the caller gets 503 MemoryFull with Retry-After, counted as such, and the rest of its head is read for up to a second, so that the answer is not lost.

--- a/forward/listener.go
+++ b/forward/listener.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickoryhead/hickoryhead/framing"
 	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/result"
 )
 
 // contextKey is the type of the context keys of this package.
@@ -21,14 +25,18 @@
 	// defaultMaxHeadBytes is the longest head that is read while the configuration allows
 	// none longer: more than it allows, so that most callers get the code HeadTooLarge.
 	defaultMaxHeadBytes = 32 << 10
-	// freeHeadBytes is how much of a head is counted with its connection. What is beyond
-	// takes headFactor times its size in the memory account: a header of a few bytes takes
-	// an entry of a map, its name and a list of values.
+	// freeHeadBytes is how much of a head is counted with its connection. One that is longer
+	// takes headFactor times its bytes in the memory account, as its values are copied for the
+	// upstream, and fieldBytes for each header: an entry of a map with a list of values.
 	freeHeadBytes = 4 << 10
-	headFactor    = 12
+	headFactor    = 2
+	fieldBytes    = 160
 	// headTooLongAnswer is sent instead of an answer to a head that is too long to be read.
 	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// refusalTimeout bounds the write of that answer.
+	// noRoomAnswer is sent instead of an answer to a head for which there is no memory, with the
+	// code and its title as the body.
+	noRoomAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+	// refusalTimeout bounds the write of these answers.
 	refusalTimeout = 100 * time.Millisecond
 )
 
@@ -47,11 +55,11 @@
 	progress     int
 
 	// headHolding is what a long head takes until its request has been answered, and
-	// heldHeadBytes the part of the unfinished head that is counted there. headsRead and
+	// heldHeadBytes how much the unfinished head takes there. headsRead and
 	// headsAnswered count the heads that have ended and those whose requests have been
 	// answered; heldHead is the number of the finished head that is held, or zero.
 	headHolding              memory.Holding
-	heldHeadBytes            int
+	heldHeadBytes            int64
 	headsRead, headsAnswered int
 	heldHead                 int
 
@@ -62,8 +70,12 @@
 	closing bool
 }
 
-// Read reads from the connection. After a request with ambiguous framing, or with a head
-// that is too long or for which there is no memory, it reads nothing more and returns io.EOF.
+// errHeadRefused ends the reading of a head that has been refused. net/http adds no answer of its
+// own to an error of this type, as it would to io.EOF.
+var errHeadRefused = &net.OpError{Op: "read", Err: errors.New("head refused")}
+
+// Read reads from the connection. After a request with ambiguous framing it reads nothing more and
+// returns io.EOF. A head that is too long, or for which there is no memory, is refused.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
 	if checkedConn.ambiguous.Load() {
 		return 0, io.EOF
@@ -75,37 +87,57 @@
 	if !checkedConn.scanner.Scan(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
-	if !checkedConn.holdHead() {
-		return 0, io.EOF
+	if answer := checkedConn.holdHead(); answer != "" {
+		checkedConn.refuseHead(answer, buffer)
+		return 0, errHeadRefused
 	}
 	return count, err
 }
 
-// holdHead counts a long head in the memory account until its request has been answered. It returns
-// false if the head is too long, or if there is no room for it.
-func (checkedConn *checkedConn) holdHead() bool {
+// holdHead counts a long head in the memory account until its request has been answered. If the
+// head is too long, or if there is no room for it, it returns the answer to it.
+func (checkedConn *checkedConn) holdHead() string {
 	listener := checkedConn.listener
 	if listener.Memory == nil {
-		return true
+		return ""
 	}
 	if !checkedConn.keepHead() {
-		return false
+		return listener.refuseRoom()
 	}
 	headBytes := checkedConn.scanner.HeadBytes()
 	if headBytes <= freeHeadBytes {
-		return true
+		return ""
 	}
 	if headBytes > listener.maxHeadBytes() {
-		checkedConn.refuseHead()
-		return false
+		return headTooLongAnswer
 	}
 	now := time.Now()
 	if checkedConn.heldHeadBytes == 0 {
-		listener.Memory.Watch(now, &checkedConn.headHolding, checkedConn.closeNow)
+		listener.Memory.Watch(now, &checkedConn.headHolding, checkedConn.interruptRead)
+	}
+	taken := int64(headFactor*headBytes + fieldBytes*checkedConn.scanner.HeadFields())
+	added := taken - checkedConn.heldHeadBytes
+	checkedConn.heldHeadBytes = taken
+	hasRoom := false
+	if added > 0 {
+		hasRoom = listener.Memory.Grow(now, &checkedConn.headHolding, added)
+	} else {
+		hasRoom = !listener.Memory.GivenUp(&checkedConn.headHolding)
+	}
+	if !hasRoom {
+		return listener.refuseRoom()
 	}
-	added := int64(headBytes - checkedConn.heldHeadBytes)
-	checkedConn.heldHeadBytes = headBytes
-	return listener.Memory.Grow(now, &checkedConn.headHolding, headFactor*added)
+	return ""
+}
+
+// refuseRoom counts a head for which there is no room, and returns the answer to it.
+func (listener *Listener) refuseRoom() string {
+	if listener.OnNoRoom != nil {
+		listener.OnNoRoom()
+	}
+	entry, _ := result.Lookup(result.MemoryFull)
+	body := fmt.Sprintf("%s %s\n", result.MemoryFull, entry.Title)
+	return fmt.Sprintf(noRoomAnswer, len(body), body)
 }
 
 // keepHead says that the held head has ended, if it has, so that it is not given up any more.
@@ -135,15 +167,33 @@
 	}
 }
 
-// refuseHead answers a head that is too long. The rest of it is not read, so that the answer
-// may get lost.
-func (checkedConn *checkedConn) refuseHead() {
+// refuseHead writes the answer to a head that is refused, and reads and drops the rest of it for a
+// short time: unread bytes would reset the connection, and the answer might get lost.
+func (checkedConn *checkedConn) refuseHead(answer string, buffer []byte) {
+	checkedConn.listener.Memory.Release(&checkedConn.headHolding)
 	if checkedConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) != nil {
 		return
 	}
-	if _, err := io.WriteString(checkedConn.Conn, headTooLongAnswer); err == nil {
-		checkedConn.closeWrite()
+	if _, err := io.WriteString(checkedConn.Conn, answer); err != nil {
+		return
 	}
+	checkedConn.closeWrite()
+	if checkedConn.Conn.SetReadDeadline(time.Now().Add(lingerStall)) != nil {
+		return
+	}
+	for dropped := 0; dropped < checkedConn.listener.maxHeadBytes(); {
+		count, err := checkedConn.Conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		dropped += count
+	}
+}
+
+// interruptRead ends the reading of a head that is given up. The goroutine of the connection then
+// refuses it.
+func (checkedConn *checkedConn) interruptRead() {
+	_ = checkedConn.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // closeWrite says to the caller that no more bytes follow.
@@ -246,6 +296,8 @@
 	// MaxHeadBytes returns the longest head that the configuration allows, or zero. With nil
 	// there is no configuration.
 	MaxHeadBytes func() int
+	// OnNoRoom, if set, is called when a head is refused because there is no room for it.
+	OnNoRoom func()
 }
 
 // maxHeadBytes returns the longest head that is read. It is twice as much as the
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -123,3 +123,11 @@
 func (exchange *exchange) postponement() time.Duration {
 	return max(time.Until(exchange.postponedUntil), minPostponement)
 }
+
+// CountHeadWithoutRoom counts and logs a request that a Listener refused because there was no
+// memory for its head.
+func (handler *Handler) CountHeadWithoutRoom() {
+	handler.Metrics.CountRefusal(result.MemoryFull)
+	handler.Metrics.CountAnswer(result.MemoryFull.Outcome())
+	handler.reportFull(time.Now())
+}
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -33,9 +33,11 @@
 	length        int64
 	chunked       bool
 	ambiguous     bool
-	// headBytes counts the bytes of a head that has not ended, and heads those that have.
-	headBytes int
-	heads     int
+	// headBytes and headFields count the bytes and the header lines of a head that has not ended, and
+	// heads those that have.
+	headBytes  int
+	headFields int
+	heads      int
 }
 
 // Heads returns how many heads have ended.
@@ -45,6 +47,9 @@
 // zero outside of heads.
 func (scanner *Scanner) HeadBytes() int { return scanner.headBytes }
 
+// HeadFields returns how many headers of that head have been scanned.
+func (scanner *Scanner) HeadFields() int { return scanner.headFields }
+
 // Scan processes the next bytes and reports whether all messages so far were
 // unambiguous. Once false, it stays false.
 func (scanner *Scanner) Scan(data []byte) bool {
@@ -131,6 +136,7 @@
 		scanner.startLineRead = true
 		return
 	}
+	scanner.headFields++
 	name, value, _ := strings.Cut(line, ":")
 	value = strings.Trim(value, " \t")
 	switch strings.ToLower(strings.Trim(name, " \t")) {
@@ -161,7 +167,7 @@
 
 // startBody selects what follows the head: a body, chunks or the next message.
 func (scanner *Scanner) startBody() {
-	scanner.headBytes = 0
+	scanner.headBytes, scanner.headFields = 0, 0
 	scanner.heads++
 	switch {
 	case scanner.chunked && scanner.lengthCount > 0:
--- a/framing/scanner_test.go
+++ b/framing/scanner_test.go
@@ -70,18 +70,19 @@
 	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	var scanner framing.Scanner
 	for _, step := range []struct {
-		data         string
-		heads, bytes int
+		data                 string
+		heads, bytes, fields int
 	}{
-		{head[:10], 0, 10},
-		{head[10:] + "G", 1, 1},
-		{head[1:] + head, 3, 0},
-		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", 4, 0},
-		{"b" + head[:3], 4, 3},
+		{head[:10], 0, 10, 0},
+		{head[10:] + "G", 1, 1, 0},
+		{head[1:] + head, 3, 0, 0},
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", 4, 0, 0},
+		{"b" + head[:3], 4, 3, 0},
+		{head[3:25] + "X: y\r\n", 4, 31, 2},
 	} {
 		scanner.Scan([]byte(step.data))
-		if scanner.Heads() != step.heads || scanner.HeadBytes() != step.bytes {
-			t.Errorf("after %q: got %d heads and %d bytes, want %d and %d", step.data, scanner.Heads(), scanner.HeadBytes(), step.heads, step.bytes)
+		if scanner.Heads() != step.heads || scanner.HeadBytes() != step.bytes || scanner.HeadFields() != step.fields {
+			t.Errorf("after %q: got %d heads, %d bytes and %d fields, want %d, %d and %d", step.data, scanner.Heads(), scanner.HeadBytes(), scanner.HeadFields(), step.heads, step.bytes, step.fields)
 		}
 	}
 }
