forward: end the wait for a caller with its request

The router waits for the caller to read the end of its answer, and that wait stayed set while the connection was idle. Between the end of the next head and the start of its handler, the connection counted as stalled since then and could be closed at the bound.

Track ends the wait when the connection becomes idle. TestWaitEndsWithTheRequest failed before (closed as stalled) and passes now.

--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -58,6 +58,8 @@
 func (callerConns *CallerConns) Track(conn net.Conn, state http.ConnState) {
 	if checked, ok := conn.(*checkedConn); ok && state == http.StateIdle {
 		checked.endRequest()
+		// The caller owes nothing between requests.
+		checked.endWait()
 	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
