forward: judge a head at the bound by its start, and check before closing

The time of a head began when its connection became idle: after a second without a request, a head whose first bytes had just arrived was closed at the bound. A head that was completed between the choice and the close was closed with its request, and a stalled caller that made progress too.

The connection notes when the first bytes of a head were read. A head or a stalled caller is closed under the lock of the states, if the reason still holds. If no victim of maxVictims can be closed, the new connection is closed, so that the bound holds. TestHeadThatHasJustBegunStays and TestVictimWithRequestStays failed before and pass now, with -race.

--- a/forward/bound_wait_test.go
+++ b/forward/bound_wait_test.go
@@ -28,3 +28,20 @@
 		t.Errorf("got connections closed as %v, want the new one only", reasons)
 	}
 }
+
+// TestVictimWithRequestStays guards against a connection that is closed at the bound although
+// its head was completed after it had been chosen.
+func TestVictimWithRequestStays(t *testing.T) {
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	defer accepted.Close()
+	conn := &checkedConn{Conn: accepted, listener: &Listener{}}
+	var conns CallerConns
+	conns.Track(conn, http.StateNew)
+	conns.Track(conn, http.StateActive)
+	for _, reason := range []BoundReason{BoundHead, BoundStalled} {
+		if conns.closeAtBound(conn, time.Now(), reason) {
+			t.Errorf("got a connection with a request that makes progress closed as %v, want it open", reason)
+		}
+	}
+}
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -60,6 +60,7 @@
 		checked.endRequest()
 		// The caller owes nothing between requests.
 		checked.endWait()
+		checked.awaitHead()
 	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
@@ -86,25 +87,34 @@
 	for range maxVictims {
 		victim, since, reason := callerConns.victim(now, added)
 		if callerConns.closeAtBound(victim, since, reason) {
-			callerConns.mu.Lock()
-			delete(callerConns.states, victim)
-			callerConns.mu.Unlock()
-			if callerConns.OnBound != nil {
-				callerConns.OnBound(reason)
-			}
+			callerConns.recordClosed(victim, reason)
 			return
 		}
 	}
+	callerConns.closeAtBound(added, now, BoundNew)
+	callerConns.recordClosed(added, BoundNew)
 }
 
-// closeAtBound closes a connection, unless it is idle and has brought bytes after since.
+// recordClosed records that a connection was closed at the bound.
+func (callerConns *CallerConns) recordClosed(conn net.Conn, reason BoundReason) {
+	callerConns.mu.Lock()
+	delete(callerConns.states, conn)
+	callerConns.mu.Unlock()
+	if callerConns.OnBound != nil {
+		callerConns.OnBound(reason)
+	}
+}
+
+// closeAtBound closes a connection, unless the reason does not hold any more: an idle one has
+// brought bytes after since, a head has ended, or a stalled caller has made progress. It reports
+// whether it closed the connection.
 func (callerConns *CallerConns) closeAtBound(victim net.Conn, since time.Time, reason BoundReason) bool {
 	checked, isChecked := victim.(*checkedConn)
 	switch {
 	case isChecked && reason == BoundIdle:
 		return checked.closeUnlessRead(since)
-	case isChecked:
-		checked.closeNow()
+	case isChecked && (reason == BoundHead || reason == BoundStalled):
+		return callerConns.closeIfStalled(checked, reason)
 	default:
 		// The caller sees the close; an error would change nothing.
 		_ = victim.Close()
@@ -112,6 +122,24 @@
 	return true
 }
 
+// closeIfStalled closes a connection whose head or whose caller stalls, and reports whether it
+// did. The state of the connection does not change meanwhile.
+func (callerConns *CallerConns) closeIfStalled(checked *checkedConn, reason BoundReason) bool {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	current, open := callerConns.states[checked]
+	active := current.state == http.StateActive
+	now := time.Now()
+	switch {
+	case !open || active != (reason == BoundStalled):
+		return false
+	case active && checked.stalledFor(now) <= minStall:
+		return false
+	}
+	checked.closeNow()
+	return true
+}
+
 // victim returns the connection that is closed to make room for added, since when it has its
 // state, and the reason.
 func (callerConns *CallerConns) victim(now time.Time, added net.Conn) (net.Conn, time.Time, BoundReason) {
@@ -132,8 +160,11 @@
 			if idle == nil || current.since.Before(idleSince) {
 				idle, idleSince = conn, current.since
 			}
-		case now.Sub(current.since) > minStall && (head == nil || current.since.Before(headSince)):
-			head, headSince = conn, current.since
+		default:
+			start := checked.headStart()
+			if now.Sub(start) > minStall && (head == nil || start.Before(headSince)) {
+				head, headSince = conn, start
+			}
 		}
 	}
 	switch {
--- a/forward/caller_conns_test.go
+++ b/forward/caller_conns_test.go
@@ -139,3 +139,23 @@
 	}
 	bounded.check()
 }
+
+// TestHeadThatHasJustBegunStays guards against a request that is cut off because its connection
+// was idle before for longer than a head may stall.
+func TestHeadThatHasJustBegunStays(t *testing.T) {
+	bounded := newBoundedConns(t, 1)
+	caller, conn := bounded.connect()
+	bounded.conns.Track(conn, http.StateIdle)
+	time.Sleep(1100 * time.Millisecond)
+	if _, err := caller.Write([]byte("GET ")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	bounded.connect()
+	if bounded.isClosed(caller) {
+		t.Error("got a head closed that has just begun, want the new connection closed")
+	}
+	bounded.check(forward.BoundNew)
+}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -64,10 +64,12 @@
 	heldHead                 int
 
 	mu sync.Mutex
-	// readAt is when bytes were last read, and closing is set once the connection is closed
-	// because there were none.
-	readAt  time.Time
-	closing bool
+	// readAt is when bytes were last read, and headStartedAt when the first ones since the
+	// last request were, or zero. closing is set once the connection is closed because there
+	// were none.
+	readAt        time.Time
+	headStartedAt time.Time
+	closing       bool
 }
 
 // errHeadRefused ends the reading of a head that has been refused. net/http adds no answer of its
@@ -269,9 +271,26 @@
 		return false
 	}
 	checkedConn.readAt = time.Now()
+	if checkedConn.headStartedAt.IsZero() {
+		checkedConn.headStartedAt = checkedConn.readAt
+	}
 	return true
 }
 
+// awaitHead says that the next bytes begin a head.
+func (checkedConn *checkedConn) awaitHead() {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headStartedAt = time.Time{}
+}
+
+// headStart returns when the head began that is being read, or zero if none has.
+func (checkedConn *checkedConn) headStart() time.Time {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.headStartedAt
+}
+
 // closeUnlessRead closes the connection unless bytes were read since a time, and reports
 // whether it did. A request is either served or never read.
 func (checkedConn *checkedConn) closeUnlessRead(since time.Time) bool {
