memory: keep holdings that make better progress than a small one

For a small holding every unfinished small one above 0.5 s could be given up, also one of a lower rank, against the doc of Grow; and any large one, also an answer that its caller reads, whose request has run.

A small holding takes the place of small ones of a higher rank only, and answers, watched by WatchAnswer, are given up only while they are slow. fits and victim are split into a small and a large case. TestSmallHoldingKeepsBetterOnes and TestReadAnswerIsKept (with Watch) failed before and pass now, with -race.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -134,7 +134,7 @@
 // be given up from now on, which fails the write.
 func (exchange *exchange) watchAnswer() {
 	exchange.answerWatched = true
-	exchange.handler.Memory.Watch(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
+	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
 }
 
 // keepAnswer ends what watchAnswer began.
--- a/memory/account.go
+++ b/memory/account.go
@@ -47,6 +47,8 @@
 	// giveUp is called, while the account is locked, if the holding is given up.
 	giveUp  func()
 	givenUp bool
+	// answer says that the holding is an answer, whose request has run.
+	answer bool
 	// leaving is what the holding had when it was given up.
 	leaving int64
 	// moved counts the bytes since stepAt, and lastStep is how long the last progressStep
@@ -79,7 +81,7 @@
 
 // Grow adds count bytes to the holding and reports whether there was room. It gives other
 // holdings up for that, the largest and slowest first, but none that makes better progress
-// than this one. It returns false also if the holding itself has been given up.
+// than this one, except that a small holding takes the place of any large body. It returns false also if the holding itself has been given up.
 func (account *Account) Grow(now time.Time, holding *Holding, count int64) bool {
 	account.mu.Lock()
 	defer account.mu.Unlock()
@@ -109,20 +111,30 @@
 	return true
 }
 
-// fits reports whether the holding may grow by count bytes. A large one always may while
-// there is no other large one, so that the largest request is served however small the
-// account is; what it takes beyond the part of large ones does not count against others.
+// fits reports whether the holding may grow by count bytes.
 func (account *Account) fits(holding *Holding, count int64) bool {
-	grown := holding.bytes + count
 	shared := account.limit() - int64(reservedShare*float64(account.limit()))
-	if grown <= MaxSmallBytes {
-		return account.held-account.large+min(account.large, shared)+count <= account.limit()
+	if holding.bytes+count <= MaxSmallBytes {
+		return account.fitsSmall(shared, count)
 	}
+	return account.fitsLarge(shared, holding, count)
+}
+
+// fitsSmall reports whether there is room for count bytes of a small holding. What large ones
+// take beyond shared, their part of the limit, does not count.
+func (account *Account) fitsSmall(shared, count int64) bool {
+	return account.held-account.large+min(account.large, shared)+count <= account.limit()
+}
+
+// fitsLarge reports whether there is room for count bytes of a large holding. There always is
+// while there is no other large one, so that the largest request is served however small the
+// account is.
+func (account *Account) fitsLarge(shared int64, holding *Holding, count int64) bool {
 	others := account.large
 	if holding.large() {
 		others -= holding.bytes
 	}
-	return others == 0 || others+grown <= shared && account.held+count <= account.limit()
+	return others == 0 || others+holding.bytes+count <= shared && account.held+count <= account.limit()
 }
 
 func (holding *Holding) large() bool { return holding.bytes > MaxSmallBytes }
@@ -139,24 +151,37 @@
 	}
 }
 
-// victim returns the holding that is given up so that another one can grow by count bytes,
-// or nil. Large ones go first: for a small holding any that is unfinished, for a large one
-// only those that are slow.
+// victim returns the holding that is given up so that another one can grow by count bytes, or
+// nil. For a small holding that is a large one, or a slow small one; for a large holding it is a
+// slow large one. It has a higher rank than the growing one, unless it is large and that is not.
 func (account *Account) victim(now time.Time, growing *Holding, count int64) *Holding {
-	small := growing.bytes+count <= MaxSmallBytes
-	var worst *Holding
-	var worstLarge bool
-	var worstRank float64
-	if !small {
-		worstRank, worstLarge = growing.rank(now), true
+	rank := growing.rank(now)
+	if growing.bytes+count > MaxSmallBytes {
+		return account.worst(now, growing, rank, func(holding *Holding) bool {
+			return holding.large() && holding.slow(now)
+		})
+	}
+	large := account.worst(now, growing, -1, func(holding *Holding) bool {
+		return holding.large() && (!holding.answer || holding.slow(now))
+	})
+	if large != nil {
+		return large
 	}
+	return account.worst(now, growing, rank, func(holding *Holding) bool {
+		return !holding.large() && holding.slow(now)
+	})
+}
+
+// worst returns the unfinished holding of the highest rank above a least one that may be given up
+// for growing, or nil.
+func (account *Account) worst(now time.Time, growing *Holding, least float64, may func(*Holding) bool) *Holding {
+	var worst *Holding
 	for holding := range account.unfinished {
-		if holding == growing || holding.pace(now) < slowStep && !(small && holding.large()) {
+		if holding == growing || !may(holding) {
 			continue
 		}
-		rank := holding.rank(now)
-		if holding.large() == worstLarge && rank > worstRank || holding.large() && !worstLarge {
-			worst, worstLarge, worstRank = holding, holding.large(), rank
+		if rank := holding.rank(now); rank > least {
+			worst, least = holding, rank
 		}
 	}
 	return worst
@@ -172,6 +197,10 @@
 	return max(now.Sub(holding.stepAt), holding.lastStep)
 }
 
+// slow reports whether the holding makes so little progress that it may be given up for one that
+// makes more.
+func (holding *Holding) slow(now time.Time) bool { return holding.pace(now) >= slowStep }
+
 // rank orders the holdings that are given up: the largest and slowest is the highest.
 func (holding *Holding) rank(now time.Time) float64 {
 	return holding.pace(now).Seconds() * float64(holding.bytes)
@@ -190,12 +219,22 @@
 // Watch says that the holding is unfinished from now on: it may be given up, by a call of
 // giveUp. That must not block or use the account. The owner reports its progress.
 func (account *Account) Watch(now time.Time, holding *Holding, giveUp func()) {
+	account.watch(now, holding, false, giveUp)
+}
+
+// WatchAnswer is Watch for an answer that is being written. It is given up only while its caller
+// reads slowly: its request has run, and would be cut.
+func (account *Account) WatchAnswer(now time.Time, holding *Holding, giveUp func()) {
+	account.watch(now, holding, true, giveUp)
+}
+
+func (account *Account) watch(now time.Time, holding *Holding, answer bool, giveUp func()) {
 	account.mu.Lock()
 	defer account.mu.Unlock()
 	if holding.givenUp {
 		return
 	}
-	holding.giveUp = giveUp
+	holding.giveUp, holding.answer = giveUp, answer
 	holding.moved, holding.stepAt, holding.lastStep = 0, now, 0
 	if account.unfinished == nil {
 		account.unfinished = make(map[*Holding]struct{})
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -192,6 +192,47 @@
 	})
 }
 
+// TestSmallHoldingKeepsBetterOnes guards against a slow small body that takes the place of
+// another small one with better progress.
+func TestSmallHoldingKeepsBetterOnes(t *testing.T) {
+	account := &memory.Account{Limit: 180 << 10}
+	now := time.Unix(1000, 0)
+	slow := start(t, account, now, 110<<10)
+	now = now.Add(10 * time.Second)
+	better := start(t, account, now, 60<<10)
+	now = now.Add(600 * time.Millisecond)
+	if account.Grow(now, &slow.holding, 16<<10) || better.givenUp {
+		t.Error("got room for the slower holding, want the better one kept")
+	}
+	if !account.Grow(now, &better.holding, 16<<10) || !slow.givenUp {
+		t.Error("got no room for the better holding, want that of the slower one")
+	}
+}
+
+// TestReadAnswerIsKept guards against an answer that is cut off for an ordinary request although
+// its caller reads it: that request has run, while one whose body is given up has not.
+func TestReadAnswerIsKept(t *testing.T) {
+	account := &memory.Account{Limit: 1 << 20}
+	now := time.Unix(1000, 0)
+	var answer, finished owner
+	account.WatchAnswer(now, &answer.holding, answer.giveUp)
+	if !account.Grow(now, &answer.holding, 600<<10) || !account.Grow(now, &finished.holding, 100<<10) {
+		t.Fatal("got no room in an empty account, want some")
+	}
+	for range 4 {
+		start(t, account, now, 80<<10)
+	}
+	now = now.Add(100 * time.Millisecond)
+	var small memory.Holding
+	if account.Grow(now, &small, 128<<10) || answer.givenUp {
+		t.Error("got an answer given up whose caller reads, want it kept")
+	}
+	now = now.Add(time.Second)
+	if !account.Grow(now, &small, 128<<10) || !answer.givenUp {
+		t.Error("got no room beside an answer that nobody reads, want its room")
+	}
+}
+
 // TestBodyTimeSuitsSlowLinks guards against a minimum rate that a caller within the limits
 // misses: one on a link of 10 Mbit/s that loses every second byte, with a stall of 12 s.
 func TestBodyTimeSuitsSlowLinks(t *testing.T) {
