forward: hold a body while it is still being sent

An upstream that answers before it has read the body leaves the rest of it to the writer of http1, which keeps its parts; releaseBody had released them in the account by then.

A body is released early only if its connection is not sending any more (http1.Conn.Sending); otherwise it is held to the end of the request.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -43,12 +43,13 @@
 	exchange.releaseAnswer()
 }
 
-// releaseBody releases the body of a request that is not sent again.
-func (exchange *exchange) releaseBody() {
+// releaseBody releases the body of a request that is not sent again. A body that is still being
+// sent, as its upstream has answered early, is held until the end of the request.
+func (exchange *exchange) releaseBody(answer *answer) {
 	// The fingerprint is that of the body, and goes into the log.
 	exchange.suspect()
 	exchange.body = nil
-	if exchange.bodyHeld {
+	if exchange.bodyHeld && !answer.conn.Sending() {
 		exchange.bodyHeld = false
 		exchange.handler.Memory.Release(&exchange.bodyHolding)
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -102,7 +102,7 @@
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
 	}
 	exchange.start(answer.response.StatusCode)
-	exchange.releaseBody()
+	exchange.releaseBody(answer)
 	_, err := callerWriter{exchange}.Write(beginning)
 	exchange.releaseAnswer()
 	if err == nil {
@@ -153,7 +153,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	exchange.start(answer.response.StatusCode)
-	exchange.releaseBody()
+	exchange.releaseBody(answer)
 	if _, err := (callerWriter{exchange}).Write(body); err != nil {
 		exchange.setCause(err)
 	}
@@ -337,7 +337,7 @@
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
 		if !exchange.route.Resumable {
-			exchange.releaseBody()
+			exchange.releaseBody(first)
 		}
 	}
 	if _, err := (callerWriter{exchange}).Write(stream.pending[:good]); err != nil {
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -133,6 +133,19 @@
 	return nil
 }
 
+// Sending reports whether the last request is still being written, and its body in use.
+func (conn *Conn) Sending() bool {
+	if conn.writer == nil {
+		return false
+	}
+	select {
+	case <-conn.writer.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // Await waits for the first byte of the response, at most until the given time,
 // and reports whether it arrived. If it did not, the connection remains usable.
 // The error is a *oncehttp.SendError.
