forward: keep small bodies in parts of at most 16 KiB

A request of 72 KB in chunks took 126 KB in the memory account, as the last part of 64 KiB stayed nearly empty, so that a VM of 136 MB held 221 of them.

Parts are at most 16 KiB up to 128 KiB. TestOrdinaryBodiesTakeLittleMore failed before (129024 bytes held for 73728) and passes now, with -race.

--- a/forward/body.go
+++ b/forward/body.go
@@ -16,10 +16,12 @@
 	defaultMaxBodyBytes = 4 << 20
 	// minPartBytes and maxPartBytes are the sizes of the parts in which a body is kept. The
 	// first part is small and the others grow as the body arrives, so that an announced
-	// length alone takes no memory; no part is copied to make room. The first part is not
-	// counted in the memory account, but with its connection.
-	minPartBytes = 2 << 10
-	maxPartBytes = 64 << 10
+	// length alone takes no memory; no part is copied to make room. The parts of a small body
+	// are at most smallPartBytes, so that little of the last one stays empty. The first part
+	// is not counted in the memory account, but with its connection.
+	minPartBytes   = 2 << 10
+	smallPartBytes = 16 << 10
+	maxPartBytes   = 64 << 10
 	// deadlineStep is the least by which the deadline for the next byte of a body, or the
 	// next write of an answer, is moved.
 	deadlineStep = time.Second
@@ -119,6 +121,9 @@
 func (reader *bodyReader) newPart() ([]byte, bool) {
 	// A byte more than the limit shows that the body is too large.
 	size := min(max(reader.read, minPartBytes), maxPartBytes, reader.limit+1-reader.read)
+	if reader.read < memory.MaxSmallBytes {
+		size = min(size, smallPartBytes)
+	}
 	if reader.announced >= 0 {
 		size = min(size, reader.announced-reader.read)
 	}
--- a/forward/body_test.go
+++ b/forward/body_test.go
@@ -235,3 +235,26 @@
 		t.Errorf("got %d bytes held for announced bodies, want hardly any", got)
 	}
 }
+
+// TestOrdinaryBodiesTakeLittleMore guards against parts that leave much of them unfilled, so that
+// an ordinary request in chunks takes nearly twice its size.
+func TestOrdinaryBodiesTakeLittleMore(t *testing.T) {
+	const length = 72 << 10
+	begun, end := make(chan struct{}), make(chan struct{})
+	upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		close(begun)
+		<-end
+		return echo(ctx, conn, n, request)
+	})
+	router := startLargeBodyRouter(t, upstream)
+	caller := router.dial(t)
+	caller.begin("a1", "Transfer-Encoding: chunked")
+	caller.send([]byte(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", length, bytes.Repeat([]byte("x"), length))))
+	<-begun
+	if got := router.handler.Memory.Held(); got > length+length/4 {
+		t.Errorf("got %d bytes held for a body of %d, want at most a quarter more", got, length)
+	}
+	close(end)
+	caller.check(http.StatusOK)
+	router.awaitNothingHeld(t)
+}
--- a/memory/account.go
+++ b/memory/account.go
@@ -10,8 +10,8 @@
 const (
 	// DefaultLimit is the limit of an account that has none set.
 	DefaultLimit ident.Bytes = 256 << 20
-	// MaxSmallBytes is the size of the largest small holding: a request of 72 KB in chunks
-	// takes as much, with its last part unfilled.
+	// MaxSmallBytes is the size of the largest small holding. A request of 72 KB in chunks takes
+	// less, with its last part unfilled.
 	MaxSmallBytes = 128 << 10
 	// reservedShare is the part of the limit that is left to small holdings.
 	reservedShare = 1.0 / 3
