--- a/forward/connections.go
+++ b/forward/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,6 +70,10 @@
 	// new one; zero means no bound. It is set before use.
 	Max int
 
+	// open counts the open connections of all pools, also of those that were closed and have
+	// connections in use.
+	open atomic.Int64
+
 	mu    sync.Mutex
 	pools map[incarnationKey]*http1.Pool
 }
@@ -89,7 +94,7 @@
 	if connections.pools == nil {
 		connections.pools = make(map[incarnationKey]*http1.Pool)
 	}
-	pool = &http1.Pool{Dial: func(ctx context.Context) (net.Conn, error) {
+	pool = &http1.Pool{Total: &connections.open, Dial: func(ctx context.Context) (net.Conn, error) {
 		connections.makeRoom()
 		return connections.Dial(ctx, "tcp", upstream.Address)
 	}}
@@ -103,36 +108,26 @@
 // makeRoom closes the connection that has been idle longest if there are more than Max. Those
 // in use are bounded by the requests of callers.
 func (connections *Connections) makeRoom() {
-	if connections.Max <= 0 {
+	if connections.Max <= 0 || connections.Open() <= connections.Max {
 		return
 	}
 	connections.mu.Lock()
 	defer connections.mu.Unlock()
-	open := 0
 	var oldest *http1.Pool
 	var oldestSince time.Time
 	for _, pool := range connections.pools {
-		open += pool.Open()
 		since, idle := pool.IdleSince()
 		if idle && (oldest == nil || since.Before(oldestSince)) {
 			oldest, oldestSince = pool, since
 		}
 	}
-	if open > connections.Max && oldest != nil {
+	if oldest != nil {
 		oldest.CloseOldest()
 	}
 }
 
 // Open returns the number of open connections to all upstreams.
-func (connections *Connections) Open() int {
-	connections.mu.Lock()
-	defer connections.mu.Unlock()
-	open := 0
-	for _, pool := range connections.pools {
-		open += pool.Open()
-	}
-	return open
-}
+func (connections *Connections) Open() int { return int(connections.open.Load()) }
 
 // Retain closes the pools of upstreams that are not in listed, and the unusable
 // idle connections of the others. Connections in use close after their request.
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	// OnAllClosed, unless nil, is called when the peer has closed all connections, none of
 	// which was in use or idle for as long as it may be: its process has probably ended.
 	OnAllClosed func()
+	// Total, unless nil, counts the open connections of all pools that share it.
+	Total *atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -170,14 +173,22 @@
 	if limit > 0 && pool.open >= limit {
 		return false
 	}
-	pool.open++
+	pool.add(1)
 	return true
 }
 
 func (pool *Pool) unreserve() {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.open--
+	pool.add(-1)
+}
+
+// add changes the number of open connections. The caller holds mu.
+func (pool *Pool) add(count int) {
+	pool.open += count
+	if pool.Total != nil {
+		pool.Total.Add(int64(count))
+	}
 }
 
 // Open returns the number of open connections, idle or in use.
