entry: give readiness probes 10 s to be read

A VM that stalled for 3 to 4 s between accepting and reading a readiness or metrics request closed it at the read timeout of 3 s.

TestAuxiliaryTimeoutsOutlastStalls failed before and passes now.

--- a/entry/resources.go
+++ b/entry/resources.go
@@ -36,9 +36,10 @@
 	// maxAuxiliaryConns bounds the connections of the listeners for readiness and metrics.
 	maxAuxiliaryConns = 16
 	// maxAuxiliaryHeadBytes bounds the heads of requests there, auxiliaryReadTimeout the
-	// time to read one and auxiliaryWriteTimeout the time to answer it.
+	// time to read one and auxiliaryWriteTimeout the time to answer it: the VM may stall for
+	// seconds in between.
 	maxAuxiliaryHeadBytes = 8 << 10
-	auxiliaryReadTimeout  = 3 * time.Second
+	auxiliaryReadTimeout  = 10 * time.Second
 	auxiliaryWriteTimeout = 10 * time.Second
 	// boundLogInterval is the least time between two log lines about connections that were
 	// closed at the bound.
--- a/entry/resources_test.go
+++ b/entry/resources_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/config"
 )
@@ -42,3 +44,15 @@
 		t.Errorf("got %d descriptors, want the %d of the system", got, system)
 	}
 }
+
+// TestAuxiliaryTimeoutsOutlastStalls guards against a readiness probe that is cut off because the
+// VM stalls for some seconds between accepting its connection and reading it.
+func TestAuxiliaryTimeoutsOutlastStalls(t *testing.T) {
+	const stall = 8 * time.Second
+	daemon := new(Daemon)
+	service := &httpService{server: new(http.Server)}
+	daemon.boundAuxiliary(service, "readiness")
+	if got := min(service.server.ReadHeaderTimeout, service.server.ReadTimeout, service.server.WriteTimeout); got < stall {
+		t.Errorf("got a timeout of %v, want at least %v", got, stall)
+	}
+}
