forward: hold less for long events and refusals, and check progress rarely

- After an event above 8 KB a stream kept its buffer and its holding, and each later write locked the account twice.
Both are released once the event has been written.
- The progress of a body is checked each 16 KiB, not each 4: each check locks the account of all requests.
- A refused caller takes a buffer of 4 KiB, not 16, which no account counts.
- Listener.Accept copied the listener for each connection; it has a pointer receiver, and the tests of the package pass a pointer.

--- a/forward/body.go
+++ b/forward/body.go
@@ -29,7 +29,7 @@
 	// progress, and checkBytes how many are read between two checks of the progress: a chunk
 	// may bring as little as a byte.
 	progressBytes = 16 << 10
-	checkBytes    = 4 << 10
+	checkBytes    = 16 << 10
 	// maxLinger is how long a refused caller may go on sending its body before its
 	// connection is closed, and lingerStall how long it may pause: closing it at once would
 	// destroy the answer. The largest body takes 3.4 s on a link of 10 Mbit/s. What is beyond
@@ -38,7 +38,7 @@
 	lingerStall    = time.Second
 	maxLingerBytes = 16 << 20
 	// lingerBufferBytes is the size of the buffer into which such bytes are read.
-	lingerBufferBytes = 16 << 10
+	lingerBufferBytes = 4 << 10
 )
 
 var errNoRoom = errors.New("no memory left for the body")
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -80,7 +80,7 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ErrorLog: nil}
-	routerServer := &routerServer{server: server, listener: forward.Listener{Listener: listener}}
+	routerServer := &routerServer{server: server, listener: &forward.Listener{Listener: listener}}
 	go routerServer.run()
 	t.Cleanup(func() { _ = server.Close() })
 	return &router{address: listener.Addr().String(), handler: handler, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
--- a/forward/head_bound_test.go
+++ b/forward/head_bound_test.go
@@ -27,7 +27,7 @@
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	server := &routerServer{
 		server:   &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track},
-		listener: forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
+		listener: &forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
 	}
 	go server.run()
 	t.Cleanup(func() { _ = server.server.Close() })
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -58,7 +58,7 @@
 					t.Fatal(err)
 				}
 				defer caller.Close()
-				conn, err := forward.Listener{Listener: inner}.Accept()
+				conn, err := (&forward.Listener{Listener: inner}).Accept()
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -330,12 +330,12 @@
 
 // Accept returns the next connection. Its requests can be checked with
 // Unambiguous.
-func (listener Listener) Accept() (net.Conn, error) {
+func (listener *Listener) Accept() (net.Conn, error) {
 	conn, err := listener.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{Conn: conn, listener: &listener}, nil
+	return &checkedConn{Conn: conn, listener: listener}, nil
 }
 
 // ConnContext is the ConnContext callback of an http.Server. It stores conn in
--- a/forward/pipelined_head_test.go
+++ b/forward/pipelined_head_test.go
@@ -23,7 +23,7 @@
 	}
 	server := &routerServer{
 		server:   &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track},
-		listener: forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
+		listener: &forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
 	}
 	go server.run()
 	t.Cleanup(func() { _ = server.server.Close() })
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -347,7 +347,14 @@
 		exchange.callerFailed = true
 		return err
 	}
-	stream.pending = append(stream.pending[:0], stream.pending[good:]...)
+	rest := stream.pending[good:]
+	if exchange.reserved > 0 && exchange.earlier == 0 && len(rest) <= ownBufferBytes/2 {
+		// The long event has been written, and its buffer is not needed any more.
+		stream.pending = append([]byte(nil), rest...)
+		exchange.releaseAnswer()
+		return checkErr
+	}
+	stream.pending = append(stream.pending[:0], rest...)
 	return checkErr
 }
 
