--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/strike"
@@ -131,3 +132,63 @@
 	handler.Metrics.CountAnswer(result.MemoryFull.Outcome())
 	handler.reportFull(time.Now())
 }
+
+// boundRefusal bounds how long the caller of a refused request may take to read its answer,
+// and to send a body that was not read: net/http reads some of it to keep the connection.
+func (exchange *exchange) boundRefusal() {
+	controller := http.NewResponseController(exchange.writer)
+	until := time.Now().Add(memory.MaxStall)
+	err := controller.SetWriteDeadline(until)
+	if err == nil && exchange.request.ContentLength != 0 && exchange.body == nil {
+		err = controller.SetReadDeadline(until)
+	}
+	if err != nil {
+		exchange.handler.Logger.Debug("Could not bound the time of a refusal.", "Error", err)
+	}
+}
+
+const (
+	// fullLogInterval is the least time between two log lines about memory that is full.
+	fullLogInterval = time.Second
+	// bodyLogLinesPerSecond bounds the log lines of requests that were refused because of
+	// their bodies or heads.
+	bodyLogLinesPerSecond = 20
+)
+
+// isBodyRefusal reports whether a request was refused with code because of its body or its
+// head, as crowds of clients bring it about.
+func isBodyRefusal(code result.Code) bool {
+	switch code {
+	case result.MemoryFull, result.BodyTooSlow, result.BodyTooLarge, result.MalformedBody, result.HeadTooLarge:
+		return true
+	}
+	return false
+}
+
+// allowBodyLog reports whether one more request that was refused because of its body may be
+// logged in this second.
+func (handler *Handler) allowBodyLog(now time.Time) bool {
+	handler.fullMu.Lock()
+	defer handler.fullMu.Unlock()
+	if now.Sub(handler.bodyLogFrom) >= time.Second {
+		handler.bodyLogFrom, handler.bodyLogLines = now, 0
+	}
+	handler.bodyLogLines++
+	return handler.bodyLogLines <= bodyLogLinesPerSecond
+}
+
+// reportFull logs, at most once each fullLogInterval, that requests are refused because the
+// memory account is full.
+func (handler *Handler) reportFull(now time.Time) {
+	handler.fullMu.Lock()
+	handler.fullRefusals++
+	refusals := handler.fullRefusals
+	due := now.Sub(handler.fullLoggedAt) >= fullLogInterval
+	if due {
+		handler.fullLoggedAt, handler.fullRefusals = now, 0
+	}
+	handler.fullMu.Unlock()
+	if due {
+		handler.Logger.Warn("Memory for bodies and answers is full.", "HeldBytes", handler.Memory.Held(), "HeldLimit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "RefusedCount", refusals)
+	}
+}
