memory: don't take a stall of the router for one of its callers

After the process had stood still all holdings and callers looked stalled, so that sound ones were given up at a full account, or closed at the bound of connections.

The maintenance ticks memory.Stalls. While a tick is more than half a second late, and after it, the time before does not count as time without progress, in the account and in the bound of connections. Deadlines are not moved. TestStallOfTheProcessIsNoStallOfOthers fails with the check taken out and passes with it, with -race.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -84,6 +84,7 @@
 	handler     *forward.Handler
 	updater     *follow.Updater
 	callerConns forward.CallerConns
+	stalls      memory.Stalls
 	stop        stopState
 	stall       stallGuard
 	warmup      *warmup
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -27,6 +27,7 @@
 // maintain performs one round of maintenance. During a planned stop it leaves
 // idle connections open, because callers may still be sent here.
 func (daemon *Daemon) maintain(now time.Time) {
+	daemon.stalls.Tick(now)
 	daemon.updater.Expire()
 	listed := daemon.registry.Upstreams()
 	daemon.handler.Connections.Retain(listed)
--- a/entry/resources.go
+++ b/entry/resources.go
@@ -106,6 +106,7 @@
 // boundCallers sets what bounds the connections of callers and to upstreams.
 func (daemon *Daemon) boundCallers(callers *httpService) {
 	descriptors := descriptorsFor(daemon.Config)
+	daemon.handler.Memory.Stalls, daemon.callerConns.Stalls = &daemon.stalls, &daemon.stalls
 	daemon.callerConns.Max = maxCallerConns(daemon.Config, descriptors)
 	daemon.callerConns.OnBound = (&boundLog{daemon: daemon, listener: "callers", limit: daemon.callerConns.Max}).add
 	daemon.handler.Connections.Max = int(callerDescriptorShare * float64(descriptors))
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/memory"
 )
 
 const (
@@ -26,6 +28,9 @@
 	// OnBound, if set, is called when a connection is closed because there are Max, with the
 	// reason. It must not block.
 	OnBound func(reason BoundReason)
+	// Stalls, unless nil, says when the process stood still, so that callers made no progress. It
+	// is set before use.
+	Stalls *memory.Stalls
 
 	mu sync.Mutex
 	// states holds the state of each open connection.
@@ -133,7 +138,7 @@
 	switch {
 	case !open || active != (reason == BoundStalled):
 		return false
-	case active && checked.stalledFor(now) <= minStall:
+	case active && checked.stalledFor(now, callerConns.Stalls) <= minStall:
 		return false
 	}
 	checked.closeNow()
@@ -153,8 +158,8 @@
 		switch {
 		case conn == added:
 		case current.state == http.StateActive:
-			if isChecked && checked.stalledFor(now) > longest {
-				stalled, longest = conn, checked.stalledFor(now)
+			if isChecked && checked.stalledFor(now, callerConns.Stalls) > longest {
+				stalled, longest = conn, checked.stalledFor(now, callerConns.Stalls)
 			}
 		case !isChecked || !checked.hasReadSince(current.since):
 			if idle == nil || current.since.Before(idleSince) {
@@ -162,7 +167,7 @@
 			}
 		default:
 			start := checked.headStart()
-			if now.Sub(start) > minStall && (head == nil || start.Before(headSince)) {
+			if callerConns.Stalls.Waited(now, start) > minStall && (head == nil || start.Before(headSince)) {
 				head, headSince = conn, start
 			}
 		}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -117,13 +117,14 @@
 	}
 }
 
-// stalledFor returns for how long the router has waited for the caller without progress.
-func (checkedConn *checkedConn) stalledFor(now time.Time) time.Duration {
+// stalledFor returns for how long the router has waited for the caller without progress, but for
+// its own stalls.
+func (checkedConn *checkedConn) stalledFor(now time.Time, stalls *memory.Stalls) time.Duration {
 	since := checkedConn.waitingSince.Load()
 	if since == 0 {
 		return 0
 	}
-	return now.Sub(time.Unix(0, since))
+	return stalls.Waited(now, time.Unix(0, since))
 }
 
 // hasReadSince reports whether bytes were read after a time.
--- a/memory/account.go
+++ b/memory/account.go
@@ -30,6 +30,9 @@
 	// Limit is the most that the holdings take together; zero means DefaultLimit. It is set
 	// before use.
 	Limit ident.Bytes
+	// Stalls, unless nil, says when the process stood still, so that holdings made no progress.
+	// It is set before use.
+	Stalls *Stalls
 
 	mu sync.Mutex
 	// held is the sum of all holdings, and large that of those above MaxSmallBytes.
@@ -155,20 +158,20 @@
 // nil. For a small holding that is a large one, or a slow small one; for a large holding it is a
 // slow large one. It has a higher rank than the growing one, unless it is large and that is not.
 func (account *Account) victim(now time.Time, growing *Holding, count int64) *Holding {
-	rank := growing.rank(now)
+	rank := account.rank(now, growing)
 	if growing.bytes+count > MaxSmallBytes {
 		return account.worst(now, growing, rank, func(holding *Holding) bool {
-			return holding.large() && holding.slow(now)
+			return holding.large() && account.slow(now, holding)
 		})
 	}
 	large := account.worst(now, growing, -1, func(holding *Holding) bool {
-		return holding.large() && (!holding.answer || holding.slow(now))
+		return holding.large() && (!holding.answer || account.slow(now, holding))
 	})
 	if large != nil {
 		return large
 	}
 	return account.worst(now, growing, rank, func(holding *Holding) bool {
-		return !holding.large() && holding.slow(now)
+		return !holding.large() && account.slow(now, holding)
 	})
 }
 
@@ -180,7 +183,7 @@
 		if holding == growing || !may(holding) {
 			continue
 		}
-		if rank := holding.rank(now); rank > least {
+		if rank := account.rank(now, holding); rank > least {
 			worst, least = holding, rank
 		}
 	}
@@ -193,17 +196,19 @@
 }
 
 // pace returns how long the holding takes for progressStep bytes.
-func (holding *Holding) pace(now time.Time) time.Duration {
-	return max(now.Sub(holding.stepAt), holding.lastStep)
+func (account *Account) pace(now time.Time, holding *Holding) time.Duration {
+	return max(account.Stalls.Waited(now, holding.stepAt), holding.lastStep)
 }
 
 // slow reports whether the holding makes so little progress that it may be given up for one that
 // makes more.
-func (holding *Holding) slow(now time.Time) bool { return holding.pace(now) >= slowStep }
+func (account *Account) slow(now time.Time, holding *Holding) bool {
+	return account.pace(now, holding) >= slowStep
+}
 
 // rank orders the holdings that are given up: the largest and slowest is the highest.
-func (holding *Holding) rank(now time.Time) float64 {
-	return holding.pace(now).Seconds() * float64(holding.bytes)
+func (account *Account) rank(now time.Time, holding *Holding) float64 {
+	return account.pace(now, holding).Seconds() * float64(holding.bytes)
 }
 
 // giveUp frees what a holding has and tells its owner.
@@ -248,7 +253,7 @@
 	defer account.mu.Unlock()
 	holding.moved += int64(count)
 	if steps := holding.moved / progressStep; steps > 0 {
-		holding.lastStep = now.Sub(holding.stepAt) / time.Duration(steps)
+		holding.lastStep = account.Stalls.Waited(now, holding.stepAt) / time.Duration(steps)
 		holding.stepAt = now
 		holding.moved %= progressStep
 	}
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -233,6 +233,33 @@
 	}
 }
 
+// TestStallOfTheProcessIsNoStallOfOthers guards against sound bodies that are given up because the
+// process stood still, and against one that stalls for longer than it.
+func TestStallOfTheProcessIsNoStallOfOthers(t *testing.T) {
+	for _, ticked := range []bool{false, true} {
+		account := &memory.Account{Limit: limit, Stalls: new(memory.Stalls)}
+		now := time.Unix(1000, 0)
+		account.Stalls.Tick(now)
+		first, second := start(t, account, now, 4<<20), start(t, account, now, 3<<20)
+		now = now.Add(5 * time.Second)
+		if ticked {
+			account.Stalls.Tick(now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		late := start(t, account, now, memory.MaxSmallBytes)
+		if account.Grow(now, &late.holding, 2<<20) || first.givenUp || second.givenUp {
+			t.Errorf("ticked %v: got a holding given up after a stall of the process, want none", ticked)
+		}
+		for range 3 {
+			account.Stalls.Tick(now)
+			now = now.Add(500 * time.Millisecond)
+		}
+		if !account.Grow(now, &late.holding, 2<<20) || !first.givenUp {
+			t.Errorf("ticked %v: got no room in place of a holding that stalls, want it", ticked)
+		}
+	}
+}
+
 // TestBodyTimeSuitsSlowLinks guards against a minimum rate that a caller within the limits
 // misses: one on a link of 10 Mbit/s that loses every second byte, with a stall of 12 s.
 func TestBodyTimeSuitsSlowLinks(t *testing.T) {
