--- a/entry/resources.go
+++ b/entry/resources.go
@@ -36,9 +36,10 @@
 	// maxAuxiliaryConns bounds the connections of the listeners for readiness and metrics.
 	maxAuxiliaryConns = 16
 	// maxAuxiliaryHeadBytes bounds the heads of requests there, auxiliaryReadTimeout the
-	// time to read one and auxiliaryWriteTimeout the time to answer it.
+	// time to read one and auxiliaryWriteTimeout the time to answer it: the VM may stall for
+	// seconds in between.
 	maxAuxiliaryHeadBytes = 8 << 10
-	auxiliaryReadTimeout  = 3 * time.Second
+	auxiliaryReadTimeout  = 10 * time.Second
 	auxiliaryWriteTimeout = 10 * time.Second
 	// boundLogInterval is the least time between two log lines about connections that were
 	// closed at the bound.
@@ -105,10 +106,11 @@
 // boundCallers sets what bounds the connections of callers and to upstreams.
 func (daemon *Daemon) boundCallers(callers *httpService) {
 	descriptors := descriptorsFor(daemon.Config)
+	daemon.handler.Memory.Stalls, daemon.callerConns.Stalls = &daemon.stalls, &daemon.stalls
 	daemon.callerConns.Max = maxCallerConns(daemon.Config, descriptors)
 	daemon.callerConns.OnBound = (&boundLog{daemon: daemon, listener: "callers", limit: daemon.callerConns.Max}).add
 	daemon.handler.Connections.Max = int(callerDescriptorShare * float64(descriptors))
-	callers.listener = forward.Listener{Listener: &bufferListener{Listener: callers.listener}, Memory: &daemon.handler.Memory, MaxHeadBytes: daemon.maxHeadBytes}
+	callers.listener = &forward.Listener{Listener: &bufferListener{Listener: callers.listener}, Memory: &daemon.handler.Memory, MaxHeadBytes: daemon.maxHeadBytes, OnNoRoom: daemon.handler.CountHeadWithoutRoom}
 	callers.server.ConnContext = forward.ConnContext
 	callers.server.ConnState = daemon.callerConns.Track
 	daemon.Logger.Info("Limits of memory and connections.",
--- a/forward/body.go
+++ b/forward/body.go
@@ -16,10 +16,12 @@
 	defaultMaxBodyBytes = 4 << 20
 	// minPartBytes and maxPartBytes are the sizes of the parts in which a body is kept. The
 	// first part is small and the others grow as the body arrives, so that an announced
-	// length alone takes no memory; no part is copied to make room. The first part is not
-	// counted in the memory account, but with its connection.
-	minPartBytes = 2 << 10
-	maxPartBytes = 64 << 10
+	// length alone takes no memory; no part is copied to make room. The parts of a small body
+	// are at most smallPartBytes, so that little of the last one stays empty. The first part
+	// is not counted in the memory account, but with its connection.
+	minPartBytes   = 2 << 10
+	smallPartBytes = 16 << 10
+	maxPartBytes   = 64 << 10
 	// deadlineStep is the least by which the deadline for the next byte of a body, or the
 	// next write of an answer, is moved.
 	deadlineStep = time.Second
@@ -27,16 +29,7 @@
 	// progress, and checkBytes how many are read between two checks of the progress: a chunk
 	// may bring as little as a byte.
 	progressBytes = 16 << 10
-	checkBytes    = 4 << 10
-	// maxLinger is how long a refused caller may go on sending its body before its
-	// connection is closed, and lingerStall how long it may pause: closing it at once would
-	// destroy the answer. The largest body takes 3.4 s on a link of 10 Mbit/s. What is beyond
-	// maxLingerBytes belongs to no request of a legal size.
-	maxLinger      = 5 * time.Second
-	lingerStall    = time.Second
-	maxLingerBytes = 16 << 20
-	// lingerBufferBytes is the size of the buffer into which such bytes are read.
-	lingerBufferBytes = 16 << 10
+	checkBytes    = 16 << 10
 )
 
 var errNoRoom = errors.New("no memory left for the body")
@@ -119,6 +112,9 @@
 func (reader *bodyReader) newPart() ([]byte, bool) {
 	// A byte more than the limit shows that the body is too large.
 	size := min(max(reader.read, minPartBytes), maxPartBytes, reader.limit+1-reader.read)
+	if reader.read < memory.MaxSmallBytes {
+		size = min(size, smallPartBytes)
+	}
 	if reader.announced >= 0 {
 		size = min(size, reader.announced-reader.read)
 	}
@@ -202,105 +198,3 @@
 	}
 	return result.MalformedBody
 }
-
-// boundRefusal bounds how long the caller of a refused request may take to read its answer,
-// and to send a body that was not read: net/http reads some of it to keep the connection.
-func (exchange *exchange) boundRefusal() {
-	controller := http.NewResponseController(exchange.writer)
-	until := time.Now().Add(memory.MaxStall)
-	err := controller.SetWriteDeadline(until)
-	if err == nil && exchange.request.ContentLength != 0 && exchange.body == nil {
-		err = controller.SetReadDeadline(until)
-	}
-	if err != nil {
-		exchange.handler.Logger.Debug("Could not bound the time of a refusal.", "Error", err)
-	}
-}
-
-// lingers reports whether the caller of a request that was refused with code may still be
-// sending its body.
-func lingers(code result.Code) bool {
-	return code == result.MemoryFull || code == result.BodyTooSlow || code == result.BodyTooLarge
-}
-
-// prepareToLinger makes the answer of a refused request the last on its connection, and
-// leaves the rest of its body unread for now.
-func (exchange *exchange) prepareToLinger() {
-	exchange.body = nil
-	exchange.releaseMemory()
-	exchange.writer.Header().Set("Connection", "close")
-	if err := http.NewResponseController(exchange.writer).EnableFullDuplex(); err != nil {
-		exchange.handler.Logger.Debug("Could not answer before the end of the body.", "Error", err)
-	}
-}
-
-// linger sends the answer of a refused request, and reads and drops what its caller still
-// sends, for a short time: unread bytes would reset the connection, and the answer might get
-// lost.
-func (exchange *exchange) linger() {
-	controller := http.NewResponseController(exchange.writer)
-	if controller.SetWriteDeadline(time.Now().Add(lingerStall)) != nil || controller.Flush() != nil {
-		return
-	}
-	exchange.conn.closeWrite()
-	exchange.conn.waitForCaller(time.Now())
-	buffer := make([]byte, lingerBufferBytes)
-	end := time.Now().Add(maxLinger)
-	for dropped := 0; dropped < maxLingerBytes; {
-		now := time.Now()
-		if !now.Before(end) || controller.SetReadDeadline(earlier(end, now.Add(lingerStall))) != nil {
-			return
-		}
-		count, err := exchange.request.Body.Read(buffer)
-		if err != nil {
-			return
-		}
-		dropped += count
-	}
-}
-
-const (
-	// fullLogInterval is the least time between two log lines about memory that is full.
-	fullLogInterval = time.Second
-	// bodyLogLinesPerSecond bounds the log lines of requests that were refused because of
-	// their bodies or heads.
-	bodyLogLinesPerSecond = 20
-)
-
-// isBodyRefusal reports whether a request was refused with code because of its body or its
-// head, as crowds of clients bring it about.
-func isBodyRefusal(code result.Code) bool {
-	switch code {
-	case result.MemoryFull, result.BodyTooSlow, result.BodyTooLarge, result.MalformedBody, result.HeadTooLarge:
-		return true
-	}
-	return false
-}
-
-// allowBodyLog reports whether one more request that was refused because of its body may be
-// logged in this second.
-func (handler *Handler) allowBodyLog(now time.Time) bool {
-	handler.fullMu.Lock()
-	defer handler.fullMu.Unlock()
-	if now.Sub(handler.bodyLogFrom) >= time.Second {
-		handler.bodyLogFrom, handler.bodyLogLines = now, 0
-	}
-	handler.bodyLogLines++
-	return handler.bodyLogLines <= bodyLogLinesPerSecond
-}
-
-// reportFull logs, at most once each fullLogInterval, that requests are refused because the
-// memory account is full.
-func (handler *Handler) reportFull(now time.Time) {
-	handler.fullMu.Lock()
-	handler.fullRefusals++
-	refusals := handler.fullRefusals
-	due := now.Sub(handler.fullLoggedAt) >= fullLogInterval
-	if due {
-		handler.fullLoggedAt, handler.fullRefusals = now, 0
-	}
-	handler.fullMu.Unlock()
-	if due {
-		handler.Logger.Warn("Memory for bodies and answers is full.", "HeldBytes", handler.Memory.Held(), "HeldLimit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "RefusedCount", refusals)
-	}
-}
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -43,12 +43,13 @@
 	exchange.releaseAnswer()
 }
 
-// releaseBody releases the body of a request that is not sent again.
-func (exchange *exchange) releaseBody() {
+// releaseBody releases the body of a request that is not sent again. A body that is still being
+// sent, as its upstream has answered early, is held until the end of the request.
+func (exchange *exchange) releaseBody(answer *answer) {
 	// The fingerprint is that of the body, and goes into the log.
 	exchange.suspect()
 	exchange.body = nil
-	if exchange.bodyHeld {
+	if exchange.bodyHeld && !answer.conn.Sending() {
 		exchange.bodyHeld = false
 		exchange.handler.Memory.Release(&exchange.bodyHolding)
 	}
@@ -134,7 +135,7 @@
 // be given up from now on, which fails the write.
 func (exchange *exchange) watchAnswer() {
 	exchange.answerWatched = true
-	exchange.handler.Memory.Watch(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
+	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
 }
 
 // keepAnswer ends what watchAnswer began.
@@ -161,3 +162,11 @@
 		exchange.interruptWrite()
 	}
 }
+
+// extendWriteDeadline gives the caller time to read the end of its answer: net/http writes the
+// last bytes after the handler has returned, and the upstream may have paused before the end
+// for longer than the last deadline allowed.
+func (exchange *exchange) extendWriteDeadline() {
+	exchange.writeDeadline = time.Time{}
+	exchange.moveWriteDeadline(time.Now())
+}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -17,21 +17,6 @@
 
 const connContextKey contextKey = 0
 
-const (
-	// defaultMaxHeadBytes is the longest head that is read while the configuration allows
-	// none longer: more than it allows, so that most callers get the code HeadTooLarge.
-	defaultMaxHeadBytes = 32 << 10
-	// freeHeadBytes is how much of a head is counted with its connection. What is beyond
-	// takes headFactor times its size in the memory account: a header of a few bytes takes
-	// an entry of a map, its name and a list of values.
-	freeHeadBytes = 4 << 10
-	headFactor    = 12
-	// headTooLongAnswer is sent instead of an answer to a head that is too long to be read.
-	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// refusalTimeout bounds the write of that answer.
-	refusalTimeout = 100 * time.Millisecond
-)
-
 // checkedConn is a caller's connection whose bytes are scanned for requests
 // with ambiguous framing, and for heads that are too long.
 type checkedConn struct {
@@ -46,21 +31,26 @@
 	waitingSince atomic.Int64
 	progress     int
 
-	// headHolding is what a long head takes, heldHeadBytes the part of it that is counted
-	// there, and headEnded set once it is complete.
-	headHolding   memory.Holding
-	heldHeadBytes int
-	headEnded     bool
+	// headHolding is what a long head takes until its request has been answered, and
+	// heldHeadBytes how much the unfinished head takes there. headsRead and
+	// headsAnswered count the heads that have ended and those whose requests have been
+	// answered; heldHead is the number of the finished head that is held, or zero.
+	headHolding              memory.Holding
+	heldHeadBytes            int64
+	headsRead, headsAnswered int
+	heldHead                 int
 
 	mu sync.Mutex
-	// readAt is when bytes were last read, and closing is set once the connection is closed
-	// because there were none.
-	readAt  time.Time
-	closing bool
+	// readAt is when bytes were last read, and headStartedAt when the first ones since the
+	// last request were, or zero. closing is set once the connection is closed because there
+	// were none.
+	readAt        time.Time
+	headStartedAt time.Time
+	closing       bool
 }
 
-// Read reads from the connection. After a request with ambiguous framing, or with a head
-// that is too long or for which there is no memory, it reads nothing more and returns io.EOF.
+// Read reads from the connection. After a request with ambiguous framing it reads nothing more and
+// returns io.EOF. A head that is too long, or for which there is no memory, is refused.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
 	if checkedConn.ambiguous.Load() {
 		return 0, io.EOF
@@ -72,65 +62,13 @@
 	if !checkedConn.scanner.Scan(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
-	if !checkedConn.holdHead() {
-		return 0, io.EOF
+	if answer := checkedConn.holdHead(); answer != "" {
+		checkedConn.refuseHead(answer, buffer)
+		return 0, errHeadRefused
 	}
 	return count, err
 }
 
-// holdHead counts a long head in the memory account until its request has been answered. It returns
-// false if the head is too long, or if there is no room for it.
-func (checkedConn *checkedConn) holdHead() bool {
-	headBytes := checkedConn.scanner.HeadBytes()
-	listener := checkedConn.listener
-	if listener.Memory == nil {
-		return true
-	}
-	if headBytes == 0 {
-		if checkedConn.heldHeadBytes == 0 || checkedConn.headEnded {
-			return true
-		}
-		// It is needed until the end of its request.
-		checkedConn.headEnded = true
-		return listener.Memory.Keep(&checkedConn.headHolding)
-	}
-	checkedConn.endRequest()
-	if headBytes <= freeHeadBytes {
-		return true
-	}
-	if headBytes > listener.maxHeadBytes() {
-		checkedConn.refuseHead()
-		return false
-	}
-	now := time.Now()
-	if checkedConn.heldHeadBytes == 0 {
-		listener.Memory.Watch(now, &checkedConn.headHolding, checkedConn.closeNow)
-	}
-	added := int64(headBytes - checkedConn.heldHeadBytes)
-	checkedConn.heldHeadBytes = headBytes
-	return listener.Memory.Grow(now, &checkedConn.headHolding, headFactor*added)
-}
-
-// endRequest releases the head of a request that has been answered. It is called by the
-// goroutine of the connection.
-func (checkedConn *checkedConn) endRequest() {
-	if checkedConn.headEnded {
-		checkedConn.listener.Memory.Release(&checkedConn.headHolding)
-		checkedConn.headEnded, checkedConn.heldHeadBytes = false, 0
-	}
-}
-
-// refuseHead answers a head that is too long. The rest of it is not read, so that the answer
-// may get lost.
-func (checkedConn *checkedConn) refuseHead() {
-	if checkedConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) != nil {
-		return
-	}
-	if _, err := io.WriteString(checkedConn.Conn, headTooLongAnswer); err == nil {
-		checkedConn.closeWrite()
-	}
-}
-
 // closeWrite says to the caller that no more bytes follow.
 func (checkedConn *checkedConn) closeWrite() {
 	if checkedConn == nil {
@@ -142,8 +80,8 @@
 	}
 }
 
-// closeNow closes the connection, whose goroutine then finds it closed. The caller sees the
-// close; an error would change nothing.
+// closeNow closes the connection: the next read or write of its goroutine fails. The caller sees
+// the close; an error would change nothing.
 func (checkedConn *checkedConn) closeNow() { _ = checkedConn.Conn.Close() }
 
 // Close closes the connection.
@@ -179,13 +117,14 @@
 	}
 }
 
-// stalledFor returns for how long the router has waited for the caller without progress.
-func (checkedConn *checkedConn) stalledFor(now time.Time) time.Duration {
+// stalledFor returns for how long the router has waited for the caller without progress, but for
+// its own stalls.
+func (checkedConn *checkedConn) stalledFor(now time.Time, stalls *memory.Stalls) time.Duration {
 	since := checkedConn.waitingSince.Load()
 	if since == 0 {
 		return 0
 	}
-	return now.Sub(time.Unix(0, since))
+	return stalls.Waited(now, time.Unix(0, since))
 }
 
 // hasReadSince reports whether bytes were read after a time.
@@ -204,9 +143,26 @@
 		return false
 	}
 	checkedConn.readAt = time.Now()
+	if checkedConn.headStartedAt.IsZero() {
+		checkedConn.headStartedAt = checkedConn.readAt
+	}
 	return true
 }
 
+// awaitHead says that the next bytes begin a head.
+func (checkedConn *checkedConn) awaitHead() {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headStartedAt = time.Time{}
+}
+
+// headStart returns when the head began that is being read, or zero if none has.
+func (checkedConn *checkedConn) headStart() time.Time {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.headStartedAt
+}
+
 // closeUnlessRead closes the connection unless bytes were read since a time, and reports
 // whether it did. A request is either served or never read.
 func (checkedConn *checkedConn) closeUnlessRead(since time.Time) bool {
@@ -231,25 +187,18 @@
 	// MaxHeadBytes returns the longest head that the configuration allows, or zero. With nil
 	// there is no configuration.
 	MaxHeadBytes func() int
-}
-
-// maxHeadBytes returns the longest head that is read. It is twice as much as the
-// configuration allows, so that most callers get the code HeadTooLarge.
-func (listener *Listener) maxHeadBytes() int {
-	if listener.MaxHeadBytes == nil {
-		return defaultMaxHeadBytes
-	}
-	return max(2*listener.MaxHeadBytes(), defaultMaxHeadBytes)
+	// OnNoRoom, if set, is called when a head is refused because there is no room for it.
+	OnNoRoom func()
 }
 
 // Accept returns the next connection. Its requests can be checked with
 // Unambiguous.
-func (listener Listener) Accept() (net.Conn, error) {
+func (listener *Listener) Accept() (net.Conn, error) {
 	conn, err := listener.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{Conn: conn, listener: &listener}, nil
+	return &checkedConn{Conn: conn, listener: listener}, nil
 }
 
 // ConnContext is the ConnContext callback of an http.Server. It stores conn in
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -102,7 +102,7 @@
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
 	}
 	exchange.start(answer.response.StatusCode)
-	exchange.releaseBody()
+	exchange.releaseBody(answer)
 	_, err := callerWriter{exchange}.Write(beginning)
 	exchange.releaseAnswer()
 	if err == nil {
@@ -118,6 +118,7 @@
 	exchange.handler.recordOutcome(answer.upstream, health.Succeeded)
 	exchange.recordSurvival(answer)
 	answer.release()
+	exchange.extendWriteDeadline()
 	return result.OK
 }
 
@@ -152,7 +153,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	exchange.start(answer.response.StatusCode)
-	exchange.releaseBody()
+	exchange.releaseBody(answer)
 	if _, err := (callerWriter{exchange}).Write(body); err != nil {
 		exchange.setCause(err)
 	}
@@ -245,6 +246,7 @@
 				exchange.copyHeader(first)
 				exchange.start(first.response.StatusCode)
 			}
+			exchange.extendWriteDeadline()
 			return result.OK
 		}
 		exchange.setCause(err)
@@ -335,7 +337,7 @@
 		exchange.copyHeader(first)
 		exchange.start(first.response.StatusCode)
 		if !exchange.route.Resumable {
-			exchange.releaseBody()
+			exchange.releaseBody(first)
 		}
 	}
 	if _, err := (callerWriter{exchange}).Write(stream.pending[:good]); err != nil {
@@ -345,7 +347,14 @@
 		exchange.callerFailed = true
 		return err
 	}
-	stream.pending = append(stream.pending[:0], stream.pending[good:]...)
+	rest := stream.pending[good:]
+	if exchange.reserved > 0 && exchange.earlier == 0 && len(rest) <= ownBufferBytes/2 {
+		// The long event has been written, and its buffer is not needed any more.
+		stream.pending = append([]byte(nil), rest...)
+		exchange.releaseAnswer()
+		return checkErr
+	}
+	stream.pending = append(stream.pending[:0], rest...)
 	return checkErr
 }
 
