forward: the deadline of a request reports no failed upstream

An attempt to connect that ended with the deadline of its request, and a report on the incarnation that came late, were recorded as failures of the upstream and told to all routers. A timeout now counts only if the attempt to connect had dialTimeout, a late report and a router that ends don't count.

TestDeadlineOfARequestIsNoFailure and TestLateReportIsNoFailure: cold before, pass now (go test -race ./forward).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -126,7 +128,9 @@
 	if err != nil {
 		exchange.setCause(err)
 		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
-			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+			if !isTimeout(err) || time.Since(connectingAt) >= dialTimeout {
+				exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+			}
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
@@ -135,7 +139,9 @@
 		return nil, exchange.withdraw(conn)
 	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
-		exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+		if !errors.Is(err, os.ErrDeadlineExceeded) && !exchange.callerLeft() && !exchange.handler.ended() {
+			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+		}
 		exchange.setCause(err)
 		conn.RecordBreak()
 		conn.Discard()
@@ -179,6 +185,14 @@
 	return answer, result.OK
 }
 
+// isTimeout reports whether an attempt to connect ended for lack of time. One that had less
+// than dialTimeout, since the deadline of its request is earlier, says nothing about the
+// upstream.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // evacuated reports whether the zone of an upstream is evacuated, by what the router knows now.
 func (exchange *exchange) evacuated(upstream registry.Upstream) bool {
 	if exchange.handler.AwaitCurrent != nil {
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -179,3 +180,70 @@
 	defer close(request.ended)
 	request.router.send(request.t, "long", "POST", "/once/", "").check(request.t, 200, "")
 }
+
+// TestDeadlineOfARequestIsNoFailure guards against a healthy upstream that all routers treat as
+// failed, since the deadline of a request ended while its connection was opened, and against
+// one that doesn't accept connections and is not treated as failed.
+func TestDeadlineOfARequestIsNoFailure(t *testing.T) {
+	for _, test := range []struct {
+		takes      time.Duration
+		deadlineMs string
+		want       bool
+	}{
+		{60 * time.Millisecond, "30", false},
+		{time.Minute, "1500", true},
+	} {
+		router := startRouter(t, startUpstream(t, echo))
+		router.handler.Quota = coldTracker(3 * time.Second)
+		router.handler.Connections = &forward.Connections{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialer := forward.Dialer()
+			ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+			defer cancel()
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(test.takes):
+			}
+			return dialer.DialContext(ctx, network, address)
+		}}
+		router.send(t, "a1", "POST", "/once/", "", "Hickoryhead-Deadline-Ms", test.deadlineMs)
+		if _, got := router.handler.Quota.ColdUntil(time.Now(), router.handler.Registry.Upstreams()[0]); got != test.want {
+			t.Errorf("got cold %t after a dial of %v with deadline %s ms, want %t", got, test.takes, test.deadlineMs, test.want)
+		}
+	}
+}
+
+// TestLateReportIsNoFailure guards against a busy upstream that all routers treat as failed,
+// since its report on which incarnation runs came late.
+func TestLateReportIsNoFailure(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprintf("late %t", late), func(t *testing.T) {
+			asked := make(chan struct{}, 1)
+			router := startRouter(t, startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+				if request.target != "/report" {
+					return wholeStream(ctx, conn, n, request)
+				}
+				asked <- struct{}{}
+				if late {
+					<-ctx.Done()
+				}
+				return false
+			}))
+			listed := router.handler.Registry.Upstreams()
+			listed[0].Incarnation, listed[0].Version = 1_700_000_000_001, 2
+			router.handler.Registry.Replace(time.Now(), 2, listed)
+			router.useSplit("v1", time.Minute)
+			router.handler.Quota = coldTracker(3 * time.Second)
+			router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20").check(t, 200, "")
+			router.takeUp(t, "a2", "a1").check(t, 503, "")
+			select {
+			case <-asked:
+			default:
+				t.Fatal("got no request for the report, want one")
+			}
+			if _, got := router.handler.Quota.ColdUntil(time.Now(), listed[0]); got == late {
+				t.Errorf("got cold %t after a report that was late: %t", got, late)
+			}
+		})
+	}
+}
