http1, quota: one closed connection refuses no request

A pool with a single idle connection that its upstream closed early counted as closed by an end of the process. The request that found it was withdrawn, and the upstream was cold for cold-start-s once it answered. Now one request is sent without a share, and its answer ends the state without a deadline. Several connections closed together are treated as before, so that a process that ended within the life of its row still returns cold.

--- a/entry/cold.go
+++ b/entry/cold.go
@@ -16,7 +16,9 @@
 	daemon.quota.OnCold = daemon.logCold
 	daemon.registry.OnStart = daemon.quota.Started
 	daemon.updater.OnRow = daemon.observeColdRow
-	daemon.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { daemon.quota.Closed(time.Now(), upstream) }
+	daemon.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+		daemon.quota.Closed(time.Now(), upstream, connections)
+	}
 	return daemon.metrics.Gauge("hickoryhead_cold_upstreams", "Upstreams that are cold.", func() int64 { return daemon.quota.CountCold(time.Now()) })
 }
 
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -141,7 +141,9 @@
 			router := startRouter(t, upstream)
 			tracker := coldTracker(3 * time.Second)
 			router.handler.Quota = tracker
-			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { tracker.Closed(time.Now(), upstream) }
+			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+				tracker.Closed(time.Now(), upstream, connections)
+			}
 			listed := router.handler.Registry.Upstreams()
 			ended := make(chan struct{})
 			if running {
@@ -247,3 +249,27 @@
 		})
 	}
 }
+
+// TestUpstreamsThatCloseIdleConnectionsAreUsed guards against a pool of healthy upstreams that
+// is refused, since each closed a single idle connection.
+func TestUpstreamsThatCloseIdleConnectionsAreUsed(t *testing.T) {
+	closing := func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		echo(ctx, conn, n, request)
+		return false
+	}
+	router := startRouter(t, startUpstream(t, closing), startUpstream(t, closing))
+	tracker := coldTracker(3 * time.Second)
+	router.handler.Quota = tracker
+	router.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+		tracker.Closed(time.Now(), upstream, connections)
+	}
+	for n := range 12 {
+		router.send(t, fmt.Sprint("a", n), "POST", "/once/", "").check(t, 200, "")
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, upstream := range router.handler.Registry.Upstreams() {
+		if until, _ := tracker.ColdUntil(time.Now(), upstream); !until.IsZero() {
+			t.Errorf("got upstream %s cold until %v, want no deadline", upstream.ID, until)
+		}
+	}
+}
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -63,8 +63,9 @@
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnAllClosed, unless nil, is called when an upstream has closed all its connections,
-	// none of which was in use or had been idle for long. It must not call Connections.
-	OnAllClosed func(upstream registry.Upstream)
+	// none of which was in use or had been idle for long, with their number. It must not
+	// call Connections.
+	OnAllClosed func(upstream registry.Upstream, connections int)
 	// Max is how many connections may be open before one that is idle is closed for each
 	// new one; zero means no bound. It is set before use.
 	Max int
@@ -94,7 +95,7 @@
 		return connections.Dial(ctx, "tcp", upstream.Address)
 	}}
 	if connections.OnAllClosed != nil {
-		pool.OnAllClosed = func() { connections.OnAllClosed(upstream) }
+		pool.OnAllClosed = func(closed int) { connections.OnAllClosed(upstream, closed) }
 	}
 	connections.pools[key] = pool
 	return pool
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -33,8 +33,10 @@
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 	// OnAllClosed, unless nil, is called when the peer has closed all connections, none of
-	// which was in use or idle for as long as it may be: its process has probably ended.
-	OnAllClosed func()
+	// which was in use or idle for as long as it may be, with the number of those found
+	// closed together: its process has probably ended. A single one may have been idle for
+	// longer than the peer keeps connections.
+	OnAllClosed func(connections int)
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -117,6 +119,7 @@
 // takeIdle returns the most recently used idle connection, or nil. It closes
 // connections that may no longer be used.
 func (pool *Pool) takeIdle(maxIdle time.Duration) *Conn {
+	closedEarly := 0
 	for {
 		conn := pool.pop()
 		if conn == nil {
@@ -130,10 +133,14 @@
 		if !open {
 			pool.recordBreak()
 		}
-		ended := !open && now.Before(conn.expiresAt) && pool.isLast()
+		early := !open && now.Before(conn.expiresAt)
+		if early {
+			closedEarly++
+		}
+		ended := early && pool.isLast()
 		conn.Discard()
 		if ended {
-			pool.reportAllClosed()
+			pool.reportAllClosed(closedEarly)
 		}
 	}
 }
@@ -145,9 +152,9 @@
 	return pool.open == 1
 }
 
-func (pool *Pool) reportAllClosed() {
+func (pool *Pool) reportAllClosed(connections int) {
 	if pool.OnAllClosed != nil {
-		pool.OnAllClosed()
+		pool.OnAllClosed(connections)
 	}
 }
 
@@ -272,7 +279,7 @@
 		conn.Discard()
 	}
 	if ended {
-		pool.reportAllClosed()
+		pool.reportAllClosed(closedEarly)
 	}
 }
 
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -115,6 +115,9 @@
 	// found closed, and nothing else is known.
 	failedAt time.Time
 	closed   bool
+	// single is set with closed if only one connection was found closed: the upstream may
+	// keep connections for less time than it states. One request finds out.
+	single bool
 	// triedAt is when the first attempt that failed was begun.
 	triedAt time.Time
 	// reported is set if other routers know of a failure since the last answer. Another one
@@ -232,7 +235,13 @@
 	if state.Failed && now.Before(state.probedAt.Add(probeInterval)) {
 		return false
 	}
-	return state.tokens >= 1
+	return state.tokens >= 1 || state.probesSingle()
+}
+
+// probesSingle reports whether a request may find out whether an upstream that closed a single
+// connection has ended, without a share of its rate.
+func (state *coldState) probesSingle() bool {
+	return state.Failed && state.closed && state.single && state.probedAt.IsZero()
 }
 
 // take counts a request.
@@ -423,9 +432,9 @@
 	}
 }
 
-// Closed records that the upstream closed all connections of this router, which were idle. It
-// may have other reasons than an end, so that other routers aren't told.
-func (tracker *Tracker) Closed(now time.Time, upstream registry.Upstream) {
+// Closed records that the upstream closed all connections of this router, which were idle, and
+// how many. It may have other reasons than an end, so that other routers aren't told.
+func (tracker *Tracker) Closed(now time.Time, upstream registry.Upstream, connections int) {
 	if tracker == nil {
 		return
 	}
@@ -440,7 +449,7 @@
 		return
 	}
 	tracker.fail(now, state, upstream, time.Time{})
-	state.closed = true
+	state.closed, state.single = true, connections == 1
 }
 
 // fail records a failure. The caller holds mu.
@@ -497,6 +506,11 @@
 		return Cold{}, false
 	}
 	next.Source, next.Until = ColdReturn, now.Add(rule.Start)
+	if state.closed && state.single {
+		// No attempt has failed.
+		next.Until = state.Until
+		return next, true
+	}
 	if sentAt.Before(state.triedAt) {
 		// A process that answers a request from before the attempt that failed has run
 		// all along.
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -338,7 +338,7 @@
 	if !tracker.MaySend(at(3.1), row(1), at(3)) {
 		t.Error("got a request to a warm upstream refused, want it sent")
 	}
-	tracker.Closed(at(3.1), row(1))
+	tracker.Closed(at(3.1), row(1), 2)
 	sent := 0
 	for range 20 {
 		if tracker.MaySend(at(3.3), row(1), at(3)) {
@@ -357,7 +357,7 @@
 // a failure, since this one had found its idle connections closed before.
 func TestFailureAfterClosedConnectionsIsReported(t *testing.T) {
 	tracker, _ := coldTracker(coldRuleOf(7.8))
-	tracker.Closed(at(3), row(1))
+	tracker.Closed(at(3), row(1), 2)
 	if got := len(tracker.TakeColds()); got != 0 {
 		t.Errorf("got %d states for other routers, want none", got)
 	}
@@ -378,7 +378,7 @@
 			tracker.SetFleet(at(0), name, names, names)
 			lapsed := 15.5
 			if closed {
-				tracker.Closed(at(10), row(1))
+				tracker.Closed(at(10), row(1), 2)
 				lapsed = 5
 			} else {
 				tracker.Failed(at(10), row(1), at(10))
