forward: choose again when an upstream became cold

An upstream that became cold while its connection was opened counted towards the tries of the request, so that it was refused after five although another one was warm. The request is now withdrawn from it as from one in an evacuated zone; withdrawn upstreams don't count as tried, and the refusal names the earliest time at which one of them takes a request.

TestRequestGoesToTheWarmUpstream: 503 HH2021 with one warm upstream of six before, 200 now (go test -race ./forward -run Cold|Evacuat|Close|Limit).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -109,15 +109,25 @@
 // attempt sends the request to the chosen upstream and reads the head of the answer.
 // The code is OK, or says whether the request may have run there. A non-empty
 // lastEvent asks for the rest of a stream after that event. If the zone of the upstream was
-// evacuated since the choice, another one is chosen.
+// evacuated since the choice, or the upstream became cold, another one is chosen.
 func (exchange *exchange) attempt(lastEvent string) (*answer, result.Code) {
 	for {
 		answer, code := exchange.send(exchange.choice.Upstream, lastEvent)
 		exchange.endTrial(code)
-		if code != result.ZonesEvacuated || !exchange.chooseNext(exchange.pool()) {
+		event := ""
+		switch code {
+		case result.ZonesEvacuated:
+			event = "evacuation.rechosen"
+		case result.UpstreamsCold:
+			event = "cold.rechosen"
+		default:
 			return answer, code
 		}
-		exchange.handler.Metrics.CountEvent("evacuation.rechosen")
+		exchange.withdrawn++
+		if !exchange.chooseNext(exchange.pool()) {
+			return nil, code
+		}
+		exchange.handler.Metrics.CountEvent(event)
 	}
 }
 
@@ -151,8 +161,12 @@
 		return nil, exchange.withdraw(conn)
 	}
 	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
-		// It was found to have ended while the connection was opened.
-		exchange.limitedAt = exchange.handler.Quota.NextAt(time.Now(), upstream)
+		// It was found to have ended while the connection was opened. A refused request
+		// may return when the first of those that it was withdrawn from takes one.
+		at := exchange.handler.Quota.NextAt(time.Now(), upstream)
+		if exchange.limitedAt.IsZero() || at.Before(exchange.limitedAt) {
+			exchange.limitedAt = at
+		}
 		exchange.setCauseText("the upstream became cold")
 		conn.Discard()
 		return nil, result.UpstreamsCold
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -273,3 +273,42 @@
 		}
 	}
 }
+
+// TestRequestGoesToTheWarmUpstream guards against a request that is refused although an
+// upstream is warm, since others became cold while their connections were opened.
+func TestRequestGoesToTheWarmUpstream(t *testing.T) {
+	for _, warm := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d warm", warm), func(t *testing.T) {
+			var upstreams []*fakeUpstream
+			for range 6 {
+				upstreams = append(upstreams, startUpstream(t, echo))
+			}
+			router := startRouter(t, upstreams...)
+			tracker := coldTracker(time.Minute)
+			router.handler.Quota = tracker
+			listed := router.handler.Registry.Upstreams()
+			dials := 0
+			router.handler.Connections = &forward.Connections{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials <= len(listed)-warm {
+					for _, upstream := range listed {
+						if upstream.Address == address {
+							tracker.MarkCold(time.Now(), []registry.Upstream{upstream})
+						}
+					}
+				}
+				return forward.Dialer().DialContext(ctx, network, address)
+			}}
+			sent := time.Now()
+			got := router.send(t, "a1", "POST", "/once/", "")
+			if warm > 0 {
+				got.check(t, 200, "")
+				return
+			}
+			retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			got.check(t, 503, "HH2021 Every upstream is cold\n")
+			if took := time.Since(sent); took > 500*time.Millisecond || err != nil || retryAfter <= 0 || retryAfter > 1 {
+				t.Errorf("got the refusal after %v with Retry-After %q, want it at once with at most 1 s", took, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -61,6 +61,9 @@
 	// the attempts that may have run it.
 	tried []ident.UpstreamID
 	runs  int
+	// withdrawn counts those of tried from which the request was withdrawn before any of it
+	// was sent.
+	withdrawn int
 	// sentAt is when the last attempt was sent, and connectedAt when the connection
 	// that carried it was established.
 	sentAt      time.Time
@@ -266,7 +269,7 @@
 		Code:       code,
 		Idempotent: exchange.route.Retryable(),
 		Deadline:   exchange.deadline,
-		Tried:      len(exchange.tried),
+		Tried:      len(exchange.tried) - exchange.withdrawn,
 		Candidates: candidates,
 		Runs:       exchange.runs,
 		MaxRuns:    exchange.route.MaxAttempts,
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -31,7 +31,11 @@
 	if exchange.standing().Allowance == strike.Refused {
 		return result.CrashingRequest
 	}
-	if until, code := exchange.limitedUntil(pool); !until.IsZero() {
+	until, code := exchange.limitedUntil(pool)
+	if withdrawn := exchange.limitedAt; pool != nil && !withdrawn.IsZero() && (until.IsZero() || withdrawn.Before(until)) {
+		return result.UpstreamsCold
+	}
+	if !until.IsZero() {
 		exchange.limitedAt = until
 		return code
 	}
