quota: an answer on its way takes back no failure

An answer that came in the milliseconds after a failure, to a request from before it, ended the failure at all routers, also where another router saw the failure. It now counts only if its request was sent after the failure, or if it came minAliveDelay later; for a stream that broke, the failure counts and not the start of the stream. Not taken over from the review: a return that another router tells doesn't let this one report its next failure. A router that alone can't reach an upstream would slow it down for all after each return.

TestColdSources, five new cases: three failed before, all pass now (go test -race ./quota ./forward -run Cold|Fail|Close).

--- a/quota/cold.go
+++ b/quota/cold.go
@@ -128,11 +128,12 @@
 }
 
 // contact is when this router last sent a request to an upstream, whatever its incarnation,
-// and last got an answer.
+// and last got an answer. answeredSentAt is when the latest of the answered requests was sent.
 type contact struct {
-	service    ident.ServiceName
-	sentAt     time.Time
-	answeredAt time.Time
+	service        ident.ServiceName
+	sentAt         time.Time
+	answeredAt     time.Time
+	answeredSentAt time.Time
 }
 
 // readRow is what is known of the reads of an upstream's row.
@@ -475,7 +476,8 @@
 		return
 	}
 	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
-	tracker.contact(upstream).answeredAt = now
+	last := tracker.contact(upstream)
+	last.answeredAt, last.answeredSentAt = now, later(last.answeredSentAt, sentAt)
 	state := tracker.colds[identity]
 	if state == nil && (remaining == nil || *remaining <= 0) {
 		return
@@ -502,7 +504,7 @@
 		return next, true
 	case remaining != nil:
 		return next, !sentAt.Before(state.SeenAt)
-	case !state.Failed:
+	case !state.Failed, !showsAlive(now, sentAt, state.SeenAt):
 		return Cold{}, false
 	}
 	next.Source, next.Until = ColdReturn, now.Add(rule.Start)
@@ -515,11 +517,16 @@
 		// A process that answers a request from before the attempt that failed has run
 		// all along.
 		next.Until = state.Until
-		return next, !now.Before(state.SeenAt.Add(minAliveDelay))
 	}
 	return next, true
 }
 
+// showsAlive reports whether an answer shows that an upstream ran after a failure: the request
+// was sent since, or the answer can't have been on its way before.
+func showsAlive(answeredAt, sentAt, failedAt time.Time) bool {
+	return !sentAt.Before(failedAt) || !answeredAt.Before(failedAt.Add(minAliveDelay))
+}
+
 // ApplyColds records what another router knows, and reports whether any of it is new.
 func (tracker *Tracker) ApplyColds(now time.Time, colds []Cold) bool {
 	if tracker == nil {
@@ -568,7 +575,7 @@
 // mu.
 func (tracker *Tracker) returned(failed Cold) (Cold, bool) {
 	last := tracker.contacts[failed.Upstream]
-	if !failed.Failed || last == nil || !last.answeredAt.After(failed.SeenAt) {
+	if !failed.Failed || last == nil || !last.answeredAt.After(failed.SeenAt) || !showsAlive(last.answeredAt, last.answeredSentAt, failed.SeenAt) {
 		return Cold{}, false
 	}
 	rule, found := tracker.coldRule(last.service)
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -122,6 +122,27 @@
 			tracker.Answered(at(3), row(1), at(2.9), nil)
 			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(2.9)}})
 		}, 6, false, 1},
+		{"failure at another router, answer here since that was on its way", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.002), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 0, true, 0},
+		{"failure at another router, answer here after that was on its way", func(tracker *quota.Tracker) {
+			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+			tracker.Answered(at(3.15), row(1), at(2.6), nil)
+		}, 0, true, 0},
+		{"failure at another router, later answer to a request from before", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.3), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.4), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 6.3, false, 1},
+		{"failure at another router, an answer since and one from before", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.1), row(1), at(3.05), nil)
+			tracker.Answered(at(3.12), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.2), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 6.12, false, 1},
+		{"failure, answer of a stream that began before it broke", func(tracker *quota.Tracker) {
+			tracker.Failed(at(3), row(1), at(1))
+			tracker.Answered(at(3.01), row(1), at(2.8), nil)
+		}, 0, true, 1},
 		{"old message", func(tracker *quota.Tracker) {
 			tracker.Started(at(3), row(1))
 			tracker.ApplyColds(at(4), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, SeenAt: at(2)}})
