gossip, quota: pace what is sent of cold upstreams

Each router reported each failure that it saw to all its partners, in one message with up to 500 upstreams. A ColdMessage now holds at most 25 upstreams, so that it can be encoded with the longest identifiers, goes out apart from the other messages, waits for a random time, and takes 500 bytes a second. A failure that a router of the group has reported is not reported again.

--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -162,7 +162,7 @@
 			if got == running {
 				t.Errorf("got cold %t, want %t", got, !running)
 			}
-			if len(tracker.TakeColds()) > 0 {
+			if len(tracker.TakeColds(500)) > 0 {
 				t.Error("got a message for other routers, want none: it may have closed them for another reason")
 			}
 			close(release)
--- a/gossip/cold_fleet_test.go
+++ b/gossip/cold_fleet_test.go
@@ -1,9 +1,12 @@
 package gossip_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/registry"
 )
 
@@ -35,3 +38,34 @@
 		})
 	}
 }
+
+// TestFailuresOfManyUpstreamsStayWithinTheBudget guards against routers that all report each
+// failure when a zone fails, and exceed their control bytes.
+func TestFailuresOfManyUpstreamsStayWithinTheBudget(t *testing.T) {
+	const budget, failures = 5000, 100
+	for _, size := range fleetSizes {
+		size.run(t, func(t *testing.T, fleet *fleet) {
+			time.Sleep(5 * time.Second)
+			for second := range 3 {
+				before := fleet.bytes()
+				for n := range failures {
+					for _, member := range fleet.members {
+						if second == 0 {
+							member.quota.Failed(time.Now(), registry.Upstream{ID: ident.UpstreamID(fmt.Sprintf("i-%010d", n)), Incarnation: 1, Service: "pool"}, time.Now())
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				var sent []int
+				for n, total := range fleet.bytes() {
+					sent = append(sent, total-before[n])
+				}
+				slices.Sort(sent)
+				t.Logf("second %d: %d B sent at the median, %d at most", second, sent[len(sent)/2], sent[len(sent)-1])
+				if got := sent[len(sent)/2]; got > budget {
+					t.Errorf("got %d B at the median in second %d, want at most %d", got, second, budget)
+				}
+			}
+		})
+	}
+}
--- a/gossip/cold_message.go
+++ b/gossip/cold_message.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +40,13 @@
 	coldMessageStart = 0x98
 	// maxColdRemaining limits for how long a message may say that an upstream is cold.
 	maxColdRemaining = ident.Milliseconds(time.Hour / time.Millisecond)
+	// maxColdsPerMessage limits the upstreams in a message, so that it fits into a datagram
+	// with the longest identifiers.
+	maxColdsPerMessage = 25
+	// coldBytesPerSecond limits what a router sends of its own knowledge: a tenth of what it
+	// may send for control. coldEntryBytes is what an upstream takes in a message.
+	coldBytesPerSecond = 500
+	coldEntryBytes     = 60
 )
 
 // newColdMessage returns the message of a router with what is known of upstreams, as of now.
@@ -105,14 +114,81 @@
 	return message, nil
 }
 
-// receiveColds applies the ColdMessage in a datagram. What is new in it is relayed.
+// coldsDue reports whether a ColdMessage has to be sent now. The first one waits for a random
+// time, in which another router of the group may report the same failure, and for longer if one
+// message doesn't hold all that is new. The caller holds mu.
+func (gossip *Gossip) coldsDue(now time.Time) bool {
+	pending := gossip.Quota.PendingColds()
+	if pending == 0 {
+		gossip.coldsAt, gossip.coldsPostponed = time.Time{}, false
+		return false
+	}
+	if gossip.coldsAt.IsZero() {
+		gossip.coldsAt = now.Add(rand.N(sendInterval))
+		if gossip.coldsAt.Before(gossip.coldsPausedUntil) {
+			gossip.coldsAt = gossip.coldsPausedUntil
+		}
+	}
+	if now.Before(gossip.coldsAt) {
+		return false
+	}
+	partners := max(gossip.topology.sends, 1)
+	if pending > coldsPerMessage(partners) && !gossip.coldsPostponed {
+		gossip.coldsPostponed = true
+		gossip.coldsAt = now.Add(rand.N(coldPause(partners * coldEntryBytes)))
+		return false
+	}
+	return true
+}
+
+// coldsPerMessage returns how many upstreams a message to so many routers may hold.
+func coldsPerMessage(partners int) int {
+	return max(min(coldBytesPerSecond/(partners*coldEntryBytes), maxColdsPerMessage), 1)
+}
+
+// coldPause returns the time in which a router may send so many bytes on cold upstreams.
+func coldPause(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / coldBytesPerSecond
+}
+
+// sendColds sends what is new of cold upstreams to the routers of the group and to the
+// receivers of its summaries. The caller holds mu.
+func (gossip *Gossip) sendColds(now time.Time) {
+	gossip.coldsAt = time.Time{}
+	partners := max(gossip.topology.sends, 1)
+	colds := gossip.Quota.TakeColds(coldsPerMessage(partners))
+	if len(colds) == 0 {
+		return
+	}
+	datagram := gossip.encode(newColdMessage(now, gossip.Router, colds))
+	for _, peers := range [][]*peer{gossip.topology.direct, gossip.topology.receivers} {
+		for _, peer := range peers {
+			gossip.sendAll(now, peer, [][]byte{datagram})
+		}
+	}
+	gossip.coldsPausedUntil = now.Add(coldPause(partners * len(datagram)))
+}
+
+// receiveColds applies the ColdMessage in a datagram. What is new in it is relayed. Failures
+// that a router of the group has reported are not reported again.
 func (gossip *Gossip) receiveColds(now time.Time, datagram []byte) error {
 	message, err := decodeColds(datagram)
 	if err != nil || message.Router == gossip.Router {
 		return err
 	}
-	if gossip.Quota.ApplyColds(now, message.colds(now)) {
+	colds := message.colds(now)
+	if gossip.inGroup(message.Router) {
+		gossip.Quota.DropFailures(colds)
+	}
+	if gossip.Quota.ApplyColds(now, colds) {
 		gossip.relayNews(message.Router, datagram)
 	}
 	return nil
 }
+
+// inGroup reports whether a run of a router belongs to the group of this router.
+func (gossip *Gossip) inGroup(router balance.RouterID) bool {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	return slices.Contains(gossip.memberRuns(), router)
+}
--- a/gossip/cold_test.go
+++ b/gossip/cold_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +74,13 @@
 			t.Errorf("%s: got error %v", name, err)
 		}
 	}
+	var longest []quota.Cold
+	for range maxColdsPerMessage {
+		longest = append(longest, quota.Cold{Upstream: ident.UpstreamID(strings.Repeat("i", ident.MaxLength)), Incarnation: 1 << 62, Version: 1 << 62, Until: now.Add(time.Hour), SeenAt: now})
+	}
+	if _, err := encode(newColdMessage(now, "x", longest)); err != nil {
+		t.Errorf("got %v for the longest identifiers, want a datagram", err)
+	}
 	if got := quota.ColdSource(99).String(); got != "unknown" {
 		t.Errorf("got source %q of a later program, want unknown", got)
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -143,6 +143,12 @@
 	stateRequests int
 	// evacuationsAt is when the evacuations are repeated.
 	evacuationsAt time.Time
+	// coldsAt is when the next ColdMessage is sent, zero if that is not determined, and
+	// coldsPausedUntil when what the last one took is over.
+	coldsAt          time.Time
+	coldsPausedUntil time.Time
+	// coldsPostponed is set if the next one was postponed since there is much news.
+	coldsPostponed bool
 }
 
 // Add adds the router at address, an IP:port, to the peers and immediately greets it. It
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -39,13 +39,16 @@
 	if !leaving && gossip.evacuationsDue(now) {
 		gossip.sendEvacuations(now)
 	}
+	if !leaving && gossip.coldsDue(now) {
+		gossip.sendColds(now)
+	}
 }
 
 // messageDue reports whether changes of upstreams are pending or the last message is long
 // enough ago for the number of partners. The caller holds mu.
 func (gossip *Gossip) messageDue(now time.Time) bool {
 	pause := max(gossip.pause(), sendInterval)
-	if gossip.Health.BreakPending() || gossip.Strikes.Pending() || gossip.Quota.Pending() {
+	if gossip.Health.BreakPending() || gossip.Strikes.Pending() || gossip.Quota.PendingLimits() {
 		pause = gossip.pause() / brokenPauseDivisor
 	}
 	return len(gossip.changes) > 0 || !now.Before(gossip.sentAt.Add(pause))
@@ -62,9 +65,6 @@
 	if limits := gossip.Quota.TakeReport(now, complete); len(limits) > 0 {
 		extra = append(extra, newLimitMessage(now, gossip.Router, limits))
 	}
-	if colds := gossip.Quota.TakeColds(); len(colds) > 0 {
-		extra = append(extra, newColdMessage(now, gossip.Router, colds))
-	}
 	changed := leaving || complete || len(extra) > 0 || len(outcomes) > 0 || len(updates) > 0 || len(gossip.changes) > 0 || len(counts) > 0
 	if !changed && now.Before(gossip.sentAt.Add(gossip.idlePause(now))) {
 		return
@@ -165,7 +165,9 @@
 		gossip.send(gossip.encode(newLimitMessage(now, gossip.Router, limits)), peer)
 	}
 	if colds := gossip.Quota.AllColds(now); len(colds) > 0 {
-		gossip.send(gossip.encode(newColdMessage(now, gossip.Router, colds)), peer)
+		for part := range slices.Chunk(colds, maxColdsPerMessage) {
+			gossip.send(gossip.encode(newColdMessage(now, gossip.Router, part)), peer)
+		}
 	}
 	if gossip.Splits != nil {
 		// Without splits the message says that this router knows of them.
@@ -190,7 +192,7 @@
 }
 
 // broadcast sends message to the peers that receive this router's messages, and the extra
-// messages on strikes, limits and cold upstreams also to the receivers of its summaries. One that is
+// messages on strikes and limits also to the receivers of its summaries. One that is
 // leaving goes to all peers. Unresponsive ones that are not due yet are left out, and those
 // removed that sent nothing for removeAfter. The caller holds mu.
 func (gossip *Gossip) broadcast(now time.Time, message Message, extra []any) {
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -591,9 +591,9 @@
 const maxColds = 8192
 
 // TakeColds returns the states that changed lately, which the next messages to other
-// routers have to say.
-func (tracker *Tracker) TakeColds() []Cold {
-	return tracker.selectColds(func(state *coldState) bool {
+// routers have to say, at most so many.
+func (tracker *Tracker) TakeColds(most int) []Cold {
+	return tracker.selectColds(most, func(state *coldState) bool {
 		if state.sends == 0 {
 			return false
 		}
@@ -604,10 +604,27 @@
 
 // AllColds returns all states in force, for a router that has just started.
 func (tracker *Tracker) AllColds(now time.Time) []Cold {
-	return tracker.selectColds(func(state *coldState) bool { return state.inForce(now) })
+	return tracker.selectColds(maxPerMessage, func(state *coldState) bool { return state.inForce(now) })
 }
 
-func (tracker *Tracker) selectColds(selects func(state *coldState) bool) []Cold {
+// DropFailures has this router not report failures that others, to which it would, know from
+// another one.
+func (tracker *Tracker) DropFailures(reported []Cold) {
+	if tracker == nil {
+		return
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	for _, cold := range reported {
+		state := tracker.colds[key{upstream: cold.Upstream, incarnation: cold.Incarnation}]
+		if cold.Failed && state != nil && state.Failed {
+			state.sends = 0
+		}
+	}
+}
+
+// selectColds returns the states for which selects reports true, at most so many.
+func (tracker *Tracker) selectColds(most int, selects func(state *coldState) bool) []Cold {
 	if tracker == nil {
 		return nil
 	}
@@ -615,7 +632,7 @@
 	defer tracker.mu.Unlock()
 	var colds []Cold
 	for _, state := range tracker.colds {
-		if len(colds) < maxPerMessage && selects(state) {
+		if len(colds) < most && selects(state) {
 			colds = append(colds, state.Cold)
 		}
 	}
--- a/quota/cold_fleet_test.go
+++ b/quota/cold_fleet_test.go
@@ -196,7 +196,7 @@
 
 // exchange has a router send what is new to the others, and take note of them.
 func (fleet *coldFleet) exchange(router *coldRouter) {
-	colds := router.tracker.TakeColds()
+	colds := router.tracker.TakeColds(500)
 	for _, other := range fleet.routers {
 		if other == router || other.island != router.island || fleet.random.IntN(fleet.lost) == 0 {
 			continue
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -150,11 +150,11 @@
 		{"a router that can't reach it fails again", func(tracker *quota.Tracker) {
 			tracker.ObserveRow(at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.TakeColds()
+			tracker.TakeColds(500)
 			tracker.ObserveRow(at(4), row(2), remaining(0))
 			tracker.ObserveRow(at(5), row(3), remaining(0))
-			tracker.TakeColds()
-			tracker.TakeColds()
+			tracker.TakeColds(500)
+			tracker.TakeColds(500)
 			tracker.Retain(at(5), []registry.Upstream{row(3)})
 			tracker.Failed(at(6), row(3), at(6))
 		}, 0, true, 0},
@@ -163,7 +163,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			tracker, _ := coldTracker(coldRuleOf(7.8))
 			test.play(tracker)
-			if got := len(tracker.TakeColds()); got != test.reported {
+			if got := len(tracker.TakeColds(500)); got != test.reported {
 				t.Errorf("got %d states for other routers, want %d", got, test.reported)
 			}
 			for _, after := range []float64{9, 6.9, 6.4, 5.9, 4.9, 4.45} {
@@ -219,7 +219,7 @@
 			if got := tracker.State(at(2), row(1)); got != quota.Unlimited {
 				t.Errorf("got state %d, want %d", got, quota.Unlimited)
 			}
-			if got := len(tracker.TakeColds()) + len(tracker.AllColds(at(2))); got != 0 || tracker.Pending() {
+			if got := len(tracker.TakeColds(500)) + len(tracker.AllColds(at(2))); got != 0 || tracker.Pending() {
 				t.Errorf("got %d states for other routers, want none", got)
 			}
 		})
@@ -379,11 +379,11 @@
 func TestFailureAfterClosedConnectionsIsReported(t *testing.T) {
 	tracker, _ := coldTracker(coldRuleOf(7.8))
 	tracker.Closed(at(3), row(1), 2)
-	if got := len(tracker.TakeColds()); got != 0 {
+	if got := len(tracker.TakeColds(500)); got != 0 {
 		t.Errorf("got %d states for other routers, want none", got)
 	}
 	tracker.Failed(at(3.5), row(1), at(3.4))
-	if got := len(tracker.TakeColds()); got != 1 {
+	if got := len(tracker.TakeColds(500)); got != 1 {
 		t.Errorf("got %d states for other routers, want 1", got)
 	}
 }
--- a/quota/report.go
+++ b/quota/report.go
@@ -16,6 +16,14 @@
 
 // Pending reports whether there is a change to tell other routers.
 func (tracker *Tracker) Pending() bool {
+	if tracker == nil {
+		return false
+	}
+	return tracker.PendingLimits() || tracker.PendingColds() > 0
+}
+
+// PendingLimits reports whether there is a change of a limit to tell other routers.
+func (tracker *Tracker) PendingLimits() bool {
 	if tracker == nil {
 		return false
 	}
@@ -26,12 +34,23 @@
 			return true
 		}
 	}
+	return false
+}
+
+// PendingColds returns of how many cold upstreams there is news to tell other routers.
+func (tracker *Tracker) PendingColds() int {
+	if tracker == nil {
+		return 0
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	count := 0
 	for _, state := range tracker.colds {
 		if state.sends > 0 {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // TakeReport returns what the next message to the other routers has to say: the limits
