quota, follow: a row clears a failure only if its call came after

A row counts as written after the version before it was read, and the time of that was when the store's answer arrived. With a slow store a row from before a failure ended it. Now the time at which the call was sent counts: follow.Table knows it, and OnRow passes it on.

TestColdSources, case of a slow store: not cold before, cold now (go test -race ./quota).

--- a/entry/cold.go
+++ b/entry/cold.go
@@ -44,9 +44,9 @@
 
 // observeColdRow records what a row read from the store says about whether its upstream is
 // cold.
-func (daemon *Daemon) observeColdRow(upstream registry.Upstream, value []byte) {
+func (daemon *Daemon) observeColdRow(upstream registry.Upstream, value []byte, sentAt time.Time) {
 	if daemon.coldRule(upstream.Service).Overage > 0 {
-		daemon.quota.ObserveRow(time.Now(), upstream, platform.DecodeCold(value))
+		daemon.quota.ObserveRow(time.Now(), sentAt, upstream, platform.DecodeCold(value))
 	}
 }
 
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -37,7 +37,7 @@
 
 // newUpstreamTable returns a table that follows the rows of the upstreams.
 func (daemon *Daemon) newUpstreamTable(store *platform.Store) *follow.Table {
-	return &follow.Table{
+	table := &follow.Table{
 		Name:        platform.ServerTable,
 		Pause:       upstreamPollInterval,
 		Due:         daemon.upstreamsDue,
@@ -50,6 +50,8 @@
 		Metrics:     daemon.metrics,
 		Logger:      logging.Component(daemon.Logger, "follow"),
 	}
+	daemon.updater.SentAt = table.SentAt
+	return table
 }
 
 // follower follows one table of the store.
--- a/follow/table.go
+++ b/follow/table.go
@@ -61,9 +61,13 @@
 	version  ident.Revision
 	loaded   bool
 	readAt   time.Time
+	sentAt   time.Time
 	failures int
 }
 
+// SentAt returns when the last call was sent. OnReplace and OnChange may call it.
+func (table *Table) SentAt() time.Time { return table.sentAt }
+
 // Run follows the table until ctx ends.
 func (table *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -94,6 +98,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout+hold.Duration())
 	defer cancel()
+	table.sentAt = time.Now()
 	records, err := table.Changes(callCtx, table.Name, table.version, hold)
 	if errors.Is(err, platform.ErrHistoryLost) {
 		table.loaded = false
@@ -114,6 +119,7 @@
 func (table *Table) readAll(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	table.sentAt = time.Now()
 	records, err := table.ReadAll(callCtx, table.Name, "")
 	if err != nil {
 		return err
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -33,8 +33,10 @@
 	// evacuation has ended.
 	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
 	// OnRow, unless nil, is called with each row of an upstream read from the store, before
-	// it is applied.
-	OnRow   func(upstream registry.Upstream, value []byte)
+	// it is applied, and with when the call that read it was sent. SentAt returns that; it is
+	// set with OnRow.
+	OnRow   func(upstream registry.Upstream, value []byte, sentAt time.Time)
+	SentAt  func() time.Time
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
@@ -143,7 +145,7 @@
 	}
 	upstream.Version = record.Version
 	if updater.OnRow != nil {
-		updater.OnRow(upstream, record.Value)
+		updater.OnRow(upstream, record.Value, updater.SentAt())
 	}
 	return upstream, true
 }
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -140,7 +140,9 @@
 type readRow struct {
 	incarnation registry.Incarnation
 	version     ident.Revision
-	readAt      time.Time
+	// sentAt is when the call that read it was sent: the store held no later version then, or
+	// not yet.
+	sentAt time.Time
 	// cold is set if that version says that the upstream is cold.
 	cold bool
 }
@@ -324,9 +326,10 @@
 	return true
 }
 
-// ObserveRow records a version of an upstream's row that this router has read. remaining is
-// how much longer the upstream is cold by it, nil if it doesn't say.
-func (tracker *Tracker) ObserveRow(now time.Time, upstream registry.Upstream, remaining *ident.Milliseconds) {
+// ObserveRow records a version of an upstream's row that this router has read, by a call to the
+// store that was sent at sentAt. remaining is how much longer the upstream is cold by it, nil
+// if it doesn't say.
+func (tracker *Tracker) ObserveRow(now, sentAt time.Time, upstream registry.Upstream, remaining *ident.Milliseconds) {
 	if tracker == nil {
 		return
 	}
@@ -344,14 +347,15 @@
 		tracker.rows = make(map[ident.UpstreamID]readRow)
 	}
 	cold := remaining != nil && *remaining > 0
-	tracker.rows[upstream.ID] = readRow{incarnation: upstream.Incarnation, version: upstream.Version, readAt: now, cold: cold}
+	tracker.rows[upstream.ID] = readRow{incarnation: upstream.Incarnation, version: upstream.Version, sentAt: sentAt, cold: cold}
 	if remaining == nil {
 		return
 	}
-	// The row was written after the version before it was read.
+	// The row was written after the call that read the version before it was sent. When the
+	// store answered that call is not known.
 	var wroteAfter time.Time
 	if known && last.version.Era() == upstream.Version.Era() {
-		wroteAfter = last.readAt
+		wroteAfter = last.sentAt
 	}
 	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
 	state := tracker.colds[identity]
--- a/quota/cold_fleet_test.go
+++ b/quota/cold_fleet_test.go
@@ -106,7 +106,7 @@
 		}
 		row := upstream.Upstream
 		row.Version = upstream.version
-		router.tracker.ObserveRow(fleet.now, row, fleet.remaining(upstream))
+		router.tracker.ObserveRow(fleet.now, fleet.now, row, fleet.remaining(upstream))
 		router.listed[row.ID] = row
 	}
 }
@@ -160,7 +160,7 @@
 				return
 			}
 			if reads {
-				router.tracker.ObserveRow(fleet.now, row, remaining)
+				router.tracker.ObserveRow(fleet.now, fleet.now, row, remaining)
 			}
 			present, known := router.listed[row.ID]
 			if known && present.Version > row.Version {
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -45,30 +45,30 @@
 		reported int
 	}{
 		{"never heard of", func(*quota.Tracker) {}, 0, false, 0},
-		{"first row says so", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), row(1), remaining(2000)) }, 5, false, 0},
-		{"first row says no", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), row(1), remaining(0)) }, 0, false, 0},
+		{"first row says so", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), at(3), row(1), remaining(2000)) }, 5, false, 0},
+		{"first row says no", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), at(3), row(1), remaining(0)) }, 0, false, 0},
 		{"cold again", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
-			tracker.ObserveRow(at(4), row(2), remaining(2000))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(4), at(4), row(2), remaining(2000))
 		}, 6, false, 1},
 		{"no message for each heartbeat", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(4000))
-			tracker.ObserveRow(at(4.2), row(2), remaining(2900))
-			tracker.ObserveRow(at(5.4), row(3), remaining(1600))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(4000))
+			tracker.ObserveRow(at(4.2), at(4.2), row(2), remaining(2900))
+			tracker.ObserveRow(at(5.4), at(5.4), row(3), remaining(1600))
 		}, 7, false, 0},
 		{"start, its row not read yet", func(tracker *quota.Tracker) { tracker.Started(at(3), row(1)) }, 6, false, 0},
 		{"start, its row says more exactly", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(1000))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(1000))
 			tracker.Started(at(3), row(1))
 		}, 4, false, 0},
 		{"start, its row says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
 			tracker.Started(at(3), row(1))
 		}, 6, false, 0},
 		{"start, a later row says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
 			tracker.Started(at(3), row(1))
-			tracker.ObserveRow(at(4.2), row(2), remaining(0))
+			tracker.ObserveRow(at(4.2), at(4.2), row(2), remaining(0))
 		}, 0, false, 1},
 		{"failure", func(tracker *quota.Tracker) { tracker.Failed(at(3), row(1), at(3)) }, 0, true, 1},
 		{"failure, answered after", func(tracker *quota.Tracker) {
@@ -88,20 +88,25 @@
 			tracker.Answered(at(3.5), row(1), at(2.8), nil)
 		}, 6.5, false, 1},
 		{"failure, a row written after says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(3.2), row(2), remaining(0))
-			tracker.ObserveRow(at(4.4), row(3), remaining(0))
+			tracker.ObserveRow(at(3.2), at(3.2), row(2), remaining(0))
+			tracker.ObserveRow(at(4.4), at(4.4), row(3), remaining(0))
 		}, 0, false, 1},
 		{"failure, a row that may have been written before says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(3.2), row(2), remaining(0))
+			tracker.ObserveRow(at(3.2), at(3.2), row(2), remaining(0))
 		}, 0, true, 1},
 		{"failure, a row that is not new", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(9), row(1), remaining(0))
+			tracker.ObserveRow(at(9), at(9), row(1), remaining(0))
+		}, 0, true, 1},
+		{"failure, a row that may have been written before, from a slow store", func(tracker *quota.Tracker) {
+			tracker.ObserveRow(at(3.4), at(2), row(1), remaining(0))
+			tracker.Failed(at(3.1), row(1), at(3.1))
+			tracker.ObserveRow(at(4), at(3.41), row(2), remaining(0))
 		}, 0, true, 1},
 		{"header", func(tracker *quota.Tracker) { tracker.Answered(at(3), row(1), at(2.9), remaining(1500)) }, 4.5, false, 1},
 		{"header says no", func(tracker *quota.Tracker) {
@@ -148,11 +153,11 @@
 			tracker.ApplyColds(at(4), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, SeenAt: at(2)}})
 		}, 6, false, 0},
 		{"a router that can't reach it fails again", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
 			tracker.TakeColds(500)
-			tracker.ObserveRow(at(4), row(2), remaining(0))
-			tracker.ObserveRow(at(5), row(3), remaining(0))
+			tracker.ObserveRow(at(4), at(4), row(2), remaining(0))
+			tracker.ObserveRow(at(5), at(5), row(3), remaining(0))
 			tracker.TakeColds(500)
 			tracker.TakeColds(500)
 			tracker.Retain(at(5), []registry.Upstream{row(3)})
@@ -206,7 +211,7 @@
 	none := func(ident.ServiceName) quota.ColdRule { return quota.ColdRule{} }
 	for name, tracker := range map[string]*quota.Tracker{"nil": nil, "zero": {}, "no rule": {ColdRule: none}} {
 		t.Run(name, func(t *testing.T) {
-			tracker.ObserveRow(at(1), row(1), remaining(5000))
+			tracker.ObserveRow(at(1), at(1), row(1), remaining(5000))
 			tracker.Started(at(1), row(1))
 			tracker.Failed(at(1), row(1), at(1))
 			tracker.Answered(at(1.5), row(1), at(1.4), remaining(5000))
@@ -231,7 +236,7 @@
 func TestColdRowsBeforeTheConfiguration(t *testing.T) {
 	rule := quota.ColdRule{Overage: 1.5, Slack: 5}
 	tracker := &quota.Tracker{ColdRule: func(ident.ServiceName) quota.ColdRule { return rule }}
-	tracker.ObserveRow(at(1), row(1), remaining(3000))
+	tracker.ObserveRow(at(1), at(1), row(1), remaining(3000))
 	rule = coldRuleOf(7.8)
 	if _, cold := tracker.ColdUntil(at(2), row(1)); !cold {
 		t.Error("got an upstream that is not cold, want it cold")
