--- a/quota/cold_fleet_test.go
+++ b/quota/cold_fleet_test.go
@@ -338,15 +338,23 @@
 	}
 }
 
-// coldSizes are the fleets and rates that are played.
-var coldSizes = []struct {
+// coldSize is a number of routers with the rate of a cold upstream.
+type coldSize struct {
 	routers   int
 	perSecond float64
-}{{1, 7.8}, {2, 7.8}, {6, 7.8}, {8, 7.8}, {18, 7.8}, {18, 14}, {6, 14}, {40, 14}, {18, 2}}
+}
+
+// coldSizes are the fleets and rates that are played.
+var coldSizes = []coldSize{{1, 7.8}, {2, 7.8}, {6, 7.8}, {8, 7.8}, {18, 7.8}, {18, 14}, {6, 14}, {40, 14}, {18, 2}, {2, 16}, {18, 20}, {18, 40}}
 
 // playCold runs a scenario at all sizes.
 func playCold(t *testing.T, leastShare float64, play func(fleet *coldFleet)) {
-	for _, size := range coldSizes {
+	playColdAt(t, coldSizes, leastShare, play)
+}
+
+// playColdAt runs a scenario at the given sizes.
+func playColdAt(t *testing.T, sizes []coldSize, leastShare float64, play func(fleet *coldFleet)) {
+	for _, size := range sizes {
 		t.Run(fmt.Sprintf("%d routers, %v a second", size.routers, size.perSecond), func(t *testing.T) {
 			fleet := newColdFleet(uint64(size.routers), size.routers, 6, coldRuleOf(size.perSecond))
 			fleet.play(6 * time.Second)
@@ -370,6 +378,18 @@
 	})
 }
 
+// TestHighColdRateIsUsed guards against routers that leave upstreams idle at rates of which each
+// sharing router has a large part, or so many share that none can save up a request.
+func TestHighColdRateIsUsed(t *testing.T) {
+	playColdAt(t, []coldSize{{6, 20}, {103, 40}}, usedWhileWaiting, func(fleet *coldFleet) {
+		for _, upstream := range fleet.upstreams {
+			fleet.crash(upstream, time.Second+fleet.upTo(time.Second), true)
+			fleet.play(1500 * time.Millisecond)
+		}
+		fleet.play(5 * time.Second)
+	})
+}
+
 // TestZoneReturnsColdBeforeItsRowsExpire guards against too many requests at upstreams that
 // were away for less time than their rows take to expire.
 func TestZoneReturnsColdBeforeItsRowsExpire(t *testing.T) {
