quota, gossip: shares of routers that no longer exist lapse

Rows of routers are never removed, so that a router that starts counts every address ever registered. Where half of these or fewer run, no majority ever let their shares lapse, for the life of the process. Only a router that was heard needs the majority now; one that was never heard keeps its share until package gossip drops it, after two minutes. Gossip.Heard leaves out routers whose address alone is known, which Live counts for a moment.

--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -33,7 +33,7 @@
 	daemon.quota.Retain(now, listed)
 	daemon.quota.SetRouters(now, daemon.gossip.Address, daemon.gossip.Live(now))
 	if daemon.warmup.isRegistered() {
-		daemon.quota.SetFleet(now, daemon.gossip.Address, daemon.gossip.Addresses(), daemon.gossip.Live(now))
+		daemon.quota.SetFleet(now, daemon.gossip.Address, daemon.gossip.Addresses(), daemon.gossip.Heard(now))
 	}
 	daemon.loads.Expire(now)
 	daemon.strikes.Maintain(now)
--- a/gossip/cold_fleet_test.go
+++ b/gossip/cold_fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -69,3 +70,22 @@
 		})
 	}
 }
+
+// TestRegisteredRouterThatNeverRanIsNotHeard guards against an address that was registered once
+// and counts as that of a router which ran since this one has started.
+func TestRegisteredRouterThatNeverRanIsNotHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(3, 3, 0)
+		defer fleet.stop()
+		first := fleet.members[0].gossip
+		first.Add(addressOf(9).String())
+		if got := len(first.Live(time.Now())); got != 4 {
+			t.Errorf("got %d live routers at first, want 4", got)
+		}
+		time.Sleep(2 * time.Second)
+		want := []string{fleet.members[0].gossip.Address, fleet.members[1].gossip.Address, fleet.members[2].gossip.Address}
+		if got := slices.Sorted(slices.Values(first.Heard(time.Now()))); !slices.Equal(got, slices.Sorted(slices.Values(want))) {
+			t.Errorf("got %v heard, want %v", got, want)
+		}
+	})
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -44,6 +44,8 @@
 	receivedAt time.Time
 	directAt   time.Time
 	sentAt     time.Time
+	// addedAt is when its address became known, which counts as receivedAt at first.
+	addedAt time.Time
 	// greetedAt is when the router last got a hello because it sent a Message, and helloAt
 	// when it last got an answer to one.
 	greetedAt time.Time
@@ -185,7 +187,7 @@
 	if gossip.peers == nil {
 		gossip.peers = make(map[string]*peer)
 	}
-	added := &peer{name: address, hash: hashAddress(address), address: net.UDPAddrFromAddrPort(parsed), receivedAt: now}
+	added := &peer{name: address, hash: hashAddress(address), address: net.UDPAddrFromAddrPort(parsed), receivedAt: now, addedAt: now}
 	gossip.peers[address] = added
 	gossip.topologyStale = true
 	gossip.Logger.Info("Router added.", "Address", address)
@@ -275,6 +277,20 @@
 	return live
 }
 
+// Heard returns the addresses of the peers of which a message, or one of another router that lists
+// them, came recently, and of the router itself, in no particular order.
+func (gossip *Gossip) Heard(now time.Time) []string {
+	gossip.mu.Lock()
+	defer gossip.mu.Unlock()
+	heard := []string{gossip.Address}
+	for address, peer := range gossip.peers {
+		if peer.receivedAt.After(peer.addedAt) && gossip.alive(now, peer) {
+			heard = append(heard, address)
+		}
+	}
+	return heard
+}
+
 // alive reports whether a peer was added or is known to have run recently. The caller
 // holds mu.
 func (gossip *Gossip) alive(now time.Time, peer *peer) bool {
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -418,3 +418,32 @@
 		}
 	}
 }
+
+// TestRoutersThatNeverRanHaveNoShareForLong guards against a router that has just started and
+// keeps the shares of all addresses that were ever registered for the life of its process,
+// where fewer than half of them run.
+func TestRoutersThatNeverRanHaveNoShareForLong(t *testing.T) {
+	registered := []string{"router-0", "router-1", "router-2", "router-3"}
+	for _, heard := range []bool{false, true} {
+		tracker, _ := coldTracker(quota.ColdRule{Start: time.Minute, PerSecond: 4, Overage: 3, Slack: 5})
+		tracker.SetFleet(at(0), "router-0", registered, registered[:1])
+		if heard {
+			tracker.SetFleet(at(1), "router-0", registered, registered)
+		}
+		tracker.SetFleet(at(5), "router-0", registered, registered[:1])
+		tracker.SetFleet(at(125), "router-0", registered[:1], registered[:1])
+		tracker.SetFleet(at(130), "router-0", registered[:1], registered[:1])
+		tracker.MarkCold(at(130), []registry.Upstream{row(1)})
+		count := 0
+		for now := at(130); now.Before(at(160)); now = now.Add(10 * time.Millisecond) {
+			count += taken(tracker, now)
+		}
+		want := 4.0
+		if heard {
+			want = 1
+		}
+		if got := float64(count) / 30; got < want-0.2 || got > want+0.1 {
+			t.Errorf("got %.2f requests a second, want %.2f (the others were heard: %t)", got, want, heard)
+		}
+	}
+}
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -45,24 +45,27 @@
 	removedAt map[string]time.Time
 	// settledAt is when this router may send its share.
 	settledAt time.Time
-	// live are the routers that ran lately, sorted.
-	live []string
+	// live are the routers that ran lately, sorted, and heard all that this router has ever
+	// heard of.
+	live  []string
+	heard map[string]struct{}
 	// revision grows with each change of the shares.
 	revision uint64
 }
 
 // SetFleet sets the address of this router, those of all routers that are known, and those
-// of them that are known to run. A router that is no longer known keeps its share for a
+// of them of which a message came lately. A router that is no longer known keeps its share for a
 // moment if it ran until lately, since it has said that it leaves. One that was silent
 // before keeps it unless more than half of the fleet runs as far as this router knows:
-// otherwise this router may be the one that is cut off.
+// otherwise this router may be the one that is cut off. One that was never heard doesn't keep
+// it: rows of routers outlast them.
 func (tracker *Tracker) SetFleet(now time.Time, self string, known, live []string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	fleet := &tracker.fleet
 	if fleet.self == "" {
 		fleet.self, fleet.settledAt = self, now.Add(fleetSettleTime)
-		fleet.removedAt = make(map[string]time.Time)
+		fleet.removedAt, fleet.heard = make(map[string]time.Time), make(map[string]struct{})
 		fleet.revision++
 	}
 	majority := 2*len(live) > len(fleet.routers)-len(fleet.removedAt)
@@ -73,7 +76,8 @@
 			continue
 		}
 		_, ran := slices.BinarySearch(fleet.live, former)
-		if _, removed := fleet.removedAt[former]; !removed && (majority || ran) {
+		_, heard := fleet.heard[former]
+		if _, removed := fleet.removedAt[former]; !removed && (majority || ran || !heard) {
 			fleet.removedAt[former] = now
 		}
 	}
@@ -84,6 +88,9 @@
 	}
 	slices.Sort(next)
 	fleet.live = slices.Sorted(slices.Values(live))
+	for _, router := range live {
+		fleet.heard[router] = struct{}{}
+	}
 	if !slices.Equal(next, fleet.routers) {
 		fleet.routers = next
 		fleet.revision++
@@ -104,6 +111,7 @@
 			continue
 		}
 		delete(fleet.removedAt, router)
+		delete(fleet.heard, router)
 		fleet.routers = slices.DeleteFunc(slices.Clone(fleet.routers), func(other string) bool { return other == router })
 		fleet.revision++
 	}
