quota: failed states lapse without requests; fewer locks for each attempt

A failed state ended only when a request asked for it, and stayed for good where the service lost its rule: Retain now ends both. AllColds gives the latest states in place of any 500. A router that becomes a reader while an upstream is listed tells the others what its row says. MaySend takes no lock while no upstream is cold, Answered none without a rule, and Take asks for the rule before it locks.

--- a/quota/cold.go
+++ b/quota/cold.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -147,7 +148,7 @@
 	cold bool
 }
 
-// coldRule returns the rule for a service. The caller holds mu.
+// coldRule returns the rule for a service.
 func (tracker *Tracker) coldRule(service ident.ServiceName) (ColdRule, bool) {
 	if tracker == nil || tracker.ColdRule == nil {
 		return ColdRule{}, false
@@ -170,19 +171,25 @@
 	if !found {
 		return nil
 	}
-	if state.Failed && now.Sub(state.failedAt) >= tracker.failureLifetime(state, rule) {
-		next := state.Cold
-		next.Failed = false
-		tracker.setCold(now, state, next, 0)
-		state.reported = false
-		if !state.inForce(now) {
-			return nil
-		}
+	tracker.lapse(now, state, rule)
+	if !state.inForce(now) {
+		return nil
 	}
 	tracker.fillCold(now, state, rule)
 	return state
 }
 
+// lapse ends a failure of which nothing was heard for failureLifetime. The caller holds mu.
+func (tracker *Tracker) lapse(now time.Time, state *coldState, rule ColdRule) {
+	if !state.Failed || now.Sub(state.failedAt) < tracker.failureLifetime(state, rule) {
+		return
+	}
+	next := state.Cold
+	next.Failed = false
+	tracker.setCold(now, state, next, 0)
+	state.reported = false
+}
+
 // failureLifetime returns for how long an upstream is taken for failed of which nothing more
 // is heard. A router without a share can't find out by itself, and must not be kept from an
 // upstream for good that only it could not reach. The fleet is large enough then that all
@@ -275,6 +282,7 @@
 	if state == nil {
 		state = &coldState{Cold: Cold{Upstream: identity.upstream, Incarnation: identity.incarnation}}
 		tracker.colds[identity] = state
+		tracker.coldCount.Store(int64(len(tracker.colds)))
 	}
 	return state
 }
@@ -373,7 +381,7 @@
 		return
 	}
 	sends := sendsPerChange
-	if !known {
+	if _, listed := tracker.listed[identity]; !known && !listed {
 		// Other routers learn of a new incarnation with the change of the upstream.
 		sends = 0
 	}
@@ -473,12 +481,12 @@
 	if tracker == nil {
 		return
 	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
 	rule, found := tracker.coldRule(upstream.Service)
 	if !found {
 		return
 	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
 	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
 	last := tracker.contact(upstream)
 	last.answeredAt, last.answeredSentAt = now, later(last.answeredSentAt, sentAt)
@@ -606,9 +614,11 @@
 	})
 }
 
-// AllColds returns all states in force, for a router that has just started.
+// AllColds returns the states in force, the latest first, at most maxPerMessage, for a router that has just started.
 func (tracker *Tracker) AllColds(now time.Time) []Cold {
-	return tracker.selectColds(maxPerMessage, func(state *coldState) bool { return state.inForce(now) })
+	colds := tracker.selectColds(maxColds, func(state *coldState) bool { return state.inForce(now) })
+	slices.SortFunc(colds, func(a, b Cold) int { return b.SeenAt.Compare(a.SeenAt) })
+	return colds[:min(len(colds), maxPerMessage)]
 }
 
 // DropFailures has this router not report failures that others, to which it would, know from
@@ -673,14 +683,22 @@
 
 // retainColds forgets states that say nothing any more, and all of incarnations that are not
 // listed. The caller holds mu.
-func (tracker *Tracker) retainColds(now time.Time, present map[key]struct{}) {
+func (tracker *Tracker) retainColds(now time.Time, present map[key]ident.ServiceName) {
 	for identity, state := range tracker.colds {
-		_, listed := present[identity]
+		service, listed := present[identity]
+		if rule, found := tracker.coldRule(service); listed && found {
+			tracker.lapse(now, state, rule)
+		} else if listed && tracker.ColdRule(service).Overage <= 0 {
+			// Without a configuration yet the state is kept.
+			delete(tracker.colds, identity)
+			continue
+		}
 		over := !state.inForce(now) && state.sends == 0 && !state.reported
 		if over || !listed && now.Sub(state.SeenAt) > unlistedLifetime {
 			delete(tracker.colds, identity)
 		}
 	}
+	tracker.coldCount.Store(int64(len(tracker.colds)))
 	ids := make(map[ident.UpstreamID]struct{}, len(present))
 	for identity := range present {
 		ids[identity.upstream] = struct{}{}
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -447,3 +448,62 @@
 		}
 	}
 }
+
+// TestFailedStateLapsesWithoutRequests guards against failed states that stay for good at a router
+// without requests there, or once the service has no rule any more.
+func TestFailedStateLapsesWithoutRequests(t *testing.T) {
+	for _, withRule := range []bool{true, false} {
+		rule := coldRuleOf(7.8)
+		tracker := &quota.Tracker{ColdRule: func(ident.ServiceName) quota.ColdRule { return rule }}
+		tracker.SetFleet(at(0), "router-0", []string{"router-0"}, []string{"router-0"})
+		tracker.Failed(at(3), row(1), at(3))
+		tracker.TakeColds(500)
+		tracker.Retain(at(4), []registry.Upstream{row(1)})
+		if got := tracker.CountCold(at(4)); got != 1 {
+			t.Errorf("got %d cold upstreams after the failure, want 1", got)
+		}
+		if !withRule {
+			rule = quota.ColdRule{}
+		}
+		tracker.Retain(at(20), []registry.Upstream{row(1)})
+		if got := tracker.CountCold(at(20)); got != 0 {
+			t.Errorf("got %d cold upstreams long after, want none (rule in force: %t)", got, withRule)
+		}
+	}
+}
+
+// TestNewReaderReportsListedUpstream guards against other routers that never learn the deadline
+// of an upstream, since the router that reads its row had not read it before.
+func TestNewReaderReportsListedUpstream(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		tracker, _ := coldTracker(coldRuleOf(7.8))
+		if listed {
+			tracker.Take(at(2), row(1))
+			tracker.Retain(at(2), []registry.Upstream{row(1)})
+		}
+		tracker.ObserveRow(at(3), at(3), row(2), remaining(2000))
+		if got := len(tracker.TakeColds(500)) > 0; got != listed {
+			t.Errorf("got a state for other routers: %t, want %t", got, listed)
+		}
+	}
+}
+
+// TestFullStateHasTheLatest guards against a router that starts and is not told the latest
+// states, since there are more than a message holds.
+func TestFullStateHasTheLatest(t *testing.T) {
+	tracker, _ := coldTracker(coldRuleOf(7.8))
+	for n := range 600 {
+		other := row(1)
+		other.ID = ident.UpstreamID(fmt.Sprint("i-", n))
+		tracker.MarkCold(at(3+float64(n)/1000), []registry.Upstream{other})
+	}
+	colds := tracker.AllColds(at(4))
+	if len(colds) != 500 {
+		t.Fatalf("got %d states, want 500", len(colds))
+	}
+	for _, cold := range colds {
+		if cold.SeenAt.Before(at(3.0999)) {
+			t.Errorf("got the state of %s from %v, want later ones", cold.Upstream, cold.SeenAt)
+		}
+	}
+}
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,6 +89,10 @@
 	colds    map[key]*coldState
 	contacts map[ident.UpstreamID]*contact
 	rows     map[ident.UpstreamID]readRow
+	// listed are the upstreams of the last call of Retain, with their services, and coldCount
+	// is the number of colds.
+	listed    map[key]ident.ServiceName
+	coldCount atomic.Int64
 }
 
 // SetRouters sets the address of this router and of all routers that are known to
@@ -301,6 +306,7 @@
 	if tracker == nil {
 		return true
 	}
+	_, mayBeCold := tracker.coldRule(upstream.Service)
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	if !tracker.restsUntil(now, upstream).IsZero() {
@@ -316,7 +322,7 @@
 	if cold != nil {
 		cold.take(now)
 	}
-	if _, found := tracker.coldRule(upstream.Service); found {
+	if mayBeCold {
 		tracker.contact(upstream).sentAt = now
 	}
 	return true
@@ -325,7 +331,7 @@
 // MaySend reports whether a request that Take allowed at takenAt may still be sent: if the
 // upstream has become cold since, it is counted once more.
 func (tracker *Tracker) MaySend(now time.Time, upstream registry.Upstream, takenAt time.Time) bool {
-	if tracker == nil {
+	if tracker == nil || tracker.coldCount.Load() == 0 {
 		return true
 	}
 	tracker.mu.Lock()
@@ -381,10 +387,11 @@
 	if len(tracker.buckets)+len(tracker.colds)+len(tracker.contacts)+len(tracker.rows) == 0 {
 		return
 	}
-	present := make(map[key]struct{}, len(listed))
+	present := make(map[key]ident.ServiceName, len(listed))
 	for _, upstream := range listed {
-		present[key{upstream: upstream.ID, incarnation: upstream.Incarnation}] = struct{}{}
+		present[key{upstream: upstream.ID, incarnation: upstream.Incarnation}] = upstream.Service
 	}
+	tracker.listed = present
 	tracker.retainColds(now, present)
 	for identity, bucket := range tracker.buckets {
 		if _, found := present[identity]; !found && now.Sub(bucket.SeenAt) > unlistedLifetime {
