--- a/entry/cold.go
+++ b/entry/cold.go
@@ -16,7 +16,9 @@
 	daemon.quota.OnCold = daemon.logCold
 	daemon.registry.OnStart = daemon.quota.Started
 	daemon.updater.OnRow = daemon.observeColdRow
-	daemon.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { daemon.quota.Closed(time.Now(), upstream) }
+	daemon.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+		daemon.quota.Closed(time.Now(), upstream, connections)
+	}
 	return daemon.metrics.Gauge("hickoryhead_cold_upstreams", "Upstreams that are cold.", func() int64 { return daemon.quota.CountCold(time.Now()) })
 }
 
@@ -42,9 +44,9 @@
 
 // observeColdRow records what a row read from the store says about whether its upstream is
 // cold.
-func (daemon *Daemon) observeColdRow(upstream registry.Upstream, value []byte) {
+func (daemon *Daemon) observeColdRow(upstream registry.Upstream, value []byte, sentAt time.Time) {
 	if daemon.coldRule(upstream.Service).Overage > 0 {
-		daemon.quota.ObserveRow(time.Now(), upstream, platform.DecodeCold(value))
+		daemon.quota.ObserveRow(time.Now(), sentAt, upstream, platform.DecodeCold(value))
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,15 +113,25 @@
 // attempt sends the request to the chosen upstream and reads the head of the answer.
 // The code is OK, or says whether the request may have run there. A non-empty
 // lastEvent asks for the rest of a stream after that event. If the zone of the upstream was
-// evacuated since the choice, another one is chosen.
+// evacuated since the choice, or the upstream became cold, another one is chosen.
 func (exchange *exchange) attempt(lastEvent string) (*answer, result.Code) {
 	for {
 		answer, code := exchange.send(exchange.choice.Upstream, lastEvent)
 		exchange.endTrial(code)
-		if code != result.ZonesEvacuated || !exchange.chooseNext(exchange.pool()) {
+		event := ""
+		switch code {
+		case result.ZonesEvacuated:
+			event = "evacuation.rechosen"
+		case result.UpstreamsCold:
+			event = "cold.rechosen"
+		default:
 			return answer, code
 		}
-		exchange.handler.Metrics.CountEvent("evacuation.rechosen")
+		exchange.withdrawn++
+		if !exchange.chooseNext(exchange.pool()) {
+			return nil, code
+		}
+		exchange.handler.Metrics.CountEvent(event)
 	}
 }
 
@@ -130,7 +142,9 @@
 	if err != nil {
 		exchange.setCause(err)
 		if !exchange.callerLeft() && !errors.Is(err, http1.ErrFull) {
-			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+			if !isTimeout(err) || time.Since(connectingAt) >= dialTimeout {
+				exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+			}
 			exchange.handler.recordOutcome(upstream, health.Unreachable)
 		}
 		return nil, result.UpstreamUnreachable
@@ -139,7 +153,9 @@
 		return nil, exchange.withdraw(conn)
 	}
 	if err := exchange.checkIdentity(upstream, conn); err != nil {
-		exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+		if !errors.Is(err, os.ErrDeadlineExceeded) && !exchange.callerLeft() && !exchange.handler.ended() {
+			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
+		}
 		exchange.setCause(err)
 		conn.RecordBreak()
 		conn.Discard()
@@ -149,8 +165,12 @@
 		return nil, exchange.withdraw(conn)
 	}
 	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
-		// It was found to have ended while the connection was opened.
-		exchange.limitedAt = exchange.handler.Quota.NextAt(time.Now(), upstream)
+		// It was found to have ended while the connection was opened. A refused request
+		// may return when the first of those that it was withdrawn from takes one.
+		at := exchange.handler.Quota.NextAt(time.Now(), upstream)
+		if exchange.limitedAt.IsZero() || at.Before(exchange.limitedAt) {
+			exchange.limitedAt = at
+		}
 		exchange.setCauseText("the upstream became cold")
 		conn.Discard()
 		return nil, result.UpstreamsCold
@@ -184,6 +204,14 @@
 	return answer, result.OK
 }
 
+// isTimeout reports whether an attempt to connect ended for lack of time. One that had less
+// than dialTimeout, since the deadline of its request is earlier, says nothing about the
+// upstream.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // evacuated reports whether the zone of an upstream is evacuated, by what the router knows now.
 func (exchange *exchange) evacuated(upstream registry.Upstream) bool {
 	if exchange.handler.AwaitCurrent != nil {
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/quota"
 	"github.com/hickoryhead/hickoryhead/registry"
@@ -140,7 +141,9 @@
 			router := startRouter(t, upstream)
 			tracker := coldTracker(3 * time.Second)
 			router.handler.Quota = tracker
-			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream) { tracker.Closed(time.Now(), upstream) }
+			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+				tracker.Closed(time.Now(), upstream, connections)
+			}
 			listed := router.handler.Registry.Upstreams()
 			ended := make(chan struct{})
 			if running {
@@ -159,7 +162,7 @@
 			if got == running {
 				t.Errorf("got cold %t, want %t", got, !running)
 			}
-			if len(tracker.TakeColds()) > 0 {
+			if len(tracker.TakeColds(500)) > 0 {
 				t.Error("got a message for other routers, want none: it may have closed them for another reason")
 			}
 			close(release)
@@ -179,3 +182,133 @@
 	defer close(request.ended)
 	request.router.send(request.t, "long", "POST", "/once/", "").check(request.t, 200, "")
 }
+
+// TestDeadlineOfARequestIsNoFailure guards against a healthy upstream that all routers treat as
+// failed, since the deadline of a request ended while its connection was opened, and against
+// one that doesn't accept connections and is not treated as failed.
+func TestDeadlineOfARequestIsNoFailure(t *testing.T) {
+	for _, test := range []struct {
+		takes      time.Duration
+		deadlineMs string
+		want       bool
+	}{
+		{60 * time.Millisecond, "30", false},
+		{time.Minute, "1500", true},
+	} {
+		router := startRouter(t, startUpstream(t, echo))
+		router.handler.Quota = coldTracker(3 * time.Second)
+		router.handler.Connections = &forward.Connections{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialer := forward.Dialer()
+			ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+			defer cancel()
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(test.takes):
+			}
+			return dialer.DialContext(ctx, network, address)
+		}}
+		router.send(t, "a1", "POST", "/once/", "", "Hickoryhead-Deadline-Ms", test.deadlineMs)
+		if _, got := router.handler.Quota.ColdUntil(time.Now(), router.handler.Registry.Upstreams()[0]); got != test.want {
+			t.Errorf("got cold %t after a dial of %v with deadline %s ms, want %t", got, test.takes, test.deadlineMs, test.want)
+		}
+	}
+}
+
+// TestLateReportIsNoFailure guards against a busy upstream that all routers treat as failed,
+// since its report on which incarnation runs came late.
+func TestLateReportIsNoFailure(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprintf("late %t", late), func(t *testing.T) {
+			asked := make(chan struct{}, 1)
+			router := startRouter(t, startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+				if request.target != "/report" {
+					return wholeStream(ctx, conn, n, request)
+				}
+				asked <- struct{}{}
+				if late {
+					<-ctx.Done()
+				}
+				return false
+			}))
+			listed := router.handler.Registry.Upstreams()
+			listed[0].Incarnation, listed[0].Version = 1_700_000_000_001, 2
+			router.handler.Registry.Replace(time.Now(), 2, listed)
+			router.useSplit("v1", time.Minute)
+			router.handler.Quota = coldTracker(3 * time.Second)
+			router.send(t, "a1", "POST", "/resume/", "", "Hickoryhead-Prompt-Prefix", "5c:80,"+ownKey+":20").check(t, 200, "")
+			router.takeUp(t, "a2", "a1").check(t, 503, "")
+			select {
+			case <-asked:
+			default:
+				t.Fatal("got no request for the report, want one")
+			}
+			if _, got := router.handler.Quota.ColdUntil(time.Now(), listed[0]); got == late {
+				t.Errorf("got cold %t after a report that was late: %t", got, late)
+			}
+		})
+	}
+}
+
+// TestUpstreamsThatCloseIdleConnectionsAreUsed guards against a pool of healthy upstreams that
+// is refused, since each closed a single idle connection.
+func TestUpstreamsThatCloseIdleConnectionsAreUsed(t *testing.T) {
+	closing := func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		echo(ctx, conn, n, request)
+		return false
+	}
+	router := startRouter(t, startUpstream(t, closing), startUpstream(t, closing))
+	tracker := coldTracker(3 * time.Second)
+	router.handler.Quota = tracker
+	router.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+		tracker.Closed(time.Now(), upstream, connections)
+	}
+	for n := range 12 {
+		router.send(t, fmt.Sprint("a", n), "POST", "/once/", "").check(t, 200, "")
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, upstream := range router.handler.Registry.Upstreams() {
+		if until, _ := tracker.ColdUntil(time.Now(), upstream); !until.IsZero() {
+			t.Errorf("got upstream %s cold until %v, want no deadline", upstream.ID, until)
+		}
+	}
+}
+
+// TestRequestGoesToTheWarmUpstream guards against a request that is refused although an
+// upstream is warm, since others became cold while their connections were opened.
+func TestRequestGoesToTheWarmUpstream(t *testing.T) {
+	for _, warm := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d warm", warm), func(t *testing.T) {
+			var upstreams []*fakeUpstream
+			for range 6 {
+				upstreams = append(upstreams, startUpstream(t, echo))
+			}
+			router := startRouter(t, upstreams...)
+			tracker := coldTracker(time.Minute)
+			router.handler.Quota = tracker
+			listed := router.handler.Registry.Upstreams()
+			dials := 0
+			router.handler.Connections = &forward.Connections{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials <= len(listed)-warm {
+					for _, upstream := range listed {
+						if upstream.Address == address {
+							tracker.MarkCold(time.Now(), []registry.Upstream{upstream})
+						}
+					}
+				}
+				return forward.Dialer().DialContext(ctx, network, address)
+			}}
+			sent := time.Now()
+			got := router.send(t, "a1", "POST", "/once/", "")
+			if warm > 0 {
+				got.check(t, 200, "")
+				return
+			}
+			retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			got.check(t, 503, "HH2021 Every upstream is cold\n")
+			if took := time.Since(sent); took > 500*time.Millisecond || err != nil || retryAfter <= 0 || retryAfter > 1 {
+				t.Errorf("got the refusal after %v with Retry-After %q, want it at once with at most 1 s", took, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -115,6 +116,9 @@
 	// found closed, and nothing else is known.
 	failedAt time.Time
 	closed   bool
+	// single is set with closed if only one connection was found closed: the upstream may
+	// keep connections for less time than it states. One request finds out.
+	single bool
 	// triedAt is when the first attempt that failed was begun.
 	triedAt time.Time
 	// reported is set if other routers know of a failure since the last answer. Another one
@@ -125,23 +129,26 @@
 }
 
 // contact is when this router last sent a request to an upstream, whatever its incarnation,
-// and last got an answer.
+// and last got an answer. answeredSentAt is when the latest of the answered requests was sent.
 type contact struct {
-	service    ident.ServiceName
-	sentAt     time.Time
-	answeredAt time.Time
+	service        ident.ServiceName
+	sentAt         time.Time
+	answeredAt     time.Time
+	answeredSentAt time.Time
 }
 
 // readRow is what is known of the reads of an upstream's row.
 type readRow struct {
 	incarnation registry.Incarnation
 	version     ident.Revision
-	readAt      time.Time
+	// sentAt is when the call that read it was sent: the store held no later version then, or
+	// not yet.
+	sentAt time.Time
 	// cold is set if that version says that the upstream is cold.
 	cold bool
 }
 
-// coldRule returns the rule for a service. The caller holds mu.
+// coldRule returns the rule for a service.
 func (tracker *Tracker) coldRule(service ident.ServiceName) (ColdRule, bool) {
 	if tracker == nil || tracker.ColdRule == nil {
 		return ColdRule{}, false
@@ -164,19 +171,25 @@
 	if !found {
 		return nil
 	}
-	if state.Failed && now.Sub(state.failedAt) >= tracker.failureLifetime(state, rule) {
-		next := state.Cold
-		next.Failed = false
-		tracker.setCold(now, state, next, 0)
-		state.reported = false
-		if !state.inForce(now) {
-			return nil
-		}
+	tracker.lapse(now, state, rule)
+	if !state.inForce(now) {
+		return nil
 	}
 	tracker.fillCold(now, state, rule)
 	return state
 }
 
+// lapse ends a failure of which nothing was heard for failureLifetime. The caller holds mu.
+func (tracker *Tracker) lapse(now time.Time, state *coldState, rule ColdRule) {
+	if !state.Failed || now.Sub(state.failedAt) < tracker.failureLifetime(state, rule) {
+		return
+	}
+	next := state.Cold
+	next.Failed = false
+	tracker.setCold(now, state, next, 0)
+	state.reported = false
+}
+
 // failureLifetime returns for how long an upstream is taken for failed of which nothing more
 // is heard. A router without a share can't find out by itself, and must not be kept from an
 // upstream for good that only it could not reach. The fleet is large enough then that all
@@ -232,7 +245,13 @@
 	if state.Failed && now.Before(state.probedAt.Add(probeInterval)) {
 		return false
 	}
-	return state.tokens >= 1
+	return state.tokens >= 1 || state.probesSingle()
+}
+
+// probesSingle reports whether a request may find out whether an upstream that closed a single
+// connection has ended, without a share of its rate.
+func (state *coldState) probesSingle() bool {
+	return state.Failed && state.closed && state.single && state.probedAt.IsZero()
 }
 
 // take counts a request.
@@ -263,6 +282,7 @@
 	if state == nil {
 		state = &coldState{Cold: Cold{Upstream: identity.upstream, Incarnation: identity.incarnation}}
 		tracker.colds[identity] = state
+		tracker.coldCount.Store(int64(len(tracker.colds)))
 	}
 	return state
 }
@@ -314,9 +334,10 @@
 	return true
 }
 
-// ObserveRow records a version of an upstream's row that this router has read. remaining is
-// how much longer the upstream is cold by it, nil if it doesn't say.
-func (tracker *Tracker) ObserveRow(now time.Time, upstream registry.Upstream, remaining *ident.Milliseconds) {
+// ObserveRow records a version of an upstream's row that this router has read, by a call to the
+// store that was sent at sentAt. remaining is how much longer the upstream is cold by it, nil
+// if it doesn't say.
+func (tracker *Tracker) ObserveRow(now, sentAt time.Time, upstream registry.Upstream, remaining *ident.Milliseconds) {
 	if tracker == nil {
 		return
 	}
@@ -334,14 +355,15 @@
 		tracker.rows = make(map[ident.UpstreamID]readRow)
 	}
 	cold := remaining != nil && *remaining > 0
-	tracker.rows[upstream.ID] = readRow{incarnation: upstream.Incarnation, version: upstream.Version, readAt: now, cold: cold}
+	tracker.rows[upstream.ID] = readRow{incarnation: upstream.Incarnation, version: upstream.Version, sentAt: sentAt, cold: cold}
 	if remaining == nil {
 		return
 	}
-	// The row was written after the version before it was read.
+	// The row was written after the call that read the version before it was sent. When the
+	// store answered that call is not known.
 	var wroteAfter time.Time
 	if known && last.version.Era() == upstream.Version.Era() {
-		wroteAfter = last.readAt
+		wroteAfter = last.sentAt
 	}
 	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
 	state := tracker.colds[identity]
@@ -359,7 +381,7 @@
 		return
 	}
 	sends := sendsPerChange
-	if !known {
+	if _, listed := tracker.listed[identity]; !known && !listed {
 		// Other routers learn of a new incarnation with the change of the upstream.
 		sends = 0
 	}
@@ -423,9 +445,9 @@
 	}
 }
 
-// Closed records that the upstream closed all connections of this router, which were idle. It
-// may have other reasons than an end, so that other routers aren't told.
-func (tracker *Tracker) Closed(now time.Time, upstream registry.Upstream) {
+// Closed records that the upstream closed all connections of this router, which were idle, and
+// how many. It may have other reasons than an end, so that other routers aren't told.
+func (tracker *Tracker) Closed(now time.Time, upstream registry.Upstream, connections int) {
 	if tracker == nil {
 		return
 	}
@@ -440,7 +462,7 @@
 		return
 	}
 	tracker.fail(now, state, upstream, time.Time{})
-	state.closed = true
+	state.closed, state.single = true, connections == 1
 }
 
 // fail records a failure. The caller holds mu.
@@ -459,14 +481,15 @@
 	if tracker == nil {
 		return
 	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
 	rule, found := tracker.coldRule(upstream.Service)
 	if !found {
 		return
 	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
 	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
-	tracker.contact(upstream).answeredAt = now
+	last := tracker.contact(upstream)
+	last.answeredAt, last.answeredSentAt = now, later(last.answeredSentAt, sentAt)
 	state := tracker.colds[identity]
 	if state == nil && (remaining == nil || *remaining <= 0) {
 		return
@@ -493,19 +516,29 @@
 		return next, true
 	case remaining != nil:
 		return next, !sentAt.Before(state.SeenAt)
-	case !state.Failed:
+	case !state.Failed, !showsAlive(now, sentAt, state.SeenAt):
 		return Cold{}, false
 	}
 	next.Source, next.Until = ColdReturn, now.Add(rule.Start)
+	if state.closed && state.single {
+		// No attempt has failed.
+		next.Until = state.Until
+		return next, true
+	}
 	if sentAt.Before(state.triedAt) {
 		// A process that answers a request from before the attempt that failed has run
 		// all along.
 		next.Until = state.Until
-		return next, !now.Before(state.SeenAt.Add(minAliveDelay))
 	}
 	return next, true
 }
 
+// showsAlive reports whether an answer shows that an upstream ran after a failure: the request
+// was sent since, or the answer can't have been on its way before.
+func showsAlive(answeredAt, sentAt, failedAt time.Time) bool {
+	return !sentAt.Before(failedAt) || !answeredAt.Before(failedAt.Add(minAliveDelay))
+}
+
 // ApplyColds records what another router knows, and reports whether any of it is new.
 func (tracker *Tracker) ApplyColds(now time.Time, colds []Cold) bool {
 	if tracker == nil {
@@ -554,7 +587,7 @@
 // mu.
 func (tracker *Tracker) returned(failed Cold) (Cold, bool) {
 	last := tracker.contacts[failed.Upstream]
-	if !failed.Failed || last == nil || !last.answeredAt.After(failed.SeenAt) {
+	if !failed.Failed || last == nil || !last.answeredAt.After(failed.SeenAt) || !showsAlive(last.answeredAt, last.answeredSentAt, failed.SeenAt) {
 		return Cold{}, false
 	}
 	rule, found := tracker.coldRule(last.service)
@@ -570,9 +603,9 @@
 const maxColds = 8192
 
 // TakeColds returns the states that changed lately, which the next messages to other
-// routers have to say.
-func (tracker *Tracker) TakeColds() []Cold {
-	return tracker.selectColds(func(state *coldState) bool {
+// routers have to say, at most so many.
+func (tracker *Tracker) TakeColds(most int) []Cold {
+	return tracker.selectColds(most, func(state *coldState) bool {
 		if state.sends == 0 {
 			return false
 		}
@@ -581,12 +614,31 @@
 	})
 }
 
-// AllColds returns all states in force, for a router that has just started.
+// AllColds returns the states in force, the latest first, at most maxPerMessage, for a router that has just started.
 func (tracker *Tracker) AllColds(now time.Time) []Cold {
-	return tracker.selectColds(func(state *coldState) bool { return state.inForce(now) })
+	colds := tracker.selectColds(maxColds, func(state *coldState) bool { return state.inForce(now) })
+	slices.SortFunc(colds, func(a, b Cold) int { return b.SeenAt.Compare(a.SeenAt) })
+	return colds[:min(len(colds), maxPerMessage)]
 }
 
-func (tracker *Tracker) selectColds(selects func(state *coldState) bool) []Cold {
+// DropFailures has this router not report failures that others, to which it would, know from
+// another one.
+func (tracker *Tracker) DropFailures(reported []Cold) {
+	if tracker == nil {
+		return
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	for _, cold := range reported {
+		state := tracker.colds[key{upstream: cold.Upstream, incarnation: cold.Incarnation}]
+		if cold.Failed && state != nil && state.Failed {
+			state.sends = 0
+		}
+	}
+}
+
+// selectColds returns the states for which selects reports true, at most so many.
+func (tracker *Tracker) selectColds(most int, selects func(state *coldState) bool) []Cold {
 	if tracker == nil {
 		return nil
 	}
@@ -594,7 +646,7 @@
 	defer tracker.mu.Unlock()
 	var colds []Cold
 	for _, state := range tracker.colds {
-		if len(colds) < maxPerMessage && selects(state) {
+		if len(colds) < most && selects(state) {
 			colds = append(colds, state.Cold)
 		}
 	}
@@ -631,14 +683,22 @@
 
 // retainColds forgets states that say nothing any more, and all of incarnations that are not
 // listed. The caller holds mu.
-func (tracker *Tracker) retainColds(now time.Time, present map[key]struct{}) {
+func (tracker *Tracker) retainColds(now time.Time, present map[key]ident.ServiceName) {
 	for identity, state := range tracker.colds {
-		_, listed := present[identity]
+		service, listed := present[identity]
+		if rule, found := tracker.coldRule(service); listed && found {
+			tracker.lapse(now, state, rule)
+		} else if listed && tracker.ColdRule(service).Overage <= 0 {
+			// Without a configuration yet the state is kept.
+			delete(tracker.colds, identity)
+			continue
+		}
 		over := !state.inForce(now) && state.sends == 0 && !state.reported
 		if over || !listed && now.Sub(state.SeenAt) > unlistedLifetime {
 			delete(tracker.colds, identity)
 		}
 	}
+	tracker.coldCount.Store(int64(len(tracker.colds)))
 	ids := make(map[ident.UpstreamID]struct{}, len(present))
 	for identity := range present {
 		ids[identity.upstream] = struct{}{}
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,30 +46,30 @@
 		reported int
 	}{
 		{"never heard of", func(*quota.Tracker) {}, 0, false, 0},
-		{"first row says so", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), row(1), remaining(2000)) }, 5, false, 0},
-		{"first row says no", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), row(1), remaining(0)) }, 0, false, 0},
+		{"first row says so", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), at(3), row(1), remaining(2000)) }, 5, false, 0},
+		{"first row says no", func(tracker *quota.Tracker) { tracker.ObserveRow(at(3), at(3), row(1), remaining(0)) }, 0, false, 0},
 		{"cold again", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
-			tracker.ObserveRow(at(4), row(2), remaining(2000))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(4), at(4), row(2), remaining(2000))
 		}, 6, false, 1},
 		{"no message for each heartbeat", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(4000))
-			tracker.ObserveRow(at(4.2), row(2), remaining(2900))
-			tracker.ObserveRow(at(5.4), row(3), remaining(1600))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(4000))
+			tracker.ObserveRow(at(4.2), at(4.2), row(2), remaining(2900))
+			tracker.ObserveRow(at(5.4), at(5.4), row(3), remaining(1600))
 		}, 7, false, 0},
 		{"start, its row not read yet", func(tracker *quota.Tracker) { tracker.Started(at(3), row(1)) }, 6, false, 0},
 		{"start, its row says more exactly", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(1000))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(1000))
 			tracker.Started(at(3), row(1))
 		}, 4, false, 0},
 		{"start, its row says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
 			tracker.Started(at(3), row(1))
 		}, 6, false, 0},
 		{"start, a later row says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(3), row(1), remaining(0))
+			tracker.ObserveRow(at(3), at(3), row(1), remaining(0))
 			tracker.Started(at(3), row(1))
-			tracker.ObserveRow(at(4.2), row(2), remaining(0))
+			tracker.ObserveRow(at(4.2), at(4.2), row(2), remaining(0))
 		}, 0, false, 1},
 		{"failure", func(tracker *quota.Tracker) { tracker.Failed(at(3), row(1), at(3)) }, 0, true, 1},
 		{"failure, answered after", func(tracker *quota.Tracker) {
@@ -88,20 +89,25 @@
 			tracker.Answered(at(3.5), row(1), at(2.8), nil)
 		}, 6.5, false, 1},
 		{"failure, a row written after says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(3.2), row(2), remaining(0))
-			tracker.ObserveRow(at(4.4), row(3), remaining(0))
+			tracker.ObserveRow(at(3.2), at(3.2), row(2), remaining(0))
+			tracker.ObserveRow(at(4.4), at(4.4), row(3), remaining(0))
 		}, 0, false, 1},
 		{"failure, a row that may have been written before says no", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(3.2), row(2), remaining(0))
+			tracker.ObserveRow(at(3.2), at(3.2), row(2), remaining(0))
 		}, 0, true, 1},
 		{"failure, a row that is not new", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.ObserveRow(at(9), row(1), remaining(0))
+			tracker.ObserveRow(at(9), at(9), row(1), remaining(0))
+		}, 0, true, 1},
+		{"failure, a row that may have been written before, from a slow store", func(tracker *quota.Tracker) {
+			tracker.ObserveRow(at(3.4), at(2), row(1), remaining(0))
+			tracker.Failed(at(3.1), row(1), at(3.1))
+			tracker.ObserveRow(at(4), at(3.41), row(2), remaining(0))
 		}, 0, true, 1},
 		{"header", func(tracker *quota.Tracker) { tracker.Answered(at(3), row(1), at(2.9), remaining(1500)) }, 4.5, false, 1},
 		{"header says no", func(tracker *quota.Tracker) {
@@ -122,18 +128,39 @@
 			tracker.Answered(at(3), row(1), at(2.9), nil)
 			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(2.9)}})
 		}, 6, false, 1},
+		{"failure at another router, answer here since that was on its way", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.002), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 0, true, 0},
+		{"failure at another router, answer here after that was on its way", func(tracker *quota.Tracker) {
+			tracker.ApplyColds(at(3.1), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+			tracker.Answered(at(3.15), row(1), at(2.6), nil)
+		}, 0, true, 0},
+		{"failure at another router, later answer to a request from before", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.3), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.4), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 6.3, false, 1},
+		{"failure at another router, an answer since and one from before", func(tracker *quota.Tracker) {
+			tracker.Answered(at(3.1), row(1), at(3.05), nil)
+			tracker.Answered(at(3.12), row(1), at(2.6), nil)
+			tracker.ApplyColds(at(3.2), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, Failed: true, SeenAt: at(3)}})
+		}, 6.12, false, 1},
+		{"failure, answer of a stream that began before it broke", func(tracker *quota.Tracker) {
+			tracker.Failed(at(3), row(1), at(1))
+			tracker.Answered(at(3.01), row(1), at(2.8), nil)
+		}, 0, true, 1},
 		{"old message", func(tracker *quota.Tracker) {
 			tracker.Started(at(3), row(1))
 			tracker.ApplyColds(at(4), []quota.Cold{{Upstream: upstream.ID, Incarnation: upstream.Incarnation, SeenAt: at(2)}})
 		}, 6, false, 0},
 		{"a router that can't reach it fails again", func(tracker *quota.Tracker) {
-			tracker.ObserveRow(at(2), row(1), remaining(0))
+			tracker.ObserveRow(at(2), at(2), row(1), remaining(0))
 			tracker.Failed(at(3), row(1), at(3))
-			tracker.TakeColds()
-			tracker.ObserveRow(at(4), row(2), remaining(0))
-			tracker.ObserveRow(at(5), row(3), remaining(0))
-			tracker.TakeColds()
-			tracker.TakeColds()
+			tracker.TakeColds(500)
+			tracker.ObserveRow(at(4), at(4), row(2), remaining(0))
+			tracker.ObserveRow(at(5), at(5), row(3), remaining(0))
+			tracker.TakeColds(500)
+			tracker.TakeColds(500)
 			tracker.Retain(at(5), []registry.Upstream{row(3)})
 			tracker.Failed(at(6), row(3), at(6))
 		}, 0, true, 0},
@@ -142,7 +169,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			tracker, _ := coldTracker(coldRuleOf(7.8))
 			test.play(tracker)
-			if got := len(tracker.TakeColds()); got != test.reported {
+			if got := len(tracker.TakeColds(500)); got != test.reported {
 				t.Errorf("got %d states for other routers, want %d", got, test.reported)
 			}
 			for _, after := range []float64{9, 6.9, 6.4, 5.9, 4.9, 4.45} {
@@ -185,7 +212,7 @@
 	none := func(ident.ServiceName) quota.ColdRule { return quota.ColdRule{} }
 	for name, tracker := range map[string]*quota.Tracker{"nil": nil, "zero": {}, "no rule": {ColdRule: none}} {
 		t.Run(name, func(t *testing.T) {
-			tracker.ObserveRow(at(1), row(1), remaining(5000))
+			tracker.ObserveRow(at(1), at(1), row(1), remaining(5000))
 			tracker.Started(at(1), row(1))
 			tracker.Failed(at(1), row(1), at(1))
 			tracker.Answered(at(1.5), row(1), at(1.4), remaining(5000))
@@ -198,7 +225,7 @@
 			if got := tracker.State(at(2), row(1)); got != quota.Unlimited {
 				t.Errorf("got state %d, want %d", got, quota.Unlimited)
 			}
-			if got := len(tracker.TakeColds()) + len(tracker.AllColds(at(2))); got != 0 || tracker.Pending() {
+			if got := len(tracker.TakeColds(500)) + len(tracker.AllColds(at(2))); got != 0 || tracker.Pending() {
 				t.Errorf("got %d states for other routers, want none", got)
 			}
 		})
@@ -210,7 +237,7 @@
 func TestColdRowsBeforeTheConfiguration(t *testing.T) {
 	rule := quota.ColdRule{Overage: 1.5, Slack: 5}
 	tracker := &quota.Tracker{ColdRule: func(ident.ServiceName) quota.ColdRule { return rule }}
-	tracker.ObserveRow(at(1), row(1), remaining(3000))
+	tracker.ObserveRow(at(1), at(1), row(1), remaining(3000))
 	rule = coldRuleOf(7.8)
 	if _, cold := tracker.ColdUntil(at(2), row(1)); !cold {
 		t.Error("got an upstream that is not cold, want it cold")
@@ -338,7 +365,7 @@
 	if !tracker.MaySend(at(3.1), row(1), at(3)) {
 		t.Error("got a request to a warm upstream refused, want it sent")
 	}
-	tracker.Closed(at(3.1), row(1))
+	tracker.Closed(at(3.1), row(1), 2)
 	sent := 0
 	for range 20 {
 		if tracker.MaySend(at(3.3), row(1), at(3)) {
@@ -357,12 +384,12 @@
 // a failure, since this one had found its idle connections closed before.
 func TestFailureAfterClosedConnectionsIsReported(t *testing.T) {
 	tracker, _ := coldTracker(coldRuleOf(7.8))
-	tracker.Closed(at(3), row(1))
-	if got := len(tracker.TakeColds()); got != 0 {
+	tracker.Closed(at(3), row(1), 2)
+	if got := len(tracker.TakeColds(500)); got != 0 {
 		t.Errorf("got %d states for other routers, want none", got)
 	}
 	tracker.Failed(at(3.5), row(1), at(3.4))
-	if got := len(tracker.TakeColds()); got != 1 {
+	if got := len(tracker.TakeColds(500)); got != 1 {
 		t.Errorf("got %d states for other routers, want 1", got)
 	}
 }
@@ -378,7 +405,7 @@
 			tracker.SetFleet(at(0), name, names, names)
 			lapsed := 15.5
 			if closed {
-				tracker.Closed(at(10), row(1))
+				tracker.Closed(at(10), row(1), 2)
 				lapsed = 5
 			} else {
 				tracker.Failed(at(10), row(1), at(10))
@@ -392,3 +419,91 @@
 		}
 	}
 }
+
+// TestRoutersThatNeverRanHaveNoShareForLong guards against a router that has just started and
+// keeps the shares of all addresses that were ever registered for the life of its process,
+// where fewer than half of them run.
+func TestRoutersThatNeverRanHaveNoShareForLong(t *testing.T) {
+	registered := []string{"router-0", "router-1", "router-2", "router-3"}
+	for _, heard := range []bool{false, true} {
+		tracker, _ := coldTracker(quota.ColdRule{Start: time.Minute, PerSecond: 4, Overage: 3, Slack: 5})
+		tracker.SetFleet(at(0), "router-0", registered, registered[:1])
+		if heard {
+			tracker.SetFleet(at(1), "router-0", registered, registered)
+		}
+		tracker.SetFleet(at(5), "router-0", registered, registered[:1])
+		tracker.SetFleet(at(125), "router-0", registered[:1], registered[:1])
+		tracker.SetFleet(at(130), "router-0", registered[:1], registered[:1])
+		tracker.MarkCold(at(130), []registry.Upstream{row(1)})
+		count := 0
+		for now := at(130); now.Before(at(160)); now = now.Add(10 * time.Millisecond) {
+			count += taken(tracker, now)
+		}
+		want := 4.0
+		if heard {
+			want = 1
+		}
+		if got := float64(count) / 30; got < want-0.2 || got > want+0.1 {
+			t.Errorf("got %.2f requests a second, want %.2f (the others were heard: %t)", got, want, heard)
+		}
+	}
+}
+
+// TestFailedStateLapsesWithoutRequests guards against failed states that stay for good at a router
+// without requests there, or once the service has no rule any more.
+func TestFailedStateLapsesWithoutRequests(t *testing.T) {
+	for _, withRule := range []bool{true, false} {
+		rule := coldRuleOf(7.8)
+		tracker := &quota.Tracker{ColdRule: func(ident.ServiceName) quota.ColdRule { return rule }}
+		tracker.SetFleet(at(0), "router-0", []string{"router-0"}, []string{"router-0"})
+		tracker.Failed(at(3), row(1), at(3))
+		tracker.TakeColds(500)
+		tracker.Retain(at(4), []registry.Upstream{row(1)})
+		if got := tracker.CountCold(at(4)); got != 1 {
+			t.Errorf("got %d cold upstreams after the failure, want 1", got)
+		}
+		if !withRule {
+			rule = quota.ColdRule{}
+		}
+		tracker.Retain(at(20), []registry.Upstream{row(1)})
+		if got := tracker.CountCold(at(20)); got != 0 {
+			t.Errorf("got %d cold upstreams long after, want none (rule in force: %t)", got, withRule)
+		}
+	}
+}
+
+// TestNewReaderReportsListedUpstream guards against other routers that never learn the deadline
+// of an upstream, since the router that reads its row had not read it before.
+func TestNewReaderReportsListedUpstream(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		tracker, _ := coldTracker(coldRuleOf(7.8))
+		if listed {
+			tracker.Take(at(2), row(1))
+			tracker.Retain(at(2), []registry.Upstream{row(1)})
+		}
+		tracker.ObserveRow(at(3), at(3), row(2), remaining(2000))
+		if got := len(tracker.TakeColds(500)) > 0; got != listed {
+			t.Errorf("got a state for other routers: %t, want %t", got, listed)
+		}
+	}
+}
+
+// TestFullStateHasTheLatest guards against a router that starts and is not told the latest
+// states, since there are more than a message holds.
+func TestFullStateHasTheLatest(t *testing.T) {
+	tracker, _ := coldTracker(coldRuleOf(7.8))
+	for n := range 600 {
+		other := row(1)
+		other.ID = ident.UpstreamID(fmt.Sprint("i-", n))
+		tracker.MarkCold(at(3+float64(n)/1000), []registry.Upstream{other})
+	}
+	colds := tracker.AllColds(at(4))
+	if len(colds) != 500 {
+		t.Fatalf("got %d states, want 500", len(colds))
+	}
+	for _, cold := range colds {
+		if cold.SeenAt.Before(at(3.0999)) {
+			t.Errorf("got the state of %s from %v, want later ones", cold.Upstream, cold.SeenAt)
+		}
+	}
+}
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -19,6 +19,19 @@
 	// arrivalStretch is by how much longer than a second the requests of one second at an
 	// upstream may have been sent in.
 	arrivalStretch = 1.1
+	// maxSaved limits how many requests a router may save up.
+	maxSaved = 2
+	// roundingMargin keeps what a router may send below the next whole request.
+	roundingMargin = 0.01
+	// requestGap is the mean time between two requests of a router for an upstream while
+	// requests wait.
+	requestGap = 50 * time.Millisecond
+	// leastPart is the least part of the rate that is shared out, and partStep the step in
+	// which parts are considered. A smaller part leaves room for more saved requests.
+	leastPart = 0.8
+	partStep  = 0.02
+	// useMargin is by how much of the rate a division with fewer routers has to be better.
+	useMargin = 0.005
 )
 
 // coldFleet is the fleet that shares the rates of cold upstreams: all routers that are
@@ -32,24 +45,27 @@
 	removedAt map[string]time.Time
 	// settledAt is when this router may send its share.
 	settledAt time.Time
-	// live are the routers that ran lately, sorted.
-	live []string
+	// live are the routers that ran lately, sorted, and heard all that this router has ever
+	// heard of.
+	live  []string
+	heard map[string]struct{}
 	// revision grows with each change of the shares.
 	revision uint64
 }
 
 // SetFleet sets the address of this router, those of all routers that are known, and those
-// of them that are known to run. A router that is no longer known keeps its share for a
+// of them of which a message came lately. A router that is no longer known keeps its share for a
 // moment if it ran until lately, since it has said that it leaves. One that was silent
 // before keeps it unless more than half of the fleet runs as far as this router knows:
-// otherwise this router may be the one that is cut off.
+// otherwise this router may be the one that is cut off. One that was never heard doesn't keep
+// it: rows of routers outlast them.
 func (tracker *Tracker) SetFleet(now time.Time, self string, known, live []string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	fleet := &tracker.fleet
 	if fleet.self == "" {
 		fleet.self, fleet.settledAt = self, now.Add(fleetSettleTime)
-		fleet.removedAt = make(map[string]time.Time)
+		fleet.removedAt, fleet.heard = make(map[string]time.Time), make(map[string]struct{})
 		fleet.revision++
 	}
 	majority := 2*len(live) > len(fleet.routers)-len(fleet.removedAt)
@@ -60,7 +76,8 @@
 			continue
 		}
 		_, ran := slices.BinarySearch(fleet.live, former)
-		if _, removed := fleet.removedAt[former]; !removed && (majority || ran) {
+		_, heard := fleet.heard[former]
+		if _, removed := fleet.removedAt[former]; !removed && (majority || ran || !heard) {
 			fleet.removedAt[former] = now
 		}
 	}
@@ -71,6 +88,9 @@
 	}
 	slices.Sort(next)
 	fleet.live = slices.Sorted(slices.Values(live))
+	for _, router := range live {
+		fleet.heard[router] = struct{}{}
+	}
 	if !slices.Equal(next, fleet.routers) {
 		fleet.routers = next
 		fleet.revision++
@@ -91,6 +111,7 @@
 			continue
 		}
 		delete(fleet.removedAt, router)
+		delete(fleet.heard, router)
 		fleet.routers = slices.DeleteFunc(slices.Clone(fleet.routers), func(other string) bool { return other == router })
 		fleet.revision++
 	}
@@ -113,9 +134,6 @@
 	return (float64(rankOf(upstream, fleet.self, fleet.routers)%sharing) + 0.5) / float64(sharing)
 }
 
-// maxSaved limits how many requests a router may save up.
-const maxSaved = 2
-
 // coldDivision is how routers share the rate of a cold upstream: sharing of them may each
 // send perSecond requests a second, and save up to saved, one at least.
 type coldDivision struct {
@@ -124,21 +142,34 @@
 	saved     float64
 }
 
-// divideCold returns how a number of routers share the rate of a cold upstream: as many as
-// can each send all that they may in a second, saved requests included, within
-// sharedAllowance.
+// divideCold returns how a number of routers share the rate of a cold upstream: so that each of
+// them can send all that it may in a second, saved requests included, within sharedAllowance,
+// and most of the rate is used.
 func divideCold(rule ColdRule, routers int) coldDivision {
 	allowance := sharedAllowance * (rule.PerSecond*rule.Overage + rule.Slack)
+	best := coldDivision{sharing: 1, perSecond: minPerSecond, saved: 1}
+	bestUse := 0.0
 	for sharing := int(min(float64(routers), math.Floor(allowance))); sharing >= 1; sharing-- {
-		share := rule.PerSecond / float64(sharing)
 		// A router with s saved sends at most s plus its share of the time, rounded down.
-		most := math.Floor(allowance / float64(sharing))
-		if saved := most + 1 - share*arrivalStretch - roundingMargin; saved >= 1 {
-			return coldDivision{sharing: sharing, perSecond: share, saved: min(saved, maxSaved)}
+		most := math.Floor(allowance/float64(sharing)) + 1 - roundingMargin
+		for part := 1.0; part >= leastPart; part -= partStep {
+			share := min(part*rule.PerSecond/float64(sharing), (most-1)/arrivalStretch)
+			// Rounding may leave a little less than one.
+			saved := max(min(most-share*arrivalStretch, maxSaved), 1)
+			division := coldDivision{sharing: sharing, perSecond: share, saved: saved}
+			// Of divisions that are nearly as good, the one with most routers is best.
+			if use := division.use(); use > bestUse+useMargin*rule.PerSecond {
+				best, bestUse = division, use
+			}
 		}
 	}
-	return coldDivision{sharing: 1, perSecond: max(min(rule.PerSecond, (allowance-1)/arrivalStretch), minPerSecond), saved: 1}
+	return best
 }
 
-// roundingMargin keeps what a router may send below the next whole request.
-const roundingMargin = 0.01
+// use returns how many requests a second an upstream is expected to get. While a router that
+// has saved up all that it may waits for the next request, its share is lost.
+func (division coldDivision) use() float64 {
+	inGap := division.perSecond * requestGap.Seconds()
+	lost := inGap * math.Exp(-(division.saved-1)/inGap)
+	return float64(division.sharing) * division.perSecond / (1 + lost)
+}
