forward, registry: restrict cached prefixes only where something is restricted

Each choice carried a function that filters the upstreams to fetch a prefix from, also without an evacuation and without allowed regions. It is now set only with one of them. Tests of evacuations, regions and prefixes pass; the check of AnyEvacuated stands in registry TestEvacuat*, no test counts the allocation.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -203,16 +203,19 @@
 }
 
 func (exchange *exchange) choiceRequest() balance.Request {
-	return balance.Request{
+	request := balance.Request{
 		Keys:      exchange.prefixIDs,
 		Tried:     exchange.tried,
 		Zone:      exchange.handler.Zone,
 		Target:    exchange.route.Target,
 		Retryable: exchange.route.Retryable(),
-		MayFetch:  exchange.mayFetch,
 		Own:       ownTokens(exchange.head.Prompt),
 		Prompt:    promptTokens(exchange.head.Prompt),
 	}
+	if exchange.allowed != nil || exchange.handler.Registry.AnyEvacuated() {
+		request.MayFetch = exchange.mayFetch
+	}
+	return request
 }
 
 // mayFetch reports whether the chosen upstream may fetch a cached prefix from another one: not
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -31,6 +31,12 @@
 	return found
 }
 
+// AnyEvacuated reports whether a zone is evacuated.
+func (registry *Registry) AnyEvacuated() bool {
+	zones := registry.evacuated.Load()
+	return zones != nil && len(*zones) > 0
+}
+
 // Withheld returns the upstreams of a service that accept new requests, but get none because
 // their zones are evacuated. The slice must not be changed.
 func (registry *Registry) Withheld(service ident.ServiceName) []Upstream {
--- a/registry/evacuation_test.go
+++ b/registry/evacuation_test.go
@@ -13,7 +13,13 @@
 // store again and again.
 func TestEvacuatedZoneIsInNoPool(t *testing.T) {
 	known := new(registry.Registry)
+	if known.AnyEvacuated() {
+		t.Error("got an evacuated zone at first, want none")
+	}
 	known.SetEvacuated([]ident.Zone{"b"})
+	if !known.AnyEvacuated() {
+		t.Error("got no evacuated zone, want one")
+	}
 	if known.Loaded() {
 		t.Error("got a loaded registry from an evacuation alone, want it loaded by rows only")
 	}
@@ -48,6 +54,9 @@
 		t.Error("got a pool of a service whose only zone is evacuated, want none")
 	}
 	known.SetEvacuated(nil)
+	if known.AnyEvacuated() {
+		t.Error("got an evacuated zone after the end, want none")
+	}
 	check("after it", 2, 1, 0)
 	known.SetEvacuated([]ident.Zone{"a", "b"})
 	check("while both zones are evacuated", 0, 0, 2)
