--- a/gossip/send.go
+++ b/gossip/send.go
@@ -155,8 +155,9 @@
 	return before < stateSenders
 }
 
-// sendFullState sends all evacuations, limits, cold upstreams, splits, requests in flight and cached prefixes
-// that this router knows directly to a peer that has just started. The caller holds mu.
+// sendFullState sends all evacuations, limits, cold upstreams, splits, requests in flight and
+// cached prefixes that this router knows directly to a peer that has just started. The caller
+// holds mu.
 func (gossip *Gossip) sendFullState(now time.Time, peer *peer) {
 	if states := gossip.Evacuations.Report(now); len(states) > 0 {
 		gossip.send(gossip.encode(newEvacuationMessage(gossip.Router, gossip.Address, states)), peer)
@@ -192,8 +193,8 @@
 }
 
 // broadcast sends message to the peers that receive this router's messages, and the extra
-// messages on strikes and limits also to the receivers of its summaries. One that is
-// leaving goes to all peers. Unresponsive ones that are not due yet are left out, and those
+// messages on strikes and limits also to the receivers of its summaries. One that is leaving
+// goes to all peers. Unresponsive ones that are not due yet are left out, and those
 // removed that sent nothing for removeAfter. The caller holds mu.
 func (gossip *Gossip) broadcast(now time.Time, message Message, extra []any) {
 	datagram := gossip.encode(message)
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -10,15 +10,15 @@
 
 const (
 	// probeInterval is how long a request to an upstream that has failed may remain without
-	// an answer before this router sends another one there. An upstream that stands still
-	// holds all of them, and gets them at once when it goes on.
+	// an answer before this router sends another one there. A paused upstream gets all that
+	// wait for it at once when it resumes.
 	probeInterval = 5 * time.Second
 	// minAliveDelay is how long after a failure an answer has to come to show that the
 	// upstream ran on: bytes of one that has ended may still be on their way.
 	minAliveDelay = 250 * time.Millisecond
-	// minFailureLifetime is how long an upstream is taken for failed of which nothing is heard,
-	// at least. Its row expires before, or is written again. closedLifetime is the same for
-	// one that closed its connections.
+	// minFailureLifetime is for how long at least an upstream is treated as failed without
+	// news. Its row expires before, or is written again. closedLifetime is the same for one
+	// that closed its connections.
 	minFailureLifetime = 15 * time.Second
 	closedLifetime     = 5 * time.Second
 	// maxFailureTime is how long before the failure that another router tells of its attempt
@@ -26,8 +26,9 @@
 	maxFailureTime = 5 * time.Second
 	// minColdChange is the least change of a deadline that other routers are told of.
 	minColdChange = 500 * time.Millisecond
-	// suspicionSends is how many messages carry a failure: a router that misses it has its own.
-	suspicionSends = 1
+	// failureSends is how many messages carry a failure. Routers that miss the message detect
+	// the failure themselves.
+	failureSends = 1
 )
 
 // ColdRule says for how long the upstreams of a service are cold after a start, and how
@@ -88,7 +89,7 @@
 	Source ColdSource
 	// Version is that of the row that says so, or the last one before.
 	Version ident.Revision
-	// SeenAt is when that was so: later knowledge replaces earlier one.
+	// SeenAt is the time as of which this is known: later knowledge replaces earlier one.
 	SeenAt time.Time
 }
 
@@ -190,8 +191,7 @@
 	state.reported = false
 }
 
-// failureLifetime returns for how long an upstream is taken for failed of which nothing more
-// is heard. A router without a share can't find out by itself, and must not be kept from an
+// failureLifetime returns for how long an upstream is treated as failed without news. A router without a share can't find out by itself, and must not be kept from an
 // upstream for good that only it could not reach. The fleet is large enough then that all
 // such routers send at most half of the rate. The caller holds mu.
 func (tracker *Tracker) failureLifetime(state *coldState, rule ColdRule) time.Duration {
@@ -233,7 +233,7 @@
 // became cold. The routers take turns, but one that has just sent a request there waits. The
 // caller holds mu.
 func (tracker *Tracker) firstColdTokens(state *coldState) float64 {
-	tokens := tracker.fleet.turn(state.Upstream, state.rule)
+	tokens := tracker.fleet.initialTokens(state.Upstream, state.rule)
 	if last := tracker.contacts[state.Upstream]; last != nil {
 		tokens = min(tokens, state.share*state.filledAt.Sub(last.sentAt).Seconds())
 	}
@@ -441,7 +441,7 @@
 	tracker.fail(now, state, upstream, triedAt)
 	state.closed = false
 	if !state.reported {
-		state.sends, state.reported = suspicionSends, true
+		state.sends, state.reported = failureSends, true
 	}
 }
 
--- a/quota/cold_test.go
+++ b/quota/cold_test.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// TestNothingIsLeftOfAColdUpstream guards against a limit, or a place among the limited
+// TestExpiredColdStateIsRemoved guards against a limit, or a place among the limited
 // upstreams of package balance, that outlasts the deadline: no message comes then.
-func TestNothingIsLeftOfAColdUpstream(t *testing.T) {
+func TestExpiredColdStateIsRemoved(t *testing.T) {
 	tracker, changes := coldTracker(coldRuleOf(7.8))
 	tracker.Started(at(3), row(1))
 	if got := tracker.State(at(5.99), row(1)); got == quota.Unlimited {
@@ -310,7 +310,7 @@
 }
 
 // TestOneRequestWaitsForAFailedUpstream guards against requests that pile up at an upstream
-// that stands still with its connections open, and that it gets all at once when it goes on.
+// that is paused with its connections open, and that it gets all at once when it resumes.
 func TestOneRequestWaitsForAFailedUpstream(t *testing.T) {
 	tracker, _ := coldTracker(coldRuleOf(7.8))
 	tracker.Failed(at(3), row(1), at(3))
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -127,9 +127,9 @@
 	return division
 }
 
-// turn returns how much of a request this router has saved up when an upstream becomes
+// initialTokens returns how much of a request this router has saved up when an upstream becomes
 // cold, less than one. Routers that agree on the fleet have different parts.
-func (fleet *coldFleet) turn(upstream ident.UpstreamID, rule ColdRule) float64 {
+func (fleet *coldFleet) initialTokens(upstream ident.UpstreamID, rule ColdRule) float64 {
 	sharing := divideCold(rule, len(fleet.routers)).sharing
 	return (float64(rankOf(upstream, fleet.self, fleet.routers)%sharing) + 0.5) / float64(sharing)
 }
