--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -328,25 +328,6 @@
 	return true
 }
 
-// MaySend reports whether a request that Take allowed at takenAt may still be sent: if the
-// upstream has become cold since, it is counted once more.
-func (tracker *Tracker) MaySend(now time.Time, upstream registry.Upstream, takenAt time.Time) bool {
-	if tracker == nil || tracker.coldCount.Load() == 0 {
-		return true
-	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	cold := tracker.cold(now, upstream)
-	if cold == nil || !cold.becameAt.After(takenAt) {
-		return true
-	}
-	if !cold.allows(now) {
-		return false
-	}
-	cold.take(now)
-	return true
-}
-
 // NextAt returns when an upstream that has reached its limit, or rests, takes the next
 // request from this router, or, if it has no share, from another one. It returns the zero
 // time for any other upstream.
