gossip: let registered routers into a full table

Datagrams that name invented addresses could fill the table of 4,096 routers, and keep out the routers that are registered in the store.

Add, which only the reading of the store calls, removes the router that was named longest ago of those that sent nothing and are not registered. TestRegisteredRouterIsAddedToAFullTable failed before and passes now, with -race; go test ./gossip passes.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -39,6 +39,8 @@
 	name    string
 	hash    uint64
 	address *net.UDPAddr
+	// registered is set if the address is registered in the store.
+	registered bool
 	// receivedAt is when a message of the router came, or one of another router in its
 	// group that lists it, and directAt when the last Message of it came.
 	receivedAt time.Time
@@ -146,15 +148,20 @@
 }
 
 // Add adds the router at address, an IP:port, to the peers and immediately greets it. It
-// ignores the router's own address and an invalid one.
+// ignores the router's own address and an invalid one. The address is one that is registered in
+// the store, and takes the place of one that a datagram named.
 func (gossip *Gossip) Add(address string) {
 	now := time.Now()
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
+	if gossip.peers[address] == nil {
+		gossip.makeRoom()
+	}
 	peer := gossip.add(now, address)
 	if peer == nil {
 		return
 	}
+	peer.registered = true
 	gossip.sendHello(now, peer, hello)
 }
 
@@ -186,6 +193,25 @@
 	return added
 }
 
+// makeRoom removes a peer if there are maxPeers: the one that was named longest ago of those that
+// sent no message and are not registered. The caller holds mu.
+func (gossip *Gossip) makeRoom() {
+	if len(gossip.peers) < maxPeers {
+		return
+	}
+	var oldest *peer
+	for _, peer := range gossip.peers {
+		unknown := peer.router == "" && !peer.registered
+		if unknown && (oldest == nil || peer.receivedAt.Before(oldest.receivedAt)) {
+			oldest = peer
+		}
+	}
+	if oldest != nil {
+		delete(gossip.peers, oldest.name)
+		gossip.topologyStale = true
+	}
+}
+
 // Relay adds changes of upstreams to the next message.
 func (gossip *Gossip) Relay(changes []registry.Change) {
 	gossip.mu.Lock()
