forward: one admission control for a whole exchange

Cause: the controller was read from the settings at each use. Turning AdmissionControl off between a check and a use ended in a nil pointer, and an exchange could begin with admission control and go on without.

Change: the exchange reads it once, before it is decided on.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
@@ -78,6 +79,9 @@
 	// takenAt is when the limit of the chosen upstream allowed the request.
 	takenAt time.Time
 	choice  balance.Choice
+	// admission is the admission control that was in force when the exchange began, or nil:
+	// a change of the settings applies to later requests.
+	admission *overload.Controller
 	// room is what was last decided about the room for the request.
 	room room
 	// binding restricts the request to one software version, and certainAt is when
@@ -128,6 +132,7 @@
 	if exchange.route.Sticky {
 		exchange.handler.awaitWarm(exchange.request.Context())
 	}
+	exchange.admission = exchange.handler.tuning.Load().Overload
 	if code := exchange.admit(exchange.pool()); code != result.OK {
 		exchange.refuse(code)
 		return
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -128,9 +128,6 @@
 // first request.
 func (handler *Handler) Tune(tuning Tuning) { handler.tuning.Store(&tuning) }
 
-// overload returns what decides on the room of pools, or nil.
-func (handler *Handler) overload() *overload.Controller { return handler.tuning.Load().Overload }
-
 // choose returns an upstream of pool for request, or false if none remains.
 func (handler *Handler) choose(pool *registry.Pool, request balance.Request) (balance.Choice, bool) {
 	return handler.tuning.Load().Chooser.Choose(time.Now(), pool, request)
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -47,7 +47,7 @@
 		return result.OK
 	}
 	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
-	if !exchange.handler.overload().Arrived(exchange.arrived, key, exchange.arrival()) {
+	if !exchange.admission.Arrived(exchange.arrived, key, exchange.arrival()) {
 		return result.OK
 	}
 	return exchange.decide(pool, key, false)
@@ -65,7 +65,7 @@
 // roomMatters reports whether the request depends on the room of the pool: what its upstreams
 // hold is known, the request doesn't have to run alone and isn't the rest of a stream.
 func (exchange *exchange) roomMatters(pool *registry.Pool) bool {
-	if exchange.handler.overload() == nil || pool == nil || len(pool.Upstreams) == 0 || exchange.head.TakesUp() {
+	if exchange.admission == nil || pool == nil || len(pool.Upstreams) == 0 || exchange.head.TakesUp() {
 		return false
 	}
 	slots, _ := exchange.capacity(pool.Upstreams[0])
@@ -102,7 +102,7 @@
 	if len(exchange.prefixIDs) > 0 {
 		request.CachedPrefill = exchange.ownPrefill()
 	}
-	exchange.room = room{decision: exchange.handler.overload().Decide(now, exchange.view(now, pool, key), request), pool: pool}
+	exchange.room = room{decision: exchange.admission.Decide(now, exchange.view(now, pool, key), request), pool: pool}
 	exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
 	switch exchange.room.decision.Reason {
 	case overload.NoRoom:
@@ -192,7 +192,7 @@
 // countRoom counts a request that is sent to the chosen upstream. The returned function counts
 // its end, and whether it was answered completely.
 func (exchange *exchange) countRoom(upstream registry.Upstream, prefill ident.Tokens) func(answered bool) {
-	controller := exchange.handler.overload()
+	controller := exchange.admission
 	if controller == nil {
 		return func(bool) {}
 	}
@@ -212,13 +212,13 @@
 // recordTurnedAway records that an upstream turned the request away because it is full.
 func (exchange *exchange) recordTurnedAway(answer *answer) {
 	handler := exchange.handler
-	if handler.overload() == nil || answer.response.StatusCode != http.StatusServiceUnavailable || answer.head.Leaving {
+	if exchange.admission == nil || answer.response.StatusCode != http.StatusServiceUnavailable || answer.head.Leaving {
 		return
 	}
 	if slots, _ := exchange.capacity(answer.upstream); slots == 0 {
 		return
 	}
-	handler.overload().TurnedAway(time.Now(), exchange.service, answer.upstream.ID, handler.loadDelay())
+	exchange.admission.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, handler.loadDelay())
 }
 
 // loadDelay returns the time within which the requests of a router are known to all others.
@@ -237,7 +237,7 @@
 		return max(exchange.room.decision.RetryAfter, minRetryAfter)
 	case result.QueueFull:
 		if exchange.table != nil && exchange.roomMatters(exchange.pool()) {
-			return max(exchange.handler.overload().RetryAfter(time.Now(), exchange.service, exchange.callerDeadline), minRetryAfter)
+			return max(exchange.admission.RetryAfter(time.Now(), exchange.service, exchange.callerDeadline), minRetryAfter)
 		}
 	}
 	return 0
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -121,6 +121,24 @@
 	}
 }
 
+// TestAdmissionControlTurnedOffDuringARequest guards against an exchange that begins with
+// admission control and goes on without, which ended in a nil pointer.
+func TestAdmissionControlTurnedOffDuringARequest(t *testing.T) {
+	var router *router
+	refuse := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetrySlack: 50})
+		write(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id")))
+		return true
+	}
+	upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
+	router = startRoomRouter(t, upstreams...)
+	router.setLoads(1, 50, testSlots, testSlots)
+	router.send(t, "a1", "POST", "/once/x", "1").check(t, 503, "")
+	if got := runs(upstreams); got != 1 {
+		t.Errorf("got %d arrivals, want 1: the others are full for an exchange that began with admission control", got)
+	}
+}
+
 // TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
 // turned them on.
 func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
