overload: an idle engine counts with all its room

Cause: an engine without requests counted with the room of one request, and one with a single request with that of 63. Beside full engines, idle ones hardly added to the parts of the routers.

Change: its room is computed as for others, and is at least one.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -289,3 +289,22 @@
 		t.Errorf("got %d of 40 requests refused, want at least half: %v", got, reasons)
 	}
 }
+
+// TestIdleEnginesCountWithAllTheirRoom guards against refusals although engines are idle, which
+// counted with the room of a single request.
+func TestIdleEnginesCountWithAllTheirRoom(t *testing.T) {
+	refused := 0
+	for seed := range 400 {
+		pool := enginesWith(42, slices.Concat(slices.Repeat([]int{engineSlots}, 7), make([]int, 6))...)
+		controller := seededController(seed)
+		for i := range 4 {
+			controller.TurnedAway(start, "engines", engineID(i), time.Second)
+		}
+		if controller.Decide(start, pool, small(0)).Reason != "" {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d of 400 requests refused beside 6 idle engines, want none", refused)
+	}
+}
--- a/overload/room.go
+++ b/overload/room.go
@@ -46,16 +46,16 @@
 	if upstream.Memory == 0 {
 		return upstream.plainRoom(request)
 	}
-	if upstream.Requests == 0 && request.Memory <= upstream.Memory {
-		// An idle engine takes any request that it can hold.
-		return 1
-	}
 	room := share*float64(upstream.Slots) - used
 	memory := share*memoryShare*float64(upstream.Memory) - used*estimates.memory
 	room = min(room, memory/math.Max(float64(request.Memory), 1))
-	if upstream.Pending == 0 {
-		return room
+	if upstream.Pending > 0 {
+		budget := share * targetShare * float64(request.target()) * estimates.prefillRate(upstream.ID)
+		room = min(room, (budget-float64(upstream.Pending))/math.Max(float64(upstream.prefill(request)), 1))
+	}
+	if upstream.Requests == 0 && request.Memory <= upstream.Memory {
+		// An idle engine takes any request that it can hold.
+		return max(room, 1)
 	}
-	budget := share * targetShare * float64(request.target()) * estimates.prefillRate(upstream.ID)
-	return min(room, (budget-float64(upstream.Pending))/math.Max(float64(upstream.prefill(request)), 1))
+	return room
 }
