overload: a plain service with a free slot refuses nothing

Cause: the time that a request takes a slot was added to the wait also where a slot was free. If that time exceeded the remaining time of a request, it was refused with HH2023 although instances were idle.

Change: the wait at a plain service with a free slot is zero.

TestPlainServiceWithAFreeSlotRefusesNothing: refused as too late before, passes now with all of ./overload.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -308,3 +308,18 @@
 		t.Errorf("got %d of 400 requests refused beside 6 idle engines, want none", refused)
 	}
 }
+
+// TestPlainServiceWithAFreeSlotRefusesNothing guards against refusals at a plain service that has
+// free slots, since its requests usually take longer than the deadline of this one.
+func TestPlainServiceWithAFreeSlotRefusesNothing(t *testing.T) {
+	for _, requests := range [][]int{{6, 6, 6, 0}, {5, 5, 5, 5}} {
+		controller := new(overload.Controller)
+		for range 20 {
+			controller.Answered("engines", "p-0", 30*time.Second, 6, 0)
+		}
+		decision := controller.Decide(start, plainWith(1, requests...), small(0))
+		if decision.Reason != "" || decision.Wait != 0 || decision.Full[3] {
+			t.Errorf("got %+v with %v of 6 slots taken, want the request sent without a wait to the last one", decision, requests)
+		}
+	}
+}
--- a/overload/room.go
+++ b/overload/room.go
@@ -33,6 +33,10 @@
 	queued := max(upstream.Requests+1-upstream.Slots, 0)
 	wait := time.Duration(float64(queued) / float64(max(upstream.Slots, 1)) * float64(estimates.serviceTime))
 	if upstream.Memory == 0 {
+		if queued == 0 {
+			// With a free slot the request runs at once, however long that takes.
+			return 0
+		}
 		return wait + estimates.serviceTime
 	}
 	prefill := float64(upstream.Pending + upstream.prefill(request))
