overload: a pool restricted to regions is decided on for itself

Cause: the key of a pool was its service and version.

Change: the regions are part of the key.

TestRestrictedPoolIsNoLossOfSlots and TestRoomOfARegionIsDecidedOnForItself fail without the regions in the key and pass now, with all of ./overload and ./registry.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -46,20 +46,25 @@
 	if !exchange.roomMatters(pool) {
 		return result.OK
 	}
-	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
+	key := exchange.roomKey(pool)
 	if !exchange.admission.Arrived(exchange.arrived, key, exchange.arrival()) {
 		return result.OK
 	}
 	return exchange.decide(pool, key, false)
 }
 
+// roomKey returns the key of the pool in admission control.
+func (exchange *exchange) roomKey(pool *registry.Pool) overload.Key {
+	return overload.Key{Service: exchange.service, Version: exchange.binding.version, Regions: pool.RegionKey}
+}
+
 // roomElsewhere reports whether an upstream is known to have room for a request that another
 // one turned away.
 func (exchange *exchange) roomElsewhere(pool *registry.Pool) bool {
 	if !exchange.roomMatters(pool) {
 		return true
 	}
-	return exchange.decide(pool, overload.Key{Service: exchange.service, Version: exchange.binding.version}, true) == result.OK
+	return exchange.decide(pool, exchange.roomKey(pool), true) == result.OK
 }
 
 // roomMatters reports whether the request depends on the room of the pool: what its upstreams
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -139,6 +139,29 @@
 	}
 }
 
+// TestRoomOfARegionIsDecidedOnForItself guards against requests that are sent to a full region
+// undecided, since those that may run anywhere find ample room.
+func TestRoomOfARegionIsDecidedOnForItself(t *testing.T) {
+	upstreams := []*fakeUpstream{startUpstream(t, echo), startUpstream(t, echo), startUpstream(t, echo)}
+	router := startRegional(t, nil, nil, upstreams...)
+	config := testConfig()
+	config.Version++
+	config.Services[0].Slots, config.Services[0].CacheTokens = testSlots, testMemory
+	for i := range config.Routes {
+		if strings.HasPrefix(string(config.Routes[i].Prefix), "/once") {
+			config.Routes[i].AllowedRegions = []ident.Region{"west"}
+		}
+	}
+	router.handler.Routes.Adopt(routing.New(config))
+	router.tuneRoom(50)
+	router.setLoads(1, 0, testSlots, 0)
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+	router.send(t, "a2", "POST", "/once/x", "2").check(t, 503, "HH2022 The upstreams have no room\n")
+	if got := len(upstreams[1].requestsSoFar()); got != 0 {
+		t.Errorf("got %d arrivals in the full region, want none", got)
+	}
+}
+
 // TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
 // turned them on.
 func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -323,3 +323,28 @@
 		}
 	}
 }
+
+// TestRestrictedPoolIsNoLossOfSlots guards against a restricted pool that counts as what is left of
+// the whole one after a loss.
+func TestRestrictedPoolIsNoLossOfSlots(t *testing.T) {
+	refused, short := 0, 0
+	for seed := range 20 {
+		controller := seededController(seed)
+		for step := range 100 {
+			now := start.Add(time.Duration(step) * 25 * time.Millisecond)
+			controller.Decide(now, enginesWith(103, slices.Repeat([]int{16}, 12)...), small(2))
+			restricted := enginesWith(103, 16, 16)
+			restricted.Key.Regions = "west"
+			decision := controller.Decide(now.Add(time.Millisecond), restricted, small(2))
+			if decision.Short {
+				short++
+			}
+			if decision.Reason != "" {
+				refused++
+			}
+		}
+	}
+	if short > 0 || refused > 0 {
+		t.Errorf("got %d of 2000 requests refused and the pool short %d times at a quarter of the slots, want neither", refused, short)
+	}
+}
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -39,11 +39,13 @@
 }
 
 // Key identifies a pool: the upstreams of a service, or those of them with one software
-// version.
+// version, in some regions.
 type Key struct {
 	Service ident.ServiceName
 	// Version is empty for all versions.
 	Version ident.SoftwareVersion
+	// Regions names the regions to which the pool is restricted. It is empty for all.
+	Regions string
 }
 
 // Pool is what a router knows of the upstreams of a service.
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -20,6 +20,9 @@
 	// Withheld holds those that accept new requests, but get none because their zone is
 	// evacuated.
 	Withheld []Upstream
+	// RegionKey tells the pools apart that Within has made of one: it joins the names of the
+	// regions that are left. It is empty for the whole pool.
+	RegionKey string
 
 	// zoneRegions holds the region of each zone, and regions those of Upstreams and Withheld,
 	// sorted and without the empty one. within holds the pools that Within has made.
--- a/registry/region.go
+++ b/registry/region.go
@@ -34,7 +34,7 @@
 	return allowed == nil || region != "" && slices.Contains(allowed, region)
 }
 
-// regionSeparator joins the names of regions in the keys of Pool.within.
+// regionSeparator joins the names of regions in RegionKey.
 const regionSeparator = "\x00"
 
 // Within returns the pool of those upstreams that are in allowed regions, with the withheld
@@ -57,12 +57,12 @@
 	if known, found := pool.within.Load(key); found {
 		return known.(*Pool)
 	}
-	known, _ := pool.within.LoadOrStore(key, pool.restrict(allowed))
+	known, _ := pool.within.LoadOrStore(key, pool.restrict(allowed, key))
 	return known.(*Pool)
 }
 
 // restrict does the work of Within, without its cache.
-func (pool *Pool) restrict(allowed []ident.Region) *Pool {
+func (pool *Pool) restrict(allowed []ident.Region, key string) *Pool {
 	elsewhere := func(upstream Upstream) bool { return !InRegions(pool.zoneRegions[upstream.Zone], allowed) }
 	upstreams := slices.DeleteFunc(slices.Clone(pool.Upstreams), elsewhere)
 	withheld := slices.DeleteFunc(slices.Clone(pool.Withheld), elsewhere)
@@ -72,7 +72,9 @@
 	case len(upstreams) == len(pool.Upstreams) && len(withheld) == len(pool.Withheld):
 		return pool
 	}
-	return newPool(upstreams, withheld, pool.zoneRegions)
+	restricted := newPool(upstreams, withheld, pool.zoneRegions)
+	restricted.RegionKey = key
+	return restricted
 }
 
 // regionsOf returns the regions of usable and withheld upstreams, sorted and without the empty one.
