overload: an upstream that turned a request away doesn't make an idle pool short

Cause: more than a quarter of the upstreams that turned requests away made a pool short, which is one of up to three engines. Its routers then refused nearly all requests, at any usage.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// maxFullShare is the share of the upstreams above which a pool is short of room if these
-	// have turned requests away.
+	// A pool that is used by stillShortUsage is short of room if more than maxFullShare of its
+	// upstreams turned requests away, and at least minFull: a single one may have reasons of
+	// its own.
 	maxFullShare = 0.25
+	minFull      = 2
 	// minFullTime is how long an upstream that turned a request away counts as full, at
 	// least, unless an answer of it comes.
 	minFullTime = 20 * time.Millisecond
@@ -198,7 +200,7 @@
 	sums.share = view.share(now, pool, sums)
 	full := controller.full(now, pool)
 	decision.Short = decision.Usage >= state.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
-		float64(full) > maxFullShare*float64(sums.usable) || pool.busyPrefilling(&request, estimates)
+		manyFull(full, sums) || pool.busyPrefilling(&request, estimates)
 	state.shortage = decision.Short
 	if !decision.Short && full > 0 {
 		decision.Full = controller.turnedAwayOf(now, pool)
@@ -235,6 +237,12 @@
 	return decision
 }
 
+// manyFull reports whether a pool is short of room since so many of its upstreams turned requests
+// away.
+func manyFull(full int, sums sums) bool {
+	return full >= minFull && float64(full) > maxFullShare*float64(sums.usable) && sums.usage() >= stillShortUsage
+}
+
 // RetryAfter returns when a caller should return whom upstreams have turned away.
 func (controller *Controller) RetryAfter(now time.Time, name ident.ServiceName, deadline time.Time) time.Duration {
 	controller.mu.Lock()
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -348,3 +348,22 @@
 		t.Errorf("got %d of 2000 requests refused and the pool short %d times at a quarter of the slots, want neither", refused, short)
 	}
 }
+
+// TestFewRefusalsLeaveOnlyTheirUpstreamsOut guards against a pool that refuses requests although it
+// is nearly idle, since upstreams turned some away.
+func TestFewRefusalsLeaveOnlyTheirUpstreamsOut(t *testing.T) {
+	for _, test := range []struct{ used, turnedAway int }{{0, 1}, {20, 1}, {25, 1}, {0, 2}, {20, 2}} {
+		for seed := range 100 {
+			controller := seededController(seed)
+			want := make([]bool, 3)
+			for i := range test.turnedAway {
+				controller.TurnedAway(start, "engines", engineID(i), 300*time.Millisecond)
+				want[i] = true
+			}
+			decision := controller.Decide(start, enginesWith(103, slices.Repeat([]int{test.used}, 3)...), small(0))
+			if decision.Reason != "" || !slices.Equal(decision.Full, want) {
+				t.Fatalf("got %q and %v with %d in flight at each of 3 engines, want the request sent and %v left out", decision.Reason, decision.Full, test.used, want)
+			}
+		}
+	}
+}
