overload: each pool of a service is short for itself

Cause: refusals, and the turns of refused callers, were counted for the whole service. While the pool of one version was full, that of the other one counted as short from 0.4 on, and its urgent requests got a smaller part.

Change: they are kept for each pool. The usual rates of workspaces stay as they are while the pool of the request is short. A pool without usable upstreams is not short.

TestVersionsAreShortForThemselves fails before and passes now, with all of ./overload and -run 'Room|Overload|Admission|Plain|Region' of ./forward.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -53,9 +53,13 @@
 	return exchange.decide(pool, key, false)
 }
 
-// roomKey returns the key of the pool in admission control.
+// roomKey returns the key of the pool in admission control. The pool may be nil.
 func (exchange *exchange) roomKey(pool *registry.Pool) overload.Key {
-	return overload.Key{Service: exchange.service, Version: exchange.binding.version, Regions: pool.RegionKey}
+	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
+	if pool != nil {
+		key.Regions = pool.RegionKey
+	}
+	return key
 }
 
 // roomElsewhere reports whether an upstream is known to have room for a request that another
@@ -223,7 +227,7 @@
 	if slots, _ := exchange.capacity(answer.upstream); slots == 0 {
 		return
 	}
-	exchange.admission.TurnedAway(time.Now(), exchange.service, answer.upstream.ID, handler.loadDelay())
+	exchange.admission.TurnedAway(time.Now(), exchange.roomKey(exchange.pool()), answer.upstream.ID, handler.loadDelay())
 }
 
 // loadDelay returns the time within which the requests of a router are known to all others.
@@ -241,8 +245,8 @@
 	case result.PoolFull, result.TooLate, result.WorkspaceAboveUsual:
 		return max(exchange.room.decision.RetryAfter, minRetryAfter)
 	case result.QueueFull:
-		if exchange.table != nil && exchange.roomMatters(exchange.pool()) {
-			return max(exchange.admission.RetryAfter(time.Now(), exchange.service, exchange.callerDeadline), minRetryAfter)
+		if pool := exchange.pool(); exchange.table != nil && exchange.roomMatters(pool) {
+			return max(exchange.admission.RetryAfter(time.Now(), exchange.roomKey(pool), exchange.callerDeadline), minRetryAfter)
 		}
 	}
 	return 0
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -111,7 +111,7 @@
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state, view := controller.state(key)
-	state.fairness.count(now, arrival.Workspace, state.shortage)
+	state.fairness.count(now, arrival.Workspace, view.short)
 	return !now.Before(view.idleUntil)
 }
 
@@ -162,15 +162,15 @@
 
 // TurnedAway records that an upstream turned a request away. It counts as full until it answers or
 // for the time that others need to tell what they know.
-func (controller *Controller) TurnedAway(now time.Time, name ident.ServiceName, upstream ident.UpstreamID, delay time.Duration) {
+func (controller *Controller) TurnedAway(now time.Time, key Key, upstream ident.UpstreamID, delay time.Duration) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	state := controller.service(name)
+	state, view := controller.state(key)
 	if len(controller.turnedAway) >= maxTurnedAway {
 		clear(controller.turnedAway)
 	}
 	controller.turnedAway[upstream] = now.Add(max(min(delay, state.serviceTime/2), minFullTime))
-	state.refused.add(now, pressureTime)
+	view.refused.add(now, pressureTime)
 }
 
 func (controller *Controller) prefillRate(upstream ident.UpstreamID) float64 {
@@ -195,13 +195,14 @@
 	sums := pool.sum(estimates)
 	decision := Decision{Usage: sums.usage(), Level: 1}
 	if sums.usable == 0 {
+		view.short = false
 		return decision
 	}
 	sums.share = view.share(now, pool, sums)
 	full := controller.full(now, pool)
-	decision.Short = decision.Usage >= state.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
+	decision.Short = decision.Usage >= view.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
 		manyFull(full, sums) || pool.busyPrefilling(&request, estimates)
-	state.shortage = decision.Short
+	view.short = decision.Short
 	if !decision.Short && full > 0 {
 		decision.Full = controller.turnedAwayOf(now, pool)
 		return decision
@@ -211,9 +212,9 @@
 		return decision
 	}
 	view.draw(now, pool.Delay, random)
-	state.decided.add(now, pressureTime)
+	view.decided.add(now, pressureTime)
 	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
-	decision.urgency = request.urgency(state.refusedShare(now), excess)
+	decision.urgency = request.urgency(view.refusedShare(now), excess)
 	decision.Level = level(request.Priority, excess)
 	if !controller.fill(now, view, pool, sums, &request, estimates, &decision) {
 		decision.Full = nil
@@ -232,8 +233,8 @@
 	default:
 		return decision
 	}
-	state.refused.add(now, pressureTime)
-	decision.RetryAfter = state.retryAfter(now, request.Deadline, random)
+	view.refused.add(now, pressureTime)
+	decision.RetryAfter = view.retryAfter(now, state, request.Deadline, random)
 	return decision
 }
 
@@ -244,10 +245,11 @@
 }
 
 // RetryAfter returns when a caller should return whom upstreams have turned away.
-func (controller *Controller) RetryAfter(now time.Time, name ident.ServiceName, deadline time.Time) time.Duration {
+func (controller *Controller) RetryAfter(now time.Time, key Key, deadline time.Time) time.Duration {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	return controller.service(name).retryAfter(now, deadline, randomOf(controller.Random))
+	state, view := controller.state(key)
+	return view.retryAfter(now, state, deadline, randomOf(controller.Random))
 }
 
 // turnedAwayOf returns which upstreams of the pool count as full since they turned requests
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -146,7 +146,7 @@
 	if want := "[true true false]"; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
-	controller.TurnedAway(start, "engines", engineID(0), time.Second)
+	controller.TurnedAway(start, enginesKey, engineID(0), time.Second)
 	got = fmt.Sprint(controller.Decide(start, enginesWith(1, 10, 10, 10, 10), small(0)).Full)
 	if want := "[true false false false]"; got != want {
 		t.Errorf("got %v after a refusal, want %v", got, want)
@@ -228,7 +228,7 @@
 		for range test.refused {
 			controller.Decide(start, enginesWith(1, 64), request)
 		}
-		if got := controller.RetryAfter(start, "engines", request.Deadline); got < test.least || got > test.most {
+		if got := controller.RetryAfter(start, enginesKey, request.Deadline); got < test.least || got > test.most {
 			t.Errorf("got %v after %d refusals, want %v to %v", got, test.refused, test.least, test.most)
 		}
 	}
@@ -298,7 +298,7 @@
 		pool := enginesWith(42, slices.Concat(slices.Repeat([]int{engineSlots}, 7), make([]int, 6))...)
 		controller := seededController(seed)
 		for i := range 4 {
-			controller.TurnedAway(start, "engines", engineID(i), time.Second)
+			controller.TurnedAway(start, enginesKey, engineID(i), time.Second)
 		}
 		if controller.Decide(start, pool, small(0)).Reason != "" {
 			refused++
@@ -357,7 +357,7 @@
 			controller := seededController(seed)
 			want := make([]bool, 3)
 			for i := range test.turnedAway {
-				controller.TurnedAway(start, "engines", engineID(i), 300*time.Millisecond)
+				controller.TurnedAway(start, enginesKey, engineID(i), 300*time.Millisecond)
 				want[i] = true
 			}
 			decision := controller.Decide(start, enginesWith(103, slices.Repeat([]int{test.used}, 3)...), small(0))
@@ -367,3 +367,28 @@
 		}
 	}
 }
+
+// TestVersionsAreShortForThemselves guards against refusals at a pool with room, since those of
+// another version of the service's software are full.
+func TestVersionsAreShortForThemselves(t *testing.T) {
+	refused, short := 0, 0
+	for seed := range 50 {
+		controller := seededController(seed)
+		for step := range 100 {
+			now := start.Add(time.Duration(step) * 25 * time.Millisecond)
+			other := enginesWith(103, engineSlots)
+			other.Key.Version = "v2"
+			controller.Decide(now, other, small(0))
+			decision := controller.Decide(now.Add(time.Millisecond), enginesWith(103, 30, 30, 30), small(0))
+			if decision.Short {
+				short++
+			}
+			if decision.Reason != "" {
+				refused++
+			}
+		}
+	}
+	if short > 0 || refused > 0 {
+		t.Errorf("got %d of 5000 requests refused and the pool short %d times at 0.47 of the slots, want neither", refused, short)
+	}
+}
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -381,7 +381,7 @@
 			return
 		}
 		if fleet.admission {
-			router.controller.TurnedAway(fleet.time(), "engines", choice.Upstream.ID, fleetWord)
+			router.controller.TurnedAway(fleet.time(), enginesKey, choice.Upstream.ID, fleetWord)
 			request.Offered = true
 			decision := router.controller.Decide(fleet.time(), fleet.view(router, job), request)
 			full = decision.Full
--- a/overload/service.go
+++ b/overload/service.go
@@ -38,8 +38,6 @@
 type service struct {
 	flow     flow
 	fairness fairness
-	// shortage is set while a pool of the service is short of room.
-	shortage bool
 	// inFlight and memory are the requests of this router in flight and their memory,
 	// and meanMemory is the mean of those that were sent.
 	inFlight   int
@@ -47,29 +45,6 @@
 	meanMemory float64
 	// serviceTime is how long a request takes a slot.
 	serviceTime time.Duration
-	// nextTurn is when the next caller that is refused should return.
-	nextTurn time.Time
-	// decided and refused count the requests that were decided on, and those refused.
-	decided, refused decayingCount
-}
-
-// shortUsage returns the share of a pool that is used from which on it is short of room. It is
-// lower while requests are refused: without that, all that are refused now would be sent as soon
-// as there is some room, before the routers know of each other's.
-func (service *service) shortUsage(now time.Time) float64 {
-	if service.refused.get(now, pressureTime) >= 1 {
-		return stillShortUsage
-	}
-	return shortUsage
-}
-
-// refusedShare returns the share of the requests decided on lately that were refused.
-func (service *service) refusedShare(now time.Time) float64 {
-	decided := service.decided.get(now, pressureTime)
-	if decided < 1 {
-		return 0
-	}
-	return service.refused.get(now, pressureTime) / decided
 }
 
 // estimates returns what is known of the requests of a service. The caller holds mu.
@@ -79,27 +54,6 @@
 	return known
 }
 
-// retryAfter gives each refused caller a turn when a request of this router is expected to
-// end, within the time for which callers wait.
-func (service *service) retryAfter(now, deadline time.Time, random func() float64) time.Duration {
-	remaining := max(deadline.Sub(now), 0)
-	latest := time.Duration(maxReturnShare * float64(remaining))
-	earliest := time.Duration(minReturnShare * float64(remaining))
-	after := latest
-	if ended := service.flow.since(now, rateTime).ended; ended > 0 {
-		turn := now
-		if service.nextTurn.After(now) {
-			turn = service.nextTurn
-		}
-		service.nextTurn = turn.Add(rateTime / time.Duration(ended))
-		if limit := now.Add(maxTurns); service.nextTurn.After(limit) {
-			service.nextTurn = limit
-		}
-		after = min(max(service.nextTurn.Sub(now), earliest), latest)
-	}
-	return time.Duration(float64(after) * (1 - returnJitter*random()))
-}
-
 // randomOf returns random, or the default source of random numbers from 0 to 1.
 func randomOf(random func() float64) func() float64 {
 	if random == nil {
--- a/overload/view.go
+++ b/overload/view.go
@@ -38,6 +38,13 @@
 	sharedAt   time.Time
 	// earlier is what the router had in flight before.
 	earlier snapshots
+	// short is set while the pool is short of room.
+	short bool
+	// decided and refused count the requests that were decided on, and those refused, also by
+	// upstreams.
+	decided, refused decayingCount
+	// nextTurn is when the next caller that is refused should return.
+	nextTurn time.Time
 	// seed draws the least parts with which requests are sent, since drawnAt.
 	seed    uint64
 	drawnAt time.Time
@@ -93,3 +100,43 @@
 	_, _ = digest.WriteString(string(upstream))
 	return float64(digest.Sum64()>>11) / (1 << 53)
 }
+
+// shortUsage returns the share of a pool that is used from which on it is short of room. It is
+// lower while requests are refused: without that, all that are refused now would be sent as soon
+// as there is some room, before the routers know of each other's.
+func (view *view) shortUsage(now time.Time) float64 {
+	if view.refused.get(now, pressureTime) >= 1 {
+		return stillShortUsage
+	}
+	return shortUsage
+}
+
+// refusedShare returns the share of the requests decided on lately that were refused.
+func (view *view) refusedShare(now time.Time) float64 {
+	decided := view.decided.get(now, pressureTime)
+	if decided < 1 {
+		return 0
+	}
+	return view.refused.get(now, pressureTime) / decided
+}
+
+// retryAfter gives each refused caller a turn when a request of this router is expected to
+// end, within the time for which callers wait.
+func (view *view) retryAfter(now time.Time, service *service, deadline time.Time, random func() float64) time.Duration {
+	remaining := max(deadline.Sub(now), 0)
+	latest := time.Duration(maxReturnShare * float64(remaining))
+	earliest := time.Duration(minReturnShare * float64(remaining))
+	after := latest
+	if ended := service.flow.since(now, rateTime).ended; ended > 0 {
+		turn := now
+		if view.nextTurn.After(now) {
+			turn = view.nextTurn
+		}
+		view.nextTurn = turn.Add(rateTime / time.Duration(ended))
+		if limit := now.Add(maxTurns); view.nextTurn.After(limit) {
+			view.nextTurn = limit
+		}
+		after = min(max(view.nextTurn.Sub(now), earliest), latest)
+	}
+	return time.Duration(float64(after) * (1 - returnJitter*random()))
+}
