overload: what is in flight stays known to the others when the delay grows

When the delay grew, none was old enough, and all that the router had in flight counted as not known to the others, so that it refused everything.

Change: if none is old enough, the oldest one counts. One older than four times the delay counts like none.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -392,3 +392,53 @@
 		t.Errorf("got %d of 5000 requests refused and the pool short %d times at 0.47 of the slots, want neither", refused, short)
 	}
 }
+
+// TestSnapshotsOutlastAChangeOfTheDelay guards against a router that takes all that it has in flight
+// for unknown to the others, when the delay grows or after a time without decisions.
+func TestSnapshotsOutlastAChangeOfTheDelay(t *testing.T) {
+	for _, test := range []struct{ delay, pause time.Duration }{{2 * time.Second, 0}, {300 * time.Millisecond, 5 * time.Second}} {
+		refused := 0
+		for seed := range 100 {
+			controller := seededController(seed)
+			decide := func(at time.Duration, delay time.Duration, local int) overload.Decision {
+				pool := enginesWith(10, slices.Repeat([]int{50}, 13)...)
+				pool.Delay = delay
+				for i := range pool.Upstreams {
+					pool.Upstreams[i].Local = local
+				}
+				request := small(0)
+				request.Deadline = start.Add(at + 10*time.Second)
+				return controller.Decide(start.Add(at), pool, request)
+			}
+			for n := range 200 {
+				decide(time.Duration(n)*10*time.Millisecond, 300*time.Millisecond, 5)
+			}
+			for n := range 30 {
+				if decide(2*time.Second+test.pause+time.Duration(n)*10*time.Millisecond, test.delay, 5).Reason != "" {
+					refused++
+				}
+			}
+		}
+		if refused > 0 {
+			t.Errorf("got %d of 3000 requests refused with a delay of %v after %v without decisions, want none", refused, test.delay, test.pause)
+		}
+	}
+}
+
+// TestOldSnapshotsAreNotUsed guards against a router that counts what it has sent over a long time
+// without decisions as not known to the others.
+func TestOldSnapshotsAreNotUsed(t *testing.T) {
+	for seed := range 100 {
+		controller := seededController(seed)
+		controller.Decide(start, enginesWith(10, slices.Repeat([]int{50}, 13)...), small(0))
+		pool := enginesWith(10, slices.Repeat([]int{50}, 13)...)
+		for i := range pool.Upstreams {
+			pool.Upstreams[i].Local = 5
+		}
+		request := small(0)
+		request.Deadline = start.Add(20 * time.Second)
+		if got := controller.Decide(start.Add(10*time.Second), pool, request); got.Reason != "" {
+			t.Fatalf("got %+v, want the request sent", got)
+		}
+	}
+}
--- a/overload/snapshot.go
+++ b/overload/snapshot.go
@@ -11,6 +11,9 @@
 const (
 	snapshotCount    = 6
 	snapshotsPerTime = 4
+	// maxGap times the delay is how old the newest snapshot may be: what is in flight has
+	// mostly changed since.
+	maxGap = 4
 )
 
 // snapshots holds what a router had in flight at each upstream at earlier times.
@@ -28,8 +31,9 @@
 // setAdded sets by how much the requests in flight have grown since the other routers last
 // heard of them, and keeps what is in flight now.
 func (snapshots *snapshots) setAdded(now time.Time, pool *Pool) {
-	if snapshots.ring[snapshots.last].at.IsZero() {
-		// What was in flight before the first call is known to the others.
+	if newest := snapshots.ring[snapshots.last].at; newest.IsZero() || now.Sub(newest) > maxGap*pool.Delay {
+		// What was in flight before the first call, or the first one for long, is known to the
+		// others.
 		snapshots.keep(now.Add(-pool.Delay), pool)
 	}
 	known := snapshots.before(now.Add(-pool.Delay))
@@ -58,13 +62,23 @@
 	}
 }
 
-// before returns the newest counts that are not younger than the given time, or nil.
+// before returns the newest counts that are not younger than the given time, or the oldest ones
+// if all are.
 func (snapshots *snapshots) before(at time.Time) map[ident.UpstreamID]int {
-	var newest snapshot
+	var newest, oldest snapshot
 	for _, snapshot := range snapshots.ring {
+		if snapshot.at.IsZero() {
+			continue
+		}
 		if !snapshot.at.After(at) && snapshot.at.After(newest.at) {
 			newest = snapshot
 		}
+		if oldest.at.IsZero() || snapshot.at.Before(oldest.at) {
+			oldest = snapshot
+		}
+	}
+	if newest.at.IsZero() {
+		return oldest.counts
 	}
 	return newest.counts
 }
