forward: a request with a slow body is decided on when it is complete

Cause: whether a request passes undecided was asked with the time at which its head came. One whose body took longer passed into a full pool.

Change: it is asked with the present time.

TestRequestWithASlowBodyIsDecidedOn: 200 before, 503 HH2022 now.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -47,7 +47,7 @@
 		return result.OK
 	}
 	key := exchange.roomKey(pool)
-	if !exchange.admission.Arrived(exchange.arrived, key, exchange.arrival()) {
+	if !exchange.admission.Arrived(time.Now(), key, exchange.arrival()) {
 		return result.OK
 	}
 	return exchange.decide(pool, key, false)
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -1,10 +1,13 @@
 package forward_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -162,6 +165,32 @@
 	}
 }
 
+// TestRequestWithASlowBodyIsDecidedOn guards against requests that are sent to a full pool
+// undecided, since their heads came while it was idle.
+func TestRequestWithASlowBodyIsDecidedOn(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	router := startRoomRouter(t, upstream)
+	router.setLoads(1, 1)
+	conn, err := net.Dial("tcp", router.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+	write(conn, "POST /again/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\nHickoryhead-Attempt-Id: a2\r\nHickoryhead-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n1")
+	time.Sleep(2 * undecidedTime)
+	router.setLoads(2, testSlots)
+	write(conn, "2")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if body, _ := io.ReadAll(response.Body); response.StatusCode != 503 || !strings.HasPrefix(string(body), "HH2022 ") {
+		t.Errorf("got %d %q, want 503 HH2022", response.StatusCode, body)
+	}
+}
+
 // TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
 // turned them on.
 func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
