overload: shared prompt parts don't matter at a plain service

Cause: the part of the time for prefill adds up engines only, so that it is zero at a plain service. Requests that name shared prompt parts were refused there, also with idle instances.

Change: no upstream is left out for prompt parts in a pool without engines.

TestPlainServiceIgnoresPromptParts: refused before, passes now, with all of ./overload.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -442,3 +442,13 @@
 		}
 	}
 }
+
+// TestPlainServiceIgnoresPromptParts guards against refusals at a plain service with idle instances,
+// since requests name prompt parts that others share.
+func TestPlainServiceIgnoresPromptParts(t *testing.T) {
+	request := small(0)
+	request.CachedPrefill = 100
+	if got := seededController(1).Decide(start, plainWith(1, 6, 6, 6, 0), request); got.Reason != "" || got.Full[3] {
+		t.Errorf("got %+v, want the request sent", got)
+	}
+}
--- a/overload/parts.go
+++ b/overload/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -65,7 +66,7 @@
 // full, if one that has them cached has room, or if this router has used up its part of
 // the time for prefill.
 func (service *service) preferCached(now time.Time, view *view, pool *Pool, sums sums, request *Request, estimates estimates, decision *Decision) {
-	if request.Prefill <= request.CachedPrefill {
+	if request.Prefill <= request.CachedPrefill || !pool.anyEngine() {
 		return
 	}
 	bound := math.Inf(1)
@@ -89,6 +90,11 @@
 	}
 }
 
+// anyEngine reports whether a usable upstream is an engine, which prefills prompts.
+func (pool *Pool) anyEngine() bool {
+	return slices.ContainsFunc(pool.Upstreams, func(upstream Upstream) bool { return upstream.Usable && upstream.Memory > 0 })
+}
+
 // prefillPart returns how many more prompt tokens this router may send: its part of what
 // the upstreams can prefill in time for the target, and while the others don't know yet
 // what was sent.
