overload: a pool with an upstream that states no slots is not decided on

Cause: an upstream without slots in its row counted as full in a shortage, also when it was idle.

Change: a request passes undecided if the slots of any usable upstream are not known. Just those that turned requests away are left out.

TestUpstreamWithoutStatedSlotsIsNotFull: refused before, and the upstream left out; passes now, with all of ./overload.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -198,8 +198,16 @@
 		view.short = false
 		return decision
 	}
-	sums.share = view.share(now, pool, sums)
 	full := controller.full(now, pool)
+	if sums.unknown > 0 {
+		// The room of the pool is not known if that of one upstream isn't.
+		view.short = false
+		if full > 0 {
+			decision.Full = controller.turnedAwayOf(now, pool)
+		}
+		return decision
+	}
+	sums.share = view.share(now, pool, sums)
 	decision.Short = decision.Usage >= view.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
 		manyFull(full, sums) || pool.busyPrefilling(&request, estimates)
 	view.short = decision.Short
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -452,3 +452,18 @@
 		t.Errorf("got %+v, want the request sent", got)
 	}
 }
+
+// TestUpstreamWithoutStatedSlotsIsNotFull guards against refusals and upstreams left out where one
+// of a pool is idle, but states no slots.
+func TestUpstreamWithoutStatedSlotsIsNotFull(t *testing.T) {
+	for _, requests := range [][]int{{64, 64, 0}, {60, 50, 0}} {
+		pool := enginesWith(1, requests...)
+		pool.Upstreams[2].Slots = 0
+		controller := seededController(1)
+		controller.TurnedAway(start, enginesKey, engineID(0), time.Second)
+		got := controller.Decide(start, pool, small(3))
+		if got.Reason != "" || !slices.Equal(got.Full, []bool{true, false, false}) {
+			t.Errorf("got %+v with %v in flight, want the request sent, with the one that turned another away left out", got, requests)
+		}
+	}
+}
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -65,9 +65,11 @@
 	LoadSlack    float64
 }
 
-// sums are the figures of the usable upstreams of a pool together.
+// sums are the figures of the usable upstreams of a pool together whose slots are known.
 type sums struct {
 	usable   int
+	// unknown counts those whose slots are not known, which the other figures leave out.
+	unknown  int
 	requests int
 	local    int
 	// added is by how much local has grown since the other routers last heard of it.
@@ -105,7 +107,11 @@
 	var sums sums
 	for i := range pool.Upstreams {
 		upstream := &pool.Upstreams[i]
-		if !upstream.Usable || upstream.Slots <= 0 {
+		if !upstream.Usable {
+			continue
+		}
+		if upstream.Slots <= 0 {
+			sums.unknown++
 			continue
 		}
 		sums.usable++
