overload: one caller's stated length doesn't make a pool short

Cause: the memory of a request, which callers state up to 2^31-1 tokens, went into the mean as it was. A single one made a nearly idle pool short.

Change: a request counts with at most the capacity of the engine, and with at most four times the mean.

A large request that is the first one that a router sends still sets the mean.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -98,10 +98,11 @@
 // has turned it away.
 func (exchange *exchange) decide(pool *registry.Pool, key overload.Key, offered bool) result.Code {
 	now := time.Now()
+	_, capacity := exchange.capacity(pool.Upstreams[0])
 	request := overload.Request{
 		Prefill:       exchange.prefill(),
 		CachedPrefill: exchange.prefill(),
-		Memory:        exchange.memory(),
+		Memory:        boundedMemory(exchange.memory(), capacity),
 		Priority:      exchange.priority(),
 		Target:        exchange.route.Target,
 		Deadline:      exchange.deadline,
@@ -189,6 +190,15 @@
 	return max(promptTokens(head.Prompt), head.PromptTokens) + output
 }
 
+// boundedMemory returns the memory that a request takes at an upstream with the given capacity in
+// tokens, or zero for a plain service: callers may state any length of the answer.
+func boundedMemory(memory, capacity ident.Tokens) ident.Tokens {
+	if capacity <= 0 {
+		return memory
+	}
+	return min(memory, capacity)
+}
+
 // priority returns the priority of the request: that of its workspace if it has one, and
 // otherwise that of its route.
 func (exchange *exchange) priority() int {
@@ -205,10 +215,10 @@
 	if controller == nil {
 		return func(bool) {}
 	}
-	service, memory, sentAt := exchange.service, exchange.memory(), time.Now()
-	slots, _ := exchange.capacity(upstream)
+	service, sentAt := exchange.service, time.Now()
+	slots, capacity := exchange.capacity(upstream)
 	inFlight := exchange.choice.Load.Requests
-	controller.Sent(sentAt, service, prefill, memory)
+	memory := controller.Sent(sentAt, service, prefill, boundedMemory(exchange.memory(), capacity))
 	return func(answered bool) {
 		now := time.Now()
 		controller.Ended(now, service, memory)
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -116,8 +117,9 @@
 }
 
 // Sent counts a request that is sent to an upstream, which has to prefill the given tokens
-// and holds as many as memory says.
-func (controller *Controller) Sent(now time.Time, name ident.ServiceName, prefill, memory ident.Tokens) {
+// and holds as many as memory says. It returns the memory that was counted, for Ended: at most
+// maxMemoryFactor times the mean.
+func (controller *Controller) Sent(now time.Time, name ident.ServiceName, prefill, memory ident.Tokens) ident.Tokens {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state := controller.service(name)
@@ -125,14 +127,16 @@
 	slot.sent++
 	slot.prefill += prefill
 	state.inFlight++
-	state.memory += memory
 	if state.meanMemory == 0 {
 		state.meanMemory = float64(memory)
 	}
+	memory = min(memory, ident.Tokens(math.Ceil(maxMemoryFactor*state.meanMemory)))
+	state.memory += memory
 	state.meanMemory += smoothing * (float64(memory) - state.meanMemory)
+	return memory
 }
 
-// Ended counts the end of a request that Sent counted.
+// Ended counts the end of a request that Sent counted, with the memory that it returned.
 func (controller *Controller) Ended(now time.Time, name ident.ServiceName, memory ident.Tokens) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -467,3 +467,20 @@
 		}
 	}
 }
+
+// TestOneLargeRequestDoesNotMakeAPoolShort guards against a pool that is short although it is nearly
+// idle, since one caller stated a very long answer, while that request runs and afterwards.
+func TestOneLargeRequestDoesNotMakeAPoolShort(t *testing.T) {
+	controller := seededController(1)
+	for range 100 {
+		controller.Ended(start, "engines", controller.Sent(start, "engines", 500, 1000))
+	}
+	counted := controller.Sent(start, "engines", 500, 2_000_000_000)
+	if got := controller.Decide(start, enginesWith(1, 1, 1, 1), small(0)); got.Short || got.Reason != "" {
+		t.Errorf("got %+v while the request runs, want a pool that is not short", got)
+	}
+	controller.Ended(start, "engines", counted)
+	if got := controller.Decide(start, enginesWith(1, 1, 1, 1), small(0)); got.Short || got.Reason != "" {
+		t.Errorf("got %+v after the request, want a pool that is not short", got)
+	}
+}
--- a/overload/service.go
+++ b/overload/service.go
@@ -29,6 +29,9 @@
 	// memoryWeight is the number of requests in flight at which the mean of these counts
 	// as much as the mean of all that were sent.
 	memoryWeight = 4
+	// maxMemoryFactor limits the memory with which a request counts to that many times the
+	// mean: callers state the lengths of their answers.
+	maxMemoryFactor = 4
 	// defaultPrefillRate is the assumed prefill rate in tokens per millisecond, as in
 	// package balance.
 	defaultPrefillRate = 45
