--- a/forward/overload.go
+++ b/forward/overload.go
@@ -46,26 +46,35 @@
 	if !exchange.roomMatters(pool) {
 		return result.OK
 	}
-	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
-	if !exchange.handler.overload().Arrived(exchange.arrived, key, exchange.arrival()) {
+	key := exchange.roomKey(pool)
+	if !exchange.admission.Arrived(time.Now(), key, exchange.arrival()) {
 		return result.OK
 	}
 	return exchange.decide(pool, key, false)
 }
 
+// roomKey returns the key of the pool in admission control. The pool may be nil.
+func (exchange *exchange) roomKey(pool *registry.Pool) overload.Key {
+	key := overload.Key{Service: exchange.service, Version: exchange.binding.version}
+	if pool != nil {
+		key.Regions = pool.RegionKey
+	}
+	return key
+}
+
 // roomElsewhere reports whether an upstream is known to have room for a request that another
 // one turned away.
 func (exchange *exchange) roomElsewhere(pool *registry.Pool) bool {
 	if !exchange.roomMatters(pool) {
 		return true
 	}
-	return exchange.decide(pool, overload.Key{Service: exchange.service, Version: exchange.binding.version}, true) == result.OK
+	return exchange.decide(pool, exchange.roomKey(pool), true) == result.OK
 }
 
 // roomMatters reports whether the request depends on the room of the pool: what its upstreams
 // hold is known, the request doesn't have to run alone and isn't the rest of a stream.
 func (exchange *exchange) roomMatters(pool *registry.Pool) bool {
-	if exchange.handler.overload() == nil || pool == nil || len(pool.Upstreams) == 0 || exchange.head.TakesUp() {
+	if exchange.admission == nil || pool == nil || len(pool.Upstreams) == 0 || exchange.head.TakesUp() {
 		return false
 	}
 	slots, _ := exchange.capacity(pool.Upstreams[0])
@@ -89,10 +98,11 @@
 // has turned it away.
 func (exchange *exchange) decide(pool *registry.Pool, key overload.Key, offered bool) result.Code {
 	now := time.Now()
+	_, capacity := exchange.capacity(pool.Upstreams[0])
 	request := overload.Request{
 		Prefill:       exchange.prefill(),
 		CachedPrefill: exchange.prefill(),
-		Memory:        exchange.memory(),
+		Memory:        boundedMemory(exchange.memory(), capacity),
 		Priority:      exchange.priority(),
 		Target:        exchange.route.Target,
 		Deadline:      exchange.deadline,
@@ -102,7 +112,7 @@
 	if len(exchange.prefixIDs) > 0 {
 		request.CachedPrefill = exchange.ownPrefill()
 	}
-	exchange.room = room{decision: exchange.handler.overload().Decide(now, exchange.view(now, pool, key), request), pool: pool}
+	exchange.room = room{decision: exchange.admission.Decide(now, exchange.view(now, pool, key), request), pool: pool}
 	exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
 	switch exchange.room.decision.Reason {
 	case overload.NoRoom:
@@ -180,6 +190,15 @@
 	return max(promptTokens(head.Prompt), head.PromptTokens) + output
 }
 
+// boundedMemory returns the memory that a request takes at an upstream with the given capacity in
+// tokens, or zero for a plain service: callers may state any length of the answer.
+func boundedMemory(memory, capacity ident.Tokens) ident.Tokens {
+	if capacity <= 0 {
+		return memory
+	}
+	return min(memory, capacity)
+}
+
 // priority returns the priority of the request: that of its workspace if it has one, and
 // otherwise that of its route.
 func (exchange *exchange) priority() int {
@@ -192,14 +211,14 @@
 // countRoom counts a request that is sent to the chosen upstream. The returned function counts
 // its end, and whether it was answered completely.
 func (exchange *exchange) countRoom(upstream registry.Upstream, prefill ident.Tokens) func(answered bool) {
-	controller := exchange.handler.overload()
+	controller := exchange.admission
 	if controller == nil {
 		return func(bool) {}
 	}
-	service, memory, sentAt := exchange.service, exchange.memory(), time.Now()
-	slots, _ := exchange.capacity(upstream)
+	service, sentAt := exchange.service, time.Now()
+	slots, capacity := exchange.capacity(upstream)
 	inFlight := exchange.choice.Load.Requests
-	controller.Sent(sentAt, service, prefill, memory)
+	memory := controller.Sent(sentAt, service, prefill, boundedMemory(exchange.memory(), capacity))
 	return func(answered bool) {
 		now := time.Now()
 		controller.Ended(now, service, memory)
@@ -212,13 +231,13 @@
 // recordTurnedAway records that an upstream turned the request away because it is full.
 func (exchange *exchange) recordTurnedAway(answer *answer) {
 	handler := exchange.handler
-	if handler.overload() == nil || answer.response.StatusCode != http.StatusServiceUnavailable || answer.head.Leaving {
+	if exchange.admission == nil || answer.response.StatusCode != http.StatusServiceUnavailable || answer.head.Leaving {
 		return
 	}
 	if slots, _ := exchange.capacity(answer.upstream); slots == 0 {
 		return
 	}
-	handler.overload().TurnedAway(time.Now(), exchange.service, answer.upstream.ID, handler.loadDelay())
+	exchange.admission.TurnedAway(time.Now(), exchange.roomKey(exchange.pool()), answer.upstream.ID, handler.loadDelay())
 }
 
 // loadDelay returns the time within which the requests of a router are known to all others.
@@ -236,8 +255,8 @@
 	case result.PoolFull, result.TooLate, result.WorkspaceAboveUsual:
 		return max(exchange.room.decision.RetryAfter, minRetryAfter)
 	case result.QueueFull:
-		if exchange.table != nil && exchange.roomMatters(exchange.pool()) {
-			return max(exchange.handler.overload().RetryAfter(time.Now(), exchange.service, exchange.callerDeadline), minRetryAfter)
+		if pool := exchange.pool(); exchange.table != nil && exchange.roomMatters(pool) {
+			return max(exchange.admission.RetryAfter(time.Now(), exchange.roomKey(pool), exchange.callerDeadline), minRetryAfter)
 		}
 	}
 	return 0
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -1,10 +1,13 @@
 package forward_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -121,6 +124,73 @@
 	}
 }
 
+// TestAdmissionControlTurnedOffDuringARequest guards against an exchange that begins with
+// admission control and goes on without, which ended in a nil pointer.
+func TestAdmissionControlTurnedOffDuringARequest(t *testing.T) {
+	var router *router
+	refuse := func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetrySlack: 50})
+		write(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id")))
+		return true
+	}
+	upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
+	router = startRoomRouter(t, upstreams...)
+	router.setLoads(1, 50, testSlots, testSlots)
+	router.send(t, "a1", "POST", "/once/x", "1").check(t, 503, "")
+	if got := runs(upstreams); got != 1 {
+		t.Errorf("got %d arrivals, want 1: the others are full for an exchange that began with admission control", got)
+	}
+}
+
+// TestRoomOfARegionIsDecidedOnForItself guards against requests that are sent to a full region
+// undecided, since those that may run anywhere find ample room.
+func TestRoomOfARegionIsDecidedOnForItself(t *testing.T) {
+	upstreams := []*fakeUpstream{startUpstream(t, echo), startUpstream(t, echo), startUpstream(t, echo)}
+	router := startRegional(t, nil, nil, upstreams...)
+	config := testConfig()
+	config.Version++
+	config.Services[0].Slots, config.Services[0].CacheTokens = testSlots, testMemory
+	for i := range config.Routes {
+		if strings.HasPrefix(string(config.Routes[i].Prefix), "/once") {
+			config.Routes[i].AllowedRegions = []ident.Region{"west"}
+		}
+	}
+	router.handler.Routes.Adopt(routing.New(config))
+	router.tuneRoom(50)
+	router.setLoads(1, 0, testSlots, 0)
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+	router.send(t, "a2", "POST", "/once/x", "2").check(t, 503, "HH2022 The upstreams have no room\n")
+	if got := len(upstreams[1].requestsSoFar()); got != 0 {
+		t.Errorf("got %d arrivals in the full region, want none", got)
+	}
+}
+
+// TestRequestWithASlowBodyIsDecidedOn guards against requests that are sent to a full pool
+// undecided, since their heads came while it was idle.
+func TestRequestWithASlowBodyIsDecidedOn(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	router := startRoomRouter(t, upstream)
+	router.setLoads(1, 1)
+	conn, err := net.Dial("tcp", router.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	router.send(t, "a1", "POST", "/again/x", "1").check(t, 200, "answer to a1")
+	write(conn, "POST /again/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\nHickoryhead-Attempt-Id: a2\r\nHickoryhead-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n1")
+	time.Sleep(2 * undecidedTime)
+	router.setLoads(2, testSlots)
+	write(conn, "2")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if body, _ := io.ReadAll(response.Body); response.StatusCode != 503 || !strings.HasPrefix(string(body), "HH2022 ") {
+		t.Errorf("got %d %q, want 503 HH2022", response.StatusCode, body)
+	}
+}
+
 // TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
 // turned them on.
 func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,9 +9,11 @@
 )
 
 const (
-	// maxFullShare is the share of the upstreams above which a pool is short of room if these
-	// have turned requests away.
+	// A pool that is used by stillShortUsage is short of room if more than maxFullShare of its
+	// upstreams turned requests away, and at least minFull: a single one may have reasons of
+	// its own.
 	maxFullShare = 0.25
+	minFull      = 2
 	// minFullTime is how long an upstream that turned a request away counts as full, at
 	// least, unless an answer of it comes.
 	minFullTime = 20 * time.Millisecond
@@ -109,13 +112,14 @@
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state, view := controller.state(key)
-	state.fairness.count(now, arrival.Workspace, state.shortage)
+	state.fairness.count(now, arrival.Workspace, view.short)
 	return !now.Before(view.idleUntil)
 }
 
 // Sent counts a request that is sent to an upstream, which has to prefill the given tokens
-// and holds as many as memory says.
-func (controller *Controller) Sent(now time.Time, name ident.ServiceName, prefill, memory ident.Tokens) {
+// and holds as many as memory says. It returns the memory that was counted, for Ended: at most
+// maxMemoryFactor times the mean.
+func (controller *Controller) Sent(now time.Time, name ident.ServiceName, prefill, memory ident.Tokens) ident.Tokens {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state := controller.service(name)
@@ -123,14 +127,16 @@
 	slot.sent++
 	slot.prefill += prefill
 	state.inFlight++
-	state.memory += memory
 	if state.meanMemory == 0 {
 		state.meanMemory = float64(memory)
 	}
+	memory = min(memory, ident.Tokens(math.Ceil(maxMemoryFactor*state.meanMemory)))
+	state.memory += memory
 	state.meanMemory += smoothing * (float64(memory) - state.meanMemory)
+	return memory
 }
 
-// Ended counts the end of a request that Sent counted.
+// Ended counts the end of a request that Sent counted, with the memory that it returned.
 func (controller *Controller) Ended(now time.Time, name ident.ServiceName, memory ident.Tokens) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
@@ -160,15 +166,15 @@
 
 // TurnedAway records that an upstream turned a request away. It counts as full until it answers or
 // for the time that others need to tell what they know.
-func (controller *Controller) TurnedAway(now time.Time, name ident.ServiceName, upstream ident.UpstreamID, delay time.Duration) {
+func (controller *Controller) TurnedAway(now time.Time, key Key, upstream ident.UpstreamID, delay time.Duration) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	state := controller.service(name)
+	state, view := controller.state(key)
 	if len(controller.turnedAway) >= maxTurnedAway {
 		clear(controller.turnedAway)
 	}
 	controller.turnedAway[upstream] = now.Add(max(min(delay, state.serviceTime/2), minFullTime))
-	state.refused.add(now, pressureTime)
+	view.refused.add(now, pressureTime)
 }
 
 func (controller *Controller) prefillRate(upstream ident.UpstreamID) float64 {
@@ -193,13 +199,22 @@
 	sums := pool.sum(estimates)
 	decision := Decision{Usage: sums.usage(), Level: 1}
 	if sums.usable == 0 {
+		view.short = false
 		return decision
 	}
-	sums.share = view.share(now, pool, sums)
 	full := controller.full(now, pool)
-	decision.Short = decision.Usage >= state.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
-		float64(full) > maxFullShare*float64(sums.usable) || pool.busyPrefilling(&request, estimates)
-	state.shortage = decision.Short
+	if sums.unknown > 0 {
+		// The room of the pool is not known if that of one upstream isn't.
+		view.short = false
+		if full > 0 {
+			decision.Full = controller.turnedAwayOf(now, pool)
+		}
+		return decision
+	}
+	sums.share = view.share(now, pool, sums)
+	decision.Short = decision.Usage >= view.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
+		manyFull(full, sums) || pool.busyPrefilling(&request, estimates)
+	view.short = decision.Short
 	if !decision.Short && full > 0 {
 		decision.Full = controller.turnedAwayOf(now, pool)
 		return decision
@@ -209,9 +224,9 @@
 		return decision
 	}
 	view.draw(now, pool.Delay, random)
-	state.decided.add(now, pressureTime)
+	view.decided.add(now, pressureTime)
 	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
-	decision.urgency = request.urgency(state.refusedShare(now), excess)
+	decision.urgency = request.urgency(view.refusedShare(now), excess)
 	decision.Level = level(request.Priority, excess)
 	if !controller.fill(now, view, pool, sums, &request, estimates, &decision) {
 		decision.Full = nil
@@ -230,16 +245,23 @@
 	default:
 		return decision
 	}
-	state.refused.add(now, pressureTime)
-	decision.RetryAfter = state.retryAfter(now, request.Deadline, random)
+	view.refused.add(now, pressureTime)
+	decision.RetryAfter = view.retryAfter(now, state, request.Deadline, random)
 	return decision
 }
 
+// manyFull reports whether a pool is short of room since so many of its upstreams turned requests
+// away.
+func manyFull(full int, sums sums) bool {
+	return full >= minFull && float64(full) > maxFullShare*float64(sums.usable) && sums.usage() >= stillShortUsage
+}
+
 // RetryAfter returns when a caller should return whom upstreams have turned away.
-func (controller *Controller) RetryAfter(now time.Time, name ident.ServiceName, deadline time.Time) time.Duration {
+func (controller *Controller) RetryAfter(now time.Time, key Key, deadline time.Time) time.Duration {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	return controller.service(name).retryAfter(now, deadline, randomOf(controller.Random))
+	state, view := controller.state(key)
+	return view.retryAfter(now, state, deadline, randomOf(controller.Random))
 }
 
 // turnedAwayOf returns which upstreams of the pool count as full since they turned requests
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -146,7 +146,7 @@
 	if want := "[true true false]"; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
-	controller.TurnedAway(start, "engines", engineID(0), time.Second)
+	controller.TurnedAway(start, enginesKey, engineID(0), time.Second)
 	got = fmt.Sprint(controller.Decide(start, enginesWith(1, 10, 10, 10, 10), small(0)).Full)
 	if want := "[true false false false]"; got != want {
 		t.Errorf("got %v after a refusal, want %v", got, want)
@@ -228,7 +228,7 @@
 		for range test.refused {
 			controller.Decide(start, enginesWith(1, 64), request)
 		}
-		if got := controller.RetryAfter(start, "engines", request.Deadline); got < test.least || got > test.most {
+		if got := controller.RetryAfter(start, enginesKey, request.Deadline); got < test.least || got > test.most {
 			t.Errorf("got %v after %d refusals, want %v to %v", got, test.refused, test.least, test.most)
 		}
 	}
@@ -289,3 +289,198 @@
 		t.Errorf("got %d of 40 requests refused, want at least half: %v", got, reasons)
 	}
 }
+
+// TestIdleEnginesCountWithAllTheirRoom guards against refusals although engines are idle, which
+// counted with the room of a single request.
+func TestIdleEnginesCountWithAllTheirRoom(t *testing.T) {
+	refused := 0
+	for seed := range 400 {
+		pool := enginesWith(42, slices.Concat(slices.Repeat([]int{engineSlots}, 7), make([]int, 6))...)
+		controller := seededController(seed)
+		for i := range 4 {
+			controller.TurnedAway(start, enginesKey, engineID(i), time.Second)
+		}
+		if controller.Decide(start, pool, small(0)).Reason != "" {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d of 400 requests refused beside 6 idle engines, want none", refused)
+	}
+}
+
+// TestPlainServiceWithAFreeSlotRefusesNothing guards against refusals at a plain service that has
+// free slots, since its requests usually take longer than the deadline of this one.
+func TestPlainServiceWithAFreeSlotRefusesNothing(t *testing.T) {
+	for _, requests := range [][]int{{6, 6, 6, 0}, {5, 5, 5, 5}} {
+		controller := new(overload.Controller)
+		for range 20 {
+			controller.Answered("engines", "p-0", 30*time.Second, 6, 0)
+		}
+		decision := controller.Decide(start, plainWith(1, requests...), small(0))
+		if decision.Reason != "" || decision.Wait != 0 || decision.Full[3] {
+			t.Errorf("got %+v with %v of 6 slots taken, want the request sent without a wait to the last one", decision, requests)
+		}
+	}
+}
+
+// TestRestrictedPoolIsNoLossOfSlots guards against a restricted pool that counts as what is left of
+// the whole one after a loss.
+func TestRestrictedPoolIsNoLossOfSlots(t *testing.T) {
+	refused, short := 0, 0
+	for seed := range 20 {
+		controller := seededController(seed)
+		for step := range 100 {
+			now := start.Add(time.Duration(step) * 25 * time.Millisecond)
+			controller.Decide(now, enginesWith(103, slices.Repeat([]int{16}, 12)...), small(2))
+			restricted := enginesWith(103, 16, 16)
+			restricted.Key.Regions = "west"
+			decision := controller.Decide(now.Add(time.Millisecond), restricted, small(2))
+			if decision.Short {
+				short++
+			}
+			if decision.Reason != "" {
+				refused++
+			}
+		}
+	}
+	if short > 0 || refused > 0 {
+		t.Errorf("got %d of 2000 requests refused and the pool short %d times at a quarter of the slots, want neither", refused, short)
+	}
+}
+
+// TestFewRefusalsLeaveOnlyTheirUpstreamsOut guards against a pool that refuses requests although it
+// is nearly idle, since upstreams turned some away.
+func TestFewRefusalsLeaveOnlyTheirUpstreamsOut(t *testing.T) {
+	for _, test := range []struct{ used, turnedAway int }{{0, 1}, {20, 1}, {25, 1}, {0, 2}, {20, 2}} {
+		for seed := range 100 {
+			controller := seededController(seed)
+			want := make([]bool, 3)
+			for i := range test.turnedAway {
+				controller.TurnedAway(start, enginesKey, engineID(i), 300*time.Millisecond)
+				want[i] = true
+			}
+			decision := controller.Decide(start, enginesWith(103, slices.Repeat([]int{test.used}, 3)...), small(0))
+			if decision.Reason != "" || !slices.Equal(decision.Full, want) {
+				t.Fatalf("got %q and %v with %d in flight at each of 3 engines, want the request sent and %v left out", decision.Reason, decision.Full, test.used, want)
+			}
+		}
+	}
+}
+
+// TestVersionsAreShortForThemselves guards against refusals at a pool with room, since those of
+// another version of the service's software are full.
+func TestVersionsAreShortForThemselves(t *testing.T) {
+	refused, short := 0, 0
+	for seed := range 50 {
+		controller := seededController(seed)
+		for step := range 100 {
+			now := start.Add(time.Duration(step) * 25 * time.Millisecond)
+			other := enginesWith(103, engineSlots)
+			other.Key.Version = "v2"
+			controller.Decide(now, other, small(0))
+			decision := controller.Decide(now.Add(time.Millisecond), enginesWith(103, 30, 30, 30), small(0))
+			if decision.Short {
+				short++
+			}
+			if decision.Reason != "" {
+				refused++
+			}
+		}
+	}
+	if short > 0 || refused > 0 {
+		t.Errorf("got %d of 5000 requests refused and the pool short %d times at 0.47 of the slots, want neither", refused, short)
+	}
+}
+
+// TestSnapshotsOutlastAChangeOfTheDelay guards against a router that takes all that it has in flight
+// for unknown to the others, when the delay grows or after a time without decisions.
+func TestSnapshotsOutlastAChangeOfTheDelay(t *testing.T) {
+	for _, test := range []struct{ delay, pause time.Duration }{{2 * time.Second, 0}, {300 * time.Millisecond, 5 * time.Second}} {
+		refused := 0
+		for seed := range 100 {
+			controller := seededController(seed)
+			decide := func(at time.Duration, delay time.Duration, local int) overload.Decision {
+				pool := enginesWith(10, slices.Repeat([]int{50}, 13)...)
+				pool.Delay = delay
+				for i := range pool.Upstreams {
+					pool.Upstreams[i].Local = local
+				}
+				request := small(0)
+				request.Deadline = start.Add(at + 10*time.Second)
+				return controller.Decide(start.Add(at), pool, request)
+			}
+			for n := range 200 {
+				decide(time.Duration(n)*10*time.Millisecond, 300*time.Millisecond, 5)
+			}
+			for n := range 30 {
+				if decide(2*time.Second+test.pause+time.Duration(n)*10*time.Millisecond, test.delay, 5).Reason != "" {
+					refused++
+				}
+			}
+		}
+		if refused > 0 {
+			t.Errorf("got %d of 3000 requests refused with a delay of %v after %v without decisions, want none", refused, test.delay, test.pause)
+		}
+	}
+}
+
+// TestOldSnapshotsAreNotUsed guards against a router that counts what it has sent over a long time
+// without decisions as not known to the others.
+func TestOldSnapshotsAreNotUsed(t *testing.T) {
+	for seed := range 100 {
+		controller := seededController(seed)
+		controller.Decide(start, enginesWith(10, slices.Repeat([]int{50}, 13)...), small(0))
+		pool := enginesWith(10, slices.Repeat([]int{50}, 13)...)
+		for i := range pool.Upstreams {
+			pool.Upstreams[i].Local = 5
+		}
+		request := small(0)
+		request.Deadline = start.Add(20 * time.Second)
+		if got := controller.Decide(start.Add(10*time.Second), pool, request); got.Reason != "" {
+			t.Fatalf("got %+v, want the request sent", got)
+		}
+	}
+}
+
+// TestPlainServiceIgnoresPromptParts guards against refusals at a plain service with idle instances,
+// since requests name prompt parts that others share.
+func TestPlainServiceIgnoresPromptParts(t *testing.T) {
+	request := small(0)
+	request.CachedPrefill = 100
+	if got := seededController(1).Decide(start, plainWith(1, 6, 6, 6, 0), request); got.Reason != "" || got.Full[3] {
+		t.Errorf("got %+v, want the request sent", got)
+	}
+}
+
+// TestUpstreamWithoutStatedSlotsIsNotFull guards against refusals and upstreams left out where one
+// of a pool is idle, but states no slots.
+func TestUpstreamWithoutStatedSlotsIsNotFull(t *testing.T) {
+	for _, requests := range [][]int{{64, 64, 0}, {60, 50, 0}} {
+		pool := enginesWith(1, requests...)
+		pool.Upstreams[2].Slots = 0
+		controller := seededController(1)
+		controller.TurnedAway(start, enginesKey, engineID(0), time.Second)
+		got := controller.Decide(start, pool, small(3))
+		if got.Reason != "" || !slices.Equal(got.Full, []bool{true, false, false}) {
+			t.Errorf("got %+v with %v in flight, want the request sent, with the one that turned another away left out", got, requests)
+		}
+	}
+}
+
+// TestOneLargeRequestDoesNotMakeAPoolShort guards against a pool that is short although it is nearly
+// idle, since one caller stated a very long answer, while that request runs and afterwards.
+func TestOneLargeRequestDoesNotMakeAPoolShort(t *testing.T) {
+	controller := seededController(1)
+	for range 100 {
+		controller.Ended(start, "engines", controller.Sent(start, "engines", 500, 1000))
+	}
+	counted := controller.Sent(start, "engines", 500, 2_000_000_000)
+	if got := controller.Decide(start, enginesWith(1, 1, 1, 1), small(0)); got.Short || got.Reason != "" {
+		t.Errorf("got %+v while the request runs, want a pool that is not short", got)
+	}
+	controller.Ended(start, "engines", counted)
+	if got := controller.Decide(start, enginesWith(1, 1, 1, 1), small(0)); got.Short || got.Reason != "" {
+		t.Errorf("got %+v after the request, want a pool that is not short", got)
+	}
+}
