overload: a refusal by an upstream counts once; errors are no answers in time

Cause: a 503 of an upstream counted as refused twice, took the turns of two callers, and was logged as a refusal for lack of room although the request is answered QueueFull. Answers with 4xx and 5xx counted as complete: they lowered the time that a request takes a slot, and ended the time for which an upstream that turned a request away counts as full.

Change: a decision on a request that an upstream turned away counts nothing and takes no turn; only statuses below 400 count as answered.

TestDecide wants no Retry-After with a request that an upstream turned away: the caller gets that of Controller.RetryAfter.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -53,7 +53,8 @@
 	// stopEnd ends the watch that closes the connection when the router has to end.
 	stopEnd func() bool
 	loads   *balance.Loads
-	// countEnd counts the end of the request, and whether it was answered completely.
+	// countEnd counts the end of the request, and whether it was answered completely and without
+	// an error.
 	countEnd func(answered bool)
 	// pendingPrefill is the number of prompt tokens that the upstream has to
 	// prefill before its first byte.
@@ -77,7 +78,7 @@
 // end.
 func (answer *answer) release() {
 	answer.endLoad()
-	answer.countEnd(true)
+	answer.countEnd(answer.response.StatusCode < http.StatusBadRequest)
 	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
 		answer.conn.Discard()
 		return
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -113,7 +113,9 @@
 		request.CachedPrefill = exchange.ownPrefill()
 	}
 	exchange.room = room{decision: exchange.admission.Decide(now, exchange.view(now, pool, key), request), pool: pool}
-	exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
+	if !offered {
+		exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
+	}
 	switch exchange.room.decision.Reason {
 	case overload.NoRoom:
 		return result.PoolFull
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -110,12 +110,25 @@
 		t.Run(test.name, func(t *testing.T) {
 			upstreams := []*fakeUpstream{startUpstream(t, refuse), startUpstream(t, refuse), startUpstream(t, refuse)}
 			router := startRoomRouter(t, upstreams...)
+			logs := new(bytes.Buffer)
+			logger, err := logging.New(logs, logging.JSON, "info")
+			if err != nil {
+				t.Fatal(err)
+			}
+			router.handler.Logger = logging.Component(logger, "forward")
 			router.tuneRoom(1)
 			router.setLoads(1, test.loads...)
+			sentAt := time.Now()
 			got := router.send(t, "a1", "POST", "/once/x", "1")
 			got.check(t, 503, "")
-			if got.header.Get("Retry-After") == "" {
-				t.Error("got no Retry-After, want one")
+			// The time that the caller has left, rounded down to milliseconds.
+			remaining := 1.5 - time.Since(sentAt).Seconds() - 0.01
+			retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			if err != nil || retryAfter < 0.12*remaining || retryAfter > 0.3*1.5 {
+				t.Errorf("got Retry-After %q, want 0.12 to 0.3 of the remaining part of 1.5 s", got.header.Get("Retry-After"))
+			}
+			if strings.Contains(logs.String(), "refused for lack of room") {
+				t.Errorf("got log %s, want no shortage: an upstream refused the request", logs)
 			}
 			if got := runs(upstreams); got != test.want {
 				t.Errorf("got %d arrivals, want %d", got, test.want)
@@ -191,6 +204,34 @@
 	}
 }
 
+// TestErrorsAreNoAnswersInTime guards against requests that wait in a queue beyond their deadline,
+// since an upstream that answers errors at once counts as fast.
+func TestErrorsAreNoAnswersInTime(t *testing.T) {
+	upstream := startUpstream(t, func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+		if request.body == "error" {
+			write(conn, fmt.Sprintf("HTTP/1.1 404 Not Found\r\nHickoryhead-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", request.header.Get("Hickoryhead-Attempt-Id")))
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+		return echo(ctx, conn, n, request)
+	})
+	router := startRouter(t, upstream)
+	router.tuneRoom(50)
+	listed := router.handler.Registry.Upstreams()
+	listed[0].Slots, listed[0].Version = 6, 2
+	router.handler.Registry.Replace(time.Now(), 2, listed)
+	router.setLoads(1, 5)
+	for n := range 5 {
+		router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n)).check(t, 200, "")
+	}
+	for n := range 40 {
+		router.send(t, fmt.Sprint("e", n), "POST", "/once/x", "error").check(t, 404, "")
+	}
+	router.setLoads(2, 600)
+	time.Sleep(undecidedTime)
+	router.send(t, "b1", "POST", "/once/x", "1").check(t, 503, "HH2023 No answer is possible in time\n")
+}
+
 // TestNothingIsRefusedForRoomWithoutTheSetting guards against refusals where operators have not
 // turned them on.
 func TestNothingIsRefusedForRoomWithoutTheSetting(t *testing.T) {
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -41,7 +41,8 @@
 type Decision struct {
 	// Reason is empty if the request may be sent.
 	Reason Reason
-	// RetryAfter is when room is likely for a request that is refused.
+	// RetryAfter is when room is likely for a request that is refused, unless an upstream has
+	// turned it away: then Controller.RetryAfter says so.
 	RetryAfter time.Duration
 	// Full has a value for each upstream of the pool: whether it has no room for the
 	// request. It is nil if the pool has ample room.
@@ -224,7 +225,9 @@
 		return decision
 	}
 	view.draw(now, pool.Delay, random)
-	view.decided.add(now, pressureTime)
+	if !request.Offered {
+		view.decided.add(now, pressureTime)
+	}
 	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
 	decision.urgency = request.urgency(view.refusedShare(now), excess)
 	decision.Level = level(request.Priority, excess)
@@ -245,6 +248,10 @@
 	default:
 		return decision
 	}
+	if request.Offered {
+		// TurnedAway has counted the refusal, and RetryAfter gives the turn.
+		return decision
+	}
 	view.refused.add(now, pressureTime)
 	decision.RetryAfter = view.retryAfter(now, state, request.Deadline, random)
 	return decision
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -109,8 +109,8 @@
 				t.Fatalf("got %q, want %q: %+v", decision.Reason, test.want, decision)
 			}
 			limit := time.Duration(0.34 * float64(request.Deadline.Sub(start)))
-			if refused := test.want != ""; refused != (decision.RetryAfter > 0) || decision.RetryAfter > limit {
-				t.Errorf("got Retry-After %v, want one up to %v after a refusal only", decision.RetryAfter, limit)
+			if refused := test.want != "" && !request.Offered; refused != (decision.RetryAfter > 0) || decision.RetryAfter > limit {
+				t.Errorf("got Retry-After %v, want one up to %v after a refusal only, and none for a request that an upstream turned away", decision.RetryAfter, limit)
 			}
 		})
 	}
@@ -484,3 +484,25 @@
 		t.Errorf("got %+v after the request, want a pool that is not short", got)
 	}
 }
+
+// TestRefusalByAnUpstreamCountsOnce guards against callers that are told to return later than the
+// work ahead takes, since a refusal by an upstream took the time of two.
+func TestRefusalByAnUpstreamCountsOnce(t *testing.T) {
+	controller := seededController(1)
+	for range 20 {
+		controller.Ended(start, "engines", controller.Sent(start, "engines", 500, 1000))
+	}
+	request := small(0)
+	request.Offered, request.Deadline = true, start.Add(13*time.Second)
+	var last time.Duration
+	for n := range 20 {
+		controller.TurnedAway(start, enginesKey, engineID(n%2), time.Second)
+		if got := controller.Decide(start, enginesWith(1, 64, 64), request).Reason; got != overload.NoRoom {
+			t.Fatalf("got %q, want %q", got, overload.NoRoom)
+		}
+		last = controller.RetryAfter(start, enginesKey, request.Deadline)
+	}
+	if want := 2 * time.Second; last > want {
+		t.Errorf("got Retry-After %v for the 20th caller while a request ends each 0.1 s, want at most %v", last, want)
+	}
+}
