overload: tests of pools above the bound of a shortage that have room

TestNothingIsRefusedWithRoom stays below 0.7 in all cases; idle engines and free slots above it are tried by TestNothingIsRefusedWithRoomInAShortage, which passes.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -249,6 +249,23 @@
 	}
 }
 
+// TestNothingIsRefusedWithRoomInAShortage guards against refusals at pools that are short of room
+// by their usage, but where instances have free slots or engines are idle.
+func TestNothingIsRefusedWithRoomInAShortage(t *testing.T) {
+	for _, pool := range []*overload.Pool{
+		plainWith(47, 6, 6, 6, 0), plainWith(47, 5, 5, 5, 5), plainWith(620, 5, 5, 6),
+		enginesWith(1, engineSlots, engineSlots, engineSlots, 0), enginesWith(42, slices.Concat(slices.Repeat([]int{engineSlots}, 20), make([]int, 8))...),
+	} {
+		for seed := range 100 {
+			controller := seededController(seed)
+			got := controller.Decide(start, pool, small(0))
+			if !got.Short || got.Reason != "" {
+				t.Errorf("got %+v, want the request sent in a shortage", got)
+			}
+		}
+	}
+}
+
 // TestWorkspaceAboveItsUsual guards against a workspace that takes the room of the others by sending
 // eight times its usual.
 func TestWorkspaceAboveItsUsual(t *testing.T) {
