overload: fewer decisions while a pool is not short of room

Cause: requests passed undecided below a usage of 0.4 only. From there to 0.7, each request built the whole view under one mutex.

Change: they pass up to the bound of a shortage, for a time that shrinks from 20 ms to zero.

TestFewDecisionsWhileThereIsRoom fails before and passes now, with all of ./overload.

--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -523,3 +523,22 @@
 		t.Errorf("got Retry-After %v for the 20th caller while a request ends each 0.1 s, want at most %v", last, want)
 	}
 }
+
+// TestFewDecisionsWhileThereIsRoom guards against a decision on each request at a pool that is not
+// short of room, and against requests that pass for long where it may become short soon.
+func TestFewDecisionsWhileThereIsRoom(t *testing.T) {
+	for _, test := range []struct {
+		used int
+		// passes is how long a request passes at least, and decided when one doesn't.
+		passes, decided time.Duration
+	}{{10, 15 * time.Millisecond, 25 * time.Millisecond}, {32, 5 * time.Millisecond, 20 * time.Millisecond}, {40, time.Millisecond, 10 * time.Millisecond}, {44, 0, 2 * time.Millisecond}, {50, -1, 0}} {
+		controller := new(overload.Controller)
+		controller.Decide(start, enginesWith(1, test.used, test.used), small(0))
+		if test.passes >= 0 && controller.Arrived(start.Add(test.passes), enginesKey, overload.Arrival{}) {
+			t.Errorf("got a decision after %v with %d of 64 slots used, want none", test.passes, test.used)
+		}
+		if !controller.Arrived(start.Add(test.decided), enginesKey, overload.Arrival{}) {
+			t.Errorf("got no decision after %v with %d of 64 slots used, want one", test.decided, test.used)
+		}
+	}
+}
--- a/overload/view.go
+++ b/overload/view.go
@@ -11,7 +11,7 @@
 
 const (
 	// idleTime is how long requests pass without a decision after one that found less than
-	// idleUsage of the pool used.
+	// idleUsage of the pool used. It shrinks to zero at shortUsage.
 	idleTime  = 20 * time.Millisecond
 	idleUsage = 0.4
 	// A pool may be about to be short that has lost lostShare of the slots that it had within
@@ -50,11 +50,11 @@
 	drawnAt time.Time
 }
 
-// passIdle lets requests pass for a moment without a decision if the pool is nearly idle.
+// passIdle lets requests pass for a moment without a decision if the pool is not short of room: the
+// more room there is, the longer.
 func (view *view) passIdle(now time.Time, usage float64) {
-	if usage < idleUsage {
-		view.idleUntil = now.Add(idleTime)
-	}
+	left := min((shortUsage-usage)/(shortUsage-idleUsage), 1)
+	view.idleUntil = now.Add(time.Duration(left * float64(idleTime)))
 }
 
 // share returns the part of the pool that is this router's: in part an even one, in part by
