forward: nothing is looked up for admission control that is off

The pool was looked up before the setting was checked, and each round of maintenance allocated a map.

No test shows the difference.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -133,9 +133,11 @@
 		exchange.handler.awaitWarm(exchange.request.Context())
 	}
 	exchange.admission = exchange.handler.tuning.Load().Overload
-	if code := exchange.admit(exchange.pool()); code != result.OK {
-		exchange.refuse(code)
-		return
+	if exchange.admission != nil {
+		if code := exchange.admit(exchange.pool()); code != result.OK {
+			exchange.refuse(code)
+			return
+		}
 	}
 	exchange.tryUpstreams()
 }
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -320,6 +320,10 @@
 // ReportShortages logs the end of shortages of room.
 func (handler *Handler) ReportShortages(now time.Time) {
 	handler.mu.Lock()
+	if len(handler.shortages) == 0 {
+		handler.mu.Unlock()
+		return
+	}
 	ended := make(map[ident.ServiceName]shortage)
 	for service, current := range handler.shortages {
 		if now.Sub(current.lastAt) > shortageQuiet {
