overload: wording, and reasons of constants

No change of what is decided; ./overload, ./balance and -run 'Room|Overload|Admission|Plain' of ./forward pass.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -145,9 +145,9 @@
 const uncachedSlack = 1
 
 const (
-	// prefillTokensPerMs is the assumed prefill rate of an upstream, in prompt
+	// PrefillTokensPerMs is the assumed prefill rate of an upstream, in prompt
 	// tokens per millisecond.
-	prefillTokensPerMs = 45
+	PrefillTokensPerMs = 45
 	// maxWaitShare is the share of its target that a request may wait for pending
 	// prefill at an upstream that has its prefix cached, before another upstream
 	// is considered. minGainShare is the share of the target by which the wait
@@ -158,7 +158,7 @@
 
 // prefillTime returns the time that the pending prefill of an upstream takes.
 func (load Load) prefillTime() ident.Milliseconds {
-	return ident.Milliseconds(load.PendingPrefill / prefillTokensPerMs)
+	return ident.Milliseconds(load.PendingPrefill / PrefillTokensPerMs)
 }
 
 // Exclusion is why an upstream of the pool gets no request, whatever its load and health.
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -37,7 +37,7 @@
 	WorkspaceExcess Reason = "workspace above its usual"
 )
 
-// Decision is what becomes of a request, with the figures behind it.
+// Decision says whether a request may be sent and where, with the figures behind it.
 type Decision struct {
 	// Reason is empty if the request may be sent.
 	Reason Reason
@@ -165,8 +165,8 @@
 	state.serviceTime += time.Duration(smoothing * float64(sample-state.serviceTime))
 }
 
-// TurnedAway records that an upstream turned a request away. It counts as full until it answers or
-// for the time that others need to tell what they know.
+// TurnedAway records that an upstream turned a request away. It counts as full until it answers,
+// or for the given delay, within which the requests of other routers become known.
 func (controller *Controller) TurnedAway(now time.Time, key Key, upstream ident.UpstreamID, delay time.Duration) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
@@ -221,7 +221,7 @@
 		return decision
 	}
 	if !decision.Short {
-		view.passIdle(now, decision.Usage)
+		view.skipDecisions(now, decision.Usage)
 		return decision
 	}
 	view.draw(now, pool.Delay, random)
@@ -240,7 +240,7 @@
 	switch {
 	case now.Add(decision.Wait).After(request.Deadline):
 		decision.Reason = TooLate
-	case decision.Room < 1 || decision.Part < view.least(""):
+	case decision.Room < 1 || decision.Part < view.threshold(""):
 		decision.Reason = NoRoom
 		if excess {
 			decision.Reason = WorkspaceExcess
@@ -249,7 +249,7 @@
 		return decision
 	}
 	if request.Offered {
-		// TurnedAway has counted the refusal, and RetryAfter gives the turn.
+		// TurnedAway has counted the refusal, and RetryAfter plans the caller's return.
 		return decision
 	}
 	view.refused.add(now, pressureTime)
@@ -263,7 +263,7 @@
 	return full >= minFull && float64(full) > maxFullShare*float64(sums.usable) && sums.usage() >= stillShortUsage
 }
 
-// RetryAfter returns when a caller should return whom upstreams have turned away.
+// RetryAfter returns when a caller should return whose request upstreams have turned away.
 func (controller *Controller) RetryAfter(now time.Time, key Key, deadline time.Time) time.Duration {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -502,8 +502,8 @@
 	}
 }
 
-// TestRefusalByAnUpstreamCountsOnce guards against callers that are told to return later than the
-// work ahead takes, since a refusal by an upstream took the time of two.
+// TestRefusalByAnUpstreamCountsOnce guards against a Retry-After beyond the time that the work
+// ahead takes, since a refusal by an upstream took the time of two.
 func TestRefusalByAnUpstreamCountsOnce(t *testing.T) {
 	controller := seededController(1)
 	for range 20 {
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -39,9 +39,9 @@
 	// usualPerSecond is the usual traffic, half of what all engines serve in time.
 	usualPerSecond = 210
 	fleetTick      = 10 * time.Millisecond
-	// fleetWord is the time between two words of the loads of all routers, which are as old
-	// when they come.
-	fleetWord = 500 * time.Millisecond
+	// fleetUpdateInterval is the time between two updates of the loads of all routers, which are as old
+	// as old when they come.
+	fleetUpdateInterval = 500 * time.Millisecond
 	// ejectedAfter is the time after which engines that don't respond are ejected.
 	ejectedAfter = 500 * time.Millisecond
 	// expiredAfter is the time after which their rows expire.
@@ -226,7 +226,7 @@
 				fleet.list(fleetEngines)
 			}
 		}
-		if fleet.now%fleetWord == 0 {
+		if fleet.now%fleetUpdateInterval == 0 {
 			fleet.exchange()
 		}
 		for _, job := range fleet.returns[fleet.now] {
@@ -306,7 +306,7 @@
 	}
 }
 
-// exchange applies the loads of the other routers as of fleetWord ago.
+// exchange applies the loads of the other routers as of fleetUpdateInterval ago.
 func (fleet *simFleet) exchange() {
 	total, each := make(balance.Sums), make([]balance.Sums, fleetRouters)
 	for i, router := range fleet.routers {
@@ -332,7 +332,7 @@
 
 // view returns what a router knows of the pool.
 func (fleet *simFleet) view(router *simRouter, job *job) *overload.Pool {
-	pool := &overload.Pool{Key: enginesKey, Routers: fleetRouters, Heard: fleetRouters, Delay: 2 * fleetWord, LoadMultiple: 2, LoadSlack: 1.5, Upstreams: make([]overload.Upstream, len(fleet.pool.Upstreams))}
+	pool := &overload.Pool{Key: enginesKey, Routers: fleetRouters, Heard: fleetRouters, Delay: 2 * fleetUpdateInterval, LoadMultiple: 2, LoadSlack: 1.5, Upstreams: make([]overload.Upstream, len(fleet.pool.Upstreams))}
 	cached := fleet.index.Upstreams(fleet.time(), partKey(job.part))
 	router.loads.EstimateEach(fleet.time(), fleet.pool.Upstreams, func(i int, estimated, local balance.Load) {
 		id := fleet.pool.Upstreams[i].ID
@@ -381,7 +381,7 @@
 			return
 		}
 		if fleet.admission {
-			router.controller.TurnedAway(fleet.time(), enginesKey, choice.Upstream.ID, fleetWord)
+			router.controller.TurnedAway(fleet.time(), enginesKey, choice.Upstream.ID, fleetUpdateInterval)
 			request.Offered = true
 			decision := router.controller.Decide(fleet.time(), fleet.view(router, job), request)
 			full = decision.Full
--- a/overload/parts.go
+++ b/overload/parts.go
@@ -12,16 +12,17 @@
 	// times the room that there is.
 	sharedSlack = 0.1
 	slackOfRoom = 0.25
-	// turnOvercommit is by how much the parts of all routers of one upstream's room exceed
+	// shareOvercommit is by how much the parts of all routers of one upstream's room exceed
 	// it: most of them don't have a request for it.
-	turnOvercommit = 2
+	shareOvercommit = 2
 	// drainShare is the share of its prefill rate that an upstream may spend on prompts whose
 	// shared parts are not cached, while the pool is short of room, and idleDrainShare what an
-	// idle one may spend in addition. coldAhead is the share of the target that such prompts
-	// may be ahead of others.
+	// idle one may spend in addition. More of such prompts would delay those whose parts are
+	// cached, which are served for less. uncachedAhead is the share of the target that such
+	// prompts may be ahead of others.
 	drainShare     = 0.12
 	idleDrainShare = 0.4
-	coldAhead      = 0.1
+	uncachedAhead  = 0.1
 )
 
 // fill sets the figures of decision that depend on each upstream's room. The caller holds
@@ -42,7 +43,7 @@
 		decision.Wait = min(decision.Wait, wait)
 		room := upstream.room(request, estimates, decision.Level)
 		decision.rooms[i] = room
-		if room < 1 || upstream.Memory > 0 && !view.turn(pool, sums.share, decision.urgency, upstream, room) || controller.countsAsFull(now, upstream.ID) || now.Add(wait).After(request.Deadline) {
+		if room < 1 || upstream.Memory > 0 && !view.mayAdd(pool, sums.share, decision.urgency, upstream, room) || controller.countsAsFull(now, upstream.ID) || now.Add(wait).After(request.Deadline) {
 			decision.Full[i] = true
 			continue
 		}
@@ -51,15 +52,15 @@
 	return found
 }
 
-// turn reports whether this router may send a request to an upstream with the given room.
-// Routers that see the same room take turns, so that they don't fill it several times
-// before they know of each other's requests.
-func (view *view) turn(pool *Pool, share, urgency float64, upstream *Upstream, room float64) bool {
+// mayAdd reports whether this router may send a request to an upstream with the given room. Routers
+// that see the same room each take a part of it, so that they don't fill it several times before
+// they know of each other's requests.
+func (view *view) mayAdd(pool *Pool, share, urgency float64, upstream *Upstream, room float64) bool {
 	if pool.Routers <= 1 || math.IsInf(room, 1) {
 		return true
 	}
 	added := float64(upstream.added)
-	return turnOvercommit*urgency*share*max(room+added, 0)-added > view.least(upstream.ID)
+	return shareOvercommit*urgency*share*max(room+added, 0)-added > view.threshold(upstream.ID)
 }
 
 // preferCached marks upstreams that would prefill the shared parts of the prompt again as
@@ -79,7 +80,7 @@
 			cached += decision.rooms[i]
 		}
 	}
-	if cached < 1 && service.prefillPart(now, pool, sums, request, estimates, decision.urgency) >= view.least("")*float64(request.Prefill) {
+	if cached < 1 && service.prefillPart(now, pool, sums, request, estimates, decision.urgency) >= view.threshold("")*float64(request.Prefill) {
 		return
 	}
 	decision.Room = cached
@@ -99,7 +100,7 @@
 // the upstreams can prefill in time for the target, and while the others don't know yet
 // what was sent.
 func (service *service) prefillPart(now time.Time, pool *Pool, sums sums, request *Request, estimates estimates, urgency float64) float64 {
-	ahead := float64(min(request.target(), defaultTarget)) * coldAhead
+	ahead := float64(min(request.target(), defaultTarget)) * uncachedAhead
 	delay := float64(pool.Delay) / float64(time.Millisecond)
 	room := 0.0
 	for i := range pool.Upstreams {
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -10,8 +10,8 @@
 	// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
 	// up for the others: those may have ended.
 	maxUnheardFactor = 2
-	// busyShare is the share of the upstreams that have no time for more prefill from which
-	// on a pool counts as busy.
+	// busyShare is the share of the upstreams that have no time for more prefill above which a
+	// pool counts as busy: the others can't take the requests of more than as many.
 	busyShare = 0.5
 )
 
@@ -67,7 +67,7 @@
 
 // sums are the figures of the usable upstreams of a pool together whose slots are known.
 type sums struct {
-	usable   int
+	usable int
 	// unknown counts those whose slots are not known, which the other figures leave out.
 	unknown  int
 	requests int
--- a/overload/request.go
+++ b/overload/request.go
@@ -11,7 +11,8 @@
 	// defaultTarget applies to routes that have no target.
 	defaultTarget ident.Milliseconds = 1000
 	// urgencyReserve is the share of the room that requests leave free for those that are
-	// one priority more urgent, up to maxUrgencyLevels priorities.
+	// one priority more urgent, up to maxUrgencyLevels priorities. It is small, as it stays
+	// unused while there are no such requests.
 	urgencyReserve   = 0.04
 	maxUrgencyLevels = 3
 	// urgencyFactor is the part that a request gets of what one that is one priority more
@@ -20,11 +21,11 @@
 	// excessLevels is by how many priorities less urgent what a workspace sends beyond its usual
 	// counts.
 	excessLevels = 2
-	// pressureFactor is how many times the share of requests that are refused has to fit into
-	// one until urgencyFactor applies in full.
+	// pressureFactor times the share of requests that are refused is how far urgencyFactor
+	// applies, in full from one on: where half are refused.
 	pressureFactor = 2
 	// excessReserve is the share that a workspace leaves free for the others with what it sends
-	// beyond its usual.
+	// beyond its usual: more than what excessLevels priorities leave.
 	excessReserve = 0.1
 )
 
--- a/overload/service.go
+++ b/overload/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/balance"
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
@@ -22,19 +23,18 @@
 	pressureTime = time.Second
 	// rateTime is the time over which the rate of requests that end is taken.
 	rateTime = 2 * time.Second
-	// maxTurns limits how far ahead the turns of refused callers are planned.
-	maxTurns = 10 * time.Second
+	// maxReturnAhead limits how far ahead the returns of refused callers are planned.
+	maxReturnAhead = 10 * time.Second
 	// smoothing is the weight of a new sample of what is learned.
 	smoothing = 0.1
 	// memoryWeight is the number of requests in flight at which the mean of these counts
-	// as much as the mean of all that were sent.
+	// as much as the mean of all that were sent: a few are a small sample.
 	memoryWeight = 4
 	// maxMemoryFactor limits the memory with which a request counts to that many times the
 	// mean: callers state the lengths of their answers.
 	maxMemoryFactor = 4
-	// defaultPrefillRate is the assumed prefill rate in tokens per millisecond, as in
-	// package balance.
-	defaultPrefillRate = 45
+	// defaultPrefillRate is the assumed prefill rate in tokens per millisecond.
+	defaultPrefillRate = balance.PrefillTokensPerMs
 )
 
 // service is what is known of the requests of one service.
--- a/overload/snapshot.go
+++ b/overload/snapshot.go
@@ -6,11 +6,11 @@
 	"github.com/hickoryhead/hickoryhead/ident"
 )
 
-// snapshotCount is the number of snapshots that are kept, which are a quarter of the delay
-// apart.
 const (
-	snapshotCount    = 6
-	snapshotsPerTime = 4
+	// snapshotCount is the number of snapshots that are kept, and snapshotsPerDelay how many
+	// are taken within the delay. They cover more than the delay, so that one is old enough.
+	snapshotCount     = 6
+	snapshotsPerDelay = 4
 	// maxGap times the delay is how old the newest snapshot may be: what is in flight has
 	// mostly changed since.
 	maxGap = 4
@@ -41,7 +41,7 @@
 		upstream := &pool.Upstreams[i]
 		upstream.added = upstream.Local - known[upstream.ID]
 	}
-	if now.Sub(snapshots.ring[snapshots.last].at) >= pool.Delay/snapshotsPerTime {
+	if now.Sub(snapshots.ring[snapshots.last].at) >= pool.Delay/snapshotsPerDelay {
 		snapshots.keep(now, pool)
 	}
 }
--- a/overload/view.go
+++ b/overload/view.go
@@ -15,11 +15,13 @@
 	idleTime  = 20 * time.Millisecond
 	idleUsage = 0.4
 	// A pool may be about to be short that has lost lostShare of the slots that it had within
-	// peakTime: what was in flight there comes to the rest.
+	// peakTime: what was in flight there comes to the rest. Single upstreams of a larger pool
+	// that restart are less.
 	lostShare = 0.2
 	peakTime  = 5 * time.Second
 	// evenShare is the part of the free room that routers share evenly; the rest goes by
-	// what they have in flight.
+	// what they have in flight. Without an even part, a router without requests in flight
+	// would never get room.
 	evenShare = 0.5
 	// shareTime is the time constant of the mean of what a router has in flight.
 	shareTime = 5 * time.Second
@@ -43,16 +45,16 @@
 	// decided and refused count the requests that were decided on, and those refused, also by
 	// upstreams.
 	decided, refused decayingCount
-	// nextTurn is when the next caller that is refused should return.
-	nextTurn time.Time
-	// seed draws the least parts with which requests are sent, since drawnAt.
+	// nextReturn is when the next caller that is refused should return.
+	nextReturn time.Time
+	// seed draws the thresholds of the parts with which requests are sent, since drawnAt.
 	seed    uint64
 	drawnAt time.Time
 }
 
-// passIdle lets requests pass for a moment without a decision if the pool is not short of room: the
+// skipDecisions lets requests pass for a moment without a decision if the pool is not short of room: the
 // more room there is, the longer.
-func (view *view) passIdle(now time.Time, usage float64) {
+func (view *view) skipDecisions(now time.Time, usage float64) {
 	left := min((shortUsage-usage)/(shortUsage-idleUsage), 1)
 	view.idleUntil = now.Add(time.Duration(left * float64(idleTime)))
 }
@@ -82,7 +84,7 @@
 	return sums.usage() * float64(view.peakSlots) / float64(sums.slots)
 }
 
-// draw draws the least parts anew once the other routers know what was sent with the last.
+// draw draws the thresholds anew once the other routers know what was sent with the last.
 func (view *view) draw(now time.Time, delay time.Duration, random func() float64) {
 	if now.Sub(view.drawnAt) >= delay {
 		view.drawnAt = now
@@ -90,10 +92,10 @@
 	}
 }
 
-// least returns the least part with which a request is sent, between zero and one. It differs
+// threshold returns the part from which on a request is sent, between zero and one. It differs
 // between routers, so that parts below one add up to the room. It is that of the pool for an
 // empty ID.
-func (view *view) least(upstream ident.UpstreamID) float64 {
+func (view *view) threshold(upstream ident.UpstreamID) float64 {
 	var digest xxhash.Digest
 	digest.ResetWithSeed(view.seed)
 	// A digest's writes return no error.
@@ -120,23 +122,24 @@
 	return view.refused.get(now, pressureTime) / decided
 }
 
-// retryAfter gives each refused caller a turn when a request of this router is expected to
-// end, within the time for which callers wait.
+// retryAfter returns when a refused caller should return: when another request of this router is
+// expected to end, after those of the callers refused before it, within the time for which
+// callers wait.
 func (view *view) retryAfter(now time.Time, service *service, deadline time.Time, random func() float64) time.Duration {
 	remaining := max(deadline.Sub(now), 0)
 	latest := time.Duration(maxReturnShare * float64(remaining))
 	earliest := time.Duration(minReturnShare * float64(remaining))
 	after := latest
 	if ended := service.flow.since(now, rateTime).ended; ended > 0 {
-		turn := now
-		if view.nextTurn.After(now) {
-			turn = view.nextTurn
+		previous := now
+		if view.nextReturn.After(now) {
+			previous = view.nextReturn
 		}
-		view.nextTurn = turn.Add(rateTime / time.Duration(ended))
-		if limit := now.Add(maxTurns); view.nextTurn.After(limit) {
-			view.nextTurn = limit
+		view.nextReturn = previous.Add(rateTime / time.Duration(ended))
+		if limit := now.Add(maxReturnAhead); view.nextReturn.After(limit) {
+			view.nextReturn = limit
 		}
-		after = min(max(view.nextTurn.Sub(now), earliest), latest)
+		after = min(max(view.nextReturn.Sub(now), earliest), latest)
 	}
 	return time.Duration(float64(after) * (1 - returnJitter*random()))
 }
