overload: few requests after a loss at a low usage are not refused

Cause: after the loss of one of two engines with 13 of 64 slots used, the part of one of 103 routers is below one request, so that most refused nearly all.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -61,6 +61,8 @@
 
 	// urgency is the part that the request gets of what the most urgent ones get.
 	urgency float64
+	// few is set if all requests find room before the routers know of each other's.
+	few bool
 	// rooms holds the room of each upstream.
 	rooms []float64
 }
@@ -231,6 +233,7 @@
 	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
 	decision.urgency = request.urgency(view.refusedShare(now), excess)
 	decision.Level = level(request.Priority, excess)
+	decision.few = view.fewRequests(now, pool, sums)
 	if !controller.fill(now, view, pool, sums, &request, estimates, &decision) {
 		decision.Full = nil
 		return decision
@@ -240,7 +243,7 @@
 	switch {
 	case now.Add(decision.Wait).After(request.Deadline):
 		decision.Reason = TooLate
-	case decision.Room < 1 || decision.Part < view.threshold(""):
+	case decision.Room < 1 || !decision.few && decision.Part < view.threshold(""):
 		decision.Reason = NoRoom
 		if excess {
 			decision.Reason = WorkspaceExcess
--- a/overload/parts.go
+++ b/overload/parts.go
@@ -43,7 +43,7 @@
 		decision.Wait = min(decision.Wait, wait)
 		room := upstream.room(request, estimates, decision.Level)
 		decision.rooms[i] = room
-		if room < 1 || upstream.Memory > 0 && !view.mayAdd(pool, sums.share, decision.urgency, upstream, room) || controller.countsAsFull(now, upstream.ID) || now.Add(wait).After(request.Deadline) {
+		if room < 1 || upstream.Memory > 0 && !decision.few && !view.mayAdd(pool, sums.share, decision.urgency, upstream, room) || controller.countsAsFull(now, upstream.ID) || now.Add(wait).After(request.Deadline) {
 			decision.Full[i] = true
 			continue
 		}
