overload: Decide doesn't change the caller's pool

Cause: the requests of routers that are not heard were added to the pool that the caller passed, so that they grew with each decision on the same pool.

Change: Decide works on a copy.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -189,9 +189,9 @@
 	return defaultPrefillRate
 }
 
-// Decide decides whether a request may be sent to an upstream of the pool. It changes the
-// figures of the pool if this router hears too few others.
-func (controller *Controller) Decide(now time.Time, pool *Pool, request Request) Decision {
+// Decide decides whether a request may be sent to an upstream of the pool, which it doesn't change.
+func (controller *Controller) Decide(now time.Time, known *Pool, request Request) Decision {
+	pool := known.clone()
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state, view := controller.state(pool.Key)
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -558,3 +558,15 @@
 		t.Errorf("got %d of 500 requests refused with 13 of 64 slots used, want none", refused)
 	}
 }
+
+// TestDecideLeavesThePoolAsItIs guards against figures that grow with each decision on the same pool
+// while other routers are not heard.
+func TestDecideLeavesThePoolAsItIs(t *testing.T) {
+	pool := enginesWith(10, 20, 20)
+	pool.Heard = 4
+	want := fmt.Sprint(*pool)
+	seededController(1).Decide(start, pool, small(0))
+	if got := fmt.Sprint(*pool); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -127,6 +128,13 @@
 	return sums
 }
 
+// clone returns a copy of the pool with upstreams of its own.
+func (pool *Pool) clone() *Pool {
+	cloned := *pool
+	cloned.Upstreams = slices.Clone(pool.Upstreams)
+	return &cloned
+}
+
 // addUnheard adds to each upstream its part of what routers that were not heard from
 // lately are assumed to have in flight: as much as those that were.
 func (pool *Pool) addUnheard() {
