--- a/forward/overload.go
+++ b/forward/overload.go
@@ -113,7 +113,9 @@
 		request.CachedPrefill = exchange.ownPrefill()
 	}
 	exchange.room = room{decision: exchange.admission.Decide(now, exchange.view(now, pool, key), request), pool: pool}
-	exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
+	if !offered {
+		exchange.handler.noteShortage(now, key.Service, exchange.room.decision)
+	}
 	switch exchange.room.decision.Reason {
 	case overload.NoRoom:
 		return result.PoolFull
@@ -318,6 +320,10 @@
 // ReportShortages logs the end of shortages of room.
 func (handler *Handler) ReportShortages(now time.Time) {
 	handler.mu.Lock()
+	if len(handler.shortages) == 0 {
+		handler.mu.Unlock()
+		return
+	}
 	ended := make(map[ident.ServiceName]shortage)
 	for service, current := range handler.shortages {
 		if now.Sub(current.lastAt) > shortageQuiet {
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -37,11 +37,12 @@
 	WorkspaceExcess Reason = "workspace above its usual"
 )
 
-// Decision is what becomes of a request, with the figures behind it.
+// Decision says whether a request may be sent and where, with the figures behind it.
 type Decision struct {
 	// Reason is empty if the request may be sent.
 	Reason Reason
-	// RetryAfter is when room is likely for a request that is refused.
+	// RetryAfter is when room is likely for a request that is refused, unless an upstream has
+	// turned it away: then Controller.RetryAfter says so.
 	RetryAfter time.Duration
 	// Full has a value for each upstream of the pool: whether it has no room for the
 	// request. It is nil if the pool has ample room.
@@ -60,6 +61,8 @@
 
 	// urgency is the part that the request gets of what the most urgent ones get.
 	urgency float64
+	// few is set if all requests find room before the routers know of each other's.
+	few bool
 	// rooms holds the room of each upstream.
 	rooms []float64
 }
@@ -164,8 +167,8 @@
 	state.serviceTime += time.Duration(smoothing * float64(sample-state.serviceTime))
 }
 
-// TurnedAway records that an upstream turned a request away. It counts as full until it answers or
-// for the time that others need to tell what they know.
+// TurnedAway records that an upstream turned a request away. It counts as full until it answers,
+// or for the given delay, within which the requests of other routers become known.
 func (controller *Controller) TurnedAway(now time.Time, key Key, upstream ident.UpstreamID, delay time.Duration) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
@@ -186,9 +189,9 @@
 	return defaultPrefillRate
 }
 
-// Decide decides whether a request may be sent to an upstream of the pool. It changes the
-// figures of the pool if this router hears too few others.
-func (controller *Controller) Decide(now time.Time, pool *Pool, request Request) Decision {
+// Decide decides whether a request may be sent to an upstream of the pool, which it doesn't change.
+func (controller *Controller) Decide(now time.Time, known *Pool, request Request) Decision {
+	pool := known.clone()
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	state, view := controller.state(pool.Key)
@@ -220,14 +223,17 @@
 		return decision
 	}
 	if !decision.Short {
-		view.passIdle(now, decision.Usage)
+		view.skipDecisions(now, decision.Usage)
 		return decision
 	}
 	view.draw(now, pool.Delay, random)
-	view.decided.add(now, pressureTime)
+	if !request.Offered {
+		view.decided.add(now, pressureTime)
+	}
 	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
 	decision.urgency = request.urgency(view.refusedShare(now), excess)
 	decision.Level = level(request.Priority, excess)
+	decision.few = view.fewRequests(now, pool, sums)
 	if !controller.fill(now, view, pool, sums, &request, estimates, &decision) {
 		decision.Full = nil
 		return decision
@@ -237,7 +243,7 @@
 	switch {
 	case now.Add(decision.Wait).After(request.Deadline):
 		decision.Reason = TooLate
-	case decision.Room < 1 || decision.Part < view.least(""):
+	case decision.Room < 1 || !decision.few && decision.Part < view.threshold(""):
 		decision.Reason = NoRoom
 		if excess {
 			decision.Reason = WorkspaceExcess
@@ -245,6 +251,10 @@
 	default:
 		return decision
 	}
+	if request.Offered {
+		// TurnedAway has counted the refusal, and RetryAfter plans the caller's return.
+		return decision
+	}
 	view.refused.add(now, pressureTime)
 	decision.RetryAfter = view.retryAfter(now, state, request.Deadline, random)
 	return decision
@@ -256,7 +266,7 @@
 	return full >= minFull && float64(full) > maxFullShare*float64(sums.usable) && sums.usage() >= stillShortUsage
 }
 
-// RetryAfter returns when a caller should return whom upstreams have turned away.
+// RetryAfter returns when a caller should return whose request upstreams have turned away.
 func (controller *Controller) RetryAfter(now time.Time, key Key, deadline time.Time) time.Duration {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
@@ -10,8 +11,8 @@
 	// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
 	// up for the others: those may have ended.
 	maxUnheardFactor = 2
-	// busyShare is the share of the upstreams that have no time for more prefill from which
-	// on a pool counts as busy.
+	// busyShare is the share of the upstreams that have no time for more prefill above which a
+	// pool counts as busy: the others can't take the requests of more than as many.
 	busyShare = 0.5
 )
 
@@ -67,7 +68,7 @@
 
 // sums are the figures of the usable upstreams of a pool together whose slots are known.
 type sums struct {
-	usable   int
+	usable int
 	// unknown counts those whose slots are not known, which the other figures leave out.
 	unknown  int
 	requests int
@@ -127,6 +128,13 @@
 	return sums
 }
 
+// clone returns a copy of the pool with upstreams of its own.
+func (pool *Pool) clone() *Pool {
+	cloned := *pool
+	cloned.Upstreams = slices.Clone(pool.Upstreams)
+	return &cloned
+}
+
 // addUnheard adds to each upstream its part of what routers that were not heard from
 // lately are assumed to have in flight: as much as those that were.
 func (pool *Pool) addUnheard() {
