overload: the figures of a decision are held by a decider

Decide and fill passed up to eight arguments on. They are methods of a decider now, with short, fill, takes, preferCached and reason.

go test -race -p 2 ./overload passes (29 s).

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -58,13 +58,6 @@
 	Wait time.Duration
 	// Level is the share of the pool that the request may use.
 	Level float64
-
-	// urgency is the part that the request gets of what the most urgent ones get.
-	urgency float64
-	// few is set if all requests find room before the routers know of each other's.
-	few bool
-	// rooms holds the room of each upstream.
-	rooms []float64
 }
 
 // Controller decides on the requests of one router. The zero value is ready for use. It
@@ -190,80 +183,12 @@
 }
 
 // Decide decides whether a request may be sent to an upstream of the pool, which it doesn't change.
-func (controller *Controller) Decide(now time.Time, known *Pool, request Request) Decision {
-	pool := known.clone()
+func (controller *Controller) Decide(now time.Time, pool *Pool, request Request) Decision {
+	decider := decider{controller: controller, now: now, random: randomOf(controller.Random), pool: pool.clone(), request: &request}
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	state, view := controller.state(pool.Key)
-	random := randomOf(controller.Random)
-	estimates := controller.estimates(state)
-	view.earlier.setAdded(now, pool)
-	pool.addUnheard()
-	sums := pool.sum(estimates)
-	decision := Decision{Usage: sums.usage(), Level: 1}
-	if sums.usable == 0 {
-		view.short = false
-		return decision
-	}
-	full := controller.full(now, pool)
-	if sums.unknown > 0 {
-		// The room of the pool is not known if that of one upstream isn't.
-		view.short = false
-		if full > 0 {
-			decision.Full = controller.turnedAwayOf(now, pool)
-		}
-		return decision
-	}
-	sums.share = view.share(now, pool, sums)
-	decision.Short = decision.Usage >= view.shortUsage(now) || view.afterLoss(now, sums) >= stillShortUsage ||
-		manyFull(full, sums) || pool.busyPrefilling(&request, estimates)
-	view.short = decision.Short
-	if !decision.Short && full > 0 {
-		decision.Full = controller.turnedAwayOf(now, pool)
-		return decision
-	}
-	if !decision.Short {
-		view.skipDecisions(now, decision.Usage)
-		return decision
-	}
-	view.draw(now, pool.Delay, random)
-	if !request.Offered {
-		view.decided.add(now, pressureTime)
-	}
-	excess := random() < state.fairness.excess(now, request.Arrival.Workspace)
-	decision.urgency = request.urgency(view.refusedShare(now), excess)
-	decision.Level = level(request.Priority, excess)
-	decision.few = view.fewRequests(now, pool, sums)
-	if !controller.fill(now, view, pool, sums, &request, estimates, &decision) {
-		decision.Full = nil
-		return decision
-	}
-	decision.Part = pool.part(sums, decision.urgency*decision.Room)
-	state.preferCached(now, view, pool, sums, &request, estimates, &decision)
-	switch {
-	case now.Add(decision.Wait).After(request.Deadline):
-		decision.Reason = TooLate
-	case decision.Room < 1 || !decision.few && decision.Part < view.threshold(""):
-		decision.Reason = NoRoom
-		if excess {
-			decision.Reason = WorkspaceExcess
-		}
-	default:
-		return decision
-	}
-	if request.Offered {
-		// TurnedAway has counted the refusal, and RetryAfter plans the caller's return.
-		return decision
-	}
-	view.refused.add(now, pressureTime)
-	decision.RetryAfter = view.retryAfter(now, state, request.Deadline, random)
-	return decision
-}
-
-// manyFull reports whether a pool is short of room since so many of its upstreams turned requests
-// away.
-func manyFull(full int, sums sums) bool {
-	return full >= minFull && float64(full) > maxFullShare*float64(sums.usable) && sums.usage() >= stillShortUsage
+	decider.decide()
+	return decider.decision
 }
 
 // RetryAfter returns when a caller should return whose request upstreams have turned away.
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -13,6 +13,6 @@
 // Less urgent requests leave a reserve to more urgent ones, and a workspace that sends far
 // more than usual leaves one to the others.
 //
-// Controller.Decide is the decision. It takes what is known of the pool (Pool), of the
-// requests of the service (service) and of this router's part of the pool (view).
+// Controller.Decide is the decision, which a decider makes. It takes what is known of the pool
+// (Pool), of the requests of the service (service) and of this router's part of the pool (view).
 package overload
--- a/overload/parts.go
+++ b/overload/parts.go
@@ -25,33 +25,6 @@
 	uncachedAhead  = 0.1
 )
 
-// fill sets the figures of decision that depend on each upstream's room. The caller holds
-// mu.
-func (controller *Controller) fill(now time.Time, view *view, pool *Pool, sums sums, request *Request, estimates estimates, decision *Decision) bool {
-	found := false
-	decision.Full = make([]bool, len(pool.Upstreams))
-	decision.rooms = make([]float64, len(pool.Upstreams))
-	decision.Wait = time.Duration(math.MaxInt64)
-	for i := range pool.Upstreams {
-		upstream := &pool.Upstreams[i]
-		if !upstream.Usable || upstream.Excluded || upstream.Slots <= 0 {
-			decision.Full[i] = true
-			continue
-		}
-		found = true
-		wait := upstream.wait(request, estimates)
-		decision.Wait = min(decision.Wait, wait)
-		room := upstream.room(request, estimates, decision.Level)
-		decision.rooms[i] = room
-		if room < 1 || upstream.Memory > 0 && !decision.few && !view.mayAdd(pool, sums.share, decision.urgency, upstream, room) || controller.countsAsFull(now, upstream.ID) || now.Add(wait).After(request.Deadline) {
-			decision.Full[i] = true
-			continue
-		}
-		decision.Room += room
-	}
-	return found
-}
-
 // mayAdd reports whether this router may send a request to an upstream with the given room. Routers
 // that see the same room each take a part of it, so that they don't fill it several times before
 // they know of each other's requests.
@@ -63,34 +36,6 @@
 	return shareOvercommit*urgency*share*max(room+added, 0)-added > view.threshold(upstream.ID)
 }
 
-// preferCached marks upstreams that would prefill the shared parts of the prompt again as
-// full, if one that has them cached has room, or if this router has used up its part of
-// the time for prefill.
-func (service *service) preferCached(now time.Time, view *view, pool *Pool, sums sums, request *Request, estimates estimates, decision *Decision) {
-	if request.Prefill <= request.CachedPrefill || !pool.anyEngine() {
-		return
-	}
-	bound := math.Inf(1)
-	if pool.LoadMultiple > 0 {
-		bound = pool.LoadMultiple*float64(sums.requests)/float64(sums.usable) + pool.LoadSlack
-	}
-	cached := 0.0
-	for i := range pool.Upstreams {
-		if pool.Upstreams[i].Cached && !decision.Full[i] && float64(pool.Upstreams[i].Requests) < bound {
-			cached += decision.rooms[i]
-		}
-	}
-	if cached < 1 && service.prefillPart(now, pool, sums, request, estimates, decision.urgency) >= view.threshold("")*float64(request.Prefill) {
-		return
-	}
-	decision.Room = cached
-	for i := range pool.Upstreams {
-		if !pool.Upstreams[i].Cached {
-			decision.Full[i] = true
-		}
-	}
-}
-
 // anyEngine reports whether a usable upstream is an engine, which prefills prompts.
 func (pool *Pool) anyEngine() bool {
 	return slices.ContainsFunc(pool.Upstreams, func(upstream Upstream) bool { return upstream.Usable && upstream.Memory > 0 })
@@ -99,8 +44,9 @@
 // prefillPart returns how many more prompt tokens this router may send: its part of what
 // the upstreams can prefill in time for the target, and while the others don't know yet
 // what was sent.
-func (service *service) prefillPart(now time.Time, pool *Pool, sums sums, request *Request, estimates estimates, urgency float64) float64 {
-	ahead := float64(min(request.target(), defaultTarget)) * uncachedAhead
+func (decider *decider) prefillPart() float64 {
+	pool, estimates := decider.pool, decider.estimates
+	ahead := float64(min(decider.request.target(), defaultTarget)) * uncachedAhead
 	delay := float64(pool.Delay) / float64(time.Millisecond)
 	room := 0.0
 	for i := range pool.Upstreams {
@@ -111,7 +57,7 @@
 			room += max(ahead*rate-float64(upstream.Pending), 0) + delay*rate*(drainShare+idleDrainShare*idle*idle)
 		}
 	}
-	return urgency*sums.share*room - float64(service.flow.since(now, pool.Delay).prefill)
+	return decider.urgency*decider.sums.share*room - float64(decider.service.flow.since(decider.now, pool.Delay).prefill)
 }
 
 // part returns how many more requests this router may send into the room of the pool. It
