--- a/overload/decide.go
+++ b/overload/decide.go
@@ -24,8 +24,6 @@
 	excess bool
 	// urgency is the part that the request gets of what the most urgent ones get.
 	urgency float64
-	// few is set if all requests find room before the routers know of each other's.
-	few bool
 	// rooms holds the room of each upstream.
 	rooms []float64
 }
@@ -47,7 +45,6 @@
 	decider.excess = decider.random() < decider.service.fairness.excess(decider.now, decider.request.Arrival.Workspace)
 	decider.urgency = decider.request.urgency(view.refusedShare(decider.now), decider.excess)
 	decision.Level = level(decider.request.Priority, decider.excess)
-	decider.few = view.fewRequests(decider.now, decider.pool, decider.sums)
 	if !decider.fill() {
 		decision.Full = nil
 		return
@@ -133,7 +130,7 @@
 	if room < 1 || decider.now.Add(wait).After(decider.request.Deadline) || decider.controller.countsAsFull(decider.now, upstream.ID) {
 		return false
 	}
-	return upstream.Memory == 0 || decider.few || decider.view.mayAdd(decider.pool, decider.sums.share, decider.urgency, upstream, room)
+	return upstream.Memory == 0 || decider.view.mayAdd(decider.pool, decider.sums.share, decider.urgency, upstream, room)
 }
 
 // preferCached marks upstreams that would prefill the shared parts of the prompt again as
@@ -171,7 +168,7 @@
 	switch {
 	case decider.now.Add(decision.Wait).After(decider.request.Deadline):
 		return TooLate
-	case decision.Room >= 1 && (decider.few || decision.Part >= decider.view.threshold("")):
+	case decision.Room >= 1 && decision.Part >= decider.view.threshold(""):
 		return ""
 	case decider.excess:
 		return WorkspaceExcess
--- a/overload/view.go
+++ b/overload/view.go
@@ -84,14 +84,6 @@
 	return sums.usage() * float64(view.peakSlots) / float64(sums.slots)
 }
 
-// fewRequests reports whether a pool has room, after a loss of slots, for all that the routers would
-// send until they know of each other's requests, if each got as many as this one. Their parts of
-// the room may be less than one request then.
-func (view *view) fewRequests(now time.Time, pool *Pool, sums sums) bool {
-	expected := view.decided.get(now, pressureTime) * float64(pool.Delay) / float64(pressureTime) * float64(max(pool.Routers, 1))
-	return sums.usage() < stillShortUsage && expected < sums.room
-}
-
 // draw draws the thresholds anew once the other routers know what was sent with the last.
 func (view *view) draw(now time.Time, delay time.Duration, random func() float64) {
 	if now.Sub(view.drawnAt) >= delay {
