--- a/balance/selection.go
+++ b/balance/selection.go
@@ -39,16 +39,17 @@
 	candidates []candidate
 	// limited is how many of the candidates name limits or are cold.
 	limited int
-	// mean is the mean number of requests in flight at the upstreams of the pool that
-	// name no limit: the others' share of the load is theirs.
+	// mean is the mean number of requests in flight at the upstreams that name no limit.
+	// Upstreams with a limit are left out, since their limits and not the balance determine
+	// their load.
 	mean float64
 	// bound is the number of requests in flight from which on an upstream is at the load
 	// bound. It is a multiple of the mean that includes the withheld upstreams: a zone that
 	// is evacuated must not raise the bound of the others.
 	bound float64
+	now   time.Time
 	// predicts is set if the times to the first event are predicted. usual is the one at
 	// an idle upstream that is like the mean of its service and has the prefix cached.
-	now      time.Time
 	predicts bool
 	usual    time.Duration
 }
--- a/cmd/hickoryhead/where.go
+++ b/cmd/hickoryhead/where.go
@@ -26,7 +26,7 @@
 	cmd := &cobra.Command{
 		Use:   "where [--router ADDRESS] --host HOST [--header 'NAME: VALUE']... [--tried UPSTREAM]... TARGET",
 		Short: "Ask an entry router where a request would go now, and why, without sending it",
-		Long:  "Asks the entry router whose metrics are served at ADDRESS (MetricsListen) where a request for TARGET (a path and query) with the given host and headers would go at the moment. The answer comes from the function that decides; upstreams that can't get the request are listed with the reason. The body is not known: a request that has crashed upstreams may go elsewhere.",
+		Long:  "Asks the entry router whose metrics are served at ADDRESS (MetricsListen) where a request for TARGET (a path and query) with the given host and headers would go at the moment. The answer comes from the function that decides; upstreams that can't get the request are listed with the reason. The body is not known: a request that has crashed upstreams may go elsewhere. Refusals for lack of room are not predicted.",
 		Args:  command.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			header := make(http.Header)
--- a/configrpc/configrpc.go
+++ b/configrpc/configrpc.go
@@ -37,9 +37,9 @@
 type Row struct {
 	Value   []byte
 	Version ident.Revision
-	// ReadAt is the version of the store up to which the router that gave the row has read
-	// the table: none of up to there is newer. Evacuated are all zones that were evacuated
-	// at ReadAt. It is zero if the router doesn't say so.
+	// ReadAt is the revision up to which the sending router has read the table, and Evacuated
+	// the zones evacuated at ReadAt. Both are zero from a router of an earlier release.
+	// Service.Set ignores them: see SetReadAt.
 	Evacuated []evacuation.State
 	ReadAt    ident.Revision
 }
@@ -84,8 +84,8 @@
 	}
 }
 
-// SetReadAt records that the table was read up to version: what Set and Evacuations say
-// covers it.
+// SetReadAt records that the table was read up to version, so that the row and Evacuations are
+// complete up to it.
 func (service *Service) SetReadAt(version ident.Revision) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
--- a/entry/cold.go
+++ b/entry/cold.go
@@ -56,8 +56,8 @@
 	daemon.quota.MarkCold(time.Now(), upstreams)
 }
 
-// logCold counts and logs that an upstream became cold, may have, or is cold no longer than
-// was known.
+// logCold counts and logs a change of what is known of a cold upstream: it failed, its deadline
+// was set or moved, or it is no longer cold.
 func (daemon *Daemon) logCold(now time.Time, cold quota.Cold) {
 	event, message := "cold.ended", "Upstream is not cold any more."
 	switch {
--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -157,7 +157,7 @@
 		}
 		records, err := source.recordsOf(row, address, after)
 		if err != nil {
-			daemon.Logger.Debug("Configuration of a router not used.", "Address", address, "RowVersion", row.Version, "Error", err)
+			daemon.Logger.Debug("Ignored the configuration of a router.", "Address", address, "RowVersion", row.Version, "Error", err)
 			continue
 		}
 		daemon.metrics.CountEvent("config.router.read")
@@ -196,7 +196,7 @@
 
 // errNoEvacuations means that another router provided a configuration without the
 // evacuations of the same table.
-var errNoEvacuations = errors.New("the other router does not say which zones are evacuated")
+var errNoEvacuations = errors.New("the other router sent no evacuations with its configuration")
 
 // asyncRead is a read in its own goroutine.
 type asyncRead struct {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -47,9 +47,10 @@
 	// upstream may have. Without it a small mean would leave no room.
 	loadBoundSlack = 1.5
 	// minLoadDelay is the least time within which the requests of a router are assumed to be
-	// known to all others. Loads are told as soon as they change, and states of the store half
-	// as often.
-	minLoadDelay      = 200 * time.Millisecond
+	// known to all others.
+	minLoadDelay = 200 * time.Millisecond
+	// stateDelayPerLoad is the ratio of the delay of store states (gossip.Delay) to that of
+	// loads, which are sent twice as often.
 	stateDelayPerLoad = 2
 	// routerIDBase is the numeric base in which the random ID of a run is written.
 	// Each message to other routers carries the ID.
--- a/evacuation/tracker.go
+++ b/evacuation/tracker.go
@@ -20,17 +20,18 @@
 	Evacuated bool
 }
 
-// Result is what a reading changed.
+// Result is what applying states changed.
 type Result struct {
 	// Changed are the zones whose evacuation began or ended.
 	Changed []State
-	// Outdated are, for the zones about which the reading was out of date, the newer
-	// states that the Tracker has.
+	// Outdated holds, for each zone on which the input was out of date, the newer state that
+	// the Tracker has.
 	Outdated []State
 }
 
 // Tracker holds the newest known state of each zone. The zero value has no evacuated zone.
-// It is safe for concurrent use. A nil Tracker has no zones.
+// It is safe for concurrent use. On a nil Tracker, Evacuated and Report return nothing; the
+// other methods need a non-nil one.
 type Tracker struct {
 	mu sync.Mutex
 	// readAt is the revision up to which the store was read: a zone that is not in zones
--- a/forward/alone.go
+++ b/forward/alone.go
@@ -56,11 +56,11 @@
 func (handler *Handler) aloneExclusion(now time.Time, upstream registry.Upstream) string {
 	switch {
 	case !handler.Strikes.AwayUntil(now, upstream.ID, upstream.Incarnation).IsZero():
-		return "strikes: broke off lately"
+		return "strikes: its connections broke recently"
 	case handler.Health.Ejected(now, upstream.ID):
 		return "ejected"
 	case handler.Strikes.OnTrial(now, upstream.ID):
-		return "strikes: another request runs alone there"
+		return "strikes: another request is running alone there"
 	}
 	return ""
 }
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -250,8 +250,9 @@
 	return handler.LoadDelay()
 }
 
-// retryAfterRoom returns when a caller should return whom upstreams have turned away, or zero
-// if the room of the pool is not known.
+// retryAfterRoom returns the Retry-After of a request that was refused for lack of room, by
+// admission control or by upstreams. It returns zero for other codes, and if the room of the
+// pool is not known.
 func (exchange *exchange) retryAfterRoom(code result.Code) time.Duration {
 	switch code {
 	case result.PoolFull, result.TooLate, result.WorkspaceAboveUsual:
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -24,7 +24,8 @@
 	minPostponement = 300 * time.Millisecond
 )
 
-// noChoiceCode returns the code of a request for which there is no upstream.
+// noChoiceCode returns the code of a request for which there is no upstream, and sets limitedAt
+// if one takes the request later.
 func (exchange *exchange) noChoiceCode(pool *registry.Pool) result.Code {
 	if exchange.postponed {
 		return result.CrashingRequestAlone
--- a/forward/where.go
+++ b/forward/where.go
@@ -66,6 +66,7 @@
 // the tried upstreams before, would go at the moment. It sends nothing and changes nothing. The
 // body of the request is not known: it counts as empty where requests that have crashed
 // upstreams are told apart. Requests for the rest of a stream are placed like new ones.
+// Admission control is not consulted: the request may still be refused for lack of room.
 func (handler *Handler) Where(request *http.Request, tried []ident.UpstreamID) Placement {
 	exchange := &exchange{handler: handler, request: request, arrived: time.Now(), tried: tried}
 	if code := exchange.identify(); code != result.OK {
--- a/forward/where_excluded_test.go
+++ b/forward/where_excluded_test.go
@@ -150,7 +150,7 @@
 		if away {
 			crashed++
 		}
-		if shown := slices.Contains(candidate.Excluded, "strikes: broke off lately"); shown != away || away && candidate.Upstream == got.Upstream {
+		if shown := slices.Contains(candidate.Excluded, "strikes: its connections broke recently"); shown != away || away && candidate.Upstream == got.Upstream {
 			t.Errorf("got %s excluded for %q and %s chosen, want it excluded for strikes: %t", candidate.Upstream, candidate.Excluded, got.Upstream, away)
 		}
 	}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -33,10 +33,10 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
-	// OnAllClosed, unless nil, is called when the peer has closed all connections, none of
-	// which was in use or idle for as long as it may be, with the number of those found
-	// closed together: its process has probably ended. A single one may have been idle for
-	// longer than the peer keeps connections.
+	// OnAllClosed, unless nil, is called when the last open connection of the pool is found
+	// closed by the peer before its idle timeout, which usually means that the peer's process
+	// has ended. connections counts those found closed early together. If it is one, the peer
+	// may just use a shorter idle timeout than it states.
 	OnAllClosed func(connections int)
 	// Total, unless nil, counts the open connections of all pools that share it.
 	Total *atomic.Int64
--- a/memory/account.go
+++ b/memory/account.go
@@ -82,9 +82,10 @@
 	return int64(account.Limit)
 }
 
-// Grow adds count bytes to the holding and reports whether there was room. It gives other
-// holdings up for that, the largest and slowest first, but none that makes better progress
-// than this one, except that a small holding takes the place of any large body. It returns false also if the holding itself has been given up.
+// Grow adds count bytes to the holding and reports whether there was room. To make room it gives
+// up slow holdings of a higher rank than this one, the highest rank first. A small holding may
+// also displace any large body, but an answer only while its caller reads slowly. Grow returns
+// false if the holding itself has been given up.
 func (account *Account) Grow(now time.Time, holding *Holding, count int64) bool {
 	account.mu.Lock()
 	defer account.mu.Unlock()
--- a/memory/stalls.go
+++ b/memory/stalls.go
@@ -8,12 +8,12 @@
 // maxTickGap is the longest time between two ticks of a process that runs.
 const maxTickGap = time.Second
 
-// Stalls notices that the process stood still, as when its VM was paused: others could make no
-// progress meanwhile. Without ticks, and as nil, it notices nothing. It is safe for concurrent use.
+// Stalls detects pauses of the process, for example of its VM, so that they are not counted as
+// lack of progress of clients. Without ticks, and as nil, it detects none. It is safe for
+// concurrent use.
 type Stalls struct {
 	mu sync.Mutex
-	// tickedAt is when the process was last known to run, and resumedAt when it last went on
-	// after it had stood still.
+	// tickedAt is when the last tick was recorded, and resumedAt when the last pause ended.
 	tickedAt  time.Time
 	resumedAt time.Time
 }
@@ -28,13 +28,12 @@
 	stalls.tickedAt = now
 }
 
-// standing reports whether the process stood still until now. The caller holds mu.
+// standing reports whether the process was paused until now. The caller holds mu.
 func (stalls *Stalls) standing(now time.Time) bool {
 	return !stalls.tickedAt.IsZero() && now.Sub(stalls.tickedAt) > maxTickGap
 }
 
-// Waited returns for how long the process has waited since a time, without what went before
-// the end of its last stall.
+// Waited returns the time since the given time, without what precedes the end of the last pause.
 func (stalls *Stalls) Waited(now, since time.Time) time.Duration {
 	if stalls == nil {
 		return now.Sub(since)
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -14,8 +14,8 @@
 	// its own.
 	maxFullShare = 0.25
 	minFull      = 2
-	// minFullTime is how long an upstream that turned a request away counts as full, at
-	// least, unless an answer of it comes.
+	// minFullTime is the shortest time for which an upstream that refused a request counts as
+	// full, unless it answers one earlier.
 	minFullTime = 20 * time.Millisecond
 	// maxViews limits the pools that are known, and maxTurnedAway the upstreams that count as
 	// full.
@@ -160,8 +160,10 @@
 	state.serviceTime += time.Duration(smoothing * float64(sample-state.serviceTime))
 }
 
-// TurnedAway records that an upstream turned a request away. It counts as full until it answers,
-// or for the given delay, within which the requests of other routers become known.
+// TurnedAway records that an upstream refused a request. The upstream counts as full until it
+// answers a request, or until half of the mean service time has passed, but at least for
+// minFullTime and otherwise at most for delay, the time within which routers learn of each
+// other's requests.
 func (controller *Controller) TurnedAway(now time.Time, key Key, upstream ident.UpstreamID, delay time.Duration) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -554,3 +554,19 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// TestLossAtLowUsageRefusesNothing guards against refusals after a loss of slots although there is
+// room for all that comes, since the part of each router is less than one request.
+func TestLossAtLowUsageRefusesNothing(t *testing.T) {
+	refused := 0
+	for seed := range 500 {
+		controller := seededController(seed)
+		controller.Decide(start, enginesWith(103, 13, 13), small(0))
+		if controller.Decide(start.Add(time.Second), enginesWith(103, 13), small(0)).Reason != "" {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d of 500 requests refused with 13 of 64 slots used, want none", refused)
+	}
+}
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -39,8 +39,8 @@
 	// usualPerSecond is the usual traffic, half of what all engines serve in time.
 	usualPerSecond = 210
 	fleetTick      = 10 * time.Millisecond
-	// fleetUpdateInterval is the time between two updates of the loads of all routers, which are as old
-	// as old when they come.
+	// fleetUpdateInterval is the time between two updates of the loads of all routers, which are
+	// as old as that when they come.
 	fleetUpdateInterval = 500 * time.Millisecond
 	// ejectedAfter is the time after which engines that don't respond are ejected.
 	ejectedAfter = 500 * time.Millisecond
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxUnheardFactor limits by how much the requests of routers that were heard are scaled
-	// up for the others: those may have ended.
+	// maxUnheardFactor limits the factor by which the requests of the reporting routers are
+	// scaled up to stand for the others, whose requests may have ended.
 	maxUnheardFactor = 2
 	// busyShare is the share of the upstreams that have no time for more prefill above which a
 	// pool counts as busy: the others can't take the requests of more than as many.
@@ -35,7 +35,7 @@
 	// Cached is set if the upstream has the shared prefix of the request cached.
 	Cached bool
 
-	// added is by how much Local has grown since the other routers last heard of it.
+	// added is by how much Local has grown since the state that the other routers have received.
 	added int
 }
 
@@ -53,8 +53,8 @@
 type Pool struct {
 	Key       Key
 	Upstreams []Upstream
-	// Routers is the number of routers that share the pool, this one included: also those
-	// that were not heard from lately. Heard is the number of those that were.
+	// Routers is the number of routers that share the pool, including this one and those that
+	// have sent no recent report. Heard is the number of routers with recent reports.
 	Routers int
 	Heard   int
 	// Delay is the time within which the requests of a router are known to all others.
--- a/overload/view.go
+++ b/overload/view.go
@@ -14,9 +14,9 @@
 	// idleUsage of the pool used. It shrinks to zero at shortUsage.
 	idleTime  = 20 * time.Millisecond
 	idleUsage = 0.4
-	// A pool may be about to be short that has lost lostShare of the slots that it had within
-	// peakTime: what was in flight there comes to the rest. Single upstreams of a larger pool
-	// that restart are less.
+	// If a pool has lost more than lostShare of its slots within peakTime, the retries of the
+	// requests that ran there are added to its usage. Restarts of single upstreams in a larger
+	// pool stay below.
 	lostShare = 0.2
 	peakTime  = 5 * time.Second
 	// evenShare is the part of the free room that routers share evenly; the rest goes by
@@ -72,8 +72,8 @@
 	return evenShare/float64(max(pool.Routers, 1)) + (1-evenShare)*view.localShare
 }
 
-// afterLoss returns which share of the pool will be used once what was in flight at slots that
-// are gone has come to the rest, or zero if few are gone.
+// afterLoss returns the usage of the pool after the requests of lost slots are retried at the
+// remaining ones, or zero if few slots are lost.
 func (view *view) afterLoss(now time.Time, sums sums) float64 {
 	if sums.slots >= view.peakSlots || now.Sub(view.peakAt) > peakTime {
 		view.peakSlots, view.peakAt = sums.slots, now
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -199,8 +199,9 @@
 	return true
 }
 
-// ColdUntil returns whether the upstream is cold, and its deadline, the zero time if it has
-// not answered since a failure.
+// ColdUntil reports whether the upstream is cold, and the last known deadline. While the
+// upstream has failed and not answered, it is cold regardless of that deadline, which may be
+// zero or past.
 func (tracker *Tracker) ColdUntil(now time.Time, upstream registry.Upstream) (time.Time, bool) {
 	if tracker == nil {
 		return time.Time{}, false
@@ -227,20 +228,21 @@
 	return count
 }
 
-// retainColds forgets states that say nothing any more, and all of incarnations that are not
-// listed. The caller holds mu.
+// retainColds removes states that no longer matter: those that are not in force and need no
+// further report, those of services without a cold rule, and those of incarnations that have
+// been unlisted for unlistedLifetime. A listed state is kept while the configuration is not
+// loaded yet. The caller holds mu.
 func (tracker *Tracker) retainColds(now time.Time, present map[key]ident.ServiceName) {
 	for identity, state := range tracker.colds {
 		service, listed := present[identity]
 		if rule, found := tracker.coldRule(service); listed && found {
 			tracker.lapse(now, state, rule)
 		} else if listed && tracker.ColdRule(service).Overage <= 0 {
-			// Without a configuration yet the state is kept.
 			delete(tracker.colds, identity)
 			continue
 		}
-		over := !state.inForce(now) && state.sends == 0 && !state.reported
-		if over || !listed && now.Sub(state.SeenAt) > unlistedLifetime {
+		obsolete := !state.inForce(now) && state.sends == 0 && !state.reported
+		if obsolete || !listed && now.Sub(state.SeenAt) > unlistedLifetime {
 			delete(tracker.colds, identity)
 		}
 	}
--- a/quota/cold_failure.go
+++ b/quota/cold_failure.go
@@ -11,14 +11,14 @@
 	// minAliveDelay is how long after a failure an answer has to come to show that the
 	// upstream ran on: bytes of one that has ended may still be on their way.
 	minAliveDelay = 250 * time.Millisecond
-	// minFailureLifetime is for how long at least an upstream is treated as failed without
-	// news. Its row expires before, or is written again. closedLifetime is the same for one
-	// that closed its connections.
+	// minFailureLifetime is the least time for which an upstream is treated as failed without
+	// further reports. Its row expires before, or is written again. closedLifetime is used
+	// instead if only closed connections indicate the failure.
 	minFailureLifetime = 15 * time.Second
 	closedLifetime     = 5 * time.Second
 )
 
-// lapse ends a failure of which nothing was heard for failureLifetime. The caller holds mu.
+// lapse ends a failure on which there was no report for failureLifetime. The caller holds mu.
 func (tracker *Tracker) lapse(now time.Time, state *coldState, rule ColdRule) {
 	if !state.Failed || now.Sub(state.failedAt) < tracker.failureLifetime(state, rule) {
 		return
@@ -29,9 +29,10 @@
 	state.reported = false
 }
 
-// failureLifetime returns for how long an upstream is treated as failed without news. A router without a share can't find out by itself, and must not be kept from an
-// upstream for good that only it could not reach. The fleet is large enough then that all
-// such routers send at most half of the rate. The caller holds mu.
+// failureLifetime returns how long an upstream is treated as failed without further reports. It
+// ends because a router without a share can't test the upstream itself. After it, each router
+// may send one request; the time grows with the fleet so that these are at most half of the
+// rate. The caller holds mu.
 func (tracker *Tracker) failureLifetime(state *coldState, rule ColdRule) time.Duration {
 	if state.closed {
 		return closedLifetime
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -12,31 +12,32 @@
 // it, and a second passes in which the former shares were used.
 const fleetSettleTime = 1500 * time.Millisecond
 
-// coldFleet is the fleet that shares the rates of cold upstreams: all routers that are
-// registered, also those that are silent. The zero value is a router that doesn't know the
-// fleet, and has no share.
+// coldFleet is the set of routers that share the rates of cold upstreams: all that are known,
+// including silent ones. The zero value has no share.
 type coldFleet struct {
 	self string
-	// routers are the routers that count, sorted, and removedAt those of them that have
-	// left, with the time of that.
+	// routers are the routers with a claim to a share, sorted. removedAt holds when those of
+	// them left whose shares are not yet given to others.
 	routers   []string
 	removedAt map[string]time.Time
 	// settledAt is when this router may send its share.
 	settledAt time.Time
-	// live are the routers that ran lately, sorted, and heard all that this router has ever
-	// heard of.
+	// live are the routers that ran recently, sorted, and heard all from which a message ever
+	// came.
 	live  []string
 	heard map[string]struct{}
 	// revision grows with each change of the shares.
 	revision uint64
 }
 
-// SetFleet sets the address of this router, those of all routers that are known, and those
-// of them of which a message came lately. A router that is no longer known keeps its share for a
-// moment if it ran until lately, since it has said that it leaves. One that was silent
-// before keeps it unless more than half of the fleet runs as far as this router knows:
-// otherwise this router may be the one that is cut off. One that was never heard doesn't keep
-// it: rows of routers outlast them.
+// SetFleet sets the address of this router, the addresses of all known routers, and those that
+// ran recently. A router that is no longer known loses its share after fleetSettleTime in each
+// of these cases:
+//   - it ran until recently, so it announced that it leaves;
+//   - more than half of the fleet runs, so this router is not the one that is cut off;
+//   - it never sent anything, since registrations outlive their routers.
+//
+// Otherwise it keeps its share.
 func (tracker *Tracker) SetFleet(now time.Time, self string, known, live []string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -53,7 +53,7 @@
 	return ""
 }
 
-// AnyEvacuated reports whether a zone is evacuated.
+// AnyEvacuated reports whether at least one zone is evacuated.
 func (registry *Registry) AnyEvacuated() bool {
 	zones := registry.evacuated.Load()
 	return zones != nil && len(*zones) > 0
