soak: the last check waits until no upstream is cold

Its log shows that all eight upstreams of the pool had been restarted 0.2 to 1.3 s before, by requests that end them, so that each may get four requests a second from six routers for 1.5 s. The refusal is allowed then; the check itself is as before.

--- a/soak/cold.go
+++ b/soak/cold.go
@@ -10,6 +10,10 @@
 // coldRule is how upstreams of the pool are cold after a restart.
 var coldRule = quota.ColdRule{Start: 1500 * time.Millisecond, PerSecond: 4, Overage: 1.5, Slack: 5}
 
+// rowTime is how long routers may take to read the row of an upstream that was restarted, from
+// when on they treat it as cold.
+const rowTime = 2 * time.Second
+
 // recordRestart records that the upstream serves again, cold.
 func (upstream *upstream) recordRestart() {
 	upstream.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -169,6 +169,8 @@
 		<-finished
 	}
 	soak.restarts.Wait()
+	// The upstreams that were restarted last are cold, and may all be at their rates.
+	time.Sleep(coldRule.Start + rowTime)
 	stopBalancer()
 	<-balancer.done
 	soak.checkNotRun()
