forward: close a connection as idle only by what has arrived on it

Cause: a connection counted as idle by a time that its goroutine recorded after the read. A process that is short of processor time, as while it applies a configuration, has requests that wait in the kernel, or that were read but not recorded. Maintenance closed their connections, and the bytes were dropped. The class: a decision to close that rests on a state which lags behind what has arrived. The same held for connections whose head was half read, and for those closed at the bound.

Change: a connection is closed as idle, unused or half read only if no bytes wait in the kernel, and while a goroutine reads, the closing one only ends that read by a deadline; the goroutine that reads closes the connection itself. What has been read is always served. Whether a request has begun is no longer found out from times: its first byte may have been read before the answer to the one before it ended.

--- a/forward/bound_wait_test.go
+++ b/forward/bound_wait_test.go
@@ -40,7 +40,7 @@
 	conns.Track(conn, http.StateNew)
 	conns.Track(conn, http.StateActive)
 	for _, reason := range []BoundReason{BoundHead, BoundStalled} {
-		if conns.closeAtBound(conn, time.Now(), reason) {
+		if conns.closeAtBound(conn, reason) {
 			t.Errorf("got a connection with a request that makes progress closed as %v, want it open", reason)
 		}
 	}
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -65,7 +65,6 @@
 		checked.endRequest()
 		// The caller owes nothing between requests.
 		checked.endWait()
-		checked.awaitHead()
 	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
@@ -90,13 +89,13 @@
 // makeRoom closes a connection to make room for added, or added itself.
 func (callerConns *CallerConns) makeRoom(now time.Time, added net.Conn) {
 	for range maxVictims {
-		victim, since, reason := callerConns.victim(now, added)
-		if callerConns.closeAtBound(victim, since, reason) {
+		victim, reason := callerConns.victim(now, added)
+		if callerConns.closeAtBound(victim, reason) {
 			callerConns.recordClosed(victim, reason)
 			return
 		}
 	}
-	callerConns.closeAtBound(added, now, BoundNew)
+	callerConns.closeAtBound(added, BoundNew)
 	callerConns.recordClosed(added, BoundNew)
 }
 
@@ -111,15 +110,17 @@
 }
 
 // closeAtBound closes a connection, unless the reason does not hold any more: an idle one has
-// brought bytes after since, a head has ended, or a stalled caller has made progress. It reports
-// whether it closed the connection.
-func (callerConns *CallerConns) closeAtBound(victim net.Conn, since time.Time, reason BoundReason) bool {
+// brought bytes, a head has ended, or a stalled caller has made progress. It reports whether it
+// closes the connection.
+func (callerConns *CallerConns) closeAtBound(victim net.Conn, reason BoundReason) bool {
 	checked, isChecked := victim.(*checkedConn)
 	switch {
 	case isChecked && reason == BoundIdle:
-		return checked.closeUnlessRead(since)
-	case isChecked && (reason == BoundHead || reason == BoundStalled):
-		return callerConns.closeIfStalled(checked, reason)
+		return checked.closeUnused()
+	case isChecked && reason == BoundHead:
+		return checked.closeHalfRead(time.Now())
+	case isChecked && reason == BoundStalled:
+		return callerConns.closeIfStalled(checked)
 	default:
 		// The caller sees the close; an error would change nothing.
 		_ = victim.Close()
@@ -127,27 +128,24 @@
 	return true
 }
 
-// closeIfStalled closes a connection whose head or whose caller stalls, and reports whether it
-// did. The state of the connection does not change meanwhile.
-func (callerConns *CallerConns) closeIfStalled(checked *checkedConn, reason BoundReason) bool {
+// closeIfStalled closes a connection whose caller stalls, and reports whether it did. The state of
+// the connection does not change meanwhile. A caller whose bytes wait to be read does not stall.
+func (callerConns *CallerConns) closeIfStalled(checked *checkedConn) bool {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
 	current, open := callerConns.states[checked]
-	active := current.state == http.StateActive
-	now := time.Now()
 	switch {
-	case !open || active != (reason == BoundStalled):
+	case !open || current.state != http.StateActive:
 		return false
-	case active && checked.stalledFor(now, callerConns.Stalls) <= minStall:
+	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall || hasUnread(checked.Conn):
 		return false
 	}
 	checked.closeNow()
 	return true
 }
 
-// victim returns the connection that is closed to make room for added, since when it has its
-// state, and the reason.
-func (callerConns *CallerConns) victim(now time.Time, added net.Conn) (net.Conn, time.Time, BoundReason) {
+// victim returns the connection that is closed to make room for added, and the reason.
+func (callerConns *CallerConns) victim(now time.Time, added net.Conn) (net.Conn, BoundReason) {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
 	var idle, head, stalled net.Conn
@@ -161,7 +159,7 @@
 			if isChecked && checked.stalledFor(now, callerConns.Stalls) > longest {
 				stalled, longest = conn, checked.stalledFor(now, callerConns.Stalls)
 			}
-		case !isChecked || !checked.hasReadSince(current.since):
+		case !isChecked || !checked.hasBegun():
 			if idle == nil || current.since.Before(idleSince) {
 				idle, idleSince = conn, current.since
 			}
@@ -174,13 +172,13 @@
 	}
 	switch {
 	case idle != nil:
-		return idle, idleSince, BoundIdle
+		return idle, BoundIdle
 	case head != nil:
-		return head, headSince, BoundHead
+		return head, BoundHead
 	case stalled != nil:
-		return stalled, now, BoundStalled
+		return stalled, BoundStalled
 	}
-	return added, now, BoundNew
+	return added, BoundNew
 }
 
 // Open returns the number of open connections.
@@ -205,34 +203,27 @@
 // CloseHalfRead closes the connections whose next request has begun, but has brought no byte
 // since the given time: net/http waits for the first bytes of it without a bound.
 func (callerConns *CallerConns) CloseHalfRead(before time.Time) {
-	callerConns.mu.Lock()
-	var halfRead []*checkedConn
-	for conn, current := range callerConns.states {
-		checked, ok := conn.(*checkedConn)
-		if ok && current.state == http.StateIdle && checked.hasReadSince(current.since) && !checked.hasReadSince(before) {
-			halfRead = append(halfRead, checked)
+	for _, conn := range callerConns.tracked() {
+		if _, idle := callerConns.since(conn, http.StateIdle); !idle {
+			continue
+		}
+		if checked, ok := conn.(*checkedConn); ok {
+			checked.closeHalfRead(before)
 		}
-	}
-	callerConns.mu.Unlock()
-	for _, checked := range halfRead {
-		checked.closeNow()
 	}
 }
 
-// closeIf closes the connections that have had a state since before a time, unless bytes
-// have come since.
+// closeIf closes the connections that have had a state since before a time, unless bytes have
+// come since.
 func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
-	callerConns.mu.Lock()
-	tracked := slices.Collect(maps.Keys(callerConns.states))
-	callerConns.mu.Unlock()
-	for _, conn := range tracked {
+	for _, conn := range callerConns.tracked() {
 		// It may have got a request while others were closed.
 		since, matches := callerConns.since(conn, state)
 		if !matches || !since.Before(before) {
 			continue
 		}
 		if checked, ok := conn.(*checkedConn); ok {
-			checked.closeUnlessRead(since)
+			checked.closeUnused()
 			continue
 		}
 		// The caller sees the close; an error would change nothing.
@@ -240,8 +231,14 @@
 	}
 }
 
-// since returns since when an open connection has a state, and whether it has it. A new one
-// has it since before it could bring a byte.
+// tracked returns the open connections.
+func (callerConns *CallerConns) tracked() []net.Conn {
+	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
+	return slices.Collect(maps.Keys(callerConns.states))
+}
+
+// since returns since when an open connection has a state, and whether it has it.
 func (callerConns *CallerConns) since(conn net.Conn, state http.ConnState) (time.Time, bool) {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
--- a/forward/head_room.go
+++ b/forward/head_room.go
@@ -95,11 +95,11 @@
 	return checkedConn.listener.Memory.Keep(&checkedConn.headHolding)
 }
 
-// endRequest releases the head of a request that has been answered. It is called by the
-// goroutine of the connection, between requests, while no other one reads.
+// endRequest records that a request has been answered, and releases its head. It is called by
+// the goroutine of the connection, between requests, while no other one reads.
 func (checkedConn *checkedConn) endRequest() {
-	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.headsRead)
-	if checkedConn.heldHead > 0 && checkedConn.heldHead <= checkedConn.headsAnswered {
+	answered := checkedConn.awaitHead()
+	if checkedConn.heldHead > 0 && checkedConn.heldHead <= answered {
 		checkedConn.listener.Memory.Release(&checkedConn.headHolding)
 		checkedConn.heldHead = 0
 	}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/framing"
@@ -32,34 +33,36 @@
 	progress     int
 
 	// headHolding is what a long head takes until its request has been answered, and
-	// heldHeadBytes how much the unfinished head takes there. headsRead and
-	// headsAnswered count the heads that have ended and those whose requests have been
-	// answered; heldHead is the number of the finished head that is held, or zero.
-	headHolding              memory.Holding
-	heldHeadBytes            int64
-	headsRead, headsAnswered int
-	heldHead                 int
+	// heldHeadBytes how much the unfinished head takes there. headsRead counts the heads that
+	// have ended; heldHead is the number of the finished head that is held, or zero.
+	headHolding   memory.Holding
+	heldHeadBytes int64
+	headsRead     int
+	heldHead      int
 
+	// mu also guards changes of scanner, which the goroutine that reads makes.
 	mu sync.Mutex
-	// readAt is when bytes were last read, and headStartedAt when the first ones since the
-	// last request were, or zero. closing is set once the connection is closed because there
-	// were none.
+	// readAt is when bytes were last read, headStartedAt when the first ones of the next
+	// request were, or zero, and headsAnswered counts the heads whose requests have been
+	// answered.
 	readAt        time.Time
 	headStartedAt time.Time
-	closing       bool
+	headsAnswered int
+	// reading is set while a goroutine reads, and closing once the connection is to be closed
+	// because no request has begun: by that goroutine, unless it has read bytes meanwhile.
+	reading, closing bool
+	// readDeadline is the deadline that was set for reads.
+	readDeadline time.Time
 }
 
 // Read reads from the connection. After a request with ambiguous framing it reads nothing more and
 // returns io.EOF. A head that is too long, or for which there is no memory, is refused.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
-	if checkedConn.ambiguous.Load() {
+	if checkedConn.ambiguous.Load() || !checkedConn.beginRead() {
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
-	if count > 0 && !checkedConn.recordRead() {
-		return 0, io.EOF
-	}
-	if !checkedConn.scanner.Scan(buffer[:count]) {
+	if !checkedConn.endRead(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
 	if answer := checkedConn.holdHead(); answer != "" {
@@ -69,6 +72,47 @@
 	return count, err
 }
 
+// beginRead records that a goroutine reads. It returns false if the connection is being closed.
+func (checkedConn *checkedConn) beginRead() bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.reading = !checkedConn.closing
+	return checkedConn.reading
+}
+
+// endRead records and scans the bytes that were read, and reports whether all requests so far
+// were unambiguous. Bytes keep open a connection that was to be closed: what was read is served.
+func (checkedConn *checkedConn) endRead(data []byte) bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.reading = false
+	if len(data) == 0 {
+		return true
+	}
+	checkedConn.readAt = time.Now()
+	if checkedConn.headStartedAt.IsZero() {
+		checkedConn.headStartedAt = checkedConn.readAt
+	}
+	if checkedConn.closing {
+		checkedConn.closing = false
+		// An error means that the connection is closed.
+		_ = checkedConn.Conn.SetReadDeadline(checkedConn.readDeadline)
+	}
+	return checkedConn.scanner.Scan(data)
+}
+
+// SetReadDeadline sets the deadline for reads. It does not keep open a connection that is being
+// closed.
+func (checkedConn *checkedConn) SetReadDeadline(deadline time.Time) error {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.readDeadline = deadline
+	if checkedConn.closing {
+		return nil
+	}
+	return checkedConn.Conn.SetReadDeadline(deadline)
+}
+
 // closeWrite says to the caller that no more bytes follow.
 func (checkedConn *checkedConn) closeWrite() {
 	if checkedConn == nil {
@@ -127,54 +171,87 @@
 	return stalls.Waited(now, time.Unix(0, since))
 }
 
-// hasReadSince reports whether bytes were read after a time.
-func (checkedConn *checkedConn) hasReadSince(since time.Time) bool {
+// hasBegun reports whether bytes of a request that has not been answered were read.
+func (checkedConn *checkedConn) hasBegun() bool { return !checkedConn.headStart().IsZero() }
+
+// headStart returns when the first bytes of the request were read that is being read or served,
+// or zero if there were none.
+func (checkedConn *checkedConn) headStart() time.Time {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
-	return checkedConn.readAt.After(since)
+	return checkedConn.headStartedAt
 }
 
-// recordRead records that bytes were read. It returns false if the connection is being
-// closed as unused, so that what they belong to is not served.
-func (checkedConn *checkedConn) recordRead() bool {
+// awaitHead records that a request has been answered, and returns how many have been. The first
+// bytes of the next one may have been read before its answer ended.
+func (checkedConn *checkedConn) awaitHead() int {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
-	if checkedConn.closing {
-		return false
-	}
-	checkedConn.readAt = time.Now()
-	if checkedConn.headStartedAt.IsZero() {
+	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.scanner.Heads())
+	checkedConn.headStartedAt = time.Time{}
+	if checkedConn.scanner.HeadBytes() > 0 || checkedConn.headIsWhole() {
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
-	return true
+	return checkedConn.headsAnswered
 }
 
-// awaitHead says that the next bytes begin a head.
-func (checkedConn *checkedConn) awaitHead() {
-	checkedConn.mu.Lock()
-	defer checkedConn.mu.Unlock()
-	checkedConn.headStartedAt = time.Time{}
+// headIsWhole reports whether a head has ended whose request has not been answered. The caller
+// holds mu.
+func (checkedConn *checkedConn) headIsWhole() bool {
+	return checkedConn.scanner.Heads() > checkedConn.headsAnswered
 }
 
-// headStart returns when the head began that is being read, or zero if none has.
-func (checkedConn *checkedConn) headStart() time.Time {
-	checkedConn.mu.Lock()
-	defer checkedConn.mu.Unlock()
-	return checkedConn.headStartedAt
+// closeUnused closes the connection unless a request has begun, and reports whether it does.
+func (checkedConn *checkedConn) closeUnused() bool {
+	return checkedConn.closeUnread(func() bool { return checkedConn.headStartedAt.IsZero() })
 }
 
-// closeUnlessRead closes the connection unless bytes were read since a time, and reports
-// whether it did. A request is either served or never read.
-func (checkedConn *checkedConn) closeUnlessRead(since time.Time) bool {
+// closeHalfRead closes the connection if a request has begun whose head has neither ended nor
+// brought bytes since a time, and reports whether it does.
+func (checkedConn *checkedConn) closeHalfRead(since time.Time) bool {
+	return checkedConn.closeUnread(func() bool {
+		return !checkedConn.headStartedAt.IsZero() && !checkedConn.headIsWhole() && checkedConn.readAt.Before(since)
+	})
+}
+
+// closeUnread closes the connection if mayClose, which is called while mu is held, returns true
+// and no bytes wait to be read. It reports whether it does. While a goroutine reads it only makes
+// that read end, and what that has read by then is served.
+func (checkedConn *checkedConn) closeUnread(mayClose func() bool) bool {
 	checkedConn.mu.Lock()
-	unread := !checkedConn.readAt.After(since)
-	checkedConn.closing = checkedConn.closing || unread
+	if !mayClose() || hasUnread(checkedConn.Conn) {
+		checkedConn.mu.Unlock()
+		return false
+	}
+	checkedConn.closing = true
+	reading := checkedConn.reading
+	if reading {
+		// An error means that the connection is closed.
+		_ = checkedConn.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	checkedConn.mu.Unlock()
-	if unread {
-		// The caller sees the close; an error would change nothing.
-		_ = checkedConn.Conn.Close()
+	if !reading {
+		checkedConn.closeNow()
+	}
+	return true
+}
+
+// hasUnread reports whether bytes wait in the kernel to be read from a connection.
+func hasUnread(conn net.Conn) bool {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
 	}
-	return unread
+	unread := false
+	err = raw.Control(func(descriptor uintptr) {
+		count, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	})
+	return err == nil && unread
 }
 
 // Listener accepts callers' connections and checks the framing of their
