forward: a shorter idle timeout spares connections that are idle already

Callers saw requests cut that crossed the close of their connection: after a change of the configuration to a shorter idle timeout all connections that had been idle for longer were closed at the next round of maintenance, while their callers still went by the timeout before.

A connection that is idle now stays open until the timeout has passed that was in force when it became idle, or the one in force now, whichever is longer; it stores that time. On the code before, the first case of TestShorterIdleTimeoutKeepsOlderConnections closes the connection after 5 s of the 10 that its caller could count on.

--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -42,7 +42,7 @@
 	daemon.strikes.Maintain(now)
 	daemon.callerConns.CloseHalfRead(now.Add(-headerTimeout))
 	if !daemon.stop.stopping() {
-		daemon.callerConns.CloseIdle(now.Add(-daemon.idleTimeout()))
+		daemon.callerConns.CloseExpired(now, daemon.idleTimeout())
 	}
 }
 
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -35,12 +35,16 @@
 	mu sync.Mutex
 	// states holds the state of each open connection.
 	states map[net.Conn]connState
+	// idleTimeout is how long a connection may be idle, as CloseExpired was told last.
+	idleTimeout time.Duration
 }
 
-// connState is the state of a connection, and since when it has it.
+// connState is the state of a connection, and since when it has it. An idle one may stay so
+// until keptUntil.
 type connState struct {
-	state http.ConnState
-	since time.Time
+	state     http.ConnState
+	since     time.Time
+	keptUntil time.Time
 }
 
 // BoundReason says why a connection was closed at the bound.
@@ -82,7 +86,8 @@
 	if callerConns.states == nil {
 		callerConns.states = make(map[net.Conn]connState)
 	}
-	callerConns.states[conn] = connState{state: state, since: time.Now()}
+	now := time.Now()
+	callerConns.states[conn] = connState{state: state, since: now, keptUntil: now.Add(callerConns.idleTimeout)}
 	return state == http.StateNew && callerConns.Max > 0 && len(callerConns.states) > callerConns.Max
 }
 
@@ -191,35 +196,45 @@
 // CloseIdle closes the connections that have been without a request in progress since
 // before the given time.
 func (callerConns *CallerConns) CloseIdle(before time.Time) {
-	callerConns.closeIf(http.StateIdle, before)
+	callerConns.closeIf(http.StateIdle, func(current connState) bool { return current.since.Before(before) })
+}
+
+// CloseExpired closes the connections that have been idle for longer than idleTimeout. After a
+// change to a shorter one, those that became idle before may stay idle for as long as was allowed
+// then: their callers may still count on that.
+func (callerConns *CallerConns) CloseExpired(now time.Time, idleTimeout time.Duration) {
+	callerConns.mu.Lock()
+	callerConns.idleTimeout = idleTimeout
+	callerConns.mu.Unlock()
+	callerConns.closeIf(http.StateIdle, func(current connState) bool {
+		return current.since.Add(idleTimeout).Before(now) && current.keptUntil.Before(now)
+	})
 }
 
 // CloseUnused closes the connections that were opened before the given time and have
 // brought no byte.
 func (callerConns *CallerConns) CloseUnused(before time.Time) {
-	callerConns.closeIf(http.StateNew, before)
+	callerConns.closeIf(http.StateNew, func(current connState) bool { return current.since.Before(before) })
 }
 
 // CloseHalfRead closes the connections whose next request has begun, but has brought no byte
 // since the given time: net/http waits for the first bytes of it without a bound.
 func (callerConns *CallerConns) CloseHalfRead(before time.Time) {
 	for _, conn := range callerConns.tracked() {
-		if _, idle := callerConns.since(conn, http.StateIdle); !idle {
-			continue
-		}
-		if checked, ok := conn.(*checkedConn); ok {
+		current, open := callerConns.current(conn)
+		if checked, ok := conn.(*checkedConn); ok && open && current.state == http.StateIdle {
 			checked.closeHalfRead(before)
 		}
 	}
 }
 
-// closeIf closes the connections that have had a state since before a time, unless bytes have
-// come since.
-func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
+// closeIf closes the connections in a state for which expired returns true, unless bytes have
+// come.
+func (callerConns *CallerConns) closeIf(state http.ConnState, expired func(connState) bool) {
 	for _, conn := range callerConns.tracked() {
 		// It may have got a request while others were closed.
-		since, matches := callerConns.since(conn, state)
-		if !matches || !since.Before(before) {
+		current, open := callerConns.current(conn)
+		if !open || current.state != state || !expired(current) {
 			continue
 		}
 		if checked, ok := conn.(*checkedConn); ok {
@@ -238,10 +253,10 @@
 	return slices.Collect(maps.Keys(callerConns.states))
 }
 
-// since returns since when an open connection has a state, and whether it has it.
-func (callerConns *CallerConns) since(conn net.Conn, state http.ConnState) (time.Time, bool) {
+// current returns the state of a connection, and whether it is open.
+func (callerConns *CallerConns) current(conn net.Conn) (connState, bool) {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
 	current, open := callerConns.states[conn]
-	return current.since, open && current.state == state
+	return current, open
 }
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -93,3 +93,34 @@
 		}
 	}
 }
+
+// TestShorterIdleTimeoutKeepsOlderConnections guards against a change of the configuration that
+// closes connections while their callers count on the idle timeout before it.
+func TestShorterIdleTimeoutKeepsOlderConnections(t *testing.T) {
+	const long, short = 10 * time.Second, time.Second
+	start := time.Now()
+	tests := []struct {
+		name          string
+		before, after time.Duration
+		idle          time.Duration
+		closed        bool
+	}{
+		{"shorter, idle for less than before", long, short, 5 * time.Second, false},
+		{"shorter, idle for longer than before", long, short, 11 * time.Second, true},
+		{"longer, idle for longer than before", short, long, 5 * time.Second, false},
+		{"longer, idle for longer than both", short, long, 11 * time.Second, true},
+		{"the same", short, short, 2 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var callerConns forward.CallerConns
+			callerConns.CloseExpired(start, test.before)
+			conn := &closingConn{onClose: func() {}}
+			callerConns.Track(conn, http.StateIdle)
+			callerConns.CloseExpired(time.Now().Add(test.idle), test.after)
+			if conn.closed != test.closed {
+				t.Errorf("got a connection that is closed: %t, want %t", conn.closed, test.closed)
+			}
+		})
+	}
+}
