forward: break the connection of a caller that left before its answer

Callers saw: a caller that closes its sending half behind a request and still reads got "200 OK" with an empty body, a false success.

Cause: net/http ends the context of the request then, the handler returns without an answer, and net/http writes an empty one with status 200. The same would follow from any other error of net/http's background read.

Change: a request that ends without an answer breaks its connection, as a truncated answer does.

Evidence: TestHalfClosedCallerGetsNoFalseSuccess got status 200 on all four kinds of route before, and passes now; go test ./forward passes.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -110,8 +110,8 @@
 	unanswered bool
 	// callerFailed is set once a write to the caller has failed.
 	callerFailed bool
-	// aborted is set if the answer to the caller is truncated, so that its
-	// connection must be broken.
+	// aborted is set if the answer to the caller is truncated or not begun, so
+	// that its connection must be broken.
 	aborted bool
 }
 
@@ -161,6 +161,8 @@
 		if exchange.started || code == result.OK || exchange.callerLeft() {
 			exchange.code = code
 			exchange.markCallerLeft()
+			// Without an answer net/http would write an empty one with status 200.
+			exchange.aborted = exchange.aborted || !exchange.started
 			return
 		}
 		exchange.logAttempt(code)
