forward: a stream cut behind a half-closed caller does not look complete

Callers saw: a stream whose caller had closed its sending half ended in order after the events so far, as if it were complete.

Cause: the end of the request's context closes the connection to the upstream. relayStream then returned without breaking the caller's connection, and net/http wrote the last chunk.

Change: such a stream breaks the connection of its caller.

Evidence: TestHalfClosedCallerGetsNoCompleteStream got the first event and no error on both kinds of stream route before, and passes now.

--- a/forward/half_close_test.go
+++ b/forward/half_close_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -53,3 +55,27 @@
 		})
 	}
 }
+
+// TestHalfClosedCallerGetsNoCompleteStream guards against a stream that is cut because its caller
+// has closed its sending half, and looks complete.
+func TestHalfClosedCallerGetsNoCompleteStream(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			router := startRouter(t, startUpstream(t, func(ctx context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+				write(conn, fmt.Sprintf(streamHead, request.header.Get("Hickoryhead-Attempt-Id"))+chunk("id: 1\ndata: a\n\n"))
+				<-ctx.Done()
+				return false
+			}))
+			caller := router.beginEmpty(t, path)
+			reader := bufio.NewReader(caller.conn)
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			caller.closeWrite()
+			if body, err := io.ReadAll(response.Body); err != io.ErrUnexpectedEOF {
+				t.Errorf("got body %q and error %v for a stream that is cut, want io.ErrUnexpectedEOF", body, err)
+			}
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -64,6 +64,8 @@
 		exchange.recordFailure(answer.upstream, code)
 		answer.fail(exchange.broke)
 		if exchange.callerLeft() {
+			// The caller may have closed its sending half only.
+			exchange.aborted = exchange.started
 			return code
 		}
 		if !exchange.started {
