forward: a paused process still writes the refusal of a head

Callers saw: a whole request whose head is refused, as too long or for lack of memory, got a reset connection in place of the 431 or 503.

Cause: the write deadline of that answer was 100 ms. A process that is paused for longer between setting it and the write, as on a small VM that applies a configuration, fails the write without a byte.

Change: the answer has as long as other refusals, memory.MaxStall. The write itself does not block unless the caller leaves earlier answers unread.

--- a/forward/head_room.go
+++ b/forward/head_room.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
@@ -26,8 +27,6 @@
 	// noRoomAnswer is sent instead of an answer to a head for which there is no memory, with the
 	// code and its title as the body.
 	noRoomAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
-	// refusalTimeout bounds the write of these answers.
-	refusalTimeout = 100 * time.Millisecond
 )
 
 // errHeadRefused ends the reading of a head that has been refused. net/http adds no answer of its
@@ -109,7 +108,7 @@
 // short time: unread bytes would reset the connection, and the answer might get lost.
 func (checkedConn *checkedConn) refuseHead(answer string, buffer []byte) {
 	checkedConn.listener.Memory.Release(&checkedConn.headHolding)
-	if checkedConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) != nil {
+	if checkedConn.SetWriteDeadline(time.Now().Add(memory.MaxStall)) != nil {
 		return
 	}
 	if _, err := io.WriteString(checkedConn.Conn, answer); err != nil {
