forward: a paused process still writes the refusal of a body

Callers saw: a request whose body is refused (413, 408, or 503 for lack of memory) ended with a closed connection and no answer.

Cause: linger replaced the write deadline of the refusal, 15 s, by one of 1 s before the answer was flushed. A process that is paused for longer in between fails the write without a byte, and net/http writes nothing more.

Change: the deadline of the refusal stays. The connection counts as waiting for its caller from before the write on, so that a caller that reads nothing gives way at the bound as before.

Evidence: TestPausedProcessRefusesBody, with a pause of 1.2 s behind each write deadline, got an unexpected EOF before, and gets 413 now; go test ./forward passes.

--- a/forward/linger.go
+++ b/forward/linger.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// linger sends the answer of a refused request, and reads and drops what its caller still
-// sends, for a short time: unread bytes would reset the connection, and the answer might get
-// lost.
+// linger sends the answer of a refused request, by the deadline that boundRefusal has set, and
+// reads and drops what its caller still sends, for a short time: unread bytes would reset the
+// connection, and the answer might get lost.
 func (exchange *exchange) linger() {
 	controller := http.NewResponseController(exchange.writer)
-	if controller.SetWriteDeadline(time.Now().Add(lingerStall)) != nil || controller.Flush() != nil {
+	exchange.conn.waitForCaller(time.Now())
+	if controller.Flush() != nil {
 		return
 	}
 	exchange.conn.closeWrite()
--- a/forward/write_pause_test.go
+++ b/forward/write_pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -49,3 +50,25 @@
 		t.Errorf("got answer %v and error %v, want 431", response, err)
 	}
 }
+
+// TestPausedProcessRefusesBody guards against a body that is refused without an answer, as the
+// process is paused before it writes that.
+func TestPausedProcessRefusesBody(t *testing.T) {
+	router := startRouter(t, startUpstream(t, echo))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := &wrappingListener{Listener: inner, wrap: func(conn net.Conn) net.Conn { return &lateWriter{Conn: conn, pause: 1200 * time.Millisecond} }}
+	server := &routerServer{
+		server:   &http.Server{Handler: router.handler, ConnContext: forward.ConnContext},
+		listener: &forward.Listener{Listener: late},
+	}
+	go server.run()
+	t.Cleanup(func() { _ = server.server.Close() })
+	router.address = inner.Addr().String()
+	caller := router.dial(t)
+	caller.begin("long", "Content-Length: 1001")
+	caller.send(bytes.Repeat([]byte("x"), 1001))
+	caller.check(http.StatusRequestEntityTooLarge)
+}
