forward: serve a request that arrives while an idle connection is closed

Callers saw: a request sent just before the close of an idle connection got a reset and no answer. It was not read.

Cause: closing an idle connection ends the read of its goroutine, which closes the connection once it is scheduled. On a busy VM that takes a while, and what arrived meanwhile was dropped.

Change: the goroutine checks once more for bytes before it gives up its read, and keeps the connection open if there are any.

Evidence: TestRequestThatCrossesAnIdleCloseIsAnswered got no answer before, and passes now, 20 times with -race.

--- /dev/null
+++ b/forward/close_crossing_test.go
@@ -0,0 +1,53 @@
+package forward_test
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// interruptedConn is a connection whose reader is paused after the first read that fails: it
+// reports that on failed, and goes on once it gets something from resume.
+type interruptedConn struct {
+	*net.TCPConn
+	failed, resume chan struct{}
+	paused         sync.Once
+}
+
+func (interruptedConn *interruptedConn) Read(buffer []byte) (int, error) {
+	count, err := interruptedConn.TCPConn.Read(buffer)
+	if err != nil {
+		interruptedConn.paused.Do(func() {
+			interruptedConn.failed <- struct{}{}
+			<-interruptedConn.resume
+		})
+	}
+	return count, err
+}
+
+// TestRequestThatCrossesAnIdleCloseIsAnswered guards against a request that is dropped because it
+// arrives after its connection was to be closed as idle, but before the goroutine of the
+// connection runs and closes it.
+func TestRequestThatCrossesAnIdleCloseIsAnswered(t *testing.T) {
+	interrupted := &interruptedConn{failed: make(chan struct{}), resume: make(chan struct{})}
+	idleConns := startIdleConns(t, func(conn net.Conn) net.Conn {
+		interrupted.TCPConn = conn.(*net.TCPConn)
+		return interrupted
+	})
+	conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	idleConns.conns.CloseUnused(time.Now().Add(time.Second))
+	<-interrupted.failed
+	if !answered(t, conn, bufio.NewReader(conn), func() { interrupted.resume <- struct{}{} }) {
+		t.Error("got no answer to a request that arrived before its connection was closed, want one")
+	}
+}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -62,6 +62,9 @@
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
+	if count == 0 && checkedConn.keepOpen() {
+		count, err = checkedConn.Conn.Read(buffer)
+	}
 	if !checkedConn.endRead(buffer[:count]) {
 		checkedConn.ambiguous.Store(true)
 	}
@@ -94,13 +97,30 @@
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
 	if checkedConn.closing {
-		checkedConn.closing = false
-		// An error means that the connection is closed.
-		_ = checkedConn.Conn.SetReadDeadline(checkedConn.readDeadline)
+		checkedConn.cancelClose()
 	}
 	return checkedConn.scanner.Scan(data)
 }
 
+// keepOpen keeps open a connection that was to be closed, if bytes have come since the read of
+// its goroutine was made to end. It reports whether they have.
+func (checkedConn *checkedConn) keepOpen() bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	if !checkedConn.closing || !hasUnread(checkedConn.Conn) {
+		return false
+	}
+	checkedConn.cancelClose()
+	return true
+}
+
+// cancelClose keeps open a connection that was to be closed. The caller holds mu.
+func (checkedConn *checkedConn) cancelClose() {
+	checkedConn.closing = false
+	// An error means that the connection is closed.
+	_ = checkedConn.Conn.SetReadDeadline(checkedConn.readDeadline)
+}
+
 // SetReadDeadline sets the deadline for reads. It does not keep open a connection that is being
 // closed.
 func (checkedConn *checkedConn) SetReadDeadline(deadline time.Time) error {
