forward: a starved answer is not closed at the bound as stalled

Callers saw: a request whose answer was being written ended with a closed connection, when connections were at their bound, although the caller read.

Cause: closeAtBound took the time since the router began to write, or since the handler returned, for a stall of the caller. On a VM without processor time it is the router that has not written; only pauses of the whole process are subtracted.

Change: while the router answers, a caller stalls only if bytes that were written are not acknowledged yet (SIOCOUTQ); while it reads a body, only if none wait to be read, as before.

Evidence: TestStarvedAnswerStaysAtTheBound, with 1.5 s before each write, got an unexpected EOF before, and 200 now. New beside it: TestStalledCallerGivesWayAtTheBound, for callers that do stall. go test ./forward passes; the tests of the bound pass with -race.

--- a/forward/body.go
+++ b/forward/body.go
@@ -67,7 +67,7 @@
 		announced:  exchange.request.ContentLength,
 		limit:      limit,
 	}
-	exchange.conn.waitForCaller(reader.startedAt)
+	exchange.conn.waitForSender(reader.startedAt)
 	code := reader.readAll()
 	exchange.conn.endWait()
 	if reader.exchange.bodyHeld && !exchange.handler.Memory.Keep(&exchange.bodyHolding) {
--- a/forward/bound_wait_test.go
+++ b/forward/bound_wait_test.go
@@ -20,7 +20,7 @@
 		return conn
 	}
 	conn := connect()
-	conn.waitForCaller(time.Now().Add(-5 * time.Second))
+	conn.waitForSender(time.Now().Add(-5 * time.Second))
 	conns.Track(conn, http.StateIdle)
 	conns.Track(conn, http.StateActive)
 	connect()
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -108,7 +108,7 @@
 		exchange.watchAnswer()
 		defer exchange.keepAnswer()
 	}
-	exchange.conn.waitForCaller(time.Now())
+	exchange.conn.waitForReader(time.Now())
 	defer exchange.conn.endWait()
 	written := 0
 	for {
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -134,7 +134,7 @@
 }
 
 // closeIfStalled closes a connection whose caller stalls, and reports whether it did. The state of
-// the connection does not change meanwhile. A caller whose bytes wait to be read does not stall.
+// the connection does not change meanwhile.
 func (callerConns *CallerConns) closeIfStalled(checked *checkedConn) bool {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
@@ -142,7 +142,7 @@
 	switch {
 	case !open || current.state != http.StateActive:
 		return false
-	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall || hasUnread(checked.Conn):
+	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall:
 		return false
 	}
 	checked.closeNow()
--- a/forward/linger.go
+++ b/forward/linger.go
@@ -44,12 +44,12 @@
 // connection, and the answer might get lost.
 func (exchange *exchange) linger() {
 	controller := http.NewResponseController(exchange.writer)
-	exchange.conn.waitForCaller(time.Now())
+	exchange.conn.waitForReader(time.Now())
 	if controller.Flush() != nil {
 		return
 	}
 	exchange.conn.closeWrite()
-	exchange.conn.waitForCaller(time.Now())
+	exchange.conn.waitForSender(time.Now())
 	buffer := make([]byte, lingerBufferBytes)
 	end := time.Now().Add(maxLinger)
 	var source io.Reader = exchange.request.Body
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hickoryhead/hickoryhead/framing"
 	"github.com/hickoryhead/hickoryhead/memory"
 )
@@ -27,9 +29,10 @@
 	ambiguous atomic.Bool
 
 	// waitingSince is since when the caller has neither sent nor read progressBytes of a
-	// body, in nanoseconds; zero while the router does not wait for it. progress counts
-	// bytes since then.
+	// body, in nanoseconds; zero while the router does not wait for it. It waits for the caller
+	// to read if answering is set, else for it to send. progress counts bytes since then.
 	waitingSince atomic.Int64
+	answering    atomic.Bool
 	progress     int
 
 	// headHolding is what a long head takes until its request has been answered, and
@@ -156,10 +159,16 @@
 	return checkedConn.Conn.Close()
 }
 
-// waitForCaller records that the router waits for the caller to send or to read.
-func (checkedConn *checkedConn) waitForCaller(now time.Time) {
+// waitForSender records that the router waits for the caller to send.
+func (checkedConn *checkedConn) waitForSender(now time.Time) { checkedConn.startWait(now, false) }
+
+// waitForReader records that the router waits for the caller to read its answer.
+func (checkedConn *checkedConn) waitForReader(now time.Time) { checkedConn.startWait(now, true) }
+
+func (checkedConn *checkedConn) startWait(now time.Time, answering bool) {
 	if checkedConn != nil {
 		checkedConn.progress = 0
+		checkedConn.answering.Store(answering)
 		checkedConn.waitingSince.Store(now.UnixNano())
 	}
 }
@@ -170,7 +179,7 @@
 		return
 	}
 	if checkedConn.progress += count; checkedConn.progress >= progressBytes {
-		checkedConn.waitForCaller(now)
+		checkedConn.startWait(now, checkedConn.answering.Load())
 	}
 }
 
@@ -182,13 +191,26 @@
 }
 
 // stalledFor returns for how long the router has waited for the caller without progress, but for
-// its own stalls.
+// its own stalls. A caller does not stall while the next step is the router's.
 func (checkedConn *checkedConn) stalledFor(now time.Time, stalls *memory.Stalls) time.Duration {
 	since := checkedConn.waitingSince.Load()
 	if since == 0 {
 		return 0
 	}
-	return stalls.Waited(now, time.Unix(0, since))
+	waited := stalls.Waited(now, time.Unix(0, since))
+	if waited > minStall && checkedConn.awaitsRouter() {
+		return 0
+	}
+	return waited
+}
+
+// awaitsRouter reports whether the caller has sent bytes that wait to be read, or has taken all
+// that was written of its answer.
+func (checkedConn *checkedConn) awaitsRouter() bool {
+	if checkedConn.answering.Load() {
+		return hasSentAll(checkedConn.Conn)
+	}
+	return hasUnread(checkedConn.Conn)
 }
 
 // hasBegun reports whether bytes of a request that has not been answered were read.
@@ -258,6 +280,23 @@
 
 // hasUnread reports whether bytes wait in the kernel to be read from a connection.
 func hasUnread(conn net.Conn) bool {
+	return checkDescriptor(conn, func(descriptor int) bool {
+		count, _, err := syscall.Recvfrom(descriptor, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == nil && count > 0
+	})
+}
+
+// hasSentAll reports whether the peer of a connection has acknowledged all bytes that were written.
+func hasSentAll(conn net.Conn) bool {
+	return checkDescriptor(conn, func(descriptor int) bool {
+		count, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
+		return err == nil && count == 0
+	})
+}
+
+// checkDescriptor returns the result of check for the descriptor of a connection, and false if it
+// has none.
+func checkDescriptor(conn net.Conn, check func(descriptor int) bool) bool {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -266,12 +305,9 @@
 	if err != nil {
 		return false
 	}
-	unread := false
-	err = raw.Control(func(descriptor uintptr) {
-		count, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && count > 0
-	})
-	return err == nil && unread
+	holds := false
+	err = raw.Control(func(descriptor uintptr) { holds = check(int(descriptor)) })
+	return err == nil && holds
 }
 
 // Listener accepts callers' connections and checks the framing of their
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -21,7 +21,7 @@
 		exchange.handler.Metrics.ObserveRequest(exchange.route.Kind.String(), time.Since(exchange.arrived))
 	}
 	// net/http still has to write the end of the answer.
-	exchange.conn.waitForCaller(time.Now())
+	exchange.conn.waitForReader(time.Now())
 	switch {
 	case refusedForRoom(exchange.code) && len(exchange.tried) == 0 && !exchange.handler.LogLimiter.Allow():
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
--- /dev/null
+++ b/forward/starved_test.go
@@ -0,0 +1,111 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/forward"
+)
+
+// starvedConn is a connection whose goroutine gets no processor for a while before each write.
+type starvedConn struct {
+	*net.TCPConn
+	writing chan struct{}
+	pause   time.Duration
+}
+
+func (starvedConn *starvedConn) Write(data []byte) (int, error) {
+	select {
+	case starvedConn.writing <- struct{}{}:
+	default:
+	}
+	time.Sleep(starvedConn.pause)
+	return starvedConn.TCPConn.Write(data)
+}
+
+// boundReasons holds the reasons for which connections were closed at a bound.
+type boundReasons struct {
+	mu      sync.Mutex
+	reasons []forward.BoundReason
+}
+
+func (boundReasons *boundReasons) add(reason forward.BoundReason) {
+	boundReasons.mu.Lock()
+	defer boundReasons.mu.Unlock()
+	boundReasons.reasons = append(boundReasons.reasons, reason)
+}
+
+func (boundReasons *boundReasons) all() []forward.BoundReason {
+	boundReasons.mu.Lock()
+	defer boundReasons.mu.Unlock()
+	return slices.Clone(boundReasons.reasons)
+}
+
+// serveBounded serves the router at another listener, with at most one connection.
+func (router *router) serveBounded(t *testing.T, inner net.Listener, reasons *boundReasons) {
+	t.Helper()
+	conns := &forward.CallerConns{Max: 1, OnBound: reasons.add}
+	server := &routerServer{
+		server:   &http.Server{Handler: router.handler, ConnContext: forward.ConnContext, ConnState: conns.Track},
+		listener: &forward.Listener{Listener: inner},
+	}
+	go server.run()
+	t.Cleanup(func() { _ = server.server.Close() })
+	router.address = inner.Addr().String()
+}
+
+// TestStarvedAnswerStaysAtTheBound guards against a request that is cut off at the bound of the
+// connections because its router takes long to write the answer: its caller does not stall.
+func TestStarvedAnswerStaysAtTheBound(t *testing.T) {
+	router := startRouter(t, startUpstream(t, echo))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	starved := &starvedConn{writing: make(chan struct{}, 1), pause: 1500 * time.Millisecond}
+	wrap := func(conn net.Conn) net.Conn {
+		if starved.TCPConn != nil {
+			return conn
+		}
+		starved.TCPConn = conn.(*net.TCPConn)
+		return starved
+	}
+	router.serveBounded(t, &wrappingListener{Listener: inner, wrap: wrap}, new(boundReasons))
+	caller := router.dial(t)
+	caller.begin("a1", "Content-Length: 0")
+	<-starved.writing
+	time.Sleep(1200 * time.Millisecond)
+	router.dial(t)
+	caller.check(http.StatusOK)
+}
+
+// TestStalledCallerGivesWayAtTheBound guards against a caller that keeps its connection although it
+// neither sends its body nor reads its answer, while a new one gets none.
+func TestStalledCallerGivesWayAtTheBound(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: %s\r\nHickoryhead-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, framing := range []string{"Content-Length: 0", "Content-Length: 100"} {
+		t.Run(framing, func(t *testing.T) {
+			router := startLargeBodyRouter(t, startUpstream(t, (&endless{begin: head, unit: chunk(strings.Repeat("x", 64<<10))}).answer))
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			reasons := new(boundReasons)
+			router.serveBounded(t, inner, reasons)
+			router.dial(t).begin("a1", framing)
+			time.Sleep(2 * time.Second)
+			router.dial(t)
+			for end := time.Now().Add(time.Second); len(reasons.all()) == 0 && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if got, want := reasons.all(), []forward.BoundReason{forward.BoundStalled}; !slices.Equal(got, want) {
+				t.Errorf("got connections closed as %v, want %v", got, want)
+			}
+		})
+	}
+}
