forward, memory: an answer that its router writes slowly is not given up

Callers saw: an answer of more than 8 KB was cut off, or never begun, while its caller read, when the memory account was full.

Cause: an answer may be given up for another holding if 64 KB take half a second or more. The account took that time for the caller's. On a VM without processor time it is the router that does not write, and only pauses of the whole process of over a second are subtracted.

Change: an answer counts as slow only if bytes that were written are not acknowledged yet at the time of the decision.

--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -215,7 +215,8 @@
 	account := &memory.Account{Limit: 1 << 20}
 	now := time.Unix(1000, 0)
 	var answer, finished owner
-	account.WatchAnswer(now, &answer.holding, answer.giveUp)
+	stalls := true
+	account.WatchAnswer(now, &answer.holding, func() bool { return stalls }, answer.giveUp)
 	if !account.Grow(now, &answer.holding, 600<<10) || !account.Grow(now, &finished.holding, 100<<10) {
 		t.Fatal("got no room in an empty account, want some")
 	}
@@ -227,7 +228,11 @@
 	if account.Grow(now, &small, 128<<10) || answer.givenUp {
 		t.Error("got an answer given up whose caller reads, want it kept")
 	}
-	now = now.Add(time.Second)
+	now, stalls = now.Add(time.Second), false
+	if account.Grow(now, &small, 128<<10) || answer.givenUp {
+		t.Error("got an answer given up that waits for its router, want it kept")
+	}
+	stalls = true
 	if !account.Grow(now, &small, 128<<10) || !answer.givenUp {
 		t.Error("got no room beside an answer that nobody reads, want its room")
 	}
