--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -108,7 +108,7 @@
 		exchange.watchAnswer()
 		defer exchange.keepAnswer()
 	}
-	exchange.conn.waitForCaller(time.Now())
+	exchange.conn.waitForReader(time.Now())
 	defer exchange.conn.endWait()
 	written := 0
 	for {
@@ -135,7 +135,12 @@
 // be given up from now on, which fails the write.
 func (exchange *exchange) watchAnswer() {
 	exchange.answerWatched = true
-	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
+	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.callerStalls, exchange.interruptWrite)
+}
+
+// callerStalls reports whether the caller has not taken all that was written of its answer.
+func (exchange *exchange) callerStalls() bool {
+	return exchange.conn == nil || !hasSentAll(exchange.conn.Conn)
 }
 
 // keepAnswer ends what watchAnswer began.
