forward: tests of connections with requests that have arrived, unread

TestBoundSkipsConnectionsWithUnreadBytes: new connections are closed at the bound although others are idle. victim returns the connection that has been idle longest, closeUnused refuses it for its unread bytes, and victim returns the same one again, four times.

TestRequestThatArrivesBeforeTheReadEnds: a request arrives after the deadline that ends the read was set, but before the goroutine that reads is scheduled. It is not read, and its connection ends.

--- /dev/null
+++ b/forward/bound_unread_test.go
@@ -0,0 +1,127 @@
+package forward_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hickoryhead/hickoryhead/forward"
+)
+
+// boundReasons records the reasons for which connections are closed at the bound.
+type boundReasons struct {
+	mu      sync.Mutex
+	reasons []forward.BoundReason
+}
+
+func (boundReasons *boundReasons) add(reason forward.BoundReason) {
+	boundReasons.mu.Lock()
+	defer boundReasons.mu.Unlock()
+	boundReasons.reasons = append(boundReasons.reasons, reason)
+}
+
+func (boundReasons *boundReasons) all() []forward.BoundReason {
+	boundReasons.mu.Lock()
+	defer boundReasons.mu.Unlock()
+	return slices.Clone(boundReasons.reasons)
+}
+
+// unreadConn is a connection with a request in the kernel that its goroutine has not read yet.
+func unreadConn(t *testing.T) net.Conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	if _, err := io.WriteString(caller, idleRequest); err != nil {
+		t.Fatal(err)
+	}
+	return accepted
+}
+
+// TestBoundSkipsConnectionsWithUnreadBytes guards against a new connection that is closed at the
+// bound, because the connection that has been idle longest has a request that waits to be read,
+// although another idle one could be closed.
+func TestBoundSkipsConnectionsWithUnreadBytes(t *testing.T) {
+	var reasons boundReasons
+	conns := &forward.CallerConns{Max: 2, OnBound: reasons.add}
+	accepted := make(chan net.Conn, 3)
+	accepted <- unreadConn(t)
+	for range 2 {
+		caller, other := net.Pipe()
+		t.Cleanup(func() { caller.Close(); other.Close() })
+		accepted <- other
+	}
+	listener := &forward.Listener{Listener: &chanListener{accepted: accepted}}
+	for range 2 {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns.Track(conn, http.StateNew)
+		conns.Track(conn, http.StateActive)
+		conns.Track(conn, http.StateIdle)
+		time.Sleep(time.Millisecond)
+	}
+	added, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns.Track(added, http.StateNew)
+	if got, want := reasons.all(), []forward.BoundReason{forward.BoundIdle}; !slices.Equal(got, want) {
+		t.Errorf("got connections closed as %v, want %v", got, want)
+	}
+}
+
+// chanListener accepts the connections of a channel.
+type chanListener struct {
+	net.Listener
+	accepted chan net.Conn
+}
+
+func (chanListener *chanListener) Accept() (net.Conn, error) { return <-chanListener.accepted, nil }
+
+// TestRequestThatArrivesBeforeTheReadEnds guards against a request that has arrived while its
+// connection was still open, but is not read: the deadline that ends the read comes first.
+func TestRequestThatArrivesBeforeTheReadEnds(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	idleConns := startIdleConns(t, nil)
+	const rounds = 100
+	lost := 0
+	for range rounds {
+		conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(conn)
+		if !answered(t, conn, reader, func() {}) {
+			t.Fatal("got no answer to the first request of a connection, want one")
+		}
+		time.Sleep(time.Millisecond)
+		idleConns.conns.CloseIdle(time.Now().Add(time.Second))
+		if !answered(t, conn, reader, func() {}) {
+			lost++
+		}
+		conn.Close()
+	}
+	if lost > 0 {
+		t.Errorf("got no answer to %d of %d requests that arrived before the read of their connection had ended, want 0", lost, rounds)
+	}
+}
