--- a/forward/stalled_read_test.go
+++ b/forward/stalled_read_test.go
@@ -55,7 +55,7 @@
 	server := &http.Server{ConnState: conns.Track, ConnContext: ConnContext}
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		conn, _ := request.Context().Value(connContextKey).(*checkedConn)
-		conn.waitForCaller(time.Now().Add(-2 * minStall))
+		conn.waitForSender(time.Now().Add(-2 * minStall))
 		close(began)
 		_, _ = io.Copy(io.Discard, request.Body)
 		conn.endWait()
