forward: count the connections that the router closes, and those that it keeps

Change: each close has a CloseReason, counted as conn.closed.REASON; a close that is not made because bytes have arrived is counted as conn.kept.unread (they wait in the kernel) or conn.kept.read (a goroutine has read them meanwhile). A close that ends a pending read is counted when that read has ended without bytes, so that none is counted twice or that is not made. No line per close.

--- a/entry/resources.go
+++ b/entry/resources.go
@@ -110,7 +110,14 @@
 	daemon.callerConns.Max = maxCallerConns(daemon.Config, descriptors)
 	daemon.callerConns.OnBound = (&boundLog{daemon: daemon, listener: "callers", limit: daemon.callerConns.Max}).add
 	daemon.handler.Connections.Max = int(callerDescriptorShare * float64(descriptors))
-	callers.listener = &forward.Listener{Listener: &bufferListener{Listener: callers.listener}, Memory: &daemon.handler.Memory, MaxHeadBytes: daemon.maxHeadBytes, OnNoRoom: daemon.handler.CountHeadWithoutRoom}
+	callers.listener = &forward.Listener{
+		Listener:     &bufferListener{Listener: callers.listener},
+		Memory:       &daemon.handler.Memory,
+		MaxHeadBytes: daemon.maxHeadBytes,
+		OnNoRoom:     daemon.handler.CountHeadWithoutRoom,
+		OnClose:      func(reason forward.CloseReason) { daemon.metrics.CountEvent("conn.closed." + string(reason)) },
+		OnKeep:       func(reason forward.KeepReason) { daemon.metrics.CountEvent("conn.kept." + string(reason)) },
+	}
 	callers.server.ConnContext = forward.ConnContext
 	callers.server.ConnState = daemon.callerConns.Track
 	daemon.Logger.Info("Limits of memory and connections.",
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -116,11 +116,13 @@
 	checked, isChecked := victim.(*checkedConn)
 	switch {
 	case isChecked && reason == BoundIdle:
-		return checked.closeUnused()
+		return checked.closeUnused(reason.closeReason())
 	case isChecked && reason == BoundHead:
-		return checked.closeHalfRead(time.Now())
+		return checked.closeHalfRead(reason.closeReason(), time.Now())
 	case isChecked && reason == BoundStalled:
 		return callerConns.closeIfStalled(checked)
+	case isChecked:
+		checked.closeFor(reason.closeReason())
 	default:
 		// The caller sees the close; an error would change nothing.
 		_ = victim.Close()
@@ -140,7 +142,7 @@
 	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall || hasUnread(checked.Conn):
 		return false
 	}
-	checked.closeNow()
+	checked.closeFor(BoundStalled.closeReason())
 	return true
 }
 
@@ -191,13 +193,13 @@
 // CloseIdle closes the connections that have been without a request in progress since
 // before the given time.
 func (callerConns *CallerConns) CloseIdle(before time.Time) {
-	callerConns.closeIf(http.StateIdle, before)
+	callerConns.closeIf(http.StateIdle, before, CloseIdle)
 }
 
 // CloseUnused closes the connections that were opened before the given time and have
 // brought no byte.
 func (callerConns *CallerConns) CloseUnused(before time.Time) {
-	callerConns.closeIf(http.StateNew, before)
+	callerConns.closeIf(http.StateNew, before, CloseUnused)
 }
 
 // CloseHalfRead closes the connections whose next request has begun, but has brought no byte
@@ -208,14 +210,14 @@
 			continue
 		}
 		if checked, ok := conn.(*checkedConn); ok {
-			checked.closeHalfRead(before)
+			checked.closeHalfRead(CloseHalfRead, before)
 		}
 	}
 }
 
 // closeIf closes the connections that have had a state since before a time, unless bytes have
 // come since.
-func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time) {
+func (callerConns *CallerConns) closeIf(state http.ConnState, before time.Time, reason CloseReason) {
 	for _, conn := range callerConns.tracked() {
 		// It may have got a request while others were closed.
 		since, matches := callerConns.since(conn, state)
@@ -223,7 +225,7 @@
 			continue
 		}
 		if checked, ok := conn.(*checkedConn); ok {
-			checked.closeUnused()
+			checked.closeUnused(reason)
 			continue
 		}
 		// The caller sees the close; an error would change nothing.
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -53,6 +53,9 @@
 	reading, closing bool
 	// readDeadline is the deadline that was set for reads.
 	readDeadline time.Time
+
+	// closeReason is why the router closes the connection, or empty.
+	closeReason CloseReason
 }
 
 // Read reads from the connection. After a request with ambiguous framing it reads nothing more and
@@ -87,6 +90,9 @@
 	defer checkedConn.mu.Unlock()
 	checkedConn.reading = false
 	if len(data) == 0 {
+		if checkedConn.closing {
+			checkedConn.listener.reportClosed(checkedConn.closeReason)
+		}
 		return true
 	}
 	checkedConn.readAt = time.Now()
@@ -94,7 +100,8 @@
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
 	if checkedConn.closing {
-		checkedConn.closing = false
+		checkedConn.closing, checkedConn.closeReason = false, ""
+		checkedConn.listener.reportKept(KeptRead)
 		// An error means that the connection is closed.
 		_ = checkedConn.Conn.SetReadDeadline(checkedConn.readDeadline)
 	}
@@ -202,14 +209,14 @@
 }
 
 // closeUnused closes the connection unless a request has begun, and reports whether it does.
-func (checkedConn *checkedConn) closeUnused() bool {
-	return checkedConn.closeUnread(func() bool { return checkedConn.headStartedAt.IsZero() })
+func (checkedConn *checkedConn) closeUnused(reason CloseReason) bool {
+	return checkedConn.closeUnread(reason, func() bool { return checkedConn.headStartedAt.IsZero() })
 }
 
 // closeHalfRead closes the connection if a request has begun whose head has neither ended nor
 // brought bytes since a time, and reports whether it does.
-func (checkedConn *checkedConn) closeHalfRead(since time.Time) bool {
-	return checkedConn.closeUnread(func() bool {
+func (checkedConn *checkedConn) closeHalfRead(reason CloseReason, since time.Time) bool {
+	return checkedConn.closeUnread(reason, func() bool {
 		return !checkedConn.headStartedAt.IsZero() && !checkedConn.headIsWhole() && checkedConn.readAt.Before(since)
 	})
 }
@@ -217,13 +224,21 @@
 // closeUnread closes the connection if mayClose, which is called while mu is held, returns true
 // and no bytes wait to be read. It reports whether it does. While a goroutine reads it only makes
 // that read end, and what that has read by then is served.
-func (checkedConn *checkedConn) closeUnread(mayClose func() bool) bool {
+func (checkedConn *checkedConn) closeUnread(reason CloseReason, mayClose func() bool) bool {
 	checkedConn.mu.Lock()
-	if !mayClose() || hasUnread(checkedConn.Conn) {
+	if !mayClose() {
 		checkedConn.mu.Unlock()
 		return false
 	}
-	checkedConn.closing = true
+	if hasUnread(checkedConn.Conn) {
+		checkedConn.listener.reportKept(KeptUnread)
+		checkedConn.mu.Unlock()
+		return false
+	}
+	if !checkedConn.closing && !checkedConn.reading {
+		checkedConn.listener.reportClosed(reason)
+	}
+	checkedConn.closing, checkedConn.closeReason = true, reason
 	reading := checkedConn.reading
 	if reading {
 		// An error means that the connection is closed.
@@ -266,6 +281,11 @@
 	MaxHeadBytes func() int
 	// OnNoRoom, if set, is called when a head is refused because there is no room for it.
 	OnNoRoom func()
+	// OnClose, if set, is called once for each connection that the router closes before its
+	// caller does, and OnKeep each time that it does not close one because bytes have arrived.
+	// Neither may block, or use the connection.
+	OnClose func(reason CloseReason)
+	OnKeep  func(reason KeepReason)
 }
 
 // Accept returns the next connection. Its requests can be checked with
