forward: log and count each request that gets no complete answer, with the reason

Change: the line "Request finished." of such a request has EndReason, the close reason and the last read and write errors of its connection, the configuration in force and its age, and the last stall of the process. An answer whose write fails behind the handler gets the line "Request ended without an answer.". request.unanswered.REASON counts them. Lines of callers that left are limited by LogLimiter, those of callers that do not read as those of refused bodies; all others are always logged. A request whose handler panicked has the code OutcomeUnknown instead of OK.

--- a/follow/updater.go
+++ b/follow/updater.go
@@ -79,7 +79,9 @@
 }
 
 func (updater *Updater) adopt(config routing.Config) {
-	if !updater.Routes.Adopt(routing.New(config)) {
+	table := routing.New(config)
+	table.InForceSince = time.Now()
+	if !updater.Routes.Adopt(table) {
 		return
 	}
 	updater.Metrics.CountEvent("config.adopted")
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -113,6 +113,8 @@
 	// aborted is set if the answer to the caller is truncated, so that its
 	// connection must be broken.
 	aborted bool
+	// returned is set once the request has been served or refused without a panic.
+	returned bool
 }
 
 // serve reads the request, forwards it and writes the answer.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -77,8 +77,11 @@
 	Metrics           *metrics.Set
 	Logger            *slog.Logger
 	// LogLimiter limits the log lines of requests that the first upstream
-	// served. All other requests are logged.
+	// served, or whose callers left. All other requests are logged.
 	LogLimiter *rate.Limiter
+	// LastStall, if set, returns for how long the process last stood still, and until when; the
+	// time is zero if it did not.
+	LastStall func() (length time.Duration, until time.Time)
 
 	tuning atomic.Pointer[Tuning]
 
@@ -147,6 +150,7 @@
 	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
+	exchange.returned = true
 }
 
 // reportPanic logs and counts a panic that does not break the caller's connection on
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -54,8 +54,12 @@
 	// readDeadline is the deadline that was set for reads.
 	readDeadline time.Time
 
-	// closeReason is why the router closes the connection, or empty.
-	closeReason CloseReason
+	// readErr is how the last read failed, or nil if it brought bytes, and writeErr how the last
+	// write did. closeReason is why the router closes the connection, or empty.
+	readErr, writeErr error
+	closeReason       CloseReason
+	// handled is the request whose handler has returned, until its answer has been written.
+	handled handledRequest
 }
 
 // Read reads from the connection. After a request with ambiguous framing it reads nothing more and
@@ -65,7 +69,7 @@
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
-	if !checkedConn.endRead(buffer[:count]) {
+	if !checkedConn.endRead(buffer[:count], err) {
 		checkedConn.ambiguous.Store(true)
 	}
 	if answer := checkedConn.holdHead(); answer != "" {
@@ -85,10 +89,11 @@
 
 // endRead records and scans the bytes that were read, and reports whether all requests so far
 // were unambiguous. Bytes keep open a connection that was to be closed: what was read is served.
-func (checkedConn *checkedConn) endRead(data []byte) bool {
+func (checkedConn *checkedConn) endRead(data []byte, err error) bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
 	checkedConn.reading = false
+	checkedConn.readErr = err
 	if len(data) == 0 {
 		if checkedConn.closing {
 			checkedConn.listener.reportClosed(checkedConn.closeReason)
@@ -196,6 +201,8 @@
 	defer checkedConn.mu.Unlock()
 	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.scanner.Heads())
 	checkedConn.headStartedAt = time.Time{}
+	// net/http ends its pending read by a deadline between two requests.
+	checkedConn.readErr, checkedConn.handled = nil, handledRequest{}
 	if checkedConn.scanner.HeadBytes() > 0 || checkedConn.headIsWhole() {
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
--- /dev/null
+++ b/forward/request_end_test.go
@@ -0,0 +1,421 @@
+package forward_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/logging"
+	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/metrics"
+	"github.com/hickoryhead/hickoryhead/routing"
+)
+
+// endLog collects log lines. It is safe for concurrent use.
+type endLog struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (endLog *endLog) Write(line []byte) (int, error) {
+	endLog.mu.Lock()
+	defer endLog.mu.Unlock()
+	return endLog.lines.Write(line)
+}
+
+// endLine is the log line of a request that got no complete answer.
+type endLine struct {
+	Message        string `json:"msg"`
+	Attempt        string
+	EndReason      forward.EndReason
+	CloseReason    forward.CloseReason
+	ReadError      string
+	WriteError     string
+	VersionInForce uint64
+	InForceMs      *int64
+	StallMs        int64
+	StallAgoMs     int64
+}
+
+// ends returns the lines so far that name an end.
+func (endLog *endLog) ends(t *testing.T) []endLine {
+	t.Helper()
+	endLog.mu.Lock()
+	defer endLog.mu.Unlock()
+	var ends []endLine
+	for text := range bytes.Lines(endLog.lines.Bytes()) {
+		var line endLine
+		if err := json.Unmarshal(text, &line); err != nil {
+			t.Fatal(err)
+		}
+		if line.EndReason != "" {
+			ends = append(ends, line)
+		}
+	}
+	return ends
+}
+
+// endRouter is a router whose requests end without a complete answer.
+type endRouter struct {
+	t       *testing.T
+	handler *forward.Handler
+	conns   forward.CallerConns
+	address string
+	log     endLog
+
+	mu     sync.Mutex
+	closed []forward.CloseReason
+}
+
+// smallBufferConns accepts connections with small buffers, so that writes wait for the caller soon.
+func smallBufferConns(conn net.Conn) net.Conn {
+	if sized, ok := conn.(*net.TCPConn); ok {
+		_ = sized.SetWriteBuffer(4 << 10)
+	}
+	return conn
+}
+
+// newEndRouter returns a router for an upstream that answers with answer.
+func newEndRouter(t *testing.T, answer func(context.Context, net.Conn, int, receivedRequest) bool) *endRouter {
+	t.Helper()
+	router := &endRouter{t: t, handler: startUnconfiguredRouter(t, startUpstream(t, answer)).handler}
+	table := routing.New(testConfig())
+	table.InForceSince = time.Now()
+	router.handler.Routes.Adopt(table)
+	logger, err := logging.New(&router.log, logging.JSON, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	router.handler.Logger = logging.Component(logger, "forward")
+	if router.handler.Metrics, err = metrics.New("entry"); err != nil {
+		t.Fatal(err)
+	}
+	router.handler.LastStall = func() (time.Duration, time.Time) { return 700 * time.Millisecond, time.Now().Add(-time.Minute) }
+	return router
+}
+
+// serve begins to serve. around is called in place of the handler, unless nil.
+func (router *endRouter) serve(around func(http.Handler) http.Handler) {
+	router.t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		router.t.Fatal(err)
+	}
+	router.address = inner.Addr().String()
+	var handler http.Handler = router.handler
+	if around != nil {
+		handler = around(handler)
+	}
+	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: router.conns.Track, ErrorLog: log.New(io.Discard, "", 0)}
+	served := &routerServer{server: server, listener: &forward.Listener{
+		Listener: &wrappingListener{Listener: inner, wrap: smallBufferConns},
+		Memory:   &router.handler.Memory,
+		OnClose:  router.recordClose,
+	}}
+	go served.run()
+	router.t.Cleanup(func() { _ = server.Close() })
+}
+
+func (router *endRouter) recordClose(reason forward.CloseReason) {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	router.closed = append(router.closed, reason)
+}
+
+// begin sends the whole of a request on a new connection.
+func (router *endRouter) begin(path string) *net.TCPConn {
+	router.t.Helper()
+	address, err := net.ResolveTCPAddr("tcp", router.address)
+	if err != nil {
+		router.t.Fatal(err)
+	}
+	conn, err := net.DialTCP("tcp", nil, address)
+	if err != nil {
+		router.t.Fatal(err)
+	}
+	router.t.Cleanup(func() { conn.Close() })
+	_ = conn.SetReadBuffer(4 << 10)
+	write(conn, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a1\r\nHickoryhead-Deadline-Ms: 1000\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi")
+	return conn
+}
+
+// awaitEnd returns the only line of a request that ended without an answer.
+func (router *endRouter) awaitEnd() endLine {
+	router.t.Helper()
+	for end := time.Now().Add(10 * time.Second); len(router.log.ends(router.t)) == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	// A second line would follow at once.
+	time.Sleep(20 * time.Millisecond)
+	ends := router.log.ends(router.t)
+	if len(ends) != 1 {
+		router.t.Fatalf("got %d lines of requests that ended without an answer, want one: %s", len(ends), router.log.lines.String())
+	}
+	return ends[0]
+}
+
+// counted returns how often an event was counted.
+func (router *endRouter) counted(event string) string {
+	router.t.Helper()
+	recorder := httptest.NewRecorder()
+	router.handler.Metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	for line := range strings.Lines(recorder.Body.String()) {
+		if strings.HasPrefix(line, "hickoryhead_events_total{") && strings.Contains(line, `event="`+event+`"`) {
+			return strings.TrimSpace(line[strings.LastIndex(line, " "):])
+		}
+	}
+	return "0"
+}
+
+// silent answers nothing until its connection closes.
+func silent(ctx context.Context, _ net.Conn, _ int, _ receivedRequest) bool {
+	<-ctx.Done()
+	return false
+}
+
+// firstEvent answers with the first event of a stream, and nothing more.
+func firstEvent(ctx context.Context, conn net.Conn, _ int, _ receivedRequest) bool {
+	write(conn, fmt.Sprintf(streamHead, "a1")+chunk("id: 1\ndata: x\n\n"))
+	<-ctx.Done()
+	return false
+}
+
+// cutStream ends its connection behind the first event of a stream.
+func cutStream(_ context.Context, conn net.Conn, _ int, _ receivedRequest) bool {
+	write(conn, fmt.Sprintf(streamHead, "a1")+chunk("id: 1\ndata: x\n\n"))
+	return false
+}
+
+// fine answers completely.
+func fine(_ context.Context, conn net.Conn, _ int, _ receivedRequest) bool {
+	write(conn, completeResponse("a1", "fine"))
+	return true
+}
+
+// endlessBody answers with a body without end.
+func endlessBody(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+	const head = "HTTP/1.1 200 OK\r\nHickoryhead-Attempt-Id: a1\r\nHickoryhead-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	return (&endless{begin: head, unit: chunk(strings.Repeat("x", 4000))}).answer(ctx, conn, n, request)
+}
+
+// longBody answers with a body that the router holds.
+func longBody(_ context.Context, conn net.Conn, _ int, _ receivedRequest) bool {
+	write(conn, completeResponse("a1", strings.Repeat("x", 900<<10)))
+	return true
+}
+
+// deadlineAfter sets a deadline in the past a moment after a request has begun.
+func deadlineAfter(set func(*http.ResponseController, time.Time) error) func(http.Handler) http.Handler {
+	return func(handler http.Handler) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			timer := time.AfterFunc(50*time.Millisecond, func() { _ = set(http.NewResponseController(writer), time.Unix(1, 0)) })
+			defer timer.Stop()
+			handler.ServeHTTP(writer, request)
+		})
+	}
+}
+
+// lateDeadline sets a write deadline in the past once the handler has returned, as if the process
+// stood still before net/http writes the answer.
+func lateDeadline(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler.ServeHTTP(writer, request)
+		_ = http.NewResponseController(writer).SetWriteDeadline(time.Unix(1, 0))
+	})
+}
+
+// TestRequestWithoutAnAnswerIsLogged guards against a whole request that gets no complete answer, and
+// for which neither a log line nor a counter says why its connection ended.
+func TestRequestWithoutAnAnswerIsLogged(t *testing.T) {
+	reset := func(_ *endRouter, conn *net.TCPConn) {
+		_ = conn.SetLinger(0)
+		conn.Close()
+	}
+	tests := []struct {
+		name, path string
+		answer     func(context.Context, net.Conn, int, receivedRequest) bool
+		around     func(http.Handler) http.Handler
+		prepare    func(router *endRouter)
+		act        func(router *endRouter, conn *net.TCPConn)
+		want       endLine
+	}{
+		{
+			name: "the caller closes", path: "/once/x", answer: silent,
+			act:  func(_ *endRouter, conn *net.TCPConn) { conn.Close() },
+			want: endLine{EndReason: forward.EndCallerClosed, ReadError: "EOF"},
+		},
+		{
+			name: "the caller resets", path: "/once/x", answer: silent, act: reset,
+			want: endLine{EndReason: forward.EndReset, ReadError: "connection reset by peer"},
+		},
+		{
+			name: "the caller resets within the answer", path: "/stream/x", answer: firstEvent, act: reset,
+			want: endLine{EndReason: forward.EndReset, ReadError: "connection reset by peer"},
+		},
+		{
+			name: "a read deadline passes", path: "/once/x", answer: silent, around: deadlineAfter((*http.ResponseController).SetReadDeadline),
+			want: endLine{EndReason: forward.EndReadDeadline, ReadError: "i/o timeout"},
+		},
+		{
+			name: "a write deadline passes", path: "/once/x", answer: endlessBody, around: deadlineAfter((*http.ResponseController).SetWriteDeadline),
+			want: endLine{EndReason: forward.EndWriteDeadline, WriteError: "i/o timeout"},
+		},
+		{
+			name: "a write deadline passes behind the handler", path: "/once/x", answer: fine, around: lateDeadline,
+			want: endLine{Message: "forward: Request ended without an answer.", EndReason: forward.EndWriteDeadline, WriteError: "i/o timeout"},
+		},
+		{
+			name: "the upstream cuts its answer", path: "/stream/x", answer: cutStream,
+			want: endLine{EndReason: forward.EndUpstreamCut},
+		},
+		{
+			name: "the deadline passes within the answer", path: "/stream/x", answer: firstEvent,
+			want: endLine{EndReason: forward.EndDeadline},
+		},
+		{
+			name: "the router ends", path: "/stream/x", answer: firstEvent,
+			act:  func(router *endRouter, _ *net.TCPConn) { router.handler.Leave(forward.Stop{AnswerBy: time.Now()}) },
+			want: endLine{EndReason: forward.EndRouter},
+		},
+		{
+			name: "the handler panics", path: "/once/x", answer: fine,
+			prepare: func(router *endRouter) { router.handler.AwaitCurrent = func(context.Context) { panic("fault") } },
+			want:    endLine{EndReason: forward.EndPanic},
+		},
+		{
+			name: "the connection is closed at the bound", path: "/once/x", answer: endlessBody,
+			prepare: func(router *endRouter) { router.conns.Max = 1 },
+			act: func(router *endRouter, _ *net.TCPConn) {
+				time.Sleep(1100 * time.Millisecond)
+				if conn, err := net.Dial("tcp", router.address); err == nil {
+					defer conn.Close()
+				}
+			},
+			want: endLine{EndReason: forward.EndClosed, CloseReason: "bound-stalled", WriteError: net.ErrClosed.Error()},
+		},
+		{
+			name: "the answer is given up", path: "/once/x", answer: longBody,
+			prepare: func(router *endRouter) { router.handler.Memory.Limit = 3 << 20 },
+			act: func(router *endRouter, _ *net.TCPConn) {
+				if !router.handler.Memory.Grow(time.Now().Add(time.Minute), new(memory.Holding), 2<<20) {
+					router.t.Error("got no room for another holding, want the answer given up for it")
+				}
+			},
+			want: endLine{EndReason: forward.EndClosed, CloseReason: forward.CloseGivenUp, WriteError: "i/o timeout"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			router := newEndRouter(t, test.answer)
+			if test.prepare != nil {
+				test.prepare(router)
+			}
+			router.serve(test.around)
+			conn := router.begin(test.path)
+			time.Sleep(100 * time.Millisecond)
+			if test.act != nil {
+				test.act(router, conn)
+			}
+			got := router.awaitEnd()
+			if test.want.Message == "" {
+				test.want.Message = "forward: Request finished."
+			}
+			test.want.Attempt, test.want.VersionInForce, test.want.StallMs = "a1", 7, 700
+			if got.InForceMs == nil || *got.InForceMs < 0 || got.StallAgoMs < 59_000 {
+				t.Errorf("got %+v, want the age of the configuration, and of the last stall", got)
+			}
+			got.InForceMs, got.StallAgoMs = nil, 0
+			if got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			if got := router.counted("request.unanswered." + string(test.want.EndReason)); got != "1" {
+				t.Errorf("got %s requests counted as %s, want 1", got, test.want.EndReason)
+			}
+			router.mu.Lock()
+			defer router.mu.Unlock()
+			if want := test.want.CloseReason; want != "" && !slices.Contains(router.closed, want) {
+				t.Errorf("got connections closed as %v, want one as %s", router.closed, want)
+			}
+		})
+	}
+}
+
+// TestAnsweredRequestHasNoEnd guards against lines and counters of requests that were answered:
+// served, refused, or answered with a failure.
+func TestAnsweredRequestHasNoEnd(t *testing.T) {
+	router := newEndRouter(t, fine)
+	router.serve(nil)
+	conn := router.begin("/once/x")
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/once/x", "/nowhere/x", "/once/x"} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		write(conn, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a1\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi")
+	}
+	if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v for the last request, want its answer", response, err)
+	}
+	conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	if got := router.log.ends(t); len(got) != 0 {
+		t.Errorf("got %+v for answered requests, want no end", got)
+	}
+}
+
+// TestLinesOfCallersThatLeaveAreLimited guards against a log that callers which leave fill, and
+// against such a limit for requests that the router loses.
+func TestLinesOfCallersThatLeaveAreLimited(t *testing.T) {
+	const requests = 5
+	for _, test := range []struct {
+		name   string
+		around func(http.Handler) http.Handler
+		leave  bool
+		reason forward.EndReason
+		want   int
+	}{
+		{"callers that leave", nil, true, forward.EndCallerClosed, 0},
+		{"lost requests", deadlineAfter((*http.ResponseController).SetReadDeadline), false, forward.EndReadDeadline, requests},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			router := newEndRouter(t, silent)
+			router.handler.LogLimiter = rate.NewLimiter(0, 0)
+			router.serve(test.around)
+			for range requests {
+				conn := router.begin("/once/x")
+				if test.leave {
+					conn.Close()
+				}
+			}
+			event := "request.unanswered." + string(test.reason)
+			for end := time.Now().Add(5 * time.Second); router.counted(event) != fmt.Sprint(requests) && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(50 * time.Millisecond)
+			if got := router.counted(event); got != fmt.Sprint(requests) {
+				t.Errorf("got %s requests counted, want %d", got, requests)
+			}
+			if got := len(router.log.ends(t)); got != test.want {
+				t.Errorf("got %d lines, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -15,6 +15,10 @@
 // finish records the metrics and the log line of the request, and breaks the
 // caller's connection if the answer is truncated.
 func (exchange *exchange) finish() {
+	if !exchange.returned {
+		exchange.code = result.OutcomeUnknown
+	}
+	end := exchange.requestEnd()
 	exchange.endTrial(exchange.code)
 	exchange.handler.Metrics.CountAnswer(exchange.code.Outcome())
 	if exchange.route != nil {
@@ -23,23 +27,29 @@
 	// net/http still has to write the end of the answer.
 	exchange.conn.waitForCaller(time.Now())
 	switch {
+	case end.unanswered():
+		exchange.logUnanswered(end)
 	case refusedForRoom(exchange.code) && len(exchange.tried) == 0 && !exchange.handler.LogLimiter.Allow():
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case isBodyRefusal(exchange.code) && !exchange.handler.allowBodyLog(time.Now()):
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	case exchange.code != result.OK || len(exchange.tried) > 1:
-		exchange.log(slog.LevelWarn)
+		exchange.log(slog.LevelWarn, nil)
 	case exchange.handler.LogLimiter.Allow():
-		exchange.log(slog.LevelInfo)
+		exchange.log(slog.LevelInfo, nil)
 	default:
 		exchange.handler.Metrics.CountEvent("log.request.omitted")
 	}
 	if exchange.aborted {
 		panic(http.ErrAbortHandler)
 	}
+	if !end.unanswered() && !isBodyRefusal(exchange.code) {
+		exchange.conn.awaitWrite(handledRequest{handler: exchange.handler, attempt: exchange.head.Attempt, status: exchange.status, code: exchange.code})
+	}
 }
 
-func (exchange *exchange) log(level slog.Level) {
+// log writes the line of the request, with the attributes of its end if it got no complete answer.
+func (exchange *exchange) log(level slog.Level, end []slog.Attr) {
 	attributes := []slog.Attr{
 		slog.String("Attempt", string(exchange.head.Attempt)),
 		slog.Int("Status", exchange.status),
@@ -98,6 +108,7 @@
 	if exchange.callerLeft() {
 		attributes = append(attributes, slog.Bool("CallerLeft", true))
 	}
+	attributes = append(attributes, end...)
 	exchange.handler.Logger.LogAttrs(context.Background(), level, "Request finished.", attributes...)
 }
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
 )
@@ -15,6 +16,9 @@
 type Table struct {
 	Version Version
 	Limits  Limits
+	// InForceSince is when the table was put in force, or zero if that is not known. It is set
+	// before.
+	InForceSince time.Time
 
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts           map[string][]*Route
