entry: record the last stall of the process for the lines of unanswered requests

memory.Stalls knows pauses of more than a second only, and the stall guard runs only where EvacuateMs is set. A check each 100 ms records by how much it was late, from 100 ms on.

Evidence: TestLastStallIsRecorded.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -88,17 +88,18 @@
 	overload    overload.Controller
 	// loadDelay is the time within which the requests of a router are known to all others,
 	// in nanoseconds, or zero if that is not known yet.
-	loadDelay   atomic.Int64
-	splits      split.Tracker
-	origins     split.Origins
-	gossip      *gossip.Gossip
-	handler     *forward.Handler
-	updater     *follow.Updater
-	callerConns forward.CallerConns
-	stalls      memory.Stalls
-	stop        stopState
-	stall       stallGuard
-	warmup      *warmup
+	loadDelay     atomic.Int64
+	splits        split.Tracker
+	origins       split.Origins
+	gossip        *gossip.Gossip
+	handler       *forward.Handler
+	updater       *follow.Updater
+	callerConns   forward.CallerConns
+	stalls        memory.Stalls
+	stop          stopState
+	stall         stallGuard
+	stallRecorder stallRecorder
+	warmup        *warmup
 	// storeUp records since when the store has answered every call.
 	storeUp stateStart
 	// upstreamsReadAt is when the upstreams were last read from the store.
@@ -216,6 +217,7 @@
 	daemon.registry.OnKept = daemon.updater.ReportKept
 	daemon.updater.OnEvacuationEnd = daemon.markCold
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
+	daemon.handler.LastStall = daemon.stallRecorder.last
 	daemon.stall.longest = time.Duration(stallShare * float64(daemon.Config.EvacuateMs.Duration()))
 	daemon.stall.metrics, daemon.stall.logger = set, daemon.Logger
 	if daemon.stall.longest > 0 {
@@ -309,6 +311,7 @@
 	go gossiper.run(ctx)
 	go daemon.warmup.run(ctx)
 	go daemon.stall.run(ctx)
+	go daemon.stallRecorder.run(ctx)
 	maintenance := &maintenance{daemon: daemon}
 	go maintenance.run(ctx)
 	return nil
