--- a/explain/explain.go
+++ b/explain/explain.go
@@ -60,13 +60,19 @@
 			log.writeOrigin(out, line)
 		}
 		writeLine(out, line)
-		if line.Message == requestFinished {
+		if line.Message == answerUnwritten || line.Message == requestFinished && !log.isUnwritten(id) {
 			fmt.Fprintf(out, "cause: %s\n", Cause(line))
 		}
 	}
 	return found
 }
 
+// isUnwritten reports whether the answer to the attempt id could not be written: the line of that
+// names the cause.
+func (log *Log) isUnwritten(id string) bool {
+	return slices.ContainsFunc(log.lines, func(line Line) bool { return line.Attempt == id && line.Message == answerUnwritten })
+}
+
 // writeContext writes the events that the router of the request logged about
 // its upstream, the store and the configuration, from contextWindow before the
 // request arrived until it ended.
@@ -84,6 +90,7 @@
 			(sameUpstream || request.Code == "UpstreamsCold") && isCold(line),
 			request.Code == "MemoryFull" && line.Message == memoryFull,
 			request.Tried == 0 && line.Message == connsAtBound,
+			request.EndReason != "" && (line.Message == connsAtBound || line.Message == routerPaused),
 			line.Message == storeUnreachable, line.Message == storeSilent, line.Message == configInForce:
 			writeLine(out, line)
 		}
@@ -196,12 +203,14 @@
 // describe returns the event of a log line in words.
 func describe(line Line) string {
 	switch line.Message {
+	case answerUnwritten:
+		return fmt.Sprintf("answer with status %d (%s) could not be written", line.Status, line.Code) + describeEnd(line)
 	case requestFinished:
 		if line.Tried == 0 {
-			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line) + describeRoom(line)
+			return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, offered to no upstream", line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion) + describeOrigin(line) + describeRoom(line) + describeEnd(line)
 		}
 		return fmt.Sprintf("finished with status %d (%s) after %d ms: route %s, configuration %d, upstream %s chosen as %s at load %d of mean %.1f with %d tokens pending prefill, %d upstreams tried, prompt of %d tokens, first byte after %d ms",
-			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeExpected(line) + describeOrigin(line)
+			line.Status, line.Code, line.Ms, line.Route, line.ConfigVersion, line.Upstream, line.Reason, line.Load, line.MeanLoad, line.Unread, line.Tried, line.Prompt, line.FirstMs) + describeExpected(line) + describeOrigin(line) + describeEnd(line)
 	case streamResumed:
 		return fmt.Sprintf("stream begun at upstream %s (%s) goes on at %s (%s)", line.Began, line.BeganSoftware, line.Upstream, line.Software)
 	case splitAdopted:
@@ -252,6 +261,8 @@
 		return fmt.Sprintf("memory full: %d bytes of bodies and answers held of at most %d, %d requests refused since the last such line", line.HeldBytes, line.HeldLimit, line.RefusedCount)
 	case connsAtBound:
 		return fmt.Sprintf("connections of %s at the bound of %d: %d closed since the last such line, the last as %s", line.Listener, line.ConnLimit, line.ClosedCount, line.LastReason)
+	case routerPaused:
+		return fmt.Sprintf("router paused for %d ms", line.Ms)
 	case configInForce:
 		return fmt.Sprintf("configuration %d in force", line.ConfigVersion)
 	}
@@ -334,6 +345,9 @@
 // Cause returns the likely cause of how the request of line, which is a
 // finished one, ended.
 func Cause(line Line) string {
+	if cause, known := endCause(line); known {
+		return cause
+	}
 	if line.Code == "CallerLeft" {
 		return causes[line.Code]
 	}
@@ -372,7 +386,7 @@
 	groups := make(map[string]*Group)
 	for _, line := range log.lines {
 		outside := line.Time.Before(from) || !until.IsZero() && line.Time.After(until)
-		if line.Message != requestFinished || line.Code == "OK" || outside {
+		if !isFailure(line) || outside {
 			continue
 		}
 		cause := Cause(line)
--- a/explain/line.go
+++ b/explain/line.go
@@ -35,6 +35,18 @@
 	Prompt     int
 	Started    bool
 	CallerLeft bool
+	// EndReason is why the request got no complete answer, or empty if it got one, CloseReason
+	// why the router closed its connection, if it did, and ReadError and WriteError the last
+	// errors of the connection. VersionInForce had been in force for InForceMs then, and the
+	// process had last stood still for StallMs, until StallAgoMs before.
+	EndReason      string
+	CloseReason    string
+	ReadError      string
+	WriteError     string
+	VersionInForce uint64
+	InForceMs      int64
+	StallMs        int64
+	StallAgoMs     int64
 	// Fingerprint is the same for all attempts of one request.
 	Fingerprint string
 	// Part is the ID of the part of the prompt for which the request was refused, and
@@ -119,6 +131,8 @@
 	routerStarted    = "Started."
 	routerStopped    = "Stopped."
 	requestFinished  = "forward: Request finished."
+	answerUnwritten  = "forward: Request ended without an answer."
+	routerPaused     = "The process was paused, requests wait until it has caught up."
 	attemptFailed    = "forward: Attempt failed."
 	upstreamEjected  = "forward: Upstream set aside."
 	upstreamChanged  = "follow: Upstream changed."
