forward: count heads that were read whole and went to no handler

Change: when a connection ends, request.unhandled counts the heads that were read whole, were not refused while they were read, and went to no handler.

--- a/entry/resources.go
+++ b/entry/resources.go
@@ -116,6 +116,7 @@
 		MaxHeadBytes: daemon.maxHeadBytes,
 		OnNoRoom:     daemon.handler.CountHeadWithoutRoom,
 		OnClose:      func(reason forward.CloseReason) { daemon.metrics.CountEvent("conn.closed." + string(reason)) },
+		OnUnhandled:  daemon.countUnhandled,
 		OnKeep:       func(reason forward.KeepReason) { daemon.metrics.CountEvent("conn.kept." + string(reason)) },
 	}
 	callers.server.ConnContext = forward.ConnContext
@@ -124,6 +125,13 @@
 		"MemoryMB", daemon.Config.MemoryMB, "HeldLimit", daemon.handler.Memory.Limit, "Descriptors", descriptors, "CallerConns", daemon.callerConns.Max, "UpstreamConns", daemon.handler.Connections.Max)
 }
 
+// countUnhandled counts heads that were read whole and went to no handler.
+func (daemon *Daemon) countUnhandled(heads int) {
+	for range heads {
+		daemon.metrics.CountEvent("request.unhandled")
+	}
+}
+
 // boundAuxiliary sets what bounds the connections of the listeners for readiness and metrics.
 func (daemon *Daemon) boundAuxiliary(service *httpService, name string) {
 	conns := &forward.CallerConns{Max: maxAuxiliaryConns}
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -66,6 +66,9 @@
 		// The caller owes nothing between requests.
 		checked.endWait()
 	}
+	if checked, ok := conn.(*checkedConn); ok && state == http.StateClosed {
+		checked.reportUnhandled()
+	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -147,6 +147,7 @@
 	}
 	exchange.conn, _ = request.Context().Value(connContextKey).(*checkedConn)
 	exchange.conn.endWait()
+	exchange.conn.beginRequest()
 	defer handler.reportPanic(exchange)
 	defer exchange.finish()
 	exchange.serve()
--- a/forward/head_room.go
+++ b/forward/head_room.go
@@ -109,6 +109,7 @@
 // short time: unread bytes would reset the connection, and the answer might get lost.
 func (checkedConn *checkedConn) refuseHead(answer string, buffer []byte) {
 	checkedConn.listener.Memory.Release(&checkedConn.headHolding)
+	checkedConn.skipHeads()
 	if checkedConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) != nil {
 		return
 	}
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -43,10 +43,11 @@
 	// mu also guards changes of scanner, which the goroutine that reads makes.
 	mu sync.Mutex
 	// readAt is when bytes were last read, headStartedAt when the first ones of the next
-	// request were, or zero, and headsAnswered counts the heads whose requests have been
-	// answered.
+	// request were, or zero. headsHandled counts the heads whose requests a handler has got, or
+	// that were refused, and headsAnswered those whose requests have been answered.
 	readAt        time.Time
 	headStartedAt time.Time
+	headsHandled  int
 	headsAnswered int
 	// reading is set while a goroutine reads, and closing once the connection is to be closed
 	// because no request has begun: by that goroutine, unless it has read bytes meanwhile.
@@ -258,6 +259,33 @@
 	return true
 }
 
+// beginRequest records that a handler has got the request of a head.
+func (checkedConn *checkedConn) beginRequest() {
+	if checkedConn == nil {
+		return
+	}
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headsHandled++
+}
+
+// skipHeads records that the heads so far go to no handler, as the last one is refused.
+func (checkedConn *checkedConn) skipHeads() {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headsHandled = max(checkedConn.headsHandled, checkedConn.scanner.Heads())
+}
+
+// reportUnhandled reports the heads that were read whole and went to no handler.
+func (checkedConn *checkedConn) reportUnhandled() {
+	checkedConn.mu.Lock()
+	heads := checkedConn.scanner.Heads() - checkedConn.headsHandled
+	checkedConn.mu.Unlock()
+	if heads > 0 && checkedConn.listener.OnUnhandled != nil {
+		checkedConn.listener.OnUnhandled(heads)
+	}
+}
+
 // hasUnread reports whether bytes wait in the kernel to be read from a connection.
 func hasUnread(conn net.Conn) bool {
 	source, ok := conn.(syscall.Conn)
@@ -293,6 +321,9 @@
 	// Neither may block, or use the connection.
 	OnClose func(reason CloseReason)
 	OnKeep  func(reason KeepReason)
+	// OnUnhandled, if set, is called when a connection ends whose last heads were read whole, but
+	// went to no handler. It must not block.
+	OnUnhandled func(heads int)
 }
 
 // Accept returns the next connection. Its requests can be checked with
--- a/forward/request_end_test.go
+++ b/forward/request_end_test.go
@@ -78,8 +78,9 @@
 	address string
 	log     endLog
 
-	mu     sync.Mutex
-	closed []forward.CloseReason
+	mu        sync.Mutex
+	closed    []forward.CloseReason
+	unhandled int
 }
 
 // smallBufferConns accepts connections with small buffers, so that writes wait for the caller soon.
@@ -123,9 +124,10 @@
 	}
 	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: router.conns.Track, ErrorLog: log.New(io.Discard, "", 0)}
 	served := &routerServer{server: server, listener: &forward.Listener{
-		Listener: &wrappingListener{Listener: inner, wrap: smallBufferConns},
-		Memory:   &router.handler.Memory,
-		OnClose:  router.recordClose,
+		Listener:    &wrappingListener{Listener: inner, wrap: smallBufferConns},
+		Memory:      &router.handler.Memory,
+		OnClose:     router.recordClose,
+		OnUnhandled: router.recordUnhandled,
 	}}
 	go served.run()
 	router.t.Cleanup(func() { _ = server.Close() })
@@ -137,6 +139,12 @@
 	router.closed = append(router.closed, reason)
 }
 
+func (router *endRouter) recordUnhandled(heads int) {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	router.unhandled += heads
+}
+
 // begin sends the whole of a request on a new connection.
 func (router *endRouter) begin(path string) *net.TCPConn {
 	router.t.Helper()
@@ -381,6 +389,42 @@
 	}
 }
 
+// TestUnhandledHeadIsCounted guards against a request that was read behind the last one that its
+// connection serves, and of which no line or counter speaks; and against a count of others.
+func TestUnhandledHeadIsCounted(t *testing.T) {
+	const head = "GET /once/x HTTP/1.1\r\nHost: a.example\r\nHickoryhead-Attempt-Id: a1\r\nAuthorization: Token key-1\r\n"
+	for _, test := range []struct {
+		name, sent string
+		want       int
+	}{
+		{"a request behind the last one", head + "Connection: close\r\n\r\n" + head + "\r\n", 1},
+		{"requests that are served", head + "\r\n" + head + "Connection: close\r\n\r\n", 0},
+		{"a head without an end", head + "Connection: close\r\n\r\n" + head, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			router := newEndRouter(t, fine)
+			router.serve(nil)
+			conn, err := net.Dial("tcp", router.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			write(conn, test.sent)
+			if _, err := io.Copy(io.Discard, conn); err != nil {
+				t.Logf("the connection ended with %v", err)
+			}
+			for end := time.Now().Add(5 * time.Second); router.conns.Open() > 0 && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			router.mu.Lock()
+			defer router.mu.Unlock()
+			if router.unhandled != test.want {
+				t.Errorf("got %d heads that went to no handler, want %d", router.unhandled, test.want)
+			}
+		})
+	}
+}
+
 // TestLinesOfCallersThatLeaveAreLimited guards against a log that callers which leave fill, and
 // against such a limit for requests that the router loses.
 func TestLinesOfCallersThatLeaveAreLimited(t *testing.T) {
