--- a/entry/resources.go
+++ b/entry/resources.go
@@ -110,13 +110,28 @@
 	daemon.callerConns.Max = maxCallerConns(daemon.Config, descriptors)
 	daemon.callerConns.OnBound = (&boundLog{daemon: daemon, listener: "callers", limit: daemon.callerConns.Max}).add
 	daemon.handler.Connections.Max = int(callerDescriptorShare * float64(descriptors))
-	callers.listener = &forward.Listener{Listener: &bufferListener{Listener: callers.listener}, Memory: &daemon.handler.Memory, MaxHeadBytes: daemon.maxHeadBytes, OnNoRoom: daemon.handler.CountHeadWithoutRoom}
+	callers.listener = &forward.Listener{
+		Listener:     &bufferListener{Listener: callers.listener},
+		Memory:       &daemon.handler.Memory,
+		MaxHeadBytes: daemon.maxHeadBytes,
+		OnNoRoom:     daemon.handler.CountHeadWithoutRoom,
+		OnClose:      func(reason forward.CloseReason) { daemon.metrics.CountEvent("conn.closed." + string(reason)) },
+		OnUnhandled:  daemon.countUnhandled,
+		OnKeep:       func(reason forward.KeepReason) { daemon.metrics.CountEvent("conn.kept." + string(reason)) },
+	}
 	callers.server.ConnContext = forward.ConnContext
 	callers.server.ConnState = daemon.callerConns.Track
 	daemon.Logger.Info("Limits of memory and connections.",
 		"MemoryMB", daemon.Config.MemoryMB, "HeldLimit", daemon.handler.Memory.Limit, "Descriptors", descriptors, "CallerConns", daemon.callerConns.Max, "UpstreamConns", daemon.handler.Connections.Max)
 }
 
+// countUnhandled counts heads that were read whole and went to no handler.
+func (daemon *Daemon) countUnhandled(heads int) {
+	for range heads {
+		daemon.metrics.CountEvent("request.unhandled")
+	}
+}
+
 // boundAuxiliary sets what bounds the connections of the listeners for readiness and metrics.
 func (daemon *Daemon) boundAuxiliary(service *httpService, name string) {
 	conns := &forward.CallerConns{Max: maxAuxiliaryConns}
--- a/forward/bound_kept_test.go
+++ b/forward/bound_kept_test.go
@@ -44,7 +44,7 @@
 				t.Fatal("got a connection that is not closed at the bound, want one")
 			}
 			// The read of its goroutine had brought bytes already.
-			conn.endRead([]byte(test.data))
+			conn.endRead([]byte(test.data), nil)
 			if test.state != http.StateIdle {
 				conns.Track(conn, test.state)
 			}
--- a/forward/bound_unread_test.go
+++ b/forward/bound_unread_test.go
@@ -7,31 +7,12 @@
 	"net/http"
 	"runtime"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/forward"
 )
 
-// boundReasons records the reasons for which connections are closed at the bound.
-type boundReasons struct {
-	mu      sync.Mutex
-	reasons []forward.BoundReason
-}
-
-func (boundReasons *boundReasons) add(reason forward.BoundReason) {
-	boundReasons.mu.Lock()
-	defer boundReasons.mu.Unlock()
-	boundReasons.reasons = append(boundReasons.reasons, reason)
-}
-
-func (boundReasons *boundReasons) all() []forward.BoundReason {
-	boundReasons.mu.Lock()
-	defer boundReasons.mu.Unlock()
-	return slices.Clone(boundReasons.reasons)
-}
-
 // unreadConn is a connection with a request in the kernel that its goroutine has not read yet.
 func unreadConn(t *testing.T) net.Conn {
 	t.Helper()
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -70,6 +70,9 @@
 		// The caller owes nothing between requests.
 		checked.endWait()
 	}
+	if checked, ok := conn.(*checkedConn); ok && state == http.StateClosed {
+		checked.reportUnhandled()
+	}
 	if callerConns.record(conn, state) {
 		callerConns.makeRoom(time.Now(), conn)
 	}
@@ -121,11 +124,13 @@
 	checked, isChecked := victim.(*checkedConn)
 	switch {
 	case isChecked && reason == BoundIdle:
-		return checked.closeUnused()
+		return checked.closeUnused(reason.closeReason())
 	case isChecked && reason == BoundHead:
-		return checked.closeHalfRead(time.Now())
+		return checked.closeHalfRead(reason.closeReason(), time.Now())
 	case isChecked && reason == BoundStalled:
 		return callerConns.closeIfStalled(checked)
+	case isChecked:
+		checked.closeFor(reason.closeReason())
 	default:
 		// The caller sees the close; an error would change nothing.
 		_ = victim.Close()
@@ -145,7 +150,7 @@
 	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall:
 		return false
 	}
-	checked.closeNow()
+	checked.closeFor(BoundStalled.closeReason())
 	return true
 }
 
@@ -196,7 +201,7 @@
 // CloseIdle closes the connections that have been without a request in progress since
 // before the given time.
 func (callerConns *CallerConns) CloseIdle(before time.Time) {
-	callerConns.closeIf(http.StateIdle, func(current connState) bool { return current.since.Before(before) })
+	callerConns.closeIf(http.StateIdle, func(current connState) bool { return current.since.Before(before) }, CloseIdle)
 }
 
 // CloseExpired closes the connections that have been idle for longer than idleTimeout. After a
@@ -208,13 +213,13 @@
 	callerConns.mu.Unlock()
 	callerConns.closeIf(http.StateIdle, func(current connState) bool {
 		return current.since.Add(idleTimeout).Before(now) && current.keptUntil.Before(now)
-	})
+	}, CloseIdle)
 }
 
 // CloseUnused closes the connections that were opened before the given time and have
 // brought no byte.
 func (callerConns *CallerConns) CloseUnused(before time.Time) {
-	callerConns.closeIf(http.StateNew, func(current connState) bool { return current.since.Before(before) })
+	callerConns.closeIf(http.StateNew, func(current connState) bool { return current.since.Before(before) }, CloseUnused)
 }
 
 // CloseHalfRead closes the connections whose next request has begun, but has brought no byte
@@ -223,14 +228,14 @@
 	for _, conn := range callerConns.tracked() {
 		current, open := callerConns.current(conn)
 		if checked, ok := conn.(*checkedConn); ok && open && current.state == http.StateIdle {
-			checked.closeHalfRead(before)
+			checked.closeHalfRead(CloseHalfRead, before)
 		}
 	}
 }
 
 // closeIf closes the connections in a state for which expired returns true, unless bytes have
 // come.
-func (callerConns *CallerConns) closeIf(state http.ConnState, expired func(connState) bool) {
+func (callerConns *CallerConns) closeIf(state http.ConnState, expired func(connState) bool, reason CloseReason) {
 	for _, conn := range callerConns.tracked() {
 		// It may have got a request while others were closed.
 		current, open := callerConns.current(conn)
@@ -238,7 +243,7 @@
 			continue
 		}
 		if checked, ok := conn.(*checkedConn); ok {
-			checked.closeUnused()
+			checked.closeUnused(reason)
 			continue
 		}
 		// The caller sees the close; an error would change nothing.
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -46,16 +46,24 @@
 	// mu also guards changes of scanner, which the goroutine that reads makes.
 	mu sync.Mutex
 	// readAt is when bytes were last read, headStartedAt when the first ones of the next
-	// request were, or zero, and headsAnswered counts the heads whose requests have been
-	// answered.
+	// request were, or zero. headsHandled counts the heads whose requests a handler has got, or
+	// that were refused, and headsAnswered those whose requests have been answered.
 	readAt        time.Time
 	headStartedAt time.Time
+	headsHandled  int
 	headsAnswered int
 	// reading is set while a goroutine reads, and closing once the connection is to be closed
 	// because no request has begun: by that goroutine, unless it has read bytes meanwhile.
 	reading, closing bool
 	// readDeadline is the deadline that was set for reads.
 	readDeadline time.Time
+
+	// readErr is how the last read failed, or nil if it brought bytes, and writeErr how the last
+	// write did. closeReason is why the router closes the connection, or empty.
+	readErr, writeErr error
+	closeReason       CloseReason
+	// handled is the request whose handler has returned, until its answer has been written.
+	handled handledRequest
 }
 
 // Read reads from the connection. After a request with ambiguous framing it reads nothing more and
@@ -68,7 +76,7 @@
 	if count == 0 && checkedConn.keepOpen() {
 		count, err = checkedConn.Conn.Read(buffer)
 	}
-	if !checkedConn.endRead(buffer[:count]) {
+	if !checkedConn.endRead(buffer[:count], err) {
 		checkedConn.ambiguous.Store(true)
 	}
 	if answer := checkedConn.holdHead(); answer != "" {
@@ -88,11 +96,15 @@
 
 // endRead records and scans the bytes that were read, and reports whether all requests so far
 // were unambiguous. Bytes keep open a connection that was to be closed: what was read is served.
-func (checkedConn *checkedConn) endRead(data []byte) bool {
+func (checkedConn *checkedConn) endRead(data []byte, err error) bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
 	checkedConn.reading = false
+	checkedConn.readErr = err
 	if len(data) == 0 {
+		if checkedConn.closing {
+			checkedConn.listener.reportClosed(checkedConn.closeReason)
+		}
 		return true
 	}
 	checkedConn.readAt = time.Now()
@@ -101,6 +113,7 @@
 	}
 	if checkedConn.closing {
 		checkedConn.cancelClose()
+		checkedConn.listener.reportKept(KeptRead)
 	}
 	return checkedConn.scanner.Scan(data)
 }
@@ -114,12 +127,13 @@
 		return false
 	}
 	checkedConn.cancelClose()
+	checkedConn.listener.reportKept(KeptUnread)
 	return true
 }
 
 // cancelClose keeps open a connection that was to be closed. The caller holds mu.
 func (checkedConn *checkedConn) cancelClose() {
-	checkedConn.closing = false
+	checkedConn.closing, checkedConn.closeReason = false, ""
 	// An error means that the connection is closed.
 	_ = checkedConn.Conn.SetReadDeadline(checkedConn.readDeadline)
 }
@@ -231,6 +245,8 @@
 	defer checkedConn.mu.Unlock()
 	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.scanner.Heads())
 	checkedConn.headStartedAt = time.Time{}
+	// net/http ends its pending read by a deadline between two requests.
+	checkedConn.readErr, checkedConn.handled = nil, handledRequest{}
 	if checkedConn.scanner.HeadBytes() > 0 || checkedConn.headIsWhole() {
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
@@ -244,14 +260,14 @@
 }
 
 // closeUnused closes the connection unless a request has begun, and reports whether it does.
-func (checkedConn *checkedConn) closeUnused() bool {
-	return checkedConn.closeUnread(func() bool { return checkedConn.headStartedAt.IsZero() })
+func (checkedConn *checkedConn) closeUnused(reason CloseReason) bool {
+	return checkedConn.closeUnread(reason, func() bool { return checkedConn.headStartedAt.IsZero() })
 }
 
 // closeHalfRead closes the connection if a request has begun whose head has neither ended nor
 // brought bytes since a time, and reports whether it does.
-func (checkedConn *checkedConn) closeHalfRead(since time.Time) bool {
-	return checkedConn.closeUnread(func() bool {
+func (checkedConn *checkedConn) closeHalfRead(reason CloseReason, since time.Time) bool {
+	return checkedConn.closeUnread(reason, func() bool {
 		return !checkedConn.headStartedAt.IsZero() && !checkedConn.headIsWhole() && checkedConn.readAt.Before(since)
 	})
 }
@@ -259,13 +275,21 @@
 // closeUnread closes the connection if mayClose, which is called while mu is held, returns true
 // and no bytes wait to be read. It reports whether it does. While a goroutine reads it only makes
 // that read end, and what that has read by then is served.
-func (checkedConn *checkedConn) closeUnread(mayClose func() bool) bool {
+func (checkedConn *checkedConn) closeUnread(reason CloseReason, mayClose func() bool) bool {
 	checkedConn.mu.Lock()
-	if !mayClose() || hasUnread(checkedConn.Conn) {
+	if !mayClose() {
+		checkedConn.mu.Unlock()
+		return false
+	}
+	if hasUnread(checkedConn.Conn) {
+		checkedConn.listener.reportKept(KeptUnread)
 		checkedConn.mu.Unlock()
 		return false
 	}
-	checkedConn.closing = true
+	if !checkedConn.closing && !checkedConn.reading {
+		checkedConn.listener.reportClosed(reason)
+	}
+	checkedConn.closing, checkedConn.closeReason = true, reason
 	reading := checkedConn.reading
 	if reading {
 		// An error means that the connection is closed.
@@ -278,6 +302,33 @@
 	return true
 }
 
+// beginRequest records that a handler has got the request of a head.
+func (checkedConn *checkedConn) beginRequest() {
+	if checkedConn == nil {
+		return
+	}
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headsHandled++
+}
+
+// skipHeads records that the heads so far go to no handler, as the last one is refused.
+func (checkedConn *checkedConn) skipHeads() {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	checkedConn.headsHandled = max(checkedConn.headsHandled, checkedConn.scanner.Heads())
+}
+
+// reportUnhandled reports the heads that were read whole and went to no handler.
+func (checkedConn *checkedConn) reportUnhandled() {
+	checkedConn.mu.Lock()
+	heads := checkedConn.scanner.Heads() - checkedConn.headsHandled
+	checkedConn.mu.Unlock()
+	if heads > 0 && checkedConn.listener.OnUnhandled != nil {
+		checkedConn.listener.OnUnhandled(heads)
+	}
+}
+
 // hasUnread reports whether bytes wait in the kernel to be read from a connection.
 func hasUnread(conn net.Conn) bool {
 	return checkDescriptor(conn, func(descriptor int) bool {
@@ -322,6 +373,14 @@
 	MaxHeadBytes func() int
 	// OnNoRoom, if set, is called when a head is refused because there is no room for it.
 	OnNoRoom func()
+	// OnClose, if set, is called once for each connection that the router closes before its
+	// caller does, and OnKeep each time that it does not close one because bytes have arrived.
+	// Neither may block, or use the connection.
+	OnClose func(reason CloseReason)
+	OnKeep  func(reason KeepReason)
+	// OnUnhandled, if set, is called when a connection ends whose last heads were read whole, but
+	// went to no handler. It must not block.
+	OnUnhandled func(heads int)
 }
 
 // Accept returns the next connection. Its requests can be checked with
