--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -17,13 +18,6 @@
 	stopMargin = 400 * time.Millisecond
 	// answerMargin is the time for the last answers to reach their callers.
 	answerMargin = 300 * time.Millisecond
-	// idleConnTime is how long a connection must have been idle to be closed during the
-	// stop: its caller may have sent the next request already.
-	idleConnTime = 100 * time.Millisecond
-	// unusedConnTime is how long a new connection may bring no byte during the stop.
-	unusedConnTime = time.Second
-	// callerPollInterval is the time between two checks whether callers are left.
-	callerPollInterval = 10 * time.Millisecond
 )
 
 // stopState records whether a planned stop has begun. It is safe for concurrent
@@ -54,12 +48,10 @@
 	daemon.Logger.Info("Stopped.", "After", time.Since(began), "CallersLeft", daemon.callerConns.Open())
 }
 
-// awaitCallers closes the callers' connections that have no request, and waits until the
-// others have got their answers, at most until end.
+// awaitCallers waits until the callers have got their answers, at most until end.
 func (daemon *Daemon) awaitCallers(end time.Time) {
-	for now := time.Now(); daemon.callerConns.Open() > 0 && now.Before(end); now = time.Now() {
-		daemon.callerConns.CloseIdle(now.Add(-idleConnTime))
-		daemon.callerConns.CloseUnused(now.Add(-unusedConnTime))
-		time.Sleep(callerPollInterval)
-	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	// The error says how many callers are left, as the log line of the stop does.
+	_ = daemon.callerConns.Drain(ctx)
 }
