daemon: a stop, and the bound, close no connection on which a request has arrived

Callers and routers saw a connection that ends without an answer when a router or a sidecar stopped as planned, or when connections were at their bound; the request may have run.

Cause: the stop used http.Server.Shutdown and SetKeepAlivesEnabled, which close each connection that net/http counts as idle, and the bound closed unchecked ones likewise. The state lags behind what has arrived: the request may wait in the kernel or have been read already.

Change: these services accept through forward.Listener, and stop as an entry router does: no more connections, answers that ask clients to close, idle and unused connections closed if there is nothing to read (CallerConns.Drain). The time bound and the error at its end stay. The linger of a sidecar moves from sidecar.Server.Finish to its daemon, with its second while it still accepts.

--- a/daemon/router.go
+++ b/daemon/router.go
@@ -135,11 +135,11 @@
 	time.Sleep(time.Duration(router.Config.LeaveWaitMs) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, router.base.stopTimeout())
 	defer cancel()
-	if err := router.callerService.server.Shutdown(ctx); err != nil {
+	if err := router.callerService.stop(ctx); err != nil {
 		return errors.Wrapf(err, "stopped with %d requests in flight", router.callers.Active())
 	}
 	router.base.logger.Info("Stopped. All requests in flight were finished.")
-	return errors.Wrap(router.operatorService.server.Shutdown(ctx), "stop operator API")
+	return errors.Wrap(router.operatorService.stop(ctx), "stop operator API")
 }
 
 // newOperator returns the component that serves the operator API for settings.
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,6 +23,10 @@
 // a table with a limit of 300 writes per second.
 const defaultClaimsPerSecond = 20
 
+// lingerTime is how long a drained sidecar still serves requests before its listener is
+// closed.
+const lingerTime = time.Second
+
 // Sidecar is the daemon that runs next to one upstream. Set its exported fields
 // before Run.
 type Sidecar struct {
@@ -213,7 +218,11 @@
 	defer cancel()
 	daemon.core.Leave()
 	server := &sidecar.Server{Sidecar: daemon.core, OnDrained: daemon.offerPrefixes}
-	if err := server.Finish(ctx, daemon.hop.server); err != nil {
+	if err := server.Finish(ctx); err != nil {
+		return errors.Wrap(err, "stopped with requests in flight")
+	}
+	daemon.linger(ctx)
+	if err := daemon.hop.stop(ctx); err != nil {
 		return errors.Wrap(err, "stopped with requests in flight")
 	}
 	if daemon.claims != nil {
@@ -225,6 +234,15 @@
 	return nil
 }
 
+// linger closes the connections of the hop while its listener is still open. A router whose
+// request met a closing connection can therefore still ask for its state and learn that it was
+// not run.
+func (daemon *Sidecar) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lingerTime)
+	defer cancel()
+	daemon.hop.leave(ctx)
+}
+
 // rpcServices is the common underlying type of the net/rpc services of a sidecar.
 type rpcServices struct {
 	daemon *Sidecar
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -25,10 +25,6 @@
 // there is no frame to send, to show that it is alive.
 const heartbeatInterval = time.Second
 
-// lingerTime is how long a drained sidecar still serves requests before its
-// listener is closed.
-const lingerTime = time.Second
-
 // Server serves the HTTP interface of a Sidecar to routers and other sidecars.
 type Server struct {
 	Sidecar *Sidecar
@@ -274,12 +270,9 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// Finish refuses new requests, waits until the admitted ones and their readers are
-// done, and shuts httpServer down, or returns an error when ctx ends first. Idle
-// connections are closed while the listener is still open. A router whose request
-// met a closing connection can therefore still ask for its state and learn that
-// it was not run.
-func (server *Server) Finish(ctx context.Context, httpServer *http.Server) error {
+// Finish refuses new requests, and waits until the admitted ones and their readers are
+// done, or returns an error when ctx ends first.
+func (server *Server) Finish(ctx context.Context) error {
 	server.Sidecar.Leave()
 	if err := server.Sidecar.Drained(ctx); err != nil {
 		return err
@@ -287,12 +280,5 @@
 	if server.OnDrained != nil {
 		server.OnDrained(ctx)
 	}
-	httpServer.SetKeepAlivesEnabled(false)
-	linger := time.NewTimer(lingerTime)
-	defer linger.Stop()
-	select {
-	case <-linger.C:
-	case <-ctx.Done():
-	}
-	return httpServer.Shutdown(ctx)
+	return nil
 }
