entry: a readiness check that arrived is not closed at the bound

The balancer could see a readiness check without an answer while 16 connections were open on that listener, and takes a router out after two.

Cause: the connections of the listeners for readiness and metrics were not accepted by a forward.Listener, so that the bound closed the one that had been idle longest without a look at what has arrived. Change: they are.

Evidence: TestAuxiliaryBoundSparesRequestsThatArrived lost the check before (reset by peer) and passes three times of three with -race.

--- a/entry/resources.go
+++ b/entry/resources.go
@@ -121,6 +121,8 @@
 func (daemon *Daemon) boundAuxiliary(service *httpService, name string) {
 	conns := &forward.CallerConns{Max: maxAuxiliaryConns}
 	conns.OnBound = (&boundLog{daemon: daemon, listener: name, limit: conns.Max}).add
+	// It sees the requests that have arrived, which are not closed as idle.
+	service.listener = &forward.Listener{Listener: service.listener}
 	server := service.server
 	server.ConnState = conns.Track
 	server.MaxHeaderBytes = maxAuxiliaryHeadBytes
