peer: a link on which a call has begun is not closed as idle

A call could fail with "link broke" after it was sent, or open a connection that is in no table and that nobody closes, when the check for idle links fell between its look-up of the link and its count there. Cause: a decision to close on a state that lags behind the call. Change: both are one step under the lock of the table.

Evidence: TestLinkOfCallIsNotIdle fails on the former code (the link of a call is taken out), and passes now; go test -race -count=1 ./peer passes.

--- a/peer/links.go
+++ b/peer/links.go
@@ -81,7 +81,6 @@
 	if err != nil {
 		return err
 	}
-	link.beginCall(time.Now())
 	defer link.endCall(time.Now)
 	client, err := links.connect(ctx, link, address)
 	if err != nil {
@@ -128,21 +127,24 @@
 	}
 }
 
+// link returns the link to address, on which a call has begun: from then on it is not closed as
+// idle.
 func (links *Links) link(address string) (*link, error) {
 	links.mu.Lock()
 	defer links.mu.Unlock()
 	if links.closed {
 		return nil, errors.Wrap(ErrUnreachable, "links are closed")
 	}
-	if found := links.links[address]; found != nil {
-		return found, nil
-	}
 	if links.links == nil {
 		links.links = make(map[string]*link)
 	}
-	created := &link{dialing: make(chan struct{}, 1)}
-	links.links[address] = created
-	return created, nil
+	found := links.links[address]
+	if found == nil {
+		found = &link{dialing: make(chan struct{}, 1)}
+		links.links[address] = found
+	}
+	found.beginCall(time.Now())
+	return found, nil
 }
 
 func (links *Links) connect(ctx context.Context, link *link, address string) (*rpc.Client, error) {
