daemon: SIGHUP does not end routers and sidecars

A router or a sidecar that got SIGHUP ended at once with status 129, and all its callers lost their answers. Entry routers handle the signal since the same was seen there; the project's own daemons did not. Cause: nobody handled the signal, whose default ends a process. Change: it is logged, with the hint that a changed settings file takes a restart.

--- a/daemon/base.go
+++ b/daemon/base.go
@@ -46,6 +46,7 @@
 	store           *settingstable.Store
 	settings        *peer.Replicator
 	peerListener    net.Listener
+	hangups         *hangupService
 }
 
 func newBase(loaded config.Daemon, role platform.Role, logger *slog.Logger) (*base, error) {
@@ -69,6 +70,7 @@
 		peerTraffic:     &metrics.Traffic{Set: set, Peer: metrics.PeerDaemon},
 		directory:       &directory.Directory{Region: loaded.Region},
 	}
+	base.hangups = newHangupService(base.logger)
 	base.platform = platform.New(loaded.Platform, base.platformTraffic)
 	base.server = &peer.Server{Identity: identity, Traffic: base.peerTraffic, Metrics: set, Logger: logger}
 	base.links = &peer.Links{Identity: identity, Traffic: base.peerTraffic, Metrics: set}
@@ -118,6 +120,7 @@
 // start starts the background loops of the shared components. They end with ctx.
 func (base *base) start(ctx context.Context, role platform.Role) {
 	base.settings.Self = base.selfVM(role)
+	go base.hangups.run(ctx)
 	peers := &peerService{server: base.server, listener: base.peerListener, logger: base.logger}
 	go peers.run(ctx)
 	links := &linksService{links: base.links}
