bodylimit: a refused body is the last one of its connection

The next request on a connection could run as if its caller had left, and end without an answer. Cause: a body that is given up for lack of memory has its read ended by a deadline. If its end had been read, but not recorded, that deadline met the background read of net/http, whose failure ends the context of the connection and so of all later requests, while the refusal kept the connection. Change: the refusal asks the client to close it.

Evidence: TestConnectionOfABodyGivenUpAtItsEnd got 500 from its handler, whose context had ended, and now 200; go test -race -count=3 ./bodylimit passes.

--- a/bodylimit/limiter.go
+++ b/bodylimit/limiter.go
@@ -47,6 +47,7 @@
 		body := &body{
 			ReadCloser: request.Body,
 			account:    &limiter.Account,
+			answer:     writer.Header(),
 			controller: http.NewResponseController(writer),
 			startedAt:  time.Now(),
 		}
@@ -60,6 +61,7 @@
 type body struct {
 	io.ReadCloser
 	account    *memory.Account
+	answer     http.Header
 	holding    memory.Holding
 	controller *http.ResponseController
 	startedAt  time.Time
@@ -69,8 +71,17 @@
 	ended      bool
 }
 
-// Read reads the next bytes and counts them in the account.
+// Read reads the next bytes and counts them in the account. After a refusal the connection carries
+// no further request: the end of the read may have ended the context of all its requests.
 func (body *body) Read(buffer []byte) (int, error) {
+	count, err := body.readBounded(buffer)
+	if errors.Is(err, ErrNoRoom) || errors.Is(err, ErrTooSlow) {
+		body.answer.Set("Connection", "close")
+	}
+	return count, err
+}
+
+func (body *body) readBounded(buffer []byte) (int, error) {
 	if body.ended {
 		return body.ReadCloser.Read(buffer)
 	}
