forward: connections at the bound stay tracked until they are closed

Callers would have seen a request cut at a planned stop, or a new connection closed although idle ones could make room.

Cause: a connection that is to be closed at the bound may have read bytes meanwhile, and then stays open. The bound had forgotten it: the stop did not wait for its request, and nothing closed it when its head did not end. And the connection that had been idle longest was tried four times, although a request waited on it to be read.

Change: a connection is tracked until it is closed for good; one that is to be closed does not count. Each connection is tried once.

--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -91,13 +91,26 @@
 	}
 	now := time.Now()
 	callerConns.states[conn] = connState{state: state, since: now, keptUntil: now.Add(callerConns.idleTimeout)}
-	return state == http.StateNew && callerConns.Max > 0 && len(callerConns.states) > callerConns.Max
+	return state == http.StateNew && callerConns.Max > 0 && len(callerConns.states) > callerConns.Max && callerConns.staying() > callerConns.Max
+}
+
+// staying returns how many connections are not being closed. The caller holds mu.
+func (callerConns *CallerConns) staying() int {
+	staying := 0
+	for conn := range callerConns.states {
+		if checked, ok := conn.(*checkedConn); !ok || !checked.isClosing() {
+			staying++
+		}
+	}
+	return staying
 }
 
 // makeRoom closes a connection to make room for added, or added itself.
 func (callerConns *CallerConns) makeRoom(now time.Time, added net.Conn) {
+	tried := map[net.Conn]bool{added: true}
 	for range maxVictims {
-		victim, reason := callerConns.victim(now, added)
+		victim, reason := callerConns.victim(now, added, tried)
+		tried[victim] = true
 		if callerConns.closeAtBound(victim, reason) {
 			callerConns.recordClosed(victim, reason)
 			return
@@ -107,11 +120,14 @@
 	callerConns.recordClosed(added, BoundNew)
 }
 
-// recordClosed records that a connection was closed at the bound.
+// recordClosed records that a connection was closed at the bound, or that its goroutine closes it
+// unless it has read bytes: until then it remains tracked.
 func (callerConns *CallerConns) recordClosed(conn net.Conn, reason BoundReason) {
-	callerConns.mu.Lock()
-	delete(callerConns.states, conn)
-	callerConns.mu.Unlock()
+	if checked, ok := conn.(*checkedConn); !ok || checked.isClosed() {
+		callerConns.mu.Lock()
+		delete(callerConns.states, conn)
+		callerConns.mu.Unlock()
+	}
 	if callerConns.OnBound != nil {
 		callerConns.OnBound(reason)
 	}
@@ -119,7 +135,7 @@
 
 // closeAtBound closes a connection, unless the reason does not hold any more: an idle one has
 // brought bytes, a head has ended, or a stalled caller has made progress. It reports whether it
-// closes the connection.
+// closes the connection, or its goroutine does.
 func (callerConns *CallerConns) closeAtBound(victim net.Conn, reason BoundReason) bool {
 	checked, isChecked := victim.(*checkedConn)
 	switch {
@@ -154,8 +170,9 @@
 	return true
 }
 
-// victim returns the connection that is closed to make room for added, and the reason.
-func (callerConns *CallerConns) victim(now time.Time, added net.Conn) (net.Conn, BoundReason) {
+// victim returns the connection that is closed to make room for added, and the reason. It leaves
+// out those that were tried.
+func (callerConns *CallerConns) victim(now time.Time, added net.Conn, tried map[net.Conn]bool) (net.Conn, BoundReason) {
 	callerConns.mu.Lock()
 	defer callerConns.mu.Unlock()
 	var idle, head, stalled net.Conn
@@ -164,7 +181,7 @@
 	for conn, current := range callerConns.states {
 		checked, isChecked := conn.(*checkedConn)
 		switch {
-		case conn == added:
+		case tried[conn], isChecked && checked.isClosing():
 		case current.state == http.StateActive:
 			if isChecked && checked.stalledFor(now, callerConns.Stalls) > longest {
 				stalled, longest = conn, checked.stalledFor(now, callerConns.Stalls)
--- a/forward/close_reason.go
+++ b/forward/close_reason.go
@@ -42,7 +42,7 @@
 // closeFor closes the connection for a reason.
 func (checkedConn *checkedConn) closeFor(reason CloseReason) {
 	checkedConn.mu.Lock()
-	checkedConn.closeReason = reason
+	checkedConn.closing, checkedConn.closed, checkedConn.closeReason = true, true, reason
 	checkedConn.listener.reportClosed(reason)
 	checkedConn.mu.Unlock()
 	checkedConn.closeNow()
--- a/forward/idle_request_test.go
+++ b/forward/idle_request_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestRequestThatArrivedIsNotClosedAsIdle guards against a whole request that gets neither an
-// answer nor a refusal (LOST): its bytes are there, but the goroutine of its connection is not
+// answer nor a refusal: its bytes have arrived, but the goroutine of its connection is not
 // scheduled before the connection is closed as idle.
 func TestRequestThatArrivedIsNotClosedAsIdle(t *testing.T) {
 	// With one processor the goroutine runs only when this one waits.
@@ -118,8 +118,9 @@
 	}
 }
 
-// TestRequestThatWasReadIsNotClosedAsIdle guards against the same loss behind the read: the goroutine
-// of the connection has the bytes, but has not recorded them when the connection is closed.
+// TestRequestThatWasReadIsNotClosedAsIdle guards against the same behind the read (LOST): the
+// goroutine of the connection has the bytes, but has not recorded them when it is closed. A
+// pausedConn shows no bytes that wait in the kernel.
 func TestRequestThatWasReadIsNotClosedAsIdle(t *testing.T) {
 	paused := &pausedConn{read: make(chan struct{}), resume: make(chan struct{})}
 	idleConns := startIdleConns(t, func(conn net.Conn) net.Conn {
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -53,8 +53,9 @@
 	headsHandled  int
 	headsAnswered int
 	// reading is set while a goroutine reads, and closing once the connection is to be closed
-	// because no request has begun: by that goroutine, unless it has read bytes meanwhile.
-	reading, closing bool
+	// because no request has begun, or none goes on: by that goroutine, unless it has read bytes
+	// meanwhile. closed is set once that can't be taken back.
+	reading, closing, closed bool
 	// readDeadline is the deadline that was set for reads.
 	readDeadline time.Time
 
@@ -111,7 +112,7 @@
 	if checkedConn.headStartedAt.IsZero() {
 		checkedConn.headStartedAt = checkedConn.readAt
 	}
-	if checkedConn.closing {
+	if checkedConn.closing && !checkedConn.closed {
 		checkedConn.cancelClose()
 		checkedConn.listener.reportKept(KeptRead)
 	}
@@ -123,7 +124,7 @@
 func (checkedConn *checkedConn) keepOpen() bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
-	if !checkedConn.closing || !hasUnread(checkedConn.Conn) {
+	if !checkedConn.closing || checkedConn.closed || !hasUnread(checkedConn.Conn) {
 		return false
 	}
 	checkedConn.cancelClose()
@@ -273,8 +274,9 @@
 }
 
 // closeUnread closes the connection if mayClose, which is called while mu is held, returns true
-// and no bytes wait to be read. It reports whether it does. While a goroutine reads it only makes
-// that read end, and what that has read by then is served.
+// and no bytes wait to be read. While a goroutine reads it only makes that read end: the goroutine
+// closes the connection, unless it has read bytes, which it serves. It reports whether the
+// connection is closed or to be closed.
 func (checkedConn *checkedConn) closeUnread(reason CloseReason, mayClose func() bool) bool {
 	checkedConn.mu.Lock()
 	if !mayClose() {
@@ -291,6 +293,7 @@
 	}
 	checkedConn.closing, checkedConn.closeReason = true, reason
 	reading := checkedConn.reading
+	checkedConn.closed = !reading
 	if reading {
 		// An error means that the connection is closed.
 		_ = checkedConn.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -302,6 +305,23 @@
 	return true
 }
 
+// isClosing reports whether the connection is closed, or to be closed unless bytes have been read.
+func (checkedConn *checkedConn) isClosing() bool {
+	if checkedConn == nil {
+		return false
+	}
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.closing
+}
+
+// isClosed reports whether the router has closed the connection for good.
+func (checkedConn *checkedConn) isClosed() bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.closed
+}
+
 // beginRequest records that a handler has got the request of a head.
 func (checkedConn *checkedConn) beginRequest() {
 	if checkedConn == nil {
