forward: a body that was read is not closed at the bound as stalled

Callers saw a whole request that got no answer, when connections were at their bound: the goroutine of its connection had the last bytes of the body, but had not recorded them.

Now a read that stalls is ended by a deadline, as that of an idle connection. What it has read by then is served; without bytes the request is refused as too slow (HH code BodyTooSlow) in place of a closed connection. Without a read it is the router that does not go on.

--- a/forward/body.go
+++ b/forward/body.go
@@ -193,7 +193,7 @@
 		exchange.setCause(errNoRoom)
 		return result.MemoryFull
 	}
-	if now.Before(exchange.deadline) && !now.Before(reader.deadline) {
+	if now.Before(exchange.deadline) && (!now.Before(reader.deadline) || exchange.conn.isClosing()) {
 		return result.BodyTooSlow
 	}
 	return result.MalformedBody
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -166,6 +166,9 @@
 	case checked.stalledFor(time.Now(), callerConns.Stalls) <= minStall:
 		return false
 	}
+	if !checked.answering.Load() {
+		return checked.endStalledRead(BoundStalled.closeReason())
+	}
 	checked.closeFor(BoundStalled.closeReason())
 	return true
 }
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -273,6 +273,12 @@
 	})
 }
 
+// endStalledRead makes the read of a goroutine end whose caller has stalled, and reports whether
+// there is one. Without one it is the router that does not go on.
+func (checkedConn *checkedConn) endStalledRead(reason CloseReason) bool {
+	return checkedConn.closeUnread(reason, func() bool { return checkedConn.reading })
+}
+
 // closeUnread closes the connection if mayClose, which is called while mu is held, returns true
 // and no bytes wait to be read. While a goroutine reads it only makes that read end: the goroutine
 // closes the connection, unless it has read bytes, which it serves. It reports whether the
