forward: idle timeouts that change in series are all kept

Callers saw a connection closed while they counted on an idle timeout that had been in force since it became idle: of 5 s, then 30 s, then 5 s again only the first and the last counted.

The time until which a connection may be idle is now extended at each change, and it is closed by that alone.

--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -224,16 +224,25 @@
 	callerConns.closeIf(http.StateIdle, func(current connState) bool { return current.since.Before(before) }, CloseIdle)
 }
 
-// CloseExpired closes the connections that have been idle for longer than idleTimeout. After a
-// change to a shorter one, those that became idle before may stay idle for as long as was allowed
-// then: their callers may still count on that.
+// CloseExpired closes the connections that have been idle for longer than idleTimeout, and than
+// each one that was in force since they became idle: after a change to a shorter one their callers
+// may still count on that.
 func (callerConns *CallerConns) CloseExpired(now time.Time, idleTimeout time.Duration) {
+	callerConns.setIdleTimeout(idleTimeout)
+	callerConns.closeIf(http.StateIdle, func(current connState) bool { return current.keptUntil.Before(now) }, CloseIdle)
+}
+
+// setIdleTimeout lets connections be idle for the given time, or longer if they may already.
+func (callerConns *CallerConns) setIdleTimeout(idleTimeout time.Duration) {
 	callerConns.mu.Lock()
+	defer callerConns.mu.Unlock()
 	callerConns.idleTimeout = idleTimeout
-	callerConns.mu.Unlock()
-	callerConns.closeIf(http.StateIdle, func(current connState) bool {
-		return current.since.Add(idleTimeout).Before(now) && current.keptUntil.Before(now)
-	}, CloseIdle)
+	for conn, current := range callerConns.states {
+		if keptUntil := current.since.Add(idleTimeout); keptUntil.After(current.keptUntil) {
+			current.keptUntil = keptUntil
+			callerConns.states[conn] = current
+		}
+	}
 }
 
 // CloseUnused closes the connections that were opened before the given time and have
