--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 const (
@@ -140,7 +141,7 @@
 
 // callerStalls reports whether the caller has not taken all that was written of its answer.
 func (exchange *exchange) callerStalls() bool {
-	return exchange.conn == nil || !hasSentAll(exchange.conn.Conn)
+	return exchange.conn == nil || !socket.HasSentAll(exchange.conn.Conn)
 }
 
 // keepAnswer ends what watchAnswer began.
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -6,13 +6,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/hickoryhead/hickoryhead/framing"
 	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 // contextKey is the type of the context keys of this package.
@@ -124,7 +122,7 @@
 func (checkedConn *checkedConn) keepOpen() bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
-	if !checkedConn.closing || checkedConn.closed || !hasUnread(checkedConn.Conn) {
+	if !checkedConn.closing || checkedConn.closed || !socket.HasUnread(checkedConn.Conn) {
 		return false
 	}
 	checkedConn.cancelClose()
@@ -223,9 +221,9 @@
 // that was written of its answer.
 func (checkedConn *checkedConn) awaitsRouter() bool {
 	if checkedConn.answering.Load() {
-		return hasSentAll(checkedConn.Conn)
+		return socket.HasSentAll(checkedConn.Conn)
 	}
-	return hasUnread(checkedConn.Conn)
+	return socket.HasUnread(checkedConn.Conn)
 }
 
 // hasBegun reports whether bytes of a request that has not been answered were read.
@@ -289,7 +287,7 @@
 		checkedConn.mu.Unlock()
 		return false
 	}
-	if hasUnread(checkedConn.Conn) {
+	if socket.HasUnread(checkedConn.Conn) {
 		checkedConn.listener.reportKept(KeptUnread)
 		checkedConn.mu.Unlock()
 		return false
@@ -355,38 +353,6 @@
 	}
 }
 
-// hasUnread reports whether bytes wait in the kernel to be read from a connection.
-func hasUnread(conn net.Conn) bool {
-	return checkDescriptor(conn, func(descriptor int) bool {
-		count, _, err := syscall.Recvfrom(descriptor, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return err == nil && count > 0
-	})
-}
-
-// hasSentAll reports whether the peer of a connection has acknowledged all bytes that were written.
-func hasSentAll(conn net.Conn) bool {
-	return checkDescriptor(conn, func(descriptor int) bool {
-		count, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
-		return err == nil && count == 0
-	})
-}
-
-// checkDescriptor returns the result of check for the descriptor of a connection, and false if it
-// has none.
-func checkDescriptor(conn net.Conn, check func(descriptor int) bool) bool {
-	source, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	holds := false
-	err = raw.Control(func(descriptor uintptr) { holds = check(int(descriptor)) })
-	return err == nil && holds
-}
-
 // Listener accepts callers' connections and checks the framing of their
 // requests.
 type Listener struct {
