http1: an answer that has arrived is not late

Callers saw a request sent again, or an upstream set aside for it and for its zone, although the answer had arrived: Await returned the deadline that had passed while the router had no processor time, without a look at the connection.

Now Await looks for bytes that wait to be read before it says that there is no answer.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/oncehttp"
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 const (
@@ -154,6 +155,13 @@
 		return false, &oncehttp.SendError{Sent: true, Err: err}
 	}
 	_, err := conn.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && socket.HasUnread(conn.Conn) {
+		// It has arrived, but the process was too busy to read it in time.
+		if err := conn.SetReadDeadline(time.Time{}); err != nil {
+			return false, &oncehttp.SendError{Sent: true, Err: err}
+		}
+		_, err = conn.reader.Peek(1)
+	}
 	switch {
 	case err == nil:
 		return true, nil
