forward, memory: an answer that its router writes slowly is not given up

Callers saw: an answer of more than 8 KB was cut off, or never begun, while its caller read, when the memory account was full.

Cause: an answer may be given up for another holding if 64 KB take half a second or more. The account took that time for the caller's. On a VM without processor time it is the router that does not write, and only pauses of the whole process of over a second are subtracted.

Change: an answer counts as slow only if bytes that were written are not acknowledged yet at the time of the decision.

Evidence: TestStarvedAnswerIsNotGivenUp, with 0.8 s before the first write, got an unexpected EOF before, and the whole answer now, three times with -race; new in memory: TestAnswerThatWaitsForItsRouterIsKept. go test ./forward ./memory passes.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -135,7 +135,12 @@
 // be given up from now on, which fails the write.
 func (exchange *exchange) watchAnswer() {
 	exchange.answerWatched = true
-	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.interruptWrite)
+	exchange.handler.Memory.WatchAnswer(time.Now(), &exchange.answerHolding, exchange.callerStalls, exchange.interruptWrite)
+}
+
+// callerStalls reports whether the caller has not taken all that was written of its answer.
+func (exchange *exchange) callerStalls() bool {
+	return exchange.conn == nil || !hasSentAll(exchange.conn.Conn)
 }
 
 // keepAnswer ends what watchAnswer began.
--- a/forward/starved_test.go
+++ b/forward/starved_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -10,21 +11,22 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/forward"
+	"github.com/hickoryhead/hickoryhead/memory"
 )
 
-// starvedConn is a connection whose goroutine gets no processor for a while before each write.
+// starvedConn is a connection whose goroutine gets no processor for a while before its first write.
 type starvedConn struct {
 	*net.TCPConn
 	writing chan struct{}
 	pause   time.Duration
+	once    sync.Once
 }
 
 func (starvedConn *starvedConn) Write(data []byte) (int, error) {
-	select {
-	case starvedConn.writing <- struct{}{}:
-	default:
-	}
-	time.Sleep(starvedConn.pause)
+	starvedConn.once.Do(func() {
+		starvedConn.writing <- struct{}{}
+		time.Sleep(starvedConn.pause)
+	})
 	return starvedConn.TCPConn.Write(data)
 }
 
@@ -67,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	starved := &starvedConn{writing: make(chan struct{}, 1), pause: 1500 * time.Millisecond}
+	starved := &starvedConn{writing: make(chan struct{}), pause: 1500 * time.Millisecond}
 	wrap := func(conn net.Conn) net.Conn {
 		if starved.TCPConn != nil {
 			return conn
@@ -109,3 +111,36 @@
 		})
 	}
 }
+
+// TestStarvedAnswerIsNotGivenUp guards against an answer that is cut off to make room because its
+// router takes long to write it: its caller does not read slowly.
+func TestStarvedAnswerIsNotGivenUp(t *testing.T) {
+	body := strings.Repeat("x", 300<<10)
+	router := startRouter(t, startUpstream(t, func(_ context.Context, conn net.Conn, _ int, request receivedRequest) bool {
+		write(conn, completeResponse(request.header.Get("Hickoryhead-Attempt-Id"), body))
+		return true
+	}))
+	router.handler.Memory.Limit = 1 << 20
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	starved := &starvedConn{writing: make(chan struct{}), pause: 800 * time.Millisecond}
+	router.serveBounded(t, &wrappingListener{Listener: inner, wrap: func(conn net.Conn) net.Conn {
+		starved.TCPConn = conn.(*net.TCPConn)
+		return starved
+	}}, new(boundReasons))
+	caller := router.dial(t)
+	caller.begin("a1", "Content-Length: 0")
+	<-starved.writing
+	account := &router.handler.Memory
+	now, small, others := time.Now(), new(memory.Holding), make([]memory.Holding, 7)
+	for i := range others {
+		account.TryGrow(&others[i], 100<<10)
+	}
+	time.Sleep(600 * time.Millisecond)
+	if account.Grow(now.Add(600*time.Millisecond), small, memory.MaxSmallBytes) {
+		t.Error("got room in place of an answer that its router writes slowly, want none")
+	}
+	caller.check(http.StatusOK)
+}
--- a/memory/account.go
+++ b/memory/account.go
@@ -50,8 +50,9 @@
 	// giveUp is called, while the account is locked, if the holding is given up.
 	giveUp  func()
 	givenUp bool
-	// answer says that the holding is an answer, whose request has run.
-	answer bool
+	// stalls is set for an answer, whose request has run, and reports whether it waits for its
+	// caller to read.
+	stalls func() bool
 	// leaving is what the holding had when it was given up.
 	leaving int64
 	// moved counts the bytes since stepAt, and lastStep is how long the last progressStep
@@ -143,6 +144,8 @@
 
 func (holding *Holding) large() bool { return holding.bytes > MaxSmallBytes }
 
+func (holding *Holding) answer() bool { return holding.stalls != nil }
+
 // add changes the size of a holding.
 func (account *Account) add(holding *Holding, count int64) {
 	if holding.large() {
@@ -166,7 +169,7 @@
 		})
 	}
 	large := account.worst(now, growing, -1, func(holding *Holding) bool {
-		return holding.large() && (!holding.answer || account.slow(now, holding))
+		return holding.large() && (!holding.answer() || account.slow(now, holding))
 	})
 	if large != nil {
 		return large
@@ -202,9 +205,9 @@
 }
 
 // slow reports whether the holding makes so little progress that it may be given up for one that
-// makes more.
+// makes more. An answer is not slow while it waits for its router.
 func (account *Account) slow(now time.Time, holding *Holding) bool {
-	return account.pace(now, holding) >= slowStep
+	return account.pace(now, holding) >= slowStep && (!holding.answer() || holding.stalls())
 }
 
 // rank orders the holdings that are given up: the largest and slowest is the highest.
@@ -225,22 +228,23 @@
 // Watch says that the holding is unfinished from now on: it may be given up, by a call of
 // giveUp. That must not block or use the account. The owner reports its progress.
 func (account *Account) Watch(now time.Time, holding *Holding, giveUp func()) {
-	account.watch(now, holding, false, giveUp)
+	account.watch(now, holding, nil, giveUp)
 }
 
 // WatchAnswer is Watch for an answer that is being written. It is given up only while its caller
-// reads slowly: its request has run, and would be cut.
-func (account *Account) WatchAnswer(now time.Time, holding *Holding, giveUp func()) {
-	account.watch(now, holding, true, giveUp)
+// reads slowly: its request has run, and would be cut. stalls reports whether the caller has not
+// taken all that was written; like giveUp it must not block or use the account.
+func (account *Account) WatchAnswer(now time.Time, holding *Holding, stalls func() bool, giveUp func()) {
+	account.watch(now, holding, stalls, giveUp)
 }
 
-func (account *Account) watch(now time.Time, holding *Holding, answer bool, giveUp func()) {
+func (account *Account) watch(now time.Time, holding *Holding, stalls func() bool, giveUp func()) {
 	account.mu.Lock()
 	defer account.mu.Unlock()
 	if holding.givenUp {
 		return
 	}
-	holding.giveUp, holding.answer = giveUp, answer
+	holding.giveUp, holding.stalls = giveUp, stalls
 	holding.moved, holding.stepAt, holding.lastStep = 0, now, 0
 	if account.unfinished == nil {
 		account.unfinished = make(map[*Holding]struct{})
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -215,7 +215,7 @@
 	account := &memory.Account{Limit: 1 << 20}
 	now := time.Unix(1000, 0)
 	var answer, finished owner
-	account.WatchAnswer(now, &answer.holding, answer.giveUp)
+	account.WatchAnswer(now, &answer.holding, func() bool { return true }, answer.giveUp)
 	if !account.Grow(now, &answer.holding, 600<<10) || !account.Grow(now, &finished.holding, 100<<10) {
 		t.Fatal("got no room in an empty account, want some")
 	}
@@ -233,6 +233,31 @@
 	}
 }
 
+// TestAnswerThatWaitsForItsRouterIsKept guards against an answer that is cut off because its router
+// takes long to write it, and against one that is kept although nobody reads it.
+func TestAnswerThatWaitsForItsRouterIsKept(t *testing.T) {
+	account := &memory.Account{Limit: 1 << 20}
+	now := time.Unix(1000, 0)
+	var answer, finished owner
+	stalls := false
+	account.WatchAnswer(now, &answer.holding, func() bool { return stalls }, answer.giveUp)
+	if !account.Grow(now, &answer.holding, 600<<10) || !account.Grow(now, &finished.holding, 100<<10) {
+		t.Fatal("got no room in an empty account, want some")
+	}
+	for range 4 {
+		account.Keep(&start(t, account, now, 80<<10).holding)
+	}
+	now = now.Add(time.Second)
+	var small memory.Holding
+	if account.Grow(now, &small, 128<<10) || answer.givenUp {
+		t.Error("got an answer given up that waits for its router, want it kept")
+	}
+	stalls = true
+	if !account.Grow(now, &small, 128<<10) || !answer.givenUp {
+		t.Error("got no room beside an answer that nobody reads, want its room")
+	}
+}
+
 // TestStallOfTheProcessIsNoStallOfOthers guards against sound bodies that are given up because the
 // process stood still, and against one that stalls for longer than it.
 func TestStallOfTheProcessIsNoStallOfOthers(t *testing.T) {
