forward: a body that is late for its deadline gets 503, not 400

Callers saw: a proper request whose body had not arrived by the deadline of the request, its route's timeout for instance, got 400. Callers take that as final.

Cause: failureCode returned BodyTooSlow only if a minimum rate was missed before the deadline, and MalformedBody for a read that ended at it.

Change: each read of a body that ends for lack of time gives BodyTooSlow, which says that the request did not run. The other errors of a read, an early end or bad chunks, stay MalformedBody.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -317,7 +317,7 @@
 	"ZonesEvacuated":       "operators have evacuated the availability zones of all upstreams that could run the request; it did not run",
 	"RegionNotAllowed":     "no upstream of the service is in a region that both the route and the workspace allow; it did not run",
 	"MemoryFull":           "the router had no memory left for the body: others hold it, or the body was the largest and slowest; it did not run",
-	"BodyTooSlow":          "the caller's body arrived at less than the minimum rate; it did not run",
+	"BodyTooSlow":          "the caller's body arrived at less than the minimum rate, or not before the deadline; it did not run",
 	"OriginUnknown":        "the router could not tell which software version began the stream, and did not guess; it did not run",
 	"VersionGone":          "no upstream of the software version that began the stream takes requests; it did not run",
 	"NoUpstream":           "no upstream of the service is listed or left to try",
--- a/forward/body.go
+++ b/forward/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -188,12 +189,11 @@
 func (reader *bodyReader) failureCode(err error) result.Code {
 	exchange := reader.exchange
 	exchange.setCauseText(err.Error())
-	now := time.Now()
 	if reader.exchange.bodyHeld && exchange.handler.Memory.GivenUp(&exchange.bodyHolding) {
 		exchange.setCause(errNoRoom)
 		return result.MemoryFull
 	}
-	if now.Before(exchange.deadline) && !now.Before(reader.deadline) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return result.BodyTooSlow
 	}
 	return result.MalformedBody
