--- a/forward/listener.go
+++ b/forward/listener.go
@@ -311,9 +311,6 @@
 
 // isClosing reports whether the connection is closed, or to be closed unless bytes have been read.
 func (checkedConn *checkedConn) isClosing() bool {
-	if checkedConn == nil {
-		return false
-	}
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
 	return checkedConn.closing
