--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -137,6 +137,9 @@
 // Terminate asks the process to stop gracefully. It doesn't wait for the exit.
 func (process *Process) Terminate() { _ = process.command.Process.Signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings file has changed.
+func (process *Process) Hangup() { _ = process.command.Process.Signal(syscall.SIGHUP) }
+
 // Wait waits until the process has exited. It returns an error unless it
 // exited with status 0.
 func (process *Process) Wait() error {
