soak: change the configuration in series and in bursts, in every way

Change: series of up to eight changes, half of them without a pause between, add and remove a route and a key, change weights, a timeout, connection limits and the idle timeout, and add 1,000 routes. The configuration moves to a file of its own; it is written under a lock, since several series and the return of the store write it.

--- a/soak/restore.go
+++ b/soak/restore.go
@@ -72,6 +72,8 @@
 
 // rewriteConfig has the operator write the configuration again that was accepted last.
 func (soak *Soak) rewriteConfig() {
+	soak.configuring.Lock()
+	defer soak.configuring.Unlock()
 	soak.mu.Lock()
 	value := soak.configValue
 	soak.mu.Unlock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -35,6 +35,8 @@
 	silences *rand.Rand
 	// evacuations draws, likewise apart, when a zone is evacuated.
 	evacuations *rand.Rand
+	// changes draws, likewise apart, series of changes of the configuration.
+	changes *rand.Rand
 	// active counts the faults that have not been undone yet.
 	active sync.WaitGroup
 	// busy holds the routers, links and upstreams that a fault is applied to.
@@ -78,6 +80,14 @@
 	{"upstream leaves", true, (*schedule).upstreamLeaves},
 }
 
+func newSchedule(soak *Soak) *schedule {
+	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(soak.options.Seed, number)) }
+	return &schedule{
+		soak: soak, random: stream(0), silences: stream(silenceStream), evacuations: stream(evacuationStream),
+		changes: stream(changeStream), busy: make(map[any]bool),
+	}
+}
+
 // play injects faults for the length of the soak, and returns when all of them are
 // undone.
 func (schedule *schedule) play(ctx context.Context) {
@@ -97,6 +107,9 @@
 		if schedule.evacuations.IntN(evacuationInterval) == 0 {
 			schedule.evacuateZone()
 		}
+		if schedule.changes.IntN(seriesInterval) == 0 {
+			schedule.changeInSeries()
+		}
 		time.Sleep(gap)
 	}
 	schedule.active.Wait()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/ident"
-	"github.com/hickoryhead/hickoryhead/platform"
-	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/standin"
 )
 
@@ -78,6 +76,10 @@
 	configVersion int
 	configValue   []byte
 	acceptedAt    time.Time
+	// variant is what distinguishes the configuration from those before, apart from its
+	// version. configuring is held while the operator writes a configuration.
+	variant     variant
+	configuring sync.Mutex
 	// copies are the latest copies of the store, the oldest first, and restoredAt is
 	// when it was last restored from one.
 	copies     []standin.PlatformCopy
@@ -116,7 +118,7 @@
 // be set up; broken guarantees are only reported. When ctx ends, it injects no more
 // faults and finishes as usual.
 func Run(ctx context.Context, options Options) (Report, error) {
-	soak := &Soak{options: options, store: new(standin.Platform), startedAt: time.Now()}
+	soak := &Soak{options: options, store: new(standin.Platform), startedAt: time.Now(), variant: firstVariant(options.Seed)}
 	soak.report = Report{Seed: options.Seed, Requests: make(map[string]int), Faults: make(map[string]int)}
 	defer soak.close()
 	if err := soak.build(); err != nil {
@@ -158,7 +160,7 @@
 	done = append(done, prober.done)
 	go prober.run(callerCtx)
 
-	schedule := &schedule{soak: soak, random: rand.New(rand.NewPCG(options.Seed, 0)), silences: rand.New(rand.NewPCG(options.Seed, silenceStream)), evacuations: rand.New(rand.NewPCG(options.Seed, evacuationStream)), busy: make(map[any]bool)}
+	schedule := newSchedule(soak)
 	upgrade := &upgrade{schedule: schedule, done: make(chan struct{})}
 	go upgrade.run(ctx)
 	schedule.play(ctx)
@@ -251,63 +253,6 @@
 	}
 }
 
-// configure writes the next version of the configuration to the store. Each version
-// has a route of its own in place of that of the previous version.
-func (soak *Soak) configure() {
-	soak.mu.Lock()
-	version := soak.configVersion + 1
-	soak.mu.Unlock()
-	value, err := platform.EncodeConfig(configOf(version))
-	if err != nil {
-		panic("soak: encode configuration: " + err.Error())
-	}
-	soak.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: value})
-	soak.mu.Lock()
-	defer soak.mu.Unlock()
-	soak.configVersion, soak.configValue, soak.acceptedAt = version, value, time.Now()
-}
-
-const (
-	// routeTimeout is the timeout of all routes, in milliseconds.
-	routeTimeout = 2500
-	// maxAttempts is how many upstreams may run a request that may run more than
-	// once.
-	maxAttempts = 2
-)
-
-// versionStep is the difference between the versions of two successive
-// configurations.
-const versionStep = 3
-
-// configOf returns the configuration with the given number.
-func configOf(version int) routing.Config {
-	route := func(name ident.RouteName, prefix string, kind routing.Kind, attempts int) routing.Route {
-		return routing.Route{
-			Name: name, Host: callerHost, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Target: 300, Priority: 1, MaxAttempts: attempts,
-			Sticky: kind == routing.Stream, MaxGap: 800, Shares: []routing.Share{{Service: poolService, Weight: 1}},
-		}
-	}
-	resume := route("resume", "/resume/", routing.Stream, maxAttempts)
-	resume.Resumable = true
-	probe := route("probe", fmt.Sprintf("/v%d/", version), routing.Idempotent, maxAttempts)
-	probe.Public = true
-	routes := []routing.Route{
-		route("once", "/once/", routing.NonIdempotent, 1), route("again", "/again/", routing.Idempotent, maxAttempts),
-		route("stream", "/stream/", routing.Stream, 1), resume, probe,
-	}
-	services := []routing.Service{{Name: poolService, MaxConnections: 400, ColdStart: coldRule.Start, ColdPerSecond: coldRule.PerSecond}}
-	for size := range maxSmallService {
-		services = append(services, routing.Service{Name: smallServiceName(size + 1), MaxConnections: 100})
-	}
-	return routing.Config{
-		Version:    routing.Version(version * versionStep),
-		Routes:     append(routes, smallRoutes(route)...),
-		Services:   services,
-		Workspaces: []routing.Workspace{{ID: "t", Keys: []string{apiKey}}},
-		Limits:     routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 15000},
-	}
-}
-
 // version returns the number of the newest configuration and when it was accepted.
 func (soak *Soak) version() (int, time.Time) {
 	soak.mu.Lock()
