soak: routers that get a small share of a processor

The soak ran its routers on whole cores, so that what waits in the kernel, or was read and not yet recorded, was handled at once.

Faults that end or stop routers record which ones.

--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -35,8 +35,10 @@
 	silences *rand.Rand
 	// evacuations draws, likewise apart, when a zone is evacuated.
 	evacuations *rand.Rand
-	// changes draws, likewise apart, series of changes of the configuration.
-	changes *rand.Rand
+	// changes and starvations draw, likewise apart, series of changes of the configuration
+	// and routers that get little processor time.
+	changes     *rand.Rand
+	starvations *rand.Rand
 	// active counts the faults that have not been undone yet.
 	active sync.WaitGroup
 	// busy holds the routers, links and upstreams that a fault is applied to.
@@ -84,7 +86,7 @@
 	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(soak.options.Seed, number)) }
 	return &schedule{
 		soak: soak, random: stream(0), silences: stream(silenceStream), evacuations: stream(evacuationStream),
-		changes: stream(changeStream), busy: make(map[any]bool),
+		changes: stream(changeStream), starvations: stream(starvationStream), busy: make(map[any]bool),
 	}
 }
 
@@ -110,6 +112,9 @@
 		if schedule.changes.IntN(seriesInterval) == 0 {
 			schedule.changeInSeries()
 		}
+		if !onlyPlanned && schedule.starvations.IntN(starvationInterval) == 0 {
+			schedule.starveRouters()
+		}
 		time.Sleep(gap)
 	}
 	schedule.active.Wait()
@@ -180,7 +185,8 @@
 	if !schedule.claim(router) {
 		return
 	}
-	schedule.injectFor("router killed", length/2, router.end, func() { schedule.restart(router) })
+	heal := schedule.soak.beginRouterFault("router killed", router)
+	schedule.inject(heal, length/2, router.end, func() { schedule.restart(router) })
 }
 
 func (schedule *schedule) freezeRouter(length time.Duration) {
@@ -188,7 +194,8 @@
 	if !schedule.claim(router) {
 		return
 	}
-	schedule.injectFor("router frozen", length, func() { router.signal(syscall.SIGSTOP) }, func() {
+	heal := schedule.soak.beginRouterFault("router frozen", router)
+	schedule.inject(heal, length, func() { router.signal(syscall.SIGSTOP) }, func() {
 		router.signal(syscall.SIGCONT)
 		schedule.release(router)
 	})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -105,6 +105,10 @@
 	// byUpstream is set if the span is the doing of an upstream alone: all other
 	// processes and links are sound.
 	byUpstream bool
+	// routers are those whose processes the fault ends or stops, and starved is set if the
+	// fault only leaves them little processor time.
+	routers []*router
+	starved bool
 }
 
 // warmUpTime is the time between the start of the processes and the first fault.
@@ -299,6 +303,11 @@
 	return soak.begin(fault, span{from: time.Now(), byUpstream: true})
 }
 
+// beginRouterFault is beginDisturbance for what ends or stops the processes of routers.
+func (soak *Soak) beginRouterFault(fault string, routers ...*router) (heal func()) {
+	return soak.begin(fault, span{from: time.Now(), routers: routers})
+}
+
 func (soak *Soak) begin(fault string, span span) (heal func()) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
--- a/soak/takeup.go
+++ b/soak/takeup.go
@@ -200,5 +200,5 @@
 			schedule.restart(router)
 		}
 	}
-	schedule.injectFor("all routers killed", length/2, end, restart)
+	schedule.inject(schedule.soak.beginRouterFault("all routers killed", claimed...), length/2, end, restart)
 }
