soak: callers that keep connections, and a check "neither answer nor refusal"

Its callers pause for 60 ms at most, so that no connection of theirs is closed as idle. http.Transport hides a close beside a request: it doesn't use a connection whose end it has seen, and sends GET requests without a body again by itself. And the check "cut" leaves out requests that no upstream has run, which are those that are lost before they are forwarded.

Change: four more callers for each one keep their connection and use it again after pauses around the idle timeout, also beside changes, with a key and a route that may be unknown, until the router closes it or is gone. They write and read on the socket themselves. A request without an answer breaks the new check if its router closed the connection after it had read all of the request, or later than 200 ms after it was sent. What tells this from a request that crosses the close is the kernel: it resets a connection that is closed with unread bytes or gets bytes afterwards, and has acknowledged all bytes when it ends one in order.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -66,6 +66,8 @@
 	reply   standin.Reply
 	// prompt holds the shared parts of the prompt, if they are not those of the kind.
 	prompt []string
+	// key is the API key; empty means apiKey.
+	key string
 	// own is the part of the prompt that is the stream's own; empty means the attempt.
 	own ident.AttemptID
 	// resumes and lastEvent are set for a take-up.
@@ -168,7 +170,7 @@
 	head := platform.RequestHead{
 		Attempt: call.attempt,
 		Wait:    ident.Milliseconds(requestTimeout.Milliseconds()),
-		APIKey:  apiKey,
+		APIKey:  cmp.Or(call.key, apiKey),
 	}
 	shared := call.prompt
 	if call.kind.stream && shared == nil {
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -173,9 +173,7 @@
 	if reply.Status != 0 {
 		outcome = fmt.Sprint("crash ", reply.Status)
 	}
-	soak.mu.Lock()
-	defer soak.mu.Unlock()
-	soak.report.Requests[outcome]++
+	soak.countOutcome(outcome)
 }
 
 // crashByRequest crashes an upstream because of a request, and restarts it after
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -140,6 +140,11 @@
 		done = append(done, caller.done)
 		go caller.run(callerCtx)
 	}
+	for number := range keptPerCaller * options.Callers {
+		caller := newKeptCaller(soak, number)
+		done = append(done, caller.done)
+		go caller.run(callerCtx)
+	}
 	for number, parts := range []bool{false, true} {
 		random := rand.New(rand.NewPCG(options.Seed, uint64(options.Callers+number)+1))
 		crasher := &crasher{soak: soak, random: random, parts: parts, done: make(chan struct{})}
@@ -280,6 +285,13 @@
 	}
 }
 
+// countOutcome counts a request in the report.
+func (soak *Soak) countOutcome(outcome string) {
+	soak.mu.Lock()
+	defer soak.mu.Unlock()
+	soak.report.Requests[outcome]++
+}
+
 func (soak *Soak) recordNotRun(attempt ident.AttemptID) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
@@ -339,6 +351,15 @@
 	return !soak.anySpan(from, until, func(span span) bool { return !span.byUpstream })
 }
 
+// mayLose reports whether a fault between from and until may cost a request at a router its
+// answer. Little processor time may not. Until the request is forwarded, only an end or a stop
+// of the router's own process may.
+func (soak *Soak) mayLose(router *router, forwarded bool, from, until time.Time) bool {
+	return soak.anySpan(from, until, func(span span) bool {
+		return !span.starved && (forwarded || slices.Contains(span.routers, router))
+	})
+}
+
 // anySpan reports whether a span that counts overlaps the time between from and
 // until.
 func (soak *Soak) anySpan(from, until time.Time, counts func(span span) bool) bool {
