oncehttp: retired connections do not use up the tries of a request

A request failed as not sent although its server was there, after another one had reached its deadline: that retires all connections. Those in use came back as idle later, each request that drew one was refused by it, and after three of them it failed. Cause: whether a connection is retired is found out after it was drawn, and counted as a try. Change: it is not counted; each is closed by that, so that there is an end.

--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -124,6 +124,10 @@
 			// The connection may be silent, and the idle ones with it.
 			client.Retire(time.Now())
 		}
+		if attempt.retired {
+			// It was not tried. There are no more of them than idle connections.
+			tries--
+		}
 		if Sent(err) || !attempt.reused || tries == maxTries || request.Context().Err() != nil {
 			return nil, err
 		}
@@ -186,6 +190,8 @@
 	writesBefore uint64
 	// reused reports whether conn had carried an earlier request.
 	reused bool
+	// retired reports whether conn must not carry a further request.
+	retired bool
 	// wroteEarlier reports whether a connection before conn has sent bytes of the
 	// request.
 	wroteEarlier bool
@@ -242,7 +248,7 @@
 	attempt.reused = info.Reused
 	if attempt.conn != nil {
 		attempt.writesBefore = attempt.conn.writeCount()
-		if attempt.reused && attempt.client.retired(attempt.conn) {
+		if attempt.retired = attempt.reused && attempt.client.retired(attempt.conn); attempt.retired {
 			attempt.conn.blockWrites()
 		}
 	}
