changetest: connect callers from a loopback IP of their own

The callers open some hundred connections from 127.0.0.1, each of which takes a port there that another test may have chosen to listen on. Beside this package (go test -p 2 -race -count=1 ./changetest ./entry, load average 16) a subtest of entry's TestRequestKeepsCrashingUpstreams failed once with "bind: address already in use"; which process had taken the port was not traced.

Change: callers connect from, and the router listens on, loopback IPs that other test processes do not use, as in fleettest.

The failure was not reproduced, so that no run shows that this mends it.

--- a/changetest/conn_test.go
+++ b/changetest/conn_test.go
@@ -23,8 +23,11 @@
 	reader *bufio.Reader
 }
 
+// dialer opens the connections of callers.
+var dialer = net.Dialer{Timeout: callerTimeout, LocalAddr: &net.TCPAddr{IP: loopbackIP(callerIP)}}
+
 func dial(address string) (*conn, error) {
-	dialed, err := net.DialTimeout("tcp", address, callerTimeout)
+	dialed, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/changetest/router_test.go
+++ b/changetest/router_test.go
@@ -28,6 +28,9 @@
 	pollInterval  = 20 * time.Millisecond
 	// stopTimeoutMs is how long the router has from the signal to its end.
 	stopTimeoutMs = 8000
+	// Numbers of the loopback IPs on which the router listens and from which callers connect.
+	routerIP = 1
+	callerIP = 2
 )
 
 // router is a router process in front of two services with one upstream each.
@@ -110,7 +113,7 @@
 }
 
 // client sends each request on a connection of its own.
-var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
+var client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}, Timeout: callerTimeout}
 
 // status returns the status of the answer to a GET request, or zero if there is none.
 func status(url string) int {
@@ -200,10 +203,17 @@
 	}
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// loopbackIP returns an address of the loopback network that other test processes do not use: a
+// connection from one takes no port at which another wants to listen.
+func loopbackIP(number byte) net.IP {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+(pid>>8)%254), byte(1+pid%254), number)
+}
+
+// freeAddress returns an address of the router's loopback IP on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: loopbackIP(routerIP)})
 	if err != nil {
 		t.Fatal(err)
 	}
