entry: processes of tests listen at loopback addresses of their own

TestNoRequestIsCutByAPlannedStop failed once, beside other tests and soaks: a router's process could not listen at 127.0.0.1:46721, which was free when the test chose it. Outgoing connections of other processes come from 127.0.0.1 and take such ports. The ports are now chosen at an address that no other process uses, as fleettest does.

--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,10 +18,20 @@
 	"github.com/hickoryhead/hickoryhead/entry"
 )
 
-// freePort returns an address on the loopback interface that was free just now.
-func freePort(t *testing.T) string {
+// hosts counts the loopback addresses that processes of tests have got.
+var hosts atomic.Int32
+
+// newHost returns a loopback address that no other process uses: connections of others, which
+// come from 127.0.0.1, take no port there that was free just now.
+func newHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, 1+pid%254, 1+hosts.Add(1)%253)
+}
+
+// freePort returns an address of a host whose port was free just now.
+func freePort(t *testing.T, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyPort)
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +49,8 @@
 		t.Fatalf("got %v, want a successful build: %s", err, output)
 	}
 	settings := fixture.config
-	settings.CallerListen, settings.ReadyListen, settings.PeerListen = freePort(t), freePort(t), freePort(t)
+	host := newHost()
+	settings.CallerListen, settings.ReadyListen, settings.PeerListen = freePort(t, host), freePort(t, host), freePort(t, host)
 	fixture.addresses = entry.Addresses{Callers: settings.CallerListen, Ready: settings.ReadyListen, Peers: settings.PeerListen}
 	content, err := json.Marshal(settings)
 	if err != nil {
