forward: count a connection that is closed at the bound once

Seen: conn.closed.bound-stalled and bound-new counted a connection twice if its goroutine was reading. Cause: since closeFor marks the connection as closing, and the end of the pending read counted that again. Change: a read counts the close that it was made to end for only if nothing closed the connection before.

Evidence: TestRequestWithoutAnAnswerIsLogged now wants each close counted exactly once: it failed in 3 of 3 runs with -race on (got [bound-stalled bound-stalled]), and passes in 3 of 3.

--- a/forward/listener.go
+++ b/forward/listener.go
@@ -101,7 +101,7 @@
 	checkedConn.reading = false
 	checkedConn.readErr = err
 	if len(data) == 0 {
-		if checkedConn.closing {
+		if checkedConn.closing && !checkedConn.closed {
 			checkedConn.listener.reportClosed(checkedConn.closeReason)
 		}
 		return true
--- a/forward/request_end_test.go
+++ b/forward/request_end_test.go
@@ -355,10 +355,14 @@
 			if got := router.counted("request.unanswered." + string(test.want.EndReason)); got != "1" {
 				t.Errorf("got %s requests counted as %s, want 1", got, test.want.EndReason)
 			}
+			var closed []forward.CloseReason
+			if test.want.CloseReason != "" {
+				closed = append(closed, test.want.CloseReason)
+			}
 			router.mu.Lock()
 			defer router.mu.Unlock()
-			if want := test.want.CloseReason; want != "" && !slices.Contains(router.closed, want) {
-				t.Errorf("got connections closed as %v, want one as %s", router.closed, want)
+			if !slices.Equal(router.closed, closed) {
+				t.Errorf("got connections closed as %v, want %v", router.closed, closed)
 			}
 		})
 	}
