soak: kept callers pause around the idle timeout in force, and a crossing takes 50 ms

The callers that keep connections paused around a fixed second, whatever the idle timeout of the newest configuration was. And the check took each request for one that crossed the close if its connection was reset within 200 ms, although on loopback it had arrived long before: a starved router closed connections with unread requests, which nothing counted.

Change: pauses are from 200 ms below to 500 ms above the idle timeout in force. A connection that is open 50 ms after its request was sent has brought that to the router. Tests of the crossing set that time aside, so that a busy machine changes none of their outcomes.

--- a/soak/changes.go
+++ b/soak/changes.go
@@ -66,6 +66,17 @@
 	return routes
 }
 
+// idleTimeout returns the idle timeout of the newest configuration, or the short one if callers don't
+// reach that.
+func (soak *Soak) idleTimeout() time.Duration {
+	soak.configuring.Lock()
+	defer soak.configuring.Unlock()
+	if soak.variant.idleTimeout == longIdleTimeout {
+		return shortIdleTimeout * time.Millisecond
+	}
+	return soak.variant.idleTimeout.Duration()
+}
+
 // workspaces returns the workspaces with their keys.
 func (variant *variant) workspaces() []routing.Workspace {
 	keys := []string{apiKey}
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -15,9 +15,10 @@
 	// keptPerCaller how many of them there are for each other caller.
 	keptStream    = 1 << 34
 	keptPerCaller = 4
-	// minKeptPause and maxKeptPause bound the pauses around the short idle timeout.
-	minKeptPause = shortIdleTimeout * time.Millisecond * 6 / 10
-	maxKeptPause = shortIdleTimeout * time.Millisecond * 16 / 10
+	// beforeIdle and afterIdle bound how much shorter or longer than the idle timeout the pauses of
+	// these callers are. Routers look for idle connections twice a second.
+	beforeIdle = 200 * time.Millisecond
+	afterIdle  = 500 * time.Millisecond
 )
 
 // changingKind is the kind of request that a configuration may not allow.
@@ -53,12 +54,13 @@
 	caller.disconnect()
 }
 
-// pause returns a random pause. Most of them are about as long as the short idle timeout.
+// pause returns a random pause. Most of them are about as long as the idle timeout.
 func (caller *keptCaller) pause() time.Duration {
 	if caller.random.IntN(4) == 0 {
 		return time.Duration(caller.random.Int64N(int64(callerPause)))
 	}
-	return between(caller.random, minKeptPause, maxKeptPause)
+	idle := caller.soak.idleTimeout()
+	return between(caller.random, idle-beforeIdle, idle+afterIdle)
 }
 
 // connect reports whether there is an open connection, and opens one to a random router in
--- a/soak/kept_conn.go
+++ b/soak/kept_conn.go
@@ -16,9 +16,9 @@
 const (
 	// dialTimeout is how long a router may take to accept a connection.
 	dialTimeout = time.Second
-	// crossingTime is how long after the last byte of a request a connection may be reset because
-	// the request crossed its close.
-	crossingTime = 200 * time.Millisecond
+	// crossingTime is how long a request can be on its way on loopback: one whose connection is
+	// open for longer has arrived before the close.
+	crossingTime = 50 * time.Millisecond
 )
 
 // ending is how a kept connection stands after a request.
@@ -53,6 +53,8 @@
 	// written is the number of bytes that were written.
 	written uint64
 	ending  ending
+	// crossedBy returns until when a request that was sent at a time may be on its way.
+	crossedBy func(sentAt time.Time) time.Time
 }
 
 func dialKept(address string) (*keptConn, error) {
@@ -60,7 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &keptConn{conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}, nil
+	crossedBy := func(sentAt time.Time) time.Time { return sentAt.Add(crossingTime) }
+	return &keptConn{conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn), crossedBy: crossedBy}, nil
 }
 
 func (keptConn *keptConn) close() {
@@ -126,9 +129,10 @@
 }
 
 // awaitCrossing waits for the answer to a request that was just sent, or for the end of the
-// connection, for crossingTime, and reports whether the connection was still open then.
+// connection, while the request may be on its way, and reports whether the connection was still open
+// then.
 func (keptConn *keptConn) awaitCrossing(deadline time.Time) (bool, error) {
-	if err := keptConn.conn.SetReadDeadline(time.Now().Add(crossingTime)); err != nil {
+	if err := keptConn.conn.SetReadDeadline(keptConn.crossedBy(time.Now())); err != nil {
 		return false, err
 	}
 	_, err := keptConn.reader.Peek(1)
@@ -137,7 +141,7 @@
 }
 
 // judge returns how the connection ended that failed after a whole request was sent; stayedOpen
-// says that it was open at crossingTime. A kernel resets a connection that is closed while bytes of
+// says that it was open when that had arrived. A kernel resets a connection that is closed while bytes of
 // it are unread, or that receives bytes afterwards; and it acknowledges all bytes that it has
 // received when it ends one in order.
 func (keptConn *keptConn) judge(err error, stayedOpen bool) ending {
--- a/soak/kept_conn_test.go
+++ b/soak/kept_conn_test.go
@@ -27,6 +27,9 @@
 	server.serve(conn)
 }
 
+// alwaysCrossing has a request count as on its way for as long as a test takes.
+func alwaysCrossing(sentAt time.Time) time.Time { return sentAt.Add(time.Hour) }
+
 // readRequest reads a request from conn, and answers it if answers is set.
 func readRequest(conn net.Conn, answers bool) {
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -49,7 +52,7 @@
 	}{
 		{"answered", func(conn net.Conn) {
 			readRequest(conn, true)
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(2 * crossingTime)
 			conn.Close()
 		}, stillOpen},
 		{"read and closed", func(conn net.Conn) {
@@ -62,7 +65,7 @@
 			conn.Close()
 		}, lost},
 		{"unread and closed", func(conn net.Conn) {
-			time.Sleep(crossingTime / 2)
+			time.Sleep(crossingTime / 5)
 			conn.Close()
 		}, crossed},
 		{"left unread and closed later", func(conn net.Conn) {
@@ -71,7 +74,7 @@
 		}, lost},
 		{"never answered", func(conn net.Conn) {
 			readRequest(conn, false)
-			time.Sleep(time.Second)
+			time.Sleep(5 * crossingTime)
 			conn.Close()
 		}, abandoned},
 	} {
@@ -88,6 +91,9 @@
 				t.Fatal(err)
 			}
 			defer conn.close()
+			if test.want == crossed {
+				conn.crossedBy = alwaysCrossing
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), 3*crossingTime)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader("hi"))
@@ -145,6 +151,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		conn.crossedBy = alwaysCrossing
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader("hi"))
 		if err != nil {
 			t.Fatal(err)
