forward: a request that was read whole is not closed at the bound as stalled

Callers would see: a whole request whose connection is closed without an answer, when connections are at their bound.

Cause: between the last byte of a body and the record of its end, the connection still counts as waiting for its caller. The read that goes on then is net/http's, by which it notices that a caller leaves. closeAtBound ended that read, which ends the context of the request. A handler that is short of processor time stays there for long.

Change: only while a body is being read does a caller stall by not sending. framing.Scanner tells that as InBody.

--- a/forward/listener.go
+++ b/forward/listener.go
@@ -217,13 +217,20 @@
 	return waited
 }
 
-// awaitsRouter reports whether the caller has sent bytes that wait to be read, or has taken all
-// that was written of its answer.
+// awaitsRouter reports whether the caller has sent its whole body or bytes that wait to be read, or
+// has taken all that was written of its answer.
 func (checkedConn *checkedConn) awaitsRouter() bool {
 	if checkedConn.answering.Load() {
 		return socket.HasSentAll(checkedConn.Conn)
 	}
-	return socket.HasUnread(checkedConn.Conn)
+	return !checkedConn.inBody() || socket.HasUnread(checkedConn.Conn)
+}
+
+// inBody reports whether the body of the request has not been read to its end.
+func (checkedConn *checkedConn) inBody() bool {
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.scanner.InBody()
 }
 
 // hasBegun reports whether bytes of a request that has not been answered were read.
@@ -271,10 +278,11 @@
 	})
 }
 
-// endStalledRead makes the read of a goroutine end whose caller has stalled, and reports whether
-// there is one. Without one it is the router that does not go on.
+// endStalledRead makes the read of a body end whose caller has stalled, and reports whether there
+// is one. Without one it is the router that does not go on. Behind a whole body net/http reads only
+// to notice that the caller leaves.
 func (checkedConn *checkedConn) endStalledRead(reason CloseReason) bool {
-	return checkedConn.closeUnread(reason, func() bool { return checkedConn.reading })
+	return checkedConn.closeUnread(reason, func() bool { return checkedConn.reading && checkedConn.scanner.InBody() })
 }
 
 // closeUnread closes the connection if mayClose, which is called while mu is held, returns true
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -50,6 +50,9 @@
 // HeadFields returns how many headers of that head have been scanned.
 func (scanner *Scanner) HeadFields() int { return scanner.headFields }
 
+// InBody reports whether a head has ended whose body has not.
+func (scanner *Scanner) InBody() bool { return scanner.state != inHead }
+
 // Scan processes the next bytes and reports whether all messages so far were
 // unambiguous. Once false, it stays false.
 func (scanner *Scanner) Scan(data []byte) bool {
--- a/framing/scanner_test.go
+++ b/framing/scanner_test.go
@@ -86,3 +86,25 @@
 		}
 	}
 }
+
+// TestInBody guards against a body that counts as read to its end before it is, or not after.
+func TestInBody(t *testing.T) {
+	var scanner framing.Scanner
+	for _, step := range []struct {
+		data string
+		want bool
+	}{
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n", false},
+		{"\r\n", true},
+		{"a", true},
+		{"b", false},
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", true},
+		{"\r\n", false},
+		{"GET / HTTP/1.1\r\n\r\n", false},
+	} {
+		scanner.Scan([]byte(step.data))
+		if got := scanner.InBody(); got != step.want {
+			t.Errorf("after %q: got in a body %t, want %t", step.data, got, step.want)
+		}
+	}
+}
