--- a/forward/close_reason.go
+++ b/forward/close_reason.go
@@ -38,12 +38,3 @@
 		listener.OnKeep(reason)
 	}
 }
-
-// closeFor closes the connection for a reason.
-func (checkedConn *checkedConn) closeFor(reason CloseReason) {
-	checkedConn.mu.Lock()
-	checkedConn.closing, checkedConn.closed, checkedConn.closeReason = true, true, reason
-	checkedConn.listener.reportClosed(reason)
-	checkedConn.mu.Unlock()
-	checkedConn.closeNow()
-}
