forward: name what the closing of connections does

Names and comments after the review: requestStartedAt, hasRequest, recordAnswered, beginClose, and what a closing connection is. A connection that is closed for good is not closed once more.

--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -189,12 +189,12 @@
 			if isChecked && checked.stalledFor(now, callerConns.Stalls) > longest {
 				stalled, longest = conn, checked.stalledFor(now, callerConns.Stalls)
 			}
-		case !isChecked || !checked.hasBegun():
+		case !isChecked || !checked.hasRequest():
 			if idle == nil || current.since.Before(idleSince) {
 				idle, idleSince = conn, current.since
 			}
 		default:
-			start := checked.headStart()
+			start := checked.requestStart()
 			if callerConns.Stalls.Waited(now, start) > minStall && (head == nil || start.Before(headSince)) {
 				head, headSince = conn, start
 			}
--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -37,13 +37,13 @@
 
 	// mu also guards changes of scanner, which the goroutine that reads makes.
 	mu sync.Mutex
-	// readAt is when bytes were last read, headStartedAt when the first ones of the next
+	// readAt is when bytes were last read, requestStartedAt when the first ones of the next
 	// request were, or zero. headsHandled counts the heads whose requests a handler has got, or
 	// that were refused, and headsAnswered those whose requests have been answered.
-	readAt        time.Time
-	headStartedAt time.Time
-	headsHandled  int
-	headsAnswered int
+	readAt           time.Time
+	requestStartedAt time.Time
+	headsHandled     int
+	headsAnswered    int
 	// reading is set while a goroutine reads, and closing once the connection is to be closed
 	// because no request has begun, or none goes on: by that goroutine, unless it has read bytes
 	// meanwhile. closed is set once that can't be taken back.
@@ -66,7 +66,7 @@
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
-	if count == 0 && checkedConn.keepOpen() {
+	if count == 0 && checkedConn.keepIfUnread() {
 		count, err = checkedConn.Conn.Read(buffer)
 	}
 	if !checkedConn.endRead(buffer[:count], err) {
@@ -101,8 +101,8 @@
 		return true
 	}
 	checkedConn.readAt = time.Now()
-	if checkedConn.headStartedAt.IsZero() {
-		checkedConn.headStartedAt = checkedConn.readAt
+	if checkedConn.requestStartedAt.IsZero() {
+		checkedConn.requestStartedAt = checkedConn.readAt
 	}
 	if checkedConn.closing && !checkedConn.closed {
 		checkedConn.cancelClose()
@@ -203,28 +203,29 @@
 	return checkedConn.scanner.InBody()
 }
 
-// hasBegun reports whether bytes of a request that has not been answered were read.
-func (checkedConn *checkedConn) hasBegun() bool { return !checkedConn.headStart().IsZero() }
+// hasRequest reports whether bytes of a request that has not been answered were read.
+func (checkedConn *checkedConn) hasRequest() bool { return !checkedConn.requestStart().IsZero() }
 
-// headStart returns when the first bytes of the request were read that is being read or served,
+// requestStart returns when the first bytes of the request were read that is being read or served,
 // or zero if there were none.
-func (checkedConn *checkedConn) headStart() time.Time {
+func (checkedConn *checkedConn) requestStart() time.Time {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
-	return checkedConn.headStartedAt
+	return checkedConn.requestStartedAt
 }
 
-// awaitHead records that a request has been answered, and returns how many have been. The first
+// recordAnswered records that a request has been answered, and returns how many have been. The first
 // bytes of the next one may have been read before its answer ended.
-func (checkedConn *checkedConn) awaitHead() int {
+func (checkedConn *checkedConn) recordAnswered() int {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
+	// Track may report a connection idle that has had no request.
 	checkedConn.headsAnswered = min(checkedConn.headsAnswered+1, checkedConn.scanner.Heads())
-	checkedConn.headStartedAt = time.Time{}
+	checkedConn.requestStartedAt = time.Time{}
 	// net/http ends its pending read by a deadline between two requests.
 	checkedConn.readErr, checkedConn.handled = nil, handledRequest{}
 	if checkedConn.scanner.HeadBytes() > 0 || checkedConn.headIsWhole() {
-		checkedConn.headStartedAt = checkedConn.readAt
+		checkedConn.requestStartedAt = checkedConn.readAt
 	}
 	return checkedConn.headsAnswered
 }
--- a/forward/closing.go
+++ b/forward/closing.go
@@ -6,9 +6,15 @@
 	"github.com/hickoryhead/hickoryhead/socket"
 )
 
-// keepOpen keeps open a connection that was to be closed, if bytes have come since the read of
+// A connection of a caller is open, closing or closed. The router closes it at once while no
+// goroutine reads from it. While one does, that one may have bytes which it has not recorded yet, so
+// that the connection is only closing: its read ends by a deadline, and the goroutine closes it
+// unless the read has brought bytes or more have come. Then the connection is open again, and what
+// was read is served.
+
+// keepIfUnread keeps open a connection that was to be closed, if bytes have come since the read of
 // its goroutine was made to end. It reports whether they have.
-func (checkedConn *checkedConn) keepOpen() bool {
+func (checkedConn *checkedConn) keepIfUnread() bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
 	if !checkedConn.closing || checkedConn.closed || !socket.HasUnread(checkedConn.Conn) {
@@ -32,14 +38,14 @@
 
 // closeUnused closes the connection unless a request has begun, and reports whether it does.
 func (checkedConn *checkedConn) closeUnused(reason CloseReason) bool {
-	return checkedConn.closeUnread(reason, func() bool { return checkedConn.headStartedAt.IsZero() })
+	return checkedConn.beginClose(reason, func() bool { return checkedConn.requestStartedAt.IsZero() })
 }
 
 // closeHalfRead closes the connection if a request has begun whose head has neither ended nor
 // brought bytes since a time, and reports whether it does.
 func (checkedConn *checkedConn) closeHalfRead(reason CloseReason, since time.Time) bool {
-	return checkedConn.closeUnread(reason, func() bool {
-		return !checkedConn.headStartedAt.IsZero() && !checkedConn.headIsWhole() && checkedConn.readAt.Before(since)
+	return checkedConn.beginClose(reason, func() bool {
+		return !checkedConn.requestStartedAt.IsZero() && !checkedConn.headIsWhole() && checkedConn.readAt.Before(since)
 	})
 }
 
@@ -47,16 +53,16 @@
 // is one. Without one it is the router that does not go on. Behind a whole body net/http reads only
 // to notice that the caller leaves.
 func (checkedConn *checkedConn) endStalledRead(reason CloseReason) bool {
-	return checkedConn.closeUnread(reason, func() bool { return checkedConn.reading && checkedConn.scanner.InBody() })
+	return checkedConn.beginClose(reason, func() bool { return checkedConn.reading && checkedConn.scanner.InBody() })
 }
 
-// closeUnread closes the connection if mayClose, which is called while mu is held, returns true
+// beginClose closes the connection if mayClose, which is called while mu is held, returns true
 // and no bytes wait to be read. While a goroutine reads it only makes that read end: the goroutine
 // closes the connection, unless it has read bytes, which it serves. It reports whether the
 // connection is closed or to be closed.
-func (checkedConn *checkedConn) closeUnread(reason CloseReason, mayClose func() bool) bool {
+func (checkedConn *checkedConn) beginClose(reason CloseReason, mayClose func() bool) bool {
 	checkedConn.mu.Lock()
-	if !mayClose() {
+	if checkedConn.closed || !mayClose() {
 		checkedConn.mu.Unlock()
 		return false
 	}
--- a/forward/head_room.go
+++ b/forward/head_room.go
@@ -97,7 +97,7 @@
 // endRequest records that a request has been answered, and releases its head. It is called by
 // the goroutine of the connection, between requests, while no other one reads.
 func (checkedConn *checkedConn) endRequest() {
-	answered := checkedConn.awaitHead()
+	answered := checkedConn.recordAnswered()
 	if checkedConn.heldHead > 0 && checkedConn.heldHead <= answered {
 		checkedConn.listener.Memory.Release(&checkedConn.headHolding)
 		checkedConn.heldHead = 0
