logging: Throttle, in place of two counters of log lines

Package entry (connections at their bound) and package forward (full memory) each counted occurrences under a mutex and logged one line a second at most. Throttle does this for both, with the same interval. The lines of refused bodies get a mutex of their own; they shared the one of full memory. No change of behaviour.

--- a/entry/resources.go
+++ b/entry/resources.go
@@ -3,13 +3,13 @@
 import (
 	"math"
 	"net"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 )
 
 const (
@@ -41,9 +41,6 @@
 	maxAuxiliaryHeadBytes = 8 << 10
 	auxiliaryReadTimeout  = 10 * time.Second
 	auxiliaryWriteTimeout = 10 * time.Second
-	// boundLogInterval is the least time between two log lines about connections that were
-	// closed at the bound.
-	boundLogInterval = time.Second
 )
 
 // memoryFor returns how many bytes bodies and answers may take, or zero for the default.
@@ -81,24 +78,12 @@
 	// listener names the listener in log lines and metrics.
 	listener string
 	limit    int
-
-	mu       sync.Mutex
-	loggedAt time.Time
-	closed   int
+	throttle logging.Throttle
 }
 
 func (boundLog *boundLog) add(reason forward.BoundReason) {
 	boundLog.daemon.metrics.CountEvent("conn.bound." + boundLog.listener + "." + string(reason))
-	now := time.Now()
-	boundLog.mu.Lock()
-	boundLog.closed++
-	closed := boundLog.closed
-	due := now.Sub(boundLog.loggedAt) >= boundLogInterval
-	if due {
-		boundLog.loggedAt, boundLog.closed = now, 0
-	}
-	boundLog.mu.Unlock()
-	if due {
+	if closed, due := boundLog.throttle.Add(time.Now()); due {
 		boundLog.daemon.Logger.Warn("Connections are at their bound.", "Listener", boundLog.listener, "ConnLimit", boundLog.limit, "LastReason", reason, "ClosedCount", closed)
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/health"
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/memory"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/overload"
@@ -97,11 +98,12 @@
 	ending     context.Context
 	end        context.CancelFunc
 
-	// fullMu guards when memory was last logged as full, the refusals since then, and the
-	// log lines of refused bodies in the second that began at bodyLogFrom.
-	fullMu       sync.Mutex
-	fullLoggedAt time.Time
-	fullRefusals int
+	// fullLog counts refusals because of full memory.
+	fullLog logging.Throttle
+
+	// bodyLogMu guards the number of log lines of refused bodies in the second that began at
+	// bodyLogFrom.
+	bodyLogMu    sync.Mutex
 	bodyLogFrom  time.Time
 	bodyLogLines int
 
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -155,13 +155,9 @@
 	}
 }
 
-const (
-	// fullLogInterval is the least time between two log lines about memory that is full.
-	fullLogInterval = time.Second
-	// bodyLogLinesPerSecond bounds the log lines of requests that were refused because of
-	// their bodies or heads.
-	bodyLogLinesPerSecond = 20
-)
+// bodyLogLinesPerSecond bounds the log lines of requests that were refused because of their
+// bodies or heads.
+const bodyLogLinesPerSecond = 20
 
 // isBodyRefusal reports whether a request was refused with code because of its body or its
 // head, as crowds of clients bring it about.
@@ -176,8 +172,8 @@
 // allowBodyLog reports whether one more request that was refused because of its body may be
 // logged in this second.
 func (handler *Handler) allowBodyLog(now time.Time) bool {
-	handler.fullMu.Lock()
-	defer handler.fullMu.Unlock()
+	handler.bodyLogMu.Lock()
+	defer handler.bodyLogMu.Unlock()
 	if now.Sub(handler.bodyLogFrom) >= time.Second {
 		handler.bodyLogFrom, handler.bodyLogLines = now, 0
 	}
@@ -185,18 +181,10 @@
 	return handler.bodyLogLines <= bodyLogLinesPerSecond
 }
 
-// reportFull logs, at most once each fullLogInterval, that requests are refused because the
+// reportFull logs, at most once a second, that requests are refused because the
 // memory account is full.
 func (handler *Handler) reportFull(now time.Time) {
-	handler.fullMu.Lock()
-	handler.fullRefusals++
-	refusals := handler.fullRefusals
-	due := now.Sub(handler.fullLoggedAt) >= fullLogInterval
-	if due {
-		handler.fullLoggedAt, handler.fullRefusals = now, 0
-	}
-	handler.fullMu.Unlock()
-	if due {
+	if refusals, due := handler.fullLog.Add(now); due {
 		handler.Logger.Warn("Memory for bodies and answers is full.", "HeldBytes", handler.Memory.Held(), "HeldLimit", handler.Memory.Limit, "Unfinished", handler.Memory.Unfinished(), "RefusedCount", refusals)
 	}
 }
