bodylimit: Refusal, the code of a body that could not be read

caller and sidecar both mapped ErrNoRoom and ErrTooSlow to MemoryFull and BodyTooSlow. No change of behaviour: other errors, and nil, give OK and take the path that they took before.

--- a/bodylimit/limiter.go
+++ b/bodylimit/limiter.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickoryhead/hickoryhead/memory"
+	"github.com/hickoryhead/hickoryhead/result"
 )
 
 // ErrNoRoom means that the memory for bodies is used up, and ErrTooSlow that a body arrives
@@ -24,6 +25,18 @@
 	ErrTooSlow = errors.New("body arrives too slowly")
 )
 
+// Refusal returns the code of a request whose body could not be read because of err, or OK if
+// err is neither ErrNoRoom nor ErrTooSlow.
+func Refusal(err error) result.Code {
+	switch {
+	case errors.Is(err, ErrNoRoom):
+		return result.MemoryFull
+	case errors.Is(err, ErrTooSlow):
+		return result.BodyTooSlow
+	}
+	return result.OK
+}
+
 const (
 	// copies is how often a handler may have a body in memory: while its buffer grows, it
 	// has two.
--- a/caller/request.go
+++ b/caller/request.go
@@ -87,11 +87,8 @@
 	}
 	accepted.deadline = now.Add(timeout)
 	accepted.body, err = readBody(writer, request, route)
-	if errors.Is(err, bodylimit.ErrNoRoom) {
-		return nil, &result.Error{Code: result.MemoryFull, RetryAt: server.now().Add(wait.Jitter(defaultRetryAfter))}
-	}
-	if errors.Is(err, bodylimit.ErrTooSlow) {
-		return nil, &result.Error{Code: result.BodyTooSlow, RetryAt: server.now().Add(wait.Jitter(defaultRetryAfter))}
+	if code := bodylimit.Refusal(err); code != result.OK {
+		return nil, &result.Error{Code: code, RetryAt: server.now().Add(wait.Jitter(defaultRetryAfter))}
 	}
 	if err != nil {
 		return nil, err
@@ -192,7 +189,7 @@
 	if errors.As(err, &tooLarge) {
 		return nil, result.Errorf(result.BodyTooLarge, "the route allows %d bytes", limit)
 	}
-	if errors.Is(err, bodylimit.ErrNoRoom) || errors.Is(err, bodylimit.ErrTooSlow) {
+	if bodylimit.Refusal(err) != result.OK {
 		return nil, err
 	}
 	if err != nil {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -131,12 +131,10 @@
 		return call, nil, "", result.Errorf(result.InvalidHeader, "%s: invalid request or attempt ID", HeaderCall)
 	}
 	content, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxHopBytes))
-	switch {
-	case errors.Is(err, bodylimit.ErrNoRoom):
-		return call, nil, "", &result.Error{Code: result.MemoryFull}
-	case errors.Is(err, bodylimit.ErrTooSlow):
-		return call, nil, "", &result.Error{Code: result.BodyTooSlow}
-	case err != nil:
+	if code := bodylimit.Refusal(err); code != result.OK {
+		return call, nil, "", &result.Error{Code: code}
+	}
+	if err != nil {
 		return call, nil, "", result.Errorf(result.MalformedBody, "%v", err)
 	}
 	if call.BodyBytes < 0 || call.BodyBytes > len(content) {
