cost: one decayingMean for evidence, paces and lengths

evidence repeated the sums of decayingMean; it now embeds one and adds the squares. Paces never used their squares and become a decayingMean. Memory, weight and shrinkage are arguments, with the values that were fixed before; the arithmetic and its order are the same, so that no result changes.

--- a/cost/evidence.go
+++ b/cost/evidence.go
@@ -5,25 +5,46 @@
 	"time"
 )
 
-// evidence is a decaying mean of the logarithms of ratios, with their spread.
-type evidence struct {
-	weight, sum, squares float64
-	at                   time.Time
+// decayingMean is a mean of values whose weights decay with their age.
+type decayingMean struct {
+	weight, sum float64
+	at          time.Time
 }
 
-func (evidence *evidence) add(now time.Time, memory time.Duration, logRatio, weight float64) {
-	decay := decayed(evidence.at, now, memory)
-	evidence.at = latest(evidence.at, now)
-	evidence.weight = evidence.weight*decay + weight
-	evidence.sum = evidence.sum*decay + weight*logRatio
-	evidence.squares = evidence.squares*decay + weight*logRatio*logRatio
+// add adds a value and returns the factor by which the weights of the others have decayed.
+func (mean *decayingMean) add(now time.Time, memory time.Duration, value, weight float64) float64 {
+	decay := decayed(mean.at, now, memory)
+	mean.at = latest(mean.at, now)
+	mean.weight = mean.weight*decay + weight
+	mean.sum = mean.sum*decay + weight*value
+	return decay
 }
 
-func (evidence *evidence) mean() float64 {
-	if evidence.weight == 0 {
+// mean returns the mean, or zero without values.
+func (mean *decayingMean) mean() float64 {
+	if mean.weight == 0 {
 		return 0
 	}
-	return evidence.sum / evidence.weight
+	return mean.sum / mean.weight
+}
+
+// shrunk returns the mean with so many values of wider added. A nil decayingMean has none.
+func (mean *decayingMean) shrunk(wider, values float64) float64 {
+	if mean == nil {
+		return wider
+	}
+	return (mean.sum + values*wider) / (mean.weight + values)
+}
+
+// evidence is a decaying mean of the logarithms of ratios, with their spread.
+type evidence struct {
+	decayingMean
+	squares float64
+}
+
+func (evidence *evidence) add(now time.Time, memory time.Duration, logRatio, weight float64) {
+	decay := evidence.decayingMean.add(now, memory, logRatio, weight)
+	evidence.squares = evidence.squares*decay + weight*logRatio*logRatio
 }
 
 // minVariance is the smallest variance that is assumed of the logarithms of ratios.
--- a/cost/model.go
+++ b/cost/model.go
@@ -95,7 +95,7 @@
 	// pace is the last one that the VM reported at reportedAt, and paces their mean.
 	pace       float64
 	reportedAt time.Time
-	paces      evidence
+	paces      decayingMean
 }
 
 // Model predicts costs and times from observations. The zero value has none and is
@@ -226,7 +226,7 @@
 	if upstream == nil || upstream.reportedAt.IsZero() {
 		return 1
 	}
-	mean := (upstream.paces.sum + paceShrinkage) / (upstream.paces.weight + paceShrinkage)
+	mean := upstream.paces.shrunk(1, paceShrinkage)
 	return mean + (upstream.pace-mean)*decayed(upstream.reportedAt, now, paceMemory)
 }
 
--- a/cost/output.go
+++ b/cost/output.go
@@ -70,27 +70,6 @@
 	}
 }
 
-// decayingMean is a mean of values whose weights decay with their age.
-type decayingMean struct {
-	weight, sum float64
-	at          time.Time
-}
-
-func (mean *decayingMean) add(now time.Time, value float64) {
-	decay := decayed(mean.at, now, lengthMemory)
-	mean.at = latest(mean.at, now)
-	mean.weight = mean.weight*decay + 1
-	mean.sum = mean.sum*decay + value
-}
-
-// shrunk returns the mean with lengthShrinkage values of wider added.
-func (mean *decayingMean) shrunk(wider float64) float64 {
-	if mean == nil {
-		return wider
-	}
-	return (mean.sum + lengthShrinkage*wider) / (mean.weight + lengthShrinkage)
-}
-
 // rotating is a histogram of the last histogramWindows windows.
 type rotating struct {
 	windowed  *hdrhistogram.WindowedHistogram
@@ -176,7 +155,7 @@
 		route.high, _ = route.lengths.percentile(highPercentile)
 	}
 	for _, key := range request.keys() {
-		entry(&model.lengths, maxLengths, key, func() *decayingMean { return new(decayingMean) }).add(now, float64(counted))
+		entry(&model.lengths, maxLengths, key, func() *decayingMean { return new(decayingMean) }).add(now, lengthMemory, float64(counted), 1)
 	}
 }
 
@@ -206,7 +185,7 @@
 	}
 	expected /= unit
 	for _, key := range request.keys() {
-		expected = peek(model.lengths, key).shrunk(expected)
+		expected = peek(model.lengths, key).shrunk(expected, lengthShrinkage)
 	}
 	high := 2 * expected
 	if route != nil && route.high > 0 {
@@ -248,7 +227,7 @@
 	model.mu.Lock()
 	defer model.mu.Unlock()
 	times := entry(&model.plain, maxRoutes, route, func() *plainTimes { return &plainTimes{times: newRotating()} })
-	times.mean.add(now, milliseconds(took))
+	times.mean.add(now, lengthMemory, milliseconds(took), 1)
 	if times.times.add(now, took.Milliseconds()) {
 		times.tail, _ = times.times.percentile(tailPercentile)
 	}
@@ -263,5 +242,5 @@
 	if times == nil || times.tail == 0 {
 		return 0, 0, false
 	}
-	return time.Duration(times.mean.sum / times.mean.weight * float64(time.Millisecond)), time.Duration(times.tail) * time.Millisecond, true
+	return time.Duration(times.mean.mean() * float64(time.Millisecond)), time.Duration(times.tail) * time.Millisecond, true
 }
