forward: costRequest, bindNew and workspaceID in place of copies

Where described a request for cost, and bound a new stream to the version of its cell, with copies of the code that forwards it. No change of behaviour.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -308,14 +308,12 @@
 		Upstream:    upstream.ID,
 		Wait:        ident.Milliseconds(max(remaining.Milliseconds(), 1)),
 		Priority:    exchange.priority(),
+		Workspace:   exchange.workspaceID(),
 		Prioritized: exchange.route.Sticky,
 		LastEvent:   lastEvent,
 	}
 	if source, listed := exchange.handler.Registry.Upstream(exchange.choice.Source); listed && exchange.mayFetch(source.ID) {
 		forwarding.FetchFrom = source.Address
 	}
-	if exchange.workspace != nil {
-		forwarding.Workspace = exchange.workspace.ID
-	}
 	return forwarding
 }
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -104,10 +104,15 @@
 	if exchange.head.TakesUp() {
 		return exchange.bindOrigin()
 	}
+	exchange.bindNew(version, state)
+	return result.OK
+}
+
+// bindNew restricts a new stream to the version of its cell, if the split assigns one.
+func (exchange *exchange) bindNew(version ident.SoftwareVersion, state split.State) {
 	if state == split.Assigned && !exchange.onlyElsewhere(version) {
 		exchange.binding = binding{version: version, source: newStream}
 	}
-	return result.OK
 }
 
 // onlyElsewhere reports whether a software version has no upstream in the regions to which the
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -52,11 +52,7 @@
 	if model == nil {
 		return nil
 	}
-	request := cost.Request{Route: exchange.route.Name, Hint: exchange.head.LengthHint, MaxOutput: exchange.head.MaxOutput}
-	if exchange.workspace != nil {
-		request.Workspace = exchange.workspace.ID
-	}
-	choice := exchange.choice
+	request, choice := exchange.costRequest(), exchange.choice
 	progress := &progress{
 		model: model, loads: exchange.handler.Loads, metrics: exchange.handler.Metrics,
 		upstream: answer.upstream, request: request, sentAt: time.Now(),
@@ -74,6 +70,11 @@
 	return progress
 }
 
+// costRequest describes the request for the prediction of its output.
+func (exchange *exchange) costRequest() cost.Request {
+	return cost.Request{Route: exchange.route.Name, Workspace: exchange.workspaceID(), Hint: exchange.head.LengthHint, MaxOutput: exchange.head.MaxOutput}
+}
+
 // observePace records the pace that the upstream reports; zero means that it reports none.
 func (progress *progress) observePace(pace float64) {
 	if progress != nil && pace > 0 {
--- a/forward/where.go
+++ b/forward/where.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/balance"
-	"github.com/hickoryhead/hickoryhead/cost"
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
-	"github.com/hickoryhead/hickoryhead/split"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
 
@@ -74,9 +72,7 @@
 	}
 	// Without a prompt the cell depends on the body.
 	if exchange.resumable() && len(exchange.head.Prompt) > 0 {
-		if version, state := handler.Splits.Version(exchange.service, exchange.streamKey()); state == split.Assigned && !exchange.onlyElsewhere(version) {
-			exchange.binding = binding{version: version, source: newStream}
-		}
+		exchange.bindNew(handler.Splits.Version(exchange.service, exchange.streamKey()))
 	}
 	placement := Placement{Code: result.OK.Name(), Route: exchange.route.Name, Service: exchange.service, Version: exchange.binding.version}
 	tuning, now, pool := handler.tuning.Load(), time.Now(), exchange.pool()
@@ -112,11 +108,7 @@
 	placement.Upstream, placement.Reason, placement.Source = choice.Upstream.ID, string(choice.Reason), choice.Source
 	placement.MeanLoad, placement.ExpectedMs = choice.Mean, choice.Expected.Milliseconds()
 	if tuning.Costs != nil && len(exchange.head.Prompt) > 0 {
-		described := cost.Request{Route: exchange.route.Name, Hint: exchange.head.LengthHint, MaxOutput: exchange.head.MaxOutput}
-		if exchange.workspace != nil {
-			described.Workspace = exchange.workspace.ID
-		}
-		placement.ExpectedOutput = tuning.Costs.Output(described).Mean
+		placement.ExpectedOutput = tuning.Costs.Output(exchange.costRequest()).Mean
 	}
 	return placement
 }
