forward: look up the service once for the capacities of a pool

view asked the table for the same service once for each upstream; capacityOf takes it. ownPrefill was ownTokens of a prompt that is not empty, and retryAfterRoom listed the codes of refusedForRoom. No change of behaviour: a service that is not found has no slots, as before.

--- a/forward/overload.go
+++ b/forward/overload.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryhead/hickoryhead/overload"
 	"github.com/hickoryhead/hickoryhead/registry"
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/routing"
 	"github.com/hickoryhead/hickoryhead/strike"
 )
 
@@ -81,13 +82,18 @@
 	return slots > 0 && exchange.standing().Allowance == strike.Free
 }
 
-// capacity returns the slots and the memory of an upstream. They are zero if they are not
-// known.
+// capacity returns the slots and the memory of an upstream of the request's service. They are
+// zero if they are not known.
 func (exchange *exchange) capacity(upstream registry.Upstream) (int, ident.Tokens) {
-	service, found := exchange.table.Service(exchange.service)
+	service, _ := exchange.table.Service(exchange.service)
+	return capacityOf(&service, upstream)
+}
+
+// capacityOf returns the slots and the memory of an upstream of a service.
+func capacityOf(service *routing.Service, upstream registry.Upstream) (int, ident.Tokens) {
 	switch {
-	case found && service.Slots > 0 && service.CacheTokens > 0:
-		return service.Slots, ident.Tokens(service.CacheTokens)
+	case service.Slots > 0 && service.CacheTokens > 0:
+		return service.Slots, service.CacheTokens
 	case upstream.Engine:
 		return 0, 0
 	}
@@ -110,7 +116,7 @@
 		Offered:       offered,
 	}
 	if len(exchange.prefixIDs) > 0 {
-		request.CachedPrefill = exchange.ownPrefill()
+		request.CachedPrefill = ownTokens(exchange.head.Prompt)
 	}
 	exchange.room = room{decision: exchange.admission.Decide(now, exchange.view(now, pool, key), request), pool: pool}
 	if !offered {
@@ -152,10 +158,11 @@
 	handler.Loads.EstimateEach(now, pool.Upstreams, func(i int, estimated, local balance.Load) {
 		view.Upstreams[i] = overload.Upstream{Requests: estimated.Requests, Local: local.Requests, Pending: estimated.PendingPrefill}
 	})
+	service, _ := exchange.table.Service(exchange.service)
 	for i, upstream := range pool.Upstreams {
 		known := &view.Upstreams[i]
 		known.ID = upstream.ID
-		known.Slots, known.Memory = exchange.capacity(upstream)
+		known.Slots, known.Memory = capacityOf(&service, upstream)
 		known.Cached = slices.Contains(cachedAt, upstream.ID)
 		known.Usable = !chooser.Ejected(now, upstream.ID)
 		known.Excluded = slices.Contains(exchange.tried, upstream.ID) || !chooser.Eligible(now, upstream, exchange.route.Retryable())
@@ -164,7 +171,7 @@
 }
 
 // prefill returns how many prompt tokens an upstream has to prefill that has none of the prompt
-// cached, and ownPrefill how many if it has the parts cached that other requests share.
+// cached.
 func (exchange *exchange) prefill() ident.Tokens {
 	if len(exchange.head.Prompt) == 0 {
 		return exchange.head.PromptTokens
@@ -172,10 +179,6 @@
 	return promptTokens(exchange.head.Prompt)
 }
 
-func (exchange *exchange) ownPrefill() ident.Tokens {
-	return exchange.head.Prompt[len(exchange.head.Prompt)-1].Tokens
-}
-
 // memory returns the tokens that the request takes at an engine: those of its prompt and of
 // the answer that is expected.
 func (exchange *exchange) memory() ident.Tokens {
@@ -254,10 +257,10 @@
 // admission control or by upstreams. It returns zero for other codes, and if the room of the
 // pool is not known.
 func (exchange *exchange) retryAfterRoom(code result.Code) time.Duration {
-	switch code {
-	case result.PoolFull, result.TooLate, result.WorkspaceAboveUsual:
+	switch {
+	case refusedForRoom(code):
 		return max(exchange.room.decision.RetryAfter, minRetryAfter)
-	case result.QueueFull:
+	case code == result.QueueFull:
 		if pool := exchange.pool(); exchange.table != nil && exchange.roomMatters(pool) {
 			return max(exchange.admission.RetryAfter(time.Now(), exchange.roomKey(pool), exchange.callerDeadline), minRetryAfter)
 		}
