--- a/overload/pool.go
+++ b/overload/pool.go
@@ -81,8 +81,6 @@
 	share    float64
 	capacity float64
 	used     float64
-	// room is how many more requests of mean size there is room for.
-	room float64
 }
 
 // usage returns the share of the pool that is used.
@@ -121,9 +119,7 @@
 		sums.added += upstream.added
 		sums.slots += upstream.Slots
 		sums.capacity += upstream.limit(estimates)
-		usage := upstream.usage(estimates)
-		sums.used += min(usage, 1)
-		sums.room += max(upstream.limit(estimates)-float64(upstream.Requests), 0)
+		sums.used += min(upstream.usage(estimates), 1)
 	}
 	return sums
 }
