--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -51,29 +51,41 @@
 	}
 }
 
+// drawChooser returns a chooser for 2 to 20 healthy upstreams with random loads, some of which
+// have the prompt cached, and their number.
+func drawChooser(t *rapid.T) (chooser *balance.Chooser, count int) {
+	loads := rapid.SliceOfN(rapid.IntRange(0, 30), 2, 20).Draw(t, "loads")
+	chooser = chooserWith(loads, nil)
+	for i := range loads {
+		if rapid.Bool().Draw(t, "cached") {
+			chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(i)})
+		}
+	}
+	return chooser, len(loads)
+}
+
+// checkBelowBound checks that an upstream is chosen, and that it is below the load bound.
+func checkBelowBound(t *rapid.T, chooser *balance.Chooser, count int, request balance.Request) {
+	chosen, found := chooser.Choose(start, poolOf(count), request)
+	if !found {
+		t.Fatal("got no upstream, want one")
+	}
+	if bound := 2*chosen.Mean + 1.5; float64(chosen.Load.Requests) >= bound {
+		t.Fatalf("got %s with load %+v, want one below %.1f", chosen.Upstream.ID, chosen.Load, bound)
+	}
+}
+
 // TestNoUpstreamAboveTheBound checks for random loads that the chosen upstream is
 // below the bound, whichever upstreams have the prompt prefix cached. All are
 // healthy, so one at or below the mean is always available.
 func TestNoUpstreamAboveTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		loads := rapid.SliceOfN(rapid.IntRange(0, 30), 2, 20).Draw(t, "loads")
-		chooser := chooserWith(loads, nil)
-		for i := range loads {
-			if rapid.Bool().Draw(t, "cached") {
-				chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(i)})
-			}
-		}
+		chooser, count := drawChooser(t)
 		request := balance.Request{}
 		if rapid.Bool().Draw(t, "has prefix") {
 			request.Keys = []ident.ChatID{"prompt", "shallower"}
 		}
-		chosen, found := chooser.Choose(start, poolOf(len(loads)), request)
-		if !found {
-			t.Fatal("got no upstream, want one")
-		}
-		if bound := 2*chosen.Mean + 1.5; float64(chosen.Load.Requests) >= bound {
-			t.Fatalf("got %s with load %+v, want one below %.1f", chosen.Upstream.ID, chosen.Load, bound)
-		}
+		checkBelowBound(t, chooser, count, request)
 	})
 }
 
--- a/balance/expected_test.go
+++ b/balance/expected_test.go
@@ -17,13 +17,7 @@
 // prefix cached. All are healthy, so one at or below the mean is always available.
 func TestPredictionsKeepTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		loads := rapid.SliceOfN(rapid.IntRange(0, 30), 2, 20).Draw(t, "loads")
-		chooser := chooserWith(loads, nil)
-		for i := range loads {
-			if rapid.Bool().Draw(t, "cached") {
-				chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(i)})
-			}
-		}
+		chooser, count := drawChooser(t)
 		chooser.FirstEvent = func(time.Time, registry.Upstream, balance.Work) (time.Duration, bool) {
 			predicted := rapid.OneOf(rapid.Int64Range(-1e9, 1e10), rapid.SampledFrom([]int64{0, math.MinInt64, math.MaxInt64})).Draw(t, "predicted")
 			return time.Duration(predicted), rapid.IntRange(0, 9).Draw(t, "known") > 0
@@ -34,13 +28,7 @@
 			Target: ident.Milliseconds(rapid.IntRange(0, 3000).Draw(t, "target")),
 		}
 		request.Prompt = request.Own + 1000
-		chosen, found := chooser.Choose(start, poolOf(len(loads)), request)
-		if !found {
-			t.Fatal("got no upstream, want one")
-		}
-		if bound := 2*chosen.Mean + 1.5; float64(chosen.Load.Requests) >= bound {
-			t.Fatalf("got %s with load %+v, want one below %.1f", chosen.Upstream.ID, chosen.Load, bound)
-		}
+		checkBelowBound(t, chooser, count, request)
 	})
 }
 
--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -10,6 +10,22 @@
 	"github.com/hickoryhead/hickoryhead/registry"
 )
 
+// chooserWithLimits returns a chooser for upstreams that stand to their limits as given, the
+// cached one of which has the prompt cached.
+func chooserWithLimits(loads []int, limits []balance.LimitState, cached int) *balance.Chooser {
+	chooser := chooserWith(loads, nil)
+	chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(cached)})
+	chooser.Limit = func(_ time.Time, upstream registry.Upstream) balance.LimitState {
+		for i, limit := range limits {
+			if upstream.ID == id(i) {
+				return limit
+			}
+		}
+		return balance.Unlimited
+	}
+	return chooser
+}
+
 // TestChoiceKeepsLimits guards against an upstream that gets a request beyond the limit
 // that it names, and against what a limit leaves going unused while others are full.
 func TestChoiceKeepsLimits(t *testing.T) {
@@ -31,16 +47,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			chooser := chooserWith(test.loads, nil)
-			chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(test.cached)})
-			chooser.Limit = func(_ time.Time, upstream registry.Upstream) balance.LimitState {
-				for i, limit := range test.limits {
-					if upstream.ID == id(i) {
-						return limit
-					}
-				}
-				return balance.Unlimited
-			}
+			chooser := chooserWithLimits(test.loads, test.limits, test.cached)
 			got, found := chooser.Choose(start, poolOf(len(test.loads)), balance.Request{Keys: []ident.ChatID{"prompt"}})
 			if found != test.found || found && got.Upstream.ID != id(test.want) {
 				t.Errorf("got %s (%s) and found %t, want %s and %t", got.Upstream.ID, got.Reason, found, id(test.want), test.found)
@@ -71,16 +78,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			chooser := chooserWith(test.loads, nil)
-			chooser.CacheIndex.RecordLocal(start, balance.CacheUpdate{Key: "prompt", Upstream: id(test.cached)})
-			chooser.Limit = func(_ time.Time, upstream registry.Upstream) balance.LimitState {
-				for i, limit := range test.limits {
-					if upstream.ID == id(i) {
-						return limit
-					}
-				}
-				return balance.Unlimited
-			}
+			chooser := chooserWithLimits(test.loads, test.limits, test.cached)
 			got, found := chooser.Choose(start, poolOf(len(test.loads)), balance.Request{Keys: []ident.ChatID{"prompt"}})
 			if found != test.found || found && math.Abs(got.Mean-test.mean) > 1e-9 {
 				t.Fatalf("got mean %v and found %t, want %v and %t", got.Mean, found, test.mean, test.found)
--- a/forward/body_test.go
+++ b/forward/body_test.go
@@ -162,6 +162,18 @@
 	}
 }
 
+// awaitStalledBody waits until most of a large body is held, and then until it counts as slow.
+func (router *router) awaitStalledBody(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); router.handler.Memory.Held() < largeBodyBytes*9/10; {
+		if time.Now().After(end) {
+			t.Fatal("got no body that is held, want one")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+}
+
 // TestStalledBodyGivesWay guards against a body that stops short of its end and keeps out
 // others, and against one that is forwarded although it was given up: its caller was told
 // that it did not run.
@@ -171,13 +183,7 @@
 	stalled := router.dial(t)
 	stalled.begin("stalled", fmt.Sprintf("Content-Length: %d", largeBodyBytes))
 	stalled.send(bytes.Repeat([]byte("x"), largeBodyBytes-1))
-	for end := time.Now().Add(5 * time.Second); router.handler.Memory.Held() < largeBodyBytes*9/10; {
-		if time.Now().After(end) {
-			t.Fatal("got no body that is held, want one")
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	time.Sleep(time.Second)
+	router.awaitStalledBody(t)
 	whole := router.dial(t)
 	whole.begin("whole", fmt.Sprintf("Content-Length: %d", largeBodyBytes))
 	whole.send(bytes.Repeat([]byte("y"), largeBodyBytes))
--- a/forward/linger_test.go
+++ b/forward/linger_test.go
@@ -18,13 +18,7 @@
 	for range 15 {
 		stalled.send(piece)
 	}
-	for end := time.Now().Add(5 * time.Second); router.handler.Memory.Held() < largeBodyBytes*9/10; {
-		if time.Now().After(end) {
-			t.Fatal("got no body that is held, want one")
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	time.Sleep(time.Second)
+	router.awaitStalledBody(t)
 	whole := router.dial(t)
 	whole.begin("whole", fmt.Sprintf("Content-Length: %d", largeBodyBytes))
 	whole.send(bytes.Repeat([]byte("y"), largeBodyBytes))
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -40,6 +40,18 @@
 	return router
 }
 
+// startPlainRoomRouter starts a router before an upstream of a plain service whose row names six
+// slots.
+func startPlainRoomRouter(t *testing.T, upstream *fakeUpstream) *router {
+	t.Helper()
+	router := startRouter(t, upstream)
+	router.tuneRoom(50)
+	listed := router.handler.Registry.Upstreams()
+	listed[0].Slots, listed[0].Version = 6, 2
+	router.handler.Registry.Replace(time.Now(), 2, listed)
+	return router
+}
+
 // tuneRoom turns the decision on room on, with so many retries.
 func (router *router) tuneRoom(retries float64) {
 	router.handler.Tune(forward.Tuning{Chooser: chooserOf(router.handler), RetrySlack: retries, Overload: new(overload.Controller)})
@@ -215,11 +227,7 @@
 		time.Sleep(50 * time.Millisecond)
 		return echo(ctx, conn, n, request)
 	})
-	router := startRouter(t, upstream)
-	router.tuneRoom(50)
-	listed := router.handler.Registry.Upstreams()
-	listed[0].Slots, listed[0].Version = 6, 2
-	router.handler.Registry.Replace(time.Now(), 2, listed)
+	router := startPlainRoomRouter(t, upstream)
 	router.setLoads(1, 5)
 	for n := range 5 {
 		router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n)).check(t, 200, "")
@@ -259,11 +267,7 @@
 		return echo(ctx, conn, n, request)
 	}
 	upstream := startUpstream(t, slow)
-	router := startRouter(t, upstream)
-	router.tuneRoom(50)
-	listed := router.handler.Registry.Upstreams()
-	listed[0].Slots, listed[0].Version = 6, 2
-	router.handler.Registry.Replace(time.Now(), 2, listed)
+	router := startPlainRoomRouter(t, upstream)
 	router.setLoads(1, 9)
 	for n := range 5 {
 		router.send(t, fmt.Sprint("a", n), "POST", "/once/x", fmt.Sprint(n)).check(t, 200, "")
