--- a/balance/selection.go
+++ b/balance/selection.go
@@ -169,8 +169,8 @@
 	return best, found
 }
 
-// spare returns an upstream below its limit, or its rate while cold, that is far less loaded than the chosen
-// one, preferably one that has the prefix cached, and whether there is one.
+// spare returns an upstream below its limit, or its rate while cold, that is far less loaded
+// than the chosen one, preferably one that has the prefix cached, and whether there is one.
 func (selection *selection) spare(chosen candidate) (candidate, bool) {
 	if selection.limited == 0 || chosen.limit != Unlimited {
 		return candidate{}, false
--- a/entry/resources.go
+++ b/entry/resources.go
@@ -17,13 +17,13 @@
 	// runtime's soft memory limit, above which the garbage collector works harder.
 	memoryLimitShare = 0.7
 	bytesPerMB       = 1 << 20
-	// accountShare is the share of the configured memory that bodies, long heads and answers may take. The rest
-	// of the soft limit is for the state of the fleet, connections, and what the garbage
-	// collector has not freed yet.
+	// accountShare is the share of the configured memory that bodies, long heads and answers
+	// may take. The rest of the soft limit is for the state of the fleet, connections, and what
+	// the garbage collector has not freed yet.
 	accountShare = 0.2
-	// connMemoryShare is the share of the configured memory that callers' connections may take, and
-	// bytesPerConn what one takes: its buffers, the stacks of its goroutines and the first
-	// part of a body.
+	// connMemoryShare is the share of the configured memory that callers' connections may
+	// take, and bytesPerConn what one takes: its buffers, the stacks of its goroutines and the
+	// first part of a body.
 	connMemoryShare = 0.15
 	bytesPerConn    = 24 << 10
 	// callerDescriptorShare is the share of the descriptors that callers' connections may
--- a/overload/view.go
+++ b/overload/view.go
@@ -52,8 +52,8 @@
 	drawnAt time.Time
 }
 
-// skipDecisions lets requests pass for a moment without a decision if the pool is not short of room: the
-// more room there is, the longer.
+// skipDecisions lets requests pass for a moment without a decision if the pool is not short of
+// room: the more room there is, the longer.
 func (view *view) skipDecisions(now time.Time, usage float64) {
 	left := min((shortUsage-usage)/(shortUsage-idleUsage), 1)
 	view.idleUntil = now.Add(time.Duration(left * float64(idleTime)))
--- a/quota/cold_report.go
+++ b/quota/cold_report.go
@@ -88,7 +88,8 @@
 	})
 }
 
-// AllColds returns the states in force, the latest first, at most maxPerMessage, for a router that has just started.
+// AllColds returns the states in force, the latest first, at most maxPerMessage, for a router
+// that has just started.
 func (tracker *Tracker) AllColds(now time.Time) []Cold {
 	colds := tracker.selectColds(maxColds, func(state *coldState) bool { return state.inForce(now) })
 	slices.SortFunc(colds, func(a, b Cold) int { return b.SeenAt.Compare(a.SeenAt) })
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -97,8 +97,8 @@
 	registry.current.Store(&snapshot{pools: pools, versions: versions, upstreams: maps.Clone(registry.listed), digest: registry.digest(), withheld: withheld})
 }
 
-// digest returns a hash that does not depend on the order of the map: routers
-// compare it. It doesn't depend on evacuations, which are propagated separately. The caller holds mu.
+// digest returns a hash that does not depend on the order of the map: routers compare it. It
+// doesn't depend on evacuations, which are propagated separately. The caller holds mu.
 func (registry *Registry) digest() uint64 {
 	var digest uint64
 	for _, upstream := range registry.listed {
