--- a/forward/bound_unread_test.go
+++ b/forward/bound_unread_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -85,24 +84,7 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	idleConns := startIdleConns(t, nil)
 	const rounds = 100
-	lost := 0
-	for range rounds {
-		conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		reader := bufio.NewReader(conn)
-		if !answered(t, conn, reader, func() {}) {
-			t.Fatal("got no answer to the first request of a connection, want one")
-		}
-		time.Sleep(time.Millisecond)
-		idleConns.conns.CloseIdle(time.Now().Add(time.Second))
-		if !answered(t, conn, reader, func() {}) {
-			lost++
-		}
-		conn.Close()
-	}
-	if lost > 0 {
+	if lost := idleConns.countLost(t, rounds, idleConns.closeIdle, func() {}); lost > 0 {
 		t.Errorf("got no answer to %d of %d requests that arrived before the read of their connection had ended, want 0", lost, rounds)
 	}
 }
--- a/forward/close_crossing_test.go
+++ b/forward/close_crossing_test.go
@@ -36,14 +36,7 @@
 		interrupted.TCPConn = conn.(*net.TCPConn)
 		return interrupted
 	})
-	conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
+	conn := idleConns.dial(t)
 	time.Sleep(10 * time.Millisecond)
 	idleConns.conns.CloseUnused(time.Now().Add(time.Second))
 	<-interrupted.failed
--- a/forward/idle_request_test.go
+++ b/forward/idle_request_test.go
@@ -89,14 +89,30 @@
 	return err == nil && string(body) == "hi"
 }
 
-// TestRequestThatArrivedIsNotClosedAsIdle guards against a whole request that gets neither an
-// answer nor a refusal: its bytes have arrived, but the goroutine of its connection is not
-// scheduled before the connection is closed as idle.
-func TestRequestThatArrivedIsNotClosedAsIdle(t *testing.T) {
-	// With one processor the goroutine runs only when this one waits.
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	idleConns := startIdleConns(t, nil)
-	const rounds = 300
+// dial connects to the server, for 5 seconds at most.
+func (idleConns *idleConns) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// closeIdle closes the connections that are idle.
+func (idleConns *idleConns) closeIdle() {
+	idleConns.conns.CloseIdle(time.Now().Add(time.Second))
+}
+
+// countLost sends two requests on each of a number of connections, one after another, and returns
+// how many of the second ones got no answer. It calls before ahead of the second request, and
+// meanwhile once that is sent.
+func (idleConns *idleConns) countLost(t *testing.T, rounds int, before, meanwhile func()) int {
+	t.Helper()
 	lost := 0
 	for range rounds {
 		conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
@@ -108,12 +124,24 @@
 			t.Fatal("got no answer to the first request of a connection, want one")
 		}
 		time.Sleep(time.Millisecond)
-		if !answered(t, conn, reader, func() { idleConns.conns.CloseIdle(time.Now().Add(time.Second)) }) {
+		before()
+		if !answered(t, conn, reader, meanwhile) {
 			lost++
 		}
 		conn.Close()
 	}
-	if lost > 0 {
+	return lost
+}
+
+// TestRequestThatArrivedIsNotClosedAsIdle guards against a whole request that gets neither an
+// answer nor a refusal: its bytes have arrived, but the goroutine of its connection is not
+// scheduled before the connection is closed as idle.
+func TestRequestThatArrivedIsNotClosedAsIdle(t *testing.T) {
+	// With one processor the goroutine runs only when this one waits.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	idleConns := startIdleConns(t, nil)
+	const rounds = 300
+	if lost := idleConns.countLost(t, rounds, func() {}, idleConns.closeIdle); lost > 0 {
 		t.Errorf("got no answer to %d of %d requests that arrived before their connection was closed as idle, want 0", lost, rounds)
 	}
 }
@@ -127,19 +155,9 @@
 		paused.Conn = conn
 		return paused
 	})
-	conn, err := net.Dial("tcp", idleConns.inner.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
+	conn := idleConns.dial(t)
 	reader := bufio.NewReader(conn)
-	for round, meanwhile := range []func(){
-		func() {},
-		func() { idleConns.conns.CloseIdle(time.Now().Add(time.Second)) },
-	} {
+	for round, meanwhile := range []func(){func() {}, idleConns.closeIdle} {
 		time.Sleep(10 * time.Millisecond)
 		got := answered(t, conn, reader, func() {
 			<-paused.read
