forward: listen, connect and serve for the tests' servers

Tests repeated the listener on loopback, the two ends of a connection, and the server that runs until the end of the test; startHeadBoundServer and a test of paused processes repeated startHeadServer. The listener of unreadConn stays open until the end of its test; the assertions are the same.

--- a/forward/bound_unread_test.go
+++ b/forward/bound_unread_test.go
@@ -15,21 +15,7 @@
 // unreadConn is a connection with a request in the kernel that its goroutine has not read yet.
 func unreadConn(t *testing.T) net.Conn {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { caller.Close() })
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { accepted.Close() })
+	caller, accepted := connect(t, listen(t))
 	if _, err := io.WriteString(caller, idleRequest); err != nil {
 		t.Fatal(err)
 	}
--- a/forward/caller_conns_test.go
+++ b/forward/caller_conns_test.go
@@ -20,12 +20,7 @@
 
 func newBoundedConns(t *testing.T, limit int) *boundedConns {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { inner.Close() })
-	bounded := &boundedConns{t: t, listener: forward.Listener{Listener: inner}}
+	bounded := &boundedConns{t: t, listener: forward.Listener{Listener: listen(t)}}
 	bounded.conns.Max = limit
 	bounded.conns.OnBound = func(reason forward.BoundReason) { bounded.reasons = append(bounded.reasons, reason) }
 	return bounded
@@ -34,16 +29,7 @@
 // connect opens a connection and returns both of its ends.
 func (bounded *boundedConns) connect() (caller, accepted net.Conn) {
 	bounded.t.Helper()
-	caller, err := net.Dial("tcp", bounded.listener.Addr().String())
-	if err != nil {
-		bounded.t.Fatal(err)
-	}
-	bounded.t.Cleanup(func() { caller.Close() })
-	accepted, err = bounded.listener.Accept()
-	if err != nil {
-		bounded.t.Fatal(err)
-	}
-	bounded.t.Cleanup(func() { accepted.Close() })
+	caller, accepted = connect(bounded.t, &bounded.listener)
 	bounded.conns.Track(accepted, http.StateNew)
 	return caller, accepted
 }
--- a/forward/close_reason_test.go
+++ b/forward/close_reason_test.go
@@ -26,25 +26,13 @@
 // newCloseCounter accepts a connection, as wrap returns it, in a state.
 func newCloseCounter(t *testing.T, wrap func(net.Conn) net.Conn, state http.ConnState) *closeCounter {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { inner.Close() })
 	counter := new(closeCounter)
 	listener := &forward.Listener{
-		Listener: &wrappingListener{Listener: inner, wrap: wrap},
+		Listener: &wrappingListener{Listener: listen(t), wrap: wrap},
 		OnClose:  func(reason forward.CloseReason) { counter.closed = append(counter.closed, reason) },
 		OnKeep:   func(reason forward.KeepReason) { counter.kept = append(counter.kept, reason) },
 	}
-	if counter.caller, err = net.Dial("tcp", inner.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { counter.caller.Close() })
-	if counter.conn, err = listener.Accept(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { counter.conn.Close() })
+	counter.caller, counter.conn = connect(t, listener)
 	counter.conns.Track(counter.conn, state)
 	return counter
 }
--- a/forward/early_answer_test.go
+++ b/forward/early_answer_test.go
@@ -15,11 +15,7 @@
 // TestBodyStaysHeldWhileItIsSent guards against a body that is still being written to an upstream
 // which has begun its answer, and is not counted any more.
 func TestBodyStaysHeldWhileItIsSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := listen(t)
 	end := make(chan struct{})
 	go func() {
 		conn, err := listener.Accept()
--- a/forward/head_bound_test.go
+++ b/forward/head_bound_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/memory"
 )
 
@@ -20,18 +19,7 @@
 // answers each request with 200.
 func startHeadBoundServer(t *testing.T, account *memory.Account) string {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	server := &routerServer{
-		server:   &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track},
-		listener: &forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
-	}
-	go server.run()
-	t.Cleanup(func() { _ = server.server.Close() })
-	return inner.Addr().String()
+	return startHeadServer(t, listen(t), account, func(http.ResponseWriter, *http.Request) {})
 }
 
 func dialHead(t *testing.T, address string) net.Conn {
--- a/forward/head_room_test.go
+++ b/forward/head_room_test.go
@@ -34,7 +34,7 @@
 	const callers = 300
 	var begun sync.WaitGroup
 	begun.Add(callers)
-	address := startHeadServer(t, account, func(http.ResponseWriter, *http.Request) {
+	address := startHeadServer(t, listen(t), account, func(http.ResponseWriter, *http.Request) {
 		begun.Done()
 		<-end
 	})
@@ -67,7 +67,7 @@
 	if !account.Grow(time.Now(), &kept, 8<<10) {
 		t.Fatal("got no room in an empty account, want some")
 	}
-	address := startHeadServer(t, account, func(http.ResponseWriter, *http.Request) { t.Error("got a request, want none") })
+	address := startHeadServer(t, listen(t), account, func(http.ResponseWriter, *http.Request) { t.Error("got a request, want none") })
 	for range 20 {
 		response, err := sendHead(address, strings.Repeat("p", 15<<10))
 		if err != nil {
@@ -85,7 +85,7 @@
 // answer.
 func TestGivenUpHeadIsRefused(t *testing.T) {
 	account := &memory.Account{Limit: 128 << 10}
-	address := startHeadServer(t, account, func(http.ResponseWriter, *http.Request) {})
+	address := startHeadServer(t, listen(t), account, func(http.ResponseWriter, *http.Request) {})
 	conn := dialHead(t, address)
 	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: %s", strings.Repeat("p", 8<<10)); err != nil {
 		t.Fatal(err)
--- a/forward/idle_request_test.go
+++ b/forward/idle_request_test.go
@@ -23,11 +23,7 @@
 // nil on these themselves.
 func startIdleConns(t *testing.T, wrap func(net.Conn) net.Conn) *idleConns {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	idleConns := &idleConns{inner: &wrappingListener{Listener: inner, wrap: wrap}}
+	idleConns := &idleConns{inner: &wrappingListener{Listener: listen(t), wrap: wrap}}
 	idleConns.server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(writer, request.Body)
 	})
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -48,21 +48,7 @@
 	for _, state := range []http.ConnState{http.StateIdle, http.StateNew} {
 		for _, sends := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%v, bytes come: %t", state, sends), func(t *testing.T) {
-				inner, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer inner.Close()
-				caller, err := net.Dial("tcp", inner.Addr().String())
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer caller.Close()
-				conn, err := (&forward.Listener{Listener: inner}).Accept()
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer conn.Close()
+				caller, conn := connect(t, &forward.Listener{Listener: listen(t)})
 				var callerConns forward.CallerConns
 				callerConns.Track(conn, state)
 				if sends {
@@ -76,7 +62,7 @@
 				later := time.Now().Add(time.Second)
 				callerConns.CloseIdle(later)
 				callerConns.CloseUnused(later)
-				_, err = io.WriteString(conn, "open")
+				_, err := io.WriteString(conn, "open")
 				if open := err == nil; open != sends {
 					t.Errorf("got a connection that is open: %t, want %t", open, sends)
 				}
--- a/forward/pipelined_head_test.go
+++ b/forward/pipelined_head_test.go
@@ -13,20 +13,12 @@
 	"github.com/hickoryhead/hickoryhead/memory"
 )
 
-// startHeadServer returns the address of a server that bounds heads in account and answers by
-// handler.
-func startHeadServer(t *testing.T, account *memory.Account, handler http.HandlerFunc) string {
+// startHeadServer returns the address of a server that accepts from inner, bounds heads in account
+// and answers by handler.
+func startHeadServer(t *testing.T, inner net.Listener, account *memory.Account, handler http.HandlerFunc) string {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &routerServer{
-		server:   &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track},
-		listener: &forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }},
-	}
-	go server.run()
-	t.Cleanup(func() { _ = server.server.Close() })
+	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track}
+	serve(t, server, &forward.Listener{Listener: inner, Memory: account, MaxHeadBytes: func() int { return maxHeadBytes }})
 	return inner.Addr().String()
 }
 
@@ -38,7 +30,7 @@
 		t.Run(fmt.Sprint("together ", together), func(t *testing.T) {
 			account := new(memory.Account)
 			begun, end := make(chan struct{}, 2), make(chan struct{})
-			address := startHeadServer(t, account, func(http.ResponseWriter, *http.Request) {
+			address := startHeadServer(t, listen(t), account, func(http.ResponseWriter, *http.Request) {
 				begun <- struct{}{}
 				<-end
 			})
--- a/forward/request_end_test.go
+++ b/forward/request_end_test.go
@@ -113,24 +113,19 @@
 // serve begins to serve. around is called in place of the handler, unless nil.
 func (router *endRouter) serve(around func(http.Handler) http.Handler) {
 	router.t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		router.t.Fatal(err)
-	}
+	inner := listen(router.t)
 	router.address = inner.Addr().String()
 	var handler http.Handler = router.handler
 	if around != nil {
 		handler = around(handler)
 	}
 	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ConnState: router.conns.Track, ErrorLog: log.New(io.Discard, "", 0)}
-	served := &routerServer{server: server, listener: &forward.Listener{
+	serve(router.t, server, &forward.Listener{
 		Listener:    &wrappingListener{Listener: inner, wrap: smallBufferConns},
 		Memory:      &router.handler.Memory,
 		OnClose:     router.recordClose,
 		OnUnhandled: router.recordUnhandled,
-	}}
-	go served.run()
-	router.t.Cleanup(func() { _ = server.Close() })
+	})
 }
 
 func (router *endRouter) recordClose(reason forward.CloseReason) {
--- a/forward/router_test.go
+++ b/forward/router_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -72,14 +71,9 @@
 		LogLimiter:  rate.NewLimiter(rate.Inf, 0),
 	}
 	handler.Tune(forward.Tuning{Chooser: chooserOf(handler), RetryShare: 0.2, RetrySlack: 50})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := listen(t)
 	server := &http.Server{Handler: handler, ConnContext: forward.ConnContext, ErrorLog: nil}
-	routerServer := &routerServer{server: server, listener: &forward.Listener{Listener: listener}}
-	go routerServer.run()
-	t.Cleanup(func() { _ = server.Close() })
+	serve(t, server, &forward.Listener{Listener: listener})
 	return &router{address: listener.Addr().String(), handler: handler, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
@@ -103,14 +97,6 @@
 	}
 }
 
-// routerServer serves a router's listener in the background.
-type routerServer struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (routerServer *routerServer) run() { _ = routerServer.server.Serve(routerServer.listener) }
-
 // startRouter starts a router with the configuration of testConfig.
 func startRouter(t testing.TB, upstreams ...*fakeUpstream) *router {
 	t.Helper()
--- a/forward/starved_test.go
+++ b/forward/starved_test.go
@@ -52,12 +52,8 @@
 func (router *router) serveBounded(t *testing.T, inner net.Listener, reasons *boundReasons) {
 	t.Helper()
 	conns := &forward.CallerConns{Max: 1, OnBound: reasons.add}
-	server := &routerServer{
-		server:   &http.Server{Handler: router.handler, ConnContext: forward.ConnContext, ConnState: conns.Track},
-		listener: &forward.Listener{Listener: inner},
-	}
-	go server.run()
-	t.Cleanup(func() { _ = server.server.Close() })
+	server := &http.Server{Handler: router.handler, ConnContext: forward.ConnContext, ConnState: conns.Track}
+	serve(t, server, &forward.Listener{Listener: inner})
 	router.address = inner.Addr().String()
 }
 
@@ -65,10 +61,6 @@
 // connections because its router takes long to write the answer: its caller does not stall.
 func TestStarvedAnswerStaysAtTheBound(t *testing.T) {
 	router := startRouter(t, startUpstream(t, echo))
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	starved := &starvedConn{writing: make(chan struct{}), pause: 1500 * time.Millisecond}
 	wrap := func(conn net.Conn) net.Conn {
 		if starved.TCPConn != nil {
@@ -77,7 +69,7 @@
 		starved.TCPConn = conn.(*net.TCPConn)
 		return starved
 	}
-	router.serveBounded(t, &wrappingListener{Listener: inner, wrap: wrap}, new(boundReasons))
+	router.serveBounded(t, &wrappingListener{Listener: listen(t), wrap: wrap}, new(boundReasons))
 	caller := router.dial(t)
 	caller.begin("a1", "Content-Length: 0")
 	<-starved.writing
@@ -93,12 +85,8 @@
 	for _, framing := range []string{"Content-Length: 0", "Content-Length: 100"} {
 		t.Run(framing, func(t *testing.T) {
 			router := startLargeBodyRouter(t, startUpstream(t, (&endless{begin: head, unit: chunk(strings.Repeat("x", 64<<10))}).answer))
-			inner, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
 			reasons := new(boundReasons)
-			router.serveBounded(t, inner, reasons)
+			router.serveBounded(t, listen(t), reasons)
 			router.dial(t).begin("a1", framing)
 			time.Sleep(2 * time.Second)
 			router.dial(t)
@@ -121,12 +109,8 @@
 		return true
 	}))
 	router.handler.Memory.Limit = 1 << 20
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	starved := &starvedConn{writing: make(chan struct{}), pause: 800 * time.Millisecond}
-	router.serveBounded(t, &wrappingListener{Listener: inner, wrap: func(conn net.Conn) net.Conn {
+	router.serveBounded(t, &wrappingListener{Listener: listen(t), wrap: func(conn net.Conn) net.Conn {
 		starved.TCPConn = conn.(*net.TCPConn)
 		return starved
 	}}, new(boundReasons))
--- a/forward/upstream_test.go
+++ b/forward/upstream_test.go
@@ -35,12 +35,7 @@
 
 func startUpstream(t testing.TB, answer func(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool) *fakeUpstream {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	upstream := &fakeUpstream{listener: listener, answer: answer}
-	t.Cleanup(func() { _ = listener.Close() })
+	upstream := &fakeUpstream{listener: listen(t), answer: answer}
 	go upstream.run()
 	return upstream
 }
--- a/forward/write_pause_test.go
+++ b/forward/write_pause_test.go
@@ -27,21 +27,16 @@
 	return err
 }
 
+// listenLate returns a listener whose connections are lateWriters.
+func listenLate(t *testing.T, pause time.Duration) net.Listener {
+	t.Helper()
+	return &wrappingListener{Listener: listen(t), wrap: func(conn net.Conn) net.Conn { return &lateWriter{Conn: conn, pause: pause} }}
+}
+
 // TestPausedProcessRefusesHead guards against a head that is refused without an answer, as the
 // process is paused before it writes that.
 func TestPausedProcessRefusesHead(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	late := &wrappingListener{Listener: inner, wrap: func(conn net.Conn) net.Conn { return &lateWriter{Conn: conn, pause: 500 * time.Millisecond} }}
-	server := &routerServer{
-		server:   &http.Server{Handler: http.NotFoundHandler(), ConnContext: forward.ConnContext, ConnState: new(forward.CallerConns).Track},
-		listener: &forward.Listener{Listener: late, Memory: new(memory.Account), MaxHeadBytes: func() int { return maxHeadBytes }},
-	}
-	go server.run()
-	t.Cleanup(func() { _ = server.server.Close() })
-	conn := dialHead(t, inner.Addr().String())
+	conn := dialHead(t, startHeadServer(t, listenLate(t, 500*time.Millisecond), new(memory.Account), http.NotFound))
 	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: %s\r\n\r\n", strings.Repeat("p", 3*maxHeadBytes)); err != nil {
 		t.Fatal(err)
 	}
@@ -55,18 +50,9 @@
 // process is paused before it writes that.
 func TestPausedProcessRefusesBody(t *testing.T) {
 	router := startRouter(t, startUpstream(t, echo))
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	late := &wrappingListener{Listener: inner, wrap: func(conn net.Conn) net.Conn { return &lateWriter{Conn: conn, pause: 1200 * time.Millisecond} }}
-	server := &routerServer{
-		server:   &http.Server{Handler: router.handler, ConnContext: forward.ConnContext},
-		listener: &forward.Listener{Listener: late},
-	}
-	go server.run()
-	t.Cleanup(func() { _ = server.server.Close() })
-	router.address = inner.Addr().String()
+	late := listenLate(t, 1200*time.Millisecond)
+	serve(t, &http.Server{Handler: router.handler, ConnContext: forward.ConnContext}, &forward.Listener{Listener: late})
+	router.address = late.Addr().String()
 	caller := router.dial(t)
 	caller.begin("long", "Content-Length: 1001")
 	caller.send(bytes.Repeat([]byte("x"), 1001))
