--- a/soak/kept_conn_test.go
+++ b/soak/kept_conn_test.go
@@ -27,6 +27,45 @@
 	server.serve(conn)
 }
 
+// listen returns a listener on loopback, which is closed at the end of the test.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// startClosingServer accepts the next connection of listener, and returns the caller's end of it.
+func startClosingServer(t *testing.T, listener net.Listener, serve func(conn net.Conn)) (*closingServer, *keptConn) {
+	t.Helper()
+	server := &closingServer{listener: listener, serve: serve, done: make(chan struct{})}
+	go server.run()
+	conn, err := dialKept(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, conn
+}
+
+// sendHi sends a request on conn and reads the answer, if there is one.
+func sendHi(ctx context.Context, t *testing.T, conn *keptConn, listener net.Listener) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader("hi"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := (&http.Client{Transport: conn}).Do(request); err == nil {
+		_, _ = io.ReadAll(response.Body)
+		response.Body.Close()
+	}
+}
+
+// closeConn closes a connection without reading from it.
+func closeConn(conn net.Conn) { conn.Close() }
+
 // readRequest reads a request from conn, and answers it if answers is set.
 func readRequest(conn net.Conn, answers bool) {
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -76,28 +115,12 @@
 		}, abandoned},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			server := &closingServer{listener: listener, serve: test.serve, done: make(chan struct{})}
-			go server.run()
-			conn, err := dialKept(listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
+			listener := listen(t)
+			server, conn := startClosingServer(t, listener, test.serve)
 			defer conn.close()
 			ctx, cancel := context.WithTimeout(t.Context(), 3*crossingTime)
 			defer cancel()
-			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader("hi"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			if response, err := (&http.Client{Transport: conn}).Do(request); err == nil {
-				_, _ = io.ReadAll(response.Body)
-				response.Body.Close()
-			}
+			sendHi(ctx, t, conn, listener)
 			if conn.ending != test.want {
 				t.Errorf("got ending %q, want %q", conn.ending, test.want)
 			}
@@ -109,17 +132,7 @@
 // TestKeptConnSendsNothingAfterItsClose guards against a request that is counted as lost although the
 // router had closed its connection before.
 func TestKeptConnSendsNothingAfterItsClose(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	server := &closingServer{listener: listener, serve: func(conn net.Conn) { conn.Close() }, done: make(chan struct{})}
-	go server.run()
-	conn, err := dialKept(listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	server, conn := startClosingServer(t, listen(t), closeConn)
 	defer conn.close()
 	<-server.done
 	time.Sleep(10 * time.Millisecond)
@@ -131,27 +144,12 @@
 // TestRequestThatCrossesTheCloseIsNotLost guards against the same for closes at the moment at which the
 // request is sent.
 func TestRequestThatCrossesTheCloseIsNotLost(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
+	listener := listen(t)
 	const rounds = 2000
 	endings := make(map[ending]int)
 	for range rounds {
-		server := &closingServer{listener: listener, serve: func(conn net.Conn) { conn.Close() }, done: make(chan struct{})}
-		go server.run()
-		conn, err := dialKept(listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader("hi"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if response, err := (&http.Client{Transport: conn}).Do(request); err == nil {
-			response.Body.Close()
-		}
+		server, conn := startClosingServer(t, listener, closeConn)
+		sendHi(t.Context(), t, conn, listener)
 		endings[conn.ending]++
 		<-server.done
 		conn.close()
