--- a/quota/cold_scenarios_test.go
+++ b/quota/cold_scenarios_test.go
@@ -46,16 +46,19 @@
 	})
 }
 
+// replaceInTurn replaces the upstreams one after another by new incarnations.
+func replaceInTurn(fleet *coldFleet) {
+	for _, upstream := range fleet.upstreams {
+		fleet.crash(upstream, time.Second+fleet.upTo(time.Second), true)
+		fleet.play(1500 * time.Millisecond)
+	}
+	fleet.play(5 * time.Second)
+}
+
 // TestHighColdRateIsUsed guards against routers that leave upstreams idle at rates of which each
 // sharing router has a large part, or so many share that none can save up a request.
 func TestHighColdRateIsUsed(t *testing.T) {
-	playColdAt(t, []coldSize{{6, 20}, {103, 40}}, usedWhileWaiting, func(fleet *coldFleet) {
-		for _, upstream := range fleet.upstreams {
-			fleet.crash(upstream, time.Second+fleet.upTo(time.Second), true)
-			fleet.play(1500 * time.Millisecond)
-		}
-		fleet.play(5 * time.Second)
-	})
+	playColdAt(t, []coldSize{{6, 20}, {103, 40}}, usedWhileWaiting, replaceInTurn)
 }
 
 // TestZoneReturnsColdBeforeItsRowsExpire guards against too many requests at upstreams that
@@ -72,13 +75,7 @@
 // TestRollingReplacementOfUpstreams guards against too many requests at new incarnations,
 // whose rows are read after they accept requests.
 func TestRollingReplacementOfUpstreams(t *testing.T) {
-	playCold(t, usedWhileWaiting, func(fleet *coldFleet) {
-		for _, upstream := range fleet.upstreams {
-			fleet.crash(upstream, time.Second+fleet.upTo(time.Second), true)
-			fleet.play(1500 * time.Millisecond)
-		}
-		fleet.play(5 * time.Second)
-	})
+	playCold(t, usedWhileWaiting, replaceInTurn)
 }
 
 // TestLateRowOfAColdUpstream guards against too many requests at new incarnations whose rows
