soak: the changed weights are those of a service of its own

Configurations split the route of the kept callers between the pool and small3, a service that requests end all the time.

Change: the route is split with a service of one upstream that no fault is applied to.

--- a/soak/changes.go
+++ b/soak/changes.go
@@ -23,9 +23,11 @@
 	longIdleTimeout  = 15000
 	// crowdedRoutes is how many routes a configuration may have beside those in use.
 	crowdedRoutes = 1000
-	// changingPath is the path of the route that variants change, and changingKey an API key
-	// that they add and remove.
+	// changingPath is the path of the route that variants change, otherService the service that
+	// it is split with, which has one upstream without faults, and changingKey an API key that
+	// they add and remove.
 	changingPath = "/changing/"
+	otherService = "other"
 	changingKey  = "key-2"
 )
 
@@ -57,7 +59,7 @@
 	if !variant.removed {
 		changing := route("changing", changingPath, routing.Idempotent, maxAttempts)
 		changing.Timeout = variant.timeout
-		changing.Shares = []routing.Share{{Service: poolService, Weight: variant.weight}, {Service: smallServiceName(maxSmallService), Weight: 1}}
+		changing.Shares = []routing.Share{{Service: poolService, Weight: variant.weight}, {Service: otherService, Weight: 1}}
 		routes = append(routes, changing)
 	}
 	for n := range variant.moreRoutes {
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -62,6 +62,7 @@
 		route("stream", "/stream/", routing.Stream, 1), resume, probe,
 	}
 	services := []routing.Service{{Name: poolService, MaxConnections: variant.maxConnections, ColdStart: coldRule.Start, ColdPerSecond: coldRule.PerSecond}}
+	services = append(services, routing.Service{Name: otherService, MaxConnections: 100})
 	for size := range maxSmallService {
 		services = append(services, routing.Service{Name: smallServiceName(size + 1), MaxConnections: 100})
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -67,6 +67,7 @@
 	routers   []*router
 	upstreams []*upstream
 	small     []*smallService
+	other     *upstream
 	ports     *portBlock
 	startedAt time.Time
 
@@ -211,6 +212,11 @@
 	if err := soak.startSmallServices(); err != nil {
 		return err
 	}
+	other, err := startUpstream("other-0", otherService, "", softwareVersions[0], soak)
+	if err != nil {
+		return err
+	}
+	soak.other = other
 	if err := os.MkdirAll(soak.options.Dir, 0o700); err != nil {
 		return err
 	}
@@ -253,6 +259,9 @@
 			upstream.close()
 		}
 	}
+	if soak.other != nil {
+		soak.other.close()
+	}
 	if soak.ports != nil {
 		soak.ports.release()
 	}
