forward: an answer that its router begins to write late is not cut

Callers saw an answer of an upstream cut without a byte: the deadline of the write is a second after that of the request, and a router without processor time had not begun to write by then.

A write that fails by its deadline without a byte, while the caller has taken all that was written before, is made once more with a second of its own. TestPausedProcessWritesAnswer got an unexpected EOF before, and 200 now.

--- a/forward/request_end.go
+++ b/forward/request_end.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/result"
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 // EndReason says why a request that was read whole got no complete answer. It is empty for one
@@ -79,12 +80,22 @@
 // request is reported as unanswered.
 func (checkedConn *checkedConn) Write(data []byte) (int, error) {
 	count, err := checkedConn.Conn.Write(data)
+	if count == 0 && checkedConn.extendLateWrite(err) {
+		count, err = checkedConn.Conn.Write(data)
+	}
 	if err != nil {
 		checkedConn.recordWriteError(err)
 	}
 	return count, err
 }
 
+// extendLateWrite moves the deadline of a write that the router has begun too late, as its caller
+// has taken all that was written before, and reports whether it did.
+func (checkedConn *checkedConn) extendLateWrite(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && socket.HasSentAll(checkedConn.Conn) &&
+		checkedConn.Conn.SetWriteDeadline(time.Now().Add(writeGrace)) == nil
+}
+
 func (checkedConn *checkedConn) recordWriteError(err error) {
 	checkedConn.mu.Lock()
 	checkedConn.writeErr = err
--- a/forward/write_pause_test.go
+++ b/forward/write_pause_test.go
@@ -58,3 +58,29 @@
 	caller.send(bytes.Repeat([]byte("x"), 1001))
 	caller.check(http.StatusRequestEntityTooLarge)
 }
+
+// pausedWriter is a connection whose process is paused before its first write.
+type pausedWriter struct {
+	*net.TCPConn
+	pause time.Duration
+}
+
+func (pausedWriter *pausedWriter) Write(data []byte) (int, error) {
+	time.Sleep(pausedWriter.pause)
+	pausedWriter.pause = 0
+	return pausedWriter.TCPConn.Write(data)
+}
+
+// TestPausedProcessWritesAnswer guards against an answer of an upstream that is cut off without a
+// byte, as its router is paused until the deadline of the write has passed.
+func TestPausedProcessWritesAnswer(t *testing.T) {
+	router := startRouter(t, startUpstream(t, echo))
+	late := &wrappingListener{Listener: listen(t), wrap: func(conn net.Conn) net.Conn {
+		return &pausedWriter{TCPConn: conn.(*net.TCPConn), pause: 3200 * time.Millisecond}
+	}}
+	serve(t, &http.Server{Handler: router.handler, ConnContext: forward.ConnContext}, &forward.Listener{Listener: late})
+	router.address = late.Addr().String()
+	caller := router.dial(t)
+	caller.begin("a1", "Connection: close\r\nContent-Length: 0")
+	caller.check(http.StatusOK)
+}
