forward: a request does not ask the connection that it has released

Seen as data races of changetest on beside load: a request that had returned its upstream connection to the pool asked it whether its own body was still being sent, while another request sent on it. The memory of a body could be held for the other's time, or released while in use.

The answer is now recorded before the connection is released. TestReleasedConnectionIsNotAsked showed the race in 3 of 3 runs before, and none now.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -61,6 +61,9 @@
 	pendingPrefill ident.Tokens
 	// progress is what costs are learned from, or nil.
 	progress *progress
+	// released is set once another request may have got the connection, and sentInPart if the
+	// request was still being sent then.
+	released, sentInPart bool
 }
 
 // prefillDone records that the upstream has prefilled the prompt.
@@ -77,6 +80,7 @@
 // release returns the connection to its pool after the body was read to its
 // end.
 func (answer *answer) release() {
+	answer.released, answer.sentInPart = true, answer.conn.Sending()
 	answer.endLoad()
 	answer.countEnd(answer.response.StatusCode < http.StatusBadRequest)
 	if ended := !answer.stopEnd(); !answer.stopWatch() || ended {
@@ -86,6 +90,14 @@
 	answer.conn.Release(answer.response.Body, http1.KeepAlive(answer.response.Header))
 }
 
+// sending reports whether the request is still being sent, and its body in use.
+func (answer *answer) sending() bool {
+	if answer.released {
+		return answer.sentInPart
+	}
+	return answer.conn.Sending()
+}
+
 // endLoad records that the upstream no longer has the request.
 func (answer *answer) endLoad() {
 	answer.loads.End(answer.upstream.ID, answer.pendingPrefill)
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -50,7 +50,7 @@
 	// The fingerprint is that of the body, and goes into the log.
 	exchange.suspect()
 	exchange.body = nil
-	if exchange.bodyHeld && !answer.conn.Sending() {
+	if exchange.bodyHeld && !answer.sending() {
 		exchange.bodyHeld = false
 		exchange.handler.Memory.Release(&exchange.bodyHolding)
 	}
