fleettest: StartServer for the upstreams of changetest and crowdtest

Both started, closed and named the address of an HTTP server in the same way. changetest and crowdtest pass with the race detector, one run each.

--- a/changetest/router_test.go
+++ b/changetest/router_test.go
@@ -52,7 +52,7 @@
 	t.Cleanup(server.Close)
 	for _, service := range []string{serviceA, serviceB} {
 		router.upstreams[service] = startUpstream(t)
-		router.write(platform.ServerTable, platform.Key("i-"+service), fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1700000000000}`, service, router.upstreams[service].address()))
+		router.write(platform.ServerTable, platform.Key("i-"+service), fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1700000000000}`, service, router.upstreams[service].address))
 	}
 	router.apply(first)
 	router.settings = config.Entry{
--- a/changetest/upstream_test.go
+++ b/changetest/upstream_test.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/fleettest"
 )
 
 const (
@@ -22,7 +23,7 @@
 // upstream answers with the identifier of the request and the length of its body, and keeps
 // which requests have reached it.
 type upstream struct {
-	server *httptest.Server
+	address string
 	// limit is the number of requests a second that it names in its answers, or zero.
 	limit   atomic.Int64
 	reached sync.Map
@@ -30,20 +31,10 @@
 
 func startUpstream(t *testing.T) *upstream {
 	upstream := new(upstream)
-	upstream.server = httptest.NewServer(upstream)
-	t.Cleanup(upstream.close)
+	upstream.address = fleettest.StartServer(t, upstream)
 	return upstream
 }
 
-func (upstream *upstream) close() {
-	upstream.server.CloseClientConnections()
-	upstream.server.Close()
-}
-
-func (upstream *upstream) address() string {
-	return strings.TrimPrefix(upstream.server.URL, "http://")
-}
-
 // hasReached reports whether a request has reached the upstream.
 func (upstream *upstream) hasReached(id string) bool {
 	_, found := upstream.reached.Load(id)
--- a/crowdtest/router_test.go
+++ b/crowdtest/router_test.go
@@ -86,7 +86,7 @@
 	write := func(table platform.TableName, key platform.Key, value string) {
 		store.Write(platform.Record{Table: table, Key: key, Value: []byte(value)})
 	}
-	write(platform.ServerTable, "i-1", fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1700000000000}`, router.upstream.address()))
+	write(platform.ServerTable, "i-1", fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1700000000000}`, router.upstream.address))
 	route := func(name, kind string) string {
 		return fmt.Sprintf(`{"name":%q,"host":"a.example","prefix":"/%s/","route-type":%q,"timeout-ms":40000,"target-latency-ms":20000,"priority":1,"service":"pool","max-attempts":2,"public":true}`, name, name, kind)
 	}
--- a/crowdtest/upstream_test.go
+++ b/crowdtest/upstream_test.go
@@ -5,11 +5,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/fleettest"
 )
 
 // Paths behind the prefix of a route, which say how the upstream answers.
@@ -27,27 +28,16 @@
 
 // upstream answers ordinary requests with the length of their bodies.
 type upstream struct {
-	server *httptest.Server
-	served atomic.Int64
+	address string
+	served  atomic.Int64
 }
 
 func startUpstream(t *testing.T) *upstream {
 	upstream := new(upstream)
-	upstream.server = httptest.NewServer(upstream)
-	t.Cleanup(upstream.close)
+	upstream.address = fleettest.StartServer(t, upstream)
 	return upstream
 }
 
-// close ends the answers that are not read, too.
-func (upstream *upstream) close() {
-	upstream.server.CloseClientConnections()
-	upstream.server.Close()
-}
-
-func (upstream *upstream) address() string {
-	return strings.TrimPrefix(upstream.server.URL, "http://")
-}
-
 // ServeHTTP answers one request.
 func (upstream *upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	upstream.served.Add(1)
