--- a/daemon/http_service_test.go
+++ b/daemon/http_service_test.go
@@ -16,7 +16,7 @@
 const serviceRequest = "POST / HTTP/1.1\r\nHost: daemon\r\nContent-Length: 2\r\n\r\nhi"
 
 // pausedListener accepts connections whose reader is paused after each read of several bytes: it
-// reports that on read, and goes on once it gets something from resume.
+// reports that on read, and continues on a receive from resume.
 type pausedListener struct {
 	net.Listener
 	read, resume chan struct{}
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -137,7 +137,7 @@
 // Terminate asks the process to stop gracefully. It doesn't wait for the exit.
 func (process *Process) Terminate() { _ = process.command.Process.Signal(syscall.SIGTERM) }
 
-// Hangup tells the process that its settings file has changed.
+// Hangup sends SIGHUP, which says that the settings file has changed.
 func (process *Process) Hangup() { _ = process.command.Process.Signal(syscall.SIGHUP) }
 
 // Wait waits until the process has exited. It returns an error unless it
--- a/forward/caller_conns.go
+++ b/forward/caller_conns.go
@@ -35,7 +35,7 @@
 	mu sync.Mutex
 	// states holds the state of each open connection.
 	states map[net.Conn]connState
-	// idleTimeout is how long a connection may be idle, as CloseExpired was told last.
+	// idleTimeout is how long a connection may be idle, as of the last CloseExpired.
 	idleTimeout time.Duration
 }
 
--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -45,7 +45,7 @@
 	headsHandled     int
 	headsAnswered    int
 	// reading is set while a goroutine reads, and closing once the connection is to be closed
-	// because no request has begun, or none goes on: by that goroutine, unless it has read bytes
+	// because no request has begun, or it makes no progress: by that goroutine, unless it has read bytes
 	// meanwhile. closed is set once that can't be taken back.
 	reading, closing, closed bool
 	// readDeadline is the deadline that was set for reads.
--- a/forward/close_crossing_test.go
+++ b/forward/close_crossing_test.go
@@ -9,7 +9,7 @@
 )
 
 // interruptedConn is a connection whose reader is paused after the first read that fails: it
-// reports that on failed, and goes on once it gets something from resume.
+// reports that on failed, and continues on a receive from resume.
 type interruptedConn struct {
 	*net.TCPConn
 	failed, resume chan struct{}
--- a/forward/idle_request_test.go
+++ b/forward/idle_request_test.go
@@ -52,7 +52,7 @@
 }
 
 // pausedConn is a connection whose reader is paused after each read of several bytes: it reports
-// that on read, and goes on once it gets something from resume.
+// that on read, and continues on a receive from resume.
 type pausedConn struct {
 	net.Conn
 	read, resume chan struct{}
--- a/forward/stalled_body_test.go
+++ b/forward/stalled_body_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestWholeRequestStaysAtTheBound guards against a request that was read whole and is cut off at the
-// bound: its handler has not recorded the end of the body yet, and the read that goes on is that by
+// bound: its handler has not recorded the end of the body yet, and the pending read is that by
 // which net/http notices that a caller leaves.
 func TestWholeRequestStaysAtTheBound(t *testing.T) {
 	const head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
