--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -28,15 +28,20 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, 1+pid%254, 1+hosts.Add(1)%253)
 }
 
-// freePort returns an address of a host whose port was free just now.
-func freePort(t *testing.T, host string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		t.Fatal(err)
+// chooseAddresses sets the addresses at which a process of the fixture listens, on a host of its
+// own, to ports that were free just now.
+func (fixture *fixture) chooseAddresses() {
+	fixture.t.Helper()
+	host := newHost()
+	for _, address := range []*string{&fixture.config.CallerListen, &fixture.config.ReadyListen, &fixture.config.PeerListen} {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			fixture.t.Fatal(err)
+		}
+		defer listener.Close()
+		*address = listener.Addr().String()
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	fixture.addresses = entry.Addresses{Callers: fixture.config.CallerListen, Ready: fixture.config.ReadyListen, Peers: fixture.config.PeerListen}
 }
 
 // startProcess starts a router as a process of its own, with the settings of the fixture, and
@@ -48,11 +53,8 @@
 	if output, err := exec.Command("go", "build", "-o", program, "github.com/hickoryhead/hickoryhead/cmd/hickoryhead").CombinedOutput(); err != nil {
 		t.Fatalf("got %v, want a successful build: %s", err, output)
 	}
-	settings := fixture.config
-	host := newHost()
-	settings.CallerListen, settings.ReadyListen, settings.PeerListen = freePort(t, host), freePort(t, host), freePort(t, host)
-	fixture.addresses = entry.Addresses{Callers: settings.CallerListen, Ready: settings.ReadyListen, Peers: settings.PeerListen}
-	content, err := json.Marshal(settings)
+	fixture.chooseAddresses()
+	content, err := json.Marshal(fixture.config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/hickoryhead/hickoryhead/entry"
 	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/ident"
 )
@@ -32,18 +31,8 @@
 func newProcessFixture(t *testing.T) *processFixture {
 	t.Helper()
 	fixture := &processFixture{fixture: newFixture(t, "i-1")}
-	for _, address := range []*string{&fixture.config.CallerListen, &fixture.config.ReadyListen, &fixture.config.PeerListen} {
-		listener, err := net.Listen("tcp", anyPort)
-		if err != nil {
-			t.Fatal(err)
-		}
-		*address = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	fixture.chooseAddresses()
 	fixture.config.StopTimeoutMs = ident.Milliseconds(stopTimeout.Milliseconds())
-	fixture.addresses = entry.Addresses{Callers: fixture.config.CallerListen, Ready: fixture.config.ReadyListen, Peers: fixture.config.PeerListen}
 	content, err := json.Marshal(fixture.config)
 	if err != nil {
 		t.Fatal(err)
