--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -19,6 +19,7 @@
 		"smuggled": smuggled,
 		"memory":   memory,
 		"late":     lateWrite,
+		"joined":   joined,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
