--- a/explain/explain.go
+++ b/explain/explain.go
@@ -312,7 +312,7 @@
 	"NotReady":             "the router had no configuration yet",
 	"UnknownRoute":         "no route of the configuration in force matches the host and path",
 	"UnknownKey":           "no workspace of the configuration in force holds the API key",
-	"AmbiguousFraming":     "the framing of the caller's request is ambiguous",
+	"AmbiguousFraming":     "a line of the caller's request is not in the form of HTTP/1.1, or the request states its length in more than one way",
 	"InvalidHeader":        "a header of the caller's request is invalid",
 	"HeadTooLarge":         "the caller's headers are longer than the configuration allows",
 	"BodyTooLarge":         "the caller's body is longer than the configuration allows",
--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -13,7 +13,8 @@
 )
 
 // checkedConn is a caller's connection whose bytes are scanned for requests
-// with ambiguous framing, and for heads that are too long.
+// that don't have the form of the protocol, so that their end is ambiguous, and for heads that are
+// too long.
 type checkedConn struct {
 	net.Conn
 	listener  *Listener
@@ -203,6 +204,17 @@
 	return checkedConn.scanner.InBody()
 }
 
+// bodyIsInvalid reports whether the chunks or trailers of the request that is being handled don't
+// have the form of the protocol. Bytes of a request behind it don't count.
+func (checkedConn *checkedConn) bodyIsInvalid() bool {
+	if checkedConn == nil || !checkedConn.ambiguous.Load() {
+		return false
+	}
+	checkedConn.mu.Lock()
+	defer checkedConn.mu.Unlock()
+	return checkedConn.scanner.InBody() && checkedConn.scanner.Heads() == checkedConn.headsHandled
+}
+
 // hasRequest reports whether bytes of a request that has not been answered were read.
 func (checkedConn *checkedConn) hasRequest() bool { return !checkedConn.requestStart().IsZero() }
 
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -50,8 +50,8 @@
 	return context.WithValue(ctx, connContextKey, conn)
 }
 
-// Unambiguous reports whether all requests so far on the connection of ctx had
-// unambiguous framing. It returns true for a connection that no Listener
+// Unambiguous reports whether all bytes so far on the connection of ctx had the form of requests,
+// as package framing checks it. It returns true for a connection that no Listener
 // accepted.
 func Unambiguous(ctx context.Context) bool {
 	conn, checked := ctx.Value(connContextKey).(*checkedConn)
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -36,6 +36,10 @@
 	if code := exchange.readBody(); code != result.OK {
 		return code
 	}
+	if exchange.conn.bodyIsInvalid() {
+		exchange.writer.Header().Set("Connection", "close")
+		return result.AmbiguousFraming
+	}
 	return exchange.checkStop()
 }
 
--- a/framing/doc.go
+++ b/framing/doc.go
@@ -1,8 +1,9 @@
-// Package framing scans the bytes of an HTTP/1.1 connection for messages whose
-// end two parsers could see in different places, as in request smuggling.
+// Package framing scans the bytes of an HTTP/1.1 connection, so that two parsers can't see the end
+// of a message in different places, as in request smuggling.
 //
-// It guarantees that a message with both a Content-Length and a
-// Transfer-Encoding, with more than one Content-Length, or with a
-// Transfer-Encoding other than chunked is reported before any byte after its
-// head is taken for another message. It does no I/O.
+// It accepts a message only if each line of its head, of its chunks and of its trailers has the
+// form that RFC 9112 defines, and only if the head states the length of the body in one way. It
+// repairs nothing: a folded line, a blank before a colon, a control byte, a bare line feed and
+// anything else that another parser might read differently is reported, before any byte after it
+// is taken for another message. It does no I/O.
 package framing
--- a/framing/scanner_test.go
+++ b/framing/scanner_test.go
@@ -20,7 +20,7 @@
 		{"two messages", head + "Content-Length: 3\r\n\r\nabc" + head + "Content-Length: 1\r\n\r\na", true},
 		{"chunked", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + head + "\r\n", true},
 		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n" + head + "\r\n", true},
-		{"body that looks like a head", head + "Content-Length: 39\r\n\r\n" + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", true},
+		{"body that looks like a head", head + "Content-Length: 40\r\n\r\n" + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", true},
 		{"length and encoding", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		{"encoding and length", head + "transfer-encoding: chunked\r\ncontent-length : 3\r\n\r\n", false},
 		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n", false},
@@ -31,6 +31,7 @@
 		{"second message", head + "Content-Length: 3\r\n\r\nabc" + head + "Content-Length: x\r\n\r\n", false},
 		{"chunk longer than its size", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", false},
 		{"chunk size is not a number", head + "Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n", false},
+		{"line feed behind a body", head + "Content-Length: 3\r\n\r\nabc\n", false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/result/code.go
+++ b/result/code.go
@@ -125,7 +125,7 @@
 	{AnswerExpired, "AnswerExpired", "The answer is no longer held", "The answer, or the requested part of it, is no longer in the replay buffer.", http.StatusGone, Unknown, false},
 	{UnknownKey, "UnknownKey", "No such API key", "The request has no API key, or one that belongs to no workspace, and its route is not public.", http.StatusUnauthorized, NotRun, false},
 	{HeadTooLarge, "HeadTooLarge", "The head is too large", "The request line and the headers are longer than the configuration allows.", http.StatusRequestHeaderFieldsTooLarge, NotRun, false},
-	{AmbiguousFraming, "AmbiguousFraming", "The end of the body is ambiguous", "The request specifies its length in more than one way. Send either a Content-Length header or a chunked body.", http.StatusBadRequest, NotRun, false},
+	{AmbiguousFraming, "AmbiguousFraming", "The request is not in the form of HTTP/1.1", "A line of the head, of a chunk or of the trailers does not have the form that RFC 9112 defines, or the request specifies its length in more than one way, so that its end is ambiguous. Send either a Content-Length header or a chunked body, and no folded lines.", http.StatusBadRequest, NotRun, false},
 
 	{OverBound, "OverBound", "Every upstream tried is at its load bound", "Nothing was run. Retry after the time in Retry-After.", http.StatusServiceUnavailable, NotRun, true},
 	{ShareExceeded, "ShareExceeded", "The workspace is at its share", "The upstream is under contention and the workspace already uses its weighted share of it. Nothing was run.", http.StatusTooManyRequests, NotRun, true},
