--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -215,6 +215,7 @@
 	}
 	daemon.registry.Heartbeat = daemon.Config.HeartbeatMs.Duration()
 	daemon.registry.OnKept = daemon.updater.ReportKept
+	daemon.registry.OnOutdated = daemon.updater.ReportOutdated
 	daemon.updater.OnEvacuationEnd = daemon.markCold
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
 	daemon.handler.LastStall = daemon.stallRecorder.last
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -29,6 +29,7 @@
 func (daemon *Daemon) maintain(now time.Time) {
 	daemon.stalls.Tick(now)
 	daemon.updater.Expire()
+	daemon.updater.Settle()
 	listed := daemon.registry.Upstreams()
 	daemon.handler.Connections.Retain(listed)
 	daemon.quota.Retain(now, listed)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -84,7 +84,7 @@
 		}
 		sameUpstream := line.Upstream != "" && line.Upstream == request.Upstream
 		switch {
-		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == leavingSaid),
+		case sameUpstream && (line.Message == upstreamEjected || line.Message == upstreamChanged || line.Message == upstreamKept || line.Message == rowOutdated || line.Message == leavingSaid),
 			request.Code == "UpstreamsResting" && line.Message == restAsked,
 			line.Message == shortageBegan, line.Message == shortageEnded,
 			(sameUpstream || request.Code == "UpstreamsCold") && isCold(line),
@@ -227,6 +227,8 @@
 		return fmt.Sprintf("connection to the store silent, opened at %s: a new one is used", line.OpenedAt.Format(time.TimeOnly))
 	case upstreamKept:
 		return fmt.Sprintf("upstream %s kept, its row was removed, but may have expired in an outage of the store since %s", line.Upstream, line.OutageBegin.Format(time.TimeOnly))
+	case rowOutdated:
+		return fmt.Sprintf("row of upstream %s not used: write %d of incarnation %d, written late; known is write %d of incarnation %d, removed %v", line.Upstream, line.Sequence, line.Incarnation, line.KnownSequence, line.KnownIncarnation, line.KnownGone)
 	case strikeCounted:
 		return fmt.Sprintf("strike %d of %s %s: upstream %s broke off while it ran attempt %s", line.Strikes, kindOf(line), line.Fingerprint, line.Upstream, line.Attempt)
 	case strikeWithdrawn:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -208,6 +208,7 @@
 func TestRequestAfterSilentConnection(t *testing.T) {
 	const lines = `{"time":"2026-10-21T04:12:56.100Z","level":"WARN","msg":"Connection to the store is silent, a new one is used.","VM":"edge-1","OpenedAt":"2026-10-21T04:10:00Z"}
 {"time":"2026-10-21T04:12:56.200Z","level":"INFO","msg":"follow: Upstream kept, its row may have expired in an outage of the store.","VM":"edge-1","Upstream":"i-1","OutageBegin":"2026-10-21T04:12:55Z"}
+{"time":"2026-10-21T04:12:56.300Z","level":"INFO","msg":"follow: Row of an upstream not used, it was written late.","VM":"edge-1","Upstream":"i-1","Incarnation":7,"Sequence":5,"KnownIncarnation":7,"KnownSequence":8,"KnownGone":false}
 {"time":"2026-10-21T04:12:57.500Z","level":"WARN","msg":"forward: Request finished.","VM":"edge-1","Attempt":"a1","Status":502,"Code":"OutcomeUnknown","Ms":700,"Upstream":"i-1","Cause":"unexpected EOF"}`
 	log := new(explain.Log)
 	for text := range strings.SplitSeq(lines, "\n") {
@@ -217,7 +218,7 @@
 	if !log.WriteRequest(&out, "a1") {
 		t.Fatal("got no line about a1, want its log lines")
 	}
-	for _, want := range []string{"connection to the store silent, opened at 04:10:00", "upstream i-1 kept", "since 04:12:55"} {
+	for _, want := range []string{"connection to the store silent, opened at 04:10:00", "upstream i-1 kept", "since 04:12:55", "row of upstream i-1 not used: write 5 of incarnation 7, written late; known is write 8"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("got %q, want %q in it", out.String(), want)
 		}
--- a/explain/line.go
+++ b/explain/line.go
@@ -66,6 +66,13 @@
 	// began in which the row of an upstream may have expired.
 	OpenedAt    time.Time
 	OutageBegin time.Time
+	// Sequence and Incarnation are those of a row that was written late, KnownSequence and
+	// KnownIncarnation what its upstream had said later. KnownGone is set if it had left.
+	Sequence         int64
+	Incarnation      int64
+	KnownSequence    int64
+	KnownIncarnation int64
+	KnownGone        bool
 	// Strikes is how many upstreams crashed under the request, or the part, so far.
 	// Kind says which of the two the strike is of; empty means a request.
 	Strikes int
@@ -139,6 +146,7 @@
 	storeUnreachable = "follow: Store not reached."
 	storeSilent      = "Connection to the store is silent, a new one is used."
 	upstreamKept     = "follow: Upstream kept, its row may have expired in an outage of the store."
+	rowOutdated      = "follow: Row of an upstream not used, it was written late."
 	configInForce    = "follow: Configuration in force."
 	strikeCounted    = "strike: Strike counted, the upstream broke off while it ran the request."
 	strikeWithdrawn  = "strike: Strike withdrawn, the upstream ran on."
--- a/follow/updater.go
+++ b/follow/updater.go
@@ -32,8 +32,8 @@
 	// OnEvacuationEnd, if set, is called with the listed upstreams of a zone when its
 	// evacuation ends, before they are usable again. It must not apply evacuations.
 	OnEvacuationEnd func(zone ident.Zone, upstreams []registry.Upstream)
-	// OnRow, unless nil, is called with each row of an upstream read from the store, before
-	// it is applied, and with when the call that read it was sent. SentAt returns that; it is
+	// OnRow, unless nil, is called with each row of an upstream read from the store that is not
+	// outdated, before it is applied, and with when the call that read it was sent. SentAt returns that; it is
 	// set with OnRow.
 	OnRow   func(upstream registry.Upstream, value []byte, sentAt time.Time)
 	SentAt  func() time.Time
@@ -147,7 +147,7 @@
 		return registry.Upstream{ID: id, Version: record.Version}, false
 	}
 	upstream.Version = record.Version
-	if updater.OnRow != nil {
+	if updater.OnRow != nil && !updater.Registry.IsOutdated(time.Now(), upstream) {
 		updater.OnRow(upstream, record.Value, updater.SentAt())
 	}
 	return upstream, true
@@ -174,6 +174,24 @@
 		"OutageBegin", kept.OutageBegin, "OutageEnd", kept.OutageEnd, "PeerStoreUpSince", kept.PeerStoreUpSince)
 }
 
+// ReportOutdated counts and logs a row that is not used, since its upstream has said something else
+// after it.
+func (updater *Updater) ReportOutdated(outdated registry.Outdated) {
+	row := outdated.Row
+	updater.Metrics.CountEvent("upstream.row.outdated")
+	updater.Logger.Info("Row of an upstream not used, it was written late.",
+		"Upstream", row.ID, "RowVersion", row.Version, "Incarnation", row.Incarnation, "Sequence", row.Sequence, "Leaving", row.Leaving,
+		"KnownIncarnation", outdated.Known, "KnownSequence", outdated.KnownSequence, "KnownGone", outdated.Gone, "Until", outdated.Until)
+}
+
+// Settle applies the rows that might have been written late and have stood for long, and relays
+// those that took effect.
+func (updater *Updater) Settle() {
+	settled := updater.Registry.Settle(time.Now())
+	updater.reportChanges(settled, sourceStore)
+	updater.Relay(settled)
+}
+
 // Expire removes the upstreams whose rows are still missing some time after an
 // outage of the store.
 func (updater *Updater) Expire() {
--- a/registry/era.go
+++ b/registry/era.go
@@ -9,6 +9,8 @@
 // departure is what is known of an incarnation that was leaving or was removed.
 type departure struct {
 	incarnation Incarnation
+	// sequence is the last one that was read of it.
+	sequence Sequence
 	// version is the version of the row or removal that said so.
 	version ident.Revision
 	removed bool
@@ -40,7 +42,7 @@
 	if len(registry.departures) >= maxRemovedVersions {
 		clear(registry.departures)
 	}
-	registry.departures[upstream.ID] = departure{incarnation: upstream.Incarnation, version: version, removed: removed}
+	registry.departures[upstream.ID] = departure{incarnation: upstream.Incarnation, sequence: upstream.Sequence, version: version, removed: removed}
 }
 
 // withDeparture returns what a row of an upstream says once it is known that its
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -58,6 +58,7 @@
 	case registry.storeDown && !down:
 		registry.outageEnd = now
 		registry.extendMissing(now.Add(RejoinGracePeriod))
+		registry.postponeLate(now.Add(settleHeartbeats * registry.Heartbeat))
 	case !registry.storeDown && down:
 		registry.outageBegin = now
 	}
--- a/registry/pool.go
+++ b/registry/pool.go
@@ -98,12 +98,14 @@
 }
 
 // digest returns a hash that does not depend on the order of the map: routers compare it. It
-// doesn't depend on evacuations, which are propagated separately. The caller holds mu.
+// doesn't depend on evacuations, which are propagated separately, nor on the order of rows. Its
+// text is that of earlier programs, with a zero where they had the version. The caller holds mu.
 func (registry *Registry) digest() uint64 {
 	var digest uint64
 	for _, upstream := range registry.listed {
-		upstream.Version = 0
-		digest ^= xxhash.Sum64String(fmt.Sprint(upstream))
+		text := fmt.Sprintf("{%v %v %v %v %v %v %v %v %v 0}", upstream.ID, upstream.Incarnation, upstream.Service, upstream.Address,
+			upstream.Zone, upstream.Software, upstream.Slots, upstream.Leaving, upstream.Engine)
+		digest ^= xxhash.Sum64String(text)
 	}
 	return digest
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -48,15 +48,9 @@
 	Leaving bool
 	// Engine is set for a model engine, which caches prompt prefixes.
 	Engine bool
-	// Version is the version of the row.
-	Version ident.Revision
-}
-
-// equalIgnoringVersion reports whether a and b differ in nothing but their
-// versions.
-func equalIgnoringVersion(a, b Upstream) bool {
-	a.Version = b.Version
-	return a == b
+	// Version is the version of the row, and Sequence the upstream's own count of its writes.
+	Version  ident.Revision
+	Sequence Sequence `msgpack:",omitempty"`
 }
 
 // Change is a new state of one row. Gone is set if the row was removed or
@@ -75,6 +69,9 @@
 	// OnKept, unless nil, is called for each upstream that stays listed although its row
 	// was removed. It must not call the registry.
 	OnKept func(kept Kept)
+	// OnOutdated, unless nil, is called for each row that is not used since it was written late.
+	// It must not call the registry.
+	OnOutdated func(outdated Outdated)
 	// OnStart, unless nil, is called for each upstream, before it is in a pool, that was not
 	// listed or had another incarnation. It is not called for those of the first complete
 	// list, and must not call the registry.
@@ -95,6 +92,8 @@
 	// the row is written again.
 	listed       map[ident.UpstreamID]Upstream
 	missingUntil map[ident.UpstreamID]time.Time
+	// late holds the rows that may have been written late.
+	late map[ident.UpstreamID]lateRow
 	// removedVersions holds the versions of the latest removals.
 	removedVersions map[ident.UpstreamID]ident.Revision
 	// departures holds the latest incarnations that were leaving or removed.
@@ -143,7 +142,8 @@
 func (registry *Registry) Loaded() bool { return registry.current.Load() != nil }
 
 // Apply applies changes of rows and returns those that took effect. It ignores a
-// change that is older than the listed row or the last removal.
+// change that is older than the listed row or the last removal, by the order of the store or by
+// that of the upstream.
 func (registry *Registry) Apply(now time.Time, changes []Change) []Change {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
@@ -182,6 +182,7 @@
 	if registry.listed == nil {
 		registry.listed = make(map[ident.UpstreamID]Upstream)
 		registry.missingUntil = make(map[ident.UpstreamID]time.Time)
+		registry.late = make(map[ident.UpstreamID]lateRow)
 		registry.removedVersions = make(map[ident.UpstreamID]ident.Revision)
 		registry.renewals = make(map[ident.UpstreamID]renewal)
 		registry.departures = make(map[ident.UpstreamID]departure)
@@ -202,28 +203,13 @@
 	}
 	registry.observeEra(now, change.Upstream.Version.Era())
 	if !change.Gone {
-		var usable bool
-		if change.Upstream, usable = registry.withDeparture(change.Upstream); !usable {
+		if outdated, is := registry.outdated(now, change.Upstream); is {
+			registry.skip(outdated)
 			return false
 		}
-		if registry.hasAnnounced(change.Upstream) {
-			change.Upstream.Leaving = true
-		}
-		if change.Upstream.Leaving {
-			registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
-		}
-		if change.Upstream.Software == "" && known && change.Upstream.Version == present.Version {
-			// A router of a program that doesn't read the version relayed the row.
-			change.Upstream.Software = present.Software
-		}
-		if started := !known || present.Incarnation != change.Upstream.Incarnation; started && registry.OnStart != nil && registry.Loaded() {
-			registry.OnStart(now, change.Upstream)
-		}
-		registry.recordRenewal(now, change.Upstream)
-		delete(registry.missingUntil, id)
-		registry.listed[id] = change.Upstream
-		return !known || !equalIgnoringVersion(present, change.Upstream)
+		return registry.list(now, change)
 	}
+	delete(registry.late, id)
 	if !known {
 		return false
 	}
@@ -242,6 +228,35 @@
 	return true
 }
 
+// list lists the upstream of a row and reports whether that changed anything. The caller holds mu.
+func (registry *Registry) list(now time.Time, change *Change) bool {
+	id := change.Upstream.ID
+	present, known := registry.listed[id]
+	var usable bool
+	if change.Upstream, usable = registry.withDeparture(change.Upstream); !usable {
+		return false
+	}
+	if registry.hasAnnounced(change.Upstream) {
+		change.Upstream.Leaving = true
+	}
+	if change.Upstream.Leaving {
+		registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
+	}
+	if change.Upstream.Software == "" && known && change.Upstream.Version == present.Version {
+		// A router of a program that doesn't read the version relayed the row.
+		change.Upstream.Software = present.Software
+	}
+	if started := !known || present.Incarnation != change.Upstream.Incarnation; started && registry.OnStart != nil && registry.Loaded() {
+		registry.OnStart(now, change.Upstream)
+	}
+	change.Upstream = change.Upstream.withKnownSequence(present)
+	registry.recordRenewal(now, change.Upstream)
+	delete(registry.late, id)
+	delete(registry.missingUntil, id)
+	registry.listed[id] = change.Upstream
+	return !known || present.withoutOrder() != change.Upstream.withoutOrder()
+}
+
 // Upstreams returns all listed upstreams, sorted by ID.
 func (registry *Registry) Upstreams() []Upstream {
 	registry.mu.Lock()
