--- a/http1/conn.go
+++ b/http1/conn.go
@@ -100,6 +100,7 @@
 
 // newConn returns a connection of pool that uses opened.
 func newConn(pool *Pool, opened net.Conn) *Conn {
+	opened = socket.Orderly(opened)
 	source := &source{conn: opened}
 	return &Conn{Conn: opened, OpenedAt: pool.now(), pool: pool, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
--- a/http1/doc.go
+++ b/http1/doc.go
@@ -4,5 +4,7 @@
 // It guarantees that an error says whether any byte of the request may have
 // left this process, that the package never sends a request a second time by
 // itself, that it never uses a connection again on which bytes arrived that belong
-// to no request, and that it holds a bounded part of what a peer sends.
+// to no request, that it holds a bounded part of what a peer sends, and that a
+// response which ends with its connection is whole only if the peer closed that in
+// order, also while the request was still being written.
 package http1
--- a/metrics/conn.go
+++ b/metrics/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/hickoryhead/hickoryhead/ident"
 )
@@ -51,6 +52,15 @@
 	traffic *Traffic
 }
 
+// SyscallConn returns the connection for calls to the kernel.
+func (conn *countingConn) SyscallConn() (syscall.RawConn, error) {
+	source, ok := conn.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return source.SyscallConn()
+}
+
 // Read reads from the connection and counts the bytes received.
 func (conn *countingConn) Read(buffer []byte) (int, error) {
 	n, err := conn.Conn.Read(buffer)
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 // Defaults for the fields of a Client that are zero.
@@ -177,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, openedAt: time.Now()}, nil
+	return &conn{Conn: socket.Orderly(opened), openedAt: time.Now()}, nil
 }
 
 // attempt is one round trip of the transport. The transport may use several
