--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/framing"
 	"github.com/hickoryhead/hickoryhead/result"
 )
 
@@ -163,6 +164,9 @@
 		return
 	}
 	exchange.setCauseText(errors.UnwrapAll(err).Error())
+	if errors.Is(err, framing.ErrMalformed) {
+		exchange.handler.Metrics.CountEvent("answer.malformed")
+	}
 	// At its end the router itself closes the connections.
 	ended := exchange.handler.ended()
 	exchange.broke = connectionBroke(err) && !ended
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -22,6 +22,10 @@
 // Scanner tracks the messages of one direction of a connection. The zero value expects the first
 // byte of a request. It is not safe for concurrent use.
 type Scanner struct {
+	// responses is set if the messages are responses, and bodiless if the next one answers a HEAD
+	// request.
+	responses, bodiless bool
+
 	// next processes the next byte, and returns false if it breaks the form of a message; nil
 	// stands for the first byte of a message.
 	next    step
@@ -47,10 +51,12 @@
 
 // head is what the scanner keeps of the head that it is in, or of the line that it is in.
 type head struct {
-	// matched counts the bytes of a fixed text, or of a number with a fixed length.
+	// matched counts the bytes of protocol that were read.
 	matched int
 	// minorVersion is the last digit of the version.
 	minorVersion byte
+	// status is the status code of a response, and statusDigits how many of its digits were read.
+	status, statusDigits int
 	// name and value are the beginnings of those of a header, in lower case, size is that of a chunk.
 	name, value []byte
 	size        []byte
@@ -91,7 +97,7 @@
 			continue
 		}
 		if scanner.next == nil {
-			scanner.next = beginRequest
+			scanner.beginMessage()
 		}
 		if !scanner.inBody {
 			scanner.headBytes++
@@ -105,6 +111,14 @@
 	return len(data)
 }
 
+// beginMessage expects the first byte of a message.
+func (scanner *Scanner) beginMessage() {
+	scanner.next = beginRequest
+	if scanner.responses {
+		scanner.next = inVersion
+	}
+}
+
 // skip consumes bytes of a body or a chunk.
 func (scanner *Scanner) skip(count int64) {
 	scanner.remaining -= count
@@ -122,8 +136,10 @@
 // endMessage prepares the scanner for the head of the next message.
 func (scanner *Scanner) endMessage() {
 	*scanner = Scanner{
-		heads: scanner.heads,
-		head:  head{name: scanner.head.name[:0], value: scanner.head.value[:0], size: scanner.head.size[:0]},
+		responses: scanner.responses,
+		bodiless:  scanner.bodiless,
+		heads:     scanner.heads,
+		head:      head{name: scanner.head.name[:0], value: scanner.head.value[:0], size: scanner.head.size[:0]},
 	}
 }
 
@@ -157,10 +173,13 @@
 		return b == protocol[scanner.head.matched-1]
 	}
 	scanner.head.minorVersion = b
-	return isDigit(b) && scanner.expect(endRequestLine, 0)
+	if scanner.responses {
+		return isDigit(b) && scanner.expect(beforeStatus, 0)
+	}
+	return isDigit(b) && scanner.expect(endStartLine, 0)
 }
 
-func endRequestLine(scanner *Scanner, b byte) bool {
+func endStartLine(scanner *Scanner, b byte) bool {
 	return b == '\r' && scanner.expectLineFeed(beginField)
 }
 
@@ -266,6 +285,7 @@
 	scanner.headBytes, scanner.headFields = 0, 0
 	scanner.heads++
 	switch {
+	case scanner.endsWithHead():
 	case scanner.head.chunked:
 		scanner.inBody = true
 		return scanner.expect(beginChunk, 0)
@@ -273,6 +293,10 @@
 		scanner.inBody = true
 		scanner.remaining = scanner.head.length
 		return scanner.expect(nil, 0)
+	case scanner.responses && scanner.head.lengthCount == 0:
+		scanner.inBody = true
+		scanner.remaining = endOfConnection
+		return scanner.expect(nil, 0)
 	}
 	scanner.endMessage()
 	return true
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/framing"
 	"github.com/hickoryhead/hickoryhead/oncehttp"
 	"github.com/hickoryhead/hickoryhead/socket"
 )
@@ -68,26 +69,30 @@
 	notReusable bool
 }
 
-// source reads from a connection. While it is limited, it fails after a number of
-// bytes.
+// source reads from a connection, and checks the form of the responses. While it is
+// limited, it fails after a number of bytes.
 type source struct {
-	conn    net.Conn
-	limited bool
-	left    int
+	conn      net.Conn
+	responses framing.Responses
+	limited   bool
+	left      int
 }
 
 // Read reads from the connection. It returns ErrHeadTooLong once the limit is
-// reached.
+// reached, and framing.ErrMalformed behind bytes that are no response.
 func (source *source) Read(buffer []byte) (int, error) {
-	if !source.limited {
-		return source.conn.Read(buffer)
+	if source.responses.Malformed() {
+		return 0, framing.ErrMalformed
 	}
-	if source.left <= 0 {
-		return 0, ErrHeadTooLong
+	if source.limited {
+		if source.left <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		buffer = buffer[:min(len(buffer), source.left)]
 	}
-	count, err := source.conn.Read(buffer[:min(len(buffer), source.left)])
+	count, err := source.conn.Read(buffer)
 	source.left -= count
-	return count, err
+	return source.responses.Check(buffer[:count], err)
 }
 
 // limit makes the source fail after count bytes, until unlimit.
@@ -122,6 +127,7 @@
 // returns. The error is a *oncehttp.SendError.
 func (conn *Conn) Send(request *Request) error {
 	conn.Requests++
+	conn.source.responses.Expect(request.Method)
 	first, rest := request.encode()
 	count, err := conn.Write(first)
 	if err != nil {
@@ -176,7 +182,7 @@
 // Receive reads the head of the next response and skips informational ones. The
 // caller must read the body to its end before the connection can carry another
 // request. The error is a *oncehttp.SendError; its cause is ErrHeadTooLong for a
-// head without an end.
+// head without an end, and framing.ErrMalformed for bytes that are no response.
 func (conn *Conn) Receive(method string) (*http.Response, error) {
 	conn.source.limit(maxHeadBytes)
 	defer conn.source.unlimit()
@@ -201,7 +207,7 @@
 // reusable reports whether the connection may carry another request, after the
 // body of its last response was read to its end.
 func (conn *Conn) reusable() bool {
-	if conn.notReusable || conn.reader.Buffered() > 0 {
+	if conn.notReusable || conn.reader.Buffered() > 0 || !conn.source.responses.Between() {
 		return false
 	}
 	if conn.writer == nil {
--- a/http1/doc.go
+++ b/http1/doc.go
@@ -6,5 +6,7 @@
 // itself, that it never uses a connection again on which bytes arrived that belong
 // to no request, that it holds a bounded part of what a peer sends, and that a
 // response which ends with its connection is whole only if the peer closed that in
-// order, also while the request was still being written.
+// order, also while the request was still being written. Responses are checked for
+// the form of the protocol as they are read (package framing); one that is out of form
+// is an error.
 package http1
--- a/oncehttp/client.go
+++ b/oncehttp/client.go
@@ -117,7 +117,7 @@
 	client.once.Do(client.initTransport)
 	guarded := withoutResend(request)
 	for tries := 1; ; tries++ {
-		attempt := attempt{client: client}
+		attempt := attempt{client: client, method: request.Method}
 		response, err := attempt.send(guarded)
 		if err == nil {
 			return response, nil
@@ -186,6 +186,7 @@
 // connections for a GET or HEAD request, and one for any other.
 type attempt struct {
 	client *Client
+	method string
 	// conn is the latest connection, or nil if there was none.
 	conn *conn
 	// writesBefore is the number of writes of conn before this attempt.
@@ -249,6 +250,7 @@
 	attempt.conn, _ = info.Conn.(*conn)
 	attempt.reused = info.Reused
 	if attempt.conn != nil {
+		attempt.conn.expect(attempt.method)
 		attempt.writesBefore = attempt.conn.writeCount()
 		if attempt.retired = attempt.reused && attempt.client.retired(attempt.conn); attempt.retired {
 			attempt.conn.blockWrites()
