--- a/forward/malformed_answer_test.go
+++ b/forward/malformed_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -93,3 +94,19 @@
 		})
 	}
 }
+
+// TestAnswerWithABadStatus guards against an answer with a status that is none (MIXED): below 100 it
+// passed for an interim answer, so that its body, or what followed it, passed for the answer.
+func TestAnswerWithABadStatus(t *testing.T) {
+	const length, body = "Content-Length: 15\r\n", "id: 1\ndata: a\n\n"
+	for _, status := range []string{"000", "001", "042", "099", "600", "999"} {
+		bad := strings.Replace(signedHead, "200 OK", status+" X", 1)
+		for name, text := range map[string]string{
+			"alone":                    bad + length + "\r\n" + body,
+			"before a proper answer":   bad + "\r\n" + signedHead + length + "\r\n" + body,
+			"behind an interim answer": "HTTP/1.1 103 Early Hints\r\n\r\n" + bad + length + "\r\n" + body,
+		} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) { checkNoAnswer(t, text) })
+		}
+	}
+}
--- a/framing/responses.go
+++ b/framing/responses.go
@@ -13,6 +13,9 @@
 const (
 	// statusLength is how many digits a status code has.
 	statusLength = 3
+	// minStatus and maxStatus bound the status codes that have a meaning (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 	// endOfConnection is the length of a body that ends with its connection.
 	endOfConnection = math.MaxInt64
 )
@@ -57,10 +60,10 @@
 	head := &scanner.head
 	head.status = 10*head.status + int(b-'0')
 	head.statusDigits++
-	if head.statusDigits == statusLength {
-		scanner.expect(afterStatus, 0)
+	if !isDigit(b) || head.statusDigits < statusLength {
+		return isDigit(b)
 	}
-	return isDigit(b)
+	return minStatus <= head.status && head.status <= maxStatus && scanner.expect(afterStatus, 0)
 }
 
 // afterStatus expects a reason phrase, or the end of the line. Many servers leave out the blank before
--- a/framing/responses_test.go
+++ b/framing/responses_test.go
@@ -1,6 +1,8 @@
 package framing_test
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -153,3 +155,64 @@
 		t.Errorf("got %d bytes and error %v, want the whole response of %d and ErrMalformed", count, err, len(whole))
 	}
 }
+
+// checkedReader reads responses that are checked.
+type checkedReader struct {
+	reader    io.Reader
+	responses *framing.Responses
+}
+
+func (reader checkedReader) Read(buffer []byte) (int, error) {
+	count, err := reader.reader.Read(buffer)
+	return reader.responses.Check(buffer[:count], err)
+}
+
+// FuzzCheckedResponses guards against responses that the check and the library read differently:
+// behind each response that the library reads to its end through the check, the check is between
+// two responses, unless the response ends with its connection.
+func FuzzCheckedResponses(f *testing.F) {
+	for _, data := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 204 No\r\n\r\n",
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nBa d: x\r\n\r\nabc",
+		"HTTP/1.1 304 X\r\nContent-Length: 3\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc",
+	} {
+		f.Add([]byte(data), false)
+		f.Add([]byte(data), true)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, head bool) {
+		method := http.MethodGet
+		if head {
+			method = http.MethodHead
+		}
+		var responses framing.Responses
+		responses.Expect(method)
+		// One byte a read, so that the check is never ahead of the library.
+		reader := bufio.NewReaderSize(checkedReader{oneByteReader{bytes.NewReader(data)}, &responses}, 16)
+		for {
+			response, err := http.ReadResponse(reader, &http.Request{Method: method})
+			if err != nil {
+				return
+			}
+			if response.StatusCode == http.StatusSwitchingProtocols {
+				return
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return
+			}
+			bodiless := head || response.StatusCode < 200 || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+			unframed := !bodiless && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+			if got := responses.Between(); got == unframed && reader.Buffered() == 0 {
+				t.Fatalf("got between two responses: %t behind a response with length %d and coding %v, in %q", got, response.ContentLength, response.TransferEncoding, data)
+			}
+		}
+	})
+}
+
+// oneByteReader reads a byte at a time.
+type oneByteReader struct{ reader io.Reader }
+
+func (reader oneByteReader) Read(buffer []byte) (int, error) {
+	return reader.reader.Read(buffer[:min(len(buffer), 1)])
+}
