--- a/socket/orderly.go
+++ b/socket/orderly.go
@@ -49,20 +49,25 @@
 	orderlyConn.writing.Lock()
 	defer orderlyConn.writing.Unlock()
 	count, err := orderlyConn.Conn.Write(data)
-	// EPIPE is the answer to each write behind the end, and the first one behind an orderly close
-	// that a reset followed, since the peer does not read any more.
-	var errno syscall.Errno
-	if errors.As(err, &errno) && errno != syscall.EPIPE {
+	if err != nil && isReset(err) {
 		orderlyConn.reset = err
 	}
 	return count, err
 }
 
+// isReset reports whether a write failed as the connection was broken off. EPIPE says nothing of
+// that: it is the answer to each write behind the end, and to the first one behind an orderly close
+// that a reset followed, since the peer does not read any more.
+func isReset(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
 // Read reads from the connection. It returns the error of the reset, and no io.EOF, if a write has
 // found that the connection was broken off.
 func (orderlyConn *OrderlyConn) Read(buffer []byte) (int, error) {
 	count, err := orderlyConn.Conn.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	if err != nil && errors.Is(err, io.EOF) {
 		if reset := orderlyConn.brokenOff(); reset != nil {
 			return count, reset
 		}
