soak: answers that are malformed, and check-ins performed late

An upstream gives answers whose head or chunks are out of form, with a body that is none of its own; an upstream that leaves has a check-in performed late.

--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -39,6 +39,10 @@
 	// and routers that get little processor time.
 	changes     *rand.Rand
 	starvations *rand.Rand
+	// malformed and lates draw, likewise apart, malformed answers and check-ins that are performed
+	// late.
+	malformed *rand.Rand
+	lates     *rand.Rand
 	// active counts the faults that have not been undone yet.
 	active sync.WaitGroup
 	// busy holds the routers, links and upstreams that a fault is applied to.
@@ -86,7 +90,8 @@
 	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(soak.options.Seed, number)) }
 	return &schedule{
 		soak: soak, random: stream(0), silences: stream(silenceStream), evacuations: stream(evacuationStream),
-		changes: stream(changeStream), starvations: stream(starvationStream), busy: make(map[any]bool),
+		changes: stream(changeStream), starvations: stream(starvationStream),
+		malformed: stream(malformedStream), lates: stream(lateStream), busy: make(map[any]bool),
 	}
 }
 
@@ -115,6 +120,9 @@
 		if !onlyPlanned && schedule.starvations.IntN(starvationInterval) == 0 {
 			schedule.starveRouters()
 		}
+		if !onlyPlanned && schedule.malformed.IntN(malformedInterval) == 0 {
+			schedule.upstreamMalformed()
+		}
 		time.Sleep(gap)
 	}
 	schedule.active.Wait()
@@ -262,6 +270,7 @@
 		return
 	}
 	schedule.soak.countPlanned("upstream leaves")
+	schedule.checkInLate(upstream)
 	upstream.leave()
 	schedule.healAfter(leaveTime, func() {
 		schedule.soak.checkLeaving(upstream, time.Now())
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -81,6 +81,7 @@
 	crashed    bool
 	extraDelay time.Duration
 	endless    *EndlessAnswer
+	malformed  *MalformedAnswer
 	served     int
 	limit      float64
 	limited    bool
@@ -106,6 +107,14 @@
 	}
 }
 
+// LateCheckIn returns a check-in that the store has not performed yet, and may perform at any
+// later time.
+func (runner *Runner) LateCheckIn() (platform.Record, bool) {
+	runner.writeMu.Lock()
+	defer runner.writeMu.Unlock()
+	return runner.row()
+}
+
 // row returns the next row to write, or false if the runner has crashed.
 func (runner *Runner) row() (platform.Record, bool) {
 	runner.mu.Lock()
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -71,6 +71,9 @@
 	if runner.hasCrashPart(forwarded.Prompt) {
 		runner.crashWhileAnswering(writer, forwarded, isStream)
 	}
+	if runner.sendMalformed(writer, forwarded.Attempt) {
+		return
+	}
 	if answer := runner.endlessAnswer(); answer != nil {
 		complete := RunnerAnswer(forwarded.Attempt)
 		if isStream {
