framing, forward: one file for each kind of line, and names that say what is checked

The check of callers' connections is for the form of all their bytes, not for ambiguous lengths alone: WellFormed, malformed.

--- a/daemon/http_service.go
+++ b/daemon/http_service.go
@@ -77,14 +77,14 @@
 	return service
 }
 
-// handler returns a handler that refuses requests with ambiguous framing, of whose connections
+// handler returns a handler that refuses requests that are out of form, of whose connections
 // nothing more is read, and passes all others to next. Once the service leaves, answers ask
 // clients to close their connections.
 func (service *httpService) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		leavingWriter := &leavingWriter{ResponseWriter: writer, leaving: &service.leaving}
 		defer leavingWriter.announce()
-		if !forward.Unambiguous(request.Context()) {
+		if !forward.WellFormed(request.Context()) {
 			refusal := &result.Error{Code: result.AmbiguousFraming}
 			service.logger.Warn("Request refused.", "code", refusal.Code, "from", request.RemoteAddr)
 			writer.Header().Set("Connection", "close")
--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -19,7 +19,7 @@
 	net.Conn
 	listener  *Listener
 	scanner   framing.Scanner
-	ambiguous atomic.Bool
+	malformed atomic.Bool
 
 	// waitingSince is since when the caller has neither sent nor read progressBytes of a
 	// body, in nanoseconds; zero while the router does not wait for it. It waits for the caller
@@ -60,10 +60,10 @@
 	handled handledRequest
 }
 
-// Read reads from the connection. After a request with ambiguous framing it reads nothing more and
+// Read reads from the connection. Behind bytes that are out of form it reads nothing more and
 // returns io.EOF. A head that is too long, or for which there is no memory, is refused.
 func (checkedConn *checkedConn) Read(buffer []byte) (int, error) {
-	if checkedConn.ambiguous.Load() || !checkedConn.beginRead() {
+	if checkedConn.malformed.Load() || !checkedConn.beginRead() {
 		return 0, io.EOF
 	}
 	count, err := checkedConn.Conn.Read(buffer)
@@ -71,7 +71,7 @@
 		count, err = checkedConn.Conn.Read(buffer)
 	}
 	if !checkedConn.endRead(buffer[:count], err) {
-		checkedConn.ambiguous.Store(true)
+		checkedConn.malformed.Store(true)
 	}
 	if answer := checkedConn.holdHead(); answer != "" {
 		checkedConn.refuseHead(answer, buffer)
@@ -207,7 +207,7 @@
 // bodyIsInvalid reports whether the chunks or trailers of the request that is being handled don't
 // have the form of the protocol. Bytes of a request behind it don't count.
 func (checkedConn *checkedConn) bodyIsInvalid() bool {
-	if checkedConn == nil || !checkedConn.ambiguous.Load() {
+	if checkedConn == nil || !checkedConn.malformed.Load() {
 		return false
 	}
 	checkedConn.mu.Lock()
--- a/forward/listener.go
+++ b/forward/listener.go
@@ -35,7 +35,7 @@
 }
 
 // Accept returns the next connection. Its requests can be checked with
-// Unambiguous.
+// WellFormed.
 func (listener *Listener) Accept() (net.Conn, error) {
 	conn, err := listener.Listener.Accept()
 	if err != nil {
@@ -45,15 +45,15 @@
 }
 
 // ConnContext is the ConnContext callback of an http.Server. It stores conn in
-// the context of its requests, for Unambiguous.
+// the context of its requests, for WellFormed.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connContextKey, conn)
 }
 
-// Unambiguous reports whether all bytes so far on the connection of ctx had the form of requests,
+// WellFormed reports whether all bytes so far on the connection of ctx had the form of requests,
 // as package framing checks it. It returns true for a connection that no Listener
 // accepted.
-func Unambiguous(ctx context.Context) bool {
+func WellFormed(ctx context.Context) bool {
 	conn, checked := ctx.Value(connContextKey).(*checkedConn)
-	return !checked || !conn.ambiguous.Load()
+	return !checked || !conn.malformed.Load()
 }
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -26,7 +26,7 @@
 // prepare validates the request, selects its route and reads its body. It
 // returns OK or the code with which the request is refused.
 func (exchange *exchange) prepare() result.Code {
-	if !Unambiguous(exchange.request.Context()) {
+	if !WellFormed(exchange.request.Context()) {
 		exchange.writer.Header().Set("Connection", "close")
 		return result.AmbiguousFraming
 	}
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -1,23 +1,7 @@
 package framing
 
-import (
-	"strconv"
-	"strings"
-)
-
-const (
-	// maxNameBytes and maxValueBytes limit how much of a header the scanner keeps: all of those
-	// that state the length of a body. A longer value of those is refused.
-	maxNameBytes  = len(transferEncoding) + 1
-	maxValueBytes = 64
-	// maxChunkDigits limits the digits of the size of a chunk, and bits its value and that of a
-	// Content-Length.
-	maxChunkDigits = 15
-	sizeBits       = 62
-)
-
-// transferEncoding is the longest name of a header that states the length of a body.
-const transferEncoding = "transfer-encoding"
+// sizeBits limits the length of a body and the size of a chunk.
+const sizeBits = 62
 
 // Scanner tracks the messages of one direction of a connection. The zero value expects the first
 // byte of a request. It is not safe for concurrent use.
@@ -143,46 +127,6 @@
 	}
 }
 
-// beginRequest expects a method, or an empty line before it.
-func beginRequest(scanner *Scanner, b byte) bool {
-	if b == '\r' {
-		return scanner.expectLineFeed(beginRequest)
-	}
-	return tokenByte.has(b) && scanner.expect(afterMethod, tokenByte)
-}
-
-func afterMethod(scanner *Scanner, b byte) bool {
-	return b == ' ' && scanner.expect(beginTarget, 0)
-}
-
-func beginTarget(scanner *Scanner, b byte) bool {
-	return targetByte.has(b) && scanner.expect(afterTarget, targetByte)
-}
-
-func afterTarget(scanner *Scanner, b byte) bool {
-	return b == ' ' && scanner.expect(inVersion, 0)
-}
-
-// protocol begins the version of all messages that are taken.
-const protocol = "HTTP/1."
-
-// inVersion expects protocol and a digit.
-func inVersion(scanner *Scanner, b byte) bool {
-	if scanner.head.matched < len(protocol) {
-		scanner.head.matched++
-		return b == protocol[scanner.head.matched-1]
-	}
-	scanner.head.minorVersion = b
-	if scanner.responses {
-		return isDigit(b) && scanner.expect(beforeStatus, 0)
-	}
-	return isDigit(b) && scanner.expect(endStartLine, 0)
-}
-
-func endStartLine(scanner *Scanner, b byte) bool {
-	return b == '\r' && scanner.expectLineFeed(beginField)
-}
-
 // expectLineFeed expects the end of a line, and then next.
 func (scanner *Scanner) expectLineFeed(next step) bool {
 	scanner.afterLine = next
@@ -193,89 +137,6 @@
 	return b == '\n' && scanner.expect(scanner.afterLine, 0)
 }
 
-// beginField expects a header or a trailer, or the empty line behind them. A line that begins with
-// a blank continued the one before it in an older form of the protocol.
-func beginField(scanner *Scanner, b byte) bool {
-	if b == '\r' {
-		return scanner.expect(endFields, 0)
-	}
-	scanner.head.name, scanner.head.value, scanner.head.valueTooLong = scanner.head.name[:0], scanner.head.value[:0], false
-	return tokenByte.has(b) && scanner.expect(inName, 0) && inName(scanner, b)
-}
-
-// inName expects the rest of a name, and the colon directly behind it.
-func inName(scanner *Scanner, b byte) bool {
-	head := &scanner.head
-	switch {
-	case b == ':' && head.statesLength() && !scanner.inBody:
-		return scanner.expect(inLengthValue, 0)
-	case b == ':':
-		return scanner.expect(endField, textByte)
-	case len(head.name) < maxNameBytes:
-		head.name = append(head.name, lower(b))
-	}
-	return tokenByte.has(b)
-}
-
-// statesLength reports whether the header is one of those that state the length of a body.
-func (head *head) statesLength() bool {
-	return string(head.name) == "content-length" || string(head.name) == transferEncoding
-}
-
-// inLengthValue expects the value of a header that states the length of the body.
-func inLengthValue(scanner *Scanner, b byte) bool {
-	head := &scanner.head
-	switch {
-	case !textByte.has(b):
-		return head.parseLength() && endField(scanner, b)
-	case isBlank(b) && len(head.value) == 0:
-	case len(head.value) < maxValueBytes:
-		head.value = append(head.value, lower(b))
-	default:
-		head.valueTooLong = true
-	}
-	return true
-}
-
-// parseLength parses a whole Content-Length or Transfer-Encoding, and reports whether the body has
-// one length.
-func (head *head) parseLength() bool {
-	if head.valueTooLong {
-		return false
-	}
-	value := strings.TrimRight(string(head.value), " \t")
-	if string(head.name) == transferEncoding {
-		again := head.chunked
-		head.chunked = true
-		// A recipient of the older version does not know of encodings.
-		return !again && head.minorVersion != '0' && value == "chunked"
-	}
-	length, err := strconv.ParseUint(value, 10, sizeBits)
-	head.lengthCount++
-	head.length = int64(length)
-	return err == nil && head.lengthCount == 1
-}
-
-// endField expects the end of a header line.
-func endField(scanner *Scanner, b byte) bool {
-	if !scanner.inBody {
-		scanner.headFields++
-	}
-	return b == '\r' && scanner.expectLineFeed(beginField)
-}
-
-// endFields expects the end of the empty line behind headers or trailers.
-func endFields(scanner *Scanner, b byte) bool {
-	if b != '\n' {
-		return false
-	}
-	if scanner.inBody {
-		scanner.endMessage()
-		return true
-	}
-	return scanner.beginBody()
-}
-
 // beginBody selects what follows the head: a body, chunks or the next message. It returns false if
 // the head states two lengths.
 func (scanner *Scanner) beginBody() bool {
@@ -301,56 +162,3 @@
 	scanner.endMessage()
 	return true
 }
-
-// beginChunk expects the first digit of the size of a chunk.
-func beginChunk(scanner *Scanner, b byte) bool {
-	scanner.head.size = scanner.head.size[:0]
-	return hexByte.has(b) && scanner.expect(inChunkSize, 0) && inChunkSize(scanner, b)
-}
-
-// inChunkSize expects the rest of the size of a chunk, and what may stand behind it.
-func inChunkSize(scanner *Scanner, b byte) bool {
-	if hexByte.has(b) {
-		scanner.head.size = append(scanner.head.size, b)
-		return len(scanner.head.size) <= maxChunkDigits
-	}
-	return beforeExtension(scanner, b)
-}
-
-// beforeExtension expects the extension of a chunk, with blanks before it, or the end of the line.
-func beforeExtension(scanner *Scanner, b byte) bool {
-	switch {
-	case isBlank(b):
-		return scanner.expect(beforeSemicolon, 0)
-	case b == ';':
-		return scanner.expect(endChunkLine, textByte)
-	}
-	return endChunkLine(scanner, b)
-}
-
-// beforeSemicolon expects the extension of a chunk behind a blank.
-func beforeSemicolon(scanner *Scanner, b byte) bool {
-	return isBlank(b) || b == ';' && scanner.expect(endChunkLine, textByte)
-}
-
-func endChunkLine(scanner *Scanner, b byte) bool {
-	return b == '\r' && scanner.expect(beginChunkData, 0)
-}
-
-// beginChunkData expects the end of the line with the size of a chunk.
-func beginChunkData(scanner *Scanner, b byte) bool {
-	size, err := strconv.ParseUint(string(scanner.head.size), 16, sizeBits)
-	switch {
-	case b != '\n' || err != nil:
-		return false
-	case size == 0:
-		return scanner.expect(beginField, 0)
-	}
-	scanner.remaining = int64(size)
-	return scanner.expect(endChunk, 0)
-}
-
-// endChunk expects the end of the line behind the data of a chunk.
-func endChunk(scanner *Scanner, b byte) bool {
-	return b == '\r' && scanner.expectLineFeed(beginChunk)
-}
