--- a/balance/cache_index.go
+++ b/balance/cache_index.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,14 @@
 	announceInterval     = 5 * time.Second
 	// maxUpstreamsPerPrefix bounds the upstreams that are recorded for a prefix.
 	maxUpstreamsPerPrefix = 8
+	// maxUpdatesPerMessage bounds the updates that are sent in one message.
+	maxUpdatesPerMessage = 512
+	// MaxPendingUpdates bounds the updates that wait to be sent, to a second or two of messages.
+	// Beyond that the oldest are dropped: a later use announces its prefix again.
+	MaxPendingUpdates = 16 * maxUpdatesPerMessage
+	// maxKeyBytes bounds the IDs of prefixes in the index. A longer one is not recorded: its requests
+	// go to any upstream.
+	maxKeyBytes = 64
 )
 
 // CacheUpdate says that an upstream has cached a shared prompt prefix.
@@ -64,21 +73,33 @@
 	pending  []CacheUpdate
 }
 
-// maxUpdatesPerMessage bounds the updates that are sent in one message.
-const maxUpdatesPerMessage = 512
-
 // RecordLocal records that an upstream has a shared prompt prefix cached, because
 // this router sent a request with it there or the upstream listed it. The update
 // becomes pending for the other routers unless it was announced recently.
 func (index *CacheIndex) RecordLocal(now time.Time, update CacheUpdate) {
 	index.mu.Lock()
 	defer index.mu.Unlock()
+	if len(update.Key) > maxKeyBytes {
+		return
+	}
 	entry := index.recordUse(now, update)
 	if entry.announce(now) {
-		index.pending = append(index.pending, update)
+		update.Key = copyKey(update.Key)
+		index.pending = AppendPending(index.pending, update)
 	}
 }
 
+// AppendPending appends updates to those that wait to be sent, and drops the oldest beyond
+// MaxPendingUpdates.
+func AppendPending(pending []CacheUpdate, updates ...CacheUpdate) []CacheUpdate {
+	pending = append(pending, updates...)
+	return pending[max(len(pending)-MaxPendingUpdates, 0):]
+}
+
+// copyKey returns a copy of a key. A key of a request is a part of one of its headers, all of which
+// it would keep in memory.
+func copyKey(key ident.ChatID) ident.ChatID { return ident.ChatID(strings.Clone(string(key))) }
+
 // ApplyRemote records updates from another router. It returns those that were not
 // announced recently, which routers that don't receive its messages may not know.
 func (index *CacheIndex) ApplyRemote(now time.Time, updates []CacheUpdate) []CacheUpdate {
@@ -86,6 +107,9 @@
 	defer index.mu.Unlock()
 	var unknown []CacheUpdate
 	for _, update := range updates {
+		if len(update.Key) > maxKeyBytes {
+			continue
+		}
 		entry := index.recordUse(now, update)
 		if entry.announce(now) {
 			unknown = append(unknown, update)
@@ -131,7 +155,10 @@
 		// NewLRU fails only if the size is not positive.
 		index.prefixes, _ = simplelru.NewLRU[ident.ChatID, []cacheEntry](maxCachedPrefixes, nil)
 	}
-	entries, _ := index.prefixes.Get(update.Key)
+	entries, known := index.prefixes.Get(update.Key)
+	if !known {
+		update.Key = copyKey(update.Key)
+	}
 	for i := range entries {
 		if entries[i].upstream == update.Upstream {
 			entries[i].usedAt = now
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -31,7 +31,7 @@
 
 // add adds what a message of a router of the group says: of its cache updates those given.
 func (relay *relay) add(message Message, updates []balance.CacheUpdate) {
-	relay.cacheUpdates = append(relay.cacheUpdates, updates...)
+	relay.cacheUpdates = balance.AppendPending(relay.cacheUpdates, updates...)
 	relay.changes = append(relay.changes, message.Changes...)
 	relay.outcomes = append(relay.outcomes, message.Outcomes...)
 }
