--- a/registry/outage.go
+++ b/registry/outage.go
@@ -56,13 +56,19 @@
 	defer registry.mu.Unlock()
 	switch {
 	case registry.storeDown && !down:
-		registry.outageEnd = now
-		registry.extendMissing(now.Add(RejoinGracePeriod))
-		registry.postponeLate(now.Add(settleHeartbeats * registry.Heartbeat))
+		registry.endOutage(now)
 	case !registry.storeDown && down:
 		registry.outageBegin = now
+		registry.storeDown = true
 	}
-	registry.storeDown = down
+}
+
+// endOutage records that the store has answered again since the given time. The caller holds mu.
+func (registry *Registry) endOutage(at time.Time) {
+	registry.storeDown = false
+	registry.outageEnd = at
+	registry.extendMissing(at.Add(RejoinGracePeriod))
+	registry.postponeLate(at.Add(settleHeartbeats * registry.Heartbeat))
 }
 
 // extendMissing gives the upstreams whose rows are missing until the given time to
@@ -76,10 +82,14 @@
 }
 
 // ObservePeerStore records that the store has served another router without
-// interruption since the given time.
+// interruption since the given time. A router that others read for may not call the store
+// for long: an outage that the other one saw too has ended then.
 func (registry *Registry) ObservePeerStore(now, since time.Time) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
+	if registry.storeDown && since.After(registry.outageBegin) {
+		registry.endOutage(since)
+	}
 	if since.Before(registry.peerStoreUpSince) || now.Sub(registry.peerStoreSeenAt) > peerStoreTTL {
 		registry.peerStoreUpSince = since
 		registry.peerStoreSeenAt = now
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -175,3 +175,42 @@
 		})
 	}
 }
+
+// TestOutageEndsForRoutersThatOthersReadFor guards against requests to an upstream that was removed
+// long after an outage of the store (DRAIN): a router that others read for makes no call that would
+// show it the end of the outage, took the removal for an expiry in it, and kept the upstream.
+func TestOutageEndsForRoutersThatOthersReadFor(t *testing.T) {
+	const begin, end = 10 * time.Second, 16 * time.Second
+	tests := []struct {
+		name string
+		// since is the time since which the store has served another router, and never is set if
+		// none says so.
+		since time.Duration
+		never bool
+		// removedAt is when the removal of a's row is relayed, checkedAt when the pool is read.
+		removedAt, checkedAt time.Duration
+		want                 bool
+	}{
+		{"removed long after the end", end, false, end + 3*time.Second, end + 3100*time.Millisecond, false},
+		{"expired in the outage", end, false, end + 500*time.Millisecond, end + 2*time.Second, true},
+		{"expired in the outage, still missing", end, false, end + 500*time.Millisecond, end + 3*time.Second, false},
+		{"no router says that the store is back", 0, true, end + 3*time.Second, end + 4*time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var reg registry.Registry
+			reg.Replace(timeAt(0), 1, []registry.Upstream{upstream("a"), upstream("b")})
+			reg.SetStoreDown(timeAt(begin), true)
+			if !test.never {
+				reg.ObservePeerStore(timeAt(test.since+200*time.Millisecond), timeAt(test.since))
+			}
+			gone := upstream("a")
+			gone.Version = 2
+			reg.Apply(timeAt(test.removedAt), []registry.Change{{Upstream: gone, Gone: true}})
+			reg.Expire(timeAt(test.checkedAt))
+			if got := len(members(&reg)) == 2; got != test.want {
+				t.Errorf("got a in the pool: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
