--- a/entry/resources.go
+++ b/entry/resources.go
@@ -105,6 +105,8 @@
 		OnKeep:       func(reason forward.KeepReason) { daemon.metrics.CountEvent("conn.kept." + string(reason)) },
 	}
 	callers.server.ConnContext = forward.ConnContext
+	// net/http would answer OPTIONS * itself, with a success that is no upstream's.
+	callers.server.DisableGeneralOptionsHandler = true
 	callers.server.ConnState = daemon.callerConns.Track
 	daemon.Logger.Info("Limits of memory and connections.",
 		"MemoryMB", daemon.Config.MemoryMB, "HeldLimit", daemon.handler.Memory.Limit, "Descriptors", descriptors, "CallerConns", daemon.callerConns.Max, "UpstreamConns", daemon.handler.Connections.Max)
