--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -89,7 +89,7 @@
 }
 
 // endRead records and scans the bytes that were read, and reports whether all requests so far
-// were unambiguous. Bytes keep open a connection that was to be closed: what was read is served.
+// had the form of requests. Bytes keep open a connection that was to be closed: what was read is served.
 func (checkedConn *checkedConn) endRead(data []byte, err error) bool {
 	checkedConn.mu.Lock()
 	defer checkedConn.mu.Unlock()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -120,7 +120,7 @@
 	router.send(t, "a1", "GET", "/again/x", "").check(t, 200, "answer to a1")
 }
 
-// TestSmuggledRequest sends requests with ambiguous framing, with another
+// TestSmuggledRequest sends requests with ambiguous lengths, with another
 // request hidden in the bytes after the head. The router must refuse them and
 // forward nothing.
 func TestSmuggledRequest(t *testing.T) {
