registry: an upstream whose row expired in an outage is back at once

Behind a removal, a row with an unread count of writes waits for four heartbeats, as it may have been written late. For rows that stayed missing behind an outage that is too long: the upstream lives and writes its row again, a little later than the two seconds that the router waits. registry TestLateWriteDoesNotRenew has it.

--- a/registry/era.go
+++ b/registry/era.go
@@ -14,6 +14,9 @@
 	// version is the version of the row or removal that said so.
 	version ident.Revision
 	removed bool
+	// expired is set if its row was missing for too long behind an outage of the store, which
+	// says nothing of whether it lives.
+	expired bool
 	// returned is the first version of a later era in which the row was there again.
 	returned ident.Revision
 }
@@ -45,6 +48,15 @@
 	registry.departures[upstream.ID] = departure{incarnation: upstream.Incarnation, sequence: upstream.Sequence, version: version, removed: removed}
 }
 
+// recordExpiry records that an upstream was removed since its row stayed missing behind an outage of
+// the store. The caller holds mu.
+func (registry *Registry) recordExpiry(upstream Upstream) {
+	registry.recordDeparture(upstream, upstream.Version, true)
+	gone := registry.departures[upstream.ID]
+	gone.expired = true
+	registry.departures[upstream.ID] = gone
+}
+
 // withDeparture returns what a row of an upstream says once it is known that its
 // incarnation had been leaving or was removed, and whether it is to be used. The row of
 // an older copy lacks that; a removed upstream is listed again once it has
--- a/registry/order.go
+++ b/registry/order.go
@@ -58,9 +58,9 @@
 		return outdated, true
 	}
 	// Not all writes are read, as a row whose sequence alone has changed is not told: this one may
-	// have been sent before the removal, or after it.
+	// have been sent before the removal, or after it. A live upstream whose row expired writes it again.
 	outdated.Until = settled
-	return outdated, registry.Heartbeat > 0 && row.Sequence > 0
+	return outdated, registry.Heartbeat > 0 && row.Sequence > 0 && !gone.expired
 }
 
 // precedes reports whether the row of an upstream was sent before the write with a sequence. It is
--- a/registry/order_test.go
+++ b/registry/order_test.go
@@ -94,6 +94,14 @@
 	if got := members(&reg); len(got) != 1 {
 		t.Errorf("got pool %v, want only b", got)
 	}
+	reg.Apply(timeAt(21*time.Second), []registry.Change{wrote(5, 8, 13, false)})
+	if got := members(&reg); len(got) != 1 {
+		t.Errorf("got pool %v behind a write of before the outage, want only b", got)
+	}
+	reg.Apply(timeAt(22*time.Second), []registry.Change{wrote(5, 9, 14, false)})
+	if got := members(&reg); len(got) != 2 {
+		t.Errorf("got pool %v once a has written again, want both", got)
+	}
 }
 
 // TestLateRowsWaitForTheStore guards against a row that is believed because it stood for long,
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		expired = append(expired, registry.listed[id])
-		registry.recordDeparture(registry.listed[id], registry.listed[id].Version, true)
+		registry.recordExpiry(registry.listed[id])
 		delete(registry.listed, id)
 		delete(registry.missingUntil, id)
 		delete(registry.renewals, id)
