registry, socket, forward: one piece of code where the change had two

Found by reading the whole change again; behaviour is unchanged. - SyscallConn stood twice, and its first half once more in socket.check: socket.RawConn serves all three. - recordExpiry wrote a departure and then changed it in the map: recordDeparture takes the departure. - The refusal of a malformed request stood twice in prepare: refuseMalformed. - A name of the platform stood outside platform/, in a malformed answer of the stand-in; the signed head is now encoded there, too. - Wording of some comments.

--- a/forward/checked_conn.go
+++ b/forward/checked_conn.go
@@ -204,9 +204,9 @@
 	return checkedConn.scanner.InBody()
 }
 
-// bodyIsInvalid reports whether the chunks or trailers of the request that is being handled don't
+// bodyIsMalformed reports whether the chunks or trailers of the request that is being handled don't
 // have the form of the protocol. Bytes of a request behind it don't count.
-func (checkedConn *checkedConn) bodyIsInvalid() bool {
+func (checkedConn *checkedConn) bodyIsMalformed() bool {
 	if checkedConn == nil || !checkedConn.malformed.Load() {
 		return false
 	}
--- a/forward/prepare.go
+++ b/forward/prepare.go
@@ -27,8 +27,7 @@
 // returns OK or the code with which the request is refused.
 func (exchange *exchange) prepare() result.Code {
 	if !WellFormed(exchange.request.Context()) {
-		exchange.writer.Header().Set("Connection", "close")
-		return result.AmbiguousFraming
+		return exchange.refuseMalformed()
 	}
 	if code := exchange.identify(); code != result.OK {
 		return code
@@ -36,13 +35,19 @@
 	if code := exchange.readBody(); code != result.OK {
 		return code
 	}
-	if exchange.conn.bodyIsInvalid() {
-		exchange.writer.Header().Set("Connection", "close")
-		return result.AmbiguousFraming
+	if exchange.conn.bodyIsMalformed() {
+		return exchange.refuseMalformed()
 	}
 	return exchange.checkStop()
 }
 
+// refuseMalformed returns the code of a request that is out of form. Nothing more is read on its
+// connection.
+func (exchange *exchange) refuseMalformed() result.Code {
+	exchange.writer.Header().Set("Connection", "close")
+	return result.AmbiguousFraming
+}
+
 // identify reads the head of the request, and selects its route and service.
 func (exchange *exchange) identify() result.Code {
 	head, err := platform.DecodeRequest(exchange.request.Header)
--- a/metrics/conn.go
+++ b/metrics/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/hickoryhead/hickoryhead/ident"
+	"github.com/hickoryhead/hickoryhead/socket"
 )
 
 // Traffic counts the control bytes exchanged with one kind of peer. The zero
@@ -53,13 +54,7 @@
 }
 
 // SyscallConn returns the connection for calls to the kernel.
-func (conn *countingConn) SyscallConn() (syscall.RawConn, error) {
-	source, ok := conn.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.EINVAL
-	}
-	return source.SyscallConn()
-}
+func (conn *countingConn) SyscallConn() (syscall.RawConn, error) { return socket.RawConn(conn.Conn) }
 
 // Read reads from the connection and counts the bytes received.
 func (conn *countingConn) Read(buffer []byte) (int, error) {
--- a/oncehttp/early_reset_test.go
+++ b/oncehttp/early_reset_test.go
@@ -12,7 +12,7 @@
 	"github.com/hickoryhead/hickoryhead/oncehttp"
 )
 
-// earlyServer answers a request before it has read its body, and ends the connection once told to.
+// earlyServer answers a request before it has read its body, and ends the connection when end is closed.
 type earlyServer struct {
 	listener net.Listener
 	end      chan struct{}
--- a/registry/announcement.go
+++ b/registry/announcement.go
@@ -38,7 +38,7 @@
 	}
 	present.Leaving = true
 	registry.listed[id] = present
-	registry.recordDeparture(present, present.Version, false)
+	registry.recordDeparture(present, departure{version: present.Version})
 	change.Upstream = present
 	return true
 }
--- a/registry/era.go
+++ b/registry/era.go
@@ -39,22 +39,13 @@
 	return !registry.restoredAt.IsZero() && now.Before(registry.restoredAt.Add(within))
 }
 
-// recordDeparture records that an upstream is leaving or was removed at a version. The
-// caller holds mu.
-func (registry *Registry) recordDeparture(upstream Upstream, version ident.Revision, removed bool) {
+// recordDeparture records how an upstream departs, of its latest incarnation. The caller holds mu.
+func (registry *Registry) recordDeparture(upstream Upstream, departure departure) {
 	if len(registry.departures) >= maxRemovedVersions {
 		clear(registry.departures)
 	}
-	registry.departures[upstream.ID] = departure{incarnation: upstream.Incarnation, sequence: upstream.Sequence, version: version, removed: removed}
-}
-
-// recordExpiry records that an upstream was removed since its row stayed missing behind an outage of
-// the store. The caller holds mu.
-func (registry *Registry) recordExpiry(upstream Upstream) {
-	registry.recordDeparture(upstream, upstream.Version, true)
-	gone := registry.departures[upstream.ID]
-	gone.expired = true
-	registry.departures[upstream.ID] = gone
+	departure.incarnation, departure.sequence = upstream.Incarnation, upstream.Sequence
+	registry.departures[upstream.ID] = departure
 }
 
 // withDeparture returns what a row of an upstream says once it is known that its
--- a/registry/order.go
+++ b/registry/order.go
@@ -57,14 +57,14 @@
 	if row.Incarnation == gone.incarnation && row.precedes(gone.sequence+1) {
 		return outdated, true
 	}
-	// Not all writes are read, as a row whose sequence alone has changed is not told: this one may
+	// Not all writes are read, as the store does not report a row whose sequence alone has changed: this one may
 	// have been sent before the removal, or after it. A live upstream whose row expired writes it again.
 	outdated.Until = settled
 	return outdated, registry.Heartbeat > 0 && row.Sequence > 0 && !gone.expired
 }
 
 // precedes reports whether the row of an upstream was sent before the write with a sequence. It is
-// false if either is not known, or if the row names no incarnation, as sequences start anew with one.
+// false if either is not known, or if the row names no incarnation, as each incarnation counts from 1.
 func (upstream Upstream) precedes(sequence Sequence) bool {
 	return upstream.Incarnation != 0 && upstream.Sequence > 0 && upstream.Sequence < sequence
 }
--- a/registry/order_test.go
+++ b/registry/order_test.go
@@ -46,7 +46,7 @@
 		{"draining before a restart", orderHeartbeat, []registry.Change{wrote(6, 1, 20, false), wrote(5, 9, 21, true), wrote(6, 2, 22, false)}, true, true},
 
 		{"heartbeats", orderHeartbeat, []registry.Change{wrote(5, 2, 20, false), wrote(5, 3, 21, false)}, true, true},
-		{"restart, its count starts anew", orderHeartbeat, []registry.Change{wrote(5, 80, 20, true), wrote(6, 1, 21, false)}, true, true},
+		{"restart, it counts from 1", orderHeartbeat, []registry.Change{wrote(5, 80, 20, true), wrote(6, 1, 21, false)}, true, true},
 		{"restart after the removal", orderHeartbeat, []registry.Change{removed(21), wrote(6, 1, 22, false)}, true, true},
 		{"back after the removal, and alive", orderHeartbeat, []registry.Change{removed(21), wrote(5, 6, 22, false)}, false, true},
 		{"restart with a clock that was set back", orderHeartbeat, []registry.Change{wrote(5, 8, 20, true), wrote(4, 1, 21, false)}, false, true},
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		expired = append(expired, registry.listed[id])
-		registry.recordExpiry(registry.listed[id])
+		registry.recordDeparture(registry.listed[id], departure{version: registry.listed[id].Version, removed: true, expired: true})
 		delete(registry.listed, id)
 		delete(registry.missingUntil, id)
 		delete(registry.renewals, id)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -217,7 +217,7 @@
 		registry.keep(change.Upstream)
 		return false
 	}
-	registry.recordDeparture(present, change.Upstream.Version, true)
+	registry.recordDeparture(present, departure{version: change.Upstream.Version, removed: true})
 	delete(registry.listed, id)
 	delete(registry.missingUntil, id)
 	delete(registry.renewals, id)
@@ -240,7 +240,7 @@
 		change.Upstream.Leaving = true
 	}
 	if change.Upstream.Leaving {
-		registry.recordDeparture(change.Upstream, change.Upstream.Version, false)
+		registry.recordDeparture(change.Upstream, departure{version: change.Upstream.Version})
 	}
 	if change.Upstream.Software == "" && known && change.Upstream.Version == present.Version {
 		// A router of a program that doesn't read the version relayed the row.
--- a/socket/orderly.go
+++ b/socket/orderly.go
@@ -37,11 +37,7 @@
 
 // SyscallConn returns the connection for calls to the kernel.
 func (orderlyConn *OrderlyConn) SyscallConn() (syscall.RawConn, error) {
-	source, ok := orderlyConn.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.EINVAL
-	}
-	return source.SyscallConn()
+	return RawConn(orderlyConn.Conn)
 }
 
 // Write writes to the connection.
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -25,13 +25,18 @@
 	})
 }
 
-// check returns what holds returns for the descriptor of a connection.
-func check(conn net.Conn, holds func(descriptor int) bool) bool {
+// RawConn returns a connection for calls to the kernel, or an error if it has no descriptor.
+func RawConn(conn net.Conn) (syscall.RawConn, error) {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil, syscall.EINVAL
 	}
-	raw, err := source.SyscallConn()
+	return source.SyscallConn()
+}
+
+// check returns what holds returns for the descriptor of a connection.
+func check(conn net.Conn, holds func(descriptor int) bool) bool {
+	raw, err := RawConn(conn)
 	if err != nil {
 		return false
 	}
--- a/standin/malformed.go
+++ b/standin/malformed.go
@@ -13,7 +13,7 @@
 // is signed, and its body is no answer of the runner: a caller must get none of it as whole.
 type MalformedAnswer struct {
 	Name string
-	// start is the status line, and rest what follows the signed head of the answer.
+	// start ends with the status line of the signed head, and rest is what follows that head.
 	start, rest string
 }
 
@@ -24,7 +24,7 @@
 	{"control byte in a name", "HTTP/1.1 200 OK\r\n", "Ba\x01d: x\r\nContent-Length: 5\r\n\r\nwrong"},
 	{"folded line", "HTTP/1.1 200 OK\r\n", "X: a\r\n b\r\nContent-Length: 5\r\n\r\nwrong"},
 	{"two lengths", "HTTP/1.1 200 OK\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
-	{"status below 100", "HTTP/1.1 000 X\r\n", "\r\nHTTP/1.1 200 OK\r\nHickoryhead-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong"},
+	{"status below 100", "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n", "Content-Length: 5\r\n\r\nwrong"},
 	{"status above 599", "HTTP/1.1 999 X\r\n", "Content-Length: 5\r\n\r\nwrong"},
 	{"other version", "HTTP/2.0 200 OK\r\n", "Content-Length: 5\r\n\r\nwrong"},
 	{"chunk without an end", "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n5\nwrong\r\n0\r\n\r\n"},
