forward: the test of a stalled caller waits for what each new connection closes

What callers saw: nothing; the fault is the test's. Since it opens new connections until the stalled one has given way. dial returns when the kernel has connected, before the router has accepted the connection, so that the test looked too early and always opened one more, two seconds later. That one closes the connection without a request that took the stalled one's place: idle, as the order of the reasons has it. The test passed when it looked at the reasons before that second close, too.

The test now waits until a new connection has had one closed, and fails if none is. It still wants just one closed as stalled beside the new ones, so that it is stricter: the last connection must be the stalled one, and nothing closes besides.

--- a/forward/starved_test.go
+++ b/forward/starved_test.go
@@ -48,6 +48,18 @@
 	return slices.Clone(boundReasons.reasons)
 }
 
+// await waits until the given number of connections were closed, and returns the reasons.
+func (boundReasons *boundReasons) await(t *testing.T, number int) []forward.BoundReason {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if reasons := boundReasons.all(); len(reasons) >= number {
+			return reasons
+		}
+	}
+	t.Fatalf("got connections closed as %v, want %d closed", boundReasons.all(), number)
+	return nil
+}
+
 // serveBounded serves the router at another listener, with at most one connection.
 func (router *router) serveBounded(t *testing.T, inner net.Listener, reasons *boundReasons) {
 	t.Helper()
@@ -88,12 +100,15 @@
 			reasons := new(boundReasons)
 			router.serveBounded(t, listen(t), reasons)
 			router.dial(t).begin("a1", framing)
-			// The caller makes progress until the buffers are full.
-			for end := time.Now().Add(10 * time.Second); !slices.Contains(reasons.all(), forward.BoundStalled) && time.Now().Before(end); {
+			// The caller makes progress until the buffers are full. Each new connection has one
+			// closed, which the router does some time after dial returns.
+			var closed []forward.BoundReason
+			for end := time.Now().Add(10 * time.Second); !slices.Contains(closed, forward.BoundStalled) && time.Now().Before(end); {
 				time.Sleep(2 * time.Second)
 				router.dial(t)
+				closed = reasons.await(t, len(closed)+1)
 			}
-			got := slices.DeleteFunc(reasons.all(), func(reason forward.BoundReason) bool { return reason == forward.BoundNew })
+			got := slices.DeleteFunc(closed, func(reason forward.BoundReason) bool { return reason == forward.BoundNew })
 			if want := []forward.BoundReason{forward.BoundStalled}; !slices.Equal(got, want) {
 				t.Errorf("got connections closed as %v beside new ones, want %v", got, want)
 			}
