forward, http1: a stream begins only at a process that said which one it is

What callers saw: one whole answer with events of version 2 and then of version 1, while runners restarted under their IDs with the next version and crashed again 0.15 s later.

Cause: which process is behind a connection was asked for streams that go on, and for new ones only if a connection of the pool had broken. A router without an open connection when the runner ended had nothing that broke. It took the new process for the one of the row, recorded its events as of that version, and resumed the stream there. Trust was the default, and doubt needed an event that a router may miss.

Change: without a proof there is doubt. The first resumable stream of a pool asks for the report. The answer holds while a connection of the pool is open, since that would break if the process ended (http1 peerIdentity, taken out of Pool, which had the same logic twice). A process that the row does not name gets no stream, and nothing was sent.

TestStreamBeginsAtTheListedProcess fails without the change with "of v2" and "of v1" in one answer.

Two tests had upstreams that take the question for a request, or break the connection at the first one, which had not been asked before: they now answer it without a start time, as an upstream may that does not say it, and want the same as before. Tests for upstreams that are sound stand beside: none is refused, and none is asked more than once while a connection is open.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -163,13 +163,11 @@
 	if exchange.evacuated(upstream) {
 		return nil, exchange.withdraw(conn)
 	}
-	if err := exchange.checkIdentity(upstream, conn); err != nil {
+	if conn, err = exchange.proveIdentity(upstream, conn); err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) && !exchange.callerLeft() && !exchange.handler.ended() {
 			exchange.handler.Quota.Failed(time.Now(), upstream, connectingAt)
 		}
 		exchange.setCause(err)
-		conn.RecordBreak()
-		conn.Discard()
 		return nil, result.UpstreamUnreachable
 	}
 	if exchange.evacuated(upstream) {
--- a/forward/identity.go
+++ b/forward/identity.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,29 +27,63 @@
 // errStrayAnswer means that an answer to an earlier request came in place of a report.
 var errStrayAnswer = errors.New("stray answer in place of a report")
 
+// errNoReport means that an upstream can't say on a connection that is used for requests behind it
+// which process it is: it takes too long, or closes the connection with its report.
+var errNoReport = errors.New("no report that leaves the connection usable")
+
+// proveIdentity returns a connection to the process that the row of the upstream describes, which is
+// conn unless that can't be used any more. It returns an error if another process may be behind
+// it, which may have another software version. No request was sent then, and conn is closed.
+func (exchange *exchange) proveIdentity(upstream registry.Upstream, conn *http1.Conn) (*http1.Conn, error) {
+	err := exchange.checkIdentity(upstream, conn)
+	switch {
+	case err == nil:
+		return conn, nil
+	case errors.Is(err, errNoReport) && !exchange.goesOn() && !conn.Doubtful():
+		// Nothing speaks against the row.
+		exchange.handler.Metrics.CountEvent("identity.unknown")
+		conn.Discard()
+		next, err := exchange.connect(upstream)
+		if err == nil {
+			next.RecordAsked()
+		}
+		return next, err
+	}
+	conn.RecordBreak()
+	conn.Discard()
+	return nil, err
+}
+
+// goesOn reports whether the request is for the rest of a stream that has begun.
+func (exchange *exchange) goesOn() bool { return exchange.takesUp() || exchange.started }
+
 // checkIdentity returns an error if the process behind the connection may be another one
-// than the row of the upstream describes, and so have another software version. The
-// request was not sent then.
+// than the row of the upstream describes. It asks for a stream that goes on, and for a new one
+// unless an earlier connection, open ever since, shows that the process is the same: what a
+// stream begins with is of the version that all routers take it to be.
 func (exchange *exchange) checkIdentity(upstream registry.Upstream, conn *http1.Conn) error {
 	if !exchange.resumable() || upstream.Incarnation == 0 || conn.Verified || exchange.handler.Registry.RanAt(upstream.ID, upstream.Incarnation, conn.OpenedAt) {
 		return nil
 	}
-	goesOn := exchange.takesUp() || exchange.started
+	goesOn := exchange.goesOn()
 	doubtful := conn.Doubtful()
-	if !goesOn && !doubtful {
+	if !goesOn && !doubtful && conn.Asked() {
 		return nil
 	}
 	exchange.handler.Metrics.CountEvent("identity.asked")
 	incarnation, known, err := exchange.askIdentity(upstream, conn)
 	switch {
+	case known && incarnation != upstream.Incarnation:
+		conn.Refute()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errors.Mark(err, errNoReport)
 	case err != nil:
 		return err
-	case known && incarnation == upstream.Incarnation:
+	case known:
 		conn.Verify()
 		return nil
-	case known:
-		conn.Refute()
 	case !doubtful || !goesOn:
+		conn.RecordAsked()
 		return nil
 	}
 	exchange.handler.Metrics.CountEvent("identity.other")
@@ -57,7 +92,7 @@
 }
 
 // askIdentity asks the process behind the connection which incarnation it is. It reports
-// false if the process doesn't say.
+// false if the process doesn't say. Behind an error the connection can't be used.
 func (exchange *exchange) askIdentity(upstream registry.Upstream, conn *http1.Conn) (registry.Incarnation, bool, error) {
 	until := time.Now().Add(identityTimeout)
 	if exchange.deadline.Before(until) {
@@ -83,12 +118,15 @@
 		return 0, false, errStrayAnswer
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-	if err != nil || response.Close {
-		return 0, false, errors.CombineErrors(err, errOtherIncarnation)
+	if err != nil {
+		return 0, false, err
+	}
+	if response.Close {
+		err = errNoReport
 	}
 	if response.StatusCode != http.StatusOK {
-		return 0, false, nil
+		return 0, false, err
 	}
 	incarnation, known := platform.DecodeReport(body)
-	return incarnation, known, nil
+	return incarnation, known, err
 }
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -305,19 +305,46 @@
 func Skip(response *http.Response) bool { return drain(response.Body, maxDrainBytes) }
 
 // Doubtful reports whether another process than that of the pool may have accepted the
-// connection.
+// connection, since another one broke.
 func (conn *Conn) Doubtful() bool {
-	return conn.pool != nil && conn.pool.doubts(conn.OpenedAt)
+	if conn.pool == nil {
+		return false
+	}
+	conn.pool.mu.Lock()
+	defer conn.pool.mu.Unlock()
+	return conn.pool.identity.doubts(conn.OpenedAt)
+}
+
+// Asked reports whether the peer was asked, on a connection of the pool, which process it is, and
+// at least one connection was open ever since: if that process has ended, one broke.
+func (conn *Conn) Asked() bool {
+	conn.pool.mu.Lock()
+	defer conn.pool.mu.Unlock()
+	return conn.pool.identity.asked
+}
+
+// RecordAsked records that the peer was asked which process it is, and did not say it.
+func (conn *Conn) RecordAsked() {
+	conn.pool.mu.Lock()
+	defer conn.pool.mu.Unlock()
+	conn.pool.identity.asked = true
 }
 
 // Verify records that the peer is the process that the pool is for.
 func (conn *Conn) Verify() {
 	conn.Verified = true
-	conn.pool.verify(conn.OpenedAt)
+	conn.pool.mu.Lock()
+	defer conn.pool.mu.Unlock()
+	conn.pool.identity.verify(conn.OpenedAt)
 }
 
 // Refute records that the peer is not the process that the pool is for.
-func (conn *Conn) Refute() { conn.pool.refute() }
+func (conn *Conn) Refute() {
+	now := conn.pool.now()
+	conn.pool.mu.Lock()
+	defer conn.pool.mu.Unlock()
+	conn.pool.identity.refute(now)
+}
 
 // RecordSilence records that a request, sent at the given time, got no response on the
 // connection. If it had carried earlier ones, it may be silent, and idle connections that
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -41,15 +41,11 @@
 	// Total, unless nil, counts the open connections of all pools that share it.
 	Total *atomic.Int64
 
-	mu     sync.Mutex
-	idle   []*Conn
-	open   int
-	closed bool
-	// brokenAt is when a connection was last found closed by the peer or could not be
-	// opened, until a later one is verified. Connections that were opened after
-	// doubtedAfter may reach another process then.
-	brokenAt     time.Time
-	doubtedAfter time.Time
+	mu       sync.Mutex
+	idle     []*Conn
+	open     int
+	closed   bool
+	identity peerIdentity
 }
 
 // recordBreak records that a connection broke.
@@ -57,40 +53,7 @@
 	now := pool.now()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	if pool.brokenAt.IsZero() {
-		pool.doubtedAfter = now
-	}
-	pool.brokenAt = now
-}
-
-// refute puts all connections in doubt: one of them reached another process.
-func (pool *Pool) refute() {
-	now := pool.now()
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	pool.brokenAt, pool.doubtedAfter = now, time.Time{}
-}
-
-// doubts reports whether a connection that was opened at the given time may reach another
-// process.
-func (pool *Pool) doubts(openedAt time.Time) bool {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	return !pool.brokenAt.IsZero() && pool.doubtedAfter.Before(openedAt)
-}
-
-// verify ends the doubt about connections that were opened until the given time, at which
-// the peer was the right one, and about all if none broke since.
-func (pool *Pool) verify(at time.Time) {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	if pool.brokenAt.Before(at) {
-		pool.brokenAt = time.Time{}
-		return
-	}
-	if pool.doubtedAfter.Before(at) {
-		pool.doubtedAfter = at
-	}
+	pool.identity.recordBreak(now)
 }
 
 func (pool *Pool) now() time.Time {
@@ -116,7 +79,16 @@
 		pool.recordBreak()
 		return nil, err
 	}
-	return newConn(pool, opened), nil
+	return pool.establish(opened), nil
+}
+
+// establish returns a connection that was opened.
+func (pool *Pool) establish(opened net.Conn) *Conn {
+	conn := newConn(pool, opened)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.identity.add()
+	return conn
 }
 
 // takeIdle returns the most recently used idle connection, or nil. It closes
@@ -190,6 +162,14 @@
 	pool.add(-1)
 }
 
+// remove records that an open connection was discarded.
+func (pool *Pool) remove() {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.add(-1)
+	pool.identity.remove()
+}
+
 // add changes the number of open connections. The caller holds mu.
 func (pool *Pool) add(count int) {
 	pool.open += count
@@ -210,7 +190,7 @@
 	// The connection is not used again, so the error does not matter.
 	_ = conn.Close()
 	if conn.pool != nil {
-		conn.pool.unreserve()
+		conn.pool.remove()
 		conn.pool = nil
 	}
 }
@@ -277,7 +257,7 @@
 	unusable := pool.takeIf(func(conn *Conn) bool {
 		open := conn.openAndIdle()
 		if !open {
-			pool.brokenAt = now
+			pool.identity.recordBreak(now)
 		}
 		if !open && now.Before(conn.expiresAt) {
 			closedEarly++
