soak: a cold upstream that gets too much names the requests and their times

The check said how many requests came in a second. Which routers sent them, and what those knew, could not be found in their logs without the attempts.

--- a/soak/cold.go
+++ b/soak/cold.go
@@ -30,26 +30,32 @@
 	}
 	most := int(coldRule.PerSecond*coldRule.Overage + coldRule.Slack)
 	for _, upstream := range soak.upstreams {
-		times := soak.runLog.timesAt(upstream.runner.ID)
+		runs := soak.runLog.runsAt(upstream.runner.ID)
 		upstream.mu.Lock()
 		restarts := slices.Clone(upstream.restartedAt)
 		upstream.mu.Unlock()
 		for _, restartedAt := range restarts {
-			from, _ := slices.BinarySearchFunc(times, restartedAt, time.Time.Compare)
-			until, _ := slices.BinarySearchFunc(times, restartedAt.Add(coldRule.Start), time.Time.Compare)
-			if got := mostInSecond(times[from:until]); got > most {
-				soak.violate("too much for a cold upstream", "%s got %d requests in a second after its restart at %v, want at most %d", upstream.runner.ID, got, restartedAt.Sub(soak.startedAt), most)
+			if got := mostInSecond(runs, restartedAt, restartedAt.Add(coldRule.Start)); len(got) > most {
+				soak.violate("too much for a cold upstream", "%s got %d requests in a second after its restart at %v, want at most %d: %v", upstream.runner.ID, len(got), restartedAt.Sub(soak.startedAt), most, got)
 			}
 		}
 	}
 }
 
-// mostInSecond returns the most of the sorted times that lie within a second.
-func mostInSecond(times []time.Time) int {
-	most := 0
-	for i, first := range times {
-		end, _ := slices.BinarySearchFunc(times, first.Add(time.Second), time.Time.Compare)
-		most = max(most, end-i)
+// mostInSecond returns the most of the sorted runs between two times that lie within a second.
+func mostInSecond(runs []timedRun, from, until time.Time) []timedRun {
+	var most []timedRun
+	for i, first := range runs {
+		if first.at.Before(from) {
+			continue
+		}
+		end := i
+		for end < len(runs) && runs[end].at.Before(first.at.Add(time.Second)) && runs[end].at.Before(until) {
+			end++
+		}
+		if end-i > len(most) {
+			most = runs[i:end]
+		}
 	}
 	return most
 }
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -50,19 +50,39 @@
 	return runLog.runs[attempt]
 }
 
-// timesAt returns when runs started at an upstream, in order.
-func (runLog *runLog) timesAt(upstream ident.UpstreamID) []time.Time {
+// timedRun is the start of work on an attempt.
+type timedRun struct {
+	attempt ident.AttemptID
+	at      time.Time
+}
+
+// String returns the attempt and the time of day.
+func (timedRun timedRun) String() string {
+	return string(timedRun.attempt) + " " + timedRun.at.Format("05.000")
+}
+
+// runsAt returns the runs that started at an upstream, in order.
+func (runLog *runLog) runsAt(upstream ident.UpstreamID) []timedRun {
 	runLog.mu.Lock()
 	defer runLog.mu.Unlock()
-	var times []time.Time
-	for _, runs := range runLog.runs {
+	var at []timedRun
+	for attempt, runs := range runLog.runs {
 		for _, run := range runs {
 			if run.upstream == upstream {
-				times = append(times, run.at)
+				at = append(at, timedRun{attempt: attempt, at: run.at})
 			}
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(at, func(a, b timedRun) int { return a.at.Compare(b.at) })
+	return at
+}
+
+// timesAt returns when runs started at an upstream, in order.
+func (runLog *runLog) timesAt(upstream ident.UpstreamID) []time.Time {
+	var times []time.Time
+	for _, run := range runLog.runsAt(upstream) {
+		times = append(times, run.at)
+	}
 	return times
 }
 
