forward, quota: a closed connection is settled by which process answers, not by an answer

What callers saw: an upstream that ends again under its first requests.

Cause: an upstream that closes the single connection of a router may have ended, or keep connections for less time than it states. An answer to the next request was taken for the second, with the deadline of before. A process that follows within 20 ms answers as well: three routers took it for the one before, and told nobody.

Change: the router asks the process behind the next connection which one it is, as it does for streams (forward.proveIdentity). The row's has run all along. Another one is a failure that other routers are told of, and gets a request only with a share of its rate. If it does not say it, the answer counts as before, so that no sound upstream is refused.

--- a/forward/identity.go
+++ b/forward/identity.go
@@ -33,14 +33,21 @@
 
 // proveIdentity returns a connection to the process that the row of the upstream describes, which is
 // conn unless that can't be used any more. It returns an error if another process may be behind
-// it, which may have another software version. No request was sent then, and conn is closed.
+// it, and the answer depends on which one. No request was sent then, and conn is closed.
 func (exchange *exchange) proveIdentity(upstream registry.Upstream, conn *http1.Conn) (*http1.Conn, error) {
-	err := exchange.checkIdentity(upstream, conn)
+	if upstream.Incarnation == 0 || conn.Verified {
+		return conn, nil
+	}
+	depends := exchange.dependsOnProcess(upstream, conn)
+	if !depends && !exchange.handler.Quota.Unsure(upstream) {
+		return conn, nil
+	}
+	err := exchange.checkIdentity(upstream, conn, depends)
 	switch {
 	case err == nil:
 		return conn, nil
-	case errors.Is(err, errNoReport) && !exchange.goesOn() && !conn.Doubtful():
-		// Nothing speaks against the row.
+	case errors.Is(err, errNoReport) && !(depends && (exchange.goesOn() || conn.Doubtful())):
+		// Nothing speaks against the row, or nothing depends on it.
 		exchange.handler.Metrics.CountEvent("identity.unknown")
 		conn.Discard()
 		next, err := exchange.connect(upstream)
@@ -57,38 +64,52 @@
 // goesOn reports whether the request is for the rest of a stream that has begun.
 func (exchange *exchange) goesOn() bool { return exchange.takesUp() || exchange.started }
 
-// checkIdentity returns an error if the process behind the connection may be another one
-// than the row of the upstream describes. It asks for a stream that goes on, and for a new one
-// unless an earlier connection, open ever since, shows that the process is the same: what a
-// stream begins with is of the version that all routers take it to be.
-func (exchange *exchange) checkIdentity(upstream registry.Upstream, conn *http1.Conn) error {
-	if !exchange.resumable() || upstream.Incarnation == 0 || conn.Verified || exchange.handler.Registry.RanAt(upstream.ID, upstream.Incarnation, conn.OpenedAt) {
-		return nil
-	}
-	goesOn := exchange.goesOn()
-	doubtful := conn.Doubtful()
-	if !goesOn && !doubtful && conn.Asked() {
-		return nil
+// dependsOnProcess reports whether the process behind the connection has to be the one that the row
+// describes, and may be another one: what a stream begins with, and goes on with, has to be of the
+// version that all routers take it to be. An earlier connection, open ever since, shows that the
+// process is the same.
+func (exchange *exchange) dependsOnProcess(upstream registry.Upstream, conn *http1.Conn) bool {
+	if !exchange.resumable() || exchange.handler.Registry.RanAt(upstream.ID, upstream.Incarnation, conn.OpenedAt) {
+		return false
 	}
+	return exchange.goesOn() || conn.Doubtful() || !conn.Asked()
+}
+
+// checkIdentity asks the process behind the connection which one it is, and returns an error if it
+// is another one than the row describes and the answer depends on that, or if the connection can't be
+// used any more.
+func (exchange *exchange) checkIdentity(upstream registry.Upstream, conn *http1.Conn, depends bool) error {
 	exchange.handler.Metrics.CountEvent("identity.asked")
+	doubtful := conn.Doubtful()
+	askedAt := time.Now()
 	incarnation, known, err := exchange.askIdentity(upstream, conn)
-	switch {
-	case known && incarnation != upstream.Incarnation:
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errors.Mark(err, errNoReport)
+	}
+	other := known && incarnation != upstream.Incarnation
+	if other {
 		conn.Refute()
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errors.Mark(err, errNoReport)
+		exchange.handler.Metrics.CountEvent("identity.other")
+		exchange.handler.Logger.Warn("Another process runs at the upstream's address.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Got", incarnation)
+	}
+	switch {
+	case other && !depends:
+		// It started since: the answer to the request shows that it is back.
+		exchange.handler.Quota.Failed(time.Now(), upstream, askedAt)
+	case other, !known && err == nil && depends && doubtful && exchange.goesOn():
+		return errOtherIncarnation
+	case known:
+		exchange.handler.Quota.Runs(time.Now(), upstream)
+	}
+	switch {
 	case err != nil:
 		return err
-	case known:
+	case known && !other:
 		conn.Verify()
-		return nil
-	case !doubtful || !goesOn:
+	case !known:
 		conn.RecordAsked()
-		return nil
 	}
-	exchange.handler.Metrics.CountEvent("identity.other")
-	exchange.handler.Logger.Warn("Another process runs at the upstream's address.", "Upstream", upstream.ID, "Incarnation", upstream.Incarnation, "Got", incarnation)
-	return errOtherIncarnation
+	return nil
 }
 
 // askIdentity asks the process behind the connection which incarnation it is. It reports
--- a/forward/identity_test.go
+++ b/forward/identity_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/hickoryhead/hickoryhead/registry"
 )
 
 const (
@@ -138,3 +140,58 @@
 		t.Errorf("got %d requests for a report, want 0", got)
 	}
 }
+
+// closingOnce answers as inner does, and closes the connection behind its first request, as an upstream
+// that ends does, or one that keeps connections for less time than it states.
+type closingOnce struct {
+	inner  *reporting
+	closed atomic.Bool
+}
+
+func (closingOnce *closingOnce) serve(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
+	open := closingOnce.inner.serve(ctx, conn, n, request)
+	return open && (request.target == "/report" || closingOnce.closed.Swap(true))
+}
+
+// TestSingleClosedConnection guards against an upstream that gets more requests than it may while it is
+// cold: its process ended and another one followed, but all that a router saw is that the only connection
+// which it had open was closed. Without a share of the rate no request is sent there. One that only closed
+// the connection must not be taken for cold.
+func TestSingleClosedConnection(t *testing.T) {
+	tests := []struct {
+		name     string
+		report   string
+		wantCold bool
+	}{
+		{"another process", report(laterBorn, ""), true},
+		{"another process, the connection ends with its report", report(laterBorn, "Connection: close\r\n"), true},
+		{"the same process", report(listedBorn, ""), false},
+		{"the same process, the connection ends with its report", report(listedBorn, "Connection: close\r\n"), false},
+		{"no report", noReport, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := &closingOnce{inner: &reporting{answer: test.report, event: "e"}}
+			router := startRouter(t, startUpstream(t, upstream.serve))
+			router.listAll()
+			tracker := coldTracker(3 * time.Second)
+			router.handler.Quota = tracker
+			router.handler.Connections.OnAllClosed = func(upstream registry.Upstream, connections int) {
+				tracker.Closed(time.Now(), upstream, connections)
+			}
+			router.send(t, "a1", "POST", "/stream/", "").check(t, http.StatusOK, "")
+			time.Sleep(50 * time.Millisecond)
+			want := http.StatusOK
+			if test.wantCold {
+				want = http.StatusServiceUnavailable
+			}
+			router.send(t, "a2", "POST", "/stream/", "").check(t, want, "")
+			if _, got := tracker.ColdUntil(time.Now(), router.handler.Registry.Upstreams()[0]); got != test.wantCold {
+				t.Errorf("got cold %t, want %t", got, test.wantCold)
+			}
+			if got := upstream.inner.reports.Load(); got != 1 {
+				t.Errorf("got %d requests for a report, want 1", got)
+			}
+		})
+	}
+}
--- a/quota/cold_failure.go
+++ b/quota/cold_failure.go
@@ -79,6 +79,35 @@
 	state.closed, state.single = true, connections == 1
 }
 
+// Unsure reports whether the upstream closed the single connection that this router had to it, so that
+// its process may have ended, and nothing has shown since whether it has.
+func (tracker *Tracker) Unsure(upstream registry.Upstream) bool {
+	if tracker == nil || tracker.coldCount.Load() == 0 {
+		return false
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	state := tracker.colds[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	return state != nil && state.Failed && state.closed && state.single
+}
+
+// Runs records that the process behind a new connection said that it is the incarnation of the
+// upstream, so that it closed connections, but has not ended.
+func (tracker *Tracker) Runs(now time.Time, upstream registry.Upstream) {
+	if tracker == nil || tracker.coldCount.Load() == 0 {
+		return
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	state := tracker.colds[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	if state == nil || !state.Failed || !state.closed {
+		return
+	}
+	next := state.Cold
+	next.Failed, next.Source, next.SeenAt = false, ColdReturn, now
+	tracker.setCold(now, state, next, 0)
+}
+
 // fail records a failure. The caller holds mu.
 func (tracker *Tracker) fail(now time.Time, state *coldState, upstream registry.Upstream, triedAt time.Time) {
 	state.probedAt, state.failedAt = time.Time{}, now
