entry, forward: a router that was paused reads what came before it chooses upstreams

What callers saw: an upstream that ends again under its first requests. Soak: 14 requests in a second at a cold upstream, eight of them 4 ms after their router had been stopped for 2.3 s, and 4 ms before it read that the upstream had failed.

Cause: a router catches up behind a pause of half of EvacuateMs only, or of none if that is not set, and it did so behind the choice of an upstream. The request was counted for the incarnation that had been chosen, which another one had replaced meanwhile.

Change: where cold upstreams have a rate, which holds for a second, a pause of half of that counts, and the wait comes before the choice as well.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -219,7 +219,7 @@
 	daemon.updater.OnEvacuationEnd = daemon.markCold
 	daemon.handler.OnAnnounced = daemon.updater.ApplyAnnounced
 	daemon.handler.LastStall = daemon.stallRecorder.last
-	daemon.stall.longest = time.Duration(stallShare * float64(daemon.Config.EvacuateMs.Duration()))
+	daemon.stall.longest = longestStall(daemon.Config)
 	daemon.stall.metrics, daemon.stall.logger = set, daemon.Logger
 	if daemon.stall.longest > 0 {
 		daemon.handler.AwaitCurrent = daemon.stall.await
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -100,7 +100,12 @@
 
 // writeConfig writes a configuration with one route at prefix.
 func (fixture *fixture) writeConfig(version int, prefix string) {
-	value := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"a.example","prefix":%q,"route-type":"idempotent","timeout-ms":6000,"target-latency-ms":300,"priority":1,"service":"pool","max-attempts":2,"public":true}],"services":[{"name":"pool","health-path":"/healthz","max-connections":100,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4096,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t","api-keys":["k"]}]}`, version, prefix)
+	fixture.writeConfigWith(version, prefix, `"tls":false`)
+}
+
+// writeConfigWith writes a configuration with one route at prefix, and more members of its service.
+func (fixture *fixture) writeConfigWith(version int, prefix, members string) {
+	value := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"a.example","prefix":%q,"route-type":"idempotent","timeout-ms":6000,"target-latency-ms":300,"priority":1,"service":"pool","max-attempts":2,"public":true}],"services":[{"name":"pool","health-path":"/healthz","max-connections":100,"protocol":"h1",%s}],"limits":{"max-header-bytes":16384,"max-body-bytes":4096,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t","api-keys":["k"]}]}`, version, prefix, members)
 	fixture.store.Write(platform.Record{Table: platform.OperatorTable, Key: platform.ConfigKey, Value: []byte(value)})
 }
 
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/config"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/wait"
 )
@@ -20,11 +21,24 @@
 	maxCatchUpWait = 2 * catchUpTime
 	// catchUpPollInterval is the time between two checks of a waiting request.
 	catchUpPollInterval = 10 * time.Millisecond
-	// stallShare is the share of the time within which an evacuation has to be in force for
+	// stallShare is the share of the time within which a router has to act on what it is told, for
 	// which the process may be paused.
 	stallShare = 0.5
+	// coldWindow is the time for which the rate of a cold upstream holds.
+	coldWindow = time.Second
 )
 
+// longestStall returns for how long the process may be paused: not so long that it misses that a zone
+// is evacuated, or that an upstream which ended and came back gets few requests at first. Zero means
+// any time.
+func longestStall(settings config.Entry) time.Duration {
+	within := settings.EvacuateMs.Duration()
+	if settings.ColdOverage > 0 && (within == 0 || coldWindow < within) {
+		within = coldWindow
+	}
+	return time.Duration(stallShare * float64(within))
+}
+
 // stallGuard detects that the process was paused, as when its VM was: what it knew before may
 // be outdated when it resumes, and callers' requests are there at once. The zero value detects
 // nothing. It is safe for concurrent use, but for tick, which has a single caller.
--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/entry"
+	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/quota"
 )
 
 // hosts counts the loopback addresses that processes of tests have got.
@@ -126,3 +128,42 @@
 		t.Errorf("got %d requests in the evacuated zone, want none", got-before)
 	}
 }
+
+// restartCold writes the row of an upstream as that of a process which has just followed another one,
+// and is cold.
+func (fixture *fixture) restartCold(id string, rule quota.ColdRule) {
+	address := strings.TrimPrefix(fixture.upstreams[id].server.URL, "http://")
+	value := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":%d,"seq":1,"born":1700000000001}`, address, rule.Start.Milliseconds())
+	fixture.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(id), Value: []byte(value)})
+}
+
+// TestColdUpstreamOfAPausedRouter guards against a router whose process was paused while an upstream
+// ended and came back, and that sends the requests which arrived meanwhile there at once: a cold
+// upstream ends again under them.
+func TestColdUpstreamOfAPausedRouter(t *testing.T) {
+	rule := quota.ColdRule{Start: 5 * time.Second, PerSecond: 4, Overage: 1.5, Slack: 5}
+	first := newFixture(t, "i-a")
+	first.config.ColdOverage, first.config.ColdSlack = rule.Overage, rule.Slack
+	first.writeConfigWith(2, "/first/", fmt.Sprintf(`"tls":false,"cold-start-s":%v,"cold-per-s":%v`, rule.Start.Seconds(), rule.PerSecond))
+	first.start()
+	paused := newRouterBeside(first, "vm-2")
+	process := paused.startProcess()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	first.restartCold("i-a", rule)
+	var waiting sync.WaitGroup
+	for range 200 {
+		waiting.Go(func() { paused.get("/first/x") })
+	}
+	// The requests wait in the sockets of the process, for longer than the rate of a cold upstream holds.
+	time.Sleep(1200 * time.Millisecond)
+	if err := process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	if got, most := first.upstreams["i-a"].served.Load(), int64(rule.PerSecond*rule.Overage+rule.Slack); got > most {
+		t.Errorf("got %d requests in a second at the cold upstream, want at most %d", got, most)
+	}
+	waiting.Wait()
+}
--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 )
 
@@ -54,6 +56,27 @@
 	})
 }
 
+// TestLongestStall guards against a router that sends the requests which waited while its process was
+// paused before it has read that their upstream ended, came back and is cold.
+func TestLongestStall(t *testing.T) {
+	tests := []struct {
+		evacuateMs  ident.Milliseconds
+		coldOverage float64
+		want        time.Duration
+	}{
+		{0, 0, 0},
+		{5000, 0, 2500 * time.Millisecond},
+		{0, 1.5, 500 * time.Millisecond},
+		{5000, 1.5, 500 * time.Millisecond},
+		{400, 1.5, 200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		if got := longestStall(config.Entry{EvacuateMs: test.evacuateMs, ColdOverage: test.coldOverage}); got != test.want {
+			t.Errorf("got %v with EvacuateMs %d and ColdOverage %v, want %v", got, test.evacuateMs, test.coldOverage, test.want)
+		}
+	}
+}
+
 // TestStallsAreIgnoredWithoutEvacuateMs guards against waits on a deployment whose
 // settings don't say within which time an evacuation has to be in force.
 func TestStallsAreIgnoredWithoutEvacuateMs(t *testing.T) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -223,10 +223,15 @@
 
 // evacuated reports whether the zone of an upstream is evacuated, by what the router knows now.
 func (exchange *exchange) evacuated(upstream registry.Upstream) bool {
+	exchange.awaitCurrent()
+	return exchange.handler.Registry.Evacuated(upstream.Zone)
+}
+
+// awaitCurrent waits, behind a pause of the process, until what the router knows is current.
+func (exchange *exchange) awaitCurrent() {
 	if exchange.handler.AwaitCurrent != nil {
 		exchange.handler.AwaitCurrent(exchange.request.Context())
 	}
-	return exchange.handler.Registry.Evacuated(upstream.Zone)
 }
 
 // withdraw gives up an attempt before anything of the request was sent, since the zone of the
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -184,6 +184,7 @@
 // is one. A request that crashes upstreams gets none.
 func (exchange *exchange) chooseNext(pool *registry.Pool) bool {
 	for range maxChoices {
+		exchange.awaitCurrent()
 		standing, inTime := exchange.awaitTurn()
 		if !inTime {
 			exchange.postponed = true
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -61,8 +61,8 @@
 	// OnAnnounced, if set, is called with the change when an upstream says that it
 	// leaves.
 	OnAnnounced func(change registry.Change)
-	// AwaitCurrent, if set, waits before a request is sent until what the router knows of
-	// evacuated zones is not older than it should be.
+	// AwaitCurrent, if set, waits before an upstream is chosen, and before a request is sent, until
+	// what the router knows of upstreams and evacuated zones is not older than it should be.
 	AwaitCurrent func(ctx context.Context)
 	Connections  *Connections
 	// Memory bounds what requests hold of their bodies and answers.
