--- a/forward/identity.go
+++ b/forward/identity.go
@@ -46,15 +46,11 @@
 	switch {
 	case err == nil:
 		return conn, nil
-	case errors.Is(err, errNoReport) && !(depends && (exchange.goesOn() || conn.Doubtful())):
-		// Nothing speaks against the row, or nothing depends on it.
+	case errors.Is(err, errNoReport) && !depends:
+		// The request may run at any process.
 		exchange.handler.Metrics.CountEvent("identity.unknown")
 		conn.Discard()
-		next, err := exchange.connect(upstream)
-		if err == nil {
-			next.RecordAsked()
-		}
-		return next, err
+		return exchange.connect(upstream)
 	}
 	conn.RecordBreak()
 	conn.Discard()
@@ -65,14 +61,14 @@
 func (exchange *exchange) goesOn() bool { return exchange.takesUp() || exchange.started }
 
 // dependsOnProcess reports whether the process behind the connection has to be the one that the row
-// describes, and may be another one: what a stream begins with, and goes on with, has to be of the
-// version that all routers take it to be. An earlier connection, open ever since, shows that the
-// process is the same.
+// describes, and may be another one: what a stream goes on with has to be of the version that it began
+// with, and what a new one begins with of the version that all routers take it to be. A new one asks
+// only where a connection broke, since a report costs the upstream work (see awaitRow).
 func (exchange *exchange) dependsOnProcess(upstream registry.Upstream, conn *http1.Conn) bool {
 	if !exchange.resumable() || exchange.handler.Registry.RanAt(upstream.ID, upstream.Incarnation, conn.OpenedAt) {
 		return false
 	}
-	return exchange.goesOn() || conn.Doubtful() || !conn.Asked()
+	return exchange.goesOn() || conn.Doubtful()
 }
 
 // checkIdentity asks the process behind the connection which one it is, and returns an error if it
@@ -101,15 +97,10 @@
 	case known:
 		exchange.handler.Quota.Runs(time.Now(), upstream)
 	}
-	switch {
-	case err != nil:
-		return err
-	case known && !other:
+	if err == nil && known && !other {
 		conn.Verify()
-	case !known:
-		conn.RecordAsked()
 	}
-	return nil
+	return err
 }
 
 // askIdentity asks the process behind the connection which incarnation it is. It reports
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -24,6 +24,10 @@
 	maxStreamLifetime = 2 * time.Minute
 	// splitPollInterval is the time between two checks of whether the splits were read.
 	splitPollInterval = 10 * time.Millisecond
+	// rowDelay is the time within which a router knows the row that an upstream writes when it
+	// starts, unless the store is away.
+	rowDelay        = time.Second
+	rowPollInterval = 10 * time.Millisecond
 )
 
 // originSource says how the version that began a stream is known.
@@ -221,6 +225,30 @@
 	}
 }
 
+// awaitRow waits, before a stream that broke at its first upstream goes on, until the row of the process
+// that began it is known: the process may have followed another one just before the connection was
+// opened. It does not wait if that process said which one it is, or if it had to be known before.
+func (exchange *exchange) awaitRow(broken *answer) {
+	if exchange.began != broken || !exchange.resumable() || broken.conn.Verified || broken.upstream.Incarnation == 0 {
+		return
+	}
+	known := broken.conn.OpenedAt.Add(rowDelay)
+	if !time.Now().Before(known) {
+		return
+	}
+	exchange.handler.Metrics.CountEvent("origin.awaited")
+	ctx, cancel := context.WithDeadline(exchange.request.Context(), earlier(known, exchange.deadline))
+	defer cancel()
+	for wait.Sleep(ctx, rowPollInterval) && !exchange.replaced(broken.upstream) {
+	}
+}
+
+// replaced reports whether an upstream is listed as another incarnation.
+func (exchange *exchange) replaced(upstream registry.Upstream) bool {
+	listed, found := exchange.handler.Registry.Upstream(upstream.ID)
+	return found && listed.Incarnation != upstream.Incarnation
+}
+
 // originRefuted reports whether the first events of a stream, which broke at its first
 // upstream, may come from another software version than the upstream's row named when the
 // stream began: the upstream is listed as another incarnation, with another version, since
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -71,6 +71,7 @@
 		if !exchange.started {
 			return code
 		}
+		exchange.awaitRow(answer)
 		if exchange.originRefuted(answer) {
 			exchange.refuteOrigin(answer)
 			exchange.aborted = true
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -315,21 +315,6 @@
 	return conn.pool.identity.doubts(conn.OpenedAt)
 }
 
-// Asked reports whether the peer was asked, on a connection of the pool, which process it is, and
-// at least one connection was open ever since: if that process has ended, one broke.
-func (conn *Conn) Asked() bool {
-	conn.pool.mu.Lock()
-	defer conn.pool.mu.Unlock()
-	return conn.pool.identity.asked
-}
-
-// RecordAsked records that the peer was asked which process it is, and did not say it.
-func (conn *Conn) RecordAsked() {
-	conn.pool.mu.Lock()
-	defer conn.pool.mu.Unlock()
-	conn.pool.identity.asked = true
-}
-
 // Verify records that the peer is the process that the pool is for.
 func (conn *Conn) Verify() {
 	conn.Verified = true
--- a/http1/peer_identity.go
+++ b/http1/peer_identity.go
@@ -3,14 +3,8 @@
 import "time"
 
 // peerIdentity is what is known of which process the connections of a pool reach. One process
-// may end and another one start at its address. An open connection is a witness that this did not
-// happen: it would have broken.
+// may end and another one start at its address; the connections to the first break.
 type peerIdentity struct {
-	// alive is the number of connections that were opened and not discarded.
-	alive int
-	// asked is set since the process behind a connection said which one it is, or did not say it
-	// when asked, until no connection is left.
-	asked bool
 	// brokenAt is when a connection was last found closed by the peer or could not be
 	// opened, until a later one is verified. Connections that were opened after
 	// doubtedAfter may reach another process then.
@@ -18,17 +12,6 @@
 	doubtedAfter time.Time
 }
 
-// add records that a connection was opened.
-func (identity *peerIdentity) add() { identity.alive++ }
-
-// remove records that a connection was discarded. Behind the last one there is no witness.
-func (identity *peerIdentity) remove() {
-	identity.alive--
-	if identity.alive == 0 {
-		identity.asked = false
-	}
-}
-
 // recordBreak records that a connection was found broken.
 func (identity *peerIdentity) recordBreak(now time.Time) {
 	if identity.brokenAt.IsZero() {
@@ -51,7 +34,6 @@
 // verify ends the doubt about connections that were opened until the given time, at which
 // the peer was the right one, and about all if none broke since.
 func (identity *peerIdentity) verify(openedAt time.Time) {
-	identity.asked = true
 	if identity.brokenAt.Before(openedAt) {
 		identity.brokenAt = time.Time{}
 		return
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -79,16 +79,7 @@
 		pool.recordBreak()
 		return nil, err
 	}
-	return pool.establish(opened), nil
-}
-
-// establish returns a connection that was opened.
-func (pool *Pool) establish(opened net.Conn) *Conn {
-	conn := newConn(pool, opened)
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	pool.identity.add()
-	return conn
+	return newConn(pool, opened), nil
 }
 
 // takeIdle returns the most recently used idle connection, or nil. It closes
@@ -162,14 +153,6 @@
 	pool.add(-1)
 }
 
-// remove records that an open connection was discarded.
-func (pool *Pool) remove() {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	pool.add(-1)
-	pool.identity.remove()
-}
-
 // add changes the number of open connections. The caller holds mu.
 func (pool *Pool) add(count int) {
 	pool.open += count
@@ -190,7 +173,7 @@
 	// The connection is not used again, so the error does not matter.
 	_ = conn.Close()
 	if conn.pool != nil {
-		conn.pool.remove()
+		conn.pool.unreserve()
 		conn.pool = nil
 	}
 }
