--- a/forward/origin.go
+++ b/forward/origin.go
@@ -239,7 +239,10 @@
 	exchange.handler.Metrics.CountEvent("origin.awaited")
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), earlier(known, exchange.deadline))
 	defer cancel()
-	for wait.Sleep(ctx, rowPollInterval) && !exchange.replaced(broken.upstream) {
+	for !exchange.replaced(broken.upstream) {
+		if !wait.Sleep(ctx, rowPollInterval) {
+			return
+		}
 	}
 }
 
