forward: one check of whether a stream began at an unproven process, one look-up of its successor

awaitRow had copied both from originRefuted. The tests' reports of a start time are written by one function, too. No change of behaviour: go test -race ./forward passes.

--- a/forward/origin.go
+++ b/forward/origin.go
@@ -229,7 +229,7 @@
 // that began it is known: the process may have followed another one just before the connection was
 // opened. It does not wait if that process said which one it is, or if it had to be known before.
 func (exchange *exchange) awaitRow(broken *answer) {
-	if exchange.began != broken || !exchange.resumable() || broken.conn.Verified || broken.upstream.Incarnation == 0 {
+	if !exchange.beganUnproven(broken) || broken.upstream.Incarnation == 0 {
 		return
 	}
 	known := broken.conn.OpenedAt.Add(rowDelay)
@@ -239,17 +239,23 @@
 	exchange.handler.Metrics.CountEvent("origin.awaited")
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), earlier(known, exchange.deadline))
 	defer cancel()
-	for !exchange.replaced(broken.upstream) {
-		if !wait.Sleep(ctx, rowPollInterval) {
+	for {
+		if _, found := exchange.successor(broken.upstream); found || !wait.Sleep(ctx, rowPollInterval) {
 			return
 		}
 	}
 }
 
-// replaced reports whether an upstream is listed as another incarnation.
-func (exchange *exchange) replaced(upstream registry.Upstream) bool {
+// beganUnproven reports whether an answer that broke began the stream, which may continue elsewhere,
+// and its process had not said which one it is.
+func (exchange *exchange) beganUnproven(broken *answer) bool {
+	return exchange.began == broken && exchange.resumable() && !broken.conn.Verified
+}
+
+// successor returns the other incarnation that an upstream is listed as, and reports whether it is.
+func (exchange *exchange) successor(upstream registry.Upstream) (registry.Upstream, bool) {
 	listed, found := exchange.handler.Registry.Upstream(upstream.ID)
-	return found && listed.Incarnation != upstream.Incarnation
+	return listed, found && listed.Incarnation != upstream.Incarnation
 }
 
 // originRefuted reports whether the first events of a stream, which broke at its first
@@ -258,11 +264,11 @@
 // before the stream broke. A router that had no connection open when the upstream
 // restarted learns that from its row only.
 func (exchange *exchange) originRefuted(broken *answer) bool {
-	if exchange.began != broken || !exchange.resumable() || broken.conn.Verified {
+	if !exchange.beganUnproven(broken) {
 		return false
 	}
-	listed, found := exchange.handler.Registry.Upstream(broken.upstream.ID)
-	return found && listed.Incarnation != broken.upstream.Incarnation && listed.Software != broken.upstream.Software
+	listed, found := exchange.successor(broken.upstream)
+	return found && listed.Software != broken.upstream.Software
 }
 
 // refuteOrigin records, here and at other routers, that the version which began the stream
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -164,8 +164,7 @@
 
 func (restartable *restartable) answer(ctx context.Context, conn net.Conn, n int, request receivedRequest) bool {
 	if request.target == "/report" {
-		body := fmt.Sprintf(`{"born":%d}`, restartable.born.Load())
-		write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		write(conn, report(restartable.born.Load(), ""))
 		return true
 	}
 	if restartable.next != 0 && restartable.born.Swap(restartable.next) != restartable.next {
