--- a/balance/cache_index.go
+++ b/balance/cache_index.go
@@ -79,11 +79,7 @@
 func (index *CacheIndex) RecordLocal(now time.Time, update CacheUpdate) {
 	index.mu.Lock()
 	defer index.mu.Unlock()
-	if len(update.Key) > maxKeyBytes {
-		return
-	}
-	entry := index.recordUse(now, update)
-	if entry.announce(now) {
+	if entry := index.recordUse(now, update); entry != nil && entry.announce(now) {
 		update.Key = copyKey(update.Key)
 		index.pending = AppendPending(index.pending, update)
 	}
@@ -107,11 +103,7 @@
 	defer index.mu.Unlock()
 	var unknown []CacheUpdate
 	for _, update := range updates {
-		if len(update.Key) > maxKeyBytes {
-			continue
-		}
-		entry := index.recordUse(now, update)
-		if entry.announce(now) {
+		if entry := index.recordUse(now, update); entry != nil && entry.announce(now) {
 			unknown = append(unknown, update)
 		}
 	}
@@ -148,9 +140,12 @@
 	return updates
 }
 
-// recordUse adds or refreshes the entry for update and returns it. The pointer
-// is valid until the index changes. The caller holds mu.
+// recordUse adds or refreshes the entry for update and returns it, or nil if the key is longer
+// than maxKeyBytes. The pointer is valid until the index changes. The caller holds mu.
 func (index *CacheIndex) recordUse(now time.Time, update CacheUpdate) *cacheEntry {
+	if len(update.Key) > maxKeyBytes {
+		return nil
+	}
 	if index.prefixes == nil {
 		// NewLRU fails only if the size is not positive.
 		index.prefixes, _ = simplelru.NewLRU[ident.ChatID, []cacheEntry](maxCachedPrefixes, nil)
