crowdtest, changetest: routers listen at ports that the system chooses

Cause: a fault of the test. freeAddress listened at port 0, closed the listener and handed the port to the router, one address after another, while the fourth one was chosen by the system when the router listened. Nothing kept two of the four from being the same, nor another process of the test from taking one.

A router now names all its addresses in its log line "Started." (Ready, Peers and Internal beside Callers), so that no test has to guess: the routers of crowdtest, changetest and entry's process tests get port 0 for each listener and are asked by that line. The same choice of a port that may be taken stood in TestFailedStartClosesItsListeners, oncehttp TestRefusedDialSentNothing and upstream TestUnreachableUpstreamWasSentNothing, which expect that nothing listens there: they use a loopback IP of their own now. What the tests want is unchanged.

Also: the loopback IP of a test process stood three times (fleettest, changetest, entry), now fleettest.Host alone.

--- a/changetest/caller_test.go
+++ b/changetest/caller_test.go
@@ -82,7 +82,7 @@
 	}
 	caller.disconnect()
 	var err error
-	caller.conn, err = dial(caller.group.router.settings.CallerListen)
+	caller.conn, err = dial(caller.group.router.addresses.Callers)
 	if err != nil {
 		caller.conn = nil
 	}
--- a/changetest/conn_test.go
+++ b/changetest/conn_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hickoryhead/hickoryhead/fleettest"
 )
 
 const (
@@ -23,8 +25,8 @@
 	reader *bufio.Reader
 }
 
-// dialer opens the connections of callers.
-var dialer = net.Dialer{Timeout: callerTimeout, LocalAddr: &net.TCPAddr{IP: loopbackIP(callerIP)}}
+// dialer opens the connections of callers, which have a host of their own.
+var dialer = net.Dialer{Timeout: callerTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(fleettest.Host())}}
 
 func dial(address string) (*conn, error) {
 	dialed, err := dialer.Dial("tcp", address)
--- a/changetest/router_test.go
+++ b/changetest/router_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/entry"
 	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/standin"
@@ -28,9 +28,6 @@
 	pollInterval  = 20 * time.Millisecond
 	// stopTimeoutMs is how long the router has from the signal to its end.
 	stopTimeoutMs = 8000
-	// Numbers of the loopback IPs on which the router listens and from which callers connect.
-	routerIP = 1
-	callerIP = 2
 )
 
 // router is a router process in front of two services with one upstream each.
@@ -41,6 +38,7 @@
 	settings  config.Entry
 	path      string
 	process   *fleettest.Process
+	addresses entry.Addresses
 }
 
 // startRouter starts a store with a configuration, the upstreams and a router with one
@@ -55,15 +53,16 @@
 		router.write(platform.ServerTable, platform.Key("i-"+service), fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1700000000000}`, service, router.upstreams[service].address))
 	}
 	router.apply(first)
+	listen := fleettest.AnyPort()
 	router.settings = config.Entry{
 		VM: "vm-1", Zone: "a", Platform: strings.TrimPrefix(server.URL, "http://"),
-		CallerListen: freeAddress(t), ReadyListen: freeAddress(t), PeerListen: freeAddress(t), MetricsListen: freeAddress(t),
+		CallerListen: listen, ReadyListen: listen, PeerListen: listen, MetricsListen: listen,
 		StopTimeoutMs: stopTimeoutMs, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 20,
 	}
 	router.path = filepath.Join(t.TempDir(), "entry.json")
 	router.writeSettings()
 	t.Setenv("GOMAXPROCS", "1")
-	router.process = fleettest.StartEntry(t, router.path)
+	router.process, router.addresses = fleettest.StartEntry(t, router.path)
 	waitFor(t, readyTimeout, "readiness", router.isReady)
 	return router
 }
@@ -93,12 +92,12 @@
 }
 
 func (router *router) isReady() bool {
-	return status("http://"+router.settings.ReadyListen+"/readyz") == http.StatusOK
+	return status("http://"+router.addresses.Ready+"/readyz") == http.StatusOK
 }
 
 // hasReloaded reports whether the router counts a reload of changed settings.
 func (router *router) hasReloaded() bool {
-	response, err := client.Get("http://" + router.settings.MetricsListen + "/metrics")
+	response, err := client.Get("http://" + router.addresses.Internal + "/metrics")
 	if err != nil {
 		return false
 	}
@@ -109,7 +108,7 @@
 
 // hasVersion reports whether the router serves the route that only one version has.
 func (router *router) hasVersion(version int) bool {
-	return status("http://"+router.settings.CallerListen+versionPrefix(version)+"x") == http.StatusOK
+	return status("http://"+router.addresses.Callers+versionPrefix(version)+"x") == http.StatusOK
 }
 
 // client sends each request on a connection of its own.
@@ -202,21 +201,3 @@
 		time.Sleep(runningTime)
 	}
 }
-
-// loopbackIP returns an address of the loopback network that other test processes do not use: a
-// connection from one takes no port at which another wants to listen.
-func loopbackIP(number byte) net.IP {
-	pid := os.Getpid()
-	return net.IPv4(127, byte(1+(pid>>8)%254), byte(1+pid%254), number)
-}
-
-// freeAddress returns an address of the router's loopback IP on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: loopbackIP(routerIP)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
--- a/crowdtest/crowd_test.go
+++ b/crowdtest/crowd_test.go
@@ -192,7 +192,7 @@
 
 // post sends a request with a body and reports whether it was served.
 func (router *router) post(path string, body io.Reader, length int) error {
-	request, err := http.NewRequest(http.MethodPost, "http://"+router.callers+path, body)
+	request, err := http.NewRequest(http.MethodPost, "http://"+router.addresses.Callers+path, body)
 	if err != nil {
 		return err
 	}
@@ -260,7 +260,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			router := startRouter(t)
-			crowd := startCrowd(t, router.callers, test.members, test.member)
+			crowd := startCrowd(t, router.addresses.Callers, test.members, test.member)
 			crowd.wait()
 			router.waitServing("answer to an ordinary request beside the crowd", answerTimeout)
 			router.check()
@@ -278,9 +278,9 @@
 		name    string
 		address func(router *router) string
 	}{
-		{"readiness", func(router *router) string { return router.settings.ReadyListen }},
-		{"metrics", func(router *router) string { return router.settings.MetricsListen }},
-		{"other routers", func(router *router) string { return router.settings.PeerListen }},
+		{"readiness", func(router *router) string { return router.addresses.Ready }},
+		{"metrics", func(router *router) string { return router.addresses.Internal }},
+		{"other routers", func(router *router) string { return router.addresses.Peers }},
 	}
 	for _, listener := range listeners {
 		for _, member := range []struct {
@@ -358,7 +358,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			router := startRouter(t)
-			startCrowd(t, router.callers, bodyMembers, test.member).wait()
+			startCrowd(t, router.addresses.Callers, bodyMembers, test.member).wait()
 			if err := post(router); err != nil {
 				t.Error(err)
 			}
--- a/crowdtest/router_test.go
+++ b/crowdtest/router_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +16,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/config"
+	"github.com/hickoryhead/hickoryhead/entry"
 	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/standin"
@@ -62,14 +62,13 @@
 
 // router is a router process in front of one upstream.
 type router struct {
-	t        *testing.T
-	upstream *upstream
-	settings config.Entry
-	// callers is its address for callers.
-	callers string
-	process *os.Process
-	ended   chan struct{}
-	log     fleettest.Buffer
+	t         *testing.T
+	upstream  *upstream
+	settings  config.Entry
+	addresses entry.Addresses
+	process   *os.Process
+	ended     chan struct{}
+	log       fleettest.Buffer
 
 	peakDescriptors atomic.Int64
 	stopSampling    chan struct{}
@@ -92,9 +91,10 @@
 	}
 	write(platform.OperatorTable, platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s,%s],"services":[{"name":"pool","health-path":"/healthz","max-connections":4000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t","api-keys":["k"]}]}`,
 		route("plain", "idempotent"), route("stream", "streaming"), maxBodyBytes))
+	listen := fleettest.AnyPort()
 	router.settings = config.Entry{
 		VM: "vm-1", Zone: "a", Platform: strings.TrimPrefix(server.URL, "http://"),
-		CallerListen: "127.0.0.1:0", ReadyListen: freeAddress(t), PeerListen: freeAddress(t), MetricsListen: freeAddress(t),
+		CallerListen: listen, ReadyListen: listen, PeerListen: listen, MetricsListen: listen,
 		StopTimeoutMs: 8000, LoadMultiple: 2, RetryShare: 0.2, RetrySlack: 20, MemoryMB: memoryMB,
 	}
 	router.start()
@@ -125,7 +125,7 @@
 		router.t.Fatal(err)
 	}
 	router.process = command.Process
-	started := make(chan string, 1)
+	started := make(chan entry.Addresses, 1)
 	go func() {
 		defer close(router.ended)
 		reader := bufio.NewReader(output)
@@ -135,9 +135,8 @@
 				break
 			}
 			_, _ = router.log.Write(line)
-			var fields struct{ Callers string }
-			if bytes.Contains(line, []byte(`"Started."`)) && json.Unmarshal(line, &fields) == nil {
-				started <- fields.Callers
+			if addresses, found := fleettest.EntryStarted(string(line)); found {
+				started <- addresses
 			}
 		}
 		if err := command.Wait(); err != nil {
@@ -146,7 +145,7 @@
 	}()
 	router.t.Cleanup(router.stop)
 	select {
-	case router.callers = <-started:
+	case router.addresses = <-started:
 	case <-router.ended:
 		router.t.Fatalf("router ended before it listened:\n%s", router.log.String())
 	case <-time.After(readyTimeout):
--- a/crowdtest/upstream_test.go
+++ b/crowdtest/upstream_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -72,14 +71,3 @@
 		_, _ = fmt.Fprintf(writer, "%d", length)
 	}
 }
-
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -140,13 +140,9 @@
 	for _, server := range servers {
 		go server.run()
 	}
-	callers, ready := servers[0].listener.Addr().String(), servers[1].listener.Addr().String()
-	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", callers)
+	addresses := daemon.addresses(servers)
+	daemon.Logger.Info("Started.", "Zone", daemon.Config.Zone, "Callers", addresses.Callers, "Ready", addresses.Ready, "Peers", addresses.Peers, "Internal", addresses.Internal)
 	if daemon.OnStart != nil {
-		addresses := Addresses{Callers: callers, Ready: ready, Peers: daemon.scheduler.Self}
-		if daemon.Config.MetricsListen != "" {
-			addresses.Internal = servers[2].listener.Addr().String()
-		}
 		daemon.OnStart(addresses)
 	}
 	go reloader.run(loopCtx)
@@ -160,6 +156,19 @@
 	return nil
 }
 
+// addresses returns the addresses of the services that listen returned, and of the gossip.
+func (daemon *Daemon) addresses(services []*httpService) Addresses {
+	addresses := Addresses{
+		Callers: services[0].listener.Addr().String(),
+		Ready:   services[1].listener.Addr().String(),
+		Peers:   daemon.scheduler.Self,
+	}
+	if daemon.Config.MetricsListen != "" {
+		addresses.Internal = services[2].listener.Addr().String()
+	}
+	return addresses
+}
+
 // prepare creates the metrics, the request handler and the updater.
 func (daemon *Daemon) prepare() error {
 	if limit := daemon.Config.MemoryMB; limit > 0 {
--- a/entry/listen_test.go
+++ b/entry/listen_test.go
@@ -7,8 +7,27 @@
 	"testing"
 
 	"github.com/hickoryhead/hickoryhead/entry"
+	"github.com/hickoryhead/hickoryhead/fleettest"
 )
 
+// TestStartedLineNamesAllAddresses guards against a router of which only its own process knows
+// where it listens, so that settings have to name ports that others may take before it listens.
+func TestStartedLineNamesAllAddresses(t *testing.T) {
+	for _, internal := range []string{"", anyPort} {
+		fixture := newFixture(t)
+		fixture.config.MetricsListen = internal
+		fixture.start()
+		want := fixture.addresses
+		fixture.addresses = entry.Addresses{}
+		if found := fixture.readAddresses(); !found || fixture.addresses != want {
+			t.Errorf("got addresses %+v in the log, want %+v", fixture.addresses, want)
+		}
+		if (want.Internal == "") != (internal == "") || want.Callers == "" || want.Ready == "" || want.Peers == "" {
+			t.Errorf("got addresses %+v with %q for metrics, want one for each listener", want, internal)
+		}
+	}
+}
+
 // TestFailedStartClosesItsListeners guards against a router that can't start again
 // at its addresses because a failed start still listens there.
 func TestFailedStartClosesItsListeners(t *testing.T) {
@@ -17,7 +36,7 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	free, err := net.Listen("tcp", anyPort)
+	free, err := net.Listen("tcp", fleettest.AnyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -3,49 +3,21 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/hickoryhead/hickoryhead/entry"
+	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/platform"
 	"github.com/hickoryhead/hickoryhead/quota"
 )
 
-// hosts counts the loopback addresses that processes of tests have got.
-var hosts atomic.Int32
-
-// newHost returns a loopback address that no other process uses: connections of others, which
-// come from 127.0.0.1, take no port there that was free just now.
-func newHost() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, 1+pid%254, 1+hosts.Add(1)%253)
-}
-
-// chooseAddresses sets the addresses at which a process of the fixture listens, on a host of its
-// own, to ports that were free just now.
-func (fixture *fixture) chooseAddresses() {
-	fixture.t.Helper()
-	host := newHost()
-	for _, address := range []*string{&fixture.config.CallerListen, &fixture.config.ReadyListen, &fixture.config.PeerListen} {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		if err != nil {
-			fixture.t.Fatal(err)
-		}
-		defer listener.Close()
-		*address = listener.Addr().String()
-	}
-	fixture.addresses = entry.Addresses{Callers: fixture.config.CallerListen, Ready: fixture.config.ReadyListen, Peers: fixture.config.PeerListen}
-}
-
 // startProcess starts a router as a process of its own, with the settings of the fixture, and
 // waits until it is ready.
 func (fixture *fixture) startProcess() *os.Process {
@@ -55,7 +27,6 @@
 	if output, err := exec.Command("go", "build", "-o", program, "github.com/hickoryhead/hickoryhead/cmd/hickoryhead").CombinedOutput(); err != nil {
 		t.Fatalf("got %v, want a successful build: %s", err, output)
 	}
-	fixture.chooseAddresses()
 	content, err := json.Marshal(fixture.config)
 	if err != nil {
 		t.Fatal(err)
@@ -73,10 +44,23 @@
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	})
+	fixture.waitFor(5*time.Second, "addresses of the process", fixture.readAddresses)
 	fixture.waitFor(5*time.Second, "readiness of the process", fixture.ready)
 	return command.Process
 }
 
+// readAddresses takes the addresses of the fixture's process from its log. It returns false if
+// the process does not listen yet.
+func (fixture *fixture) readAddresses() bool {
+	for line := range strings.Lines(fixture.log.String()) {
+		if addresses, found := fleettest.EntryStarted(line); found {
+			fixture.addresses = addresses
+			return true
+		}
+	}
+	return false
+}
+
 // TestRequestsOfAPausedRouter guards against a router whose process was paused while a zone
 // was evacuated, and that sends the requests which arrived meanwhile to that zone as soon as
 // it resumes. The other router of the fleet learns of the evacuation at once.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -31,7 +31,6 @@
 func newProcessFixture(t *testing.T) *processFixture {
 	t.Helper()
 	fixture := &processFixture{fixture: newFixture(t, "i-1")}
-	fixture.chooseAddresses()
 	fixture.config.StopTimeoutMs = ident.Milliseconds(stopTimeout.Milliseconds())
 	content, err := json.Marshal(fixture.config)
 	if err != nil {
@@ -41,7 +40,7 @@
 	if err := os.WriteFile(path, content, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	fixture.process = fleettest.StartEntry(t, path)
+	fixture.process, fixture.addresses = fleettest.StartEntry(t, path)
 	fixture.waitFor(5*time.Second, "readiness", fixture.ready)
 	return fixture
 }
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -82,19 +82,8 @@
 	Engines         []*Unit
 	Services        []*Unit
 
-	dir       string
-	options   Options
-	hostCount int
-}
-
-// host returns a listen address on a separate loopback IP address for each
-// process, as each VM has its own. A restarted process finds its former ports
-// free, because outgoing connections of other processes don't use its IP
-// address.
-func (fleet *Fleet) host() string {
-	fleet.hostCount++
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+(pid>>8)%254, 1+pid%254, 1+fleet.hostCount%253)
+	dir     string
+	options Options
 }
 
 // Start starts a fleet and waits until its routers and sidecars are ready.
@@ -157,7 +146,7 @@
 func (fleet *Fleet) startUnit(id string, engine bool) *Unit {
 	fleet.T.Helper()
 	unit := &Unit{ID: ident.UpstreamID(id)}
-	fleet.StartUpstream(unit, engine, fleet.host())
+	fleet.StartUpstream(unit, engine, AnyPort())
 	fleet.StartSidecar(unit, engine)
 	return unit
 }
@@ -182,7 +171,7 @@
 	if engine {
 		upstreamConfig = config.Upstream{ID: unit.ID, Address: unit.Address, Model: Model, Limit: fleet.options.Limit}
 	}
-	host := fleet.host()
+	host := AnyPort()
 	sidecarConfig := config.Sidecar{
 		Daemon:    fleet.daemon("vm-"+string(unit.ID), firstNonEmpty(unit.VM.PeerAddress, host)),
 		HopListen: firstNonEmpty(unit.Hop, host),
@@ -214,7 +203,7 @@
 // router keeps its addresses.
 func (fleet *Fleet) StartRouter(entry *Router) {
 	fleet.T.Helper()
-	host := fleet.host()
+	host := AnyPort()
 	name := string(entry.VM.ID)
 	routerConfig := config.Router{
 		Daemon:         fleet.daemon(name, firstNonEmpty(entry.VM.PeerAddress, host)),
--- a/fleettest/process.go
+++ b/fleettest/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -108,15 +109,24 @@
 // line waits for the first line of output that begins with prefix and returns
 // the rest of that line. It fails the test if the process exits before.
 func (process *Process) line(t testing.TB, prefix string) string {
+	t.Helper()
+	return await(t, process, fmt.Sprintf("%q", prefix), func(line string) (string, bool) {
+		return strings.CutPrefix(line, prefix)
+	})
+}
+
+// await waits for the first line of output that decode accepts and returns what it holds. It
+// fails the test, naming what it waited for, if the process exits before.
+func await[T any](t testing.TB, process *Process, what string, decode func(line string) (T, bool)) T {
 	t.Helper()
 	for {
 		select {
 		case line := <-process.lines:
-			if rest, found := strings.CutPrefix(line, prefix); found {
-				return rest
+			if value, found := decode(line); found {
+				return value
 			}
 		case <-process.ended:
-			t.Fatalf("%s exited before it printed %q: %v\n%s", process.name, prefix, process.err, process.log.String())
+			t.Fatalf("%s exited before it printed %s: %v\n%s", process.name, what, process.err, process.log.String())
 		}
 	}
 }
@@ -152,9 +162,3 @@
 
 // Log returns what the process has written to its standard error so far.
 func (process *Process) Log() string { return process.log.String() }
-
-// StartEntry starts an entry router with the settings file at path.
-func StartEntry(t testing.TB, path string) *Process {
-	t.Helper()
-	return start(t, "router", "hickoryhead", "entry", "--settings", path)
-}
--- a/oncehttp/client_test.go
+++ b/oncehttp/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/oncehttp"
 )
 
@@ -69,7 +70,7 @@
 }
 
 func TestRefusedDialSentNothing(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fleettest.AnyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/upstream/http_test.go
+++ b/upstream/http_test.go
@@ -8,12 +8,13 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/result"
 	"github.com/hickoryhead/hickoryhead/upstream"
 )
 
 func TestUnreachableUpstreamWasSentNothing(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fleettest.AnyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
