forward: choose from the upstreams that are listed behind all waits

Cause: a request took its pool before it waited for a router that is current again, and chose from it after the wait. Requests that came in before the row of the new process was applied (0.1 to 0.2 ms behind the resume) had the old incarnation, which nothing limits. The same between the choice and the sending: MaySend was asked about the incarnation that was chosen.

Now the pool is taken in chooseNext, behind the waits for a current router and for a turn to run alone, for each choice anew; and MaySend and NextAt are asked about the process that is listed when the request is sent. So a choice can't be older than the last wait, and what became known while a connection was opened counts for the process that gets the request.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -139,7 +139,7 @@
 			return answer, code
 		}
 		exchange.withdrawn++
-		if !exchange.chooseNext(exchange.pool()) {
+		if _, found := exchange.chooseNext(); !found {
 			return nil, code
 		}
 		exchange.handler.Metrics.CountEvent(event)
@@ -173,10 +173,10 @@
 	if exchange.evacuated(upstream) {
 		return nil, exchange.withdraw(conn)
 	}
-	if !exchange.handler.Quota.MaySend(time.Now(), upstream, exchange.takenAt) {
+	if now, listed := time.Now(), exchange.relisted(upstream); !exchange.handler.Quota.MaySend(now, listed, exchange.takenAt) {
 		// It was found to have ended while the connection was opened. A refused request
 		// may return when the first of those that it was withdrawn from takes one.
-		at := exchange.handler.Quota.NextAt(time.Now(), upstream)
+		at := exchange.handler.Quota.NextAt(now, listed)
 		if exchange.limitedAt.IsZero() || at.Before(exchange.limitedAt) {
 			exchange.limitedAt = at
 		}
@@ -227,6 +227,15 @@
 	return exchange.handler.Registry.Evacuated(upstream.Zone)
 }
 
+// relisted returns the chosen upstream as it is listed now, maybe with the process that has followed
+// the chosen one.
+func (exchange *exchange) relisted(upstream registry.Upstream) registry.Upstream {
+	if listed, found := exchange.handler.Registry.Upstream(upstream.ID); found {
+		return listed
+	}
+	return upstream
+}
+
 // awaitCurrent waits, behind a pause of the process, until what the router knows is current.
 func (exchange *exchange) awaitCurrent() {
 	if exchange.handler.AwaitCurrent != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -151,8 +151,8 @@
 // answered or may not be sent again.
 func (exchange *exchange) tryUpstreams() {
 	for {
-		pool := exchange.pool()
-		if !exchange.chooseNext(pool) {
+		pool, found := exchange.chooseNext()
+		if !found {
 			exchange.abandon(exchange.noChoiceCode(pool))
 			return
 		}
@@ -180,19 +180,21 @@
 // request of this router uses up in the meantime.
 const maxChoices = 8
 
-// chooseNext chooses the upstream of the next attempt and reports whether there
-// is one. A request that crashes upstreams gets none.
-func (exchange *exchange) chooseNext(pool *registry.Pool) bool {
+// chooseNext chooses the upstream of the next attempt. It returns the upstreams that it chose
+// from, as they are listed behind all waits, and whether there is one for the request: one that
+// crashes upstreams gets none.
+func (exchange *exchange) chooseNext() (pool *registry.Pool, found bool) {
 	for range maxChoices {
 		exchange.awaitCurrent()
 		standing, inTime := exchange.awaitTurn()
+		pool = exchange.pool()
 		if !inTime {
 			exchange.postponed = true
-			return false
+			return pool, false
 		}
 		choice, found := exchange.chooseBy(standing.Allowance, pool)
 		if !found {
-			return false
+			return pool, false
 		}
 		exchange.choice = choice
 		if choice.Reason == balance.Designated && !exchange.proposeTrial() {
@@ -203,11 +205,11 @@
 		exchange.takenAt = time.Now()
 		if exchange.handler.Quota.Take(exchange.takenAt, choice.Upstream) {
 			exchange.tried = append(exchange.tried, choice.Upstream.ID)
-			return true
+			return pool, true
 		}
 		exchange.cancelTrial()
 	}
-	return false
+	return pool, false
 }
 
 func (exchange *exchange) chooseBy(allowance strike.Allowance, pool *registry.Pool) (balance.Choice, bool) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -119,8 +119,7 @@
 // to another one. If that gives no answer, the caller gets the server error
 // with its body.
 func (exchange *exchange) retryServerError(failed *answer, body []byte) result.Code {
-	pool := exchange.pool()
-	if !exchange.chooseNext(pool) {
+	if _, found := exchange.chooseNext(); !found {
 		return exchange.writePlain(failed, body)
 	}
 	exchange.earlier = exchange.reserved
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -203,7 +203,7 @@
 			return nil
 		}
 		exchange.handler.Metrics.CountRetry(result.AnswerCut)
-		if !exchange.chooseNext(pool) {
+		if _, found := exchange.chooseNext(); !found {
 			return nil
 		}
 		var answer *answer
