entry: rows of strikes are looked at again behind a call without an answer

Cause: what is performed last was taken for what was said last; a call without an answer was forgotten once it was repeated. Rows of strikes have no order to go by, and routers that saw the same crash write the same row.

One more call, only where an answer was lost and something differs; a line and a counter (strike.row.reconciled).

entry TestLateWriteOfAStrike fails before ("timed out, want row of sound-1 to be there: false"), with a stand-in that performs the first transaction late. strike TestReconcile has both directions. go test -race ./strike passes, and the entry tests of eras and restored stores.

--- a/entry/strikes.go
+++ b/entry/strikes.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
@@ -38,6 +40,8 @@
 	unsaved chan struct{}
 	// era is the era of the store in which all rows were written.
 	era ident.Era
+	// late holds the calls that the store may still perform.
+	late lateCalls
 }
 
 // newStrikeStore returns a strikeStore of the daemon's strikes.
@@ -90,16 +94,34 @@
 		strikeStore.restore(ctx)
 	}
 	unsaved := strikeStore.guard.TakeUnsaved()
+	unsaved.Add(strikeStore.reconcile())
 	if len(unsaved.Write)+len(unsaved.Remove) == 0 {
 		return
 	}
-	write := func(ctx context.Context) error { return strikeStore.writeRows(ctx, unsaved) }
+	write := func(ctx context.Context) error {
+		err := strikeStore.writeRows(ctx, unsaved)
+		if errors.Is(err, platform.ErrLost) {
+			strikeStore.late.add(time.Now(), unsaved)
+		}
+		return err
+	}
 	if !strikeStore.call(ctx, "write", write) {
 		strikeStore.guard.PutBackUnsaved(unsaved)
 		wait.Sleep(ctx, wait.Jitter(strikeRetryInterval))
 	}
 }
 
+// reconcile returns what has to be changed in rows behind calls without an answer.
+func (strikeStore *strikeStore) reconcile() strike.Unsaved {
+	now := time.Now()
+	changes := strikeStore.guard.Reconcile(now, strikeStore.late.take(now))
+	if len(changes.Write)+len(changes.Remove) > 0 {
+		strikeStore.metrics.CountEvent("strike.row.reconciled")
+		strikeStore.logger.Info("Rows of strikes written again behind a call without an answer.", "Written", len(changes.Write), "Removed", len(changes.Remove))
+	}
+	return changes
+}
+
 // restore writes the rows again that the store lost when it was restored from an older
 // copy, and reads those of other routers. Routers do so at different times.
 func (strikeStore *strikeStore) restore(ctx context.Context) {
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -18,6 +18,12 @@
 	Remove []Strike
 }
 
+// Add adds the changes of another one.
+func (unsaved *Unsaved) Add(other Unsaved) {
+	unsaved.Write = append(unsaved.Write, other.Write...)
+	unsaved.Remove = append(unsaved.Remove, other.Remove...)
+}
+
 // rowKey identifies the row of a strike.
 type rowKey struct {
 	fingerprint ident.Fingerprint
@@ -90,6 +96,35 @@
 	return false
 }
 
+// Reconcile returns the changes that give the rows which a call names what they should have: a strike
+// that counts has its row, and no other one has any. The store may have performed the call behind
+// later ones.
+func (guard *Guard) Reconcile(now time.Time, call Unsaved) Unsaved {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	var changes Unsaved
+	seen := make(map[rowKey]struct{})
+	for _, strike := range slices.Concat(call.Write, call.Remove) {
+		key := strike.rowKey()
+		if _, found := seen[key]; found {
+			continue
+		}
+		seen[key] = struct{}{}
+		if _, counts := guard.saved[key]; !counts {
+			changes.Remove = append(changes.Remove, strike)
+		} else if slices.ContainsFunc(call.Remove, func(removed Strike) bool { return removed.rowKey() == key }) {
+			changes.Write = append(changes.Write, guard.counted(now, key)...)
+		}
+	}
+	return changes
+}
+
+// counted returns the strike of a row if it counts. The caller holds mu.
+func (guard *Guard) counted(now time.Time, key rowKey) []Strike {
+	strikes := guard.tracker.Strikes(now, key.fingerprint)
+	return slices.DeleteFunc(slices.Clone(strikes), func(strike Strike) bool { return strike.rowKey() != key })
+}
+
 // removeStale has the rows of strikes removed from the store that no longer
 // count. The caller holds mu.
 func (guard *Guard) removeStale() {
