entry: tests write rows of upstreams in one way

What they write is the same: the zone tests say nothing of cold-remaining-ms, as before.

go test -race ./entry of the tests that use them passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -91,11 +91,41 @@
 	return fixture
 }
 
-// writeUpstream writes the row of an upstream with the state.
-func (fixture *fixture) writeUpstream(id, state string) {
+// serverRow is the row of an upstream, as the platform spells it.
+type serverRow struct {
+	Service string     `json:"service"`
+	Address string     `json:"address"`
+	Zone    ident.Zone `json:"zone"`
+	Version string     `json:"version"`
+	Slots   int        `json:"slots"`
+	State   string     `json:"state"`
+	// ColdRemaining is how much longer the upstream is cold, or nil if the row doesn't say.
+	ColdRemaining *ident.Milliseconds `json:"cold-remaining-ms,omitempty"`
+	Seq           int                 `json:"seq"`
+	// Born is when the process started, in Unix milliseconds.
+	Born int64 `json:"born"`
+}
+
+// rowOf returns the row of an upstream that is ready and has not started again.
+func (fixture *fixture) rowOf(id string) serverRow {
 	address := strings.TrimPrefix(fixture.upstreams[id].server.URL, "http://")
-	value := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold-remaining-ms":0,"seq":4,"born":1700000000000}`, address, state)
-	fixture.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(id), Value: []byte(value)})
+	return serverRow{Service: "pool", Address: address, Zone: "a", Version: "v1", Slots: 4, State: "ready", Seq: 4, Born: 1700000000000}
+}
+
+func (fixture *fixture) writeRow(id string, row serverRow) {
+	fixture.t.Helper()
+	value, err := json.Marshal(row)
+	if err != nil {
+		fixture.t.Fatal(err)
+	}
+	fixture.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(id), Value: value})
+}
+
+// writeUpstream writes the row of an upstream with the state, which is not cold.
+func (fixture *fixture) writeUpstream(id, state string) {
+	row := fixture.rowOf(id)
+	row.State, row.ColdRemaining = state, new(ident.Milliseconds)
+	fixture.writeRow(id, row)
 }
 
 // writeConfig writes a configuration with one route at prefix.
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -26,10 +26,10 @@
 )
 
 // writeZone writes the row of an upstream in a zone.
-func (fixture *fixture) writeZone(id, zone string) {
-	address := strings.TrimPrefix(fixture.upstreams[id].server.URL, "http://")
-	value := fmt.Sprintf(`{"service":"pool","address":%q,"zone":%q,"version":"v1","slots":4,"state":"ready","seq":4,"born":1700000000000}`, address, zone)
-	fixture.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(id), Value: []byte(value)})
+func (fixture *fixture) writeZone(id string, zone ident.Zone) {
+	row := fixture.rowOf(id)
+	row.Zone = zone
+	fixture.writeRow(id, row)
 }
 
 // evacuate requests the evacuation of a zone, or ends it.
--- a/entry/stall_process_test.go
+++ b/entry/stall_process_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/hickoryhead/hickoryhead/fleettest"
-	"github.com/hickoryhead/hickoryhead/platform"
+	"github.com/hickoryhead/hickoryhead/ident"
 	"github.com/hickoryhead/hickoryhead/quota"
 )
 
@@ -116,9 +116,11 @@
 // restartCold writes the row of an upstream as that of a process which has just followed another one,
 // and is cold.
 func (fixture *fixture) restartCold(id string, rule quota.ColdRule) {
-	address := strings.TrimPrefix(fixture.upstreams[id].server.URL, "http://")
-	value := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":%d,"seq":1,"born":1700000000001}`, address, rule.Start.Milliseconds())
-	fixture.store.Write(platform.Record{Table: platform.ServerTable, Key: platform.Key(id), Value: []byte(value)})
+	row := fixture.rowOf(id)
+	remaining := ident.Milliseconds(rule.Start.Milliseconds())
+	row.ColdRemaining, row.Seq = &remaining, 1
+	row.Born++
+	fixture.writeRow(id, row)
 }
 
 // TestColdUpstreamOfAPausedRouter guards against a router whose process was paused while an upstream
