--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -63,14 +63,17 @@
 }
 
 // recordUnreachable marks the engine as lost at once, after a connection to it
-// could not be opened. The next successful probe ends this. Plain services are
-// not marked.
-func (sidecar *Sidecar) recordUnreachable() {
+// could not be opened for the reason err. The next successful probe ends this.
+// Plain services are not marked.
+func (sidecar *Sidecar) recordUnreachable(err error) {
 	sidecar.mu.Lock()
 	defer sidecar.mu.Unlock()
-	if sidecar.Upstream.Model != "" {
-		sidecar.failedProbes = max(sidecar.failedProbes, maxFailedProbes)
+	if sidecar.Upstream.Model == "" || sidecar.failedProbes >= maxFailedProbes {
+		return
 	}
+	sidecar.failedProbes = maxFailedProbes
+	sidecar.log().Warn("The upstream can't be reached. Requests are refused until it responds.", "error", err)
+	sidecar.Metrics.CountEvent("upstream.unreachable")
 }
 
 // recordLost cancels the idempotent requests that run on the lost upstream. The
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -173,7 +173,7 @@
 	err := send()
 	if result.CodeOf(err) == result.UpstreamUnreachable {
 		work.execution.undoForward()
-		work.sidecar.recordUnreachable()
+		work.sidecar.recordUnreachable(err)
 	}
 	return err
 }
