retry: a retry counts for a whole window

Cause: Budget counted in ten slots of a second, of which the current one has only begun, so that a retry was forgotten between 9 and 10 s after it. Where the budget is used to its end, what is forgotten is spent at once. The bound in TestRetriesStayWithinBudget allowed for it (Slack for each Window minus a second); it is a Window now.

Eleven slots are kept: retries count for a whole window at least, requests for one at most, so the bound holds in any period of that length.

TestRetriesOfAnyWindowStayWithinBudget fails before ("got 11 retries in the window up to 10s, want at most 10.2").

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -14,12 +14,15 @@
 const (
 	windowSlots = 10
 	slotLength  = time.Second
+	// keptSlots is the number of slots that are kept: the current one has only begun, so that
+	// a whole Window takes one more.
+	keptSlots = windowSlots + 1
 )
 
 // Budget limits retries to a share of the requests in the last Window. However
-// many upstreams fail, there are at most requests*(1+Share) attempts, plus Slack
-// for each period of Window minus one slot. The zero value allows DefaultSlack
-// retries per window. A Budget is not safe for concurrent use.
+// many upstreams fail, there are at most Share retries for each request, plus
+// Slack, in any period of Window. The zero value allows DefaultSlack retries per
+// window. A Budget is not safe for concurrent use.
 type Budget struct {
 	// Share is the maximum ratio of retries to requests, such as 0.2.
 	Share float64
@@ -27,7 +30,7 @@
 	// zero means DefaultSlack.
 	Slack float64
 
-	counts [windowSlots]slotCounts
+	counts [keptSlots]slotCounts
 	// current is the index of the slot that receives counts until endsAt.
 	current int
 	endsAt  time.Time
@@ -49,11 +52,7 @@
 // the budget is used up.
 func (budget *Budget) Spend(now time.Time) bool {
 	budget.advance(now)
-	var sum slotCounts
-	for _, slot := range budget.counts {
-		sum.requests += slot.requests
-		sum.retries += slot.retries
-	}
+	sum := budget.sum()
 	slack := budget.Slack
 	if slack == 0 {
 		slack = DefaultSlack
@@ -65,15 +64,27 @@
 	return true
 }
 
+// sum returns the retries of at least the last Window, and the requests of at most that.
+func (budget *Budget) sum() slotCounts {
+	var sum slotCounts
+	for _, slot := range budget.counts {
+		sum.requests += slot.requests
+		sum.retries += slot.retries
+	}
+	oldest := (budget.current + 1) % keptSlots
+	sum.requests -= budget.counts[oldest].requests
+	return sum
+}
+
 // advance moves the window forward to now and clears the slots it reuses.
 func (budget *Budget) advance(now time.Time) {
 	if budget.endsAt.IsZero() || !now.Before(budget.endsAt.Add(Window)) {
-		budget.counts = [windowSlots]slotCounts{}
+		budget.counts = [keptSlots]slotCounts{}
 		budget.endsAt = now.Add(slotLength)
 		return
 	}
 	for !now.Before(budget.endsAt) {
-		budget.current = (budget.current + 1) % windowSlots
+		budget.current = (budget.current + 1) % keptSlots
 		budget.counts[budget.current] = slotCounts{}
 		budget.endsAt = budget.endsAt.Add(slotLength)
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -80,7 +80,7 @@
 			for tried := 1; tried < retry.MaxTries && budget.Spend(now); tried++ {
 				attempts++
 			}
-			windows := 1 + now.Sub(start).Seconds()/(retry.Window-time.Second).Seconds()
+			windows := 1 + now.Sub(start).Seconds()/retry.Window.Seconds()
 			maxAttempts := float64(requests+1)*(1+budget.Share) + retry.DefaultSlack*windows
 			if float64(attempts) > maxAttempts {
 				t.Fatalf("got %d attempts for %d requests in %v, want at most %v", attempts, requests+1, now.Sub(start), maxAttempts)
@@ -89,6 +89,41 @@
 	})
 }
 
+// TestRetriesOfAnyWindowStayWithinBudget guards against retries that are forgotten before they are a
+// Window old, so that more than the budget come in a period of that length.
+func TestRetriesOfAnyWindowStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.Budget{Share: 0.2, Slack: 5}
+		maxGapMs := rapid.SampledFrom([]int{20, 300, 3000}).Draw(t, "maxGapMs")
+		now := start
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, maxGapMs).Draw(t, "gapMs")) * time.Millisecond)
+			budget.CountRequest(now)
+			requests = append(requests, now)
+			for rapid.Bool().Draw(t, "failed") && budget.Spend(now) {
+				retries = append(retries, now)
+				from := now.Add(-retry.Window)
+				most := budget.Share*float64(countFrom(requests, from)) + budget.Slack
+				if got := countFrom(retries, from); float64(got) > most {
+					t.Fatalf("got %d retries in the window up to %v, want at most %v", got, now.Sub(start), most)
+				}
+			}
+		}
+	})
+}
+
+// countFrom returns how many times are not before from.
+func countFrom(times []time.Time, from time.Time) int {
+	count := 0
+	for _, at := range times {
+		if !at.Before(from) {
+			count++
+		}
+	}
+	return count
+}
+
 // TestFailureBurst checks that requests that all fail at the same time get their
 // share of retries plus the slack, and no more.
 func TestFailureBurst(t *testing.T) {
