--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync"
--- a/strike/rows.go
+++ b/strike/rows.go
@@ -104,21 +104,33 @@
 	defer guard.mu.Unlock()
 	var changes Unsaved
 	seen := make(map[rowKey]struct{})
-	for _, strike := range slices.Concat(call.Write, call.Remove) {
-		key := strike.rowKey()
-		if _, found := seen[key]; found {
-			continue
+	for _, removed := range firstOfEachRow(call.Remove, seen) {
+		if _, counts := guard.saved[removed.rowKey()]; counts {
+			changes.Write = append(changes.Write, guard.counted(now, removed.rowKey())...)
+		} else {
+			changes.Remove = append(changes.Remove, removed)
 		}
-		seen[key] = struct{}{}
-		if _, counts := guard.saved[key]; !counts {
-			changes.Remove = append(changes.Remove, strike)
-		} else if slices.ContainsFunc(call.Remove, func(removed Strike) bool { return removed.rowKey() == key }) {
-			changes.Write = append(changes.Write, guard.counted(now, key)...)
+	}
+	for _, written := range firstOfEachRow(call.Write, seen) {
+		if _, counts := guard.saved[written.rowKey()]; !counts {
+			changes.Remove = append(changes.Remove, written)
 		}
 	}
 	return changes
 }
 
+// firstOfEachRow returns the first strike of each row that is not in seen, and adds the rows to it.
+func firstOfEachRow(strikes []Strike, seen map[rowKey]struct{}) []Strike {
+	var first []Strike
+	for _, strike := range strikes {
+		if _, found := seen[strike.rowKey()]; !found {
+			seen[strike.rowKey()] = struct{}{}
+			first = append(first, strike)
+		}
+	}
+	return first
+}
+
 // counted returns the strike of a row if it counts. The caller holds mu.
 func (guard *Guard) counted(now time.Time, key rowKey) []Strike {
 	strikes := guard.tracker.Strikes(now, key.fingerprint)
