--- a/forward/end_router_test.go
+++ b/forward/end_router_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,24 +15,13 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryhead/hickoryhead/fleettest"
 	"github.com/hickoryhead/hickoryhead/forward"
 	"github.com/hickoryhead/hickoryhead/logging"
 	"github.com/hickoryhead/hickoryhead/metrics"
 	"github.com/hickoryhead/hickoryhead/routing"
 )
 
-// endLog collects log lines. It is safe for concurrent use.
-type endLog struct {
-	mu    sync.Mutex
-	lines bytes.Buffer
-}
-
-func (endLog *endLog) Write(line []byte) (int, error) {
-	endLog.mu.Lock()
-	defer endLog.mu.Unlock()
-	return endLog.lines.Write(line)
-}
-
 // endLine is the log line of a request that got no complete answer.
 type endLine struct {
 	Message        string `json:"msg"`
@@ -49,15 +37,13 @@
 }
 
 // ends returns the lines so far that name an end.
-func (endLog *endLog) ends(t *testing.T) []endLine {
-	t.Helper()
-	endLog.mu.Lock()
-	defer endLog.mu.Unlock()
+func (router *endRouter) ends() []endLine {
+	router.t.Helper()
 	var ends []endLine
-	for text := range bytes.Lines(endLog.lines.Bytes()) {
+	for text := range strings.Lines(router.log.String()) {
 		var line endLine
-		if err := json.Unmarshal(text, &line); err != nil {
-			t.Fatal(err)
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			router.t.Fatal(err)
 		}
 		if line.EndReason != "" {
 			ends = append(ends, line)
@@ -73,7 +59,7 @@
 	upstream *fakeUpstream
 	conns    forward.CallerConns
 	address  string
-	log      endLog
+	log      fleettest.Buffer
 	// deadline is how long the caller waits.
 	deadline time.Duration
 
@@ -221,14 +207,14 @@
 // awaitEnd returns the only line of a request that ended without an answer.
 func (router *endRouter) awaitEnd() endLine {
 	router.t.Helper()
-	for end := time.Now().Add(endTimeout); len(router.log.ends(router.t)) == 0 && time.Now().Before(end); {
+	for end := time.Now().Add(endTimeout); len(router.ends()) == 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
 	// A second line would follow at once.
 	time.Sleep(20 * time.Millisecond)
-	ends := router.log.ends(router.t)
+	ends := router.ends()
 	if len(ends) != 1 {
-		router.t.Fatalf("got %d lines of requests that ended without an answer, want one: %s", len(ends), router.log.lines.String())
+		router.t.Fatalf("got %d lines of requests that ended without an answer, want one: %s", len(ends), router.log.String())
 	}
 	return ends[0]
 }
--- a/forward/request_end_test.go
+++ b/forward/request_end_test.go
@@ -217,7 +217,7 @@
 	}
 	conn.Close()
 	time.Sleep(50 * time.Millisecond)
-	if got := router.log.ends(t); len(got) != 0 {
+	if got := router.ends(); len(got) != 0 {
 		t.Errorf("got %+v for answered requests, want no end", got)
 	}
 }
@@ -290,7 +290,7 @@
 			if got := router.counted(event); got != fmt.Sprint(requests) {
 				t.Errorf("got %s requests counted, want %d", got, requests)
 			}
-			if got := len(router.log.ends(t)); got != test.want {
+			if got := len(router.ends()); got != test.want {
 				t.Errorf("got %d lines, want %d", got, test.want)
 			}
 		})
