forward: latest and originRefuted look an upstream's successor up in one place

relisted repeated successor's look-up, and differed from it only for an upstream that has no successor, for which the one that was chosen serves as well: quota goes by its ID, incarnation and service.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -173,7 +173,7 @@
 	if exchange.evacuated(upstream) {
 		return nil, exchange.withdraw(conn)
 	}
-	if now, listed := time.Now(), exchange.relisted(upstream); !exchange.handler.Quota.MaySend(now, listed, exchange.takenAt) {
+	if now, listed := time.Now(), exchange.latest(upstream); !exchange.handler.Quota.MaySend(now, listed, exchange.takenAt) {
 		// It was found to have ended while the connection was opened. A refused request
 		// may return when the first of those that it was withdrawn from takes one.
 		at := exchange.handler.Quota.NextAt(now, listed)
@@ -227,10 +227,9 @@
 	return exchange.handler.Registry.Evacuated(upstream.Zone)
 }
 
-// relisted returns the chosen upstream as it is listed now, maybe with the process that has followed
-// the chosen one.
-func (exchange *exchange) relisted(upstream registry.Upstream) registry.Upstream {
-	if listed, found := exchange.handler.Registry.Upstream(upstream.ID); found {
+// latest returns the successor of the chosen upstream, or the upstream itself if there is none.
+func (exchange *exchange) latest(upstream registry.Upstream) registry.Upstream {
+	if listed, found := exchange.successor(upstream); found {
 		return listed
 	}
 	return upstream
