--- a/quota/cold_failure.go
+++ b/quota/cold_failure.go
@@ -51,7 +51,7 @@
 	if _, found := tracker.coldRule(upstream.Service); !found {
 		return
 	}
-	state := tracker.ensureCold(key{upstream: upstream.ID, incarnation: upstream.Incarnation})
+	state := tracker.ensureCold(keyOf(upstream))
 	tracker.fail(now, state, upstream, triedAt)
 	state.closed = false
 	if !state.reported {
@@ -71,7 +71,7 @@
 		return
 	}
 	// Since when the process has ended is not known: no answer shows that it ran on.
-	state := tracker.ensureCold(key{upstream: upstream.ID, incarnation: upstream.Incarnation})
+	state := tracker.ensureCold(keyOf(upstream))
 	if state.Failed {
 		return
 	}
@@ -87,7 +87,7 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	state := tracker.colds[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	state := tracker.colds[keyOf(upstream)]
 	return state != nil && state.Failed && state.closed && state.single
 }
 
@@ -99,7 +99,7 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	state := tracker.colds[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	state := tracker.colds[keyOf(upstream)]
 	if state == nil || !state.Failed || !state.closed {
 		return
 	}
@@ -130,7 +130,7 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
+	identity := keyOf(upstream)
 	last := tracker.contact(upstream)
 	last.answeredAt, last.answeredSentAt = now, later(last.answeredSentAt, sentAt)
 	state := tracker.colds[identity]
--- a/quota/cold_rate.go
+++ b/quota/cold_rate.go
@@ -17,7 +17,7 @@
 	if len(tracker.colds) == 0 {
 		return nil
 	}
-	state := tracker.colds[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	state := tracker.colds[keyOf(upstream)]
 	if state == nil || !state.inForce(now) {
 		return nil
 	}
--- a/quota/cold_row.go
+++ b/quota/cold_row.go
@@ -38,7 +38,7 @@
 	if known && last.version.Era() == upstream.Version.Era() {
 		wroteAfter = last.sentAt
 	}
-	identity := key{upstream: upstream.ID, incarnation: upstream.Incarnation}
+	identity := keyOf(upstream)
 	state := tracker.colds[identity]
 	if state == nil && !cold {
 		return
@@ -91,7 +91,7 @@
 		// The row says it more exactly.
 		return
 	}
-	state := tracker.ensureCold(key{upstream: upstream.ID, incarnation: upstream.Incarnation})
+	state := tracker.ensureCold(keyOf(upstream))
 	if state.Failed {
 		return
 	}
--- a/quota/rest.go
+++ b/quota/rest.go
@@ -42,7 +42,7 @@
 
 // restsUntil returns RestsUntil. The caller holds mu.
 func (tracker *Tracker) restsUntil(now time.Time, upstream registry.Upstream) time.Time {
-	until := tracker.restUntil[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	until := tracker.restUntil[keyOf(upstream)]
 	if !now.Before(until) {
 		return time.Time{}
 	}
--- a/quota/tracker.go
+++ b/quota/tracker.go
@@ -52,6 +52,10 @@
 	incarnation registry.Incarnation
 }
 
+func keyOf(upstream registry.Upstream) key {
+	return key{upstream: upstream.ID, incarnation: upstream.Incarnation}
+}
+
 // bucket is a limit and this router's part of it.
 type bucket struct {
 	Limit
@@ -247,7 +251,7 @@
 // limiting returns the bucket of an upstream that names a limit, filled up to now, or
 // nil. The caller holds mu.
 func (tracker *Tracker) limiting(now time.Time, upstream registry.Upstream) *bucket {
-	found := tracker.buckets[key{upstream: upstream.ID, incarnation: upstream.Incarnation}]
+	found := tracker.buckets[keyOf(upstream)]
 	if found == nil || found.Lifted {
 		return nil
 	}
@@ -370,7 +374,7 @@
 	}
 	present := make(map[key]ident.ServiceName, len(listed))
 	for _, upstream := range listed {
-		present[key{upstream: upstream.ID, incarnation: upstream.Incarnation}] = upstream.Service
+		present[keyOf(upstream)] = upstream.Service
 	}
 	tracker.listed = present
 	tracker.retainColds(now, present)
