--- a/entry/late_strike_test.go
+++ b/entry/late_strike_test.go
@@ -86,14 +86,11 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		strikeStore.run(ctx)
-	}()
+	var running sync.WaitGroup
+	running.Go(func() { strikeStore.run(ctx) })
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		running.Wait()
 	})
 	waitForRows := func(strikes []strike.Strike, want bool) {
 		t.Helper()
